Lay the shared modules, messages and link of the package

Cause: parts are to be built side by side, so what they meet at has to stand first: settings, logs, metrics, errors, invariants, the typed messages, the agreed commands and outcomes, the shape of a core.

Ruled out: protobuf messages with a generated module. One msgspec record serves as wire message, log entry and core message, is checked when it is decoded, and needs no generated code.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each module is a command of its own."""
--- /dev/null
+++ b/fuchsiatrestle/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Administration API: maps HTTP calls to commands and queries."""
--- /dev/null
+++ b/fuchsiatrestle/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log of one cell: core, write-ahead log, snapshots, voters."""
--- /dev/null
+++ b/fuchsiatrestle/agreement/_events.py
@@ -0,0 +1,174 @@
+"""Events that a replica takes and effects that it asks for."""
+
+__all__ = (
+    'Accepted',
+    'Apply',
+    'ChangeVoters',
+    'Compact',
+    'HandOver',
+    'HardState',
+    'Propose',
+    'ReadReady',
+    'ReadRequest',
+    'Received',
+    'Rejected',
+    'Restore',
+    'RoleChanged',
+    'Send',
+    'Synced',
+    'Tick',
+    'Write',
+)
+
+
+class _Value:
+    """Plain data with positional slots, a readable repr and equality."""
+
+    __slots__ = ()
+
+    def __init__(self, *values):
+        names = self.__slots__
+        if len(values) != len(names):
+            raise TypeError(f'{type(self).__name__} takes {names!r}')
+        for name, value in zip(names, values, strict=True):
+            setattr(self, name, value)
+
+    def _values(self):
+        return tuple(getattr(self, name) for name in self.__slots__)
+
+    def __eq__(self, other):
+        return type(self) is type(other) and self._values() == other._values()
+
+    def __repr__(self):
+        inner = ', '.join(
+            f'{name}={getattr(self, name)!r}' for name in self.__slots__
+        )
+        return f'{type(self).__name__}({inner})'
+
+    __hash__ = None
+
+
+class HardState(_Value):
+    """What must be synced before it is acted on: ``term`` and ``vote``."""
+
+    __slots__ = ('term', 'vote')
+
+
+# Events
+
+
+class Tick(_Value):
+    """Time has passed; sent every few milliseconds."""
+
+    __slots__ = ()
+
+
+class Received(_Value):
+    """A message from another replica."""
+
+    __slots__ = ('sender', 'message')
+
+
+class Propose(_Value):
+    """Commands to agree: ``items`` is a list of (token, bytes) pairs."""
+
+    __slots__ = ('items',)
+
+
+class Synced(_Value):
+    """The ``Write`` with this number, and all before it, are durable."""
+
+    __slots__ = ('write_id',)
+
+
+class Compact(_Value):
+    """A snapshot up to ``last_index`` is durable; drop the log before it.
+
+    ``data`` is the snapshot, kept to be sent to followers far behind.
+    """
+
+    __slots__ = ('last_index', 'last_term', 'data')
+
+
+class ReadRequest(_Value):
+    """Asks for a linearizable read, answered by ``ReadReady``."""
+
+    __slots__ = ('token',)
+
+
+class HandOver(_Value):
+    """Gives leadership away, for a planned stop."""
+
+    __slots__ = ()
+
+
+class ChangeVoters(_Value):
+    """Adds a learner, promotes it or removes a voter.
+
+    ``change`` is ``add``, ``promote`` or ``remove``; ``member`` is the
+    identity, ``name=IP:port`` data stays with the caller.
+    """
+
+    __slots__ = ('token', 'change', 'member')
+
+
+# Effects
+
+
+class Send(_Value):
+    """Send a message to another replica; it may be lost."""
+
+    __slots__ = ('peer', 'message')
+
+
+class Write(_Value):
+    """Make durable, then report ``Synced(write_id)``.
+
+    ``hard_state`` is None if unchanged; ``truncate_from`` is None or the
+    first index to drop before ``entries`` are appended.
+    """
+
+    __slots__ = ('write_id', 'hard_state', 'truncate_from', 'entries')
+
+
+class Apply(_Value):
+    """Apply committed entries to the state machine, in order."""
+
+    __slots__ = ('entries',)
+
+
+class Restore(_Value):
+    """Save this snapshot and replace the state machine by it."""
+
+    __slots__ = ('last_index', 'last_term', 'data')
+
+
+class Accepted(_Value):
+    """The proposal got a place in the log; its fate is not yet known."""
+
+    __slots__ = ('token', 'index', 'term')
+
+
+class Rejected(_Value):
+    """The proposal or read was refused and certainly not agreed.
+
+    ``reason`` is ``not_leader``, ``overloaded``, ``stopping`` or
+    ``no_quorum`` (reads only); ``leader`` is its name or empty.
+    """
+
+    __slots__ = ('token', 'reason', 'leader')
+
+
+class ReadReady(_Value):
+    """The read may be answered once ``index`` is applied."""
+
+    __slots__ = ('token', 'index')
+
+
+class RoleChanged(_Value):
+    """``role`` is ``leader``, ``follower``, ``candidate`` or ``learner``.
+
+    ``ready`` is True for a leader whose first own entry is committed.
+    """
+
+    __slots__ = ('role', 'term', 'leader', 'ready')
--- /dev/null
+++ b/fuchsiatrestle/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control daemon: tasks around agreement, state and scheduling."""
--- /dev/null
+++ b/fuchsiatrestle/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The command line for operators."""
--- /dev/null
+++ b/fuchsiatrestle/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon: tasks around the routing decisions."""
--- /dev/null
+++ b/fuchsiatrestle/messages/__init__.py
@@ -0,0 +1,31 @@
+"""Messages between the system's own processes.
+
+Every message is a ``records.Record``.  ``CODEC`` covers all of them; a
+``Frame`` is what one transport message carries.  Commands, outcomes, queries
+and results travel as opaque bytes, see ``fuchsiatrestle.state``.
+"""
+
+from fuchsiatrestle.messages import _agreement
+from fuchsiatrestle.messages import _control
+from fuchsiatrestle.messages import _frames
+from fuchsiatrestle.messages import _routing
+from fuchsiatrestle.messages import _workers
+from fuchsiatrestle.messages._agreement import *
+from fuchsiatrestle.messages._control import *
+from fuchsiatrestle.messages._frames import *
+from fuchsiatrestle.messages._routing import *
+from fuchsiatrestle.messages._workers import *
+from fuchsiatrestle import records
+
+__all__ = (
+    _agreement.__all__
+    + _control.__all__
+    + _frames.__all__
+    + _routing.__all__
+    + _workers.__all__
+    + ('CODEC',)
+)
+
+CODEC = records.Codec(
+    *_agreement.KINDS, *_control.KINDS, *_routing.KINDS, *_frames.KINDS
+)
--- /dev/null
+++ b/fuchsiatrestle/net/link.py
@@ -0,0 +1,342 @@
+"""Link: typed messages between the system's own processes.
+
+A link names its process, listens on one address and keeps a stream to every
+peer it was told to connect to.  ``send`` never blocks: a message for a peer
+that is away is dropped and counted, since every protocol above repeats what
+matters.  Messages to one peer keep their order on a stream; a stream that
+breaks is dialled again with back-off.  All messages waiting for a peer leave
+in one frame.
+
+Use from curio::
+
+    link = Link('e1', incarnation=7, listen=address)
+    await link.start()
+    link.connect('c1', address_of_c1)
+    link.send('c1', message)
+    inbound = await link.receive()
+"""
+
+import asyncio
+import collections
+
+import curio
+from grpclib import client
+from grpclib import exceptions
+from grpclib import server
+
+from fuchsiatrestle import errors
+from fuchsiatrestle import logs
+from fuchsiatrestle import messages
+from fuchsiatrestle import metrics
+from fuchsiatrestle.net import _grpc_thread
+from fuchsiatrestle.net import _stream
+from fuchsiatrestle import records
+
+__all__ = (
+    'Inbound',
+    'Link',
+    'PeerDown',
+    'PeerUp',
+)
+
+DIAL_TIMEOUT_S = 1.0
+REDIAL_MIN_S = 0.05
+REDIAL_MAX_S = 1.0
+KEEPALIVE_S = 1.0
+SILENCE_LIMIT_S = 4.0
+MAX_WAITING_MESSAGES = 20000
+MAX_FRAME_MESSAGES = 512
+
+LINK_DROPPED = metrics.declare(
+    'link.dropped', 'Messages dropped because the peer was away or full.'
+)
+LINK_REDIALLED = metrics.declare(
+    'retry.link_redial', 'A stream to a peer broke and was dialled again.'
+)
+LINK_MALFORMED = metrics.declare(
+    'refused.link_malformed', 'Messages from a peer that failed to decode.'
+)
+
+LOG = logs.get_logger(__name__)
+
+_BROKEN = (
+    OSError,
+    asyncio.TimeoutError,
+    exceptions.GRPCError,
+    exceptions.ProtocolError,
+    exceptions.StreamTerminatedError,
+    records.DecodeError,
+)
+
+
+class Inbound:
+    """A message received from a peer."""
+
+    __slots__ = ('incarnation', 'message', 'peer')
+
+    def __init__(self, peer, incarnation, message):
+        self.peer = peer
+        self.incarnation = incarnation
+        self.message = message
+
+
+class PeerUp:
+    """A stream to or from a peer was opened."""
+
+    __slots__ = ('peer',)
+
+    def __init__(self, peer):
+        self.peer = peer
+
+
+class PeerDown:
+    """The last stream to or from a peer has ended."""
+
+    __slots__ = ('peer',)
+
+    def __init__(self, peer):
+        self.peer = peer
+
+
+class _Outbox:
+    """Messages waiting for one stream; lives in the asyncio thread."""
+
+    __slots__ = ('_ready', '_waiting')
+
+    def __init__(self):
+        self._waiting = collections.deque()
+        self._ready = asyncio.Event()
+
+    def put(self, data):
+        if len(self._waiting) >= MAX_WAITING_MESSAGES:
+            metrics.count(LINK_DROPPED)
+            return
+        self._waiting.append(data)
+        self._ready.set()
+
+    async def take(self):
+        """Waits for messages; returns none of them after a keep-alive."""
+        try:
+            await asyncio.wait_for(self._ready.wait(), KEEPALIVE_S)
+        except asyncio.TimeoutError:
+            return []
+        count = min(len(self._waiting), MAX_FRAME_MESSAGES)
+        items = [self._waiting.popleft() for _ in range(count)]
+        if not self._waiting:
+            self._ready.clear()
+        return items
+
+
+class Link:
+    """Streams between this process and its peers.
+
+    Args:
+        name: name of this process, unique among all of them.
+        incarnation: number drawn when this process started.
+        listen: ``settings.Address`` to accept streams on, None for a client.
+    """
+
+    def __init__(self, name, incarnation, listen=None):
+        self.name = name
+        self.incarnation = incarnation
+        self._listen = listen
+        self._thread = _grpc_thread.GrpcThread()
+        self._inbox = curio.UniversalQueue()
+        self._pending = collections.deque()
+        self._outboxes = {}
+        self._dial_tasks = {}
+        self._addresses = {}
+        self._server = None
+        self._unsent = collections.deque()
+        self._flush_scheduled = False
+
+    # Calls from curio
+
+    async def start(self):
+        """Starts the thread and the listener.
+
+        Raises:
+            errors.Error: the address can not be bound.
+        """
+        self._thread.start()
+        if self._listen is None:
+            return
+        fut = self._thread.run(self._serve())
+        try:
+            await curio.traps._future_wait(fut)
+            fut.result()
+        except OSError as exc:
+            raise errors.Error(
+                f'can not listen on {self._listen}: {exc.strerror}',
+                step='listen',
+            ) from exc
+
+    def connect(self, peer, address):
+        """Keeps a stream to ``peer`` from now on, at its newest address."""
+        self._thread.call(self._dial_in_loop, peer, address)
+
+    def disconnect(self, peer):
+        """Ends the stream to ``peer`` and stops dialling it."""
+        self._thread.call(self._hang_up_in_loop, peer)
+
+    def send(self, peer, message):
+        """Sends a message; drops and counts it if the peer is away."""
+        self._unsent.append((peer, messages.CODEC.encode(message)))
+        if not self._flush_scheduled:
+            self._flush_scheduled = True
+            self._thread.call(self._flush_in_loop)
+
+    async def receive(self):
+        """Returns the next ``Inbound``, ``PeerUp`` or ``PeerDown``."""
+        while not self._pending:
+            self._pending.extend(await self._inbox.get())
+        return self._pending.popleft()
+
+    async def stop(self):
+        """Closes all streams and ends the thread."""
+        await curio.run_in_thread(self._stop_thread)
+
+    # Inside the asyncio thread
+
+    def __mapping__(self):
+        return {_stream.METHOD_PATH: _stream.stream_handler(self._accept)}
+
+    def _stop_thread(self):
+        fut = self._thread.run(self._close())
+        fut.result(DIAL_TIMEOUT_S * 2)
+        self._thread.stop()
+
+    async def _serve(self):
+        self._server = server.Server([self], codec=_stream.RecordCodec())
+        await self._server.start(self._listen.host, self._listen.port)
+
+    async def _close(self):
+        for task in self._dial_tasks.values():
+            task.cancel()
+        if self._server is not None:
+            self._server.close()
+
+    def _flush_in_loop(self):
+        self._flush_scheduled = False
+        while self._unsent:
+            peer, data = self._unsent.popleft()
+            outbox = self._outboxes.get(peer)
+            if outbox is None:
+                metrics.count(LINK_DROPPED)
+            else:
+                outbox.put(data)
+
+    def _dial_in_loop(self, peer, address):
+        if self._addresses.get(peer) == address:
+            return
+        self._hang_up_in_loop(peer)
+        self._addresses[peer] = address
+        self._dial_tasks[peer] = asyncio.ensure_future(
+            self._keep_dialled(peer, address)
+        )
+
+    def _hang_up_in_loop(self, peer):
+        self._addresses.pop(peer, None)
+        task = self._dial_tasks.pop(peer, None)
+        if task is not None:
+            task.cancel()
+
+    async def _keep_dialled(self, peer, address):
+        delay_s = REDIAL_MIN_S
+        while True:
+            started = asyncio.get_running_loop().time()
+            try:
+                await self._dial(peer, address)
+            except _BROKEN as exc:
+                LOG.debug(
+                    'link_broken',
+                    extra={'peer': peer, 'error': repr(exc)},
+                )
+            metrics.count(LINK_REDIALLED)
+            lived_s = asyncio.get_running_loop().time() - started
+            if lived_s > REDIAL_MAX_S * 2:
+                delay_s = REDIAL_MIN_S
+            await asyncio.sleep(delay_s)
+            delay_s = min(delay_s * 2, REDIAL_MAX_S)
+
+    async def _dial(self, peer, address):
+        channel = client.Channel(
+            address.host, address.port, codec=_stream.RecordCodec()
+        )
+        try:
+            stream = channel.request(
+                _stream.METHOD_PATH,
+                _stream.stream_handler(None).cardinality,
+                messages.Frame,
+                messages.Frame,
+            )
+            async with stream:
+                await asyncio.wait_for(stream.send_request(), DIAL_TIMEOUT_S)
+                await self._exchange(stream, peer)
+        finally:
+            channel.close()
+
+    async def _accept(self, stream):
+        try:
+            first = await asyncio.wait_for(
+                stream.recv_message(), SILENCE_LIMIT_S
+            )
+            if first is not None:
+                await self._deliver(first)
+                await self._exchange(stream, first.sender)
+        except _BROKEN as exc:
+            LOG.debug('link_broken', extra={'error': repr(exc)})
+
+    async def _exchange(self, stream, peer):
+        """Runs both directions of one stream until either one ends."""
+        outbox = _Outbox()
+        self._outboxes[peer] = outbox
+        await self._inbox.put([PeerUp(peer)])
+        writer = asyncio.ensure_future(self._write(stream, outbox))
+        reader = asyncio.ensure_future(self._read(stream))
+        try:
+            done, _ = await asyncio.wait(
+                (writer, reader), return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                task.result()
+        finally:
+            writer.cancel()
+            reader.cancel()
+            if self._outboxes.get(peer) is outbox:
+                del self._outboxes[peer]
+                await self._inbox.put([PeerDown(peer)])
+
+    async def _write(self, stream, outbox):
+        seq = 0
+        items = []
+        while True:
+            seq += 1
+            frame = messages.Frame(self.name, self.incarnation, seq, items)
+            await asyncio.wait_for(stream.send_message(frame), SILENCE_LIMIT_S)
+            items = await outbox.take()
+
+    async def _read(self, stream):
+        while True:
+            frame = await asyncio.wait_for(
+                stream.recv_message(), SILENCE_LIMIT_S
+            )
+            if frame is None:
+                return
+            await self._deliver(frame)
+
+    async def _deliver(self, frame):
+        inbound = []
+        for data in frame.items:
+            try:
+                message = messages.CODEC.decode(data)
+            except records.DecodeError as exc:
+                metrics.count(LINK_MALFORMED)
+                LOG.warning(
+                    'link_malformed',
+                    extra={'peer': frame.sender, 'error': str(exc)},
+                )
+                continue
+            inbound.append(Inbound(frame.sender, frame.incarnation, message))
+        if inbound:
+            await self._inbox.put(inbound)
--- /dev/null
+++ b/fuchsiatrestle/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about requests: announcements, slots, queues, retries, claims."""
--- /dev/null
+++ b/fuchsiatrestle/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about batch work: placement, leases, learned sizes, quarantine."""
--- /dev/null
+++ b/fuchsiatrestle/state/commands/__init__.py
@@ -0,0 +1,19 @@
+"""Commands: everything that changes the agreed state.
+
+``CODEC`` encodes a command as it stands in the log.
+"""
+
+from fuchsiatrestle import records
+from fuchsiatrestle.state.commands import _claims
+from fuchsiatrestle.state.commands import _config
+from fuchsiatrestle.state.commands import _jobs
+from fuchsiatrestle.state.commands._claims import *
+from fuchsiatrestle.state.commands._config import *
+from fuchsiatrestle.state.commands._jobs import *
+
+__all__ = (
+    _claims.__all__ + _config.__all__ + _jobs.__all__ + ('CODEC', 'KINDS')
+)
+
+KINDS = _claims.KINDS + _config.KINDS + _jobs.KINDS
+CODEC = records.Codec(*KINDS)
--- /dev/null
+++ b/fuchsiatrestle/state/commands/_claims.py
@@ -0,0 +1,64 @@
+"""Commands about claims, which make a keyed request run at most once."""
+
+from fuchsiatrestle import records
+
+__all__ = ('ClaimRequests', 'FinishClaims', 'Claim', 'FinishedClaim')
+
+
+class Claim(records.Record, tag='claim'):
+    """One request with an idempotency key.
+
+    Attributes:
+        service: the service asked.
+        key: the caller's ``Idempotency-Key``.
+        fingerprint: hash of method, path and body; another fingerprint under
+            the same key is refused.
+    """
+
+    service: str
+    key: str
+    fingerprint: bytes
+
+
+class ClaimRequests(records.Record, tag='claims'):
+    """Claims a batch of keys for one entry before it dispatches them.
+
+    Attributes:
+        entry: the claiming entry.
+        incarnation: its incarnation.
+        batch: number unique to the incarnation; a resent batch gets the
+            outcome of the first.
+        claims: the claims.
+    """
+
+    entry: str
+    incarnation: int
+    batch: int
+    claims: list[Claim]
+
+
+class FinishedClaim(records.Record, tag='fin'):
+    """How a claimed request ended.
+
+    Attributes:
+        state: ``done``, ``not_run`` (the key is free again) or ``unknown``.
+        status: HTTP status answered, zero if none.
+        answer: the stored answer when small enough, else empty.
+    """
+
+    service: str
+    key: str
+    state: str
+    status: int
+    answer: bytes = b''
+
+
+class FinishClaims(records.Record, tag='finish'):
+    """Records how a batch of claimed requests of one entry ended."""
+
+    entry: str
+    incarnation: int
+    claims: list[FinishedClaim]
+
+
+KINDS = (ClaimRequests, FinishClaims)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for callers, upstreams and workers, and the demonstration."""
--- /dev/null
+++ b/tests/_runner.py
@@ -0,0 +1,131 @@
+"""Runs every test module in a process of its own and adds up the results.
+
+Modules named ``test_process_*`` start daemons and wait for them; they run
+one after the other once the rest is done, so that they have the machine to
+themselves.
+"""
+
+import concurrent.futures
+import io
+import json
+import pathlib
+import subprocess
+import sys
+import unittest
+
+__all__ = (
+    'ModuleReport',
+    'discover_modules',
+    'read_known_red',
+    'run_module',
+    'run_modules',
+)
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / 'KNOWN-RED.txt'
+PARALLEL_MODULES = 4
+MODULE_TIMEOUT_S = 1200
+REPORT_MARK = 'MODULE-REPORT '
+
+
+class ModuleReport:
+    """Results of one module."""
+
+    __slots__ = ('failed', 'module', 'passed', 'skipped', 'text')
+
+    def __init__(self, module, passed, failed, skipped, text):
+        self.module = module
+        self.passed = passed
+        self.failed = failed
+        self.skipped = skipped
+        self.text = text
+
+
+class _Result(unittest.TextTestResult):
+    """Collects identifiers; a failed subtest fails its test."""
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.started = []
+
+    def startTest(self, test):
+        """Notes the test before it runs."""
+        super().startTest(test)
+        self.started.append(test.id())
+
+
+def _test_id(test):
+    return getattr(test, 'test_case', test).id()
+
+
+def discover_modules(words):
+    """Returns the names of the test modules that contain one of words."""
+    names = []
+    for path in sorted(ROOT.glob('tests/**/test_*.py')):
+        name = '.'.join(path.relative_to(ROOT).with_suffix('').parts)
+        if not words or any(word in name for word in words):
+            names.append(name)
+    return names
+
+
+def read_known_red():
+    """Returns the test identifiers that KNOWN-RED.txt lists."""
+    if not KNOWN_RED.exists():
+        return set()
+    lines = KNOWN_RED.read_text(encoding='utf-8').splitlines()
+    entries = [line for line in lines if line and not line.startswith('#')]
+    return {entry.split('|')[0].strip() for entry in entries}
+
+
+def run_module(name):
+    """Runs one module in this process and prints its report as JSON."""
+    suite = unittest.defaultTestLoader.loadTestsFromName(name)
+    stream = io.StringIO()
+    runner = unittest.TextTestRunner(
+        stream=stream, resultclass=_Result, verbosity=1
+    )
+    result = runner.run(suite)
+    broken = result.failures + result.errors
+    failed = {_test_id(test) for test, _ in broken}
+    failed |= {_test_id(test) for test in result.unexpectedSuccesses}
+    skipped = {_test_id(test) for test, _ in result.skipped}
+    passed = set(result.started) - failed - skipped
+    report = {
+        'passed': sorted(passed),
+        'failed': sorted(failed),
+        'skipped': sorted(skipped),
+        'text': stream.getvalue(),
+    }
+    print(REPORT_MARK + json.dumps(report))
+    return 1 if failed else 0
+
+
+def _run_in_child(name):
+    command = [sys.executable, '-m', 'tests', '--module', name]
+    try:
+        done = subprocess.run(
+            command,
+            cwd=ROOT,
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+            timeout=MODULE_TIMEOUT_S,
+        )
+        output = done.stdout
+    except subprocess.TimeoutExpired as exc:
+        output = f'timed out after {exc.timeout} s'
+    for line in reversed(output.splitlines()):
+        if line.startswith(REPORT_MARK):
+            report = json.loads(line[len(REPORT_MARK) :])
+            return ModuleReport(name, **report)
+    return ModuleReport(name, [], [name], [], output)
+
+
+def run_modules(names, parallel=PARALLEL_MODULES):
+    """Yields the ``ModuleReport`` of each module, in order."""
+    alone = [name for name in names if '.test_process_' in name]
+    together = [name for name in names if name not in alone]
+    with concurrent.futures.ThreadPoolExecutor(parallel) as pool:
+        yield from pool.map(_run_in_child, together)
+    yield from map(_run_in_child, alone)
--- /dev/null
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes at the interfaces."""
--- /dev/null
+++ b/tests/net/test_link.py
@@ -0,0 +1,69 @@
+"""Tests of the link between processes."""
+
+import unittest
+
+import curio
+
+from fuchsiatrestle import messages
+from fuchsiatrestle.net import link
+from fuchsiatrestle import settings
+from tests.fakes import ports
+
+MESSAGES = 3000
+
+
+def _returned(loan):
+    return messages.ReturnSlots(loan, 'x', 1)
+
+
+async def _next_message(lnk):
+    while True:
+        event = await lnk.receive()
+        if isinstance(event, link.Inbound):
+            return event
+
+
+class LinkTest(unittest.TestCase):
+    def setUp(self):
+        first, second = ports.free_ports(2)
+        self.first = settings.Address('127.0.0.1', first)
+        self.second = settings.Address('127.0.0.1', second)
+
+    def test_keeps_order_and_answers_over_an_accepted_stream(self):
+        async def run():
+            a = link.Link('a', 1, self.first)
+            b = link.Link('b', 7, self.second)
+            await a.start()
+            await b.start()
+            a.connect('b', self.second)
+            self.assertEqual('b', (await a.receive()).peer)
+            for number in range(MESSAGES):
+                a.send('b', _returned(number))
+            for number in range(MESSAGES):
+                inbound = await _next_message(b)
+                self.assertEqual(number, inbound.message.loan)
+            b.send('a', _returned(-1))
+            inbound = await _next_message(a)
+            self.assertEqual(('b', 7), (inbound.peer, inbound.incarnation))
+            await a.stop()
+            await b.stop()
+
+        curio.run(curio.timeout_after, 30, run)
+
+    def test_dials_again_after_the_peer_restarts(self):
+        async def run():
+            a = link.Link('a', 1, self.first)
+            await a.start()
+            a.connect('b', self.second)
+            for incarnation in (1, 2):
+                b = link.Link('b', incarnation, self.second)
+                await b.start()
+                while not isinstance(await a.receive(), link.PeerUp):
+                    pass
+                a.send('b', _returned(incarnation))
+                inbound = await _next_message(b)
+                self.assertEqual(incarnation, inbound.message.loan)
+                await b.stop()
+            await a.stop()
+
+        curio.run(curio.timeout_after, 30, run)
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,57 @@
+"""Tests of the settings loader."""
+
+import os
+import tempfile
+import unittest
+
+from fuchsiatrestle import errors
+from fuchsiatrestle import settings
+
+SECTIONS = (
+    settings.Section(
+        'server',
+        settings.NameOption('name'),
+        settings.AddressOption('listen'),
+        settings.IntOption('limit', 5, low=1, high=9),
+        settings.PeerListOption('peers', None),
+    ),
+)
+GOOD = '[server]\nname = e1\nlisten = 127.0.0.1:80\npeers = a=127.0.0.1:1\n'
+
+
+class LoadTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = os.path.join(folder.name, 'x.ini')
+
+    def _load(self, text):
+        with open(self.path, 'w', encoding='utf-8') as stream:
+            stream.write(text)
+        return settings.load(self.path, SECTIONS)
+
+    def test_typed_values_and_defaults(self):
+        cfg = self._load(GOOD)
+        self.assertEqual('e1', cfg.get('server', 'name'))
+        self.assertEqual(80, cfg.get('server', 'listen').port)
+        self.assertEqual(5, cfg.get('server', 'limit'))
+        self.assertEqual(['a'], list(cfg.get('server', 'peers')))
+
+    def test_each_fault_names_file_section_key_and_value(self):
+        faults = {
+            GOOD + '[other]\n': ('[other]', 'unknown section'),
+            GOOD + 'color = red\n': ('color', "'red'", 'unknown key'),
+            GOOD + 'limit = 10\n': ('limit', "'10'", 'must be 1 to 9'),
+            GOOD + 'limit = x\n': ('limit', "'x'"),
+            '[server]\nname = a\n': ('listen', 'missing'),
+            GOOD.replace('127.0.0.1:80', 'host:80'): ('listen', "'host:80'"),
+            'name = e1\n': ('no section',),
+            GOOD + 'name = e2\n': ('already exists',),
+        }
+        for text, parts in faults.items():
+            with self.subTest(text=text):
+                with self.assertRaises(errors.SettingsInvalid) as caught:
+                    self._load(text)
+                for part in parts + (self.path,):
+                    self.assertIn(part, caught.exception.reason)
+                self.assertNotIn('\n', caught.exception.reason)
