Add the replicated log core and its data folder, thin

Cause: entry, control and ctl hang on an agreed log. Ruled out: a founding group from settings alone, since a lost disk under the same settings would found a second group beside the first; a replica joins one group for life and the founder needs every first member without a group.

--- a/fuchsiatrestle/agreement/_events.py
+++ b/fuchsiatrestle/agreement/_events.py
@@ -49,9 +49,13 @@
 
 
 class HardState(_Value):
-    """What must be synced before it is acted on: ``term`` and ``vote``."""
+    """What must be synced before it is acted on.
 
-    __slots__ = ('term', 'vote')
+    ``vote`` is the identity voted for in ``term`` or empty; ``group`` is the
+    agreement group joined, empty before the first contact with one.
+    """
+
+    __slots__ = ('term', 'vote', 'group')
 
 
 # Events
@@ -82,12 +86,12 @@
 
 
 class Compact(_Value):
-    """A snapshot up to ``last_index`` is durable; drop the log before it.
+    """This ``Snapshot`` is durable; drop the log that it covers.
 
-    ``data`` is the snapshot, kept to be sent to followers far behind.
+    It is kept in memory to be sent to followers far behind.
     """
 
-    __slots__ = ('last_index', 'last_term', 'data')
+    __slots__ = ('snapshot',)
 
 
 class ReadRequest(_Value):
@@ -105,8 +109,8 @@
 class ChangeVoters(_Value):
     """Adds a learner, promotes it or removes a voter.
 
-    ``change`` is ``add``, ``promote`` or ``remove``; ``member`` is the
-    identity, ``name=IP:port`` data stays with the caller.
+    ``change`` is ``add`` (as a learner), ``promote`` or ``remove``;
+    ``member`` is the identity.  Answered by ``Accepted`` or ``Rejected``.
     """
 
     __slots__ = ('token', 'change', 'member')
@@ -116,7 +120,7 @@
 
 
 class Send(_Value):
-    """Send a message to another replica; it may be lost."""
+    """Send a message to the replica named ``peer``; it may be lost."""
 
     __slots__ = ('peer', 'message')
 
@@ -138,9 +142,13 @@
 
 
 class Restore(_Value):
-    """Save this snapshot and replace the state machine by it."""
+    """Install a ``Snapshot`` sent by the leader.
+
+    Replace folder and state machine by it in the order of the writes, then
+    report ``Synced(write_id)``.
+    """
 
-    __slots__ = ('last_index', 'last_term', 'data')
+    __slots__ = ('write_id', 'snapshot')
 
 
 class Accepted(_Value):
@@ -150,10 +158,13 @@
 
 
 class Rejected(_Value):
-    """The proposal or read was refused and certainly not agreed.
+    """The proposal, read or change was refused and certainly not agreed.
 
     ``reason`` is ``not_leader``, ``overloaded``, ``stopping`` or
-    ``no_quorum`` (reads only); ``leader`` is its name or empty.
+    ``no_quorum`` (reads only); for a change of voters also
+    ``change_pending``, ``not_ready``, ``not_caught_up``, ``unknown_member``,
+    ``known_member`` or ``last_voter``.  ``leader`` is the name of the leader
+    or empty.
     """
 
     __slots__ = ('token', 'reason', 'leader')
--- /dev/null
+++ b/fuchsiatrestle/agreement/_leader.py
@@ -0,0 +1,387 @@
+"""Leader: takes proposals and brings the followers up to its log."""
+
+import collections
+
+from fuchsiatrestle.agreement import _events
+from fuchsiatrestle.agreement import _install
+from fuchsiatrestle.agreement import _membership
+from fuchsiatrestle.agreement import _progress
+from fuchsiatrestle.agreement import _reads
+from fuchsiatrestle.agreement import _role
+from fuchsiatrestle import invariants
+from fuchsiatrestle import messages
+
+__all__ = ('Leader',)
+
+
+class Leader(_role.Role):
+    """Replica that leads its term.
+
+    Its first entry is a no-op of its own term; nothing from before is
+    committed by counting, and no read is answered, until that is committed.
+    """
+
+    name = 'leader'
+
+    def __init__(self, replica):
+        super().__init__(replica)
+        self.progress = {}
+        self._round = 0
+        self._round_sent_ms = collections.OrderedDict()
+        self._next_heartbeat_ms = replica.now_ms
+        self._reads = _reads.ReadQueue()
+        self._uncommitted = collections.deque()
+        self._uncommitted_bytes = 0
+        self._first_index = replica.log.last_index + 1
+        self._handover_until_ms = None
+        self._membership = _membership.Membership(replica, self)
+
+    @property
+    def ready(self):
+        """True once the first own entry is committed."""
+        return self._replica.commit >= self._first_index
+
+    def start(self):
+        """Appends the no-op and tells everyone."""
+        self.track_members()
+        self._replica.append_own('noop', b'')
+        self._heartbeat()
+
+    def stop(self):
+        """Refuses the reads that wait."""
+        for token in self._reads.drain():
+            self._refuse(token, 'no_quorum')
+
+    # Time
+
+    def check_time(self):
+        """Steps down when no quorum was heard within an election timeout."""
+        replica = self._replica
+        if self._alive_voters(replica.voters) >= replica.voters.quorum:
+            return
+        replica.become_follower(replica.term, '')
+
+    def alive(self, identity):
+        """Returns True if a member answered within an election timeout."""
+        if identity == self._replica.identity:
+            return True
+        progress = self.progress.get(identity)
+        if progress is None:
+            return False
+        silent_ms = self._replica.now_ms - progress.alive_ms
+        return silent_ms < self._replica.cfg.election_min_ms
+
+    def _alive_voters(self, voters):
+        return sum(self.alive(one) for one in voters.voters)
+
+    def can_decide(self, voters):
+        """Returns True if a quorum of this set is alive."""
+        return self._alive_voters(voters) >= voters.quorum
+
+    def hears_leader(self):
+        """Returns True: a leader with a quorum refuses other candidates."""
+        return True
+
+    def tick(self):
+        """Sends heartbeats and gives up a hand-over that takes too long."""
+        now_ms = self._replica.now_ms
+        if self.handing_over and now_ms >= self._handover_until_ms:
+            self._handover_until_ms = None
+        if now_ms >= self._next_heartbeat_ms:
+            self._heartbeat()
+        self._membership.tick()
+
+    # Sending
+
+    def track_members(self):
+        """Follows the members in force; new ones are probed."""
+        replica = self._replica
+        for peer in replica.voters.members:
+            if peer != replica.identity and peer not in self.progress:
+                self.progress[peer] = _progress.Progress(
+                    replica.log.last_index + 1, replica.now_ms
+                )
+
+    def _heartbeat(self):
+        replica = self._replica
+        self._next_heartbeat_ms = replica.now_ms + replica.cfg.heartbeat_ms
+        self._start_round()
+
+    def _start_round(self):
+        replica = self._replica
+        self._round += 1
+        self._round_sent_ms[self._round] = replica.now_ms
+        self._forget_old_rounds()
+        if self.ready:
+            self._reads.start_round(self._round, replica.commit)
+        for peer, progress in self.progress.items():
+            if progress.transfer is not None:
+                self._resend_chunk(peer, progress)
+            elif not self._send_entries(peer, progress):
+                self._send_append(peer, progress, [])
+        self._confirm_reads()
+
+    def _forget_old_rounds(self):
+        """Drops rounds too old to show that a follower is alive."""
+        replica = self._replica
+        oldest_ms = replica.now_ms - replica.cfg.election_min_ms
+        while next(iter(self._round_sent_ms.values())) < oldest_ms:
+            self._round_sent_ms.popitem(last=False)
+
+    def broadcast(self):
+        """Sends new entries to every follower that may take more."""
+        for peer, progress in self.progress.items():
+            self._send_entries(peer, progress)
+
+    def _send_entries(self, peer, progress):
+        """Sends what the follower lacks; returns False if nothing went."""
+        replica = self._replica
+        cfg = replica.cfg
+        sent = False
+        while progress.may_send(cfg.max_inflight):
+            if progress.next <= replica.log.base_index:
+                return self._start_transfer(peer, progress)
+            entries = replica.log.batch(
+                progress.next, cfg.max_append_entries, cfg.max_append_bytes
+            )
+            if not entries:
+                return sent
+            self._send_append(peer, progress, entries)
+            progress.sent(entries[-1].index, replica.now_ms)
+            sent = True
+        return sent
+
+    def _send_append(self, peer, progress, entries):
+        replica = self._replica
+        prev_index = entries[0].index - 1 if entries else progress.next - 1
+        prev_term = replica.log.term_at(prev_index)
+        if prev_term is None:
+            self._start_transfer(peer, progress)
+            return
+        request = messages.AppendRequest(
+            replica.group,
+            replica.term,
+            replica.identity,
+            prev_index,
+            prev_term,
+            replica.commit,
+            self._round,
+            entries,
+        )
+        replica.send(peer, request)
+
+    # Replies
+
+    def on_append(self, request):
+        """Never happens: a term has one leader."""
+        invariants.require(
+            False,
+            'one_leader_a_term',
+            term=request.term,
+            other=request.leader,
+        )
+
+    def on_append_reply(self, reply):
+        """Moves the follower's position, commits and sends more."""
+        progress = self._note_alive(reply)
+        if progress is None or progress.transfer is not None:
+            return
+        if reply.success:
+            invariants.require(
+                reply.match <= self._replica.log.last_index,
+                'match_held',
+                follower=reply.follower,
+                match=reply.match,
+            )
+            progress.succeeded(reply.match)
+            self._commit()
+        else:
+            progress.refused(reply.match)
+        self._send_entries(reply.follower, progress)
+        self._continue_hand_over()
+
+    def _note_alive(self, reply):
+        """Returns the progress of a known follower, after noting its age."""
+        progress = self.progress.get(reply.follower)
+        if progress is None:
+            return None
+        sent_ms = self._round_sent_ms.get(reply.round)
+        if sent_ms is not None:
+            progress.alive_ms = max(progress.alive_ms, sent_ms)
+        progress.acked_round = max(progress.acked_round, reply.round)
+        self._confirm_reads()
+        return progress
+
+    def settled(self):
+        """Counts the own entries that have become durable."""
+        self._commit()
+
+    def _commit(self):
+        replica = self._replica
+        voters = replica.voters
+        matches = sorted(map(self._match_of, voters.voters), reverse=True)
+        index = matches[voters.quorum - 1]
+        # An older term's entry is committed only along with an own one.
+        if replica.log.term_at(index) != replica.term:
+            return
+        if index <= replica.commit:
+            return
+        replica.advance_commit(index)
+        self._release_committed()
+        self._start_waiting_reads()
+        self._membership.committed()
+
+    def _match_of(self, identity):
+        if identity == self._replica.identity:
+            return self._replica.writes.synced_index
+        return self.progress[identity].match
+
+    def _release_committed(self):
+        commit = self._replica.commit
+        while self._uncommitted and self._uncommitted[0][0] <= commit:
+            self._uncommitted_bytes -= self._uncommitted.popleft()[1]
+
+    # Proposals
+
+    def propose(self, items):
+        """Appends the proposals and sends them on."""
+        for token, data in items:
+            reason = self._refusal(len(data))
+            if reason:
+                self._refuse(token, reason)
+                continue
+            entry = self._replica.append_own('command', data)
+            self._uncommitted.append((entry.index, len(data)))
+            self._uncommitted_bytes += len(data)
+            self._replica.emit(
+                _events.Accepted(token, entry.index, entry.term)
+            )
+        self.broadcast()
+
+    def _refusal(self, size):
+        cfg = self._replica.cfg
+        if self.handing_over:
+            return 'stopping'
+        if len(self._uncommitted) >= cfg.max_uncommitted:
+            return 'overloaded'
+        if self._uncommitted_bytes + size > cfg.max_uncommitted_bytes:
+            return 'overloaded'
+        return ''
+
+    # Reads
+
+    def read(self, token):
+        """Queues a read for the next round."""
+        if len(self._reads) >= self._replica.cfg.max_waiting_reads:
+            self._refuse(token, 'overloaded')
+            return
+        self._reads.add(token)
+        self._start_waiting_reads()
+
+    def _start_waiting_reads(self):
+        if self.ready and self._reads.wants_round:
+            self._start_round()
+
+    def _confirm_reads(self):
+        replica = self._replica
+        voters = replica.voters
+        rounds = sorted(map(self._acked_round_of, voters.voters), reverse=True)
+        confirmed = rounds[voters.quorum - 1]
+        for token, index in self._reads.confirm(confirmed):
+            replica.emit(_events.ReadReady(token, index))
+        self._start_waiting_reads()
+
+    def _acked_round_of(self, identity):
+        if identity == self._replica.identity:
+            return self._round
+        return self.progress[identity].acked_round
+
+    # Snapshots
+
+    def _start_transfer(self, peer, progress):
+        snapshot = self._replica.snapshot
+        invariants.require(
+            snapshot is not None, 'snapshot_behind_log', follower=peer
+        )
+        progress.transfer = _install.Transfer(snapshot)
+        self._send_chunk(peer, progress)
+        return True
+
+    def _send_chunk(self, peer, progress):
+        replica = self._replica
+        progress.sent_ms = replica.now_ms
+        request = progress.transfer.request(
+            replica.group,
+            replica.term,
+            replica.identity,
+            self._round,
+            replica.cfg.chunk_bytes,
+        )
+        replica.send(peer, request)
+
+    def _resend_chunk(self, peer, progress):
+        waited_ms = self._replica.now_ms - progress.sent_ms
+        if waited_ms >= self._replica.cfg.heartbeat_ms:
+            self._send_chunk(peer, progress)
+
+    def on_install_reply(self, reply):
+        """Sends the next chunk, or entries once the snapshot is installed."""
+        progress = self._note_alive(reply)
+        if progress is None or progress.transfer is None:
+            return
+        if reply.last_index != progress.transfer.snapshot.last_index:
+            return
+        if reply.installed:
+            progress.transfer = None
+            progress.succeeded(reply.last_index)
+            self._commit()
+            self._send_entries(reply.follower, progress)
+        elif progress.transfer.advance(reply.next_offset):
+            self._send_chunk(reply.follower, progress)
+
+    # Hand-over and members
+
+    @property
+    def handing_over(self):
+        """True while leadership is being given away."""
+        return self._handover_until_ms is not None
+
+    def hand_over(self):
+        """Refuses proposals and lets the best voter take over."""
+        replica = self._replica
+        self._handover_until_ms = replica.now_ms + replica.cfg.election_max_ms
+        self.broadcast()
+        self._continue_hand_over()
+
+    def _continue_hand_over(self):
+        if self.handing_over:
+            self.order_election()
+
+    def order_election(self):
+        """Tells a voter that holds the whole log to stand at once."""
+        replica = self._replica
+        for peer in replica.voters.voters:
+            progress = self.progress.get(peer)
+            if progress is None or not self.alive(peer):
+                continue
+            if progress.match == replica.log.last_index:
+                message = messages.TimeoutNow(
+                    replica.group, replica.term, replica.identity
+                )
+                replica.send(peer, message)
+                return
+
+    def change_voters(self, event):
+        """Changes the set of voters by one member."""
+        reason = self._membership.change(event.change, event.member)
+        if reason:
+            self._refuse(event.token, reason)
+            return
+        replica = self._replica
+        replica.emit(
+            _events.Accepted(event.token, replica.log.last_index, replica.term)
+        )
+
+    def on_hello(self, message):
+        """Notes a replica that wants to join."""
+        self._membership.note_newcomer(message.sender)
--- /dev/null
+++ b/fuchsiatrestle/agreement/_membership.py
@@ -0,0 +1,104 @@
+"""Changes of the set of voters, decided by the leader."""
+
+from fuchsiatrestle.agreement import _voters
+from fuchsiatrestle import logs
+
+__all__ = ('Membership',)
+
+LOG = logs.get_logger(__name__)
+
+
+class Membership:
+    """Makes at most one change at a time, each as an entry of the log.
+
+    Args:
+        replica: the leading ``Replica``.
+        leader: its ``Leader`` role.
+    """
+
+    def __init__(self, replica, leader):
+        self._replica = replica
+        self._leader = leader
+        self._newcomers = {}
+
+    def change(self, kind, member):
+        """Appends a change; returns the reason of a refusal or ''."""
+        reason = self._refusal(kind, member)
+        if reason:
+            return reason
+        voters = self._changed(kind, member)
+        self._replica.append_own('voters', _voters.CODEC.encode(voters))
+        LOG.info('voters_changing', extra={'change': kind, 'member': member})
+        self._leader.track_members()
+        self._leader.broadcast()
+        return ''
+
+    def _changed(self, kind, member):
+        voters = self._replica.voters
+        if kind == 'add':
+            return voters.with_learner(member)
+        if kind == 'promote':
+            return voters.with_voter(member)
+        return voters.without(member)
+
+    def _refusal(self, kind, member):
+        if self._leader.handing_over:
+            return 'stopping'
+        if not self._leader.ready:
+            return 'not_ready'
+        if not self._replica.voters_committed:
+            return 'change_pending'
+        checks = {
+            'add': self._refusal_to_add,
+            'promote': self._refusal_to_promote,
+            'remove': self._refusal_to_remove,
+        }
+        return checks[kind](member)
+
+    def _refusal_to_add(self, member):
+        voters = self._replica.voters
+        known = member in voters.members or member in voters.removed
+        return 'known_member' if known else ''
+
+    def _refusal_to_promote(self, member):
+        if member not in self._replica.voters.learners:
+            return 'unknown_member'
+        if not self.caught_up(member):
+            return 'not_caught_up'
+        return ''
+
+    def _refusal_to_remove(self, member):
+        voters = self._replica.voters
+        if member not in voters.members:
+            return 'unknown_member'
+        remaining = voters.without(member)
+        if not remaining.voters:
+            return 'last_voter'
+        if not self._leader.can_decide(remaining):
+            return 'no_quorum'
+        return ''
+
+    def caught_up(self, member):
+        """Returns True if a member is alive and lacks nothing committed."""
+        progress = self._leader.progress.get(member)
+        if progress is None or not self._leader.alive(member):
+            return False
+        lag = self._replica.commit - progress.match
+        return lag <= self._replica.cfg.promote_lag
+
+    # Consequences
+
+    def committed(self):
+        """Acts on a commit: a removed leader leaves."""
+        replica = self._replica
+        if replica.is_voter or not replica.voters_committed:
+            return
+        self._leader.order_election()
+        replica.become_follower(replica.term, '')
+
+    def tick(self):
+        """Drops removed members that hold the entry of their removal."""
+
+    def note_newcomer(self, identity):
+        """Remembers a replica that wants to join."""
+        self._newcomers[identity] = self._replica.now_ms
--- a/fuchsiatrestle/messages/_agreement.py
+++ b/fuchsiatrestle/messages/_agreement.py
@@ -6,6 +6,7 @@
     'AppendReply',
     'AppendRequest',
     'Entry',
+    'Hello',
     'InstallReply',
     'InstallRequest',
     'TimeoutNow',
@@ -145,7 +146,24 @@
     leader: str
 
 
+class Hello(records.Record, tag='ah'):
+    """Makes a replica known to the others by name.
+
+    Attributes:
+        cell: name of the cell, before any group is formed.
+        group: the group the sender belongs to, empty for none.
+        sender: identity of the sender.
+        joined: True if the sender holds the group's set of voters.
+    """
+
+    cell: str
+    group: str
+    sender: str
+    joined: bool
+
+
 KINDS = (
+    Hello,
     VoteRequest,
     VoteReply,
     AppendRequest,
