Watch each stream with one timer in place of a timeout per message

Ruled out: UniversalQueue as the cost (its asyncio side is a plain put).

Change: one watchdog a stream sends keep-alives each 0.4 s and ends it after 1.2 s of silence; a peer that already dialled is not dialled back.

--- a/fuchsiatrestle/net/link.py
+++ b/fuchsiatrestle/net/link.py
@@ -4,8 +4,9 @@
 peer it was told to connect to.  ``send`` never blocks: a message for a peer
 that is away is dropped and counted, since every protocol above repeats what
 matters.  Messages to one peer keep their order on a stream; a stream that
-breaks is dialled again with back-off.  All messages waiting for a peer leave
-in one frame.
+breaks, or on which nothing was heard for ``SILENCE_LIMIT_S``, is dialled
+again with back-off.  A peer that already dialled this process is not dialled
+back.  All messages waiting for a peer leave in one frame.
 
 Use from curio::
 
@@ -39,11 +40,12 @@
     'PeerUp',
 )
 
-DIAL_TIMEOUT_S = 1.0
+# A silent stream has to be found and replaced within a configuration lease.
+KEEPALIVE_S = 0.4
+SILENCE_LIMIT_S = 1.2
+DIAL_TIMEOUT_S = 0.5
 REDIAL_MIN_S = 0.05
-REDIAL_MAX_S = 1.0
-KEEPALIVE_S = 1.0
-SILENCE_LIMIT_S = 4.0
+REDIAL_MAX_S = 0.5
 MAX_WAITING_MESSAGES = 20000
 MAX_FRAME_MESSAGES = 512
 
@@ -53,6 +55,9 @@
 LINK_REDIALLED = metrics.declare(
     'retry.link_redial', 'A stream to a peer broke and was dialled again.'
 )
+LINK_SILENT = metrics.declare(
+    'link.silent', 'Streams closed because nothing was heard on them.'
+)
 LINK_MALFORMED = metrics.declare(
     'refused.link_malformed', 'Messages from a peer that failed to decode.'
 )
@@ -69,6 +74,10 @@
 )
 
 
+def _loop_time_s():
+    return asyncio.get_running_loop().time()
+
+
 class Inbound:
     """A message received from a peer."""
 
@@ -101,31 +110,43 @@
 class _Outbox:
     """Messages waiting for one stream; lives in the asyncio thread."""
 
-    __slots__ = ('_ready', '_waiting')
+    __slots__ = ('_ready', '_waiting', 'closed', 'heard_s', 'writing_since_s')
 
-    def __init__(self):
+    def __init__(self, now_s):
         self._waiting = collections.deque()
         self._ready = asyncio.Event()
+        self.closed = asyncio.Event()
+        self.heard_s = now_s
+        self.writing_since_s = None
 
     def put(self, data):
+        """Adds an encoded message; drops and counts it when full."""
         if len(self._waiting) >= MAX_WAITING_MESSAGES:
             metrics.count(LINK_DROPPED)
             return
         self._waiting.append(data)
         self._ready.set()
 
+    def prompt(self):
+        """Makes ``take`` return, with nothing if nothing waits."""
+        self._ready.set()
+
     async def take(self):
-        """Waits for messages; returns none of them after a keep-alive."""
-        try:
-            await asyncio.wait_for(self._ready.wait(), KEEPALIVE_S)
-        except asyncio.TimeoutError:
-            return []
+        """Waits for messages or a prompt; returns the messages."""
+        await self._ready.wait()
         count = min(len(self._waiting), MAX_FRAME_MESSAGES)
         items = [self._waiting.popleft() for _ in range(count)]
         if not self._waiting:
             self._ready.clear()
         return items
 
+    def is_silent(self, now_s):
+        """True if the peer neither sent nor took anything for too long."""
+        oldest_s = self.heard_s
+        if self.writing_since_s is not None:
+            oldest_s = min(oldest_s, self.writing_since_s)
+        return now_s - oldest_s > SILENCE_LIMIT_S
+
 
 class Link:
     """Streams between this process and its peers.
@@ -244,7 +265,9 @@
     async def _keep_dialled(self, peer, address):
         delay_s = REDIAL_MIN_S
         while True:
-            started = asyncio.get_running_loop().time()
+            while peer in self._outboxes:
+                await self._outboxes[peer].closed.wait()
+            started_s = _loop_time_s()
             try:
                 await self._dial(peer, address)
             except _BROKEN as exc:
@@ -253,7 +276,7 @@
                     extra={'peer': peer, 'error': repr(exc)},
                 )
             metrics.count(LINK_REDIALLED)
-            lived_s = asyncio.get_running_loop().time() - started
+            lived_s = _loop_time_s() - started_s
             if lived_s > REDIAL_MAX_S * 2:
                 delay_s = REDIAL_MIN_S
             await asyncio.sleep(delay_s)
@@ -289,20 +312,25 @@
 
     async def _exchange(self, stream, peer):
         """Runs both directions of one stream until either one ends."""
-        outbox = _Outbox()
+        outbox = _Outbox(_loop_time_s())
         self._outboxes[peer] = outbox
         await self._inbox.put([PeerUp(peer)])
-        writer = asyncio.ensure_future(self._write(stream, outbox))
-        reader = asyncio.ensure_future(self._read(stream))
+        tasks = [
+            asyncio.ensure_future(self._write(stream, outbox)),
+            asyncio.ensure_future(self._read(stream, outbox)),
+            asyncio.ensure_future(self._watch(outbox)),
+        ]
         try:
             done, _ = await asyncio.wait(
-                (writer, reader), return_when=asyncio.FIRST_COMPLETED
+                tasks, return_when=asyncio.FIRST_COMPLETED
             )
             for task in done:
                 task.result()
         finally:
-            writer.cancel()
-            reader.cancel()
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            outbox.closed.set()
             if self._outboxes.get(peer) is outbox:
                 del self._outboxes[peer]
                 await self._inbox.put([PeerDown(peer)])
@@ -313,18 +341,34 @@
         while True:
             seq += 1
             frame = messages.Frame(self.name, self.incarnation, seq, items)
-            await asyncio.wait_for(stream.send_message(frame), SILENCE_LIMIT_S)
+            outbox.writing_since_s = _loop_time_s()
+            await stream.send_message(frame)
+            outbox.writing_since_s = None
             items = await outbox.take()
 
-    async def _read(self, stream):
+    async def _read(self, stream, outbox):
         while True:
-            frame = await asyncio.wait_for(
-                stream.recv_message(), SILENCE_LIMIT_S
-            )
+            frame = await stream.recv_message()
             if frame is None:
                 return
+            outbox.heard_s = _loop_time_s()
             await self._deliver(frame)
 
+    async def _watch(self, outbox):
+        """Sends keep-alives and ends a stream that has gone silent.
+
+        A process that was frozen finds its own timers late as well; the
+        second look gives waiting data the chance to be read first.
+        """
+        while True:
+            await asyncio.sleep(KEEPALIVE_S)
+            outbox.prompt()
+            if outbox.is_silent(_loop_time_s()):
+                await asyncio.sleep(KEEPALIVE_S / 4)
+            if outbox.is_silent(_loop_time_s()):
+                metrics.count(LINK_SILENT)
+                raise asyncio.TimeoutError('peer is silent')
+
     async def _deliver(self, frame):
         inbound = []
         for data in frame.items:
