Prove the names of processes on links by mutual TLS

Cause: a frame names its sender and everything above believes it; whoever reaches a link port could speak as any process.

Ruled out: keys of our own inside frames; TLS is the usual answer and grpclib carries it.

Change: net.tls holds the settings section and the contexts; the dialling end checks the certificate for the peer's name, the accepting end that frames carry a certified name. Without the section links stay plain TCP.

Conclusion: daemons still have to pass the files to their link.

--- a/fuchsiatrestle/net/link.py
+++ b/fuchsiatrestle/net/link.py
@@ -22,6 +22,7 @@
 
 import curio
 from grpclib import client
+from grpclib import config as grpc_config
 from grpclib import exceptions
 from grpclib import server
 
@@ -31,6 +32,7 @@
 from fuchsiatrestle import metrics
 from fuchsiatrestle.net import _grpc_thread
 from fuchsiatrestle.net import _stream
+from fuchsiatrestle.net import tls
 from fuchsiatrestle import records
 
 __all__ = (
@@ -62,6 +64,10 @@
     'refused.link_malformed', 'Messages from a peer that failed to decode.'
 )
 
+LINK_MISNAMED = metrics.declare(
+    'refused.link_misnamed', 'Streams whose name is not the certified one.'
+)
+
 LOG = logs.get_logger(__name__)
 
 _BROKEN = (
@@ -155,12 +161,15 @@
         name: name of this process, unique among all of them.
         incarnation: number drawn when this process started.
         listen: ``settings.Address`` to accept streams on, None for a client.
+        tls_files: ``tls.TlsFiles`` to prove and check names with; None for
+            plain TCP.
     """
 
-    def __init__(self, name, incarnation, listen=None):
+    def __init__(self, name, incarnation, listen=None, tls_files=None):
         self.name = name
         self.incarnation = incarnation
         self._listen = listen
+        self._tls = tls_files
         self._thread = _grpc_thread.GrpcThread()
         self._inbox = curio.UniversalQueue()
         self._pending = collections.deque()
@@ -229,7 +238,10 @@
 
     async def _serve(self):
         self._server = server.Server([self], codec=_stream.RecordCodec())
-        await self._server.start(self._listen.host, self._listen.port)
+        context = self._tls.server_context() if self._tls else None
+        await self._server.start(
+            self._listen.host, self._listen.port, ssl=context
+        )
 
     async def _close(self):
         for task in self._dial_tasks.values():
@@ -282,10 +294,19 @@
             await asyncio.sleep(delay_s)
             delay_s = min(delay_s * 2, REDIAL_MAX_S)
 
-    async def _dial(self, peer, address):
-        channel = client.Channel(
-            address.host, address.port, codec=_stream.RecordCodec()
+    def _channel(self, peer, address):
+        context = self._tls.client_context() if self._tls else None
+        cfg = grpc_config.Configuration(ssl_target_name_override=peer)
+        return client.Channel(
+            address.host,
+            address.port,
+            codec=_stream.RecordCodec(),
+            ssl=context,
+            config=cfg if context else None,
         )
+
+    async def _dial(self, peer, address):
+        channel = self._channel(peer, address)
         try:
             stream = channel.request(
                 _stream.METHOD_PATH,
@@ -304,12 +325,25 @@
             first = await asyncio.wait_for(
                 stream.recv_message(), SILENCE_LIMIT_S
             )
-            if first is not None:
+            if first is not None and self._is_certified(stream, first):
                 await self._deliver(first)
                 await self._exchange(stream, first.sender)
         except _BROKEN as exc:
             LOG.debug('link_broken', extra={'error': repr(exc)})
 
+    def _is_certified(self, stream, frame):
+        if self._tls is None:
+            return True
+        names = tls.certified_names(stream.peer.cert())
+        if frame.sender in names:
+            return True
+        metrics.count(LINK_MISNAMED)
+        LOG.warning(
+            'link_misnamed',
+            extra={'peer': frame.sender, 'certified': sorted(names)},
+        )
+        return False
+
     async def _exchange(self, stream, peer):
         """Runs both directions of one stream until either one ends."""
         outbox = _Outbox(_loop_time_s())
