--- a/fuchsiatrestle/agreement/_candidate.py
+++ b/fuchsiatrestle/agreement/_candidate.py
@@ -54,6 +54,10 @@
             self._own_vote_settled = True
             self._conclude()
 
+    def postpone_election(self):
+        """Gives way to the candidate that just got the vote."""
+        self._replica.become_follower(self._replica.term, '')
+
     def on_vote_reply(self, reply):
         """Counts a vote of this round."""
         if reply.pre == self._pre and reply.granted:
--- a/fuchsiatrestle/agreement/_dispatch.py
+++ b/fuchsiatrestle/agreement/_dispatch.py
@@ -69,7 +69,8 @@
 
     def _greet(self):
         replica = self._replica
-        if replica.identity in replica.voters.members:
+        voters = replica.voters
+        if replica.identity in voters.members + voters.removed:
             return
         for name in replica.founding.due(replica.now_ms):
             hello = replica.founding.hello(replica.group, joined=False)
--- a/fuchsiatrestle/agreement/_founding.py
+++ b/fuchsiatrestle/agreement/_founding.py
@@ -15,6 +15,9 @@
 class Founding:
     """Hellos sent and heard by one replica.
 
+    Attributes:
+        names: names of the first members.
+
     Args:
         cell: name of the cell.
         identity: the replica's own identity.
@@ -27,6 +30,7 @@
         self._cell = cell
         self._identity = identity
         self._name = name
+        self.names = frozenset(names)
         self._others = sorted(set(names) - {name})
         self._hello_ms = hello_ms
         self._next_ms = 0
--- a/fuchsiatrestle/agreement/_leader.py
+++ b/fuchsiatrestle/agreement/_leader.py
@@ -71,6 +71,11 @@
         silent_ms = self._replica.now_ms - progress.alive_ms
         return silent_ms < self._replica.cfg.election_min_ms
 
+    def holds(self, identity, index):
+        """Returns True if a member has an index on its disk."""
+        progress = self.progress.get(identity)
+        return progress is not None and progress.match >= index
+
     def _alive_voters(self, voters):
         return sum(self.alive(one) for one in voters.voters)
 
--- a/fuchsiatrestle/agreement/_membership.py
+++ b/fuchsiatrestle/agreement/_membership.py
@@ -97,8 +97,65 @@
         replica.become_follower(replica.term, '')
 
     def tick(self):
-        """Drops removed members that hold the entry of their removal."""
+        """Lets go of removed members and admits newcomers."""
+        if not self._leader.ready or not self._replica.voters_committed:
+            return
+        self._drop_removed()
+        if self._leader.handing_over or not self._replica.cfg.auto_admit:
+            return
+        if not self._settle_learners():
+            self._admit_newcomers()
+
+    def _drop_removed(self):
+        """Stops sending to removed members once they know or are silent."""
+        replica = self._replica
+        removed = set(self._leader.progress) - set(replica.voters.members)
+        for member in removed:
+            knows = self._leader.holds(member, replica.voters_index)
+            if knows or not self._leader.alive(member):
+                del self._leader.progress[member]
+
+    # Admission by name
 
     def note_newcomer(self, identity):
-        """Remembers a replica that wants to join."""
-        self._newcomers[identity] = self._replica.now_ms
+        """Remembers a replica that says hello and belongs to none.
+
+        Only names of the first members are admitted this way, each with its
+        newest identity.
+        """
+        name = _voters.name_of(identity)
+        if name in self._replica.founding.names:
+            self._newcomers[name] = (identity, self._replica.now_ms)
+
+    def _settle_learners(self):
+        """Puts a caught-up learner in the place of its silent namesake."""
+        for learner in self._replica.voters.learners:
+            if not self.caught_up(learner):
+                continue
+            rival = self._namesake(self._replica.voters.voters, learner)
+            if rival and not self._leader.alive(rival):
+                return not self.change('remove', rival)
+            if not rival:
+                return not self.change('promote', learner)
+        return False
+
+    def _admit_newcomers(self):
+        replica = self._replica
+        oldest_ms = replica.now_ms - replica.cfg.election_min_ms
+        for identity, heard_ms in self._newcomers.values():
+            if heard_ms < oldest_ms or self._refusal_to_add(identity):
+                continue
+            rival = self._namesake(replica.voters.learners, identity)
+            if rival and self._leader.alive(rival):
+                continue
+            change = ('remove', rival) if rival else ('add', identity)
+            if not self.change(*change):
+                return
+
+    @staticmethod
+    def _namesake(members, identity):
+        name = _voters.name_of(identity)
+        for member in members:
+            if member != identity and _voters.name_of(member) == name:
+                return member
+        return ''
--- a/fuchsiatrestle/agreement/_replica.py
+++ b/fuchsiatrestle/agreement/_replica.py
@@ -82,10 +82,15 @@
         """The ``Voters`` in force."""
         return self._history.current
 
+    @property
+    def voters_index(self):
+        """Index of the entry that brought the set in force."""
+        return self._history.current_index
+
     @property
     def voters_committed(self):
         """True if the set in force is committed."""
-        return self._history.current_index <= self.commit
+        return self.voters_index <= self.commit
 
     @property
     def is_voter(self):
--- a/fuchsiatrestle/agreement/_role.py
+++ b/fuchsiatrestle/agreement/_role.py
@@ -29,6 +29,9 @@
     def settled(self):
         """Acts on writes that have become durable."""
 
+    def postpone_election(self):
+        """Waits another election timeout, after granting a vote."""
+
     def stop(self):
         """Ends the role."""
 
--- a/fuchsiatrestle/agreement/_settings.py
+++ b/fuchsiatrestle/agreement/_settings.py
@@ -23,9 +23,12 @@
         max_snapshot_bytes: largest snapshot accepted, in bytes.
         kept_entries: entries kept in memory behind a snapshot.
         promote_lag: entries that a learner may lack to be promoted.
+        auto_admit: True if the leader admits new identities of the first
+            members by itself and lets them replace silent namesakes.
     """
 
     __slots__ = (
+        'auto_admit',
         'chunk_bytes',
         'election_max_ms',
         'election_min_ms',
@@ -59,6 +62,7 @@
         max_snapshot_bytes=128 * 1024 * 1024,
         kept_entries=1000,
         promote_lag=0,
+        auto_admit=True,
     ):
         self.heartbeat_ms = heartbeat_ms
         self.election_min_ms = election_min_ms
@@ -74,3 +78,4 @@
         self.max_snapshot_bytes = max_snapshot_bytes
         self.kept_entries = kept_entries
         self.promote_lag = promote_lag
+        self.auto_admit = auto_admit
