Extend the job contract: workers, resolution, incarnations, reasons

Cause: reservations can only be checked against an agreed capacity, and a placement must name the worker incarnation that may start it. Change: RegisterWorkers, RetireWorkers, ResolveJobs, GetJobReason; new fields are last and have defaults; renew without job_id covers a whole report. Conclusion: additive, no reader of the old fields changes.

--- a/fuchsiatrestle/messages/_workers.py
+++ b/fuchsiatrestle/messages/_workers.py
@@ -76,7 +76,9 @@
 
     Attributes:
         worker: name of the worker.
-        incarnation: number drawn when the worker process started.
+        incarnation: number drawn when the worker process started, higher
+            than that of its earlier processes; a start ends all that earlier
+            ones ran.
         seq: position within the incarnation, from 1.
         data_centre: where it stands.
         rack: rack within the data centre.
@@ -104,7 +106,9 @@
     Attributes:
         kind: ``start``, ``renew``, ``throttle``, ``checkpoint``, ``stop`` or
             ``forget`` (the ended attempt is recorded, drop it).
-        job_id: the job.
+        job_id: the job; empty in a ``renew`` that covers every attempt that
+            the answered report gave as running and that no ``stop`` of the
+            same answer names.
         attempt: attempt number; a worker refuses one below the highest it
             has seen for the job.
         lease_ms: for start and renew, counted by the worker from the moment
@@ -113,6 +117,7 @@
         resume_from: checkpoint to resume from, 0 for the beginning.
         throttle_milli: allowed processor time, for throttle; 0 lifts it.
         command: what to run, for start.
+        resume_attempt: attempt that wrote ``resume_from``.
     """
 
     kind: str
@@ -123,6 +128,7 @@
     resume_from: int = 0
     throttle_milli: int = 0
     command: str = ''
+    resume_attempt: int = 0
 
 
 class WorkerOrders(records.Record, tag='X'):
--- a/fuchsiatrestle/state/commands/_jobs.py
+++ b/fuchsiatrestle/state/commands/_jobs.py
@@ -11,7 +11,11 @@
     'PlaceAttempts',
     'Placement',
     'RecordAttempts',
+    'RegisterWorkers',
+    'ResolveJobs',
+    'RetireWorkers',
     'SubmitJobs',
+    'WorkerSpec',
 )
 
 
@@ -29,6 +33,11 @@
         run_ms: declared run time in milliseconds, 0 if unknown.
         command: what the worker runs.
         urgent: True if it must start within the urgent bound.
+        submitted_ms: wall-clock milliseconds since the epoch, set once by the
+            submitter and kept on a resend.  It does not count as part of the
+            spec when a resend is compared; a job older than the window of
+            remembered jobs is refused as ``stale``.
+        data_centre: the only data centre it may run in, empty for any.
     """
 
     job_id: str
@@ -41,6 +50,8 @@
     run_ms: int = 0
     command: str = ''
     urgent: bool = False
+    submitted_ms: int = 0
+    data_centre: str = ''
 
 
 class SubmitJobs(records.Record, tag='submit'):
@@ -65,6 +76,8 @@
         worker: name of the worker.
         reserved: reservation, max(declared, learned).
         resume_from: last agreed checkpoint, 0 for none.
+        incarnation: incarnation of the worker the attempt is meant for; an
+            attempt never starts on another one.
     """
 
     job_id: str
@@ -72,6 +85,7 @@
     worker: str
     reserved: messages.Resources
     resume_from: int = 0
+    incarnation: int = 0
 
 
 class PlaceAttempts(records.Record, tag='places'):
@@ -113,10 +127,55 @@
     reason: str
 
 
+class ResolveJobs(records.Record, tag='resolve'):
+    """Settles parked jobs on an operator's word.
+
+    Attributes:
+        resolution: ``done``, ``failed``, or ``queued`` to try again; a
+            non-idempotent job that may have run is never queued again.
+    """
+
+    job_ids: list[str]
+    resolution: str
+    author: str = ''
+
+
+class WorkerSpec(records.Record, tag='worker'):
+    """What is agreed about one worker.
+
+    Attributes:
+        incarnation: incarnation that last reported; it never goes down.
+        capacity: what reservations on it must not exceed in sum.
+        leaving: True once it takes no new attempt.
+    """
+
+    worker: str
+    incarnation: int
+    data_centre: str
+    rack: str
+    capacity: messages.Resources
+    leaving: bool = False
+
+
+class RegisterWorkers(records.Record, tag='register'):
+    """Adds workers or replaces what is agreed about them."""
+
+    workers: list[WorkerSpec]
+
+
+class RetireWorkers(records.Record, tag='retire'):
+    """Drops workers that hold no reservation."""
+
+    workers: list[str]
+
+
 KINDS = (
     SubmitJobs,
     CancelJobs,
     PlaceAttempts,
     RecordAttempts,
     ParkJobs,
+    ResolveJobs,
+    RegisterWorkers,
+    RetireWorkers,
 )
--- a/fuchsiatrestle/state/outcomes.py
+++ b/fuchsiatrestle/state/outcomes.py
@@ -58,7 +58,11 @@
     Attributes:
         state: state of the job after the command, empty if refused.
         reason: empty, or why it was refused: ``spec_differs``,
-            ``impossible``, ``unknown_team``, ``unknown_job``, ``over_quota``.
+            ``impossible``, ``unknown_team``, ``unknown_job``, ``over_quota``,
+            ``stale``, ``queue_full``, ``invalid_spec``, ``not_queued``,
+            ``not_parked``, ``unknown_worker``, ``wrong_incarnation``,
+            ``wrong_attempt``, ``wrong_checkpoint``, ``over_capacity``,
+            ``may_have_run``.
         repeated: True if the job was already known.
         detail: one line for people.
     """
--- a/fuchsiatrestle/state/queries/__init__.py
+++ b/fuchsiatrestle/state/queries/__init__.py
@@ -13,9 +13,11 @@
     'GetConfig',
     'GetConfigHistory',
     'GetJob',
+    'GetJobReason',
     'GetStatus',
     'GetWorkers',
     'JobList',
+    'JobReason',
     'JobView',
     'ListJobs',
     'NotFound',
@@ -96,6 +98,20 @@
     history: list[str] = []
 
 
+class GetJobReason(records.Record, tag='why?'):
+    """Asks the leader's scheduler why a job stands where it does."""
+
+    job_id: str
+
+
+class JobReason(records.Record, tag='why'):
+    """Explains a job, one line a fact, most important first."""
+
+    job_id: str
+    state: str
+    lines: list[str]
+
+
 class ListJobs(records.Record, tag='jobs?'):
     """Asks for jobs, by state and team if given, after ``after``."""
 
@@ -185,6 +201,8 @@
     ConfigHistory,
     GetJob,
     JobView,
+    GetJobReason,
+    JobReason,
     ListJobs,
     JobList,
     GetStatus,
