Add the jobs part, the scheduler core and the stand-in worker, thin

Cause: the whole path needs jobs that are agreed, placed under a lease and run before any part of it goes deep. Change: JobsPart behind the part base class; Scheduler core with queue, capacity index, leases, outbox; worker agent shared by process and tests; JSON form of reports and orders in messages.worker_json.

--- /dev/null
+++ b/fuchsiatrestle/scheduling/_dispatch.py
@@ -0,0 +1,162 @@
+"""Rounds that offer free capacity to queued jobs."""
+
+import itertools
+
+from fuchsiatrestle import messages
+from fuchsiatrestle.scheduling import _queue
+from fuchsiatrestle.state import commands
+
+__all__ = ('Dispatcher',)
+
+MAX_REASONS = 4096
+
+
+class Dispatcher:
+    """Places queued jobs in order, as far as capacity and quotas go.
+
+    Args:
+        part: the jobs part, read only.
+        fleet: the ``Fleet``.
+        shares: the ``TeamShares``.
+        outbox: takes placements.
+        sizes: tells the reservation of a job.
+        rule: the ``PlacementRule``.
+        policy: the ``Policy``.
+    """
+
+    def __init__(self, part, fleet, shares, outbox, sizes, rule, policy):
+        self._part = part
+        self._fleet = fleet
+        self._shares = shares
+        self._outbox = outbox
+        self._sizes = sizes
+        self._rule = rule
+        self._policy = policy
+        self._queue = _queue.JobQueue()
+        self._pending = {}
+        self._reasons = {}
+        self._dirty = True
+
+    def __len__(self):
+        return len(self._queue)
+
+    # Queue
+
+    def refresh(self, job_id):
+        """Brings the queue in step with one job of the agreed state."""
+        job = self._part.jobs.get(job_id)
+        queued = job is not None and job.state == 'queued'
+        if queued and job_id not in self._pending:
+            self._queue.add(job)
+            self._dirty = True
+        else:
+            self._queue.discard(job_id)
+
+    def wake(self):
+        """Makes the next round run: capacity may have become free."""
+        self._dirty = True
+
+    def settle(self, placement, now_ms):
+        """Ends the pending state of a placement, agreed or not."""
+        self._pending.pop(placement.job_id, None)
+        self._fleet.drop_pending(placement.worker, placement.job_id, now_ms)
+
+    # Rounds
+
+    def run(self, now_ms):
+        """Places what can be placed now.
+
+        Returns:
+            The queued jobs of shapes that found no room, one for each shape.
+        """
+        if not self._dirty:
+            return []
+        self._dirty = False
+        if len(self._reasons) > MAX_REASONS:
+            self._reasons.clear()
+        blocked = set()
+        missed = []
+        for job_id in self._queue.offer(self._shares.share, blocked):
+            if self._outbox.placing >= self._most_pending:
+                self._dirty = True
+                break
+            job = self._part.jobs[job_id]
+            if self._place(job, blocked, now_ms):
+                continue
+            missed.append(job)
+            if len(missed) >= self._policy.max_misses:
+                break
+        return missed
+
+    @property
+    def _most_pending(self):
+        return self._policy.max_batch * self._policy.max_in_flight
+
+    def _place(self, job, blocked, now_ms):
+        spec = job.spec
+        shape = self._queue.shape(spec.job_id)
+        size = self._sizes.reservation(spec)
+        need = (size.cpu_milli, size.memory_mib, size.accelerators)
+        short = self._shares.short_dimension(spec.team, need)
+        if short:
+            blocked.add(spec.team)
+            self._reasons[shape, spec.team] = (
+                f'team {spec.team} is at its quota in {short}'
+            )
+            return False
+        name = self._pick(job, need)
+        if name is None:
+            blocked.add(shape)
+            self._explain_miss(shape, need, spec)
+            return False
+        self._reserve(job, name, size, now_ms)
+        return True
+
+    def _pick(self, job, need):
+        names = self._fleet.fitting(need, job.spec.data_centre)
+        usable = (name for name in names if name not in job.failed_on)
+        most = self._policy.max_candidates
+        return self._rule.pick(job, need, list(itertools.islice(usable, most)))
+
+    def _reserve(self, job, name, size, now_ms):
+        spec = job.spec
+        worker = self._part.workers[name]
+        placement = commands.Placement(
+            spec.job_id,
+            job.attempt + 1,
+            name,
+            size,
+            job.checkpoint,
+            worker.spec.incarnation,
+        )
+        self._queue.discard(spec.job_id)
+        self._pending[spec.job_id] = placement
+        self._shares.hold(spec.job_id, spec.team, size)
+        self._fleet.add_pending(name, spec.job_id, size, now_ms)
+        self._outbox.place(placement)
+
+    # Explanations
+
+    def _explain_miss(self, shape, need, spec):
+        short = self._fleet.short_dimension(need, spec.data_centre)
+        self._reasons[shape, spec.team] = (
+            f'no worker has room for {_text(need)}, short of {short}'
+        )
+
+    def why(self, job):
+        """Returns why a queued job waits, one line."""
+        job_id = job.spec.job_id
+        if job_id in self._pending:
+            return f'being placed on {self._pending[job_id].worker}'
+        if job_id not in self._queue:
+            return ''
+        key = (self._queue.shape(job_id), job.spec.team)
+        return self._reasons.get(key, 'waits for its turn')
+
+
+def _text(need):
+    size = messages.Resources(*need)
+    text = f'{size.cpu_milli} cpu_milli, {size.memory_mib} MiB'
+    if size.accelerators:
+        text += f', {size.accelerators} accelerators'
+    return text
--- /dev/null
+++ b/fuchsiatrestle/scheduling/_peaks.py
@@ -0,0 +1,38 @@
+"""Recent peak usage of the services of one worker."""
+
+__all__ = ('RecentPeak',)
+
+WINDOW_MS = 300_000
+
+
+class RecentPeak:
+    """Largest value of the last one to two windows.
+
+    Args:
+        window_ms: length of a window.
+    """
+
+    __slots__ = ('_current', '_previous', '_since_ms', '_window_ms')
+
+    def __init__(self, window_ms=WINDOW_MS):
+        self._window_ms = window_ms
+        self._since_ms = None
+        self._current = 0
+        self._previous = 0
+
+    def note(self, value, now_ms):
+        """Takes one measurement."""
+        if self._since_ms is None:
+            self._since_ms = now_ms
+        elapsed = now_ms - self._since_ms
+        if elapsed >= self._window_ms:
+            recent = elapsed < 2 * self._window_ms
+            self._previous = self._current if recent else 0
+            self._current = 0
+            self._since_ms = now_ms
+        self._current = max(self._current, value)
+
+    @property
+    def value(self):
+        """The peak, 0 before the first measurement."""
+        return max(self._current, self._previous)
--- /dev/null
+++ b/fuchsiatrestle/state/_jobs_store.py
@@ -0,0 +1,220 @@
+"""Collections of the jobs part, with their bounds and invariants."""
+
+import collections
+
+from fuchsiatrestle import invariants
+from fuchsiatrestle.state import _jobs_model as model
+
+__all__ = (
+    'JobStore',
+    'MAX_ENDED_JOBS',
+    'MAX_OPEN_JOBS',
+    'MAX_WORKERS',
+)
+
+MAX_OPEN_JOBS = 250_000
+MAX_ENDED_JOBS = 100_000
+MAX_WORKERS = 20_000
+
+
+class JobStore:
+    """Open jobs, remembered ended jobs and workers.
+
+    Every change of a job's state goes through this class, which keeps the
+    reservations of workers and teams and the counts by state in step.
+
+    Args:
+        max_open: bound on jobs that have not ended.
+        max_ended: bound on ended jobs that are remembered.
+    """
+
+    def __init__(self, max_open=MAX_OPEN_JOBS, max_ended=MAX_ENDED_JOBS):
+        self.max_open = max_open
+        self.max_ended = max_ended
+        self.jobs = {}
+        self.ended = collections.OrderedDict()
+        self.workers = {}
+        self.next_seq = 1
+        self.stale_before_ms = 0
+        self._counts = collections.Counter()
+        self._capacities = collections.Counter()
+
+    # Jobs
+
+    def add(self, spec):
+        """Takes a new job into the queue."""
+        job = model.Job(spec, self.next_seq, history=[], failed_on=[])
+        self.next_seq += 1
+        self.jobs[spec.job_id] = job
+        self._counts[job.state] += 1
+        return job
+
+    def set_state(self, job, state):
+        """Moves an open job to another state that is not an ended one."""
+        self._counts[job.state] -= 1
+        self._counts[state] += 1
+        job.state = state
+
+    def end(self, job, state, reason=''):
+        """Ends a job and remembers it within the bound."""
+        invariants.require(
+            job.reserved is None,
+            'ended_job_holds_reservation',
+            job_id=job.spec.job_id,
+        )
+        self.set_state(job, state)
+        del self.jobs[job.spec.job_id]
+        self._remember(job, reason)
+
+    def counts(self):
+        """Returns the number of jobs by state, zeroes left out."""
+        return {
+            state: self._counts[state]
+            for state in model.STATES
+            if self._counts[state]
+        }
+
+    def _remember(self, job, reason):
+        spec = job.spec
+        self.ended[spec.job_id] = model.EndedJob(
+            spec.job_id,
+            model.fingerprint(spec),
+            spec.submitted_ms,
+            job.state,
+            spec.team,
+            spec.job_class,
+            spec.priority,
+            job.attempt,
+            job.worker,
+            job.checkpoint,
+            reason,
+            job.history,
+        )
+        while len(self.ended) > self.max_ended:
+            _, oldest = self.ended.popitem(last=False)
+            self._counts[oldest.state] -= 1
+            self.stale_before_ms = max(
+                self.stale_before_ms, oldest.submitted_ms
+            )
+
+    # Reservations
+
+    def reserve(self, job, worker, size):
+        """Reserves ``size`` on a worker for the job's current attempt."""
+        invariants.require(
+            job.reserved is None,
+            'second_live_attempt',
+            job_id=job.spec.job_id,
+            attempt=job.attempt,
+        )
+        worker.reserve(job.spec.job_id, job.attempt, size)
+        job.reserved = size
+        job.worker = worker.spec.worker
+        capacity = worker.spec.capacity
+        invariants.require(
+            worker.cpu_milli <= capacity.cpu_milli
+            and worker.memory_mib <= capacity.memory_mib
+            and worker.accelerators <= capacity.accelerators,
+            'worker_over_capacity',
+            worker=worker.spec.worker,
+            job_id=job.spec.job_id,
+        )
+
+    def release(self, job):
+        """Takes back what the job's live attempt had reserved."""
+        worker = self.workers[job.worker]
+        worker.release(job.spec.job_id, job.reserved)
+        job.reserved = None
+        job.started = False
+        invariants.require(
+            min(worker.cpu_milli, worker.memory_mib, worker.accelerators) >= 0,
+            'negative_reservation',
+            worker=job.worker,
+            job_id=job.spec.job_id,
+        )
+
+    # Workers
+
+    def put_worker(self, spec):
+        """Adds a worker or replaces what is agreed about it."""
+        known = self.workers.get(spec.worker)
+        if known is None:
+            self.workers[spec.worker] = model.Worker(spec, jobs={})
+        else:
+            self._drop_capacity(known.spec)
+            known.spec = spec
+        self._capacities[spec.capacity, spec.data_centre] += 1
+
+    def remove_worker(self, name):
+        """Forgets a worker that holds no reservation."""
+        worker = self.workers.pop(name)
+        invariants.require(
+            not worker.jobs, 'retired_worker_holds_jobs', worker=name
+        )
+        self._drop_capacity(worker.spec)
+
+    def capacities(self):
+        """Returns the distinct (capacity, data centre) pairs of workers."""
+        return list(self._capacities)
+
+    def _drop_capacity(self, spec):
+        key = spec.capacity, spec.data_centre
+        self._capacities[key] -= 1
+        if not self._capacities[key]:
+            del self._capacities[key]
+
+    # Whole state
+
+    def verify(self):
+        """Recomputes what is kept incrementally and compares.
+
+        Raises:
+            errors.InvariantBreach: a reservation, or a job's place, is wrong.
+        """
+        sums = {name: [0, 0, 0, {}] for name in self.workers}
+        for job_id, job in self.jobs.items():
+            invariants.require(
+                job.is_live == (job.reserved is not None),
+                'live_without_reservation',
+                job_id=job_id,
+                state=job.state,
+            )
+            if not job.is_live:
+                continue
+            total = sums[job.worker]
+            total[0] += job.reserved.cpu_milli
+            total[1] += job.reserved.memory_mib
+            total[2] += job.reserved.accelerators
+            total[3][job_id] = job.attempt
+        for name, worker in self.workers.items():
+            kept = [
+                worker.cpu_milli,
+                worker.memory_mib,
+                worker.accelerators,
+                worker.jobs,
+            ]
+            invariants.require(
+                kept == sums[name],
+                'reservations_out_of_step',
+                worker=name,
+                kept=kept,
+                found=sums[name],
+            )
+
+    def rebuild(self, jobs, ended, workers, next_seq, stale_before_ms):
+        """Replaces everything by what a snapshot held."""
+        self.jobs = {job.spec.job_id: job for job in jobs}
+        self.ended = collections.OrderedDict(
+            (job.job_id, job) for job in ended
+        )
+        self.workers = {worker.spec.worker: worker for worker in workers}
+        self.next_seq = next_seq
+        self.stale_before_ms = stale_before_ms
+        self._counts = collections.Counter(
+            job.state for job in [*jobs, *ended]
+        )
+        self._capacities = collections.Counter(
+            (worker.spec.capacity, worker.spec.data_centre)
+            for worker in workers
+        )
+        self.verify()
--- /dev/null
+++ b/tests/scheduling/_cell.py
@@ -0,0 +1,141 @@
+"""A small cell in one process: jobs part, scheduler core, worker agents.
+
+Messages pass through lists that a test, or a machine drawing faults, can
+lose, double or reorder.  Time stands still unless moved.
+"""
+
+import random
+
+from fuchsiatrestle import messages
+from fuchsiatrestle import scheduling
+from fuchsiatrestle.state import _jobs
+from fuchsiatrestle.state import commands
+from standins import _worker_agent
+
+__all__ = ('Cell', 'spec')
+
+CAPACITY = messages.Resources(4000, 8000, 1)
+
+
+def spec(job_id, cpu_milli=1000, memory_mib=1000, **values):
+    """Returns a ``JobSpec`` with short defaults."""
+    values.setdefault('team', 'team')
+    values.setdefault('job_class', 'class')
+    values.setdefault('priority', 5)
+    accelerators = values.pop('accelerators', 0)
+    size = messages.Resources(cpu_milli, memory_mib, accelerators)
+    return commands.JobSpec(job_id=job_id, size=size, **values)
+
+
+class Cell:
+    """One leader at a time, its agreed state and the workers.
+
+    Args:
+        workers: number of workers.
+        policy: the ``Policy``.
+        quotas: team quotas in force, by team.
+        seed: of the order in which nothing in particular decides.
+    """
+
+    def __init__(self, workers=3, policy=None, quotas=None, seed=0, **options):
+        self.now_ms = 1_000_000
+        self.quotas = quotas if quotas is not None else {}
+        self.part = _jobs.JobsPart(lambda: self.quotas)
+        self.policy = policy or scheduling.Policy()
+        self.rng = random.Random(seed)
+        self.ledger = []
+        self.agents = {}
+        self.index = 0
+        self.proposals = []
+        self.answers = []
+        self.agreed = []
+        options.setdefault('capacity', CAPACITY)
+        for number in range(workers):
+            name = f'w{number}'
+            self.agents[name] = _worker_agent.WorkerAgent(
+                _worker_agent.AgentOptions(
+                    name, 'dc1', f'r{number % 2}', **options
+                ),
+                1,
+                self.ledger,
+            )
+        self.elect()
+
+    # Leader
+
+    def elect(self):
+        """Replaces the leader; what it had proposed or answered is lost."""
+        self.proposals.clear()
+        self.scheduler = scheduling.Scheduler(
+            self.part, self.now_ms, self.policy
+        )
+
+    def step(self, event):
+        """Steps the leader and files its effects."""
+        for effect in self.scheduler.step(event, self.now_ms):
+            if isinstance(effect, scheduling.ProposeBatch):
+                self.proposals.append(effect)
+            elif isinstance(effect, scheduling.AnswerReports):
+                self.answers.extend(effect.orders)
+
+    def apply(self, command):
+        """Agrees a command and tells the leader."""
+        self.index += 1
+        self.agreed.append(command)
+        outcome = self.part.apply(self.index, command)
+        self.step(scheduling.Applied(command, outcome))
+        return outcome
+
+    def agree(self):
+        """Agrees all that the leader proposed."""
+        while self.proposals:
+            self.apply(self.proposals.pop(0).command)
+
+    def submit(self, *specs):
+        """Submits jobs and returns their outcomes."""
+        return self.apply(commands.SubmitJobs(list(specs))).jobs
+
+    # Workers
+
+    def report(self, name):
+        """Brings one report to the leader."""
+        report = self.agents[name].report(self.now_ms)
+        self.step(scheduling.Reports('e1', 1, [report]))
+        return report
+
+    def deliver(self):
+        """Brings all answers to the workers."""
+        while self.answers:
+            answer = self.answers.pop(0)
+            agent = self.agents.get(answer.worker)
+            if agent is not None:
+                agent.take(answer, self.now_ms)
+
+    def restart(self, name):
+        """Kills a worker and starts its next incarnation."""
+        old = self.agents[name]
+        old.crash(self.now_ms)
+        self.agents[name] = _worker_agent.WorkerAgent(
+            old.options, old.incarnation + 1, self.ledger
+        )
+
+    # Time
+
+    def advance(self, duration_ms, step_ms=500, silent=()):
+        """Lets time pass without faults but the silence of some workers."""
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            self.now_ms += step_ms
+            self.step(scheduling.Tick())
+            self.agree()
+            for name, agent in self.agents.items():
+                if name not in silent:
+                    agent.tick(self.now_ms)
+                    self.report(name)
+            self.agree()
+            self.deliver()
+
+    def state(self, job_id):
+        """Returns the agreed state of a job."""
+        job = self.part.jobs.get(job_id) or self.part.ended.get(job_id)
+        return job.state
