Add the state machine, control client, lease cores and daemon skeleton

Patches apply on the current version only, so a resend beyond the dedupe window is a refusal, never a second application. JSON depth is bounded before decoding, because the decoder's limit depends on the stack and could differ between replicas.

Configuration leases are two cores without I/O. Weighed: trusting a renewal whenever it arrives. A renewal queued at a replica before it became leader could then overlap a lease of another process of the same entry; a renewal therefore names the term it is meant for, at the price of one round trip after a change of leader.

Messages gain fields and kinds at their end only.

--- /dev/null
+++ b/fuchsiatrestle/membership/__init__.py
@@ -0,0 +1,21 @@
+"""Configuration leases: which entries may serve, and under which version.
+
+``ConfigLeaseHolder`` runs in an entry, ``ConfigLeaseGranter`` at the leader
+of the control replicas.  Both are cores without I/O.
+
+Promises:
+
+- an entry serves only under a lease, and only under the version in force;
+- when the granter says that a version is in force everywhere, no entry
+  serves under an older one;
+- at most one process of an entry holds a lease at a time.
+"""
+
+from fuchsiatrestle.membership import _events
+from fuchsiatrestle.membership import _granter
+from fuchsiatrestle.membership import _holder
+from fuchsiatrestle.membership._events import *
+from fuchsiatrestle.membership._granter import *
+from fuchsiatrestle.membership._holder import *
+
+__all__ = _events.__all__ + _granter.__all__ + _holder.__all__
--- a/fuchsiatrestle/messages/_control.py
+++ b/fuchsiatrestle/messages/_control.py
@@ -5,14 +5,19 @@
 
 __all__ = (
     'AskQuery',
+    'ChangeMember',
+    'CommandOutcome',
     'ConfigLease',
     'ControlRefused',
+    'MemberView',
+    'MembersView',
     'OrderBatch',
     'ProposeCommand',
     'QueryAnswer',
+    'ReleaseConfigLease',
     'RenewConfigLease',
     'ReportBatch',
-    'CommandOutcome',
+    'ShowMembers',
 )
 
 
@@ -79,6 +84,9 @@
         incarnation: incarnation of the entry process.
         version: version the entry has in force.
         address: ``IP:port`` of the entry's link listener.
+        term: term of the leader it is meant for, 0 if not known.  A leader
+            grants only what was sent after it became leader.
+        held: True if the entry's lease was running when it sent this.
     """
 
     call_id: int
@@ -86,21 +94,43 @@
     incarnation: int
     version: int
     address: str
+    term: int = 0
+    held: bool = False
 
 
 class ConfigLease(records.Record, tag='cg'):
     """Grants a configuration lease for ``lease_ms`` from the request.
 
     Attributes:
+        call_id: the answered request; zero when the leader pushes a new
+            version, which then comes into force at once but extends nothing.
         version: newest agreed version; the lease holds for this one only.
         document: JSON of the configuration, empty if the entry has it.
-        lease_ms: duration, zero if the entry is not admitted.
+        lease_ms: duration, zero if no lease is granted.
+        term: term of the leader, for the next request.
+        reason: why none is granted: ``new_term`` (ask again with ``term``),
+            ``not_admitted`` (not in the configuration, or under another
+            address), ``other_process`` (an earlier process of this entry may
+            still hold one) or ``released``.
     """
 
     call_id: int
     version: int
     document: bytes
     lease_ms: int
+    term: int = 0
+    reason: str = ''
+
+
+class ReleaseConfigLease(records.Record, tag='cz'):
+    """Gives the lease up on a planned stop, after the last request.
+
+    Answered by a ``ConfigLease`` with the reason ``released``.
+    """
+
+    call_id: int
+    entry: str
+    incarnation: int
 
 
 class ReportBatch(records.Record, tag='cw'):
@@ -118,6 +148,55 @@
     orders: list[_workers.WorkerOrders]
 
 
+class ChangeMember(records.Record, tag='cm'):
+    """Changes the control replicas by one; answered by ``MembersView``.
+
+    Attributes:
+        change: ``add`` (as learner, promoted once caught up) or ``remove``.
+        name: name of the control replica.
+        address: ``IP:port`` of its link listener, for ``add``.
+    """
+
+    call_id: int
+    change: str
+    name: str
+    address: str = ''
+
+
+class ShowMembers(records.Record, tag='cs'):
+    """Asks for the control replicas; answered by ``MembersView``."""
+
+    call_id: int
+
+
+class MemberView(records.Record, tag='cv'):
+    """One control replica.
+
+    Attributes:
+        identity: made when its data folder was made.
+        role: ``voter`` or ``learner``.
+        match: highest log index known to be synced there.
+        heard_ms: time since the leader last heard it.
+    """
+
+    name: str
+    identity: str
+    address: str
+    role: str
+    match: int
+    heard_ms: int
+
+
+class MembersView(records.Record, tag='cy'):
+    """The control replicas as the leader sees them."""
+
+    call_id: int
+    leader: str
+    term: int
+    commit: int
+    members: list[MemberView]
+
+
 KINDS = (
     ProposeCommand,
     CommandOutcome,
@@ -128,4 +207,8 @@
     ConfigLease,
     ReportBatch,
     OrderBatch,
+    ReleaseConfigLease,
+    ChangeMember,
+    ShowMembers,
+    MembersView,
 )
--- /dev/null
+++ b/fuchsiatrestle/state/_part.py
@@ -0,0 +1,46 @@
+"""Base of the parts that make up the agreed state."""
+
+import abc
+
+__all__ = ('Part',)
+
+
+class Part(abc.ABC):
+    """One share of the agreed state with commands and queries of its own.
+
+    A part is a function of the commands applied to it: it reads no clock, no
+    file and no random source.
+
+    Attributes:
+        name: key of the part in snapshots; it never changes.
+        command_kinds: record classes of the commands it handles.
+        query_kinds: record classes of the queries it answers.
+    """
+
+    name = ''
+    command_kinds = ()
+    query_kinds = ()
+
+    @abc.abstractmethod
+    def apply(self, index, command):
+        """Applies one command.
+
+        Args:
+            index: its position in the log.
+            command: a record of one of ``command_kinds``.
+
+        Returns:
+            A record of ``outcomes.CODEC``.
+        """
+
+    @abc.abstractmethod
+    def query(self, query):
+        """Answers one query with a record of ``queries.CODEC``."""
+
+    @abc.abstractmethod
+    def snapshot(self):
+        """Returns the whole part as bytes."""
+
+    @abc.abstractmethod
+    def restore(self, data):
+        """Replaces the whole part by what ``snapshot`` returned."""
--- a/fuchsiatrestle/state/commands/_claims.py
+++ b/fuchsiatrestle/state/commands/_claims.py
@@ -2,7 +2,13 @@
 
 from fuchsiatrestle import records
 
-__all__ = ('ClaimRequests', 'FinishClaims', 'Claim', 'FinishedClaim')
+__all__ = (
+    'AbandonClaims',
+    'Claim',
+    'ClaimRequests',
+    'FinishClaims',
+    'FinishedClaim',
+)
 
 
 class Claim(records.Record, tag='claim'):
@@ -26,8 +32,8 @@
     Attributes:
         entry: the claiming entry.
         incarnation: its incarnation.
-        batch: number unique to the incarnation; a resent batch gets the
-            outcome of the first.
+        batch: number unique to the incarnation and growing; a resent batch
+            gets the outcome of the first.
         claims: the claims.
     """
 
@@ -61,4 +67,15 @@
     claims: list[FinishedClaim]
 
 
-KINDS = (ClaimRequests, FinishClaims)
+class AbandonClaims(records.Record, tag='abandon'):
+    """Marks the unfinished claims of a dead entry process as ``unknown``.
+
+    The leader proposes it once the configuration lease of that incarnation
+    has run out.  The incarnation claims nothing any more.
+    """
+
+    entry: str
+    incarnation: int
+
+
+KINDS = (ClaimRequests, FinishClaims, AbandonClaims)
--- a/fuchsiatrestle/state/outcomes.py
+++ b/fuchsiatrestle/state/outcomes.py
@@ -82,8 +82,9 @@
     Attributes:
         state: ``granted`` (dispatch it), ``held`` (another entry has it),
             ``done`` (status and answer follow), ``unknown`` (may have run),
-            ``mismatch`` (same key, other request) or ``expired`` (key older
-            than the window).
+            ``mismatch`` (same key, other request), ``expired`` (key older
+            than the window, it may have run) or ``overloaded`` (too many
+            claims are held, certainly not run).
     """
 
     key: str
