--- a/fuchsiatrestle/daemon.py
+++ b/fuchsiatrestle/daemon.py
@@ -18,6 +18,7 @@
 
 import abc
 import signal
+import socket
 import sys
 import time
 
@@ -44,6 +45,7 @@
 
 DATA_EXIT_STATUS = 74
 FAULT_EXIT_STATUS = 1
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 COMMON_SECTIONS = (
     settings.Section(
@@ -136,9 +138,19 @@
     metrics.default_registry.connect(address.host, address.port, prefix)
 
 
+def _open_signal_pipe():
+    """Returns a socket that becomes readable when told to stop."""
+    reader, writer = socket.socketpair()
+    writer.setblocking(False)
+    signal.set_wakeup_fd(writer.detach())
+    for signum in STOP_SIGNALS:
+        signal.signal(signum, lambda received, frame: None)
+    return reader
+
+
 async def _watch_signals(stop_requested):
-    async with curio.SignalQueue(signal.SIGTERM, signal.SIGINT) as received:
-        await received.get()
+    async with curio.io.Socket(_open_signal_pipe()) as pipe:
+        await pipe.recv(1)
     LOG.info('stop_requested')
     await stop_requested.set()
 
