--- /dev/null
+++ b/fuchsiatrestle/control/_replica_task.py
@@ -0,0 +1,125 @@
+"""The task that owns the replica of the agreement core."""
+
+import curio
+
+from fuchsiatrestle.control import _events
+from fuchsiatrestle import agreement
+from fuchsiatrestle import daemon
+from fuchsiatrestle import logs
+from fuchsiatrestle import metrics
+
+__all__ = ('ReplicaTask',)
+
+FACTS_MS = 500
+
+TERM = metrics.declare('agreement.term', 'Term of this replica.')
+COMMIT = metrics.declare('agreement.commit', 'Committed log index.')
+LEADS = metrics.declare('agreement.leads', '1 while this replica leads.')
+LEADER_CHANGED = metrics.declare(
+    'agreement.role_changed', 'Changes of role or leader seen here.'
+)
+
+LOG = logs.get_logger(__name__)
+
+_FOR_STATE = (
+    agreement.Apply,
+    agreement.Accepted,
+    agreement.Rejected,
+    agreement.ReadReady,
+    agreement.RoleChanged,
+)
+
+
+class ReplicaTask:
+    """Steps the replica and carries out its effects in order.
+
+    Args:
+        replica: the ``agreement.Replica``.
+        lnk: the link.
+        state_inbox: queue of the state task.
+    """
+
+    def __init__(self, replica, lnk, state_inbox):
+        self._replica = replica
+        self._link = lnk
+        self._state_inbox = state_inbox
+        self._storage = None
+        self._facts_due_ms = 0
+        self.inbox = curio.UniversalQueue()
+        self.role = ''
+
+    def attach(self, storage):
+        """Sets the ``StorageThread`` that reports to ``inbox``."""
+        self._storage = storage
+
+    async def run(self):
+        """Works until cancelled."""
+        while True:
+            event = await self.inbox.get()
+            if isinstance(event, _events.StorageBroken):
+                await self._state_inbox.put(event)
+                return
+            await self._handle(event)
+
+    async def _handle(self, event):
+        if isinstance(event, _events.TakeSnapshot):
+            snapshot = self._replica.make_snapshot(
+                event.last_index, event.data
+            )
+            self._storage.put(_events.SaveSnapshot(snapshot))
+            return
+        if isinstance(event, _events.SnapshotSaved):
+            await self._state_inbox.put(event)
+            event = agreement.Compact(event.snapshot)
+        now_ms = daemon.now_ms()
+        for effect in self._replica.step(event, now_ms):
+            await self._carry_out(effect)
+        if now_ms >= self._facts_due_ms:
+            self._facts_due_ms = now_ms + FACTS_MS
+            await self._publish_facts(now_ms)
+
+    async def _carry_out(self, effect):
+        if isinstance(effect, agreement.Send):
+            self._link.send(effect.peer, effect.message)
+        elif isinstance(effect, agreement.Write):
+            self._storage.put(effect)
+        elif isinstance(effect, agreement.Restore):
+            self._storage.put(effect)
+            await self._state_inbox.put(effect)
+        elif isinstance(effect, _FOR_STATE):
+            if isinstance(effect, agreement.RoleChanged):
+                self._note_role(effect)
+            await self._state_inbox.put(effect)
+
+    def _note_role(self, effect):
+        self.role = effect.role
+        metrics.count(LEADER_CHANGED)
+        LOG.info(
+            'role_changed',
+            extra={
+                'role': effect.role,
+                'term': effect.term,
+                'leader': effect.leader,
+                'ready': effect.ready,
+            },
+        )
+
+    async def _publish_facts(self, now_ms):
+        replica = self._replica
+        metrics.gauge(TERM, replica.term)
+        metrics.gauge(COMMIT, replica.commit)
+        metrics.gauge(LEADS, int(self.role == 'leader'))
+        facts = _events.ReplicaFacts(
+            replica.term,
+            replica.commit,
+            0,
+            [self._member(identity) for identity in replica.voters.members],
+            [],
+        )
+        await self._state_inbox.put(facts)
+
+    def _member(self, identity):
+        voters = self._replica.voters
+        role = 'voter' if identity in voters.voters else 'learner'
+        name = agreement.name_of(identity)
+        return _events.MemberFacts(identity, name, role, 0, 0)
--- /dev/null
+++ b/fuchsiatrestle/control/_settings.py
@@ -0,0 +1,26 @@
+"""Settings of the control daemon."""
+
+from fuchsiatrestle.net import tls
+from fuchsiatrestle import settings
+
+__all__ = ('SECTIONS',)
+
+SECTIONS = (
+    settings.Section(
+        'control',
+        settings.NameOption('name'),
+        settings.AddressOption('link'),
+        settings.FolderOption('data_folder'),
+        settings.PeerListOption('peers'),
+        settings.NameOption('cell', 'main'),
+        settings.TextOption('data_centre', ''),
+        settings.IntOption('snapshot_entries', 2000, low=10, high=1000000),
+    ),
+    settings.Section(
+        'timing',
+        settings.IntOption('heartbeat_ms', 150, low=10, high=1000),
+        settings.IntOption('election_min_ms', 600, low=50, high=1500),
+        settings.IntOption('election_max_ms', 1200, low=60, high=3000),
+    ),
+    tls.SECTION,
+)
