Run the control daemon over the agreement core, thin

Three daemons found a group, agree patches and grant configuration leases; the service is a core without I/O, so that the same code can be driven by randomised tests.

--- /dev/null
+++ b/fuchsiatrestle/control/_daemon.py
@@ -0,0 +1,218 @@
+"""The control daemon: opens folder and listener, runs the tasks."""
+
+import os
+import time
+
+import curio
+
+from fuchsiatrestle import agreement
+from fuchsiatrestle.control import _events
+from fuchsiatrestle.control import _refusals
+from fuchsiatrestle.control import _replica_task
+from fuchsiatrestle.control import _service
+from fuchsiatrestle.control import _storage
+from fuchsiatrestle import daemon
+from fuchsiatrestle import errors
+from fuchsiatrestle import logs
+from fuchsiatrestle import messages
+from fuchsiatrestle.net import link
+from fuchsiatrestle.net import tls
+from fuchsiatrestle import settings
+
+__all__ = ('ControlDaemon',)
+
+REPLICA_TICK_S = 0.025
+STATE_TICK_S = 0.05
+HAND_OVER_S = 3.0
+DRAIN_S = 0.2
+MAX_STATE_BACKLOG = 10000
+
+_CALLS = (
+    messages.ProposeCommand,
+    messages.AskQuery,
+    messages.RenewConfigLease,
+    messages.ReleaseConfigLease,
+    messages.ReportBatch,
+    messages.ChangeMember,
+    messages.ShowMembers,
+)
+
+LOG = logs.get_logger(__name__)
+
+
+class ControlDaemon(daemon.Daemon):
+    """One control replica.
+
+    Args:
+        cfg: checked ``settings.Settings``.
+        files: ``agreement.Files`` to reach the data folder through, None for
+            the file system.
+    """
+
+    def __init__(self, cfg, files=None):
+        self._cfg = cfg
+        self._files = files
+        self._name = cfg.get('control', 'name')
+        self._peers = cfg.get('control', 'peers')
+        self._state_inbox = curio.UniversalQueue()
+        self._check_peers()
+        self._link = link.Link(
+            self._name,
+            daemon.draw_incarnation(),
+            cfg.get('control', 'link'),
+            tls.files_from_settings(cfg),
+        )
+
+    def _check_peers(self):
+        if self._name not in self._peers:
+            raise daemon.refused_setting(
+                self._cfg, 'control', 'name', 'not listed in peers'
+            )
+
+    # Start
+
+    async def start(self):
+        """Opens the data folder, then the listener."""
+        folder = self._open_folder()
+        try:
+            await self._link.start()
+        except errors.Error as exc:
+            folder.close()
+            raise daemon.refused_setting(
+                self._cfg, 'control', 'link', exc.reason
+            ) from exc
+        self._build(folder)
+        for name, address in self._peers.items():
+            if name != self._name:
+                self._link.connect(name, address)
+
+    def _open_folder(self):
+        path = self._cfg.get('control', 'data_folder')
+        nonce = int.from_bytes(os.urandom(8), 'big')
+        try:
+            return agreement.DataFolder.open(
+                path, self._name, nonce, self._files
+            )
+        except errors.StorageFailed as exc:
+            raise daemon.refused_setting(
+                self._cfg, 'control', 'data_folder', exc.reason
+            ) from exc
+
+    def _build(self, folder):
+        state = folder.state
+        self._service = _service.Service(
+            self._name,
+            self._cfg.get('control', 'snapshot_entries'),
+            state.snapshot,
+        )
+        replica = agreement.Replica(
+            self._cfg.get('control', 'cell'),
+            state,
+            list(self._peers),
+            self._replica_config(),
+            int.from_bytes(os.urandom(8), 'big'),
+            daemon.now_ms(),
+        )
+        self._replica_task = _replica_task.ReplicaTask(
+            replica, self._link, self._state_inbox
+        )
+        self._storage = _storage.StorageThread(
+            folder, self._replica_task.inbox.put
+        )
+        self._replica_task.attach(self._storage)
+        self._storage.start()
+        LOG.info(
+            'folder_opened',
+            extra={
+                'identity': state.identity,
+                'term': state.hard_state.term,
+                'entries': len(state.entries),
+            },
+        )
+
+    def _replica_config(self):
+        return agreement.ReplicaConfig(
+            heartbeat_ms=self._cfg.get('timing', 'heartbeat_ms'),
+            election_min_ms=self._cfg.get('timing', 'election_min_ms'),
+            election_max_ms=self._cfg.get('timing', 'election_max_ms'),
+        )
+
+    # Work
+
+    async def serve(self, stop_requested):
+        """Runs the tasks; hands leadership over before it stops."""
+        try:
+            async with curio.TaskGroup(wait=any) as tasks:
+                await tasks.spawn(self._receive)
+                await tasks.spawn(self._replica_task.run)
+                await tasks.spawn(self._run_state)
+                await tasks.spawn(self._tick_replica)
+                await tasks.spawn(self._tick_state)
+                await tasks.spawn(self._stop_gracefully, stop_requested)
+            if tasks.exception:
+                raise tasks.exception
+        finally:
+            await curio.run_in_thread(self._storage.stop)
+            await self._link.stop()
+
+    async def _receive(self):
+        while True:
+            event = await self._link.receive()
+            if isinstance(event, link.Inbound):
+                await self._route(event.peer, event.message)
+
+    async def _route(self, peer, message):
+        if not isinstance(message, _CALLS):
+            if hasattr(message, 'group') or hasattr(message, 'cell'):
+                received = agreement.Received(peer, message)
+                await self._replica_task.inbox.put(received)
+        elif self._state_inbox.qsize() >= MAX_STATE_BACKLOG:
+            _refusals.count('overloaded')
+            refused = messages.ControlRefused(
+                message.call_id, 'overloaded', ''
+            )
+            self._link.send(peer, refused)
+        else:
+            await self._state_inbox.put(_events.Call(peer, message))
+
+    async def _run_state(self):
+        """Owns the state machine and the leader's services."""
+        while True:
+            event = await self._state_inbox.get()
+            for effect in self._service.step(event, daemon.now_ms()):
+                await self._carry_out(effect)
+            if isinstance(event, _events.StorageBroken):
+                # Lets the refusals leave before the process ends.
+                await curio.sleep(DRAIN_S)
+                raise event.error
+
+    async def _carry_out(self, effect):
+        if isinstance(effect, _events.Send):
+            self._link.send(effect.peer, effect.message)
+        elif isinstance(effect, _events.ToReplica):
+            await self._replica_task.inbox.put(effect.event)
+        elif isinstance(effect, _events.ConnectPeer):
+            address = settings.Address.parse(effect.address)
+            self._link.connect(effect.name, address)
+
+    async def _tick_replica(self):
+        while True:
+            await curio.sleep(REPLICA_TICK_S)
+            await self._replica_task.inbox.put(agreement.Tick())
+
+    async def _tick_state(self):
+        while True:
+            await curio.sleep(STATE_TICK_S)
+            wall_ms = time.time_ns() // 1000000
+            await self._state_inbox.put(_events.Tick(wall_ms))
+
+    # Stop
+
+    async def _stop_gracefully(self, stop_requested):
+        await stop_requested.wait()
+        if self._replica_task.role == 'leader':
+            await self._replica_task.inbox.put(agreement.HandOver())
+            async with curio.ignore_after(HAND_OVER_S):
+                while self._replica_task.role == 'leader':
+                    await curio.sleep(REPLICA_TICK_S)
+        await curio.sleep(DRAIN_S)
--- a/fuchsiatrestle/control/_replica_task.py
+++ b/fuchsiatrestle/control/_replica_task.py
@@ -2,8 +2,8 @@
 
 import curio
 
-from fuchsiatrestle.control import _events
 from fuchsiatrestle import agreement
+from fuchsiatrestle.control import _events
 from fuchsiatrestle import daemon
 from fuchsiatrestle import logs
 from fuchsiatrestle import metrics
--- a/fuchsiatrestle/control/_storage.py
+++ b/fuchsiatrestle/control/_storage.py
@@ -7,8 +7,8 @@
 import queue
 import threading
 
-from fuchsiatrestle.control import _events
 from fuchsiatrestle import agreement
+from fuchsiatrestle.control import _events
 from fuchsiatrestle import errors
 from fuchsiatrestle import metrics
 
--- a/fuchsiatrestle/membership/__init__.py
+++ b/fuchsiatrestle/membership/__init__.py
@@ -12,10 +12,10 @@
 """
 
 from fuchsiatrestle.membership import _events
-from fuchsiatrestle.membership import _granter
-from fuchsiatrestle.membership import _holder
 from fuchsiatrestle.membership._events import *
+from fuchsiatrestle.membership import _granter
 from fuchsiatrestle.membership._granter import *
+from fuchsiatrestle.membership import _holder
 from fuchsiatrestle.membership._holder import *
 
 __all__ = _events.__all__ + _granter.__all__ + _holder.__all__
--- a/fuchsiatrestle/state/queries/__init__.py
+++ b/fuchsiatrestle/state/queries/__init__.py
@@ -147,6 +147,7 @@
         entries: entries with a lease that still runs.
         lagging: names of leased entries not yet on the current version.
         jobs: number of jobs by state.
+        everywhere: True if no entry can be serving under an older version.
     """
 
     leader: str
@@ -160,6 +161,7 @@
     entries: int
     lagging: list[str]
     jobs: dict[str, int]
+    everywhere: bool = False
 
 
 class GetWorkers(records.Record, tag='workers?'):
