--- a/fuchsiatrestle/agreement/__init__.py
+++ b/fuchsiatrestle/agreement/__init__.py
@@ -26,17 +26,17 @@
 """
 
 from fuchsiatrestle.agreement import _events
-from fuchsiatrestle.agreement._events import *
 from fuchsiatrestle.agreement import _files
-from fuchsiatrestle.agreement._files import *
 from fuchsiatrestle.agreement import _folder
-from fuchsiatrestle.agreement._folder import *
 from fuchsiatrestle.agreement import _replica
-from fuchsiatrestle.agreement._replica import *
 from fuchsiatrestle.agreement import _settings
+from fuchsiatrestle.agreement import _voters
+from fuchsiatrestle.agreement._events import *
+from fuchsiatrestle.agreement._files import *
+from fuchsiatrestle.agreement._folder import *
+from fuchsiatrestle.agreement._replica import *
 from fuchsiatrestle.agreement._settings import *
 from fuchsiatrestle.agreement._stored import FolderState
-from fuchsiatrestle.agreement import _voters
 from fuchsiatrestle.agreement._voters import *
 
 __all__ = (
--- a/fuchsiatrestle/messages/__init__.py
+++ b/fuchsiatrestle/messages/__init__.py
@@ -6,14 +6,14 @@
 """
 
 from fuchsiatrestle.messages import _agreement
-from fuchsiatrestle.messages._agreement import *
 from fuchsiatrestle.messages import _control
-from fuchsiatrestle.messages._control import *
 from fuchsiatrestle.messages import _frames
-from fuchsiatrestle.messages._frames import *
 from fuchsiatrestle.messages import _routing
-from fuchsiatrestle.messages._routing import *
 from fuchsiatrestle.messages import _workers
+from fuchsiatrestle.messages._agreement import *
+from fuchsiatrestle.messages._control import *
+from fuchsiatrestle.messages._frames import *
+from fuchsiatrestle.messages._routing import *
 from fuchsiatrestle.messages._workers import *
 from fuchsiatrestle import records
 
--- a/fuchsiatrestle/state/commands/__init__.py
+++ b/fuchsiatrestle/state/commands/__init__.py
@@ -5,10 +5,10 @@
 
 from fuchsiatrestle import records
 from fuchsiatrestle.state.commands import _claims
-from fuchsiatrestle.state.commands._claims import *
 from fuchsiatrestle.state.commands import _config
-from fuchsiatrestle.state.commands._config import *
 from fuchsiatrestle.state.commands import _jobs
+from fuchsiatrestle.state.commands._claims import *
+from fuchsiatrestle.state.commands._config import *
 from fuchsiatrestle.state.commands._jobs import *
 
 __all__ = (
