--- a/fuchsiatrestle/control/_leader.py
+++ b/fuchsiatrestle/control/_leader.py
@@ -75,9 +75,7 @@
         self._granter = membership.ConfigLeaseGranter()
         self._granter.step(self._version_agreed(), now_ms)
         self._granter.step(membership.LeaderReady(term), now_ms)
-        self._scheduler = None
-        if machine.jobs is not None:
-            self._scheduler = scheduling.Scheduler(machine.jobs, now_ms)
+        self._scheduler = scheduling.Scheduler(machine.jobs, now_ms)
         self._abandon_check_ms = now_ms + ABANDON_CHECK_MS
         self._ended_since_ms = {}
 
@@ -89,9 +87,7 @@
 
     def tick(self, wall_ms, now_ms):
         """Lets time pass."""
-        effects = []
-        if self._scheduler is not None:
-            effects += self._schedule(scheduling.Tick(wall_ms), now_ms)
+        effects = self._schedule(scheduling.Tick(wall_ms), now_ms)
         if now_ms >= self._abandon_check_ms:
             self._abandon_check_ms = now_ms + ABANDON_CHECK_MS
             effects += self._abandon_claims(now_ms)
@@ -104,10 +100,8 @@
         if isinstance(command, commands.PatchConfig):
             sends = self._granter.step(self._version_agreed(), now_ms)
             effects += _as_sends(sends)
-        if self._scheduler is not None:
-            event = scheduling.Applied(command, outcome)
-            effects += self._schedule(event, now_ms)
-        return effects
+        event = scheduling.Applied(command, outcome)
+        return effects + self._schedule(event, now_ms)
 
     def reject(self, proposal, reason, now_ms):
         """Takes back an own proposal that certainly was not agreed."""
@@ -168,8 +162,6 @@
     # Scheduling
 
     def _schedule(self, event, now_ms):
-        if self._scheduler is None:
-            return []
         effects = []
         for effect in self._scheduler.step(event, now_ms):
             if isinstance(effect, scheduling.ProposeBatch):
@@ -210,7 +202,7 @@
             running - len(lagging),
             running,
             lagging,
-            self._machine.jobs.counts() if self._machine.jobs else {},
+            self._machine.jobs.counts(),
             self._granter.is_everywhere(now_ms),
         )
 
--- a/fuchsiatrestle/control/_service.py
+++ b/fuchsiatrestle/control/_service.py
@@ -233,7 +233,7 @@
         self._snapshot_if_due()
 
     def _apply(self, entry):
-        command = commands.CODEC.decode(entry.data)
+        command = state_machine.decode_command(entry)
         outcome = self._machine.apply(entry.index, command)
         self._settle(entry, outcome)
         if self._leader is not None:
--- a/fuchsiatrestle/state/_claims.py
+++ b/fuchsiatrestle/state/_claims.py
@@ -312,13 +312,6 @@
                 del self._held[claim.owner]
 
     def _abandon(self, command):
-        owner = self._owners.get(command.entry)
-        if owner is None:
-            return outcomes.Done()
-        if owner.incarnation == command.incarnation:
-            owner.replace(0)
-        elif command.incarnation not in owner.retired:
-            owner.retired.append(command.incarnation)
         self._mark_unknown((command.entry, command.incarnation))
         return outcomes.Done()
 
--- a/fuchsiatrestle/state/_config.py
+++ b/fuchsiatrestle/state/_config.py
@@ -4,6 +4,7 @@
 import hashlib
 
 from fuchsiatrestle import invariants
+from fuchsiatrestle import messages
 from fuchsiatrestle import records
 from fuchsiatrestle.state import _merge
 from fuchsiatrestle.state import _part
@@ -83,9 +84,7 @@
 
     def __init__(self):
         self._version = FIRST_VERSION
-        self._value = _EMPTY
-        self._text = _merge.canonical(_EMPTY)
-        self._document = _schema.check(_EMPTY)
+        self._set_document(_EMPTY)
         self._accepted = collections.OrderedDict()
         self._refused = collections.OrderedDict()
         self._history = collections.deque()
@@ -106,6 +105,10 @@
         """Current document as canonical JSON bytes."""
         return self._text
 
+    def team_quotas(self):
+        """Returns the ``messages.Resources`` of each team, by name."""
+        return self._quotas
+
     def apply(self, index, command):
         """Accepts a patch as the next version, or refuses it."""
         fingerprint = _fingerprint(command)
@@ -243,6 +246,12 @@
         self._value = value
         self._text = _merge.canonical(value)
         self._document = _schema.check(value)
+        self._quotas = {
+            name: messages.Resources(
+                team.cpu_milli, team.memory_mib, team.accelerators
+            )
+            for name, team in self._document.teams.items()
+        }
 
     # Windows
 
--- a/fuchsiatrestle/state/commands/_claims.py
+++ b/fuchsiatrestle/state/commands/_claims.py
@@ -68,10 +68,11 @@
 
 
 class AbandonClaims(records.Record, tag='abandon'):
-    """Marks the unfinished claims of a dead entry process as ``unknown``.
+    """Marks the unfinished claims of an entry process as ``unknown``.
 
-    The leader proposes it once the configuration lease of that incarnation
-    has run out.  The incarnation claims nothing any more.
+    The leader proposes it some time after the configuration lease of that
+    process ran out.  Should the process be alive after all, it may still
+    finish them.
     """
 
     entry: str
--- a/fuchsiatrestle/state/machine.py
+++ b/fuchsiatrestle/state/machine.py
@@ -1,14 +1,15 @@
 """The agreed state of one cell, as a function of its log."""
 
+from fuchsiatrestle import errors
 from fuchsiatrestle import invariants
 from fuchsiatrestle import records
 from fuchsiatrestle.state import _claims
 from fuchsiatrestle.state import _config
+from fuchsiatrestle.state import _jobs
 from fuchsiatrestle.state import commands
-from fuchsiatrestle.state import outcomes
 from fuchsiatrestle.state import queries
 
-__all__ = ('StateMachine',)
+__all__ = ('StateMachine', 'decode_command')
 
 
 class _MachineState(records.Record, tag='machine-1'):
@@ -21,7 +22,23 @@
 
 def _create_parts():
     config = _config.ConfigPart()
-    return [config, _claims.ClaimsPart()]
+    jobs = _jobs.JobsPart(teams=config.team_quotas)
+    return [config, _claims.ClaimsPart(), jobs]
+
+
+def decode_command(entry):
+    """Returns the command of a log entry.
+
+    Raises:
+        errors.DataDamaged: this version of the program does not know the
+            command; going on would let replicas differ.
+    """
+    try:
+        return commands.CODEC.decode(entry.data)
+    except records.DecodeError as exc:
+        raise errors.DataDamaged(
+            f'unknown command at log index {entry.index}: {exc}', step='apply'
+        ) from exc
 
 
 class StateMachine:
@@ -57,35 +74,27 @@
 
     @property
     def jobs(self):
-        """The part with the jobs, None if there is none."""
-        return self._parts.get('jobs')
+        """The part with the jobs."""
+        return self._parts['jobs']
 
     def apply(self, index, command):
         """Applies one command.
 
         Args:
-            index: its position in the log, above every earlier one.
-            command: a record, or its bytes as they stand in the log.
+            index: its position in the log, right after the last one.
+            command: a record of ``commands.CODEC``.
 
         Returns:
             A record of ``outcomes.CODEC``.
         """
         self.skip(index)
-        if isinstance(command, bytes):
-            try:
-                command = commands.CODEC.decode(command)
-            except records.DecodeError as exc:
-                return outcomes.Invalid('bad_command', '', str(exc))
-        part = self._by_command.get(type(command))
-        if part is None:
-            return outcomes.Invalid('bad_command', '', type(command).__name__)
-        return part.apply(index, command)
+        return self._by_command[type(command)].apply(index, command)
 
     def skip(self, index):
         """Notes a log entry that holds no command."""
         invariants.require(
-            index > self._applied,
-            'state.applied_index_grows',
+            index == self._applied + 1,
+            'state.applied_in_order',
             applied=self._applied,
             index=index,
         )
@@ -107,9 +116,18 @@
         """Replaces the state by a snapshot that is not older.
 
         Raises:
-            records.DecodeError: the bytes are no snapshot.
+            errors.DataDamaged: the bytes are no snapshot, or hold a part
+                that this version of the program does not know.
         """
-        state = _STATE.decode(data)
+        try:
+            state = _STATE.decode(data)
+        except records.DecodeError as exc:
+            raise errors.DataDamaged(str(exc), step='restore') from exc
+        unknown = sorted(set(state.parts) - set(self._parts))
+        if unknown:
+            raise errors.DataDamaged(
+                f'unknown parts {unknown!r}', step='restore'
+            )
         invariants.require(
             state.applied >= self._applied,
             'state.applied_index_grows',
