Add the HTTP server and client over h11 and curio

One task a connection; limits on head (431), body (413), slow senders (408) and malformed requests (400), each with a JSON reason and a counter. A handler is cancelled when its client hangs up; a streamed answer that is cut ends in a reset; a planned stop finishes requests in progress.

--- /dev/null
+++ b/fuchsiatrestle/net/_http_server.py
@@ -0,0 +1,476 @@
+"""HTTP server: one task a connection, bounded by ``Limits``.
+
+Time limits are kept by one sweep over all connections, which costs a request
+nothing while it is within them; they are therefore exact to ``SWEEP_S`` only.
+"""
+
+import socket
+import struct
+import time
+
+import curio
+import h11
+
+from fuchsiatrestle import errors
+from fuchsiatrestle import logs
+from fuchsiatrestle import metrics
+from fuchsiatrestle.net import _http_messages
+
+__all__ = ('Server',)
+
+RECV_BYTES = 65536
+SWEEP_S = 0.1
+BACKLOG = 1024
+# Time for connections that are idle at a planned stop to bring one more
+# request, which is then answered with ``Connection: close``.
+LAME_DUCK_S = 1.0
+
+IDLE = 'idle'
+HEAD = 'head'
+BODY = 'body'
+HANDLING = 'handling'
+WRITING = 'writing'
+
+HEAD_TOO_LARGE = metrics.declare(
+    'refused.head_too_large', 'Requests whose head exceeds the limit (431).'
+)
+BODY_TOO_LARGE = metrics.declare(
+    'refused.body_too_large', 'Requests whose body exceeds the limit (413).'
+)
+SLOW_SENDER = metrics.declare(
+    'refused.slow_sender', 'Requests not received whole in time (408).'
+)
+MALFORMED = metrics.declare(
+    'refused.malformed_request', 'Requests that are not valid HTTP (400).'
+)
+TOO_MANY_CONNECTIONS = metrics.declare(
+    'refused.too_many_connections', 'Connections above the limit (503).'
+)
+HANDLER_FAILED = metrics.declare(
+    'http.handler_failed', 'Requests whose handler raised (500).'
+)
+HUNG_UP = metrics.declare(
+    'http.client_hung_up', 'Requests whose client left before the answer.'
+)
+SLOW_READER = metrics.declare(
+    'http.slow_reader', 'Connections aborted because no byte was accepted.'
+)
+ANSWER_CUT = metrics.declare(
+    'http.answer_cut', 'Streamed answers cut off by an abort.'
+)
+
+LOG = logs.get_logger(__name__)
+
+_ABORT = struct.pack('ii', 1, 0)
+_HINTS = {
+    400: ('malformed_request', MALFORMED),
+    413: ('body_too_large', BODY_TOO_LARGE),
+    431: ('head_too_large', HEAD_TOO_LARGE),
+}
+
+
+class _Overdue(curio.TaskCancelled):
+    """The sweep found the connection beyond a time limit."""
+
+
+class _ClientGone(curio.TaskCancelled):
+    """The sweep found that the client hung up."""
+
+
+class _Refused(Exception):
+    """The request is answered with an error and the connection closed."""
+
+    def __init__(self, status, reason, counter):
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+        self.counter = counter
+
+
+class _Connection:
+    """One accepted connection and the task that owns it."""
+
+    __slots__ = (
+        '_h11',
+        '_server',
+        '_sock',
+        'deadline_s',
+        'phase',
+        'since_s',
+        'task',
+    )
+
+    def __init__(self, server, sock):
+        self._server = server
+        self._sock = sock
+        self._h11 = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=server.limits.head_bytes,
+        )
+        self.task = None
+        self.phase = HEAD
+        self.since_s = time.monotonic()
+        self.deadline_s = self.since_s + server.limits.head_s
+
+    # Phases
+
+    def _enter(self, phase, limit_s):
+        self.phase = phase
+        self.since_s = time.monotonic()
+        self.deadline_s = None if limit_s is None else self.since_s + limit_s
+
+    @property
+    def handling(self):
+        """True while the handler works on a request."""
+        return self.phase == HANDLING
+
+    def client_gone(self):
+        """True if the client closed or reset its side."""
+        try:
+            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+            return self._sock._socket.recv(1, flags) == b''
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    # The task
+
+    async def run(self):
+        """Serves requests until the connection ends."""
+        try:
+            await self._serve()
+        except _Refused as exc:
+            metrics.count(exc.counter)
+            await self._refuse(exc.status, exc.reason)
+        except _ClientGone:
+            metrics.count(HUNG_UP)
+        except _Overdue:
+            await self._end_overdue()
+        except (OSError, h11.RemoteProtocolError):
+            LOG.debug('connection_broken', extra={'phase': self.phase})
+        finally:
+            self._sock._socket.close()
+            self._server.forget(self)
+
+    async def _serve(self):
+        while True:
+            request = await self._receive_request()
+            if request is None:
+                return
+            self._enter(HANDLING, None)
+            response = await self._call_handler(request)
+            if not await self._answer(response):
+                return
+            if self._server.stopping:
+                return
+            self._h11.start_next_cycle()
+            self._enter(IDLE, self._server.limits.idle_s)
+
+    async def _end_overdue(self):
+        if self.phase in (HEAD, BODY):
+            metrics.count(SLOW_SENDER)
+            await self._refuse(408, 'slow_sender')
+        elif self.phase == WRITING:
+            metrics.count(SLOW_READER)
+            self._abort()
+
+    async def _refuse(self, status, reason):
+        """Answers an error, as far as the client accepts it at once."""
+        if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        response = _http_messages.reason_response(status, reason)
+        head = h11.Response(
+            status_code=status,
+            headers=[
+                *response.headers,
+                (b'content-length', b'%d' % len(response.body)),
+                (b'connection', b'close'),
+            ],
+        )
+        try:
+            data = self._h11.send(head) + self._h11.send(
+                h11.Data(data=response.body)
+            )
+            self._sock._socket.send(data)
+            await self._drain()
+        except (OSError, h11.LocalProtocolError):
+            return
+
+    async def _drain(self):
+        """Reads on for a moment, lest the close resets the answer away."""
+        self._sock._socket.shutdown(socket.SHUT_WR)
+        async with curio.ignore_after(SWEEP_S):
+            for _ in range(64):
+                if not await self._sock.recv(RECV_BYTES):
+                    return
+
+    # Receiving
+
+    async def _next_event(self):
+        while True:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as exc:
+                hint = exc.error_status_hint
+                reason, counter = _HINTS.get(hint, _HINTS[400])
+                status = hint if hint in _HINTS else 400
+                raise _Refused(status, reason, counter) from exc
+            if event is not h11.NEED_DATA:
+                return event
+            if self._h11.they_are_waiting_for_100_continue:
+                go_ahead = h11.InformationalResponse(
+                    status_code=100, headers=[]
+                )
+                await self._send(self._h11.send(go_ahead))
+            data = await self._sock.recv(RECV_BYTES)
+            if self.phase == IDLE and data:
+                self._enter(HEAD, self._server.limits.head_s)
+            self._h11.receive_data(data)
+
+    async def _receive_request(self):
+        """Returns the next request, or None when there is no more."""
+        head = await self._next_event()
+        if type(head) is not h11.Request:
+            return None
+        headers = list(head.headers)
+        declared = _declared_length(headers)
+        if declared == 0:
+            event = await self._next_event()
+            if type(event) is h11.EndOfMessage:
+                body = b''
+                return self._request(head, headers, body)
+        self._enter(BODY, self._server.limits.body_s)
+        if declared is not None and declared > self._server.limits.body_bytes:
+            raise _Refused(413, 'body_too_large', BODY_TOO_LARGE)
+        body = await self._receive_body()
+        if body is None:
+            return None
+        return self._request(head, headers, body)
+
+    def _request(self, head, headers, body):
+        return _http_messages.Request(
+            head.method.decode('ascii'),
+            head.target.decode('ascii'),
+            headers,
+            body,
+        )
+
+    async def _receive_body(self):
+        body = bytearray()
+        while True:
+            event = await self._next_event()
+            if type(event) is h11.EndOfMessage:
+                return bytes(body)
+            if type(event) is not h11.Data:
+                return None
+            body += event.data
+            if len(body) > self._server.limits.body_bytes:
+                raise _Refused(413, 'body_too_large', BODY_TOO_LARGE)
+
+    # Answering
+
+    async def _call_handler(self, request):
+        try:
+            return await self._server.handler.handle(request)
+        except errors.InvariantBreach:
+            raise
+        except Exception:
+            metrics.count(HANDLER_FAILED)
+            LOG.exception('handler_failed', extra={'target': request.target})
+            return _http_messages.reason_response(500, 'internal_error')
+
+    async def _answer(self, response):
+        """Sends a response; returns True if the connection may go on."""
+        self._enter(WRITING, self._server.limits.write_s)
+        if isinstance(response, _http_messages.StreamedResponse):
+            return await self._answer_streamed(response)
+        headers = [
+            *response.headers,
+            (b'content-length', b'%d' % len(response.body)),
+        ]
+        data = self._head_bytes(response.status, headers)
+        if response.body:
+            data += self._h11.send(h11.Data(data=response.body))
+        data += self._h11.send(h11.EndOfMessage())
+        await self._send(data)
+        return self._h11.our_state is h11.DONE
+
+    def _head_bytes(self, status, headers):
+        if self._server.stopping:
+            headers.append((b'connection', b'close'))
+        head = h11.Response(status_code=status, headers=headers)
+        return self._h11.send(head)
+
+    async def _answer_streamed(self, response):
+        headers = list(response.headers)
+        data = self._head_bytes(response.status, headers)
+        try:
+            async for chunk in response.chunks:
+                data += self._h11.send(h11.Data(data=chunk))
+                self._enter(WRITING, self._server.limits.write_s)
+                await self._send(data)
+                data = b''
+                self._enter(HANDLING, None)
+            data += self._h11.send(h11.EndOfMessage())
+            self._enter(WRITING, self._server.limits.write_s)
+            await self._send(data)
+        except (errors.Error, h11.LocalProtocolError) as exc:
+            metrics.count(ANSWER_CUT)
+            LOG.warning('answer_cut', extra={'error': str(exc)})
+            self._abort()
+            return False
+        finally:
+            await response.chunks.aclose()
+        return self._h11.our_state is h11.DONE
+
+    async def _send(self, data):
+        view = memoryview(data)
+        while view:
+            sent = await self._sock.send(view)
+            view = view[sent:]
+            if view and self.phase == WRITING:
+                self._enter(WRITING, self._server.limits.write_s)
+
+    def _abort(self):
+        """Makes the close a reset, which no client takes for an end."""
+        self._sock._socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _ABORT
+        )
+
+
+def _declared_length(headers):
+    """Returns the declared body length, None for a chunked body."""
+    for name, value in headers:
+        if name == b'content-length':
+            return int(value)
+        if name == b'transfer-encoding':
+            return None
+    return 0
+
+
+class Server:
+    """Listens on one address and answers with one handler.
+
+    Args:
+        address: ``settings.Address`` to listen on.
+        handler: a ``Handler``, or any object with its ``handle``.
+        limits: ``Limits``.
+        share_port: True lets several processes listen on the address.
+    """
+
+    def __init__(self, address, handler, limits=None, *, share_port=False):
+        self.address = address
+        self.handler = handler
+        self.limits = limits or _http_messages.Limits()
+        self.stopping = False
+        self._share_port = share_port
+        self._connections = set()
+        self._sock = None
+        self._tasks = []
+
+    @property
+    def open_connections(self):
+        """Number of connections now open."""
+        return len(self._connections)
+
+    async def start(self):
+        """Binds the address and serves in background tasks.
+
+        Raises:
+            errors.Error: the address can not be bound.
+        """
+        try:
+            self._sock = curio.network.tcp_server_socket(
+                self.address.host,
+                self.address.port,
+                self._family,
+                BACKLOG,
+                reuse_port=self._share_port,
+            )
+        except OSError as exc:
+            raise errors.Error(
+                f'can not listen on {self.address}: {exc.strerror}',
+                step='listen',
+            ) from exc
+        self._tasks = [
+            await curio.spawn(self._accept, daemon=True),
+            await curio.spawn(self._sweep, daemon=True),
+        ]
+
+    async def stop(self, grace_s=30.0):
+        """Stops gracefully; cuts what is left after ``grace_s``.
+
+        Idle connections may bring one more request for ``LAME_DUCK_S``.
+        """
+        self.stopping = True
+        await self._tasks[0].cancel()
+        await self._sock.close()
+        started_s = time.monotonic()
+        while self._connections:
+            elapsed_s = time.monotonic() - started_s
+            for conn in list(self._connections):
+                if elapsed_s > grace_s or (
+                    conn.phase == IDLE and elapsed_s > LAME_DUCK_S
+                ):
+                    await conn.task.cancel(blocking=False)
+            await curio.sleep(SWEEP_S / 2)
+        await self._tasks[1].cancel()
+
+    def forget(self, conn):
+        """Drops a connection that has ended."""
+        self._connections.discard(conn)
+
+    @property
+    def _family(self):
+        if ':' in self.address.host:
+            return socket.AF_INET6
+        return socket.AF_INET
+
+    async def _accept(self):
+        while True:
+            try:
+                sock, _ = await self._sock.accept()
+            except OSError as exc:
+                LOG.warning('accept_failed', extra={'error': str(exc)})
+                await curio.sleep(SWEEP_S)
+                continue
+            if len(self._connections) >= self.limits.connections:
+                self._refuse_connection(sock)
+                continue
+            await self._admit(sock)
+
+    async def _admit(self, sock):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        conn = _Connection(self, sock)
+        self._connections.add(conn)
+        conn.task = await curio.spawn(conn.run, daemon=True)
+
+    def _refuse_connection(self, sock):
+        metrics.count(TOO_MANY_CONNECTIONS)
+        response = _http_messages.reason_response(503, 'too_many_connections')
+        head = (
+            b'HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n'
+            b'fuchsiatrestle-outcome: not-run\r\n'
+            b'content-type: application/json\r\nconnection: close\r\n'
+            b'content-length: %d\r\n\r\n' % len(response.body)
+        )
+        try:
+            sock._socket.send(head + response.body)
+        except OSError:
+            LOG.debug('refusal_not_sent')
+        sock._socket.close()
+
+    async def _sweep(self):
+        while True:
+            await curio.sleep(SWEEP_S)
+            now_s = time.monotonic()
+            for conn in list(self._connections):
+                await self._check(conn, now_s)
+
+    async def _check(self, conn, now_s):
+        if conn.handling:
+            if now_s - conn.since_s > SWEEP_S and conn.client_gone():
+                await conn.task.cancel(exc=_ClientGone, blocking=False)
+        elif conn.deadline_s is not None and now_s > conn.deadline_s:
+            await conn.task.cancel(exc=_Overdue, blocking=False)
--- /dev/null
+++ b/fuchsiatrestle/net/http.py
@@ -0,0 +1,52 @@
+"""HTTP by h11 over curio: a bounded server and a client.
+
+Server::
+
+    server = http.Server(address, handler, http.Limits(body_bytes=65536))
+    await server.start()
+    ...
+    await server.stop(grace_s=30.0)
+
+where ``handler`` has ``async def handle(self, request)`` and returns a
+``Response`` or a ``StreamedResponse``.  Client::
+
+    client = http.Client(address, timeout_s=2.0)
+    response = await client.call('GET', '/health')
+    status, value = await client.call_json('POST', '/v1/x', {'a': 1})
+"""
+
+from fuchsiatrestle.net import _http_client
+from fuchsiatrestle.net import _http_messages
+from fuchsiatrestle.net import _http_server
+
+__all__ = (
+    'Client',
+    'ClientConnection',
+    'Handler',
+    'HttpFailed',
+    'Limits',
+    'Request',
+    'Response',
+    'ResponseHead',
+    'Server',
+    'StreamedResponse',
+    'decode_json',
+    'encode_json',
+    'json_response',
+    'reason_response',
+)
+
+Client = _http_client.Client
+ClientConnection = _http_client.ClientConnection
+Handler = _http_messages.Handler
+HttpFailed = _http_messages.HttpFailed
+Limits = _http_messages.Limits
+Request = _http_messages.Request
+Response = _http_messages.Response
+ResponseHead = _http_client.ResponseHead
+Server = _http_server.Server
+StreamedResponse = _http_messages.StreamedResponse
+decode_json = _http_messages.decode_json
+encode_json = _http_messages.encode_json
+json_response = _http_messages.json_response
+reason_response = _http_messages.reason_response
--- /dev/null
+++ b/tests/net/test_http.py
@@ -0,0 +1,171 @@
+"""Tests of the HTTP server and client against each other and raw bytes."""
+
+import socket
+import unittest
+
+import curio
+
+from fuchsiatrestle.net import http
+from fuchsiatrestle import settings
+from tests.fakes import ports
+
+LIMITS = http.Limits(
+    head_bytes=2048, body_bytes=4096, head_s=0.3, body_s=0.3, idle_s=5.0
+)
+
+
+class _Echo(http.Handler):
+    def __init__(self):
+        self.cancelled = 0
+        self.release = curio.Event()
+
+    async def handle(self, request):
+        if request.path == '/wait':
+            try:
+                await self.release.wait()
+            except curio.CancelledError:
+                self.cancelled += 1
+                raise
+        if request.path == '/fail':
+            raise ValueError('handler fault')
+        if request.path == '/cut':
+            return http.StreamedResponse(
+                200, [(b'content-length', b'100')], self._cut()
+            )
+        value = {'method': request.method, 'size': len(request.body)}
+        return http.json_response(200, value)
+
+    async def _cut(self):
+        yield b'part'
+        raise http.HttpFailed('peer_closed', step='read_body')
+
+
+RAW_CASES = {
+    'garbage': (b'\x00\x01garbage\r\n\r\n', 400, 'malformed_request'),
+    'no host': (b'GET / HTTP/1.1\r\n\r\n', 400, 'malformed_request'),
+    'large head': (
+        b'GET / HTTP/1.1\r\nhost: a\r\nx: ' + b'y' * 4096,
+        431,
+        'head_too_large',
+    ),
+    'large body': (
+        b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 5000\r\n\r\n',
+        413,
+        'body_too_large',
+    ),
+    'large chunked body': (
+        b'POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n'
+        b'1388\r\n' + b'z' * 5000 + b'\r\n0\r\n\r\n',
+        413,
+        'body_too_large',
+    ),
+    'bad length': (
+        b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: -1\r\n\r\n',
+        400,
+        'malformed_request',
+    ),
+    'slow head': (b'GET / HTTP/1.1\r\nho', 408, 'slow_sender'),
+    'slow body': (
+        b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nabc',
+        408,
+        'slow_sender',
+    ),
+}
+
+
+async def _read_all(sock):
+    data = b''
+    while piece := await sock.recv(65536):
+        data += piece
+    return data
+
+
+class HttpTest(unittest.TestCase):
+    def _run(self, scenario):
+        (port,) = ports.free_ports(1)
+        address = settings.Address('127.0.0.1', port)
+
+        async def main():
+            handler = _Echo()
+            server = http.Server(address, handler, LIMITS)
+            await server.start()
+            await scenario(server, handler, address)
+            await server.stop(0.2)
+
+        curio.run(curio.timeout_after, 30, main)
+
+    def test_answers_over_kept_connections(self):
+        async def scenario(server, handler, address):
+            client = http.Client(address)
+            for size in (0, 1, 4096):
+                response = await client.call('POST', '/', b'x' * size)
+                self.assertEqual(200, response.status)
+                value = http.decode_json(response.body)
+                self.assertEqual({'method': 'POST', 'size': size}, value)
+            self.assertEqual(1, server.open_connections)
+            response = await client.call('GET', '/fail')
+            self.assertEqual(500, response.status)
+            client.close()
+
+        self._run(scenario)
+
+    def test_refuses_bad_input_and_disturbs_no_one(self):
+        async def scenario(server, handler, address):
+            client = http.Client(address)
+            await client.call('GET', '/')
+            for name, (data, status, reason) in RAW_CASES.items():
+                with self.subTest(name):
+                    sock = await curio.open_connection(
+                        address.host, address.port
+                    )
+                    await sock.sendall(data)
+                    answer = await _read_all(sock)
+                    await sock.close()
+                    self.assertIn(b' %d ' % status, answer)
+                    self.assertIn(reason.encode(), answer)
+                    response = await client.call('GET', '/')
+                    self.assertEqual(200, response.status)
+            client.close()
+
+        self._run(scenario)
+
+    def test_cancels_the_handler_when_the_client_hangs_up(self):
+        async def scenario(server, handler, address):
+            sock = await curio.open_connection(address.host, address.port)
+            await sock.sendall(b'GET /wait HTTP/1.1\r\nhost: a\r\n\r\n')
+            await curio.sleep(0.05)
+            await sock.close()
+            while not handler.cancelled:
+                await curio.sleep(0.02)
+            self.assertEqual(0, server.open_connections)
+
+        self._run(scenario)
+
+    def test_aborts_a_streamed_answer_that_is_cut(self):
+        async def scenario(server, handler, address):
+            sock = await curio.open_connection(address.host, address.port)
+            await sock.sendall(b'GET /cut HTTP/1.1\r\nhost: a\r\n\r\n')
+            with self.assertRaises(ConnectionResetError):
+                await _read_all(sock)
+            await sock.close()
+
+        self._run(scenario)
+
+    def test_planned_stop_finishes_requests_in_progress(self):
+        async def scenario(server, handler, address):
+            client = http.Client(address)
+            call = await curio.spawn(client.call, 'GET', '/wait')
+            await curio.sleep(0.05)
+            stop = await curio.spawn(server.stop, 20.0)
+            await curio.sleep(0.05)
+            with self.assertRaises(OSError):
+                with socket.create_connection((address.host, address.port)):
+                    pass
+            await handler.release.set()
+            response = await call.join()
+            self.assertEqual(200, response.status)
+            self.assertIn((b'connection', b'close'), response.headers)
+            await stop.join()
+            self.assertEqual(0, server.open_connections)
+
+        self._run(scenario)
