Add the administration API and fuchsiatrestle-ctl

Cause: operators need patches, jobs and views over HTTP/JSON, and the same calls on a command line. Change: admin.AdminApi maps a route table to commands and queries behind two ABCs (Control, Local); ctl calls it with entries tried in turn, documented exit codes and a patch_id printed before it is sent.

--- /dev/null
+++ b/fuchsiatrestle/admin/_payloads.py
@@ -0,0 +1,179 @@
+"""JSON bodies of the administration API.
+
+Request bodies refuse unknown fields, so that a misspelt one is an error and
+not silence.
+"""
+
+import typing
+
+import msgspec
+
+from fuchsiatrestle import messages
+from fuchsiatrestle.state import commands
+
+__all__ = (
+    'CancelBody',
+    'DrainBody',
+    'EntryStatus',
+    'JobBody',
+    'SizeBody',
+    'SubmitBody',
+    'UpstreamView',
+    'to_plain',
+)
+
+MAX_JOBS_PER_CALL = 1000
+MAX_PRIORITY = 9
+MAX_AMOUNT = 10**9
+MAX_EPOCH_MS = 10**14
+MAX_COMMAND_CHARS = 4096
+
+_NAME = r'^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$'
+
+Name = typing.Annotated[str, msgspec.Meta(pattern=_NAME)]
+Amount = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+Priority = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_PRIORITY)]
+Milliseconds = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_EPOCH_MS)]
+CommandText = typing.Annotated[str, msgspec.Meta(max_length=MAX_COMMAND_CHARS)]
+_PerCall = msgspec.Meta(min_length=1, max_length=MAX_JOBS_PER_CALL)
+
+
+# Requests
+
+
+class _Body(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Base of request bodies."""
+
+
+class SizeBody(_Body):
+    """Reservation of a job in every dimension of a worker.
+
+    Attributes:
+        cpu_milli: processor time, in thousandths of a core.
+        memory_mib: memory, in MiB.
+        accelerators: whole accelerators.
+    """
+
+    cpu_milli: Amount
+    memory_mib: Amount
+    accelerators: Amount = 0
+
+    def to_record(self):
+        """Returns the ``messages.Resources``."""
+        return messages.Resources(
+            self.cpu_milli, self.memory_mib, self.accelerators
+        )
+
+
+class JobBody(_Body):
+    """A batch job as submitted, see ``commands.JobSpec``."""
+
+    job_id: Name
+    team: Name
+    size: SizeBody
+    job_class: Name = 'default'
+    priority: Priority = 5
+    idempotent: bool = True
+    deadline_ms: Milliseconds = 0
+    run_ms: Milliseconds = 0
+    command: CommandText = ''
+    urgent: bool = False
+
+    def to_record(self):
+        """Returns the ``commands.JobSpec``."""
+        values = msgspec.structs.asdict(self)
+        values['size'] = self.size.to_record()
+        return commands.JobSpec(**values)
+
+
+class SubmitBody(_Body):
+    """Jobs to accept, each with its own outcome."""
+
+    jobs: typing.Annotated[list[JobBody], _PerCall]
+    author: str = ''
+
+
+class CancelBody(_Body):
+    """Jobs to cancel in one agreed batch."""
+
+    job_ids: typing.Annotated[list[Name], _PerCall]
+    author: str = ''
+
+
+class DrainBody(_Body):
+    """Names the entry to stop, so that a balanced call hits no other."""
+
+    entry: Name
+
+
+# Answers about the entry itself
+
+
+class EntryStatus(msgspec.Struct, frozen=True):
+    """The answering entry.
+
+    Attributes:
+        entry: its name.
+        data_centre: where it stands.
+        incarnation: number drawn when the process started.
+        version: configuration version it has in force, 0 for none.
+        lease_ms: time left of its configuration lease, 0 without one.
+        ready: True if the balancer's health check passes.
+        draining: True once a graceful stop has begun.
+        in_flight: requests sent to upstreams and not yet answered.
+        queued: requests waiting for a slot.
+    """
+
+    entry: str
+    data_centre: str
+    incarnation: int
+    version: int
+    lease_ms: int
+    ready: bool
+    draining: bool
+    in_flight: int = 0
+    queued: int = 0
+
+
+class UpstreamView(msgspec.Struct, frozen=True):
+    """One upstream as the answering entry sees it.
+
+    Attributes:
+        state: ``ready``, ``leaving``, ``silent`` or ``shunned``.
+        slots: slots that the upstream announced.
+        share: slots this entry may use now, borrowed ones included.
+        in_flight: slots this entry uses now.
+        age_ms: time since the upstream was last heard by any entry.
+    """
+
+    service: str
+    address: str
+    data_centre: str
+    state: str
+    slots: int
+    share: int
+    in_flight: int
+    age_ms: int
+
+
+# Conversion
+
+
+def to_plain(value):
+    """Returns nested dicts and lists of a record or of an answer struct.
+
+    Records are arrays on the wire; people and programs outside get names.
+    """
+    if isinstance(value, msgspec.Struct):
+        fields = msgspec.structs.fields(value)
+        return {
+            field.name: to_plain(getattr(value, field.name))
+            for field in fields
+        }
+    if isinstance(value, (list, tuple)):
+        return [to_plain(item) for item in value]
+    if isinstance(value, dict):
+        return {key: to_plain(item) for key, item in value.items()}
+    if isinstance(value, bytes):
+        return msgspec.Raw(value or b'null')
+    return value
--- /dev/null
+++ b/fuchsiatrestle/admin/_routes.py
@@ -0,0 +1,166 @@
+"""The calls of the administration API."""
+
+from fuchsiatrestle.admin import _calls
+from fuchsiatrestle.admin import _payloads
+
+__all__ = ('ROUTES', 'Match', 'Parameter', 'Route', 'find_route')
+
+
+class Parameter:
+    """One query parameter.
+
+    Attributes:
+        kind: ``int`` or ``str``.
+        default: value when absent; None means it is required.
+    """
+
+    __slots__ = ('default', 'kind', 'name', 'summary')
+
+    def __init__(self, name, kind, default, summary):
+        self.name = name
+        self.kind = kind
+        self.default = default
+        self.summary = summary
+
+
+class Route:
+    """One call.
+
+    Attributes:
+        method: HTTP method.
+        path: path; a segment in braces matches any one segment.
+        action: name of the handler in ``AdminApi``.
+        summary: one line of documentation.
+        parameters: query parameters.
+        body: class of the JSON body, None without one.
+    """
+
+    __slots__ = ('action', 'body', 'method', 'parameters', 'path', 'summary')
+
+    def __init__(
+        self, method, path, action, summary, parameters=(), body=None
+    ):
+        self.method = method
+        self.path = path
+        self.action = action
+        self.summary = summary
+        self.parameters = parameters
+        self.body = body
+
+    def match(self, path):
+        """Returns the segments in braces by name, None if no match."""
+        wanted = self.path.split('/')
+        given = path.split('/')
+        if len(wanted) != len(given):
+            return None
+        found = {}
+        for pattern, segment in zip(wanted, given, strict=True):
+            if pattern.startswith('{') and segment:
+                found[pattern.strip('{}')] = segment
+            elif pattern != segment:
+                return None
+        return found
+
+
+class Match:
+    """A route that fits a request, with the path's values by name."""
+
+    __slots__ = ('path_values', 'route')
+
+    def __init__(self, route, path_values):
+        self.route = route
+        self.path_values = path_values
+
+
+_PATCH_PARAMETERS = (
+    Parameter('base', int, None, 'version that the patch builds on'),
+    Parameter('patch_id', str, None, 'a resend under it changes nothing'),
+    Parameter('author', str, '', 'kept in the history'),
+)
+_LIST_PARAMETERS = (
+    Parameter('state', str, '', 'only jobs in this state'),
+    Parameter('team', str, '', 'only jobs of this team'),
+    Parameter('after', str, '', '`next_after` of the page before'),
+    Parameter('limit', int, 100, 'jobs a page'),
+)
+
+ROUTES = (
+    Route('GET', '/v1/status', 'get_status', 'Leader and entry in short.'),
+    Route(
+        'GET',
+        '/v1/config',
+        'get_config',
+        'One version of the configuration.',
+        (Parameter('version', int, 0, 'version, 0 for the current one'),),
+    ),
+    Route(
+        'PATCH',
+        '/v1/config',
+        'patch_config',
+        'Submits a JSON merge patch (RFC 7396) as body.',
+        _PATCH_PARAMETERS,
+    ),
+    Route(
+        'GET',
+        '/v1/config/history',
+        'get_history',
+        'Accepted patches, newest first.',
+        (Parameter('limit', int, 20, 'number of versions'),),
+    ),
+    Route('GET', '/v1/jobs', 'list_jobs', 'Jobs, by page.', _LIST_PARAMETERS),
+    Route(
+        'POST',
+        '/v1/jobs',
+        'submit_jobs',
+        'Submits jobs; each has its own outcome.',
+        body=_payloads.SubmitBody,
+    ),
+    Route(
+        'POST',
+        '/v1/jobs/cancel',
+        'cancel_jobs',
+        'Cancels jobs in one batch.',
+        body=_payloads.CancelBody,
+    ),
+    Route('GET', '/v1/jobs/{job_id}', 'get_job', 'One job with its history.'),
+    Route('GET', '/v1/workers', 'get_workers', 'Workers that control knows.'),
+    Route(
+        'GET',
+        '/v1/upstreams',
+        'get_upstreams',
+        'Upstreams as this entry sees them.',
+    ),
+    Route(
+        'GET',
+        '/v1/counters',
+        'get_counters',
+        'Counters and gauges of this entry since its start.',
+    ),
+    Route(
+        'POST',
+        '/v1/drain',
+        'drain',
+        'Starts the graceful stop of the named entry.',
+        body=_payloads.DrainBody,
+    ),
+)
+
+
+def find_route(method, path):
+    """Returns the ``Match`` for a request.
+
+    Raises:
+        BadCall: with 404 for an unknown path, with 405 for another method.
+    """
+    allowed = []
+    for route in ROUTES:
+        path_values = route.match(path)
+        if path_values is None:
+            continue
+        if route.method == method:
+            return Match(route, path_values)
+        allowed.append(route.method)
+    if allowed:
+        detail = f'{path} takes {", ".join(allowed)}, not {method}'
+        raise _calls.BadCall(405, 'method_not_allowed', detail)
+    raise _calls.BadCall(404, 'unknown_path', f'no call at {path}')
--- /dev/null
+++ b/tests/ctl/test_main.py
@@ -0,0 +1,218 @@
+"""Tests of the command line against a served administration API."""
+
+import contextlib
+import io
+import json
+import os
+import tempfile
+import unittest
+
+from returns import result
+
+from fuchsiatrestle import ctl
+from fuchsiatrestle.ctl import __main__ as program
+from fuchsiatrestle import errors
+from fuchsiatrestle.state import outcomes
+from fuchsiatrestle.state import queries
+from tests.fakes import admin as fakes
+from tests.fakes import ports
+
+EXIT = ctl.ExitStatus
+
+
+class _Run:
+    """Exit status and output of one command line."""
+
+    def __init__(self, *words):
+        out, err = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+            self.status = program.main(['ctl', *words])
+        self.out = out.getvalue()
+        self.err = err.getvalue()
+
+
+class OnlineTest(unittest.TestCase):
+    def setUp(self):
+        self.control = fakes.FakeControl()
+        self.local = fakes.FakeLocal()
+        served = fakes.ServedAdmin(self.control, self.local)
+        self.entry = f'--entry={served.address}'
+        self.dead = f'--entry=127.0.0.1:{ports.free_ports(1)[0]}'
+        self.enterContext(served)
+
+    def _patch(self, *words):
+        return _Run(
+            'patch', '--base=1', '--set=team.t.cpu_milli=5', self.entry, *words
+        )
+
+    def test_patch_outcomes_have_their_exit_codes(self):
+        unknown = errors.Failure('unknown', step='propose', peer='c1')
+        cells = (
+            (outcomes.ConfigAccepted(2), EXIT.OK, 'version 2', ''),
+            (outcomes.ConfigAccepted(2, True), EXIT.OK, 'repeated', ''),
+            (outcomes.ConfigConflict(1, 4), EXIT.CONFLICT, '', 'current is 4'),
+            (outcomes.Invalid('bad', 'a.b', 'c'), EXIT.REFUSED, '', 'a.b'),
+            (result.Failure(unknown), EXIT.UNKNOWN, '', 'same command'),
+        )
+        for outcome, status, out, err in cells:
+            with self.subTest(outcome=outcome):
+                self.control.answers['PatchConfig'] = outcome
+                run = self._patch('--patch_id=p1', self.dead)
+                self.assertEqual(status, run.status, run.err)
+                self.assertIn(out, run.out)
+                self.assertIn(err, run.err)
+                self.assertIn('patch_id=p1', run.err)
+
+    def test_generated_patch_id_is_printed_and_sent(self):
+        self.control.answers['PatchConfig'] = outcomes.ConfigAccepted(2)
+        run = self._patch()
+        sent = self.control.calls[0]
+        self.assertIn(f'patch_id={sent.patch_id}', run.err)
+        self.assertEqual(
+            {'teams': {'t': {'cpu_milli': 5}}}, json.loads(sent.patch)
+        )
+
+    def test_dead_entry_is_passed_over(self):
+        self.control.answers['GetWorkers'] = queries.WorkerList([])
+        run = _Run('workers', self.dead, self.entry)
+        self.assertEqual(EXIT.OK, run.status, run.err)
+
+    def test_no_entry_means_certainly_not_done(self):
+        run = _Run('jobs', 'cancel', 'j1', self.dead)
+        self.assertEqual(EXIT.UNAVAILABLE, run.status)
+        self.assertIn('nothing was changed', run.err)
+
+    def test_refused_job_and_unknown_job(self):
+        refused = outcomes.JobOutcome('j1', '', 'impossible', detail='cpu')
+        self.control.answers = {
+            'SubmitJobs': outcomes.JobOutcomes([refused]),
+            'GetJob': queries.NotFound('job j1'),
+        }
+        run = _Run('jobs', 'submit', 'j1', '--team=t', self.entry)
+        self.assertEqual(EXIT.REFUSED, run.status, run.err)
+        self.assertIn('impossible', run.out)
+        run = _Run('jobs', 'show', 'j1', self.entry)
+        self.assertEqual(EXIT.REFUSED, run.status, run.err)
+
+    def test_views_print_tables_and_json(self):
+        view = queries.JobView(
+            'j1', 't', 'c', 5, 'running', history=['placed on w1']
+        )
+        version = queries.ConfigVersion(2, 'p1', 'ann', b'{}')
+        self.control.answers = {
+            'GetStatus': queries.StatusView(
+                'c1', 4, 9, 9, ['c1'], [], 2, 1, 1, [], {'running': 1}
+            ),
+            'GetJob': view,
+            'ListJobs': queries.JobList([view], 'j1'),
+            'GetConfig': queries.ConfigDocument(2, b'{"teams":{}}'),
+            'GetConfigHistory': queries.ConfigHistory([version]),
+            'GetWorkers': queries.WorkerList(
+                [queries.WorkerView('w1', 'd', 'r', 'ready', 1, 5, 9, 3)]
+            ),
+        }
+        cells = (
+            (('status',), '1 of 1 entries'),
+            (('jobs', 'show', 'j1'), 'running'),
+            (('jobs', 'why', 'j1'), 'placed on w1'),
+            (('jobs', 'list'), '--after=j1'),
+            (('config', 'show'), 'teams'),
+            (('config', 'history'), 'ann'),
+            (('workers',), 'w1'),
+            (('upstreams',), '127.0.0.1:9001'),
+            (('counters',), 'entry'),
+        )
+        for words, text in cells:
+            with self.subTest(words=words):
+                run = _Run(*words, self.entry)
+                self.assertEqual(EXIT.OK, run.status, run.err)
+                self.assertIn(text, run.out)
+                as_json = _Run(*words, self.entry, '--json')
+                self.assertIsInstance(json.loads(as_json.out), dict)
+
+    def test_drain_finds_the_entry_by_name(self):
+        run = _Run('drain', 'e9', self.entry)
+        self.assertEqual(EXIT.UNAVAILABLE, run.status)
+        run = _Run('drain', 'e1', self.dead, self.entry)
+        self.assertEqual(EXIT.OK, run.status, run.err)
+        self.assertTrue(self.local.drained)
+
+
+class UsageTest(unittest.TestCase):
+    def test_each_wrong_command_line_exits_2(self):
+        cells = (
+            (),
+            ('nothing',),
+            ('status', 'extra'),
+            ('status', '--colour'),
+            ('status', '--entry=host:1'),
+            ('patch', '--set=team.t.a=1'),
+            ('patch', '--base=1'),
+            ('patch', '--base=x', '--set=team.t.a=1'),
+            ('patch', '--base=1', '/nowhere.ini'),
+            ('config', 'check', '--set=teams.t.a=1'),
+            ('config', 'check', '--set=team.t=1'),
+            ('jobs', 'submit'),
+            ('jobs', 'submit', 'j1'),
+            ('jobs', 'submit', 'j1', '--team=t', '--deadline=2026-12-05'),
+            ('jobs', 'show'),
+            ('drain',),
+        )
+        for words in cells:
+            with self.subTest(words=words):
+                run = _Run(*words)
+                self.assertEqual(EXIT.USAGE, run.status)
+                self.assertTrue(run.err)
+
+    def test_help_names_every_command_and_exit_code(self):
+        run = _Run('--help')
+        self.assertEqual(EXIT.OK, run.status)
+        for command in program.COMMANDS:
+            self.assertIn(' '.join(command.words), run.out)
+        for status in EXIT:
+            self.assertIn(f'{status.value}  {status.name.lower()}', run.out)
+
+
+class PatchFileTest(unittest.TestCase):
+    def _check(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            path = os.path.join(folder, 'p.ini')
+            with open(path, 'w', encoding='utf-8') as stream:
+                stream.write(text)
+            return _Run('config', 'check', path)
+
+    def test_ini_and_json_give_the_same_patch(self):
+        ini = (
+            '[service quotes]\npath = /quotes\ndeadline_ms = 500\n'
+            'idempotent_methods = ["GET"]\nold =\nshed = yes\n'
+            '[team night]\nremove = yes\n'
+        )
+        patch = {
+            'services': {
+                'quotes': {
+                    'path': '/quotes',
+                    'deadline_ms': 500,
+                    'idempotent_methods': ['GET'],
+                    'old': None,
+                    'shed': True,
+                }
+            },
+            'teams': {'night': None},
+        }
+        for text in (ini, json.dumps(patch)):
+            run = self._check(text)
+            self.assertEqual(patch, json.loads(run.out), run.err)
+
+    def test_faults_name_file_and_section(self):
+        cells = (
+            ('[services q]\na = 1\n', '[services q]'),
+            ('[service]\na = 1\n', '[service]'),
+            ('[team t]\nremove = yes\na = 1\n', '[team t]'),
+            ('a = 1\n', 'p.ini'),
+            ('{"a": ', 'p.ini'),
+        )
+        for text, place in cells:
+            with self.subTest(text=text):
+                run = self._check(text)
+                self.assertEqual(EXIT.USAGE, run.status)
+                self.assertIn(place, run.err)
