Follow the agreed contracts in the administration API

Cause: the control client reports executed/unknown, jobs carry submitted_ms, replicas are changed by message. Change: members, jobs resolve and jobs why; submitted_ms is required, since a time set anew on a resend would defeat the window of remembered jobs.

--- a/fuchsiatrestle/admin/_answers.py
+++ b/fuchsiatrestle/admin/_answers.py
@@ -1,7 +1,6 @@
 """Turns outcomes, results and failures into status codes and JSON bodies."""
 
 from fuchsiatrestle.admin import _payloads
-from fuchsiatrestle import errors
 from fuchsiatrestle import metrics
 from fuchsiatrestle.state import outcomes
 from fuchsiatrestle.state import queries
@@ -9,6 +8,7 @@
 __all__ = (
     'Answer',
     'of_failure',
+    'of_message',
     'of_outcome',
     'of_result',
     'refused',
@@ -36,7 +36,6 @@
     'refused.admin_not_found', 'Administration calls for something unknown.'
 )
 
-_UNKNOWN_REASONS = frozenset({'unknown'})
 _CALLER_REASONS = frozenset({'bad_request'})
 
 
@@ -73,10 +72,10 @@
     """Returns the answer to a call that control gave no outcome for.
 
     Args:
-        failure: an ``errors.Failure``.
+        failure: a ``control_client.CallFailure``.
     """
     more = {'step': failure.step, 'peer': failure.peer}
-    if failure.reason in _UNKNOWN_REASONS:
+    if not failure.not_run:
         metrics.count(REFUSED_UNKNOWN)
         detail = failure.detail or 'send the same call again'
         return _error(504, failure.reason, detail, outcome='unknown', **more)
@@ -117,6 +116,11 @@
     """Returns the answer that carries the result of a query."""
     if isinstance(result, queries.NotFound):
         return refused(404, 'not_found', f'{result.what} is not known')
-    if isinstance(result, errors.Failure):
-        return of_failure(result)
     return Answer(200, _payloads.to_plain(result))
+
+
+def of_message(message):
+    """Returns the answer that carries a message of the control leader."""
+    value = _payloads.to_plain(message)
+    value.pop('call_id', None)
+    return Answer(200, value)
--- a/fuchsiatrestle/admin/_api.py
+++ b/fuchsiatrestle/admin/_api.py
@@ -9,6 +9,7 @@
 from fuchsiatrestle.admin import _payloads
 from fuchsiatrestle.admin import _routes
 from fuchsiatrestle import logs
+from fuchsiatrestle import messages
 from fuchsiatrestle import metrics
 from fuchsiatrestle.net import http
 from fuchsiatrestle.state import commands
@@ -90,6 +91,12 @@
             return _answers.of_result(found.unwrap())
         return _answers.of_failure(found.failure())
 
+    async def _send(self, message):
+        answered = await self._control.call(message)
+        if isinstance(answered, result.Success):
+            return _answers.of_message(answered.unwrap())
+        return _answers.of_failure(answered.failure())
+
     # Commands
 
     async def _patch_config(self, call):
@@ -115,6 +122,21 @@
             commands.CancelJobs(call.body.job_ids, call.body.author)
         )
 
+    async def _resolve_jobs(self, call):
+        body = call.body
+        return await self._propose(
+            commands.ResolveJobs(body.job_ids, body.resolution, body.author)
+        )
+
+    async def _change_member(self, call):
+        body = call.body
+        if body.change == 'add':
+            _calls.check_address(body.address, 'address')
+        message = messages.ChangeMember(
+            0, body.change, body.name, body.address
+        )
+        return await self._send(message)
+
     async def _drain(self, call):
         name = self._local.status().entry
         if call.body.entry != name:
@@ -140,6 +162,13 @@
     async def _get_job(self, call):
         return await self._ask(queries.GetJob(call.path_values['job_id']))
 
+    async def _get_job_reason(self, call):
+        job_id = call.path_values['job_id']
+        return await self._ask(queries.GetJobReason(job_id))
+
+    async def _get_members(self, call):
+        return await self._send(messages.ShowMembers(0))
+
     async def _get_workers(self, call):
         return await self._ask(queries.GetWorkers())
 
--- a/fuchsiatrestle/admin/_calls.py
+++ b/fuchsiatrestle/admin/_calls.py
@@ -5,7 +5,15 @@
 
 import msgspec
 
-__all__ = ('BadCall', 'decode_body', 'decode_object', 'decode_parameters')
+from fuchsiatrestle import settings
+
+__all__ = (
+    'BadCall',
+    'check_address',
+    'decode_body',
+    'decode_object',
+    'decode_parameters',
+)
 
 MAX_PARAMETERS = 16
 
@@ -66,6 +74,14 @@
     return body
 
 
+def check_address(text, field):
+    """Refuses a text that is not ``IP:port``."""
+    try:
+        settings.Address.parse(text)
+    except ValueError as exc:
+        raise BadCall(400, 'bad_field', f'{text!r}: {exc}', field) from exc
+
+
 def _split(query):
     try:
         pairs = urllib.parse.parse_qsl(
--- a/fuchsiatrestle/admin/_interfaces.py
+++ b/fuchsiatrestle/admin/_interfaces.py
@@ -2,15 +2,16 @@
 
 import abc
 
+from fuchsiatrestle.net import control_client
+
 __all__ = ('Control', 'Local')
 
 
 class Control(abc.ABC):
     """Way to the control leader.
 
-    Both calls return a ``returns.result.Result``.  Its failure side is an
-    ``errors.Failure`` whose reason is one of ``messages.ControlRefused``, or
-    ``unreachable`` if the call certainly had no effect, or ``unknown``.
+    All calls return a ``returns.result.Result`` whose failure side is a
+    ``control_client.CallFailure``.
     """
 
     @abc.abstractmethod
@@ -21,6 +22,13 @@
     async def ask(self, query):
         """Reads the agreed state; the value is a record of ``queries``."""
 
+    @abc.abstractmethod
+    async def call(self, message):
+        """Sends a message with a ``call_id``; the value is its answer."""
+
+
+Control.register(control_client.ControlClient)
+
 
 class Local(abc.ABC):
     """The entry's own view of itself."""
--- a/fuchsiatrestle/admin/_payloads.py
+++ b/fuchsiatrestle/admin/_payloads.py
@@ -16,6 +16,8 @@
     'DrainBody',
     'EntryStatus',
     'JobBody',
+    'MemberBody',
+    'ResolveBody',
     'SizeBody',
     'SubmitBody',
     'UpstreamView',
@@ -34,6 +36,7 @@
 Amount = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
 Priority = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_PRIORITY)]
 Milliseconds = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_EPOCH_MS)]
+SubmittedMs = typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_EPOCH_MS)]
 CommandText = typing.Annotated[str, msgspec.Meta(max_length=MAX_COMMAND_CHARS)]
 _PerCall = msgspec.Meta(min_length=1, max_length=MAX_JOBS_PER_CALL)
 
@@ -66,11 +69,17 @@
 
 
 class JobBody(_Body):
-    """A batch job as submitted, see ``commands.JobSpec``."""
+    """A batch job as submitted, see ``commands.JobSpec``.
+
+    ``submitted_ms`` is set once by the submitter and kept on a resend: a
+    resend older than the window of remembered jobs is refused by it, not run
+    a second time.
+    """
 
     job_id: Name
     team: Name
     size: SizeBody
+    submitted_ms: SubmittedMs
     job_class: Name = 'default'
     priority: Priority = 5
     idempotent: bool = True
@@ -78,6 +87,7 @@
     run_ms: Milliseconds = 0
     command: CommandText = ''
     urgent: bool = False
+    data_centre: str = ''
 
     def to_record(self):
         """Returns the ``commands.JobSpec``."""
@@ -100,6 +110,32 @@
     author: str = ''
 
 
+class ResolveBody(_Body):
+    """Parked jobs to settle on an operator's word.
+
+    Attributes:
+        resolution: ``done``, ``failed`` or ``queued``.
+    """
+
+    job_ids: typing.Annotated[list[Name], _PerCall]
+    resolution: typing.Literal['done', 'failed', 'queued']
+    author: str = ''
+
+
+class MemberBody(_Body):
+    """A change of the control replicas by one.
+
+    Attributes:
+        change: ``add`` or ``remove``.
+        name: name of the control replica.
+        address: ``IP:port`` of its link listener, for ``add``.
+    """
+
+    change: typing.Literal['add', 'remove']
+    name: Name
+    address: str = ''
+
+
 class DrainBody(_Body):
     """Names the entry to stop, so that a balanced call hits no other."""
 
--- a/fuchsiatrestle/admin/_routes.py
+++ b/fuchsiatrestle/admin/_routes.py
@@ -122,7 +122,28 @@
         'Cancels jobs in one batch.',
         body=_payloads.CancelBody,
     ),
+    Route(
+        'POST',
+        '/v1/jobs/resolve',
+        'resolve_jobs',
+        'Settles parked jobs.',
+        body=_payloads.ResolveBody,
+    ),
     Route('GET', '/v1/jobs/{job_id}', 'get_job', 'One job with its history.'),
+    Route(
+        'GET',
+        '/v1/jobs/{job_id}/why',
+        'get_job_reason',
+        'Why a job stands where it does.',
+    ),
+    Route('GET', '/v1/members', 'get_members', 'The control replicas.'),
+    Route(
+        'POST',
+        '/v1/members',
+        'change_member',
+        'Adds or removes one control replica.',
+        body=_payloads.MemberBody,
+    ),
     Route('GET', '/v1/workers', 'get_workers', 'Workers that control knows.'),
     Route(
         'GET',
--- a/fuchsiatrestle/ctl/_client.py
+++ b/fuchsiatrestle/ctl/_client.py
@@ -136,7 +136,9 @@
         try:
             return _exchange(conn, address, method, target, body)
         except (OSError, http.client.HTTPException, ValueError) as exc:
-            return _Attempt(str(address), f'no answer: {exc!r}', False)
+            return _Attempt(
+                str(address), f'no answer: {exc!r}', method == 'GET'
+            )
         finally:
             conn.close()
 
@@ -148,7 +150,7 @@
     value = json.loads(response.read(MAX_ANSWER_BYTES) or b'null')
     reply = Reply(response.status, value, str(address))
     if reply.status in (503, 504):
-        certain = reply.get('outcome') == _NOT_RUN
+        certain = method == 'GET' or reply.get('outcome') == _NOT_RUN
         return _Attempt(str(address), reply.reason or 'no outcome', certain)
     return reply
 
--- a/fuchsiatrestle/ctl/_flags.py
+++ b/fuchsiatrestle/ctl/_flags.py
@@ -119,6 +119,7 @@
         ('memory_mib', 1024, 'memory, MiB'),
         ('accelerators', 0, 'whole accelerators'),
         ('run_ms', 0, 'declared run time, 0 if unknown'),
+        ('submitted_ms', 0, 'time of the first sending, kept on a resend'),
     )
     for name, default, text in amounts:
         flags.DEFINE_integer(
@@ -133,6 +134,9 @@
         'ISO 8601 time with offset, such as 2026-12-05T06:00:00+08:00',
         values,
     )
+    flags.DEFINE_string(
+        'data_centre', '', 'the only data centre it may run in', values
+    )
     flags.DEFINE_string('command', '', 'what the worker runs', values)
     flags.DEFINE_bool('urgent', False, 'start within the urgent bound', values)
 
--- a/fuchsiatrestle/ctl/_job_commands.py
+++ b/fuchsiatrestle/ctl/_job_commands.py
@@ -3,6 +3,7 @@
 import datetime
 import getpass
 import json
+import time
 import urllib.parse
 
 from fuchsiatrestle.ctl import _commands
@@ -28,6 +29,7 @@
     ('REFUSED', 'reason'),
     ('DETAIL', 'detail'),
 )
+_RESOLUTIONS = ('done', 'failed', 'queued')
 
 
 def _deadline_ms(text):
@@ -61,6 +63,8 @@
         'run_ms': flags.run_ms,
         'command': flags.command,
         'urgent': flags.urgent,
+        'data_centre': flags.data_centre,
+        'submitted_ms': flags.submitted_ms or int(time.time() * 1000),
     }
 
 
@@ -100,6 +104,8 @@
         'run_ms',
         'command',
         'urgent',
+        'data_centre',
+        'submitted_ms',
     )
 
     def run(self, context, arguments):
@@ -111,6 +117,7 @@
             jobs = _jobs_from_file(flags.file)
         else:
             jobs = [_job_from_flags(arguments[0], flags)]
+            context.output.advice(f'submitted_ms={jobs[0]["submitted_ms"]}')
         author = flags.author or getpass.getuser()
         body = {'jobs': jobs, 'author': author}
         reply = context.client.call('POST', '/v1/jobs', value=body)
@@ -157,25 +164,52 @@
     summary = 'state of one job'
 
     def show(self, output, value, arguments):
-        """Prints its fields but for the history."""
+        """Prints its fields, then its attempts, oldest first."""
         names = (key for _, key in _JOB_COLUMNS)
         output.fields([(name, value[name]) for name in names])
+        for line in value['history']:
+            output.line(f'  {line}')
 
 
 class Why(_OneJob):
-    """Explains the state of one job by its attempts."""
+    """Explains why a job stands where it does."""
 
     words = ('jobs', 'why')
-    summary = 'why a job is where it is: its attempts, oldest first'
+    summary = 'why a job stands where it does'
+
+    def make_path(self, arguments):
+        """Returns the path of the explanation."""
+        return super().make_path(arguments) + '/why'
 
     def show(self, output, value, arguments):
-        """Prints state, reason and history."""
-        reason = value['reason'] or 'no reason recorded'
-        output.line(f'{value["job_id"]} is {value["state"]}: {reason}')
-        for line in value['history']:
+        """Prints one line a fact, most important first."""
+        output.line(f'{value["job_id"]} is {value["state"]}')
+        for line in value['lines']:
             output.line(f'  {line}')
 
 
+class Resolve(_commands.Command):
+    """Settles parked jobs on the operator's word."""
+
+    words = ('jobs', 'resolve')
+    arguments = 'done|failed|queued JOB_ID...'
+    summary = 'settles parked jobs once you know how they ended'
+
+    def run(self, context, arguments):
+        """Sends the identifiers in one call."""
+        if len(arguments) < 2 or arguments[0] not in _RESOLUTIONS:
+            raise _commands.UsageError(f'takes {self.arguments}')
+        body = {
+            'job_ids': arguments[1:],
+            'resolution': arguments[0],
+            'author': context.flags.author or getpass.getuser(),
+        }
+        reply = context.client.call('POST', '/v1/jobs/resolve', value=body)
+        if not reply.ok:
+            return _commands.report_refusal(context.output, reply)
+        return _report_outcomes(context, reply)
+
+
 class List(_commands.QueryCommand):
     """Lists jobs by page."""
 
@@ -200,4 +234,4 @@
             output.line(f'more with --after={value["next_after"]}')
 
 
-COMMANDS = (Submit(), Show(), Why(), List(), Cancel())
+COMMANDS = (Submit(), Show(), Why(), List(), Cancel(), Resolve())
--- a/fuchsiatrestle/ctl/_view_commands.py
+++ b/fuchsiatrestle/ctl/_view_commands.py
@@ -103,6 +103,88 @@
         output.fields(rows)
 
 
+class _Members:
+    """Shows the control replicas; shared by the commands about them."""
+
+    COLUMNS = (
+        ('NAME', 'name'),
+        ('ROLE', 'role'),
+        ('ADDRESS', 'address'),
+        ('SYNCED', 'match'),
+        ('HEARD-MS', 'heard_ms'),
+        ('IDENTITY', 'identity'),
+    )
+
+    @classmethod
+    def print(cls, output, value):
+        """Prints leader and table."""
+        leader = f'leader {value["leader"]}, term {value["term"]}'
+        output.line(f'{leader}, committed {value["commit"]}')
+        output.table(cls.COLUMNS, value['members'])
+
+
+class ShowMembers(_commands.QueryCommand):
+    """Shows the control replicas."""
+
+    words = ('members', 'show')
+    summary = 'control replicas, how far each is synced'
+    path = '/v1/members'
+
+    def show(self, output, value, arguments):
+        """Prints a table."""
+        _Members.print(output, value)
+
+
+class _ChangeMember(_commands.Command):
+    """Changes the control replicas by one."""
+
+    change = ''
+
+    def make_body(self, arguments):
+        """Returns the body of the call."""
+        raise NotImplementedError
+
+    def run(self, context, arguments):
+        """Sends the change and prints the replicas."""
+        body = {'change': self.change, **self.make_body(arguments)}
+        reply = context.client.call('POST', '/v1/members', value=body)
+        if not reply.ok:
+            return _commands.report_refusal(context.output, reply)
+        context.output.value(reply.value)
+        _Members.print(context.output, reply.value)
+        return _exits.ExitStatus.OK
+
+
+class AddMember(_ChangeMember):
+    """Adds a control replica."""
+
+    words = ('members', 'add')
+    arguments = 'NAME IP:PORT'
+    summary = 'adds a control replica as learner; it votes once caught up'
+    change = 'add'
+
+    def make_body(self, arguments):
+        """Returns name and address."""
+        if len(arguments) != 2:
+            raise _commands.UsageError(f'takes {self.arguments}')
+        return {'name': arguments[0], 'address': arguments[1]}
+
+
+class RemoveMember(_ChangeMember):
+    """Removes a control replica."""
+
+    words = ('members', 'remove')
+    arguments = 'NAME'
+    summary = 'removes a control replica for good'
+    change = 'remove'
+
+    def make_body(self, arguments):
+        """Returns the name."""
+        if len(arguments) != 1:
+            raise _commands.UsageError(f'takes {self.arguments}')
+        return {'name': arguments[0]}
+
+
 class Drain(_commands.Command):
     """Starts the graceful stop of one entry."""
 
@@ -130,4 +212,13 @@
         return _exits.ExitStatus.UNAVAILABLE
 
 
-COMMANDS = (Status(), Upstreams(), Workers(), Counters(), Drain())
+COMMANDS = (
+    Status(),
+    Upstreams(),
+    Workers(),
+    Counters(),
+    Drain(),
+    ShowMembers(),
+    AddMember(),
+    RemoveMember(),
+)
--- a/tests/admin/test_api.py
+++ b/tests/admin/test_api.py
@@ -7,8 +7,8 @@
 from returns import result
 
 from fuchsiatrestle import admin
-from fuchsiatrestle import errors
 from fuchsiatrestle import messages
+from fuchsiatrestle.net import control_client
 from fuchsiatrestle.net import http
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import outcomes
@@ -20,11 +20,16 @@
     'job_id': 'j1',
     'team': 't1',
     'size': {'cpu_milli': 500, 'memory_mib': 64},
+    'submitted_ms': 9,
 }
 
 
-def _failure(reason):
-    return result.Failure(errors.Failure(reason, step='ask', peer='c1'))
+def _failure(reason, executed=False):
+    return result.Failure(
+        control_client.CallFailure(
+            reason, step='ask', peer='c1', executed=executed
+        )
+    )
 
 
 class ApiTest(unittest.TestCase):
@@ -121,9 +126,9 @@
                 'bad_value',
             ),
             (_failure('no_quorum'), 503, 'no_quorum'),
-            (_failure('unreachable'), 503, 'unreachable'),
+            (_failure('timeout', None), 504, 'timeout'),
             (_failure('bad_request'), 400, 'bad_request'),
-            (_failure('unknown'), 504, 'unknown'),
+            (_failure('unknown', None), 504, 'unknown'),
         )
         for outcome, status, reason in cells:
             with self.subTest(outcome=outcome):
@@ -151,7 +156,14 @@
         self.assertEqual('queued', answer['jobs'][0]['state'])
         size = messages.Resources(500, 64, 0)
         spec = commands.JobSpec(
-            'j1', 't1', 'default', 0, size, idempotent=False, urgent=True
+            'j1',
+            't1',
+            'default',
+            0,
+            size,
+            idempotent=False,
+            urgent=True,
+            submitted_ms=9,
         )
         self.assertEqual(
             [commands.SubmitJobs([spec], 'ann'), commands.CancelJobs(['j1'])],
@@ -180,6 +192,20 @@
         _, answer = self._call('GET', '/v1/counters')
         self.assertIn('refused.admin_not_found', answer['counters'])
 
+    def test_members(self):
+        member = messages.MemberView('c1', 'i', '127.0.0.1:1', 'voter', 9, 3)
+        view = messages.MembersView(5, 'c1', 2, 9, [member])
+        self.control.answers = {'ShowMembers': view, 'ChangeMember': view}
+        _, answer = self._call('GET', '/v1/members')
+        self.assertEqual('voter', answer['members'][0]['role'])
+        self.assertNotIn('call_id', answer)
+        add = {'change': 'add', 'name': 'c4', 'address': 'nowhere'}
+        response, answer = self._call('POST', '/v1/members', add)
+        self.assertEqual((400, 'address'), (response.status, answer['field']))
+        add['address'] = '127.0.0.1:9'
+        self._call('POST', '/v1/members', add)
+        self.assertEqual('c4', self.control.calls[-1].name)
+
     def test_drain_of_the_named_entry(self):
         response, _ = self._call('POST', '/v1/drain', {'entry': 'e1'})
         self.assertEqual(202, response.status)
--- a/tests/ctl/test_main.py
+++ b/tests/ctl/test_main.py
@@ -11,7 +11,8 @@
 
 from fuchsiatrestle import ctl
 from fuchsiatrestle.ctl import __main__ as program
-from fuchsiatrestle import errors
+from fuchsiatrestle import messages
+from fuchsiatrestle.net import control_client
 from fuchsiatrestle.state import outcomes
 from fuchsiatrestle.state import queries
 from tests.fakes import admin as fakes
@@ -46,7 +47,9 @@
         )
 
     def test_patch_outcomes_have_their_exit_codes(self):
-        unknown = errors.Failure('unknown', step='propose', peer='c1')
+        unknown = control_client.CallFailure(
+            'unknown', step='propose', peer='c1', executed=None
+        )
         cells = (
             (outcomes.ConfigAccepted(2), EXIT.OK, 'version 2', ''),
             (outcomes.ConfigAccepted(2, True), EXIT.OK, 'repeated', ''),
@@ -98,12 +101,16 @@
         view = queries.JobView(
             'j1', 't', 'c', 5, 'running', history=['placed on w1']
         )
+        member = messages.MemberView('c1', 'i', '127.0.0.1:1', 'voter', 9, 3)
+        members = messages.MembersView(5, 'c1', 2, 9, [member])
         version = queries.ConfigVersion(2, 'p1', 'ann', b'{}')
         self.control.answers = {
             'GetStatus': queries.StatusView(
                 'c1', 4, 9, 9, ['c1'], [], 2, 1, 1, [], {'running': 1}
             ),
             'GetJob': view,
+            'GetJobReason': queries.JobReason('j1', 'queued', ['cpu is full']),
+            'ShowMembers': members,
             'ListJobs': queries.JobList([view], 'j1'),
             'GetConfig': queries.ConfigDocument(2, b'{"teams":{}}'),
             'GetConfigHistory': queries.ConfigHistory([version]),
@@ -114,7 +121,9 @@
         cells = (
             (('status',), '1 of 1 entries'),
             (('jobs', 'show', 'j1'), 'running'),
-            (('jobs', 'why', 'j1'), 'placed on w1'),
+            (('jobs', 'show', 'j1'), 'placed on w1'),
+            (('jobs', 'why', 'j1'), 'cpu is full'),
+            (('members', 'show'), 'voter'),
             (('jobs', 'list'), '--after=j1'),
             (('config', 'show'), 'teams'),
             (('config', 'history'), 'ann'),
--- a/tests/fakes/admin.py
+++ b/tests/fakes/admin.py
@@ -55,6 +55,10 @@
         """Returns the prepared result."""
         return self._answer(query)
 
+    async def call(self, message):
+        """Returns the prepared answer."""
+        return self._answer(message)
+
 
 class FakeLocal(admin.Local):
     """A fixed view of an entry."""
