--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,231 @@
+"""Demonstration: the whole system on loopback, step by step.
+
+``python -m standins.demo`` starts three control replicas, two entries, three
+upstreams and two workers, shows a request, a race of two patches and a batch
+job, and stops everything.  It ends with 1 as soon as a step fails.
+"""
+
+import json
+import os
+import sys
+import tempfile
+import time
+
+from absl import flags
+import curio
+
+from fuchsiatrestle import errors
+from fuchsiatrestle.net import http
+from standins import _answers
+from standins import _cluster
+from standins import _processes
+from standins import _programs
+
+__all__ = ('Demo', 'main')
+
+JOB_ID = 'reprice-demo'
+JOB_TIMEOUT_S = 60.0
+JOB_RUN_MS = 1000
+CALL_TIMEOUT_S = 5.0
+
+
+def _require(condition, text):
+    if not condition:
+        raise errors.Error(text, step='demo')
+
+
+class Demo:
+    """Runs the steps and prints what happened.
+
+    Args:
+        cluster: the ``Cluster``.
+    """
+
+    def __init__(self, cluster):
+        self._cluster = cluster
+        self._admin = cluster.admin()
+        self._started_s = time.monotonic()
+
+    def run(self):
+        """Runs all steps.
+
+        Raises:
+            errors.Error: a step did not go as it must.
+        """
+        self._start()
+        self._configure()
+        self._answer_requests()
+        self._race_patches()
+        self._run_job()
+
+    def stop(self):
+        """Stops everything and checks that all ended with status 0."""
+        statuses = self._cluster.stop()
+        self._say(f'stopped {len(statuses)} processes with SIGTERM')
+        failed = {name: code for name, code in statuses.items() if code}
+        _require(not failed, f'exit status other than 0: {failed}')
+        self._say('every process ended with exit status 0')
+
+    def _say(self, text):
+        elapsed_s = time.monotonic() - self._started_s
+        print(f'[{elapsed_s:6.2f} s] {text}', flush=True)
+
+    # Steps
+
+    def _start(self):
+        cluster = self._cluster
+        self._say(f'files lie in {cluster.folder}')
+        cluster.start()
+        control = cluster.wait_for_leader()
+        voters = ', '.join(control['voters'])
+        self._say(
+            f'started {len(cluster.processes)} processes; leader is'
+            f' {control["leader"]} of {voters}'
+        )
+
+    def _configure(self):
+        version = self._cluster.configure()
+        self._say(f'first configuration accepted as version {version}')
+        self._cluster.wait_in_force(version)
+        count = len(self._cluster.entries)
+        self._say(f'version {version} is in force on {count} entries')
+        self._cluster.wait_for_upstreams()
+        self._say('all upstreams have announced themselves to all entries')
+        self._cluster.wait_for_workers()
+        self._say('all workers have reported')
+
+    def _answer_requests(self):
+        for name, ports in self._cluster.entry_ports.items():
+            request_id = f'demo-{name}'
+            response = curio.run(_ask, ports.callers, request_id)
+            _require(response.status == 200, f'{name}: {response.body!r}')
+            whole = _answers.matches(response.body, request_id)
+            _require(whole, f'{name} gave another answer: {response.body!r}')
+            upstream = json.loads(response.body)['upstream']
+            self._say(f'GET through {name}: 200, run by {upstream}')
+
+    def _patch(self, base, patch_id, deadline_ms):
+        service = {_cluster.SERVICE: {'deadline_ms': deadline_ms}}
+        parameters = {'base': base, 'patch_id': patch_id, 'author': 'demo'}
+        return self._admin.call(
+            'PATCH', '/v1/config', parameters, {'services': service}
+        )
+
+    def _race_patches(self):
+        base = self._cluster.status()['control']['config_version']
+        first = self._patch(base, 'ann-1', 1500)
+        _require(first.ok, f'first patch: {first.value}')
+        version = first.get('version')
+        self._say(f'patch ann-1 on {base}: accepted as version {version}')
+        second = self._patch(base, 'bob-1', 1700)
+        _require(second.status == 409, f'second patch: {second.value}')
+        current = second.get('current')
+        _require(current == version, f'conflict names version {current}')
+        self._say(f'patch bob-1 on {base}: refused, current is {current}')
+        again = self._patch(base, 'ann-1', 1500)
+        _require(again.get('version') == version, f'resend: {again.value}')
+        _require(again.get('repeated'), f'resend: {again.value}')
+        self._say(f'patch ann-1 sent again: version {version}, as before')
+        self._cluster.wait_in_force(version)
+        self._say(f'version {version} is in force everywhere')
+
+    def _job(self):
+        return self._admin.call('GET', f'/v1/jobs/{JOB_ID}').value
+
+    def _submit(self, submitted_ms):
+        job = {
+            'job_id': JOB_ID,
+            'team': _cluster.TEAM,
+            'job_class': 'reprice',
+            'size': {'cpu_milli': 2000, 'memory_mib': 2048},
+            'submitted_ms': submitted_ms,
+            'run_ms': JOB_RUN_MS,
+            'command': f'sleep {JOB_RUN_MS}',
+        }
+        reply = self._admin.call('POST', '/v1/jobs', value={'jobs': [job]})
+        _require(reply.ok, f'submit: {reply.value}')
+        outcome = reply.value['jobs'][0]
+        _require(not outcome['reason'], f'submit: {outcome}')
+        return outcome
+
+    def _run_job(self):
+        submitted_ms = int(time.time() * 1000)
+        outcome = self._submit(submitted_ms)
+        self._say(f'job {JOB_ID} submitted: {outcome["state"]}')
+        again = self._submit(submitted_ms)
+        _require(again['repeated'], f'second submission: {again}')
+        self._say(f'job {JOB_ID} submitted again: the same job')
+        seen = []
+
+        def ended():
+            job = self._job()
+            if job['state'] not in seen:
+                seen.append(job['state'])
+                self._say(
+                    f'job {JOB_ID}: {job["state"]}, attempt'
+                    f' {job["attempt"]} on {job["worker"] or "no worker"}'
+                )
+            return job if job['state'] in ('done', 'failed', 'parked') else 0
+
+        job = _processes.wait_until(ended, JOB_TIMEOUT_S, 'the job ends')
+        _require(job['state'] == 'done', f'job: {job}')
+        for line in job['history']:
+            self._say(f'    {line}')
+
+
+async def _ask(address, request_id):
+    client = http.Client(address, CALL_TIMEOUT_S)
+    try:
+        return await client.call('GET', f'/{_cluster.SERVICE}/{request_id}')
+    finally:
+        client.close()
+
+
+def _make_flags():
+    values = flags.FlagValues()
+    flags.DEFINE_bool('keep', False, 'stay up until Ctrl-C', values)
+    flags.DEFINE_string(
+        'folder', '', 'where files go (default: a temporary folder)', values
+    )
+    return values
+
+
+def _print_commands(cluster):
+    entries = ' '.join(str(addr) for addr in cluster.admin_addresses)
+    print(f'\nexport FUCHSIATRESTLE_ENTRIES="{entries}"')
+    print('fuchsiatrestle-ctl status')
+    callers = cluster.caller_addresses[0]
+    print(f'curl http://{callers}/{_cluster.SERVICE}/1')
+    print('Ctrl-C stops everything.', flush=True)
+
+
+def _run_in(folder, keep):
+    cluster = _cluster.Cluster(folder)
+    demo = Demo(cluster)
+    try:
+        demo.run()
+        if keep:
+            _print_commands(cluster)
+            curio.run(_programs.wait_for_stop)
+        demo.stop()
+    except errors.Error as exc:
+        print(f'failed: {exc}', file=sys.stderr)
+        print(cluster.describe_ended(), file=sys.stderr)
+        return 1
+    finally:
+        cluster.kill()
+    return 0
+
+
+def main(argv):
+    """Runs the program."""
+    cfg = _programs.parse(_make_flags(), argv, __doc__)
+    if cfg.folder:
+        os.makedirs(cfg.folder, exist_ok=True)
+        return _run_in(os.path.abspath(cfg.folder), cfg.keep)
+    with tempfile.TemporaryDirectory(prefix='fuchsiatrestle-') as folder:
+        return _run_in(folder, cfg.keep)
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv))
