--- a/fuchsiatrestle/admin/_answers.py
+++ b/fuchsiatrestle/admin/_answers.py
@@ -93,14 +93,19 @@
         f'the patch builds on version {outcome.base}, current is'
         f' {outcome.current}; read it and build a new patch on it'
     )
-    return _error(
-        409, 'version_conflict', detail, **_payloads.to_plain(outcome)
-    )
+    more = _payloads.to_plain(outcome)
+    return _error(409, 'version_conflict', detail, outcome='not-run', **more)
 
 
 def _of_invalid(outcome):
     metrics.count(REFUSED_INVALID)
-    return _error(422, outcome.reason, outcome.detail, field=outcome.field)
+    return _error(
+        422,
+        outcome.reason,
+        outcome.detail,
+        field=outcome.field,
+        outcome='not-run',
+    )
 
 
 def of_outcome(outcome):
--- a/standins/_cluster.py
+++ b/standins/_cluster.py
@@ -181,7 +181,7 @@
 
     def _worker(self, name, number):
         arguments = [
-            f'--name={name}',
+            f'--worker_name={name}',
             f'--ledger={self.ledger_path(name)}',
             f'--data_centre={_data_centre(number % 2)}',
             f'--rack=r{number + 1}',
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Commands for developers."""
