--- a/standins/_cluster.py
+++ b/standins/_cluster.py
@@ -21,6 +21,9 @@
 READY_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 40.0
 
+# In the order of starting.
+KINDS = ('relays', 'controls', 'entries', 'upstreams', 'workers')
+
 
 class Sizes:
     """How many processes of each kind."""
@@ -62,14 +65,10 @@
         folder: where everything is kept.
         sizes: the ``Sizes``.
         log_level: level of the daemons' logs.
-        link_address_of: function of a daemon's name and its listening
-            address that returns the address its peers dial; the soak puts
-            relays in between with it.
+        relayed: True to put a relay before controls and upstreams.
     """
 
-    def __init__(
-        self, folder, sizes=None, log_level='info', link_address_of=None
-    ):
+    def __init__(self, folder, sizes=None, log_level='info', relayed=False):
         self.folder = folder
         self.sizes = sizes or Sizes()
         self.controls = {}
@@ -79,8 +78,11 @@
         self.upstream_addresses = {}
         self.entry_ports = {}
         self._log_level = log_level
-        self._link_address_of = link_address_of or (lambda name, addr: addr)
         self._control_links = {}
+        self._relayed = {}
+        self._relay_control = None
+        self.relays = {}
+        self._relay_wanted = relayed
         self._plan_ports()
         self._plan_processes()
 
@@ -98,6 +100,7 @@
         sizes = self.sizes
         count = sizes.controls + 4 * sizes.entries + sizes.upstreams
         numbers = _ports.free_ports(count)
+        self._taken = frozenset(numbers)
         for number in range(sizes.controls):
             address = settings.Address(HOST, numbers.pop())
             self._control_links[f'c{number + 1}'] = address
@@ -107,6 +110,36 @@
         for number in range(sizes.upstreams):
             address = settings.Address(HOST, numbers.pop())
             self.upstream_addresses[f'u{number + 1}'] = address
+        if self._relay_wanted:
+            self._plan_relay()
+
+    def _plan_relay(self):
+        """Gives each control and upstream a second address, the relay's."""
+        behind = {**self._control_links, **self.upstream_addresses}
+        numbers = _ports.free_ports(len(behind) + 1, self._taken)
+        self._relay_control = settings.Address(HOST, numbers.pop())
+        pairs = []
+        for name, address in behind.items():
+            self._relayed[name] = settings.Address(HOST, numbers.pop())
+            pairs.append(f'--pair={name}={self._relayed[name]}>{address}')
+        self.relays['relay'] = _processes.Process(
+            'relay',
+            'standins.relay',
+            [f'--control={self._relay_control}', *pairs],
+            self.folder,
+        )
+
+    def _reached_at(self, name, address):
+        """Returns the address under which others reach a process."""
+        return self._relayed.get(name, address)
+
+    def set_relay(self, name, mode):
+        """Changes what the relay does with connections to a process."""
+        client = ctl.AdminClient([self._relay_control], CTL_TIMEOUT_S)
+        body = {'target': name, 'mode': mode}
+        reply = client.call('POST', '/standin/relay', value=body)
+        if not reply.ok:
+            raise errors.Error(str(reply.value), step='set_relay', peer=name)
 
     def _plan_processes(self):
         for number, name in enumerate(self._control_links):
@@ -129,7 +162,7 @@
 
     def _peer_list(self):
         return ' '.join(
-            f'{name}={self._link_address_of(name, address)}'
+            f'{name}={self._reached_at(name, address)}'
             for name, address in self._control_links.items()
         )
 
@@ -169,6 +202,7 @@
     def _upstream(self, name, number):
         arguments = [
             f'--listen={self.upstream_addresses[name]}',
+            f'--advertise={self._reached_at(name, "")}',
             f'--ledger={self.ledger_path(name)}',
             f'--service={SERVICE}',
             f'--data_centre={_data_centre(number % 2)}',
@@ -197,6 +231,7 @@
     def processes(self):
         """All processes by name."""
         return {
+            **self.relays,
             **self.controls,
             **self.entries,
             **self.upstreams,
@@ -223,7 +258,7 @@
         """Returns the merge patch that makes the first configuration."""
         entries = {
             name: {
-                'address': str(self._link_address_of(name, ports.link)),
+                'address': str(ports.link),
                 'data_centre': _data_centre(number),
             }
             for number, (name, ports) in enumerate(self.entry_ports.items())
@@ -242,7 +277,7 @@
 
     # Running
 
-    def start(self, kinds=('controls', 'entries', 'upstreams', 'workers')):
+    def start(self, kinds=KINDS):
         """Starts all processes of the named kinds."""
         for kind in kinds:
             for process in getattr(self, kind).values():
@@ -343,7 +378,7 @@
         Upstreams and workers go first, as on a planned stop of all.
         """
         statuses = {}
-        for kind in ('workers', 'upstreams', 'entries', 'controls'):
+        for kind in reversed(KINDS):
             running = {
                 name: process
                 for name, process in getattr(self, kind).items()
--- a/standins/_ledgers.py
+++ b/standins/_ledgers.py
@@ -12,8 +12,11 @@
 
 __all__ = (
     'CallLine',
+    'FaultLine',
     'Ledger',
+    'PatchLine',
     'RunLine',
+    'VersionLine',
     'read_ledger',
 )
 
@@ -22,7 +25,8 @@
     """A step of one request at an upstream.
 
     Attributes:
-        event: ``begin`` or ``end``.
+        event: ``begin`` or ``end``; ``leaving`` and ``ready`` stand for
+            what the upstream announces from then on.
         request_id: identifier of the request, the same for a resend.
         attempt_id: identifier of the single call, if it came through.
         method: HTTP method.
@@ -72,6 +76,46 @@
     end_ns: int
 
 
+class PatchLine(msgspec.Struct, frozen=True):
+    """One answer to an operator.
+
+    Attributes:
+        outcome: ``accepted``, ``conflict``, ``refused`` or ``unknown``.
+        version: the accepted version, or the current one of a conflict.
+    """
+
+    patch_id: str
+    base: int
+    outcome: str
+    version: int
+    time_ns: int
+
+
+class VersionLine(msgspec.Struct, frozen=True):
+    """The version that an entry said it has in force."""
+
+    entry: str
+    version: int
+    time_ns: int
+
+
+class FaultLine(msgspec.Struct, frozen=True):
+    """A fault that was brought about.
+
+    Attributes:
+        kind: ``kill``, ``stop``, ``freeze``, ``silence``, ``cut`` or a mode
+            of an upstream.
+        target: name of the process.
+        since_ns: when it began.
+        until_ns: when it was healed.
+    """
+
+    kind: str
+    target: str
+    since_ns: int
+    until_ns: int
+
+
 class Ledger:
     """Appends lines to a file.
 
--- a/standins/_ports.py
+++ b/standins/_ports.py
@@ -26,9 +26,13 @@
     return True
 
 
-def free_ports(count):
+def free_ports(count, taken=()):
     """Returns ``count`` distinct ports; processes begin at other places.
 
+    Args:
+        count: how many.
+        taken: ports that are planned for something else.
+
     Raises:
         errors.Error: there are not as many free ports.
     """
@@ -37,7 +41,7 @@
     found = []
     for step in range(span):
         port = LOWEST + (start + step) % span
-        if _is_free(port):
+        if port not in taken and _is_free(port):
             found.append(port)
         if len(found) == count:
             return found
--- /dev/null
+++ b/standins/relay.py
@@ -0,0 +1,182 @@
+"""Stand-in for the network: ``python -m standins.relay --help``.
+
+Passes TCP connections on, one listener for each target.  ``POST
+/standin/relay`` with ``{"target": "c1", "mode": "cut"}`` changes what happens
+to a target, see ``MODES``.  A silent connection stays open and its bytes go
+nowhere, as when a middlebox has lost track of it.
+"""
+
+import sys
+
+from absl import flags
+import curio
+import msgspec
+
+from fuchsiatrestle import logs
+from fuchsiatrestle.net import http
+from fuchsiatrestle import settings
+from standins import _programs
+
+__all__ = ('MODES', 'Relay', 'main')
+
+MODE_PATH = '/standin/relay'
+RECV_BYTES = 65536
+BACKLOG = 256
+
+PASS = 'pass'
+SILENCE = 'silence'
+CUT = 'cut'
+
+MODES = {
+    PASS: 'everything passes; silent connections stay silent',
+    SILENCE: 'open connections go silent for good, new ones pass',
+    CUT: 'open and new connections are silent until the next pass',
+}
+
+LOG = logs.get_logger(__name__)
+
+
+class RelayBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of the call that changes a target's mode."""
+
+    target: str
+    mode: str
+
+
+class _Conn:
+    """One connection passed on."""
+
+    __slots__ = ('silent',)
+
+    def __init__(self, silent):
+        self.silent = silent
+
+
+class _Target:
+    """One listener and what it passes on to."""
+
+    def __init__(self, name, listen, address):
+        self.name = name
+        self.listen = listen
+        self.address = address
+        self.mode = PASS
+        self._conns = set()
+
+    def set_mode(self, mode):
+        """Changes what happens to the connections."""
+        self.mode = mode
+        if mode != PASS:
+            for conn in self._conns:
+                conn.silent = True
+
+    async def serve(self):
+        """Accepts connections until cancelled."""
+        sock = curio.network.tcp_server_socket(
+            self.listen.host, self.listen.port, backlog=BACKLOG
+        )
+        async with sock:
+            while True:
+                inner, _ = await sock.accept()
+                await curio.spawn(self._pass_on, inner, daemon=True)
+
+    async def _pass_on(self, inner):
+        conn = _Conn(self.mode == CUT)
+        self._conns.add(conn)
+        outer = None
+        try:
+            async with inner:
+                if conn.silent:
+                    await self._swallow(inner)
+                    return
+                outer = await curio.open_connection(
+                    self.address.host, self.address.port
+                )
+                async with outer, curio.TaskGroup(wait=any) as group:
+                    await group.spawn(self._pump, conn, inner, outer)
+                    await group.spawn(self._pump, conn, outer, inner)
+        except OSError as exc:
+            LOG.debug('relay_broken', extra={'error': str(exc)})
+        finally:
+            self._conns.discard(conn)
+
+    async def _swallow(self, sock):
+        while await sock.recv(RECV_BYTES):
+            continue
+
+    async def _pump(self, conn, source, sink):
+        while True:
+            data = await source.recv(RECV_BYTES)
+            if conn.silent:
+                # Not even the end of the connection gets through.
+                if not data:
+                    await curio.sleep(3600)
+                continue
+            if not data:
+                return
+            await sink.sendall(data)
+
+
+class Relay(http.Handler):
+    """All targets, and the call that changes them.
+
+    Args:
+        pairs: texts ``NAME=LISTEN>ADDRESS``.
+    """
+
+    def __init__(self, pairs):
+        self._targets = {}
+        for pair in pairs:
+            name, _, rest = pair.partition('=')
+            listen, _, address = rest.partition('>')
+            self._targets[name] = _Target(
+                name,
+                settings.Address.parse(listen),
+                settings.Address.parse(address),
+            )
+
+    async def start(self):
+        """Starts every listener in a task of its own."""
+        for target in self._targets.values():
+            await curio.spawn(target.serve, daemon=True)
+
+    async def handle(self, request):
+        """Changes the mode of one target."""
+        try:
+            body = msgspec.json.decode(request.body, type=RelayBody)
+        except msgspec.DecodeError as exc:
+            return http.reason_response(400, 'bad_json', str(exc))
+        if body.target not in self._targets or body.mode not in MODES:
+            return http.reason_response(400, 'unknown', repr(body))
+        self._targets[body.target].set_mode(body.mode)
+        return http.json_response(200, {'mode': body.mode})
+
+
+def make_flags():
+    """Returns the flags of the program."""
+    values = flags.FlagValues()
+    _programs.define_address(values, 'control', 'where modes are changed')
+    flags.DEFINE_multi_string(
+        'pair', None, 'NAME=LISTEN>ADDRESS, repeated', flag_values=values
+    )
+    return values
+
+
+async def serve(cfg):
+    """Passes connections on until SIGTERM."""
+    relay = Relay(cfg.pair)
+    await relay.start()
+    server = http.Server(cfg.control, relay)
+    await server.start()
+    await _programs.wait_for_stop()
+
+
+def main(argv):
+    """Runs the program."""
+    cfg = _programs.parse(make_flags(), argv, __doc__)
+    logs.configure()
+    curio.run(serve, cfg)
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv))
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -94,6 +94,7 @@
     def leave(self):
         """Says from now on that the upstream leaves."""
         self._stopping = True
+        self._note_state()
 
     # Requests
 
@@ -122,15 +123,23 @@
         if body.mode not in MODES:
             return http.reason_response(400, 'unknown_mode', body.mode)
         self._mode = body.mode
+        self._note_state()
         return http.json_response(200, {'mode': self._mode})
 
+    def _note_state(self):
+        self._write(LEAVING if self.leaving else READY, '', '', '')
+
     def _note(self, event, request_id, request):
+        attempt_id = request.header(b'x-attempt-id')
+        self._write(event, request_id, attempt_id, request.method)
+
+    def _write(self, event, request_id, attempt_id, method):
         self._ledger.write(
             _ledgers.RunLine(
                 event=event,
                 request_id=request_id,
-                attempt_id=request.header(b'x-attempt-id'),
-                method=request.method,
+                attempt_id=attempt_id,
+                method=method,
                 in_flight=self._in_flight,
                 slots=self._cfg.slots,
                 leaving=self.leaving,
@@ -183,7 +192,7 @@
         self._seq += 1
         line = Announcement(
             service=self._cfg.service,
-            address=str(self._cfg.listen),
+            address=str(self._cfg.advertise or self._cfg.listen),
             incarnation=self._incarnation,
             seq=self._seq,
             state=LEAVING if self.leaving else READY,
@@ -211,6 +220,9 @@
     values = flags.FlagValues()
     _programs.define_address(values, 'listen', 'address to serve on')
     _programs.define_addresses(values, 'entry', 'platform port of an entry')
+    flags.DEFINE_string(
+        'advertise', '', 'address to announce, if not that of --listen', values
+    )
     flags.DEFINE_string('ledger', None, 'ledger file', values, required=True)
     flags.DEFINE_string('service', 'quotes', 'service it serves', values)
     flags.DEFINE_string('data_centre', 'dc1', 'where it stands', values)
