Test that a link replaces a stream that went silent

Cause: the watchdog had no test of the failure it is for. Change: the test puts the relay stand-in between two links and makes the open stream silent while new ones pass. Measured: with the watchdog's end of the stream taken out the test fails (no PeerDown within 30 s); with it, it passes.

--- a/standins/relay.py
+++ b/standins/relay.py
@@ -139,6 +139,10 @@
         for target in self._targets.values():
             await curio.spawn(target.serve, daemon=True)
 
+    def set_mode(self, target, mode):
+        """Changes what happens to the connections of one target."""
+        self._targets[target].set_mode(mode)
+
     async def handle(self, request):
         """Changes the mode of one target."""
         try:
@@ -147,7 +151,7 @@
             return http.reason_response(400, 'bad_json', str(exc))
         if body.target not in self._targets or body.mode not in MODES:
             return http.reason_response(400, 'unknown', repr(body))
-        self._targets[body.target].set_mode(body.mode)
+        self.set_mode(body.target, body.mode)
         return http.json_response(200, {'mode': body.mode})
 
 
--- a/tests/net/test_link.py
+++ b/tests/net/test_link.py
@@ -7,6 +7,7 @@
 from fuchsiatrestle import messages
 from fuchsiatrestle.net import link
 from fuchsiatrestle import settings
+from standins import relay
 from tests.fakes import ports
 
 MESSAGES = 3000
@@ -67,3 +68,24 @@
             await a.stop()
 
         curio.run(curio.timeout_after, 30, run)
+
+    def test_replaces_a_stream_that_went_silent(self):
+        async def run():
+            middle = settings.Address('127.0.0.1', ports.free_ports(1)[0])
+            network = relay.Relay([f'b={middle}>{self.second}'])
+            await network.start()
+            a = link.Link('a', 1)
+            b = link.Link('b', 1, self.second)
+            await b.start()
+            await a.start()
+            a.connect('b', middle)
+            self.assertIsInstance(await a.receive(), link.PeerUp)
+            network.set_mode('b', relay.SILENCE)
+            self.assertIsInstance(await a.receive(), link.PeerDown)
+            self.assertIsInstance(await a.receive(), link.PeerUp)
+            a.send('b', _returned(5))
+            self.assertEqual(5, (await _next_message(b)).message.loan)
+            await a.stop()
+            await b.stop()
+
+        curio.run(curio.timeout_after, 30, run)
