--- a/fuchsiatrestle/agreement/_leader.py
+++ b/fuchsiatrestle/agreement/_leader.py
@@ -210,6 +210,12 @@
         progress = self.progress.get(reply.follower)
         if progress is None:
             return None
+        invariants.require(
+            reply.round <= self._round,
+            'round_sent',
+            round=reply.round,
+            follower=reply.follower,
+        )
         sent_ms = self._round_sent_ms.get(reply.round)
         if sent_ms is not None:
             progress.alive_ms = max(progress.alive_ms, sent_ms)
--- a/fuchsiatrestle/agreement/_membership.py
+++ b/fuchsiatrestle/agreement/_membership.py
@@ -27,7 +27,7 @@
         if reason:
             return reason
         voters = self._changed(kind, member)
-        self._replica.append_own('voters', _voters.CODEC.encode(voters))
+        self._replica.append_own('voters', _voters.encode_voters(voters))
         LOG.info('voters_changing', extra={'change': kind, 'member': member})
         self._leader.track_members()
         self._leader.broadcast()
--- a/fuchsiatrestle/agreement/_replica.py
+++ b/fuchsiatrestle/agreement/_replica.py
@@ -308,7 +308,7 @@
         self.join(f'{self.cell}/{self.identity}')
         self._enter_term(self.term + 1)
         voters = _voters.Voters(self.group, identities)
-        self.append_own('voters', _voters.CODEC.encode(voters))
+        self.append_own('voters', _voters.encode_voters(voters))
 
     def _enter_term(self, term):
         invariants.require(
--- a/fuchsiatrestle/agreement/_voters.py
+++ b/fuchsiatrestle/agreement/_voters.py
@@ -6,6 +6,8 @@
     'Snapshot',
     'VoterHistory',
     'Voters',
+    'decode_voters',
+    'encode_voters',
     'make_identity',
     'name_of',
 )
@@ -97,6 +99,16 @@
 CODEC = records.Codec(Voters, Snapshot)
 
 
+def encode_voters(voters):
+    """Returns the data of an entry of kind ``voters``."""
+    return CODEC.encode(voters)
+
+
+def decode_voters(data):
+    """Returns the ``Voters`` in an entry of kind ``voters``."""
+    return CODEC.decode(data)
+
+
 class VoterHistory:
     """Sets of voters by the index of the entry that made them.
 
@@ -128,7 +140,7 @@
 
     def append(self, entry):
         """Takes the set of an appended ``voters`` entry."""
-        self._sets.append((entry.index, CODEC.decode(entry.data)))
+        self._sets.append((entry.index, decode_voters(entry.data)))
 
     def truncate(self, first_dropped):
         """Forgets the sets made by entries from ``first_dropped`` on."""
--- a/tests/agreement/chaos.py
+++ b/tests/agreement/chaos.py
@@ -132,12 +132,13 @@
 
 
 def _remove(group, a, b):
-    """Removes a member when enough voters are left to go on."""
+    """Removes a member when enough voters with a disk are left to go on."""
     if not group.leader:
         return
     voters = group.nodes[group.leader].replica.voters
-    if len(voters.voters) > 2:
-        member = voters.members[a % len(voters.members)]
+    member = voters.members[a % len(voters.members)]
+    remaining = voters.without(member)
+    if len(set(remaining.voters) - group.lost) >= max(remaining.quorum, 2):
         group.change_voters(group.leader, 'remove', member)
 
 
--- a/tests/agreement/fake_files.py
+++ b/tests/agreement/fake_files.py
@@ -67,11 +67,37 @@
 
     def _remnant(self, inode):
         lost = inode.content[len(inode.synced) :]
-        kept = bytearray(lost[: self._rng.randint(0, len(lost))])
-        if kept and self._rng.random() < 0.3:
+        size = self._rng.choice(
+            (0, len(lost), self._rng.randint(0, len(lost)))
+        )
+        kept = bytearray(lost[:size])
+        if kept and self._rng.random() < 0.5:
             kept[self._rng.randrange(len(kept))] ^= 0xFF
         return bytes(kept)
 
+    def lose_unsynced(self):
+        """Keeps exactly what was synced."""
+        self.crash_in = None
+        self._pending = []
+        self._names = dict(self._durable)
+        for inode in self._names.values():
+            inode.content = inode.synced
+
+    def spoil_tail(self, path, size):
+        """Cuts ``size`` bytes, or zeroes one in the tail if odd."""
+        inode = self._names[path]
+        content = bytearray(inode.content)
+        if size % 2:
+            content[-size // 2] ^= 0xFF
+        else:
+            del content[-size // 2 :]
+        inode.content = inode.synced = bytes(content)
+
+    @property
+    def paths(self):
+        """Paths that exist now."""
+        return set(self._names)
+
     def damage(self, path, offset):
         """Flips a bit of synced content."""
         inode = self._names[path]
--- /dev/null
+++ b/tests/agreement/test_chaos.py
@@ -0,0 +1,76 @@
+"""Hypothesis chooses the faults, over three and five replicas."""
+
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from tests.agreement import chaos
+from tests.agreement import cluster
+
+NUMBERS = strategies.integers(0, (1 << 16) - 1)
+
+
+class ChaosMachine(stateful.RuleBasedStateMachine):
+    """Three replicas; the rules are the acts of ``chaos``."""
+
+    names = ('c1', 'c2', 'c3')
+
+    def __init__(self):
+        super().__init__()
+        self.cluster = cluster.Cluster(self.names, seed=1)
+
+    @stateful.initialize(duration_ms=strategies.integers(0, 3_000))
+    def found(self, duration_ms):
+        """Lets the group be founded, or meets it on the way."""
+        self.cluster.run(duration_ms)
+
+    @stateful.invariant()
+    def logs_match(self):
+        """Equal index and term mean equal entries."""
+        self.cluster.check_logs()
+
+    def teardown(self):
+        """Requires that all goes on once the faults are over."""
+        self.cluster.require_whole()
+
+
+def _rule(name):
+    def act(self, a, b):
+        chaos.act(self.cluster, name, a, b)
+
+    act.__name__ = name
+    act.__doc__ = f'Carries out ``{name}``.'
+    return stateful.rule(a=NUMBERS, b=NUMBERS)(act)
+
+
+for _name in chaos.ACTS:
+    setattr(ChaosMachine, _name, _rule(_name))
+
+
+class FiveChaosMachine(ChaosMachine):
+    """Five replicas."""
+
+    names = ('c1', 'c2', 'c3', 'c4', 'c5')
+
+
+SETTINGS = hypothesis.settings(
+    max_examples=60,
+    stateful_step_count=60,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+class ChaosTest(unittest.TestCase):
+    """Runs the state machines."""
+
+    def test_three_replicas(self):
+        stateful.run_state_machine_as_test(ChaosMachine, settings=SETTINGS)
+
+    def test_five_replicas(self):
+        stateful.run_state_machine_as_test(FiveChaosMachine, settings=SETTINGS)
+
+
+if __name__ == '__main__':
+    unittest.main()
