End link streams cleanly on a planned stop, and always report the peer

Cause: when the accepting end stopped, the dialling end noticed only by silence, 1.2 s later; and grpclib may cancel an accepted stream twice, the second time inside the clean-up, so that PeerDown was never given.

Ruled out: the order of closing server and channels; the report was lost even with both left open.

Change: a stop ends each stream first; the clean-up reports before it awaits anything.

--- a/fuchsiatrestle/net/link.py
+++ b/fuchsiatrestle/net/link.py
@@ -46,6 +46,7 @@
 KEEPALIVE_S = 0.4
 SILENCE_LIMIT_S = 1.2
 DIAL_TIMEOUT_S = 0.5
+CLOSE_GRACE_S = 0.02
 REDIAL_MIN_S = 0.05
 REDIAL_MAX_S = 0.5
 MAX_WAITING_MESSAGES = 20000
@@ -179,6 +180,7 @@
         self._server = None
         self._unsent = collections.deque()
         self._flush_scheduled = False
+        self._closing = asyncio.Event()
 
     # Calls from curio
 
@@ -244,6 +246,9 @@
         )
 
     async def _close(self):
+        # Streams end cleanly, so that peers learn of the stop at once.
+        self._closing.set()
+        await asyncio.sleep(CLOSE_GRACE_S)
         for task in self._dial_tasks.values():
             task.cancel()
         if self._server is not None:
@@ -317,6 +322,8 @@
             async with stream:
                 await asyncio.wait_for(stream.send_request(), DIAL_TIMEOUT_S)
                 await self._exchange(stream, peer)
+                if self._closing.is_set():
+                    await stream.cancel()
         finally:
             channel.close()
 
@@ -326,7 +333,7 @@
                 stream.recv_message(), SILENCE_LIMIT_S
             )
             if first is not None and self._is_certified(stream, first):
-                await self._deliver(first)
+                self._deliver(first)
                 await self._exchange(stream, first.sender)
         except _BROKEN as exc:
             LOG.debug('link_broken', extra={'error': repr(exc)})
@@ -348,11 +355,12 @@
         """Runs both directions of one stream until either one ends."""
         outbox = _Outbox(_loop_time_s())
         self._outboxes[peer] = outbox
-        await self._inbox.put([PeerUp(peer)])
+        self._post([PeerUp(peer)])
         tasks = [
             asyncio.ensure_future(self._write(stream, outbox)),
             asyncio.ensure_future(self._read(stream, outbox)),
             asyncio.ensure_future(self._watch(outbox)),
+            asyncio.ensure_future(self._closing.wait()),
         ]
         try:
             done, _ = await asyncio.wait(
@@ -361,13 +369,22 @@
             for task in done:
                 task.result()
         finally:
+            # Nothing is awaited before the peer is reported down: grpclib
+            # may cancel this task more than once.
+            self._forget(peer, outbox)
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
-            outbox.closed.set()
-            if self._outboxes.get(peer) is outbox:
-                del self._outboxes[peer]
-                await self._inbox.put([PeerDown(peer)])
+
+    def _forget(self, peer, outbox):
+        outbox.closed.set()
+        if self._outboxes.get(peer) is outbox:
+            del self._outboxes[peer]
+            self._post([PeerDown(peer)])
+
+    def _post(self, events):
+        # A plain function gets the synchronous put of the queue.
+        self._inbox.put(events)
 
     async def _write(self, stream, outbox):
         seq = 0
@@ -386,7 +403,7 @@
             if frame is None:
                 return
             outbox.heard_s = _loop_time_s()
-            await self._deliver(frame)
+            self._deliver(frame)
 
     async def _watch(self, outbox):
         """Sends keep-alives and ends a stream that has gone silent.
@@ -403,7 +420,7 @@
                 metrics.count(LINK_SILENT)
                 raise asyncio.TimeoutError('peer is silent')
 
-    async def _deliver(self, frame):
+    def _deliver(self, frame):
         inbound = []
         for data in frame.items:
             try:
@@ -417,4 +434,4 @@
                 continue
             inbound.append(Inbound(frame.sender, frame.incarnation, message))
         if inbound:
-            await self._inbox.put(inbound)
+            self._post(inbound)
--- a/tests/net/test_link.py
+++ b/tests/net/test_link.py
@@ -5,6 +5,7 @@
 import curio
 
 from fuchsiatrestle import messages
+from fuchsiatrestle import metrics
 from fuchsiatrestle.net import link
 from fuchsiatrestle import settings
 from standins import relay
@@ -89,3 +90,23 @@
             await b.stop()
 
         curio.run(curio.timeout_after, 30, run)
+
+    def test_peer_learns_of_a_planned_stop_from_the_stream(self):
+        for stopping in (0, 1):
+            with self.subTest(stopping=stopping):
+                curio.run(curio.timeout_after, 30, self._stop, stopping)
+
+    async def _stop(self, stopping):
+        pair = [link.Link('a', 1, self.first), link.Link('b', 1, self.second)]
+        for lnk in pair:
+            await lnk.start()
+        pair[0].connect('b', self.second)
+        for lnk in pair:
+            self.assertIsInstance(await lnk.receive(), link.PeerUp)
+        silent = metrics.default_registry.counters().get('link.silent')
+        await pair[stopping].stop()
+        staying = pair[1 - stopping]
+        self.assertIsInstance(await staying.receive(), link.PeerDown)
+        now = metrics.default_registry.counters().get('link.silent')
+        self.assertEqual(silent, now)
+        await staying.stop()
