Number the ends of claims so that a resend frees nothing

Cause: a FinishClaims that was resent after a lost answer could be agreed a second time, after the same process had claimed the key again; it freed the key and a third claim was granted while the second ran. A finish without a number frees no key.

Weighed: naming the granted batch in each finished claim. It would do as well, but each layer of the entry would have to carry it.

--- a/fuchsiatrestle/state/_claims.py
+++ b/fuchsiatrestle/state/_claims.py
@@ -56,7 +56,8 @@
     incarnation: int
     batches: list[int]
     lowest_batch: int
-    retired: list[int]
+    last_finish: int
+    retired: list[tuple[int, int]]
 
 
 class _ClaimsState(records.Record, tag='claims-1'):
@@ -106,18 +107,29 @@
 class _Owner:
     """What is known of the processes of one entry."""
 
-    __slots__ = ('batches', 'incarnation', 'lowest_batch', 'retired')
+    __slots__ = (
+        'batches',
+        'incarnation',
+        'last_finish',
+        'lowest_batch',
+        'retired',
+    )
 
     def __init__(self, incarnation):
         self.incarnation = incarnation
         self.batches = collections.OrderedDict()
         self.lowest_batch = 0
-        self.retired = collections.deque(maxlen=MAX_RETIRED)
+        self.last_finish = 0
+        # Last number of a finish by retired incarnation.
+        self.retired = collections.OrderedDict()
 
     def replace(self, incarnation):
         """Retires the current process in favour of a new one."""
-        self.retired.append(self.incarnation)
+        self.retired[self.incarnation] = self.last_finish
+        if len(self.retired) > MAX_RETIRED:
+            self.retired.popitem(last=False)
         self.incarnation = incarnation
+        self.last_finish = 0
         self.batches.clear()
         self.lowest_batch = 0
 
@@ -125,6 +137,19 @@
         """True if the batch was applied before, or is too old to tell."""
         return batch in self.batches or batch < self.lowest_batch
 
+    def take_finish(self, incarnation, number):
+        """Returns True if this number is new for the process."""
+        if incarnation == self.incarnation:
+            fresh = number > self.last_finish
+            self.last_finish = max(self.last_finish, number)
+            return fresh
+        if incarnation not in self.retired:
+            return False
+        fresh = number > self.retired[incarnation]
+        if fresh:
+            self.retired[incarnation] = number
+        return fresh
+
     def remember(self, batch):
         """Notes an applied batch; forgets the oldest beyond the window."""
         self.batches[batch] = None
@@ -264,14 +289,24 @@
     # Finishing
 
     def _finish_all(self, command):
-        owner = (command.entry, command.incarnation)
         for item in command.claims:
             if item.state not in _FINISHED_STATES:
                 return outcomes.Invalid('bad_state', 'state', item.state)
+        # A repeated command may name a key that was claimed again since.
+        fresh = self._is_fresh_finish(command)
+        owner = (command.entry, command.incarnation)
         for item in command.claims:
-            self._finish(owner, item)
+            if fresh or item.state != NOT_RUN:
+                self._finish(owner, item)
         return outcomes.Done()
 
+    def _is_fresh_finish(self, command):
+        """True if this finish is numbered and comes for the first time."""
+        owner = self._owners.get(command.entry)
+        if owner is None or not command.number:
+            return False
+        return owner.take_finish(command.incarnation, command.number)
+
     def _finish(self, owner, item):
         name = (item.service, item.key)
         claim = self._claims.get(name)
@@ -357,7 +392,8 @@
                 owner.incarnation,
                 list(owner.batches),
                 owner.lowest_batch,
-                list(owner.retired),
+                owner.last_finish,
+                list(owner.retired.items()),
             )
             for entry, owner in self._owners.items()
         ]
@@ -391,5 +427,6 @@
         owner = _Owner(row.incarnation)
         owner.batches.update((batch, None) for batch in row.batches)
         owner.lowest_batch = row.lowest_batch
-        owner.retired.extend(row.retired)
+        owner.last_finish = row.last_finish
+        owner.retired.update(row.retired)
         self._owners[row.entry] = owner
--- a/fuchsiatrestle/state/commands/_claims.py
+++ b/fuchsiatrestle/state/commands/_claims.py
@@ -60,11 +60,18 @@
 
 
 class FinishClaims(records.Record, tag='finish'):
-    """Records how a batch of claimed requests of one entry ended."""
+    """Records how a batch of claimed requests of one entry ended.
+
+    Attributes:
+        number: from 1, growing with each such command of the process, which
+            sends the next one only after the answer to this one; a resend is
+            known by it.  Without a number no key is freed.
+    """
 
     entry: str
     incarnation: int
     claims: list[FinishedClaim]
+    number: int = 0
 
 
 class AbandonClaims(records.Record, tag='abandon'):
--- /dev/null
+++ b/tests/state/test_config.py
@@ -0,0 +1,160 @@
+"""Tests of the numbered configuration."""
+
+import json
+import unittest
+from unittest import mock
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from fuchsiatrestle.state import _config
+from fuchsiatrestle.state import commands
+from fuchsiatrestle.state import machine
+from fuchsiatrestle.state import outcomes
+from fuchsiatrestle.state import queries
+
+QUOTES = {'services': {'quotes': {'path': '/quotes'}}}
+
+
+def _patch(base, patch_id, value):
+    return commands.PatchConfig(base, patch_id, json.dumps(value).encode())
+
+
+class ConfigTest(unittest.TestCase):
+    def setUp(self):
+        self.machine = machine.StateMachine()
+
+    def _apply(self, command):
+        return self.machine.apply(self.machine.applied + 1, command)
+
+    def test_next_version_or_refusal(self):
+        first = _patch(1, 'a', QUOTES)
+        self.assertEqual(outcomes.ConfigAccepted(2), self._apply(first))
+        self.assertEqual(
+            outcomes.ConfigConflict(1, 2), self._apply(_patch(1, 'b', QUOTES))
+        )
+        self.assertEqual(outcomes.ConfigAccepted(2, True), self._apply(first))
+        conflict = self._apply(_patch(1, 'b', QUOTES))
+        self.assertEqual(outcomes.ConfigConflict(1, 2, True), conflict)
+        reused = self._apply(_patch(2, 'a', {}))
+        self.assertEqual('patch_id_reused', reused.reason)
+
+    def test_refusals_name_the_field(self):
+        faults = {
+            'bad_json': (b'{"services"', 'patch'),
+            'bad_field': (b'{"colour": 1}', 'colour'),
+        }
+        fields = {
+            '{"services": {"q": {"path": "q"}}}': 'services.q.path',
+            '{"services": {"q": {"path": "/q", "x": 1}}}': 'services.q.x',
+            '{"services": {"q": {"path": "/q", "priority": 10}}}': (
+                'services.q.priority'
+            ),
+            '{"services": {"a b": {"path": "/q"}}}': 'services.a b',
+            '{"services": 1}': 'services',
+            '{"services": {"q": {"path": "/q"}, "r": {"path": "/q"}}}': (
+                'services.r.path'
+            ),
+            '{"entries": {"e1": {"address": "host:1"}}}': (
+                'entries.e1.address'
+            ),
+            '{"entries": {"e1": {}}}': 'entries.e1.address',
+            '{"teams": {"t": {"cpu_milli": -1, "memory_mib": 1}}}': (
+                'teams.t.cpu_milli'
+            ),
+            '[]': 'patch',
+            '[' * 9 + ']' * 9: 'patch',
+        }
+        table = [(text, field) for text, field in faults.values()]
+        table += [(text.encode(), field) for text, field in fields.items()]
+        for number, (text, field) in enumerate(table):
+            with self.subTest(text=text):
+                command = commands.PatchConfig(1, f'p{number}', text)
+                outcome = self._apply(command)
+                self.assertIsInstance(outcome, outcomes.Invalid)
+                self.assertEqual(field, outcome.field)
+        self.assertEqual(1, self.machine.config.version)
+
+    def test_beyond_the_window_a_resend_is_refused(self):
+        with mock.patch.object(_config, 'ACCEPTED_WINDOW', 3):
+            for version in range(1, 7):
+                self._apply(_patch(version, f'p{version}', {}))
+            old = self._apply(_patch(1, 'p1', {}))
+            self.assertEqual('expired_base', old.reason)
+            kept = self._apply(_patch(6, 'p6', {}))
+            self.assertEqual(outcomes.ConfigAccepted(7, True), kept)
+        self.assertEqual(7, self.machine.config.version)
+
+
+class ConfigMachine(stateful.RuleBasedStateMachine):
+    """Operators race on one base and resend, over snapshots and restarts."""
+
+    def __init__(self):
+        super().__init__()
+        self.machine = machine.StateMachine()
+        self.sent = []
+        self.first = {}
+        self.accepted = {}
+        self.version = 1
+
+    def _apply(self, command):
+        return self.machine.apply(self.machine.applied + 1, command)
+
+    @stateful.rule(
+        behind=strategies.integers(-1, 2),
+        name=strategies.sampled_from('abc'),
+        deadline=strategies.one_of(
+            strategies.none(), strategies.integers(-1, 3)
+        ),
+    )
+    def patch(self, behind, name, deadline):
+        service = None
+        if deadline is not None:
+            service = {'path': f'/{name}', 'deadline_ms': deadline}
+        base = self.machine.config.version - behind
+        value = {'services': {name: service}}
+        command = _patch(base, f'id{len(self.sent)}', value)
+        self.sent.append(command)
+        outcome = self._apply(command)
+        self.first[command.patch_id] = outcome
+        if isinstance(outcome, outcomes.ConfigAccepted):
+            assert base == self.version and outcome.version == base + 1
+            self.version = outcome.version
+            self.accepted[outcome.version] = command.patch_id
+
+    @stateful.precondition(lambda self: self.sent)
+    @stateful.rule(data=strategies.data())
+    def resend(self, data):
+        command = data.draw(strategies.sampled_from(self.sent))
+        again = self._apply(command)
+        first = self.first[command.patch_id]
+        if isinstance(first, outcomes.Invalid):
+            assert again == first
+        elif isinstance(first, outcomes.ConfigAccepted):
+            assert again == outcomes.ConfigAccepted(first.version, True)
+        else:
+            expected = (first.base, first.current, True)
+            assert (again.base, again.current, again.repeated) == expected
+
+    @stateful.rule()
+    def restart_from_snapshot(self):
+        data = self.machine.snapshot()
+        self.machine = machine.StateMachine()
+        self.machine.restore(data)
+        assert self.machine.snapshot() == data
+
+    @stateful.invariant()
+    def version_is_the_last_accepted(self):
+        assert self.machine.config.version == self.version
+        history = self.machine.query(queries.GetConfigHistory(1000))
+        numbers = [one.version for one in history.versions]
+        assert numbers == sorted(self.accepted, reverse=True)
+        for one in history.versions:
+            assert one.patch_id == self.accepted[one.version]
+
+
+ConfigMachineTest = ConfigMachine.TestCase
+ConfigMachineTest.settings = hypothesis.settings(
+    max_examples=60, stateful_step_count=40
+)
