Add and remove control replicas by name

A replica that says hello but whose name is not among the first members is kept as a newcomer and admitted on an operator's word; the leader reports position and age of each member. Facts go out at once when the voters change, so that the answer to a change shows it.

--- a/fuchsiatrestle/agreement/_leader.py
+++ b/fuchsiatrestle/agreement/_leader.py
@@ -387,6 +387,11 @@
             _events.Accepted(event.token, replica.log.last_index, replica.term)
         )
 
+    @property
+    def newcomers(self):
+        """Identities that want to join and may be added."""
+        return self._membership.newcomers()
+
     def on_hello(self, message):
         """Notes a replica that wants to join."""
         self._membership.note_newcomer(message.sender)
--- a/fuchsiatrestle/agreement/_membership.py
+++ b/fuchsiatrestle/agreement/_membership.py
@@ -5,6 +5,8 @@
 
 __all__ = ('Membership',)
 
+MAX_NEWCOMERS = 32
+
 LOG = logs.get_logger(__name__)
 
 
@@ -120,13 +122,21 @@
     def note_newcomer(self, identity):
         """Remembers a replica that says hello and belongs to none.
 
-        Only names of the first members are admitted this way, each with its
-        newest identity.
+        Each name counts with its newest identity.
         """
         name = _voters.name_of(identity)
-        if name in self._replica.founding.names:
+        if name in self._newcomers or len(self._newcomers) < MAX_NEWCOMERS:
             self._newcomers[name] = (identity, self._replica.now_ms)
 
+    def newcomers(self):
+        """Returns the identities that said hello a moment ago."""
+        oldest_ms = self._replica.now_ms - self._replica.cfg.election_min_ms
+        return [
+            identity
+            for identity, heard_ms in self._newcomers.values()
+            if heard_ms >= oldest_ms and not self._refusal_to_add(identity)
+        ]
+
     def _settle_learners(self):
         """Puts a caught-up learner in the place of its silent namesake."""
         for learner in self._replica.voters.learners:
@@ -140,10 +150,10 @@
         return False
 
     def _admit_newcomers(self):
+        """Admits the names of first members; others need an operator."""
         replica = self._replica
-        oldest_ms = replica.now_ms - replica.cfg.election_min_ms
-        for identity, heard_ms in self._newcomers.values():
-            if heard_ms < oldest_ms or self._refusal_to_add(identity):
+        for identity in self.newcomers():
+            if _voters.name_of(identity) not in replica.founding.names:
                 continue
             rival = self._namesake(replica.voters.learners, identity)
             if rival and self._leader.alive(rival):
--- a/fuchsiatrestle/agreement/_replica.py
+++ b/fuchsiatrestle/agreement/_replica.py
@@ -102,6 +102,16 @@
         """Name of the leader if known, else empty."""
         return _voters.name_of(self.leader)
 
+    @property
+    def followers(self):
+        """``Progress`` of the followers by identity, empty unless leading."""
+        return self.role.progress
+
+    @property
+    def newcomers(self):
+        """Identities that said hello and may be added, for a leader."""
+        return self.role.newcomers
+
     def make_snapshot(self, last_index, data):
         """Returns the ``Snapshot`` of the state applied up to an index.
 
--- a/fuchsiatrestle/agreement/_role.py
+++ b/fuchsiatrestle/agreement/_role.py
@@ -1,6 +1,7 @@
 """Base of the roles a replica plays."""
 
 import abc
+import types
 
 from fuchsiatrestle.agreement import _events
 
@@ -12,9 +13,15 @@
 
     Args:
         replica: the ``Replica`` that plays the role.
+
+    Attributes:
+        progress: ``Progress`` of the followers by identity, of a leader only.
+        newcomers: identities that a leader may add.
     """
 
     name = ''
+    progress = types.MappingProxyType({})
+    newcomers = ()
 
     def __init__(self, replica):
         self._replica = replica
--- a/fuchsiatrestle/control/_events.py
+++ b/fuchsiatrestle/control/_events.py
@@ -63,7 +63,7 @@
     ``newcomers`` holds the identities that want to join.
     """
 
-    __slots__ = ('term', 'commit', 'log_bytes', 'members', 'newcomers')
+    __slots__ = ('term', 'commit', 'members', 'newcomers')
 
 
 class StorageBroken(_Value):
--- a/fuchsiatrestle/control/_leader.py
+++ b/fuchsiatrestle/control/_leader.py
@@ -1,5 +1,6 @@
 """What only the leader does: leases, scheduling, members, its own commands."""
 
+from fuchsiatrestle import agreement
 from fuchsiatrestle.control import _events
 from fuchsiatrestle import membership
 from fuchsiatrestle import messages
@@ -230,8 +231,22 @@
             members,
         )
 
-    def voter_change(self, message):
-        """Returns the identity to change, or ``None`` wrapped as a reason."""
+    def identity_to_change(self, message):
+        """Returns the identity that a ``ChangeMember`` is about, or ''.
+
+        A replica to be added has to be running: it says hello until it is a
+        member, and is promoted once it has caught up.
+        """
+        facts = self._facts
+        if facts is None:
+            return ''
+        if message.change == 'add':
+            candidates = facts.newcomers
+        else:
+            candidates = [one.identity for one in facts.members]
+        for identity in candidates:
+            if agreement.name_of(identity) == message.name:
+                return identity
         return ''
 
 
--- a/fuchsiatrestle/control/_replica_task.py
+++ b/fuchsiatrestle/control/_replica_task.py
@@ -14,6 +14,9 @@
 
 TERM = metrics.declare('agreement.term', 'Term of this replica.')
 COMMIT = metrics.declare('agreement.commit', 'Committed log index.')
+LOG_ENTRIES = metrics.declare(
+    'agreement.uncommitted', 'Log entries not yet known to be committed.'
+)
 LEADS = metrics.declare('agreement.leads', '1 while this replica leads.')
 LEADER_CHANGED = metrics.declare(
     'agreement.role_changed', 'Changes of role or leader seen here.'
@@ -45,6 +48,7 @@
         self._state_inbox = state_inbox
         self._storage = None
         self._facts_due_ms = 0
+        self._voters = None
         self.inbox = curio.UniversalQueue()
         self.role = ''
 
@@ -72,11 +76,15 @@
             await self._state_inbox.put(event)
             event = agreement.Compact(event.snapshot)
         now_ms = daemon.now_ms()
-        for effect in self._replica.step(event, now_ms):
-            await self._carry_out(effect)
+        effects = self._replica.step(event, now_ms)
+        if self._voters is not self._replica.voters:
+            self._voters = self._replica.voters
+            self._facts_due_ms = now_ms
         if now_ms >= self._facts_due_ms:
             self._facts_due_ms = now_ms + FACTS_MS
             await self._publish_facts(now_ms)
+        for effect in effects:
+            await self._carry_out(effect)
 
     async def _carry_out(self, effect):
         if isinstance(effect, agreement.Send):
@@ -109,17 +117,24 @@
         metrics.gauge(TERM, replica.term)
         metrics.gauge(COMMIT, replica.commit)
         metrics.gauge(LEADS, int(self.role == 'leader'))
+        metrics.gauge(LOG_ENTRIES, replica.log.last_index - replica.commit)
         facts = _events.ReplicaFacts(
             replica.term,
             replica.commit,
-            0,
-            [self._member(identity) for identity in replica.voters.members],
-            [],
+            [self._member(one, now_ms) for one in replica.voters.members],
+            list(replica.newcomers),
         )
         await self._state_inbox.put(facts)
 
-    def _member(self, identity):
-        voters = self._replica.voters
-        role = 'voter' if identity in voters.voters else 'learner'
+    def _member(self, identity, now_ms):
+        replica = self._replica
+        role = 'voter' if identity in replica.voters.voters else 'learner'
         name = agreement.name_of(identity)
-        return _events.MemberFacts(identity, name, role, 0, 0)
+        progress = replica.followers.get(identity)
+        if progress is None:
+            match = replica.log.last_index
+            return _events.MemberFacts(identity, name, role, match, 0)
+        heard_ms = max(0, now_ms - progress.alive_ms)
+        return _events.MemberFacts(
+            identity, name, role, progress.match, heard_ms
+        )
--- a/fuchsiatrestle/control/_service.py
+++ b/fuchsiatrestle/control/_service.py
@@ -42,6 +42,12 @@
 )
 
 
+_HOW_TO_ADD = {
+    'add': 'start the replica with the others in its peers, then repeat',
+    'remove': 'no replica of that name is a member; see members show',
+}
+
+
 class Service(core.Core):
     """State machine, waiting calls and, while leading, leader services.
 
@@ -320,13 +326,17 @@
     # Leader
 
     def _change_member(self, call):
-        change = self._leader.voter_change(call.message)
-        if isinstance(change, str):
-            self._refuse(call, 'bad_request', change)
+        message = call.message
+        if message.change not in ('add', 'remove'):
+            self._refuse(call, 'bad_request', 'change is add or remove')
+            return
+        identity = self._leader.identity_to_change(message)
+        if not identity:
+            self._refuse(call, 'unknown_member', _HOW_TO_ADD[message.change])
             return
         token = self._calls.add_proposal(call)
         self._to_replica(
-            agreement.ChangeVoters(token, call.message.change, change)
+            agreement.ChangeVoters(token, message.change, identity)
         )
 
     def _run_leader(self, effects):
--- a/fuchsiatrestle/net/control_client.py
+++ b/fuchsiatrestle/net/control_client.py
@@ -54,6 +54,12 @@
     'timeout',
     'peer_down',
     'bad_answer',
+    'change_pending',
+    'not_ready',
+    'not_caught_up',
+    'unknown_member',
+    'known_member',
+    'last_voter',
 )
 # Refusals after which another attempt may succeed.
 _PASSING_REASONS = (
@@ -273,10 +279,9 @@
     # Answers
 
     def _failure(self, step, refused, executed):
-        reason = refused.reason if refused.reason in REFUSED else 'unknown'
-        metrics.count(REFUSED[reason])
+        metrics.count(REFUSED.get(refused.reason, REFUSED['unknown']))
         return CallFailure(
-            reason,
+            refused.reason,
             refused.detail,
             step=step,
             peer=self._target,
