--- a/fuchsiatrestle/messages/_routing.py
+++ b/fuchsiatrestle/messages/_routing.py
@@ -45,12 +45,17 @@
 
 
 class SlotDemand(records.Record, tag='rd'):
-    """Says how many more slots of a service an entry could use now."""
+    """Says how many more slots of a service an entry could use now.
+
+    Attributes:
+        members: digest of the members under which the entry works.
+    """
 
     entry: str
     service: str
     wanted: int
     seq: int
+    members: int = 0
 
 
 class LendSlots(records.Record, tag='rl'):
@@ -65,6 +70,8 @@
         term_ms: counted by the borrower from the moment it sent the demand
             numbered ``demand_seq``.
         demand_seq: the answered ``SlotDemand``.
+        members: digest of the members under which the slots are lent.
+        longest_ms: longest request that may be sent on these slots.
     """
 
     loan: int
@@ -75,6 +82,8 @@
     slots: int
     term_ms: int
     demand_seq: int
+    members: int = 0
+    longest_ms: int = 0
 
 
 class ReturnSlots(records.Record, tag='rr'):
--- a/fuchsiatrestle/net/_http_messages.py
+++ b/fuchsiatrestle/net/_http_messages.py
@@ -116,7 +116,8 @@
 
     Attributes:
         status: HTTP status.
-        headers: ``(name, value)`` pairs of bytes; framing is added.
+        headers: ``(name, value)`` pairs of bytes, names in lower case; the
+            length is added unless it is there.
         body: the body, bytes.
     """
 
@@ -127,6 +128,13 @@
         self.headers = headers
         self.body = body
 
+    @property
+    def needs_length(self):
+        """True if the server has to add the length of the body."""
+        if self.status in (204, 304):
+            return False
+        return all(name != b'content-length' for name, _ in self.headers)
+
 
 class StreamedResponse:
     """A response whose body is still arriving.
@@ -135,7 +143,8 @@
         status: HTTP status.
         headers: ``(name, value)`` pairs of bytes, framing included when the
             length is known.
-        chunks: asynchronous iterator of bytes.  If it raises, the server
+        chunks: asynchronous iterator of bytes with an ``aclose`` method.
+            If it raises, the server
             aborts the connection, so that the body never looks complete.
     """
 
--- a/fuchsiatrestle/net/_http_server.py
+++ b/fuchsiatrestle/net/_http_server.py
@@ -285,10 +285,9 @@
         self._enter(WRITING, self._server.limits.write_s)
         if isinstance(response, _http_messages.StreamedResponse):
             return await self._answer_streamed(response)
-        headers = [
-            *response.headers,
-            (b'content-length', b'%d' % len(response.body)),
-        ]
+        headers = list(response.headers)
+        if response.needs_length:
+            headers.append((b'content-length', b'%d' % len(response.body)))
         data = self._head_bytes(response.status, headers)
         if response.body:
             data += self._h11.send(h11.Data(data=response.body))
