--- a/fuchsiatrestle/state/queries/__init__.py
+++ b/fuchsiatrestle/state/queries/__init__.py
@@ -13,9 +13,11 @@
     'GetConfig',
     'GetConfigHistory',
     'GetJob',
+    'GetJobReason',
     'GetStatus',
     'GetWorkers',
     'JobList',
+    'JobReason',
     'JobView',
     'ListJobs',
     'NotFound',
@@ -96,6 +98,20 @@
     history: list[str] = []
 
 
+class GetJobReason(records.Record, tag='why?'):
+    """Asks the leader's scheduler why a job stands where it does."""
+
+    job_id: str
+
+
+class JobReason(records.Record, tag='why'):
+    """Explains a job, one line a fact, most important first."""
+
+    job_id: str
+    state: str
+    lines: list[str]
+
+
 class ListJobs(records.Record, tag='jobs?'):
     """Asks for jobs, by state and team if given, after ``after``."""
 
@@ -131,6 +147,7 @@
         entries: entries with a lease that still runs.
         lagging: names of leased entries not yet on the current version.
         jobs: number of jobs by state.
+        everywhere: True if no entry can be serving under an older version.
     """
 
     leader: str
@@ -144,6 +161,7 @@
     entries: int
     lagging: list[str]
     jobs: dict[str, int]
+    everywhere: bool = False
 
 
 class GetWorkers(records.Record, tag='workers?'):
@@ -185,6 +203,8 @@
     ConfigHistory,
     GetJob,
     JobView,
+    GetJobReason,
+    JobReason,
     ListJobs,
     JobList,
     GetStatus,
