Add the entry daemon: callers, platform, admin and link around the core

A given-up connection is half-closed and watched until the upstream ends it, so that the slot is counted as long as the upstream works on it.

--- /dev/null
+++ b/fuchsiatrestle/entry/__main__.py
@@ -0,0 +1,20 @@
+"""Program ``fuchsiatrestle-entry``."""
+
+from fuchsiatrestle import daemon
+from fuchsiatrestle.entry import _daemon
+from fuchsiatrestle.entry import _settings
+
+__all__ = ('run',)
+
+PROGRAM = daemon.Program(
+    'fuchsiatrestle-entry', _settings.SECTIONS, _daemon.EntryDaemon
+)
+
+
+def run():
+    """Runs the entry daemon; exits."""
+    daemon.run(PROGRAM)
+
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/fuchsiatrestle/entry/_settings.py
@@ -0,0 +1,52 @@
+"""Settings of the entry daemon."""
+
+from fuchsiatrestle.net import http
+from fuchsiatrestle.net import tls
+from fuchsiatrestle import settings
+
+__all__ = ('SECTIONS', 'http_limits')
+
+SECTIONS = (
+    settings.Section(
+        'entry',
+        settings.NameOption('name'),
+        settings.AddressOption('callers'),
+        settings.AddressOption('platform'),
+        settings.AddressOption('admin'),
+        settings.AddressOption('link'),
+        settings.PeerListOption('controls'),
+        settings.TextOption('data_centre', ''),
+        settings.BoolOption('share_callers_port', False),
+    ),
+    settings.Section(
+        'limits',
+        settings.IntOption('head_bytes', 16384, low=512, high=1048576),
+        settings.IntOption('body_bytes', 1048576, low=0, high=1073741824),
+        settings.FloatOption('head_s', 5.0, low=0.05, high=600),
+        settings.FloatOption('body_s', 10.0, low=0.05, high=600),
+        settings.FloatOption('idle_s', 60.0, low=0.05, high=3600),
+        settings.FloatOption('write_s', 10.0, low=0.05, high=600),
+        settings.IntOption('connections', 2000, low=1, high=100000),
+    ),
+    settings.Section(
+        'stop',
+        settings.FloatOption('health_lead_s', 1.0, low=0, high=300),
+        settings.FloatOption('grace_s', 30.0, low=0, high=3600),
+    ),
+    tls.SECTION,
+)
+
+_LIMITS = (
+    'head_bytes',
+    'body_bytes',
+    'head_s',
+    'body_s',
+    'idle_s',
+    'write_s',
+    'connections',
+)
+
+
+def http_limits(cfg):
+    """Returns the ``http.Limits`` that a settings file asks for."""
+    return http.Limits(**{key: cfg.get('limits', key) for key in _LIMITS})
--- a/fuchsiatrestle/net/_http_client.py
+++ b/fuchsiatrestle/net/_http_client.py
@@ -114,6 +114,22 @@
         """Closes the connection at once."""
         self._sock._socket.close()
 
+    def finish_sending(self):
+        """Tells the server that nothing more comes; False if it is gone."""
+        try:
+            self._sock._socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            return False
+        return True
+
+    async def wait_closed(self):
+        """Reads and drops everything until the server closes."""
+        try:
+            while await self._sock.recv(RECV_BYTES):
+                pass
+        except OSError:
+            return
+
     async def send(self, method, target, headers, body=b''):
         """Sends a request whole.
 
--- a/fuchsiatrestle/net/_http_messages.py
+++ b/fuchsiatrestle/net/_http_messages.py
@@ -14,7 +14,9 @@
     'Request',
     'Response',
     'StreamedResponse',
+    'decode_answer',
     'decode_json',
+    'encode_answer',
     'encode_json',
     'json_response',
     'reason_response',
@@ -187,6 +189,26 @@
         raise HttpFailed('bad_json', step='decode_json') from exc
 
 
+class _StoredAnswer(msgspec.Struct, array_like=True):
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+_STORED = msgspec.msgpack.Decoder(_StoredAnswer)
+
+
+def encode_answer(response):
+    """Returns headers and body of a ``Response`` as bytes to be stored."""
+    headers = [(bytes(name), bytes(value)) for name, value in response.headers]
+    return msgspec.msgpack.encode(_StoredAnswer(headers, response.body))
+
+
+def decode_answer(status, data):
+    """Returns the ``Response`` whose headers and body were stored."""
+    stored = _STORED.decode(data)
+    return Response(status, stored.headers, stored.body)
+
+
 def json_response(status, value, headers=()):
     """Returns a ``Response`` whose body is ``value`` as JSON."""
     return Response(status, [_JSON_TYPE, *headers], encode_json(value))
--- a/fuchsiatrestle/net/http.py
+++ b/fuchsiatrestle/net/http.py
@@ -30,7 +30,9 @@
     'ResponseHead',
     'Server',
     'StreamedResponse',
+    'decode_answer',
     'decode_json',
+    'encode_answer',
     'encode_json',
     'json_response',
     'reason_response',
@@ -46,7 +48,9 @@
 ResponseHead = _http_client.ResponseHead
 Server = _http_server.Server
 StreamedResponse = _http_messages.StreamedResponse
+decode_answer = _http_messages.decode_answer
 decode_json = _http_messages.decode_json
+encode_answer = _http_messages.encode_answer
 encode_json = _http_messages.encode_json
 json_response = _http_messages.json_response
 reason_response = _http_messages.reason_response
--- a/fuchsiatrestle/routing/__init__.py
+++ b/fuchsiatrestle/routing/__init__.py
@@ -27,14 +27,18 @@
     _effects.__all__
     + _events.__all__
     + (
+        'PEER_MESSAGES',
         'REASONS',
+        'TICK_MS',
         'Configuration',
         'Core',
         'parse_configuration',
     )
 )
 
+PEER_MESSAGES = _events.PEER_MESSAGES
 REASONS = _reasons.REASONS
+TICK_MS = _core.TICK_MS
 Configuration = _services.Configuration
 Core = _core.Core
 parse_configuration = _services.parse_configuration
--- a/fuchsiatrestle/routing/_core.py
+++ b/fuchsiatrestle/routing/_core.py
@@ -568,9 +568,8 @@
             cfg = _services.parse_configuration(event.version, event.document)
             self._enter(cfg, now_ms, leased, effects)
         if event.version == self._cfg.version:
-            self._lease_until_ms = max(
-                self._lease_until_ms,
-                min(event.until_ms, now_ms + _shares.LEASE_BOUND_MS),
+            self._lease_until_ms = min(
+                event.until_ms, now_ms + _shares.LEASE_BOUND_MS
             )
 
     def _enter(self, cfg, now_ms, leased, effects):
--- a/fuchsiatrestle/routing/_events.py
+++ b/fuchsiatrestle/routing/_events.py
@@ -16,6 +16,13 @@
     'TickPassed',
 )
 
+PEER_MESSAGES = (
+    messages.AnnouncementBatch,
+    messages.SlotDemand,
+    messages.LendSlots,
+    messages.ReturnSlots,
+)
+
 
 class RequestArrived(records.Record):
     """A caller's request has been received whole.
--- a/fuchsiatrestle/routing/_services.py
+++ b/fuchsiatrestle/routing/_services.py
@@ -37,7 +37,7 @@
         self.version = version
         self.services = services
         self.members = members
-        names = '\0'.join(sorted(members))
+        names = '\0'.join(sorted(members)).encode()
         self.members_digest = xxhash.xxh64_intdigest(names) >> 1
         self._prefixes = sorted(
             ((service.path, name) for name, service in services.items()),
--- a/fuchsiatrestle/routing/_shares.py
+++ b/fuchsiatrestle/routing/_shares.py
@@ -34,12 +34,14 @@
     """
     if entry not in members:
         return frozenset()
-    ranked = sorted(
-        members, key=lambda name: xxhash.xxh64_intdigest(f'{address}\0{name}')
-    )
+    ranked = sorted(members, key=lambda name: _weight(address, name))
     return frozenset(range(ranked.index(entry), count, len(ranked)))
 
 
+def _weight(address, name):
+    return xxhash.xxh64_intdigest(f'{address}\0{name}'.encode())
+
+
 class _Epoch:
     """A set of members that may still be in use somewhere.
 
