--- a/fuchsiatrestle/entry/_daemon.py
+++ b/fuchsiatrestle/entry/_daemon.py
@@ -4,13 +4,10 @@
 
 from fuchsiatrestle import admin
 from fuchsiatrestle import daemon
-from fuchsiatrestle.entry import _callers
-from fuchsiatrestle.entry import _claims
-from fuchsiatrestle.entry import _connections
+from fuchsiatrestle.entry import _caller_path
 from fuchsiatrestle.entry import _local
 from fuchsiatrestle.entry import _platform
 from fuchsiatrestle.entry import _reports
-from fuchsiatrestle.entry import _router
 from fuchsiatrestle.entry import _settings
 from fuchsiatrestle import errors
 from fuchsiatrestle import logs
@@ -61,23 +58,19 @@
         self._build()
 
     def _build(self):
-        core = routing.Core(self.name, self.incarnation, daemon.now_ms())
-        self._pool = _connections.Pool()
-        self._claims = _claims.ClaimsDesk(
-            self.name, self.incarnation, self._client
-        )
-        self.router = _router.Router(
-            core, self._pool, self._link.send, self._claims
+        self._path = _caller_path.CallerPath(
+            self.name,
+            self.incarnation,
+            self._link.send,
+            self._client,
+            self.is_healthy,
         )
-        self._claims.router = self.router
+        self.router = self._path.router
         self._reports = _reports.ReportsDesk(self.name, self._client)
         limits = _settings.http_limits(self._cfg)
-        callers = _callers.CallersHandler(
-            self.router, self._pool, self.is_healthy
-        )
         platform = _platform.PlatformHandler(self.router, self._reports)
         api = admin.AdminApi(self._client, _local.LocalView(self))
-        self._callers = self._server('callers', callers, limits)
+        self._callers = self._server('callers', self._path.handler, limits)
         self._platform = self._server('platform', platform, limits)
         self._admin = self._server('admin', api, limits)
 
@@ -111,9 +104,7 @@
         for task in (
             self._receive_forever,
             self._renew_forever,
-            self.router.tick_forever,
-            self._claims.claim_forever,
-            self._claims.finish_forever,
+            *self._path.tasks,
             self._reports.send_forever,
         ):
             self._tasks.append(await curio.spawn(task))
@@ -161,10 +152,10 @@
         await curio.sleep(self._cfg.get('stop', 'health_lead_s'))
         await self._callers.stop(self._cfg.get('stop', 'grace_s'))
         await self._platform.stop(0)
-        await self._claims.flush()
+        await self._path.claims.flush()
         await self._step_holder(membership.Release())
         await self._admin.stop(0)
-        self._pool.close_all()
+        self._path.pool.close_all()
 
     # Link
 
