--- a/fuchsiatrestle/entry/_exchange.py
+++ b/fuchsiatrestle/entry/_exchange.py
@@ -7,7 +7,6 @@
 from fuchsiatrestle import daemon
 from fuchsiatrestle.net import http
 from fuchsiatrestle import routing
-from fuchsiatrestle.routing import _shares
 
 __all__ = ('Exchange', 'ForwardedRequest')
 
@@ -115,6 +114,9 @@
             return http.StreamedResponse(
                 self._head.status, self._streamed_headers(), _Stream(self)
             )
+        if reason == 'not_written':
+            await self._give_back()
+            return None
         if reason:
             await self._fail(reason)
             return None
@@ -217,6 +219,16 @@
         )
         return response
 
+    async def _give_back(self):
+        """Ends an attempt on whose connection nothing was sent."""
+        self._over = True
+        self._pool.keep(self._dispatch.connection_id, self._conn)
+        await self._router.step(
+            routing.AttemptEnded(
+                self._ticket.request_id, 'not_written', False, reusable=True
+            )
+        )
+
     async def _fail(self, reason, answer_started=False):
         self._over = True
         draining = await self._abandon()
@@ -251,9 +263,14 @@
         return True
 
     async def _drain(self, conn):
-        """Waits for the upstream to end, which frees its slot."""
+        """Waits for the upstream to end, which frees its slot.
+
+        An upstream that takes no notice of the half-close works on until the
+        deadline it was told.
+        """
         seen_closed = False
-        async with curio.ignore_after(_shares.ABANDON_HOLD_MS / 1000):
+        hold_s = self._left_s + routing.ABANDON_HOLD_MS / 1000
+        async with curio.ignore_after(hold_s):
             await conn.wait_closed()
             seen_closed = True
         conn.close()
--- a/fuchsiatrestle/routing/__init__.py
+++ b/fuchsiatrestle/routing/__init__.py
@@ -20,6 +20,7 @@
 from fuchsiatrestle.routing import _events
 from fuchsiatrestle.routing import _reasons
 from fuchsiatrestle.routing import _services
+from fuchsiatrestle.routing import _shares
 from fuchsiatrestle.routing._effects import *
 from fuchsiatrestle.routing._events import *
 
@@ -27,6 +28,7 @@
     _effects.__all__
     + _events.__all__
     + (
+        'ABANDON_HOLD_MS',
         'PEER_MESSAGES',
         'REASONS',
         'TICK_MS',
@@ -36,6 +38,7 @@
     )
 )
 
+ABANDON_HOLD_MS = _shares.ABANDON_HOLD_MS
 PEER_MESSAGES = _events.PEER_MESSAGES
 REASONS = _reasons.REASONS
 TICK_MS = _core.TICK_MS
--- a/fuchsiatrestle/routing/_core.py
+++ b/fuchsiatrestle/routing/_core.py
@@ -439,7 +439,9 @@
         queue = group.queue
         while queue:
             pending = queue.pop()
-            if not self._dispatch(group, pending, now_ms, effects):
+            if pending.deadline_ms - now_ms < group.median_ms:
+                self._refuse(pending, 'deadline_in_queue', now_ms, effects)
+            elif not self._dispatch(group, pending, now_ms, effects):
                 queue.push_back(pending)
                 break
         if queue:
--- a/fuchsiatrestle/routing/_group.py
+++ b/fuchsiatrestle/routing/_group.py
@@ -55,11 +55,9 @@
         return other or free
 
     def capacity(self, now_ms):
-        """Slots that this entry may use, over all ready upstreams."""
+        """Slots that are free or in use, over upstreams given work."""
         return sum(
-            max(0, upstream.capacity(now_ms))
-            for upstream in self.upstreams
-            if upstream.ready
+            max(0, upstream.usable(now_ms)) for upstream in self.upstreams
         )
 
     def free(self, now_ms):
--- a/fuchsiatrestle/routing/_upstreams.py
+++ b/fuchsiatrestle/routing/_upstreams.py
@@ -106,6 +106,12 @@
                 slots += loan.slots
         return slots
 
+    def usable(self, now_ms):
+        """Slots this entry would fill now if it had the requests."""
+        if not self.ready or now_ms < self.hold_until_ms:
+            return 0
+        return min(self.capacity(now_ms), self.health.limit(now_ms))
+
     def free(self, now_ms):
         """Slots on which a request may start now."""
         if not self.ready or now_ms < self.hold_until_ms:
--- /dev/null
+++ b/tests/routing/test_random_runs.py
@@ -0,0 +1,177 @@
+"""Randomised runs of several routing cores under faults, by seed.
+
+A longer run: ``python -m tests.routing.test_random_runs FIRST_SEED COUNT``.
+"""
+
+import sys
+import unittest
+
+from tests.fakes import routing_world
+
+SEEDS = range(1, 13)
+FAULTY_MS = 20000
+QUIET_MS = 25000
+
+
+class _Driver:
+    """Sends requests and brings faults about."""
+
+    def __init__(self, seed):
+        self.world = world = routing_world.World(seed)
+        self.rng = world.rng
+        world.network.loss = 0.05
+        world.network.double = 0.05
+        world.network.delay_ms = 20
+        for upstream in world.upstreams.values():
+            upstream.honours_close = self.rng.random() < 0.5
+            upstream.service_ms = self._service_ms(upstream)
+        self._faults = [
+            self._kill_upstream,
+            self._freeze_upstream,
+            self._leave,
+            self._black_hole,
+            self._kill_entry,
+            self._freeze_entry,
+            self._cut_control,
+            self._cut_peers,
+            self._change_members,
+            self._slow_upstream,
+        ]
+
+    def _service_ms(self, upstream):
+        def draw():
+            # An upstream that takes no notice of a close keeps the deadline.
+            drawn_ms = self.rng.expovariate(1 / 30)
+            return drawn_ms if upstream.honours_close else min(drawn_ms, 400)
+
+        return draw
+
+    def run(self):
+        world = self.world
+        world.after(1000, self._call)
+        world.after(6000, self._fault)
+        world.run_until(FAULTY_MS)
+        world.network.cut.clear()
+        for entry in world.entries.values():
+            entry.reaches_control = True
+        world.run_until(FAULTY_MS + QUIET_MS)
+        world.check_requests()
+        world.check_quiet()
+
+    def _call(self):
+        world = self.world
+        if world.now > FAULTY_MS:
+            return
+        world.after(self.rng.expovariate(1 / 2.0), self._call)
+        name = self.rng.choice(['e1', 'e1', 'e1', *world.entries])
+        if not world.entries[name].alive:
+            return
+        idempotent = self.rng.random() < 0.6
+        key = ''
+        if not idempotent and self.rng.random() < 0.3:
+            key = f'k{self.rng.randrange(200)}'
+        request = world.ask(name, idempotent, key)
+        if self.rng.random() < 0.05:
+            entry = world.entries[name]
+            entry.later(self.rng.uniform(0, 100), entry.drop, request)
+
+    # Faults
+
+    def _fault(self):
+        if self.world.now > FAULTY_MS:
+            return
+        self.world.after(self.rng.expovariate(1 / 400), self._fault)
+        self.rng.choice(self._faults)()
+
+    def _upstream(self):
+        return self.rng.choice(list(self.world.upstreams.values()))
+
+    def _entry(self):
+        return self.rng.choice(list(self.world.entries.values()))
+
+    def _kill_upstream(self):
+        upstream = self._upstream()
+        if upstream.alive:
+            upstream.kill()
+            self.world.after(self.rng.uniform(10, 4000), upstream.restart)
+
+    def _freeze_upstream(self):
+        self._upstream().freeze(self.rng.choice([50, 300, 2000, 6000]))
+
+    def _leave(self):
+        upstream = self._upstream()
+        if upstream.alive:
+            upstream.leave()
+            self.world.after(self.rng.uniform(3500, 6000), upstream.kill)
+            self.world.after(self.rng.uniform(6000, 8000), upstream.restart)
+
+    def _black_hole(self):
+        self._upstream().black_hole()
+
+    def _slow_upstream(self):
+        upstream = self._upstream()
+        if upstream.honours_close:
+            upstream.service_ms = lambda: self.rng.expovariate(1 / 300)
+
+    def _kill_entry(self):
+        entry = self._entry()
+        if entry.alive:
+            entry.kill()
+            self.world.after(
+                self.rng.uniform(10, 3000),
+                self.world.start_entry,
+                entry.name,
+            )
+
+    def _freeze_entry(self):
+        self._entry().freeze(self.rng.choice([20, 300, 1500, 2500, 5000]))
+
+    def _cut_control(self):
+        entry = self._entry()
+        entry.reaches_control = False
+        self.world.after(self.rng.uniform(500, 5000), self._mend, entry)
+
+    def _mend(self, entry):
+        entry.reaches_control = True
+
+    def _cut_peers(self):
+        first, second = self.rng.sample(sorted(self.world.entries), 2)
+        self.world.network.cut.add((first, second))
+        self.world.after(
+            self.rng.uniform(500, 4000),
+            self.world.network.cut.discard,
+            (first, second),
+        )
+
+    def _change_members(self):
+        count = self.rng.randint(1, 3)
+        self.world.set_members(self.rng.sample(['e1', 'e2', 'e3'], count))
+
+
+class RandomRunTest(unittest.TestCase):
+    def test_invariants_hold_under_faults(self):
+        answered = 0
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                driver = _Driver(seed)
+                driver.run()
+                answered += len(driver.world.latencies)
+        # The runs are worth nothing if hardly any request is answered.
+        self.assertGreater(answered, 1000 * len(SEEDS))
+
+
+def main(args):
+    """Runs ``COUNT`` seeds from ``FIRST_SEED`` on."""
+    first, count = int(args[0]), int(args[1])
+    for seed in range(first, first + count):
+        driver = _Driver(seed)
+        try:
+            driver.run()
+        except Exception:
+            print(f'seed {seed} failed', flush=True)
+            raise
+    print(f'{count} seeds from {first} passed')
+
+
+if __name__ == '__main__':
+    main(sys.argv[1:])
