--- a/fuchsiatrestle/routing/_core.py
+++ b/fuchsiatrestle/routing/_core.py
@@ -327,7 +327,7 @@
             effects.append(_effects.CloseConnections([connection_id]))
 
     def _attempt_failed(self, event, group, pending, now_ms, effects):
-        self._judge(event.reason, pending.upstream, now_ms, effects)
+        self._judge(event.reason, pending, now_ms, effects)
         pending.avoided += (pending.upstream.address,)
         if event.written and not event.refused:
             pending.written = True
@@ -341,14 +341,20 @@
         else:
             self._refuse(pending, _REFUSALS[event.reason], now_ms, effects)
 
-    def _judge(self, reason, upstream, now_ms, effects):
+    def _judge(self, reason, pending, now_ms, effects):
         """Draws conclusions about an upstream from a failed attempt."""
-        health = upstream.health
+        upstream = pending.upstream
         if reason in _SILENT:
-            health.distrust(now_ms)
-            self._close(upstream.take_distrusted(), effects)
+            elapsed_ms = now_ms - pending.begun_ms
+            group = self._groups[pending.service]
+            if group.is_silence(upstream, elapsed_ms):
+                upstream.health.distrust(pending.begun_ms, now_ms)
+                self._close(upstream.take_distrusted(), effects)
+            upstream.latency.exceed(elapsed_ms)
         elif reason not in _FREE_RETRIES:
-            health.fail(now_ms, at_once=reason in _UNREACHED)
+            upstream.health.fail(
+                pending.begun_ms, now_ms, at_once=reason in _UNREACHED
+            )
 
     def _may_retry(self, event, group, pending, now_ms):
         runs_again = event.written and not event.refused
@@ -502,13 +508,14 @@
         elif silent:
             # It may still be working on requests that others gave up.
             group = self._groups[upstream.service]
-            upstream.hold_until_ms = (
-                now_ms + group.cfg.deadline_ms + _shares.ABANDON_HOLD_MS
-            )
+            upstream.hold_until_ms = now_ms + self._silent_hold_ms(group)
         upstream.slots = announcement.slots
         upstream.connections = announcement.connections
         self._update_share(upstream, now_ms, effects)
 
+    def _silent_hold_ms(self, group):
+        return group.cfg.deadline_ms + _shares.ABANDON_HOLD_MS
+
     def _drop_upstream(self, upstream, effects):
         del self._upstreams[upstream.address]
         self._groups[upstream.service].upstreams.remove(upstream)
--- a/fuchsiatrestle/routing/_group.py
+++ b/fuchsiatrestle/routing/_group.py
@@ -105,6 +105,12 @@
         """True if ``latency_ms`` makes an upstream an outlier."""
         return latency_ms > OUTLIER_RATIO * self.median_ms + OUTLIER_FLOOR_MS
 
+    def is_silence(self, upstream, elapsed_ms):
+        """True if an upstream that took so long is more than busy."""
+        if upstream.latency.known:
+            return elapsed_ms >= upstream.latency.unusual_ms
+        return elapsed_ms >= self.cfg.deadline_ms // 2
+
     def take_latency(self, upstream, latency_ms, now_ms):
         """Notes a whole answer of an upstream."""
         health = upstream.health
--- a/fuchsiatrestle/routing/_health.py
+++ b/fuchsiatrestle/routing/_health.py
@@ -38,6 +38,7 @@
 
     __slots__ = (
         '_failures',
+        '_judged_ms',
         '_probation',
         '_shun_ms',
         '_shunned_until_ms',
@@ -47,6 +48,7 @@
 
     def __init__(self):
         self._failures = 0
+        self._judged_ms = -1
         self._probation = False
         self._shun_ms = SHUN_MIN_MS
         self._shunned_until_ms = 0
@@ -75,24 +77,30 @@
         self._shun_ms = SHUN_MIN_MS
         self.proved_ms = now_ms
 
-    def fail(self, now_ms, *, at_once):
+    def fail(self, begun_ms, now_ms, *, at_once):
         """Notes a failed attempt.
 
+        Attempts begun before the last judgement tell nothing new.
+
         Args:
+            begun_ms: start of the attempt.
             now_ms: time now.
             at_once: True if one such failure is enough to shun.
         """
+        if begun_ms <= self._judged_ms:
+            return
         self._failures += 1
         if at_once or self._probation or self._failures >= FAILURES_IN_A_ROW:
             self.shun(now_ms, 'failures')
 
-    def distrust(self, now_ms):
-        """Notes a silent connection."""
+    def distrust(self, begun_ms, now_ms):
+        """Notes that a connection has been silent since ``begun_ms``."""
         metrics.count(DISTRUSTED)
         self.generation += 1
-        if self._probation:
+        if self._probation and begun_ms > self._judged_ms:
             self.shun(now_ms, 'silent')
         self._probation = True
+        self._judged_ms = now_ms
 
     def shun(self, now_ms, reason):
         """Excludes the upstream for a time that doubles on repetition."""
@@ -101,3 +109,4 @@
         self._shun_ms = min(2 * self._shun_ms, SHUN_MAX_MS)
         self._probation = True
         self._failures = 0
+        self._judged_ms = now_ms
--- a/fuchsiatrestle/routing/_latency.py
+++ b/fuchsiatrestle/routing/_latency.py
@@ -39,6 +39,11 @@
         """Forgets all samples."""
         self.samples = 0
 
+    def exceed(self, latency_ms):
+        """Takes into account that an answer took longer than that."""
+        if latency_ms > self.mean_ms:
+            self.add(latency_ms)
+
     def add(self, latency_ms):
         """Takes one sample."""
         self.samples += 1
--- a/tests/fakes/routing_world.py
+++ b/tests/fakes/routing_world.py
@@ -32,6 +32,7 @@
         loss: share of messages between entries that are lost.
         double: share of messages between entries that arrive twice.
         cut: set of ``(from, to)`` names between which nothing passes.
+        extra_ms: further delay by ``(from, to)`` names.
     """
 
     def __init__(self, rng, delay_ms=2, loss=0.0, double=0.0):
@@ -40,6 +41,7 @@
         self.loss = loss
         self.double = double
         self.cut = set()
+        self.extra_ms = {}
 
     def delay(self):
         """Returns one delay."""
@@ -50,7 +52,8 @@
         if (source, target) in self.cut or self._rng.random() < self.loss:
             return []
         copies = 2 if self._rng.random() < self.double else 1
-        return [self.delay() for _ in range(copies)]
+        extra_ms = self.extra_ms.get((source, target), 0)
+        return [extra_ms + self.delay() for _ in range(copies)]
 
 
 class _Call:
@@ -98,7 +101,7 @@
         self.honours_close = True
         self.service_ms = lambda: world.rng.expovariate(1 / 10)
         self.running = {}
-        self.open = set()
+        self.open = {}
         self.alive = True
         self.frozen = False
         self.left_ms = None
@@ -146,7 +149,7 @@
         """Opens a connection; returns False if nobody listens."""
         if not self.alive:
             return False
-        self.open.add(key)
+        self.open[key] = None
         invariants.require(
             len(self.open) <= self.connections,
             'world.connections_within_limit',
@@ -219,7 +222,7 @@
             return
         if key in self.black_holed:
             if not half:
-                self.open.discard(key)
+                self.open.pop(key, None)
             return
         call = self._calls.get(key)
         if call is not None and call.running and not self.honours_close:
@@ -227,7 +230,7 @@
             return
         if call is not None and call.running:
             self._end(call)
-        self.open.discard(key)
+        self.open.pop(key, None)
         entry = self.world.entry_of(key)
         if half and entry is not None:
             entry.later(self.world.network.delay(), entry.saw_close, key)
--- a/tests/routing/test_random_runs.py
+++ b/tests/routing/test_random_runs.py
@@ -13,7 +13,7 @@
 QUIET_MS = 25000
 
 
-class _Driver:
+class Driver:
     """Sends requests and brings faults about."""
 
     def __init__(self, seed):
@@ -153,7 +153,7 @@
         answered = 0
         for seed in SEEDS:
             with self.subTest(seed=seed):
-                driver = _Driver(seed)
+                driver = Driver(seed)
                 driver.run()
                 answered += len(driver.world.latencies)
         # The runs are worth nothing if hardly any request is answered.
@@ -164,7 +164,7 @@
     """Runs ``COUNT`` seeds from ``FIRST_SEED`` on."""
     first, count = int(args[0]), int(args[1])
     for seed in range(first, first + count):
-        driver = _Driver(seed)
+        driver = Driver(seed)
         try:
             driver.run()
         except Exception:
--- /dev/null
+++ b/tests/routing/test_scenarios.py
@@ -0,0 +1,84 @@
+"""Directed runs: one fault at the moment at which it hurts most."""
+
+import unittest
+
+from fuchsiatrestle import invariants
+from tests.fakes import routing_world
+
+ADDRESS = '127.0.0.1:9000'
+SETTLED_MS = 8000
+BUSY_MS = 400
+
+
+def _world(entries, upstreams=1):
+    world = routing_world.World(7, entries=entries, upstreams=upstreams)
+    for upstream in world.upstreams.values():
+        upstream.honours_close = False
+        upstream.service_ms = lambda: BUSY_MS
+    world.run_until(SETTLED_MS)
+    return world
+
+
+def _ask_often(world, names, until_ms, every_ms=5):
+    """Keeps every slot wanted until ``until_ms``."""
+    if world.now >= until_ms:
+        return
+    for name in names:
+        if world.entries[name].alive:
+            world.ask(name, idempotent=False)
+    world.after(every_ms, _ask_often, world, names, until_ms, every_ms)
+
+
+def run_silent_upstream():
+    """An upstream that was frozen runs what others gave up long ago."""
+    for step_ms in range(0, 1000, 100):
+        world = _world(entries=2)
+        upstream = world.upstreams[ADDRESS]
+        upstream.freeze(7000 + step_ms)
+        _ask_often(world, ['e1', 'e2'], SETTLED_MS + 12000)
+        world.run_until(SETTLED_MS + 14000)
+        invariants.require(upstream.begun > 20, 'scenario.worked_again')
+        world.check_requests()
+
+
+def run_frozen_before_write():
+    """An entry freezes between its decision and the first byte."""
+    world = _world(entries=2)
+    request = world.ask('e1', idempotent=False)
+    world.run_until(world.now + 0.1)
+    world.entries['e1'].freeze(7000)
+    world.set_members(['e2'])
+    _ask_often(world, ['e2'], SETTLED_MS + 8000)
+    world.run_until(SETTLED_MS + 9000)
+    invariants.require(
+        world.upstreams[ADDRESS].most_in_flight == 8, 'scenario.slots_taken'
+    )
+    invariants.require(
+        request.begun == 0, 'scenario.nothing_written_without_lease'
+    )
+    world.check_requests()
+
+
+def run_late_loan():
+    """Loans reach the borrower only when their term is over."""
+    world = _world(entries=2)
+    upstream = world.upstreams[ADDRESS]
+    upstream.service_ms = lambda: 490
+    world.network.extra_ms['e2', 'e1'] = 1500
+    _ask_often(world, ['e1'], SETTLED_MS + 6000)
+    world.run_until(SETTLED_MS + 200)
+    _ask_often(world, ['e2'], SETTLED_MS + 6000)
+    world.run_until(SETTLED_MS + 9000)
+    invariants.require(upstream.begun > 20, 'scenario.worked')
+    world.check_requests()
+
+
+class ScenarioTest(unittest.TestCase):
+    def test_a_silent_upstream_is_given_time_to_end_its_work(self):
+        run_silent_upstream()
+
+    def test_nothing_is_written_after_the_lease_was_lost(self):
+        run_frozen_before_write()
+
+    def test_a_loan_that_comes_after_its_term_is_not_used(self):
+        run_late_loan()
