Believe old work ended only on evidence that the upstream ran

Change: a lent slot, a gained share and a lost connection's slot count again only after the upstream was heard without a gap for as long as a request may take. An upstream first heard in the middle of its life waits likewise; one merely silent for a while needs no such wait any more.

--- a/fuchsiatrestle/entry/_daemon.py
+++ b/fuchsiatrestle/entry/_daemon.py
@@ -90,7 +90,7 @@
         core = self.router.core
         if self.draining or not self.holder.is_held(now_ms):
             return False
-        return core.is_leased(now_ms) and core.is_settled(now_ms)
+        return core.is_leased(now_ms) and core.is_settled
 
     # Running
 
--- a/fuchsiatrestle/routing/__init__.py
+++ b/fuchsiatrestle/routing/__init__.py
@@ -20,7 +20,7 @@
 from fuchsiatrestle.routing import _events
 from fuchsiatrestle.routing import _reasons
 from fuchsiatrestle.routing import _services
-from fuchsiatrestle.routing import _shares
+from fuchsiatrestle.routing import _steadiness
 from fuchsiatrestle.routing._effects import *
 from fuchsiatrestle.routing._events import *
 
@@ -38,7 +38,7 @@
     )
 )
 
-ABANDON_HOLD_MS = _shares.ABANDON_HOLD_MS
+ABANDON_HOLD_MS = _steadiness.ABANDON_HOLD_MS
 PEER_MESSAGES = _events.PEER_MESSAGES
 REASONS = _reasons.REASONS
 TICK_MS = _core.TICK_MS
--- a/fuchsiatrestle/routing/_core.py
+++ b/fuchsiatrestle/routing/_core.py
@@ -22,6 +22,8 @@
 # sockets meanwhile says nothing about the present.
 FROZEN_MS = 1000
 STALE_INPUT_MS = 300
+# An upstream that says so little of itself has only just started.
+FIRST_SEQS = 2
 MAX_ATTEMPTS = 3
 MIN_PROGRESS_MS = 100
 SPARE_DIVISOR = 8
@@ -137,11 +139,12 @@
         """True while callers may be served."""
         return now_ms < self._lease_until_ms
 
-    def is_settled(self, now_ms):
-        """True once this entry uses all slots that it owns."""
-        return all(
-            now_ms >= self._history.settled_ms(name) for name in self._groups
-        )
+    @property
+    def is_settled(self):
+        """True once this entry uses its slots of most upstreams."""
+        ready = [up for up in self._upstreams.values() if up.ready]
+        settled = [up for up in ready if self._history.is_settled(up)]
+        return 2 * len(settled) >= len(ready)
 
     def may_write(self, request_id, now_ms):
         """Says whether a dispatched request may still start.
@@ -476,9 +479,6 @@
     def _hear(self, announcement, now_ms, effects, first_hand=False):
         address = announcement.address
         known = self._table.get(address)
-        silent = known is not None and not self._table.is_usable(
-            address, now_ms
-        )
         if not self._table.hear(announcement, now_ms, first_hand):
             return
         upstream = self._upstreams.get(address)
@@ -487,7 +487,10 @@
             upstream = None
         if upstream is None:
             upstream = self._add_upstream(announcement, now_ms)
-        self._update(upstream, announcement, silent, now_ms, effects)
+        if known is None and announcement.seq > FIRST_SEQS:
+            # It may be working on requests that this process knows not of.
+            upstream.unsettle(now_ms)
+        self._update(upstream, announcement, now_ms, effects)
         self._refresh_ready(upstream, now_ms)
         if not upstream.ready:
             self._close(upstream.take_idle(), effects)
@@ -501,23 +504,19 @@
         group.upstreams.append(upstream)
         return upstream
 
-    def _update(self, upstream, announcement, silent, now_ms, effects):
+    def _update(self, upstream, announcement, now_ms, effects):
         if upstream.incarnation != announcement.incarnation:
             upstream.renew(announcement.incarnation)
             self._close(upstream.take_idle(), effects)
-        elif silent:
-            # It may still be working on requests that others gave up.
-            group = self._groups[upstream.service]
-            upstream.hold_until_ms = now_ms + self._silent_hold_ms(group)
+        upstream.steadiness.hear(now_ms - announcement.age_ms)
+        upstream.settle(self._groups[upstream.service].cfg.deadline_ms)
         upstream.slots = announcement.slots
         upstream.connections = announcement.connections
         self._update_share(upstream, now_ms, effects)
 
-    def _silent_hold_ms(self, group):
-        return group.cfg.deadline_ms + _shares.ABANDON_HOLD_MS
-
     def _drop_upstream(self, upstream, effects):
         del self._upstreams[upstream.address]
+        self._lending.forget(upstream)
         self._groups[upstream.service].upstreams.remove(upstream)
         self._close(upstream.take_idle(), effects)
 
@@ -602,10 +601,10 @@
             self._update_share(upstream, now_ms, effects)
 
     def _update_share(self, upstream, now_ms, effects):
-        place = (upstream.service, upstream.address)
-        upstream.own = self._history.owned(*place, upstream.slots, now_ms)
-        upstream.own_connections = self._history.owned(
-            *place, upstream.connections, now_ms
+        history = self._history
+        upstream.own = history.owned(upstream, upstream.slots)
+        upstream.own_connections = history.owned(
+            upstream, upstream.connections
         )
         self._close(upstream.take_excess(), effects)
 
@@ -629,8 +628,7 @@
         if self._history.has_past:
             self._history.expire(now_ms)
             self._update_shares(now_ms, effects)
-        for upstream in self._lending.expire(now_ms):
-            upstream.release_stuck(now_ms)
+        self._lending.expire(now_ms)
         for upstream in self._upstreams.values():
             self._tick_upstream(upstream, now_ms, effects)
         for group in self._groups.values():
@@ -640,7 +638,7 @@
 
     def _tick_upstream(self, upstream, now_ms, effects):
         self._refresh_ready(upstream, now_ms)
-        upstream.release_stuck(now_ms)
+        upstream.release_stuck(self._groups[upstream.service].cfg.deadline_ms)
         self._close(upstream.take_expired(now_ms), effects)
         self._close(upstream.take_excess(), effects)
 
--- a/fuchsiatrestle/routing/_group.py
+++ b/fuchsiatrestle/routing/_group.py
@@ -116,9 +116,8 @@
         health = upstream.health
         if health.on_probation and self.is_slow(latency_ms):
             health.shun(now_ms, 'slow')
-            health.proved_ms = now_ms
             return
         if health.on_probation:
             upstream.latency.restart()
-        health.succeed(now_ms)
+        health.succeed()
         upstream.latency.add(latency_ms)
--- a/fuchsiatrestle/routing/_health.py
+++ b/fuchsiatrestle/routing/_health.py
@@ -33,7 +33,6 @@
     Attributes:
         generation: grows with each silence; connections of an older one are
             not reused.
-        proved_ms: time of the last whole answer.
     """
 
     __slots__ = (
@@ -43,7 +42,6 @@
         '_shun_ms',
         '_shunned_until_ms',
         'generation',
-        'proved_ms',
     )
 
     def __init__(self):
@@ -53,7 +51,6 @@
         self._shun_ms = SHUN_MIN_MS
         self._shunned_until_ms = 0
         self.generation = 0
-        self.proved_ms = -1
 
     @property
     def on_probation(self):
@@ -70,12 +67,11 @@
             return 0
         return 1 if self._probation else UNLIMITED
 
-    def succeed(self, now_ms):
+    def succeed(self):
         """Notes a whole answer."""
         self._failures = 0
         self._probation = False
         self._shun_ms = SHUN_MIN_MS
-        self.proved_ms = now_ms
 
     def fail(self, begun_ms, now_ms, *, at_once):
         """Notes a failed attempt.
--- a/fuchsiatrestle/routing/_lending.py
+++ b/fuchsiatrestle/routing/_lending.py
@@ -1,8 +1,9 @@
 """Demand for slots of other entries, and offers of idle ones to them.
 
 The borrower counts a term from the moment it sent its demand, the lender
-from the moment it granted it plus the longest request, so that a frozen
-process or a lost message can only make slots rest, never be used twice.
+from the moment it granted it, and then waits until the upstream must have
+ended the longest request.  A frozen process or a lost message can only make
+slots rest, never be used twice.
 """
 
 from fuchsiatrestle import messages
@@ -208,15 +209,9 @@
     def _lend(self, demand, upstream, service, now_ms):
         self._next_loan += 1
         longest_ms = service.deadline_ms
-        until_ms = (
-            now_ms
-            + LOAN_MS
-            + _shares.DRIFT_MS
-            + longest_ms
-            + _shares.ABANDON_HOLD_MS
-        )
+        until_ms = now_ms + LOAN_MS + _shares.DRIFT_MS
         self._given[self._next_loan] = _loans.GivenLoan(
-            self._next_loan, demand.entry, upstream, 1, until_ms
+            self._next_loan, demand.entry, upstream, 1, until_ms, longest_ms
         )
         upstream.lent += 1
         metrics.count(SLOTS_LENT)
@@ -244,16 +239,21 @@
         return self._end(loan)
 
     def expire(self, now_ms):
-        """Ends loans never returned; returns their upstreams."""
-        ended = [
-            loan for loan in self._given.values() if now_ms >= loan.until_ms
-        ]
+        """Ends loans that were never returned."""
+        ended = [loan for loan in self._given.values() if loan.is_over(now_ms)]
         self._seen = {
             key: until_ms
             for key, until_ms in self._seen.items()
             if now_ms < until_ms
         }
-        return [self._end(loan) for loan in ended]
+        for loan in ended:
+            self._end(loan)
+
+    def forget(self, upstream):
+        """Drops loans of an upstream that was not heard for long."""
+        for loan in list(self._given.values()):
+            if loan.upstream is upstream:
+                self._end(loan)
 
     def _end(self, loan):
         del self._given[loan.loan]
--- a/fuchsiatrestle/routing/_loans.py
+++ b/fuchsiatrestle/routing/_loans.py
@@ -11,17 +11,32 @@
         borrower: name of the borrowing entry.
         upstream: the ``Upstream``.
         slots: number of slots.
-        until_ms: when every request on them has ended, returned or not.
+        until_ms: when the term has ended by any clock.
+        longest_ms: longest request that may have been started on them.
     """
 
-    __slots__ = ('borrower', 'loan', 'slots', 'until_ms', 'upstream')
+    __slots__ = (
+        'borrower',
+        'loan',
+        'longest_ms',
+        'slots',
+        'until_ms',
+        'upstream',
+    )
 
-    def __init__(self, loan, borrower, upstream, slots, until_ms):
+    def __init__(self, loan, borrower, upstream, slots, until_ms, longest_ms):
         self.loan = loan
         self.borrower = borrower
         self.upstream = upstream
         self.slots = slots
         self.until_ms = until_ms
+        self.longest_ms = longest_ms
+
+    def is_over(self, now_ms):
+        """True if every request on the slots must have ended."""
+        return now_ms >= self.until_ms and self.upstream.steadiness.is_over(
+            self.until_ms, self.longest_ms
+        )
 
 
 class TakenLoan:
--- a/fuchsiatrestle/routing/_shares.py
+++ b/fuchsiatrestle/routing/_shares.py
@@ -6,10 +6,11 @@
 request started under one, must have ended.
 """
 
+import functools
+
 import xxhash
 
 __all__ = (
-    'ABANDON_HOLD_MS',
     'DRIFT_MS',
     'LEASE_BOUND_MS',
     'ShareHistory',
@@ -19,17 +20,19 @@
 LEASE_BOUND_MS = 2000
 # Difference of two clocks' rates over the longest term here.
 DRIFT_MS = 200
-# Longest time that an abandoned exchange is waited for.
-ABANDON_HOLD_MS = 1000
+# Epochs older than this are covered by the care for unheard upstreams.
+EPOCH_KEPT_MS = 60000
+CACHED_POSITIONS = 4096
 
 
+@functools.lru_cache(maxsize=CACHED_POSITIONS)
 def owned_positions(address, count, members, entry):
     """Returns the positions out of ``count`` that ``entry`` owns.
 
     Args:
         address: the upstream.
         count: number of slots or connections.
-        members: names of the entries.
+        members: names of the entries, a frozenset.
         entry: the asking entry.
     """
     if entry not in members:
@@ -104,47 +107,41 @@
         self._longest_ms = _longest_of(longest_ms, self._longest_ms, changed)
         return changed
 
-    def settled_ms(self, service):
-        """Returns when all past epochs of ``service`` have ended."""
-        return max(
-            (self._end_ms(epoch, service) for epoch in self._past), default=0
-        )
+    def owned(self, upstream, count):
+        """Returns how many of ``count`` positions may be used now.
 
-    def owned(self, service, address, count, now_ms):
-        """Returns how many of ``count`` positions may be used now."""
+        Args:
+            upstream: the ``Upstream``.
+            count: number of its slots or connections.
+        """
+        address = upstream.address
         positions = owned_positions(address, count, self._members, self._entry)
         for epoch in self._past:
-            if now_ms < self._end_ms(epoch, service):
+            if not self._is_over(epoch, upstream):
                 positions &= owned_positions(
                     address, count, epoch.members, self._entry
                 )
         return len(positions)
 
+    def is_settled(self, upstream):
+        """True if no past epoch matters for the upstream any more."""
+        return all(self._is_over(epoch, upstream) for epoch in self._past)
+
     def expire(self, now_ms):
-        """Drops past epochs; returns True if there was one to drop."""
-        kept = [
-            epoch for epoch in self._past if now_ms < self._last_end_ms(epoch)
+        """Drops epochs that no longer matter for any upstream."""
+        self._past = [
+            epoch
+            for epoch in self._past
+            if now_ms - epoch.ended_ms < EPOCH_KEPT_MS
         ]
-        dropped = len(kept) != len(self._past)
-        self._past = kept
-        return dropped
 
-    def _end_ms(self, epoch, service):
+    def _is_over(self, epoch, upstream):
         longest_ms = max(
-            epoch.longest_ms.get(service, 0),
-            self._longest_ms.get(service, 0),
-        )
-        return (
-            epoch.ended_ms
-            + LEASE_BOUND_MS
-            + DRIFT_MS
-            + longest_ms
-            + ABANDON_HOLD_MS
+            epoch.longest_ms.get(upstream.service, 0),
+            self._longest_ms.get(upstream.service, 0),
         )
-
-    def _last_end_ms(self, epoch):
-        names = {*epoch.longest_ms, *self._longest_ms, ''}
-        return max(self._end_ms(epoch, name) for name in names)
+        base_ms = epoch.ended_ms + LEASE_BOUND_MS + DRIFT_MS
+        return upstream.steadiness.is_over(base_ms, longest_ms)
 
 
 def _longest_of(now, before, changed):
--- a/fuchsiatrestle/routing/_upstreams.py
+++ b/fuchsiatrestle/routing/_upstreams.py
@@ -3,13 +3,11 @@
 from fuchsiatrestle import invariants
 from fuchsiatrestle.routing import _health
 from fuchsiatrestle.routing import _latency
+from fuchsiatrestle.routing import _steadiness
 
 __all__ = ('IdleConnection', 'Upstream')
 
 IDLE_MS = 15000
-# A slot whose connection never showed its end is used again after this time
-# at the latest, or else an upstream with one slot could not be probed.
-STUCK_MS = 5000
 
 
 class IdleConnection:
@@ -37,7 +35,7 @@
         lent: owned slots lent to others.
         taken: list of ``TakenLoan``.
         ready: True if announced ready and not unheard.
-        hold_until_ms: no work before then.
+        steadiness: ``Steadiness``.
         latency: ``LatencyEstimate``.
         health: ``Health``.
     """
@@ -47,10 +45,10 @@
         '_draining',
         '_idle',
         '_stuck',
+        '_unsettled_ms',
         'address',
         'connections',
         'health',
-        'hold_until_ms',
         'incarnation',
         'latency',
         'lent',
@@ -59,6 +57,7 @@
         'ready',
         'service',
         'slots',
+        'steadiness',
         'taken',
     )
 
@@ -73,12 +72,13 @@
         self.lent = 0
         self.taken = []
         self.ready = False
-        self.hold_until_ms = 0
+        self.steadiness = _steadiness.Steadiness()
         self.latency = _latency.LatencyEstimate()
         self.health = _health.Health()
         self._busy = {}
         self._draining = {}
         self._stuck = {}
+        self._unsettled_ms = None
         self._idle = []
 
     # Facts
@@ -108,13 +108,13 @@
 
     def usable(self, now_ms):
         """Slots this entry would fill now if it had the requests."""
-        if not self.ready or now_ms < self.hold_until_ms:
+        if not self.ready or self._unsettled_ms is not None:
             return 0
         return min(self.capacity(now_ms), self.health.limit(now_ms))
 
     def free(self, now_ms):
         """Slots on which a request may start now."""
-        if not self.ready or now_ms < self.hold_until_ms:
+        if not self.ready or self._unsettled_ms is not None:
             return 0
         in_use = self.in_use
         free = self.capacity(now_ms) - in_use
@@ -135,7 +135,7 @@
         """True if a dispatched request may still start."""
         return (
             self.ready
-            and now_ms >= self.hold_until_ms
+            and self._unsettled_ms is None
             and self.in_use <= self.capacity(now_ms)
         )
 
@@ -184,23 +184,31 @@
 
     def release(self, connection_id, now_ms, seen_closed):
         """Ends a drain; the slot stays in use if the end is not certain."""
-        since_ms = self._draining.pop(connection_id, None)
-        if since_ms is None or seen_closed:
-            return
-        if self.health.proved_ms < since_ms:
+        drained = self._draining.pop(connection_id, None) is not None
+        if drained and not seen_closed:
             self._stuck[connection_id] = now_ms
 
-    def release_stuck(self, now_ms):
-        """Frees slots of lost connections; returns True if there were any."""
-        proved_ms = self.health.proved_ms
-        free = [
+    def release_stuck(self, longest_ms):
+        """Frees slots whose requests must have ended."""
+        over = [
             connection_id
             for connection_id, since_ms in self._stuck.items()
-            if proved_ms > since_ms or now_ms - since_ms > STUCK_MS
+            if self.steadiness.is_over(since_ms, longest_ms)
         ]
-        for connection_id in free:
+        for connection_id in over:
             del self._stuck[connection_id]
-        return bool(free)
+
+    def unsettle(self, now_ms):
+        """Gives it no work until requests of before must have ended."""
+        self._unsettled_ms = now_ms
+
+    def settle(self, longest_ms):
+        """Gives it work again if requests of before must have ended."""
+        base_ms = self._unsettled_ms
+        if base_ms is None:
+            return
+        if self.steadiness.is_over(base_ms, longest_ms):
+            self._unsettled_ms = None
 
     def renew(self, incarnation):
         """Starts afresh for a new process behind the same address."""
@@ -208,6 +216,7 @@
         self.latency = _latency.LatencyEstimate()
         self.health = _health.Health()
         self._stuck.clear()
+        self._unsettled_ms = None
 
     # Idle connections
 
--- a/tests/fakes/routing_world.py
+++ b/tests/fakes/routing_world.py
@@ -21,6 +21,8 @@
 LEASE_MS = 2000
 LEASE_GUARD_MS = 2050
 LEAVE_BOUND_MS = 3000
+ANNOUNCE_MS = 1000
+ANNOUNCE_TIMEOUT_MS = 800
 SERVICE = 'quotes'
 
 
@@ -116,14 +118,18 @@
     # Announcements
 
     def _announce(self):
-        self.world.after(1000, self._announce)
-        if not self.alive or self.frozen:
+        self.world.after(ANNOUNCE_MS, self._announce)
+        names = list(self.world.entries)
+        self.world.rng.shuffle(names)
+        self._announce_to(names, self.incarnation)
+
+    def _announce_to(self, names, incarnation):
+        """Announces to the first entry that answers."""
+        if not names or self.frozen or not self.alive:
             return
-        self._seq += 1
-        names = [e.name for e in self.world.entries.values() if e.alive]
-        if not names:
+        if incarnation != self.incarnation:
             return
-        entry = self.world.entries[self.world.rng.choice(names)]
+        self._seq += 1
         state = 'ready' if self.left_ms is None else 'leaving'
         said = messages.Announcement(
             SERVICE,
@@ -135,13 +141,18 @@
             self.connections,
             0,
         )
-        if (self.address, entry.name) in self.world.network.cut:
-            return
+        entry = self.world.entries[names[0]]
         entry.later(
             self.world.network.delay(),
             entry.step,
             routing.AnnouncementHeard(said),
         )
+        if not entry.alive:
+            self._announce_to(names[1:], incarnation)
+        elif entry.frozen:
+            self.world.after(
+                ANNOUNCE_TIMEOUT_MS, self._announce_to, names[1:], incarnation
+            )
 
     # Connections and requests
 
@@ -309,7 +320,7 @@
         self.core = routing.Core(name, incarnation, int(world.now), policy)
         self.alive = True
         self.reaches_control = True
-        self._frozen = False
+        self.frozen = False
         self._waiting = []
         self._asked = []
         self._requests = {}
@@ -325,19 +336,19 @@
     def _awake(self, func, args):
         if not self.alive:
             return
-        if self._frozen:
+        if self.frozen:
             self._waiting.append((func, args))
         else:
             func(*args)
 
     def freeze(self, duration_ms):
         """Stops the process for a while."""
-        if self.alive and not self._frozen:
-            self._frozen = True
+        if self.alive and not self.frozen:
+            self.frozen = True
             self.world.after(duration_ms, self._thaw)
 
     def _thaw(self):
-        self._frozen = False
+        self.frozen = False
         waiting, self._waiting = self._waiting, []
         for func, args in waiting:
             self._awake(func, args)
@@ -738,9 +749,9 @@
                 'world.every_request_settled',
                 number=request.number,
             )
-        for entry in self.entries.values():
-            if entry.alive:
-                self._check_quiet_entry(entry)
+        # An entry that is no member hears nothing that would free its slots.
+        for name in self.members:
+            self._check_quiet_entry(self.entries[name])
 
     def _check_quiet_entry(self, entry):
         invariants.require(
--- a/tests/routing/test_mechanisms.py
+++ b/tests/routing/test_mechanisms.py
@@ -12,7 +12,9 @@
 from fuchsiatrestle import errors
 from fuchsiatrestle.routing import _core
 from fuchsiatrestle.routing import _lending
+from fuchsiatrestle.routing import _loans
 from fuchsiatrestle.routing import _shares
+from fuchsiatrestle.routing import _steadiness
 from fuchsiatrestle.routing import _upstreams
 from tests.routing import test_random_runs
 from tests.routing import test_scenarios
@@ -27,7 +29,7 @@
 def _no_settling():
     """A new owner uses a slot at once."""
     return mock.patch.object(
-        _shares.ShareHistory, '_end_ms', lambda self, epoch, service: 0
+        _shares.ShareHistory, '_is_over', lambda self, epoch, upstream: True
     )
 
 
@@ -45,15 +47,11 @@
 
 def _no_loan_margin():
     """A lender uses a slot again as soon as the term is over."""
-    original = _lending.Lending._lend
-
-    def lend(self, demand, upstream, service, now_ms):
-        effect = original(self, demand, upstream, service, now_ms)
-        loan = self._given[effect.message.loan]
-        loan.until_ms = now_ms + _lending.LOAN_MS
-        return effect
-
-    return mock.patch.object(_lending.Lending, '_lend', lend)
+    return mock.patch.object(
+        _loans.GivenLoan,
+        'is_over',
+        lambda self, now_ms: now_ms >= self.until_ms,
+    )
 
 
 def _term_from_receipt():
@@ -68,13 +66,18 @@
     return mock.patch.object(_lending.Lending, 'take', take)
 
 
-def _no_hold_after_silence():
-    """An upstream that was silent gets work as soon as it is heard."""
+def _no_hold_when_unknown():
+    """An upstream that has run before gets work as soon as it is heard."""
     return mock.patch.object(
-        _core.Core, '_silent_hold_ms', lambda self, group: 0
+        _upstreams.Upstream, 'unsettle', lambda self, now_ms: None
     )
 
 
+def _gaps_ignored():
+    """Announcements before and after a freeze count as one series."""
+    return mock.patch.object(_steadiness, 'STEADY_GAP_MS', 1 << 30)
+
+
 def _no_check_before_write():
     """A dispatched request is written whatever happened meanwhile."""
     return mock.patch.object(
@@ -142,8 +145,13 @@
         test_scenarios.run_late_loan,
         SLOTS,
     ),
-    'hold after silence': (
-        _no_hold_after_silence,
+    'hold for an upstream not known': (
+        _no_hold_when_unknown,
+        test_scenarios.run_forgotten_upstream,
+        SLOTS,
+    ),
+    'gaps between announcements': (
+        _gaps_ignored,
         test_scenarios.run_silent_upstream,
         SLOTS,
     ),
--- a/tests/routing/test_scenarios.py
+++ b/tests/routing/test_scenarios.py
@@ -41,6 +41,20 @@
         world.check_requests()
 
 
+def run_forgotten_upstream():
+    """An upstream comes back after it was forgotten, with old requests."""
+    for step_ms in range(0, 1000, 250):
+        world = _world(entries=2)
+        upstream = world.upstreams[ADDRESS]
+        upstream.freeze(70000 + step_ms)
+        _ask_often(world, ['e1', 'e2'], SETTLED_MS + 1000)
+        world.run_until(SETTLED_MS + 69000)
+        _ask_often(world, ['e1', 'e2'], SETTLED_MS + 76000)
+        world.run_until(SETTLED_MS + 79000)
+        invariants.require(upstream.begun > 20, 'scenario.worked_again')
+        world.check_requests()
+
+
 def run_frozen_before_write():
     """An entry freezes between its decision and the first byte."""
     world = _world(entries=2)
@@ -64,11 +78,11 @@
     world = _world(entries=2)
     upstream = world.upstreams[ADDRESS]
     upstream.service_ms = lambda: 490
-    world.network.extra_ms['e2', 'e1'] = 1500
-    _ask_often(world, ['e1'], SETTLED_MS + 6000)
+    world.network.extra_ms['e2', 'e1'] = 3500
+    _ask_often(world, ['e1'], SETTLED_MS + 9000)
     world.run_until(SETTLED_MS + 200)
-    _ask_often(world, ['e2'], SETTLED_MS + 6000)
-    world.run_until(SETTLED_MS + 9000)
+    _ask_often(world, ['e2'], SETTLED_MS + 9000)
+    world.run_until(SETTLED_MS + 12000)
     invariants.require(upstream.begun > 20, 'scenario.worked')
     world.check_requests()
 
@@ -77,6 +91,9 @@
     def test_a_silent_upstream_is_given_time_to_end_its_work(self):
         run_silent_upstream()
 
+    def test_a_forgotten_upstream_is_given_time_to_end_its_work(self):
+        run_forgotten_upstream()
+
     def test_nothing_is_written_after_the_lease_was_lost(self):
         run_frozen_before_write()
 
