--- a/fuchsiatrestle/routing/_core.py
+++ b/fuchsiatrestle/routing/_core.py
@@ -533,11 +533,12 @@
 
     def _peer_sent(self, event, now_ms, effects):
         message = event.message
-        if event.peer not in self._cfg.members:
-            return
         if isinstance(message, messages.AnnouncementBatch):
+            # One that is no member any more may still be announced to.
             for announcement in message.items:
                 self._hear(announcement, now_ms, effects)
+        elif event.peer not in self._cfg.members:
+            return
         elif isinstance(message, messages.SlotDemand):
             self._offer(message, now_ms, effects)
         elif isinstance(message, messages.LendSlots):
