Add learned sizes, interference, pressure, quarantine and preemption

Cause: declared sizes are wrong, workers fail everything, services suffer from neighbours, urgent work waits behind batch.

--- a/fuchsiatrestle/messages/_workers.py
+++ b/fuchsiatrestle/messages/_workers.py
@@ -112,7 +112,8 @@
         attempt: attempt number; a worker refuses one below the highest it
             has seen for the job.
         lease_ms: for start and renew, counted by the worker from the moment
-            it sent the report that this order answers.
+            it sent the report that this order answers; a throttle lasts as
+            long, unless it is repeated.
         size: reservation, for start.
         resume_from: checkpoint to resume from, 0 for the beginning.
         throttle_milli: allowed processor time, for throttle; 0 lifts it.
--- a/fuchsiatrestle/scheduling/_capacity.py
+++ b/fuchsiatrestle/scheduling/_capacity.py
@@ -104,7 +104,9 @@
                         return
 
     def short_dimension(self, need):
-        """Returns the dimension that most limits a need that fits nowhere."""
+        """Returns what a need lacks everywhere, empty if it fits."""
+        if next(self.fitting(need), None) is not None:
+            return ''
         names = ('cpu_milli', 'memory_mib', 'accelerators')
         for position in (2, 1, 0):
             lone = [0, 0, 0]
--- a/fuchsiatrestle/scheduling/_dispatch.py
+++ b/fuchsiatrestle/scheduling/_dispatch.py
@@ -9,6 +9,7 @@
 __all__ = ('Dispatcher',)
 
 MAX_REASONS = 4096
+MAX_PROBE_OFFERS = 32
 
 
 class Dispatcher:
@@ -19,18 +20,33 @@
         fleet: the ``Fleet``.
         shares: the ``TeamShares``.
         outbox: takes placements.
-        sizes: tells the reservation of a job.
+        sizes: the ``SizeRule``.
         rule: the ``PlacementRule``.
+        mixes: the ``Mixes``.
+        evictions: the ``Evictions``.
         policy: the ``Policy``.
     """
 
-    def __init__(self, part, fleet, shares, outbox, sizes, rule, policy):
+    def __init__(
+        self,
+        part,
+        fleet,
+        shares,
+        outbox,
+        sizes,
+        rule,
+        mixes,
+        evictions,
+        policy,
+    ):
         self._part = part
         self._fleet = fleet
         self._shares = shares
         self._outbox = outbox
         self._sizes = sizes
         self._rule = rule
+        self._mixes = mixes
+        self._evictions = evictions
         self._policy = policy
         self._queue = _queue.JobQueue()
         self._pending = {}
@@ -52,10 +68,23 @@
         else:
             self._queue.discard(job_id)
 
+    def need(self, job):
+        """Returns (cpu_milli, memory_mib, accelerators) to reserve."""
+        size = self._sizes.reservation(job.spec)
+        return size.cpu_milli, size.memory_mib, size.accelerators
+
     def wake(self):
         """Makes the next round run: capacity may have become free."""
         self._dirty = True
 
+    def withdraw(self, job_id):
+        """Takes a job out of the queue that is about to be parked."""
+        self._queue.discard(job_id)
+
+    def is_pending(self, job_id):
+        """True while a placement of the job awaits agreement."""
+        return job_id in self._pending
+
     def settle(self, placement, now_ms):
         """Ends the pending state of a placement, agreed or not."""
         self._pending.pop(placement.job_id, None)
@@ -88,6 +117,37 @@
                 break
         return missed
 
+    def probe(self, worker, now_ms):
+        """Places one ordinary job on a quarantined worker.
+
+        Returns:
+            The job's identifier, or None if no queued job suits.
+        """
+        free = self._fleet.free(worker)
+        blocked = set()
+        for job_id in itertools.islice(
+            self._queue.offer(self._shares.share, blocked), MAX_PROBE_OFFERS
+        ):
+            job = self._part.jobs[job_id]
+            blocked.add(self._queue.shape(job_id))
+            size = self._sizes.reservation(job.spec)
+            if self._may_probe(job, worker, size, free):
+                self._reserve(job, worker, size, now_ms)
+                return job_id
+        return None
+
+    def _may_probe(self, job, worker, size, free):
+        spec = job.spec
+        need = (size.cpu_milli, size.memory_mib, size.accelerators)
+        return (
+            spec.idempotent
+            and not spec.urgent
+            and worker not in job.failed_on
+            and spec.data_centre in ('', self._fleet.rack(worker)[0])
+            and all(f >= n for f, n in zip(free, need, strict=True))
+            and not self._shares.short_dimension(spec.team, need)
+        )
+
     @property
     def _most_pending(self):
         return self._policy.max_batch * self._policy.max_in_flight
@@ -104,7 +164,7 @@
                 f'team {spec.team} is at its quota in {short}'
             )
             return False
-        name = self._pick(job, need)
+        name = self._pick(job, need, now_ms)
         if name is None:
             blocked.add(shape)
             self._explain_miss(shape, need, spec)
@@ -112,9 +172,11 @@
         self._reserve(job, name, size, now_ms)
         return True
 
-    def _pick(self, job, need):
+    def _pick(self, job, need, now_ms):
         names = self._fleet.fitting(need, job.spec.data_centre)
-        usable = (name for name in names if name not in job.failed_on)
+        barred = set(job.failed_on)
+        barred.add(self._evictions.avoided(job.spec.job_id, now_ms))
+        usable = (name for name in names if name not in barred)
         most = self._policy.max_candidates
         return self._rule.pick(job, need, list(itertools.islice(usable, most)))
 
@@ -132,6 +194,13 @@
         self._queue.discard(spec.job_id)
         self._pending[spec.job_id] = placement
         self._shares.hold(spec.job_id, spec.team, size)
+        self._mixes.hold(
+            spec.job_id,
+            name,
+            self._fleet.rack(name),
+            spec.job_class,
+            size.cpu_milli,
+        )
         self._fleet.add_pending(name, spec.job_id, size, now_ms)
         self._outbox.place(placement)
 
@@ -139,9 +208,13 @@
 
     def _explain_miss(self, shape, need, spec):
         short = self._fleet.short_dimension(need, spec.data_centre)
-        self._reasons[shape, spec.team] = (
-            f'no worker has room for {_text(need)}, short of {short}'
-        )
+        if short:
+            reason = f'no worker has room for {_text(need)}, short of {short}'
+        elif shape.failed_on:
+            reason = 'every worker with room failed it before'
+        else:
+            reason = 'would raise the tail of a service wherever it fits'
+        self._reasons[shape, spec.team] = reason
 
     def why(self, job):
         """Returns why a queued job waits, one line."""
--- a/fuchsiatrestle/scheduling/_evictions.py
+++ b/fuchsiatrestle/scheduling/_evictions.py
@@ -1,9 +1,15 @@
 """Orderly evictions: agreed first, then checkpoint, then stop."""
 
+import collections
+
 from fuchsiatrestle.state import commands
 
 __all__ = ('Evictions',)
 
+# An evicted job is not placed where it was evicted for this long.
+AVOID_MS = 60_000
+MAX_AVOIDED = 4096
+
 
 class _Eviction:
     """One eviction in progress."""
@@ -29,6 +35,7 @@
         self._outbox = outbox
         self._policy = policy
         self._evictions = {}
+        self._avoided = collections.OrderedDict()
 
     def __contains__(self, job_id):
         return job_id in self._evictions
@@ -71,9 +78,20 @@
             return True
         return now_ms >= eviction.stop_ms
 
-    def forget(self, job_id):
+    def forget(self, job_id, now_ms):
         """Drops an eviction whose attempt has ended."""
-        self._evictions.pop(job_id, None)
+        eviction = self._evictions.pop(job_id, None)
+        if eviction is None:
+            return
+        self._avoided[job_id] = (eviction.worker, now_ms + AVOID_MS)
+        self._avoided.move_to_end(job_id)
+        while len(self._avoided) > MAX_AVOIDED:
+            self._avoided.popitem(last=False)
+
+    def avoided(self, job_id, now_ms):
+        """Returns the worker that a job was lately evicted from, or empty."""
+        worker, until_ms = self._avoided.get(job_id, ('', 0))
+        return worker if now_ms < until_ms else ''
 
     def _remember(self, job, now_ms, patience_ms):
         if patience_ms is None:
--- a/fuchsiatrestle/scheduling/_fleet.py
+++ b/fuchsiatrestle/scheduling/_fleet.py
@@ -164,6 +164,11 @@
 
     # Capacity
 
+    def rack(self, name):
+        """Returns (data centre, rack) of a registered worker."""
+        spec = self._part.workers[name].spec
+        return spec.data_centre, spec.rack
+
     def refresh(self, name, now_ms):
         """Brings the index in step with one worker."""
         worker = self._part.workers.get(name)
@@ -178,9 +183,14 @@
 
     def accepts(self, worker, info, now_ms):
         """True if ordinary placements may go to the worker now."""
+        return not info.quarantined and self.accepts_probe(
+            worker, info, now_ms
+        )
+
+    def accepts_probe(self, worker, info, now_ms):
+        """True if a placement may go to the worker, quarantined or not."""
         return (
             not worker.spec.leaving
-            and not info.quarantined
             and info.incarnation == worker.spec.incarnation
             and now_ms >= info.paused_until_ms
             and not self.is_silent(info, now_ms)
@@ -223,7 +233,7 @@
                     yield name
 
     def short_dimension(self, need, data_centre):
-        """Returns the dimension that most limits a need without room."""
+        """Returns what a need lacks on every worker, empty if it fits."""
         indexes = [
             index
             for name, index in sorted(self._indexes.items())
@@ -231,7 +241,8 @@
         ]
         if not indexes:
             return 'no worker accepts work'
-        return indexes[0].short_dimension(need)
+        shorts = [index.short_dimension(need) for index in indexes]
+        return min(shorts, key=bool)
 
     def add_pending(self, name, job_id, size, now_ms):
         """Holds capacity for a placement that is not agreed yet."""
--- /dev/null
+++ b/fuchsiatrestle/scheduling/_gauges.py
@@ -0,0 +1,27 @@
+"""Gauges of the scheduler."""
+
+from fuchsiatrestle import metrics
+
+__all__ = ('measure',)
+
+GAUGE_JOBS = {
+    state: metrics.declare(f'jobs.{state}', f'Jobs in state {state}.')
+    for state in ('queued', 'placed', 'running', 'evicting', 'parked')
+}
+GAUGE_WORKERS = metrics.declare('workers.registered', 'Workers registered.')
+GAUGE_QUARANTINED = metrics.declare(
+    'workers.quarantined', 'Workers in quarantine.'
+)
+GAUGE_EVICTIONS = metrics.declare(
+    'scheduling.evictions', 'Evictions in progress.'
+)
+
+
+def measure(part, quarantined, evictions):
+    """Returns the gauges of one cell, by declared name."""
+    counts = part.counts()
+    values = {name: counts.get(s, 0) for s, name in GAUGE_JOBS.items()}
+    values[GAUGE_WORKERS] = len(part.workers)
+    values[GAUGE_QUARANTINED] = quarantined
+    values[GAUGE_EVICTIONS] = evictions
+    return values
--- a/fuchsiatrestle/scheduling/_sizes.py
+++ b/fuchsiatrestle/scheduling/_sizes.py
@@ -1,12 +1,28 @@
 """Reservations: declared sizes, corrected by what jobs really used."""
 
 import abc
+import collections
+
+import sortedcontainers
+
+from fuchsiatrestle import messages
 
 __all__ = (
     'DeclaredSizes',
+    'LearnedSizes',
     'SizeRule',
 )
 
+MAX_CLASSES = 4096
+WINDOW_ATTEMPTS = 64
+MIN_SAMPLES = 4
+QUANTILE = 0.9
+# Above the learned quantile, in thousandths, because samples come late.
+MARGIN_MILLI = 50
+MAX_RATIO = 8.0
+STEP_MILLI = 100
+STEP_MIB = 64
+
 
 class SizeRule(abc.ABC):
     """Tells what to reserve for a job."""
@@ -15,6 +31,9 @@
     def reservation(self, spec):
         """Returns the ``messages.Resources`` to reserve."""
 
+    def note(self, spec, peak):
+        """Takes the largest usage of one attempt; ignored by default."""
+
 
 class DeclaredSizes(SizeRule):
     """Reserves what was declared."""
@@ -22,3 +41,96 @@
     def reservation(self, spec):
         """Returns the declared size."""
         return spec.size
+
+
+class _Samples:
+    """Ratios of used to declared over the last attempts of a class."""
+
+    __slots__ = ('_order', '_sorted')
+
+    def __init__(self):
+        self._order = collections.deque()
+        self._sorted = sortedcontainers.SortedList()
+
+    def __len__(self):
+        return len(self._order)
+
+    def add(self, ratio):
+        self._order.append(ratio)
+        self._sorted.add(ratio)
+        if len(self._order) > WINDOW_ATTEMPTS:
+            self._sorted.remove(self._order.popleft())
+
+    def quantile(self):
+        position = min(len(self._sorted) - 1, int(len(self) * QUANTILE))
+        return self._sorted[position]
+
+
+class LearnedSizes(SizeRule):
+    """Reserves the larger of the declared and the learned size.
+
+    Learned is the declared size times a high quantile of used to declared
+    over the class's last attempts.  The result is clamped to the largest
+    worker that the declared size fits on, and to the team's quota, so that
+    a job which is possible as declared stays possible.
+
+    Args:
+        capacities: function that returns the distinct worker capacities.
+        quotas: function that returns the team quotas in force.
+    """
+
+    def __init__(self, capacities, quotas):
+        self._capacities = capacities
+        self._quotas = quotas
+        self._classes = collections.OrderedDict()
+
+    def note(self, spec, peak):
+        """Takes the largest usage of one attempt."""
+        samples = self._classes.get(spec.job_class)
+        if samples is None:
+            samples = (_Samples(), _Samples())
+            self._classes[spec.job_class] = samples
+            if len(self._classes) > MAX_CLASSES:
+                self._classes.popitem(last=False)
+        self._classes.move_to_end(spec.job_class)
+        samples[0].add(min(MAX_RATIO, peak.cpu_milli / spec.size.cpu_milli))
+        samples[1].add(min(MAX_RATIO, peak.memory_mib / spec.size.memory_mib))
+
+    def reservation(self, spec):
+        """Returns the ``messages.Resources`` to reserve."""
+        samples = self._classes.get(spec.job_class)
+        if samples is None or len(samples[0]) < MIN_SAMPLES:
+            return spec.size
+        cpu = _learned(spec.size.cpu_milli, samples[0], STEP_MILLI)
+        memory = _learned(spec.size.memory_mib, samples[1], STEP_MIB)
+        return self._clamp(spec, cpu, memory)
+
+    def _clamp(self, spec, cpu_milli, memory_mib):
+        limits = [
+            capacity
+            for capacity, data_centre in self._capacities()
+            if spec.data_centre in ('', data_centre)
+            and spec.size.cpu_milli <= capacity.cpu_milli
+            and spec.size.memory_mib <= capacity.memory_mib
+            and spec.size.accelerators <= capacity.accelerators
+        ]
+        if not limits:
+            return spec.size
+        largest = max(
+            limits, key=lambda size: (size.cpu_milli, size.memory_mib)
+        )
+        quota = self._quotas().get(spec.team)
+        if quota is not None:
+            cpu_milli = min(cpu_milli, quota.cpu_milli)
+            memory_mib = min(memory_mib, quota.memory_mib)
+        return messages.Resources(
+            max(spec.size.cpu_milli, min(cpu_milli, largest.cpu_milli)),
+            max(spec.size.memory_mib, min(memory_mib, largest.memory_mib)),
+            spec.size.accelerators,
+        )
+
+
+def _learned(declared, samples, step):
+    ratio = samples.quantile() * (1000 + MARGIN_MILLI) / 1000
+    amount = max(declared, int(declared * ratio))
+    return -(-amount // step) * step
--- a/fuchsiatrestle/state/_jobs.py
+++ b/fuchsiatrestle/state/_jobs.py
@@ -93,6 +93,10 @@
         """Registered workers by name."""
         return self._store.workers
 
+    def capacities(self):
+        """Returns the distinct (capacity, data centre) pairs of workers."""
+        return self._store.capacities()
+
     def quotas(self):
         """Returns the team quotas in force, empty if none is declared."""
         return self._teams()
--- a/standins/_worker_agent.py
+++ b/standins/_worker_agent.py
@@ -124,6 +124,7 @@
         'start_ms',
         'state',
         'throttle_milli',
+        'throttle_until_ms',
     )
 
     def __init__(self, order, lease_until_ms, now_ms, run_ms, line):
@@ -136,6 +137,7 @@
         self.checkpoint = order.resume_from
         self.checkpoint_at_ms = now_ms
         self.throttle_milli = 0
+        self.throttle_until_ms = 0
         self.line = line
         self.detail = ''
 
@@ -230,7 +232,7 @@
         )
 
     def _report_run(self, job_id, run, now_ms):
-        used = run.size or messages.Resources(0, 0)
+        used = self._used(run, now_ms)
         span_ms = max(1, run.finish_ms - run.start_ms)
         progress = min(1000, 1000 * (now_ms - run.start_ms) // span_ms)
         return messages.AttemptReport(
@@ -244,6 +246,17 @@
             run.detail,
         )
 
+    @staticmethod
+    def _used(run, now_ms):
+        if run.size is None:
+            return messages.Resources(0, 0)
+        cpu_milli = run.size.cpu_milli
+        if run.throttle_milli and now_ms < run.throttle_until_ms:
+            cpu_milli = min(cpu_milli, run.throttle_milli)
+        return messages.Resources(
+            cpu_milli, run.size.memory_mib, run.size.accelerators
+        )
+
     def _report_services(self):
         if not self.options.service:
             return []
@@ -308,6 +321,7 @@
         run = self._current(order)
         if run is not None:
             run.throttle_milli = order.throttle_milli
+            run.throttle_until_ms = sent_ms + order.lease_ms
 
     def _checkpoint(self, order, sent_ms, stops, now_ms):
         run = self._current(order)
