--- a/standins/_checks.py
+++ b/standins/_checks.py
@@ -13,6 +13,7 @@
     'check_leaving',
     'check_not_run',
     'check_patches',
+    'check_planned_stops',
     'check_run_once',
     'check_slots',
     'check_versions',
@@ -116,6 +117,29 @@
     return breaches
 
 
+def check_planned_stops(calls_by_entry, faults):
+    """A planned stop of an entry cuts off no call in progress.
+
+    Args:
+        calls_by_entry: calls by the name of the entry they went to.
+        faults: ``FaultLine`` values.
+    """
+    breaches = []
+    for fault in faults:
+        if fault.kind != 'stop':
+            continue
+        for line in calls_by_entry.get(fault.target, ()):
+            during = (
+                line.start_ns < fault.done_ns and line.end_ns > fault.since_ns
+            )
+            # A listener that is closed refuses new connections, by design.
+            connected = not line.reason.startswith('connect:')
+            if during and connected and line.answer == 'none':
+                text = f'{fault.target}: {line.attempt_id} {line.reason}'
+                breaches.append(Breach('planned_stop', text))
+    return breaches
+
+
 # Configuration
 
 
@@ -213,7 +237,7 @@
         woke = freeze.until_ns - WAKE_LIMIT_NS < end.time_ns
         soon = end.time_ns < freeze.until_ns + WAKE_LIMIT_NS
         if freeze.target == worker and woke and soon:
-            return freeze.since_ns
+            return freeze.done_ns
     return None
 
 
@@ -237,9 +261,9 @@
         end = ends.get(key)
         if end is None:
             stops = [
-                kill.since_ns
+                kill.done_ns
                 for kill in kills
-                if kill.target == line.worker and kill.since_ns > line.time_ns
+                if kill.target == line.worker and kill.done_ns > line.time_ns
             ]
             yield _Span(line, min(stops, default=finished_ns))
             continue
--- a/standins/_cluster.py
+++ b/standins/_cluster.py
@@ -135,11 +135,19 @@
 
     def set_relay(self, name, mode):
         """Changes what the relay does with connections to a process."""
-        client = ctl.AdminClient([self._relay_control], CTL_TIMEOUT_S)
         body = {'target': name, 'mode': mode}
-        reply = client.call('POST', '/standin/relay', value=body)
+        self._instruct(self._relay_control, '/standin/relay', body)
+
+    def set_upstream_mode(self, name, mode):
+        """Changes the behaviour of an upstream."""
+        address = self.upstream_addresses[name]
+        self._instruct(address, '/standin/mode', {'mode': mode})
+
+    def _instruct(self, address, path, body):
+        client = ctl.AdminClient([address], CTL_TIMEOUT_S)
+        reply = client.call('POST', path, value=body)
         if not reply.ok:
-            raise errors.Error(str(reply.value), step='set_relay', peer=name)
+            raise errors.Error(str(reply.value), step=path, peer=str(address))
 
     def _plan_processes(self):
         for number, name in enumerate(self._control_links):
--- a/standins/_ledgers.py
+++ b/standins/_ledgers.py
@@ -106,13 +106,15 @@
         kind: ``kill``, ``stop``, ``freeze``, ``silence``, ``cut`` or a mode
             of an upstream.
         target: name of the process.
-        since_ns: when it began.
+        since_ns: before it was brought about.
+        done_ns: once it had been brought about.
         until_ns: when it was healed.
     """
 
     kind: str
     target: str
     since_ns: int
+    done_ns: int
     until_ns: int
 
 
--- /dev/null
+++ b/standins/_soak_load.py
@@ -0,0 +1,214 @@
+"""Operators and submitters of a soak run, each a thread."""
+
+import abc
+import random
+import threading
+import time
+
+from fuchsiatrestle import ctl
+from standins import _cluster
+from standins import _ledgers
+
+__all__ = ('JobSubmitter', 'Operator', 'VersionWatcher')
+
+RESENDS = 3
+PATCH_PAUSE_S = 0.4
+JOB_PAUSE_S = 0.3
+WATCH_PAUSE_S = 0.1
+JOBS_PER_CALL = 3
+JOB_RUN_MS = (200, 3000)
+JOB_CPU_MILLI = (500, 12000)
+RESEND_SHARE = 0.2
+CANCEL_SHARE = 0.1
+BILLED_SHARE = 0.3
+
+
+class _Load(abc.ABC):
+    """A thread that makes one call after the other until told to stop."""
+
+    pause_s = 0.0
+
+    def __init__(self, cluster, name, seed):
+        self.name = name
+        self._cluster = cluster
+        self._rng = random.Random(f'{seed}-{name}')
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run, name=name)
+
+    def start(self):
+        """Starts the thread."""
+        self._thread.start()
+
+    def ask_to_stop(self):
+        """Makes the current call the last one."""
+        self._stop.set()
+
+    def join(self):
+        """Waits for the end."""
+        self._thread.join()
+
+    def _run(self):
+        while not self._stop.is_set():
+            self._step()
+            self._stop.wait(self._rng.expovariate(1 / self.pause_s))
+
+    @abc.abstractmethod
+    def _step(self):
+        """Makes one call."""
+
+    def _call(self, method, path, parameters=None, value=None):
+        """Calls through the entries in a random order; None if none did."""
+        names = list(self._cluster.entry_ports)
+        self._rng.shuffle(names)
+        client = self._cluster.admin(*names)
+        try:
+            return client.call(method, path, parameters, value)
+        except ctl.CallFailed:
+            return None
+
+
+class Operator(_Load):
+    """Submits patches, races others and resends.
+
+    Attributes:
+        lines: ``PatchLine`` values.
+    """
+
+    pause_s = PATCH_PAUSE_S
+
+    def __init__(self, cluster, name, seed):
+        super().__init__(cluster, name, seed)
+        self.lines = []
+        self._count = 0
+
+    def _step(self):
+        reply = self._call('GET', '/v1/config')
+        if reply is None or not reply.ok:
+            return
+        self._count += 1
+        base = reply.value['version']
+        patch_id = f'{self.name}-{self._count}'
+        for _ in range(RESENDS):
+            known = self._patch(base, patch_id)
+            if known and self._rng.random() > RESEND_SHARE:
+                return
+
+    def _patch(self, base, patch_id):
+        """Sends one patch; returns True once its outcome is known."""
+        team = {'cpu_milli': self._count, 'memory_mib': 1}
+        reply = self._call(
+            'PATCH',
+            '/v1/config',
+            {'base': base, 'patch_id': patch_id, 'author': self.name},
+            {'teams': {self.name: team}},
+        )
+        outcome, version = _judge_patch(reply)
+        self.lines.append(
+            _ledgers.PatchLine(
+                patch_id, base, outcome, version, time.monotonic_ns()
+            )
+        )
+        return outcome != 'unknown'
+
+
+def _judge_patch(reply):
+    """Returns outcome and version that a reply states."""
+    if reply is None:
+        return 'unknown', 0
+    if reply.ok:
+        return 'accepted', reply.value['version']
+    if reply.reason == 'version_conflict':
+        return 'conflict', reply.get('current')
+    return 'refused', 0
+
+
+class JobSubmitter(_Load):
+    """Submits jobs, resends and cancels some.
+
+    Attributes:
+        jobs: bodies of acknowledged jobs by id.
+        cancelled: identifiers of jobs whose cancellation was answered.
+        refused: number of refused jobs by reason.
+    """
+
+    pause_s = JOB_PAUSE_S
+
+    def __init__(self, cluster, name, seed):
+        super().__init__(cluster, name, seed)
+        self.jobs = {}
+        self.sent = {}
+        self.cancelled = set()
+        self.refused = {}
+        self._count = 0
+
+    def _make_job(self):
+        self._count += 1
+        run_ms = self._rng.randint(*JOB_RUN_MS)
+        return {
+            'job_id': f'{self.name}-{self._count}',
+            'team': _cluster.TEAM,
+            'job_class': f'class-{self._count % 3}',
+            'priority': self._rng.randint(0, 9),
+            'size': {
+                'cpu_milli': self._rng.randint(*JOB_CPU_MILLI),
+                'memory_mib': self._rng.randint(64, 8192),
+            },
+            'idempotent': self._rng.random() >= BILLED_SHARE,
+            'submitted_ms': int(time.time() * 1000),
+            'run_ms': run_ms,
+            'command': f'sleep {run_ms}',
+        }
+
+    def _step(self):
+        jobs = [self._make_job() for _ in range(JOBS_PER_CALL)]
+        for job in jobs:
+            self.sent[job['job_id']] = job
+        for _ in range(RESENDS):
+            reply = self._call('POST', '/v1/jobs', value={'jobs': jobs})
+            if reply is not None and reply.ok:
+                self._note(reply.value['jobs'])
+                if self._rng.random() > RESEND_SHARE:
+                    break
+        if self._rng.random() < CANCEL_SHARE:
+            self._cancel(jobs[0]['job_id'])
+
+    def _note(self, outcomes):
+        for outcome in outcomes:
+            job_id = outcome['job_id']
+            if outcome['reason']:
+                reason = outcome['reason']
+                self.refused[reason] = self.refused.get(reason, 0) + 1
+            else:
+                self.jobs[job_id] = self.sent[job_id]
+
+    def _cancel(self, job_id):
+        reply = self._call(
+            'POST', '/v1/jobs/cancel', value={'job_ids': [job_id]}
+        )
+        if reply is not None and reply.ok:
+            self.cancelled.add(job_id)
+
+
+class VersionWatcher(_Load):
+    """Notes the version that each entry has in force.
+
+    Attributes:
+        lines: ``VersionLine`` values.
+    """
+
+    pause_s = WATCH_PAUSE_S
+
+    def __init__(self, cluster, seed):
+        super().__init__(cluster, 'watcher', seed)
+        self.lines = []
+
+    def _step(self):
+        for name in self._cluster.entry_ports:
+            status = self._cluster.status(name)
+            if status is None:
+                continue
+            self.lines.append(
+                _ledgers.VersionLine(
+                    name, status['entry']['version'], time.monotonic_ns()
+                )
+            )
