--- a/standins/_cluster.py
+++ b/standins/_cluster.py
@@ -364,12 +364,16 @@
         self._wait(all_ready, timeout_s, 'all workers are ready')
 
     def _wait(self, condition, timeout_s, what):
-        try:
-            return _processes.wait_until(condition, timeout_s, what)
-        except errors.Error as exc:
-            raise errors.Error(
-                f'{exc.reason}\n{self.describe_ended()}', step='wait'
-            ) from exc
+        """Waits for a condition; gives up once a process has ended."""
+
+        def true_or_ended():
+            return self.describe_ended() or condition()
+
+        value = _processes.wait_until(true_or_ended, timeout_s, what)
+        ended = self.describe_ended()
+        if ended:
+            raise errors.Error(f'before {what}: {ended}', step='wait')
+        return value
 
     def describe_ended(self):
         """Returns the last log lines of processes that have ended."""
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -210,7 +210,6 @@
         demo.stop()
     except errors.Error as exc:
         print(f'failed: {exc}', file=sys.stderr)
-        print(cluster.describe_ended(), file=sys.stderr)
         return 1
     finally:
         cluster.kill()
