--- /dev/null
+++ b/tests/standins/test_process_demo.py
@@ -0,0 +1,37 @@
+"""The demonstration runs whole, and is stopped when a step fails."""
+
+import pathlib
+import subprocess
+import sys
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+TIMEOUT_S = 300
+
+
+class DemoTest(unittest.TestCase):
+    def test_every_step_and_every_exit_status(self):
+        done = subprocess.run(
+            [sys.executable, '-m', 'standins.demo'],
+            cwd=ROOT,
+            stdin=subprocess.DEVNULL,
+            capture_output=True,
+            text=True,
+            timeout=TIMEOUT_S,
+        )
+        self.assertEqual(0, done.returncode, done.stdout + done.stderr)
+        steps = (
+            'leader is',
+            'GET through e1: 200',
+            'GET through e2: 200',
+            'accepted as version 3',
+            'refused, current is 3',
+            'sent again: version 3, as before',
+            'submitted again: the same job',
+            'done, attempt 1',
+            'every process ended with exit status 0',
+        )
+        place = 0
+        for step in steps:
+            place = done.stdout.find(step, place)
+            self.assertGreaterEqual(place, 0, f'{step!r}: {done.stdout}')
--- /dev/null
+++ b/tests/test_reference.py
@@ -0,0 +1,13 @@
+"""The reference pages follow the code."""
+
+import unittest
+
+from tools import reference
+
+
+class ReferenceTest(unittest.TestCase):
+    def test_pages_are_current(self):
+        for name, make in reference.PAGES.items():
+            with self.subTest(page=name):
+                text = (reference.DOCS / name).read_text(encoding='utf-8')
+                self.assertEqual(make(), text, 'python -m tools.reference')
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -5,7 +5,6 @@
 if one is out of date.
 """
 
-import importlib
 import json
 import pathlib
 import subprocess
@@ -34,19 +33,16 @@
 # Counters
 
 
-def print_declared(module):
-    """Prints the metrics that a program declares, as JSON."""
-    importlib.import_module(module)
-    from fuchsiatrestle import metrics
-
-    print(json.dumps(metrics.DECLARED))
+_PRINT_DECLARED = (
+    'import importlib, json; from fuchsiatrestle import metrics;'
+    'importlib.import_module({module!r}); print(json.dumps(metrics.DECLARED))'
+)
 
 
 def _declared(module):
     """Returns the metrics of a program, read in a process of its own."""
-    code = f'from tools import reference; reference.print_declared({module!r})'
     done = subprocess.run(
-        [sys.executable, '-c', code],
+        [sys.executable, '-c', _PRINT_DECLARED.format(module=module)],
         cwd=DOCS.parent,
         check=True,
         capture_output=True,
