--- a/standins/_cluster.py
+++ b/standins/_cluster.py
@@ -9,14 +9,17 @@
 from fuchsiatrestle import ctl
 from fuchsiatrestle import errors
 from fuchsiatrestle import settings
+from standins import _ledgers
 from standins import _ports
 from standins import _processes
+from standins import worker
 
 __all__ = ('Cluster', 'Sizes')
 
 HOST = '127.0.0.1'
 SERVICE = 'quotes'
 TEAM = 'repricing'
+WORKER_CPU_MILLI = 32000
 CTL_TIMEOUT_S = 5.0
 READY_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 40.0
@@ -78,7 +81,7 @@
         self.upstream_addresses = {}
         self.entry_ports = {}
         self._log_level = log_level
-        self._control_links = {}
+        self.control_links = {}
         self._relayed = {}
         self._relay_control = None
         self.relays = {}
@@ -103,7 +106,7 @@
         self._taken = frozenset(numbers)
         for number in range(sizes.controls):
             address = settings.Address(HOST, numbers.pop())
-            self._control_links[f'c{number + 1}'] = address
+            self.control_links[f'c{number + 1}'] = address
         for number in range(sizes.entries):
             taken = [numbers.pop() for _ in range(4)]
             self.entry_ports[f'e{number + 1}'] = _Ports(taken)
@@ -115,7 +118,7 @@
 
     def _plan_relay(self):
         """Gives each control and upstream a second address, the relay's."""
-        behind = {**self._control_links, **self.upstream_addresses}
+        behind = {**self.control_links, **self.upstream_addresses}
         numbers = _ports.free_ports(len(behind) + 1, self._taken)
         self._relay_control = settings.Address(HOST, numbers.pop())
         pairs = []
@@ -150,7 +153,7 @@
             raise errors.Error(str(reply.value), step=path, peer=str(address))
 
     def _plan_processes(self):
-        for number, name in enumerate(self._control_links):
+        for number, name in enumerate(self.control_links):
             self.controls[name] = self._control(name, _data_centre(number))
         for number, name in enumerate(self.entry_ports):
             self.entries[name] = self._entry(name, _data_centre(number))
@@ -171,7 +174,7 @@
     def _peer_list(self):
         return ' '.join(
             f'{name}={self._reached_at(name, address)}'
-            for name, address in self._control_links.items()
+            for name, address in self.control_links.items()
         )
 
     def _control(self, name, data_centre):
@@ -179,7 +182,7 @@
         os.makedirs(data_folder, exist_ok=True)
         section = {
             'name': name,
-            'link': str(self._control_links[name]),
+            'link': str(self.control_links[name]),
             'data_folder': data_folder,
             'peers': self._peer_list(),
             'data_centre': data_centre,
@@ -227,12 +230,41 @@
             f'--ledger={self.ledger_path(name)}',
             f'--data_centre={_data_centre(number % 2)}',
             f'--rack=r{number + 1}',
+            f'--cpu_milli={WORKER_CPU_MILLI}',
             *self._platform_flags(number),
         ]
         return _processes.Process(
             name, 'standins.worker', arguments, self.folder
         )
 
+    # Ledgers
+
+    def runs_by_upstream(self):
+        """Returns the ``RunLine`` values of each upstream."""
+        return {
+            name: _ledgers.read_ledger(
+                self.ledger_path(name), _ledgers.RunLine
+            )
+            for name in self.upstreams
+        }
+
+    def attempts(self):
+        """Returns the ``worker.AttemptLine`` values of all workers."""
+        return [
+            line
+            for name in self.workers
+            for line in _ledgers.read_ledger(
+                self.ledger_path(name), worker.AttemptLine
+            )
+        ]
+
+    def by_entry(self, calls):
+        """Returns ``CallLine`` values by the name of their entry."""
+        return {
+            name: [line for line in calls if line.entry == str(ports.callers)]
+            for name, ports in self.entry_ports.items()
+        }
+
     # Operators' side
 
     @property
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -41,44 +41,54 @@
 
 
 class Report:
-    """Counts and latencies of a run."""
+    """Counts, and latencies by kind of request."""
 
     def __init__(self):
         self.answers = {}
         self.reasons = {}
-        self._latency_us = histogram.HdrHistogram(1, HIGHEST_US, 3)
+        self._latency_us = {
+            kind: histogram.HdrHistogram(1, HIGHEST_US, 3) for kind in _KINDS
+        }
 
-    def add(self, line):
+    def add(self, kind, line):
         """Adds one call."""
         self.answers[line.answer] = self.answers.get(line.answer, 0) + 1
         if line.answer == 'whole':
             took_us = (line.end_ns - line.start_ns) // 1000
-            self._latency_us.record_value(min(took_us, HIGHEST_US))
+            self._latency_us[kind].record_value(min(took_us, HIGHEST_US))
             return
         reason = f'{line.status} {line.reason} {line.outcome}'.strip()
         self.reasons[reason] = self.reasons.get(reason, 0) + 1
 
     def to_plain(self):
         """Returns the report as nested dicts; latencies in milliseconds."""
-        latency_ms = {
-            f'p{percentile:g}': round(
-                self._latency_us.get_value_at_percentile(percentile) / 1000, 2
-            )
-            for percentile in PERCENTILES
-        }
         return {
             'answers': self.answers,
             'reasons': self.reasons,
-            'latency_ms': latency_ms,
+            'latency_ms': {
+                kind: _percentiles_ms(values)
+                for kind, values in self._latency_us.items()
+                if values.total_count
+            },
         }
 
 
+def _percentiles_ms(values):
+    return {
+        f'p{percentile:g}': round(
+            values.get_value_at_percentile(percentile) / 1000, 2
+        )
+        for percentile in PERCENTILES
+    }
+
+
 class _Request:
     """A request and all that a resend must repeat."""
 
-    __slots__ = ('body', 'headers', 'key', 'method', 'request_id')
+    __slots__ = ('body', 'headers', 'key', 'kind', 'method', 'request_id')
 
     def __init__(self, kind, request_id):
+        self.kind = kind
         self.request_id = request_id
         self.method = 'GET' if kind == 'read' else 'POST'
         self.key = request_id if kind == 'keyed' else ''
@@ -134,7 +144,7 @@
             client = self._clients[(first + call) % len(self._clients)]
             line = await self._call(client, request, call)
             self._ledger.write(line)
-            self._report.add(line)
+            self._report.add(request.kind, line)
             if line.answer == 'whole':
                 return
             if line.outcome != 'not-run' and not request.resendable:
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -7,7 +7,6 @@
 
 import json
 import os
-import subprocess
 import sys
 import tempfile
 import time
@@ -15,65 +14,22 @@
 from absl import flags
 
 from fuchsiatrestle import errors
+from standins import _callers
 from standins import _checks
 from standins import _cluster
-from standins import _ledgers
 from standins import _processes
 from standins import _programs
 from standins import _soak_faults
 from standins import _soak_load
-from standins import worker
 
 __all__ = ('Soak', 'main')
 
-CALLERS = 6
-CALLER_PAUSE_MS = 40
 CALLER_PROCESSES = 2
 OPERATORS = ('op-ann', 'op-bob')
 SUBMITTER = 'night'
-WORKER_CPU_MILLI = 32000
 SETTLE_TIMEOUT_S = 120.0
-CALLER_GRACE_S = 120.0
 MAX_HISTORY = 1000
-PAGE_JOBS = 1000
-
-
-class _CallerProcess:
-    """A load generator that runs beside the soak."""
-
-    def __init__(self, cluster, number, cfg):
-        self.ledger = cluster.path(f'calls{number}.jsonl')
-        entries = [f'--entry={addr}' for addr in cluster.caller_addresses]
-        argv = [
-            sys.executable,
-            '-m',
-            'standins.caller',
-            *entries,
-            f'--ledger={self.ledger}',
-            f'--name=caller{number}',
-            f'--callers={CALLERS}',
-            f'--pause_ms={CALLER_PAUSE_MS}',
-            f'--seconds={cfg.seconds}',
-            f'--seed={cfg.seed + number}',
-        ]
-        self._popen = subprocess.Popen(
-            argv,
-            cwd=_processes.ROOT,
-            stdin=subprocess.DEVNULL,
-            stdout=subprocess.PIPE,
-            text=True,
-        )
-
-    def wait(self, timeout_s):
-        """Returns its report."""
-        text, _ = self._popen.communicate(timeout=timeout_s)
-        return json.loads(text)
-
-    def kill(self):
-        """Ends it if it still runs."""
-        if self._popen.poll() is None:
-            self._popen.kill()
-            self._popen.wait()
+SHOWN_BREACHES = 5
 
 
 class Soak:
@@ -140,7 +96,12 @@
 
     def _load(self):
         self._callers = [
-            _CallerProcess(self.cluster, number, self._cfg)
+            _callers.CallerProcess(
+                self.cluster,
+                f'caller{number}',
+                seconds=self._cfg.seconds,
+                seed=self._cfg.seed + number,
+            )
             for number in range(CALLER_PROCESSES)
         ]
         for thread in self._threads:
@@ -150,9 +111,7 @@
             thread.ask_to_stop()
         for thread in self._threads:
             thread.join()
-        self._caller_reports = [
-            caller.wait(CALLER_GRACE_S) for caller in self._callers
-        ]
+        self._caller_reports = [caller.wait() for caller in self._callers]
 
     def _settle(self):
         """Waits until all is whole again and every job has ended."""
@@ -198,31 +157,13 @@
 
     # Judgement
 
-    def _read(self, name, kind):
-        path = self.cluster.ledger_path(name)
-        return _ledgers.read_ledger(path, kind)
-
     def _faults(self):
         return [line for lane in self._lanes for line in lane.lines]
 
-    def _calls_by_entry(self, calls):
-        by_entry = {}
-        for name, ports in self.cluster.entry_ports.items():
-            address = str(ports.callers)
-            by_entry[name] = [line for line in calls if line.entry == address]
-        return by_entry
-
     def _judge(self):
-        runs_by_upstream = {
-            name: self._read(name, _ledgers.RunLine)
-            for name in self.cluster.upstreams
-        }
+        runs_by_upstream = self.cluster.runs_by_upstream()
         runs = [line for lines in runs_by_upstream.values() for line in lines]
-        calls = [
-            line
-            for caller in self._callers
-            for line in _ledgers.read_ledger(caller.ledger, _ledgers.CallLine)
-        ]
+        calls = [line for caller in self._callers for line in caller.lines()]
         patches = [
             line for operator in self._operators for line in operator.lines
         ]
@@ -233,7 +174,7 @@
             *_checks.check_answers(calls, runs),
             *_checks.check_slots(runs_by_upstream),
             *_checks.check_leaving(runs_by_upstream),
-            *_checks.check_planned_stops(self._calls_by_entry(calls), faults),
+            *_checks.check_planned_stops(self.cluster.by_entry(calls), faults),
             *_checks.check_patches(patches, self._history),
             *_checks.check_versions(self._watcher.lines),
             *self._judge_jobs(faults),
@@ -244,18 +185,14 @@
             ]
 
     def _judge_jobs(self, faults):
-        attempts = [
-            line
-            for name in self.cluster.workers
-            for line in self._read(name, worker.AttemptLine)
-        ]
+        attempts = self.cluster.attempts()
         finished_ns = time.monotonic_ns()
         return [
             *_checks.check_attempts(
                 attempts,
                 self._submitter.sent,
                 faults,
-                WORKER_CPU_MILLI,
+                _cluster.WORKER_CPU_MILLI,
                 finished_ns,
             ),
             *_checks.check_jobs_end(
@@ -263,6 +200,20 @@
             ),
         ]
 
+    def _count_breaches(self):
+        counts = {}
+        for breach in self._breaches:
+            counts[breach.check] = counts.get(breach.check, 0) + 1
+        return counts
+
+    def _first_breaches(self):
+        """Returns the first few of each check."""
+        shown = []
+        for check in self._count_breaches():
+            found = [item for item in self._breaches if item.check == check]
+            shown += [repr(item) for item in found[:SHOWN_BREACHES]]
+        return shown
+
     def _report(self):
         faults = {}
         for line in self._faults():
@@ -284,7 +235,8 @@
             'jobs_refused': self._submitter.refused,
             'faults': faults,
             'counters': self._counters,
-            'breaches': [repr(breach) for breach in self._breaches],
+            'breaches': self._count_breaches(),
+            'first_breaches': self._first_breaches(),
         }
 
 
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -80,6 +80,7 @@
         self._incarnation = time.time_ns() % MAX_INCARNATION
         self._seq = 0
         self._stopping = False
+        self._note_state()
 
     @property
     def idle(self):
--- /dev/null
+++ b/tests/standins/test_process_requests.py
@@ -0,0 +1,191 @@
+"""Requests through the real daemons while entries and upstreams fail."""
+
+import json
+import socket
+import time
+
+from standins import _checks
+from standins import _ledgers
+from tests.standins import systems
+
+LOAD_S = 6.0
+EARLY_S = 2.0
+SOCKET_TIMEOUT_S = 10.0
+
+MALFORMED = (
+    b'\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03',
+    b'GET /quotes/1\r\n\r\n',
+    b'GET  HTTP/1.1\r\nHost: a\r\n\r\n',
+    b'GET / HTTP/1.1\r\n\r\n',
+    b'POST /quotes/1 HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n',
+    b'POST /q HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n'
+    b'Content-Length: 2\r\n\r\n',
+    b'POST /q HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nz\r\n',
+    b'GET / HTTP/1.1\r\nHost: a\r\n' + b'X: ' + b'y' * 70000 + b'\r\n\r\n',
+    b'PATCH /v1/config?base=1&patch_id=p HTTP/1.1\r\nHost: a\r\n'
+    b'Content-Length: 2\r\n\r\n{{',
+    b'POST /v1/announcements HTTP/1.1\r\nHost: a\r\n'
+    b'Content-Length: 2\r\n\r\n[]',
+    b'\x00' * 512,
+    b'',
+)
+
+
+def _fault(kind, target, since_ns, done_ns):
+    return _ledgers.FaultLine(
+        kind, target, since_ns, done_ns, time.monotonic_ns()
+    )
+
+
+def _send_raw(address, data):
+    """Returns what a listener answers to raw bytes, up to its close."""
+    with socket.create_connection(
+        (address.host, address.port), SOCKET_TIMEOUT_S
+    ) as sock:
+        sock.sendall(data)
+        sock.shutdown(socket.SHUT_WR)
+        answer = b''
+        try:
+            while chunk := sock.recv(65536):
+                answer += chunk
+        except ConnectionResetError:
+            pass
+        return answer
+
+
+class EntryFailureTest(systems.SystemTest):
+    def test_killed_entry_under_load(self):
+        """What ran, ran once; the other entry goes on answering."""
+        caller = self.start_callers('kill', LOAD_S)
+        time.sleep(EARLY_S)
+        killed_ns = time.monotonic_ns()
+        self.cluster.entries['e1'].kill()
+        caller.wait()
+        calls = caller.lines()
+        self.assert_sound(calls)
+        survivor = str(self.cluster.entry_ports['e2'].callers)
+        later = [
+            line
+            for line in calls
+            if line.start_ns > killed_ns and line.entry == survivor
+        ]
+        whole = [line for line in later if line.answer == 'whole']
+        self.assertGreater(len(whole), len(later) // 2, later[:5])
+
+    def test_planned_stop_of_an_entry_under_load_cuts_nothing(self):
+        """Every call that reached the entry is answered; exit status 0."""
+        caller = self.start_callers('stop', LOAD_S)
+        time.sleep(EARLY_S)
+        since_ns = time.monotonic_ns()
+        status = self.cluster.entries['e1'].stop()
+        stop = _fault('stop', 'e1', since_ns, time.monotonic_ns())
+        caller.wait()
+        self.assertEqual(0, status)
+        calls = caller.lines()
+        during = [
+            line
+            for line in self.cluster.by_entry(calls)['e1']
+            if since_ns < line.end_ns and line.status
+        ]
+        self.assertTrue(during, 'no call met the stop')
+        self.assert_sound(calls, [stop])
+
+    def test_leaving_upstream_gets_nothing_new(self):
+        """Also not from an entry that was frozen meanwhile."""
+        caller = self.start_callers('leave', 10.0, mix='read')
+        time.sleep(EARLY_S)
+        self.cluster.set_upstream_mode('u1', 'leaving')
+        self.cluster.entries['e1'].freeze()
+        time.sleep(5.0)
+        self.cluster.entries['e1'].resume()
+        caller.wait()
+        runs = self.cluster.runs_by_upstream()
+        left_ns = [
+            line.time_ns for line in runs['u1'] if line.event == 'leaving'
+        ][0]
+        before = [line for line in runs['u1'] if line.time_ns < left_ns]
+        self.assertTrue(before, 'u1 ran nothing before it left')
+        self.assertEqual([], _checks.check_leaving(runs))
+
+
+class KeyedRequestTest(systems.SystemTest):
+    def _credit(self, entry, request_id, body=b'{"amount": 1}'):
+        headers = [(b'idempotency-key', request_id.encode())]
+        target = f'/quotes/{request_id}'
+        return self.call(entry, 'POST', target, body, headers)
+
+    def _runs_of(self, request_id):
+        return [
+            line
+            for line in self.all_runs()
+            if line.request_id == request_id and line.event == 'begin'
+        ]
+
+    def test_resend_through_the_other_entry_runs_once(self):
+        first = self._credit('e1', 'credit-1')
+        again = self._credit('e2', 'credit-1')
+        self.assertEqual((200, 200), (first.status, again.status))
+        self.assertEqual(first.body, again.body)
+        self.assertEqual(1, len(self._runs_of('credit-1')))
+
+    def test_key_used_for_another_request_is_refused(self):
+        self._credit('e1', 'credit-2')
+        other = self._credit('e2', 'credit-2', b'{"amount": 2}')
+        self.assertEqual(422, other.status, other.body)
+        self.assertEqual(1, len(self._runs_of('credit-2')))
+
+    def test_resend_after_the_entry_died_runs_at_most_once(self):
+        """The upstream works on it while its entry is killed."""
+        for name in self.cluster.upstreams:
+            self.cluster.set_upstream_mode(name, 'freeze')
+        caller = self.start_callers('dying', 1.0, mix='keyed', callers=2)
+        time.sleep(EARLY_S)
+        for process in self.cluster.entries.values():
+            process.kill()
+        for name in self.cluster.upstreams:
+            self.cluster.set_upstream_mode(name, 'normal')
+        for process in self.cluster.entries.values():
+            process.start()
+        caller.wait()
+        self.cluster.wait_in_force(2)
+        self.cluster.wait_for_upstreams()
+        request_ids = {line.request_id for line in caller.lines()}
+        self.assertTrue(request_ids)
+        for request_id in sorted(request_ids):
+            self._credit('e1', request_id)
+            self._credit('e2', request_id)
+        self.assertEqual([], _checks.check_run_once(self.all_runs()))
+
+
+class MalformedInputTest(systems.SystemTest):
+    def _listeners(self):
+        for name, ports in self.cluster.entry_ports.items():
+            for kind in ('callers', 'platform', 'admin', 'link'):
+                yield f'{name} {kind}', getattr(ports, kind)
+        for name, address in self.cluster.control_links.items():
+            yield f'{name} link', address
+
+    def test_malformed_bytes_on_every_port_disturb_nobody(self):
+        caller = self.start_callers('calm', LOAD_S)
+        for place, address in self._listeners():
+            for data in MALFORMED:
+                with self.subTest(place=place, data=data[:40]):
+                    answer = _send_raw(address, data)
+                    self._assert_refused(place, answer)
+        caller.wait()
+        calls = caller.lines()
+        self.assert_sound(calls)
+        bad = [line for line in calls if line.answer != 'whole']
+        self.assertEqual([], bad[:3])
+        for process in self.cluster.processes.values():
+            self.assertTrue(process.running, process.name)
+        self.assert_planned_stop()
+
+    def _assert_refused(self, place, answer):
+        """HTTP ports answer a 4xx with a reason, or close the connection."""
+        if 'link' in place or not answer:
+            return
+        head, _, body = answer.partition(b'\r\n\r\n')
+        status = int(head.split()[1])
+        self.assertTrue(400 <= status < 500, head)
+        self.assertTrue(json.loads(body)['reason'])
