Test batch jobs while the leader or a worker fails

Change: leader killed in a burst of placements, worker frozen beyond its lease and back, billed job of a frozen worker parked and settled by the operator.

--- /dev/null
+++ b/tests/standins/test_process_jobs.py
@@ -0,0 +1,135 @@
+"""Batch jobs through the real daemons while the leader or a worker fails."""
+
+import time
+
+from standins import _cluster
+from standins import _ledgers
+from standins import _processes
+from tests.standins import systems
+
+END_TIMEOUT_S = 120.0
+LEASE_TIMEOUT_S = 60.0
+FINAL = ('done', 'failed', 'cancelled', 'parked')
+
+
+def _job(job_id, run_ms, *, idempotent=True, cpu_milli=2000):
+    return {
+        'job_id': job_id,
+        'team': _cluster.TEAM,
+        'size': {'cpu_milli': cpu_milli, 'memory_mib': 512},
+        'idempotent': idempotent,
+        'submitted_ms': int(time.time() * 1000),
+        'run_ms': run_ms,
+        'command': f'sleep {run_ms}',
+    }
+
+
+class _JobsTest(systems.SystemTest):
+    def setUp(self):
+        super().setUp()
+        self.admin = self.cluster.admin()
+        self.jobs = {}
+
+    def submit(self, *jobs):
+        """Submits jobs and demands that each is accepted."""
+        reply = self.admin.call('POST', '/v1/jobs', value={'jobs': jobs})
+        self.assertTrue(reply.ok, reply.value)
+        for outcome in reply.value['jobs']:
+            self.assertEqual('', outcome['reason'], outcome)
+        self.jobs.update({job['job_id']: job for job in jobs})
+
+    def view(self, job_id):
+        """Returns the view of a job, None while there is no leader."""
+        reply = self.admin.call('GET', f'/v1/jobs/{job_id}')
+        return reply.value if reply.ok else None
+
+    def wait_for(self, job_id, condition, timeout_s=END_TIMEOUT_S):
+        """Waits until the view of a job meets a condition; returns it."""
+
+        def met():
+            view = self.view(job_id)
+            return view if view and condition(view) else None
+
+        return _processes.wait_until(met, timeout_s, f'state of {job_id}')
+
+    def wait_for_end(self, job_id):
+        """Waits until a job has ended; returns its view."""
+        return self.wait_for(job_id, lambda view: view['state'] in FINAL)
+
+
+class LeaderFailureTest(_JobsTest):
+    def test_leader_killed_in_the_middle_of_placement(self):
+        """Nothing acknowledged is lost, nothing starts twice."""
+        jobs = [
+            _job(f'burst-{number}', 500, idempotent=bool(number % 2))
+            for number in range(60)
+        ]
+        self.submit(*jobs)
+        status = self.cluster.status()
+        leader = self.cluster.controls[status['control']['leader']]
+        leader.kill()
+        counts = status['control']['jobs']
+        self.assertTrue(
+            counts.get('queued') or counts.get('placed'), 'all had run'
+        )
+        states = {job_id: self.wait_for_end(job_id) for job_id in self.jobs}
+        leader.start()
+        late = {
+            job_id: view['state']
+            for job_id, view in states.items()
+            if view['state'] != 'done'
+        }
+        self.assertEqual({}, late)
+        self.assert_attempts_sound(self.jobs)
+        self.assert_planned_stop()
+
+
+class WorkerFailureTest(_JobsTest):
+    def _freeze_beyond_lease(self, job_id):
+        """Freezes the worker of a running job; returns it."""
+        view = self.wait_for(job_id, lambda view: view['state'] == 'running')
+        process = self.cluster.workers[view['worker']]
+        self.frozen_ns = time.monotonic_ns()
+        process.freeze()
+        return process
+
+    def _fault(self, process):
+        return _ledgers.FaultLine(
+            'freeze',
+            process.name,
+            self.frozen_ns,
+            self.frozen_ns,
+            time.monotonic_ns(),
+        )
+
+    def test_frozen_worker_comes_back_after_its_lease(self):
+        """The second attempt runs alone; the first one stops by itself."""
+        self.submit(_job('long', 25000))
+        process = self._freeze_beyond_lease('long')
+        self.wait_for(
+            'long',
+            lambda view: view['attempt'] == 2 and view['state'] == 'running',
+            LEASE_TIMEOUT_S,
+        )
+        process.resume()
+        fault = self._fault(process)
+        view = self.wait_for_end('long')
+        self.assertEqual('done', view['state'], view)
+        self.assertEqual(2, view['attempt'])
+        self.assert_attempts_sound(self.jobs, [fault])
+
+    def test_billed_job_of_a_frozen_worker_is_parked(self):
+        """It may have run, so only the operator may settle it."""
+        self.submit(_job('billed', 60000, idempotent=False))
+        process = self._freeze_beyond_lease('billed')
+        view = self.wait_for_end('billed')
+        self.assertEqual('parked', view['state'], view)
+        process.resume()
+        fault = self._fault(process)
+        body = {'job_ids': ['billed'], 'resolution': 'queued'}
+        reply = self.admin.call('POST', '/v1/jobs/resolve', value=body)
+        self.assertEqual('may_have_run', reply.value['jobs'][0]['reason'])
+        body['resolution'] = 'failed'
+        reply = self.admin.call('POST', '/v1/jobs/resolve', value=body)
+        self.assertEqual('', reply.value['jobs'][0]['reason'], reply.value)
+        self.assert_attempts_sound(self.jobs, [fault])
