--- a/fuchsiatrestle/routing/_group.py
+++ b/fuchsiatrestle/routing/_group.py
@@ -55,11 +55,9 @@
         return other or free
 
     def capacity(self, now_ms):
-        """Slots that this entry may use, over all ready upstreams."""
+        """Slots that are free or in use, over upstreams given work."""
         return sum(
-            max(0, upstream.capacity(now_ms))
-            for upstream in self.upstreams
-            if upstream.ready
+            max(0, upstream.usable(now_ms)) for upstream in self.upstreams
         )
 
     def free(self, now_ms):
@@ -107,14 +105,19 @@
         """True if ``latency_ms`` makes an upstream an outlier."""
         return latency_ms > OUTLIER_RATIO * self.median_ms + OUTLIER_FLOOR_MS
 
+    def is_silence(self, upstream, elapsed_ms):
+        """True if an upstream that took so long is more than busy."""
+        if upstream.latency.known:
+            return elapsed_ms >= upstream.latency.unusual_ms
+        return elapsed_ms >= self.cfg.deadline_ms // 2
+
     def take_latency(self, upstream, latency_ms, now_ms):
         """Notes a whole answer of an upstream."""
         health = upstream.health
         if health.on_probation and self.is_slow(latency_ms):
             health.shun(now_ms, 'slow')
-            health.proved_ms = now_ms
             return
         if health.on_probation:
             upstream.latency.restart()
-        health.succeed(now_ms)
+        health.succeed()
         upstream.latency.add(latency_ms)
