--- a/standins/_soak_faults.py
+++ b/standins/_soak_faults.py
@@ -185,6 +185,7 @@
     def __init__(self, cluster, name, seed, faults):
         self.lines = []
         self.failures = []
+        self._ledger = _ledgers.Ledger(cluster.ledger_path(f'faults-{name}'))
         self._cluster = cluster
         self._rng = random.Random(f'{seed}-{name}')
         self._choices = [
@@ -232,12 +233,8 @@
             self.failures.append(str(exc))
             if not process.running:
                 process.start()
-        self.lines.append(
-            _ledgers.FaultLine(
-                fault.kind,
-                process.name,
-                since_ns,
-                done_ns,
-                time.monotonic_ns(),
-            )
+        line = _ledgers.FaultLine(
+            fault.kind, process.name, since_ns, done_ns, time.monotonic_ns()
         )
+        self.lines.append(line)
+        self._ledger.write(line)
