--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -27,7 +27,7 @@
 ANNOUNCE_S = 1.0
 ANNOUNCE_TIMEOUT_S = 0.8
 SLOW_FACTOR = 10
-MAX_INCARNATION = 2**48
+NS_PER_MS = 10**6
 
 READY = 'ready'
 LEAVING = 'leaving'
@@ -77,9 +77,8 @@
         self._in_flight = 0
         self._rng = random.Random(cfg.seed)
         self._ledger = _ledgers.Ledger(cfg.ledger)
-        self._incarnation = time.time_ns() % MAX_INCARNATION
-        self._seq = 0
         self._stopping = False
+        self._draw_incarnation()
         self._note_state()
 
     @property
@@ -97,6 +96,11 @@
         self._stopping = True
         self._note_state()
 
+    def _draw_incarnation(self):
+        """Starts anew: within one incarnation leaving is for good."""
+        self._incarnation = time.time_ns() // NS_PER_MS
+        self._seq = 0
+
     # Requests
 
     async def handle(self, request):
@@ -123,6 +127,8 @@
             return http.reason_response(400, 'bad_json', str(exc))
         if body.mode not in MODES:
             return http.reason_response(400, 'unknown_mode', body.mode)
+        if self._mode == 'leaving':
+            self._draw_incarnation()
         self._mode = body.mode
         self._note_state()
         return http.json_response(200, {'mode': self._mode})
