--- a/fuchsiatrestle/agreement/_folder.py
+++ b/fuchsiatrestle/agreement/_folder.py
@@ -146,9 +146,13 @@
     def save_snapshot(self, snapshot):
         """Saves a snapshot of applied state, then drops the log before it.
 
+        One that is not newer than the snapshot stored changes nothing.
+
         Raises:
             errors.StorageFailed: nothing later may be written.
         """
+        if snapshot.last_index <= self._snapshot_index:
+            return
         with self._guard('snapshot'):
             self._replace_snapshot(snapshot)
             self._start_segment()
@@ -198,6 +202,7 @@
         self._segments = found.segments
         self._hard_state = found.hard_state
         self._reset_seq = found.reset_seq
+        self._snapshot_index = found.base_index
         self._next_seq = found.next_seq
         if found.unborn:
             self._files.remove(found.unborn)
@@ -249,6 +254,7 @@
     def _replace_snapshot(self, snapshot):
         stored = _stored.StoredSnapshot(snapshot, self._reset_seq)
         self._replace(_recovery.SNAPSHOT_NAME, stored)
+        self._snapshot_index = snapshot.last_index
 
     def _replace(self, name, record):
         path = self._join(name)
--- a/fuchsiatrestle/agreement/_follower.py
+++ b/fuchsiatrestle/agreement/_follower.py
@@ -36,7 +36,7 @@
         replica = self._replica
         if replica.now_ms < self._deadline_ms:
             return
-        if replica.is_voter:
+        if replica.may_stand:
             replica.become_candidate(pre=True)
         else:
             self._deadline_ms = replica.now_ms + replica.draw_election_ms()
@@ -50,7 +50,7 @@
     def on_timeout_now(self, message):
         """Stands for election at once, on the leader's order."""
         replica = self._replica
-        if replica.is_voter and message.leader == replica.leader:
+        if replica.may_stand and message.leader == replica.leader:
             replica.become_candidate(pre=False, handover=True)
 
     # Appends
--- a/fuchsiatrestle/agreement/_membership.py
+++ b/fuchsiatrestle/agreement/_membership.py
@@ -111,8 +111,9 @@
     def _drop_removed(self):
         """Stops sending to removed members once they know or are silent."""
         replica = self._replica
-        removed = set(self._leader.progress) - set(replica.voters.members)
-        for member in removed:
+        for member in list(self._leader.progress):
+            if member in replica.voters.members:
+                continue
             knows = self._leader.holds(member, replica.voters_index)
             if knows or not self._leader.alive(member):
                 del self._leader.progress[member]
--- a/fuchsiatrestle/agreement/_recovery.py
+++ b/fuchsiatrestle/agreement/_recovery.py
@@ -187,14 +187,15 @@
     def _append(self, path, frame, entry):
         if self._entries and entry.index != self._entries[-1].index + 1:
             raise _damaged(path, frame.offset, f'gap before {entry.index}')
-        if not self._entries and entry.index > self._base_index + 1:
+        if not self._entries and entry.index > self.base_index + 1:
             raise _damaged(path, frame.offset, f'gap before {entry.index}')
         self._entries.append(entry)
 
     # Result
 
     @property
-    def _base_index(self):
+    def base_index(self):
+        """Last index that the snapshot covers, 0 without one."""
         return self.snapshot.last_index if self.snapshot else 0
 
     def _check_made(self):
@@ -210,7 +211,7 @@
     @property
     def state(self):
         """The ``FolderState`` recovered."""
-        base = self._base_index
+        base = self.base_index
         entries = [one for one in self._entries if one.index > base]
         return _stored.FolderState(
             self.identity, self.hard_state, entries, self.snapshot
--- a/fuchsiatrestle/agreement/_replica.py
+++ b/fuchsiatrestle/agreement/_replica.py
@@ -97,6 +97,16 @@
         """True if this replica is one of the voters."""
         return self.identity in self.voters.voters
 
+    @property
+    def may_stand(self):
+        """True if this replica may stand for election.
+
+        One whose removal is not known to be committed still may: the others
+        may need its log to elect anyone.
+        """
+        sets = self._history.since(self.commit)
+        return any(self.identity in voters.voters for voters in sets)
+
     @property
     def leader_name(self):
         """Name of the leader if known, else empty."""
@@ -112,19 +122,29 @@
         """Identities that said hello and may be added, for a leader."""
         return self.role.newcomers
 
+    @property
+    def _snapshot_index(self):
+        return self.snapshot.last_index if self.snapshot else 0
+
     def make_snapshot(self, last_index, data):
         """Returns the ``Snapshot`` of the state applied up to an index.
 
         Args:
-            last_index: index applied last, not before the last snapshot.
+            last_index: index applied last, from 1.
             data: bytes of the state machine.
+
+        A newer snapshot, installed since the state was copied, is returned
+        in place of an older one; saving it again changes nothing.
         """
         invariants.require(
-            self.log.base_index <= last_index <= self.commit,
+            last_index <= self.commit,
             'snapshot_of_committed',
             index=last_index,
             commit=self.commit,
         )
+        if last_index <= self._snapshot_index:
+            # Another one was installed since the state was copied.
+            return self.snapshot
         term = self.log.term_at(last_index)
         voters = self._history.at(last_index)
         return _voters.Snapshot(last_index, term, voters, data)
@@ -278,7 +298,7 @@
 
     def compact(self, snapshot):
         """Drops entries that a durable snapshot covers."""
-        if self.snapshot and snapshot.last_index <= self.snapshot.last_index:
+        if snapshot.last_index <= self._snapshot_index:
             return
         self.snapshot = snapshot
         kept = snapshot.last_index - self.cfg.kept_entries
--- a/fuchsiatrestle/agreement/_voters.py
+++ b/fuchsiatrestle/agreement/_voters.py
@@ -138,6 +138,11 @@
                 return voters
         return self._sets[0][1]
 
+    def since(self, index):
+        """Returns the sets in force at ``index`` or after it."""
+        later = [voters for made_at, voters in self._sets if made_at > index]
+        return [self.at(index)] + later
+
     def append(self, entry):
         """Takes the set of an appended ``voters`` entry."""
         self._sets.append((entry.index, decode_voters(entry.data)))
--- a/tests/agreement/chaos.py
+++ b/tests/agreement/chaos.py
@@ -127,6 +127,10 @@
         group.hand_over(group.leader)
 
 
+def _capture(group, a, b):
+    group.capture(_name(group, a))
+
+
 def _compact(group, a, b):
     group.compact(_name(group, a))
 
@@ -185,6 +189,7 @@
     'cut_off': (_cut_off, 2),
     'join_cuts': (_join_cuts, 5),
     'hand_over': (_hand_over, 2),
+    'capture': (_capture, 4),
     'compact': (_compact, 4),
     'remove': (_remove, 1),
     'erase': (_erase, 1),
--- a/tests/agreement/mutations.py
+++ b/tests/agreement/mutations.py
@@ -177,7 +177,26 @@
         frame = self._frame_at(frame.end)
 
 
+def _snapshot_as_asked(self, last_index, data):
+    voters = self._history.at(last_index)
+    term = self.log.term_at(last_index) or 1
+    return _voters.Snapshot(last_index, term, voters, data)
+
+
+def _save_any_snapshot(self, snapshot):
+    with self._guard('snapshot'):
+        self._replace_snapshot(snapshot)
+        self._start_segment()
+        self._remove_covered(snapshot.last_index)
+
+
 MUTATIONS = {
+    'removed voter does not stand': Mutation(
+        'removed_voter_still_stands',
+        _replica.Replica,
+        'may_stand',
+        _replica.Replica.is_voter,
+    ),
     'no pre-vote': Mutation(
         'cut_off_voter_returns', _follower.Follower, 'tick', _stand_at_once
     ),
@@ -298,6 +317,18 @@
     'no order to stand at a hand-over': Mutation(
         'hand_over_is_quick', _leader.Leader, 'order_election', _nothing
     ),
+    'older snapshot made after an install': Mutation(
+        'snapshot_made_late_is_dropped',
+        _replica.Replica,
+        'make_snapshot',
+        _snapshot_as_asked,
+    ),
+    'older snapshot saved over the installed one': Mutation(
+        'snapshot_made_late_is_dropped',
+        _folder.DataFolder,
+        'save_snapshot',
+        _save_any_snapshot,
+    ),
     'snapshot with later voters': Mutation(
         'snapshot_holds_the_voters_of_its_index',
         _replica.Replica,
--- a/tests/agreement/scenarios.py
+++ b/tests/agreement/scenarios.py
@@ -326,6 +326,44 @@
     group.require_whole()
 
 
+def removed_voter_still_stands():
+    """One whose removal is not committed may be the only one to win."""
+    group = _founded(('c1', 'c2', 'c3', 'c4'))
+    leader = group.leader
+    member = group.nodes[leader].replica.identity
+    group.kill(_followers(group)[0])
+    group.change_voters(leader, 'remove', member)
+    group.store(leader)
+    group.kill(leader)
+    group.network.clear()
+    group.start(leader)
+    _require(group.commit_one(attempts=2), 'nobody is elected')
+    group.require_whole()
+
+
+def snapshot_made_late_is_dropped():
+    """State copied before an install does not replace the installed one."""
+    group = _founded()
+    behind = _followers(group)[0]
+    _cut_off(group, behind)
+    for _ in range(20):
+        group.propose(group.leader)
+        group.settle()
+    group.compact(group.leader)
+    group.cuts.clear()
+    group.run_until(
+        lambda: group.nodes[behind].replica.log.base_index > 15, 5_000
+    )
+    snapshot = group.nodes[behind].replica.make_snapshot(1, b'')
+    _require(snapshot.last_index > 15, 'an older snapshot was made')
+    old = agreement.Snapshot(1, 1, VOTERS, b'')
+    group.nodes[behind].folder.save_snapshot(old)
+    group.kill(behind)
+    group.start(behind)
+    state = group.nodes[behind].folder.state
+    _require(state.snapshot == snapshot, 'an older snapshot was saved')
+
+
 def hand_over_is_quick():
     """Another voter leads without waiting for an election timeout."""
     group = _founded()
@@ -497,6 +535,8 @@
         snapshot_holds_the_voters_of_its_index,
         removed_change_is_rolled_back,
         removed_leader_leaves,
+        removed_voter_still_stands,
+        snapshot_made_late_is_dropped,
         hand_over_is_quick,
         second_disk_lost_after_a_repair,
         empty_folder_founds_no_second_group,
