--- a/fuchsiatrestle/control/_replica_task.py
+++ b/fuchsiatrestle/control/_replica_task.py
@@ -77,15 +77,19 @@
             event = agreement.Compact(event.snapshot)
         now_ms = daemon.now_ms()
         effects = self._replica.step(event, now_ms)
-        if self._voters is not self._replica.voters:
-            self._voters = self._replica.voters
-            self._facts_due_ms = now_ms
-        if now_ms >= self._facts_due_ms:
+        if self._facts_wanted(effects, now_ms):
             self._facts_due_ms = now_ms + FACTS_MS
             await self._publish_facts(now_ms)
         for effect in effects:
             await self._carry_out(effect)
 
+    def _facts_wanted(self, effects, now_ms):
+        """True if the facts are old, or somebody is about to read them."""
+        changed = self._voters is not self._replica.voters
+        self._voters = self._replica.voters
+        read = any(isinstance(one, agreement.ReadReady) for one in effects)
+        return changed or read or now_ms >= self._facts_due_ms
+
     async def _carry_out(self, effect):
         if isinstance(effect, agreement.Send):
             self._link.send(effect.peer, effect.message)
@@ -128,13 +132,13 @@
 
     def _member(self, identity, now_ms):
         replica = self._replica
-        role = 'voter' if identity in replica.voters.voters else 'learner'
         name = agreement.name_of(identity)
         progress = replica.followers.get(identity)
-        if progress is None:
-            match = replica.log.last_index
-            return _events.MemberFacts(identity, name, role, match, 0)
-        heard_ms = max(0, now_ms - progress.alive_ms)
-        return _events.MemberFacts(
-            identity, name, role, progress.match, heard_ms
-        )
+        match = progress.match if progress else replica.log.last_index
+        heard_ms = max(0, now_ms - progress.alive_ms) if progress else 0
+        # A new voter counts once it holds the agreed entry that made it one:
+        # before that, losing another voter can lose the quorum.
+        holds = replica.voters_committed and match >= replica.voters_index
+        voter = identity in replica.voters.voters and holds
+        role = 'voter' if voter else 'learner'
+        return _events.MemberFacts(identity, name, role, match, heard_ms)
--- /dev/null
+++ b/tests/fakes/entries.py
@@ -0,0 +1,89 @@
+"""A small entry over a real link: calls to control and a lease, no HTTP."""
+
+import curio
+
+from fuchsiatrestle import daemon
+from fuchsiatrestle import membership
+from fuchsiatrestle.net import control_client
+from fuchsiatrestle.net import link
+
+__all__ = ('FakeEntry',)
+
+TICK_S = 0.05
+
+
+class FakeEntry:
+    """One entry process's part in the configuration.
+
+    Args:
+        name: name of the entry.
+        address: ``settings.Address`` of its link listener.
+        controls: ``settings.Address`` of each control replica, by name.
+
+    Attributes:
+        client: the ``ControlClient``.
+        holder: the ``ConfigLeaseHolder``.
+        in_force: monotonic time in milliseconds by version.
+        lost: monotonic times in milliseconds at which the lease was lost.
+    """
+
+    def __init__(self, name, address, controls):
+        self.name = name
+        self.address = address
+        self._link = link.Link(name, daemon.draw_incarnation(), address)
+        self.client = control_client.ControlClient(self._link, controls)
+        self.holder = membership.ConfigLeaseHolder(
+            name, self._link.incarnation, address, controls
+        )
+        self.in_force = {}
+        self.lost = []
+        self._tasks = []
+
+    async def start(self):
+        """Starts link and tasks."""
+        await self._link.start()
+        self.client.connect()
+        self._tasks = [
+            await curio.spawn(self._receive),
+            await curio.spawn(self._renew),
+        ]
+
+    async def stop(self):
+        """Gives the lease up and stops."""
+        self._step(membership.Release())
+        await curio.sleep(TICK_S)
+        for task in self._tasks:
+            await task.cancel()
+        await self._link.stop()
+
+    def is_held(self):
+        """True while it could serve."""
+        return self.holder.is_held(daemon.now_ms())
+
+    async def wait_for_version(self, version):
+        """Waits until a version is in force here."""
+        while version not in self.in_force:
+            await curio.sleep(TICK_S / 10)
+
+    async def _receive(self):
+        while True:
+            event = await self._link.receive()
+            if await self.client.handle(event):
+                continue
+            if isinstance(event, link.Inbound):
+                self._step(membership.Received(event.peer, event.message))
+
+    async def _renew(self):
+        while True:
+            self._step(membership.Tick())
+            await curio.sleep(TICK_S)
+
+    def _step(self, event):
+        now_ms = daemon.now_ms()
+        for effect in self.holder.step(event, now_ms):
+            if isinstance(effect, membership.Send):
+                self._link.send(effect.peer, effect.message)
+            elif isinstance(effect, membership.ConfigInForce):
+                self.in_force[effect.version] = now_ms
+            else:
+                self.lost.append(now_ms)
