--- /dev/null
+++ b/tests/control/test_service.py
@@ -0,0 +1,179 @@
+"""Tests of the service core."""
+
+import unittest
+from unittest import mock
+
+from fuchsiatrestle import agreement
+from fuchsiatrestle.control import _events
+from fuchsiatrestle.control import _service
+from fuchsiatrestle import errors
+from fuchsiatrestle import messages
+from fuchsiatrestle.state import commands
+from fuchsiatrestle.state import outcomes
+from fuchsiatrestle.state import queries
+
+PATCH = commands.CODEC.encode(commands.PatchConfig(1, 'p', b'{}'))
+QUERY = queries.CODEC.encode(queries.GetConfig())
+
+
+class ServiceTest(unittest.TestCase):
+    def setUp(self):
+        self.service = _service.Service('c1', 100)
+        self.now_ms = 0
+        self.last_call = 0
+
+    def _step(self, event):
+        self.now_ms += 1
+        return self.service.step(event, self.now_ms)
+
+    def _lead(self, term=1):
+        noop = messages.Entry(
+            self.service.machine.applied + 1, term, 'noop', b''
+        )
+        self._step(agreement.Apply([noop]))
+        self._step(agreement.RoleChanged('leader', term, 'c1', True))
+
+    def _call(self, kind, data):
+        self.last_call += 1
+        return self._step(_events.Call('e1', kind(self.last_call, data)))
+
+    def _propose(self):
+        return self._call(messages.ProposeCommand, PATCH)
+
+    def _answers(self, effects):
+        return [
+            effect.message
+            for effect in effects
+            if isinstance(effect, _events.Send)
+        ]
+
+    def _token(self, effects):
+        event = effects[0].event
+        if isinstance(event, agreement.ReadRequest):
+            return event.token
+        return event.items[0][0]
+
+    def _apply(self, index, term, data=PATCH):
+        entry = messages.Entry(index, term, 'command', data)
+        return self._answers(self._step(agreement.Apply([entry])))
+
+    def _assert_refused(self, reason, answers, executed=False):
+        self.assertEqual([reason], [one.reason for one in answers])
+        self.assertIs(executed, answers[0].executed)
+
+    def test_only_the_ready_leader_serves(self):
+        roles = (
+            None,
+            ('follower', 1, 'c2', False),
+            ('leader', 2, 'c1', False),
+            ('candidate', 3, '', False),
+            ('learner', 3, 'c3', False),
+        )
+        for role in roles:
+            if role:
+                self._step(agreement.RoleChanged(*role))
+            with self.subTest(role=role):
+                answers = self._answers(self._propose())
+                self._assert_refused('not_leader', answers)
+                self.assertEqual(role[2] if role else '', answers[0].leader)
+
+    def test_outcome_follows_the_applied_entry(self):
+        self._lead()
+        token = self._token(self._propose())
+        self._step(agreement.Accepted(token, 2, 1))
+        answer = self._apply(2, 1)[0]
+        self.assertEqual(
+            outcomes.ConfigAccepted(2), outcomes.CODEC.decode(answer.outcome)
+        )
+
+    def test_entry_of_another_term_in_its_place_means_not_agreed(self):
+        self._lead()
+        token = self._token(self._propose())
+        self._step(agreement.Accepted(token, 2, 1))
+        self._assert_refused('not_leader', self._apply(2, 2))
+
+    def test_lost_leadership_leaves_accepted_calls_unknown(self):
+        self._lead()
+        token = self._token(self._propose())
+        self._step(agreement.Accepted(token, 2, 1))
+        lost = agreement.RoleChanged('follower', 2, 'c2', False)
+        answers = self._answers(self._step(lost))
+        self._assert_refused('unknown', answers)
+        self.assertEqual([], self._apply(2, 1))
+
+    def test_rejected_calls_are_certainly_not_agreed(self):
+        self._lead()
+        for reason in ('overloaded', 'stopping', 'not_leader'):
+            token = self._token(self._propose())
+            effects = self._step(agreement.Rejected(token, reason, 'c2'))
+            self._assert_refused(reason, self._answers(effects))
+
+    def test_read_waits_for_confirmation_and_for_its_index(self):
+        self._lead()
+        token = self._token(self._call(messages.AskQuery, QUERY))
+        ready = agreement.ReadReady(token, 2)
+        self.assertEqual([], self._answers(self._step(ready)))
+        answer = self._apply(2, 1)[0]
+        found = queries.CODEC.decode(answer.result)
+        self.assertEqual(2, found.version)
+
+    def test_read_after_lost_leadership_is_refused(self):
+        self._lead()
+        token = self._token(self._call(messages.AskQuery, QUERY))
+        self._step(agreement.RoleChanged('follower', 2, 'c2', False))
+        effects = self._step(agreement.ReadReady(token, 1))
+        self._assert_refused('not_leader', self._answers(effects))
+
+    def test_renewal_is_granted_only_once_confirmed(self):
+        self._lead()
+        renewal = messages.RenewConfigLease(7, 'e1', 1, 0, 'a:1', 1)
+        call = _events.Call('e1', renewal)
+        self.assertEqual([], self._step(call))
+        effects = self._step(_events.Tick(0))
+        token = self._token(effects)
+        effects = self._step(agreement.ReadReady(token, 1))
+        lease = self._answers(effects)[0]
+        self.assertEqual('not_admitted', lease.reason)
+
+    def test_bad_and_closed_commands_are_refused(self):
+        own = commands.CODEC.encode(commands.ParkJobs(['j'], 'x'))
+        self._lead()
+        large = b'x' * (_service.MAX_COMMAND_BYTES + 1)
+        for data in (b'', b'\xff', own, large):
+            with self.subTest(data=data[:5]):
+                effects = self._call(messages.ProposeCommand, data)
+                self._assert_refused('bad_request', self._answers(effects))
+        effects = self._call(messages.AskQuery, b'\xff')
+        token = self._token(effects)
+        effects = self._step(agreement.ReadReady(token, 0))
+        self._assert_refused('bad_request', self._answers(effects))
+
+    def test_calls_are_bounded(self):
+        self._lead()
+        with mock.patch.object(_service, 'MAX_PENDING_CALLS', 2):
+            self._propose()
+            self._propose()
+            answers = self._answers(self._propose())
+            self._assert_refused('overloaded', answers)
+
+    def test_broken_storage_acknowledges_nothing(self):
+        self._lead()
+        token = self._token(self._propose())
+        self._step(agreement.Accepted(token, 2, 1))
+        broken = _events.StorageBroken(errors.StorageFailed('x', step='y'))
+        self._assert_refused('unknown', self._answers(self._step(broken)))
+        self._assert_refused('storage_failed', self._answers(self._propose()))
+
+    def test_snapshot_restarts_the_state(self):
+        service = _service.Service('c1', 1)
+        entry = messages.Entry(1, 1, 'command', PATCH)
+        effects = service.step(agreement.Apply([entry]), 1)
+        taken = effects[0].event
+        self.assertEqual(1, taken.last_index)
+        snapshot = agreement.Snapshot(1, 1, None, taken.data)
+        again = _service.Service('c1', 1, snapshot)
+        self.assertEqual(2, again.machine.config.version)
+
+
+if __name__ == '__main__':
+    unittest.main()
