--- a/fuchsiatrestle/entry/_claims.py
+++ b/fuchsiatrestle/entry/_claims.py
@@ -51,6 +51,7 @@
         self._wake_asks = curio.Event()
         self._wake_finishes = curio.Event()
         self._last_batch = 0
+        self._last_finish = 0
         self._recording = False
         self.router = None
 
@@ -162,7 +163,10 @@
                 self._recording = False
 
     async def _record(self, batch):
-        command = commands.FinishClaims(self._entry, self._incarnation, batch)
+        self._last_finish += 1
+        command = commands.FinishClaims(
+            self._entry, self._incarnation, batch, self._last_finish
+        )
         while True:
             answer = await self._client.propose(command, SETTLE_DEADLINE_MS)
             if isinstance(answer, result.Success):
