Stop with an error when the data folder fails; test the program

Cause, found by the new test: after a failed write the replica task returned, which ended the daemon with status 0 before calls were refused and the error was raised. It now idles until the state task has refused what waits and raised the error (exit 74).

Exit statuses and one-line errors of the program are tested with processes: settings, folder in use, port in use, damaged log.

--- a/fuchsiatrestle/control/_replica_task.py
+++ b/fuchsiatrestle/control/_replica_task.py
@@ -57,13 +57,15 @@
         self._storage = storage
 
     async def run(self):
-        """Works until cancelled."""
+        """Works until cancelled; idles once the data folder has failed."""
+        broken = False
         while True:
             event = await self.inbox.get()
             if isinstance(event, _events.StorageBroken):
+                broken = True
                 await self._state_inbox.put(event)
-                return
-            await self._handle(event)
+            elif not broken:
+                await self._handle(event)
 
     async def _handle(self, event):
         if isinstance(event, _events.TakeSnapshot):
