--- /dev/null
+++ b/tests/fakes/entry_world.py
@@ -0,0 +1,535 @@
+"""Entries over real sockets around a scripted upstream, with step gates.
+
+Everything runs in one curio kernel.  A gate holds a request at one step of
+its path, so that a fault can be brought about right there.  Terms are made
+short by ``short_terms``; no verdict depends on a measured time.
+"""
+
+import contextlib
+import itertools
+import socket
+import struct
+from unittest import mock
+
+import curio
+import h11
+from returns import result
+
+from fuchsiatrestle import daemon
+from fuchsiatrestle.entry import _caller_path
+from fuchsiatrestle import messages
+from fuchsiatrestle.net import control_client
+from fuchsiatrestle.net import http
+from fuchsiatrestle import routing
+from fuchsiatrestle.routing import _announcements
+from fuchsiatrestle.routing import _core
+from fuchsiatrestle.routing import _health
+from fuchsiatrestle.routing import _lending
+from fuchsiatrestle.routing import _shares
+from fuchsiatrestle.routing import _steadiness
+from fuchsiatrestle import settings
+from fuchsiatrestle.state import machine
+
+__all__ = (
+    'EntryProcess',
+    'FakeControl',
+    'Gate',
+    'ScriptedUpstream',
+    'short_terms',
+)
+
+HOST = '127.0.0.1'
+SERVICE = 'quotes'
+DEADLINE_MS = 600
+LEASE_MS = 300
+RENEW_S = 0.05
+ANNOUNCE_S = 0.1
+LONG_BODY = b'y' * 400000
+SMALL_BUFFER = 4096
+HOLD_BYTES = 65536
+
+_ABORT = struct.pack('ii', 1, 0)
+
+
+def short_terms():
+    """Returns a context in which leases and margins are short."""
+    stack = contextlib.ExitStack()
+    for module, name, value in (
+        (_shares, 'LEASE_BOUND_MS', LEASE_MS),
+        (_shares, 'DRIFT_MS', 30),
+        (_steadiness, 'ABANDON_HOLD_MS', 200),
+        (_steadiness, 'STEADY_GAP_MS', 280),
+        (routing, 'ABANDON_HOLD_MS', 200),
+        (_announcements, 'UNHEARD_MS', 400),
+        (_lending, 'LOAN_MS', 150),
+        (_health, 'SHUN_MIN_MS', 20),
+        (_health, 'SHUN_MAX_MS', 80),
+        (_core, 'FROZEN_MS', 300),
+        (_core, 'STALE_INPUT_MS', 100),
+    ):
+        stack.enter_context(mock.patch.object(module, name, value))
+    return stack
+
+
+class Gate:
+    """Holds whoever passes until it is opened.
+
+    Attributes:
+        waiting: number of those held so far.
+    """
+
+    def __init__(self):
+        self.waiting = 0
+        self._open = curio.Event()
+
+    async def passes(self):
+        """Waits at the gate."""
+        self.waiting += 1
+        await self._open.wait()
+
+    async def open(self):
+        """Lets everyone pass from now on."""
+        await self._open.set()
+
+
+class NoGate:
+    """A gate that holds nobody."""
+
+    async def passes(self):
+        """Returns at once."""
+
+
+# Control
+
+
+class FakeControl:
+    """The agreed state of one process, and leases for who is not cut off.
+
+    Attributes:
+        gate: gate before the answer to a claim.
+    """
+
+    def __init__(self, members):
+        self.members = members
+        self.version = 1
+        self.gate = NoGate()
+        self._machine = machine.StateMachine()
+        self._index = itertools.count(1)
+
+    def document(self):
+        """Returns the JSON of the configuration."""
+        return http.encode_json(
+            {
+                'services': {
+                    SERVICE: {
+                        'path': '/quotes',
+                        'deadline_ms': DEADLINE_MS,
+                        'max_held_answer_bytes': HOLD_BYTES,
+                        'progress_timeout_ms': 200,
+                    }
+                },
+                'entries': {
+                    name: {'address': f'{HOST}:{7000 + number}'}
+                    for number, name in enumerate(self.members)
+                },
+            }
+        )
+
+    def agree(self, command):
+        """Applies a command; returns its outcome."""
+        return self._machine.apply(next(self._index), command)
+
+
+class _Client:
+    """The control client of one entry."""
+
+    def __init__(self, entry):
+        self._entry = entry
+
+    async def propose(self, command, deadline_ms=1000):
+        """Agrees a command unless the entry is cut off."""
+        entry = self._entry
+        if 'Claim' in type(command).__name__:
+            await entry.control.gate.passes()
+        await entry.awake()
+        if not entry.reaches_control:
+            await curio.sleep(0.05)
+            return result.Failure(
+                control_client.CallFailure(
+                    'timeout',
+                    step='propose',
+                    peer='control',
+                    executed=None,
+                )
+            )
+        return result.Success(entry.control.agree(command))
+
+
+# Entry
+
+
+class EntryProcess:
+    """What an entry daemon runs, without link and settings.
+
+    Attributes:
+        reaches_control: False while cut off from control.
+        gates: ``Gate`` by step, for ``choose``, ``connect`` and ``answer``.
+    """
+
+    def __init__(self, name, port, control, incarnation):
+        self.name = name
+        self.port = port
+        self.control = control
+        self.incarnation = incarnation
+        self.reaches_control = True
+        self.alive = True
+        self.peers = {}
+        self.gates = {}
+        self._thawed = curio.Event()
+        self._inbox = curio.Queue()
+        self._tasks = []
+        self._stopping = False
+        self.path = _caller_path.CallerPath(
+            name, incarnation, self._send, _Client(self), lambda: True
+        )
+        self.router = self.path.router
+        self.server = http.Server(
+            settings.Address(HOST, port),
+            _GatedHandler(self),
+            http.Limits(head_s=2.0, body_s=2.0, body_bytes=1000000),
+        )
+        self._gate_router()
+        self._gate_pool()
+
+    async def start(self):
+        """Starts the listener and the tasks."""
+        await self._thawed.set()
+        await self.server.start()
+        for func in (
+            self._tick,
+            self._renew,
+            self._receive,
+            self.path.claims.claim_forever,
+            self.path.claims.finish_forever,
+        ):
+            self._tasks.append(await curio.spawn(func, daemon=True))
+
+    async def awake(self):
+        """Waits while the process is frozen."""
+        await self._thawed.wait()
+
+    def freeze(self):
+        """Stops the process until ``thaw``."""
+        self._thawed.clear()
+
+    async def thaw(self):
+        """Lets the process go on."""
+        await self._thawed.set()
+
+    async def kill(self):
+        """Ends the process: its tasks stop, its sockets are reset."""
+        self.alive = False
+        for task in self._tasks:
+            await task.cancel()
+        for conn in list(self.server._connections):
+            conn._abort()
+            await conn.task.cancel(blocking=False)
+        await self.server._tasks[0].cancel()
+        await self.server._sock.close()
+        self.path.pool.close_all()
+
+    async def stop(self):
+        """Stops as planned."""
+        if not self.alive or self._stopping:
+            return
+        self._stopping = True
+        await self.router.step(routing.StopStarted())
+        await self.server.stop(3.0)
+        await self.path.claims.flush()
+        for task in self._tasks:
+            await task.cancel()
+        self.path.pool.close_all()
+        self.alive = False
+
+    # Tasks
+
+    async def _tick(self):
+        while True:
+            await self.awake()
+            await self.router.step(routing.TickPassed())
+            await curio.sleep(0.02)
+
+    async def _renew(self):
+        while True:
+            await self.awake()
+            sent_ms = daemon.now_ms()
+            if self.reaches_control:
+                await self.router.step(
+                    routing.ConfigurationGranted(
+                        self.control.version,
+                        sent_ms + LEASE_MS,
+                        self.control.document(),
+                    )
+                )
+            await curio.sleep(RENEW_S)
+
+    def _send(self, peer, message):
+        entry = self.peers.get(peer)
+        if entry is not None and not entry._inbox.full():
+            entry._inbox._queue.append((self.name, message))
+
+    async def _receive(self):
+        while True:
+            await self.awake()
+            waiting = self._inbox._queue
+            while waiting:
+                peer, message = waiting.popleft()
+                await self.router.step(routing.PeerSent(peer, message))
+            await curio.sleep(0.002)
+
+    async def hear(self, announcement):
+        """Takes an announcement as from the platform port."""
+        await self.awake()
+        if self.alive:
+            await self.router.step(routing.AnnouncementHeard(announcement))
+
+    # Gates
+
+    async def _pass(self, step):
+        gate = self.gates.get(step)
+        if gate is not None:
+            await gate.passes()
+            await self.awake()
+
+    def _gate_router(self):
+        step = self.router.step
+
+        async def gated(event):
+            if isinstance(event, routing.RequestArrived):
+                await self._pass('choose')
+            await step(event)
+
+        self.router.step = gated
+
+    def _gate_pool(self):
+        open_connection = self.path.pool.open
+
+        async def gated(dispatch, timeout_s):
+            await self._pass('connect')
+            conn = await open_connection(dispatch, timeout_s)
+            conn._sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER
+            )
+            return conn
+
+        self.path.pool.open = gated
+
+
+class _GatedHandler(http.Handler):
+    """The callers' handler with a gate before the answer."""
+
+    def __init__(self, entry):
+        self._entry = entry
+
+    async def handle(self, request):
+        response = await self._entry.path.handler.handle(request)
+        await self._entry._pass('answer')
+        return response
+
+
+# Upstream
+
+
+class ScriptedUpstream:
+    """A stand-in upstream whose behaviour a fault changes at any moment.
+
+    Attributes:
+        mode: how requests are answered from now on.
+        gates: ``Gate`` by step, for ``write``, ``wait``, ``read_head`` and
+            ``read_body``.
+        ledger: request identities in the order in which they ran.
+        most_in_flight: largest number of requests worked on at once.
+        most_connections: largest number of open connections.
+    """
+
+    def __init__(self, port, entries, slots=2, connections=8):
+        self.address = f'{HOST}:{port}'
+        self.port = port
+        self.slots = slots
+        self.connections = connections
+        self.mode = 'normal'
+        self.gates = {}
+        self.ledger = []
+        self.most_in_flight = 0
+        self.most_connections = 0
+        self.black_holed = False
+        self.state = 'ready'
+        self.incarnation = 1
+        self._entries = entries
+        self._seq = 0
+        self._in_flight = 0
+        self._open = {}
+        self._alive = True
+        self._thawed = curio.Event()
+        self._tasks = []
+        self._sock = None
+
+    async def start(self):
+        """Starts the listener and the announcements."""
+        await self._thawed.set()
+        self._sock = curio.network.tcp_server_socket(HOST, self.port)
+        self._sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER
+        )
+        self._tasks = [
+            await curio.spawn(self._accept, daemon=True),
+            await curio.spawn(self._announce, daemon=True),
+        ]
+
+    async def stop(self):
+        """Ends the process; its connections are reset."""
+        if not self._alive:
+            return
+        self._alive = False
+        for task in self._tasks:
+            await task.cancel()
+        await self._sock.close()
+        for sock, task in list(self._open.items()):
+            sock._socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _ABORT
+            )
+            await task.cancel(blocking=False)
+            sock._socket.close()
+
+    def freeze(self):
+        """Stops the process until ``thaw``."""
+        self._thawed.clear()
+
+    async def thaw(self):
+        """Lets the process go on."""
+        await self._thawed.set()
+
+    async def announce_once(self):
+        """Says its state to one entry."""
+        self._seq += 1
+        said = messages.Announcement(
+            SERVICE,
+            self.address,
+            self.incarnation,
+            self._seq,
+            self.state,
+            self.slots,
+            self.connections,
+            0,
+        )
+        alive = [entry for entry in self._entries if entry.alive]
+        if alive:
+            entry = alive[self._seq % len(alive)]
+            await curio.spawn(entry.hear, said, daemon=True)
+
+    async def _announce(self):
+        while True:
+            await self._thawed.wait()
+            await self.announce_once()
+            await curio.sleep(ANNOUNCE_S)
+
+    async def _accept(self):
+        while True:
+            sock, _ = await self._sock.accept()
+            task = await curio.spawn(self._serve, sock, daemon=True)
+            self._open[sock] = task
+            self.most_connections = max(self.most_connections, len(self._open))
+
+    async def _serve(self, sock):
+        try:
+            await self._serve_requests(sock)
+        except (OSError, h11.RemoteProtocolError, h11.LocalProtocolError):
+            return
+        finally:
+            self._open.pop(sock, None)
+            sock._socket.close()
+
+    async def _pass(self, step):
+        gate = self.gates.get(step)
+        if gate is not None:
+            await gate.passes()
+        await self._thawed.wait()
+
+    async def _serve_requests(self, sock):
+        conn = h11.Connection(h11.SERVER)
+        while True:
+            request = await self._next(conn, sock)
+            if type(request) is not h11.Request:
+                return
+            await self._pass('write')
+            while type(await self._next(conn, sock)) is h11.Data:
+                pass
+            if not await self._run(conn, sock, request):
+                return
+            conn.start_next_cycle()
+
+    async def _next(self, conn, sock):
+        while True:
+            event = conn.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            data = await sock.recv(65536)
+            await self._thawed.wait()
+            conn.receive_data(data)
+
+    async def _run(self, conn, sock, request):
+        """Answers one request; returns True to go on."""
+        black_holed = self.black_holed
+        if self.mode == 'refuses':
+            refusal = http.reason_response(503, 'not_now')
+            headers = [
+                (b'fuchsiatrestle-outcome', b'not-run'),
+                (b'content-length', b'%d' % len(refusal.body)),
+            ]
+            await sock.sendall(self._encode(conn, 503, headers, refusal.body))
+            return True
+        headers = dict(request.headers)
+        self.ledger.append(headers[b'x-id'].decode())
+        self._in_flight += 1
+        self.most_in_flight = max(self.most_in_flight, self._in_flight)
+        try:
+            await self._pass('wait')
+            if black_holed or self.black_holed:
+                await curio.sleep(3600)
+            return await self._answer(conn, sock, request)
+        finally:
+            self._in_flight -= 1
+
+    def _encode(self, conn, status, headers, body):
+        head = h11.Response(status_code=status, headers=headers)
+        data = conn.send(head) + conn.send(h11.Data(data=body))
+        return data + conn.send(h11.EndOfMessage())
+
+    async def _answer(self, conn, sock, request):
+        body = dict(request.headers)[b'x-id'] + b' answered'
+        length = len(body)
+        if self.mode == 'garbage':
+            await sock.sendall(b'\x16\x03\x01garbage\r\n\r\n')
+            return False
+        if self.mode == 'late':
+            await curio.sleep(2 * DEADLINE_MS / 1000)
+        if self.mode == 'wrong length':
+            length += 7
+        head = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % length
+        await sock.sendall(head[:20])
+        await self._pass('read_head')
+        await sock.sendall(head[20:] + body[:3])
+        await self._pass('read_body')
+        if self.mode in ('half', 'wrong length'):
+            await sock.sendall(body[3:5])
+            return False
+        await sock.sendall(body[3:])
+        conn.send(
+            h11.Response(
+                status_code=200,
+                headers=[(b'content-length', b'%d' % length)],
+            )
+        )
+        conn.send(h11.Data(data=body))
+        conn.send(h11.EndOfMessage())
+        return True
