--- a/fuchsiatrestle/scheduling/_agreed.py
+++ b/fuchsiatrestle/scheduling/_agreed.py
@@ -36,8 +36,12 @@
             parts.shares.set_capacity(name, worker.spec.capacity)
             if worker.jobs:
                 parts.leases.watch(name, now_ms)
-        for job_id in list(parts.part.jobs):
-            self.refresh(job_id, now_ms)
+        parts.dispatcher.load()
+        for job in parts.part.jobs.values():
+            if job.is_live:
+                self._hold(job)
+            elif job.failed_on and job.state == model.QUEUED:
+                self._park_if_hopeless(job)
 
     def take(self, command, outcome, now_ms):
         """Takes one applied command; returns False if it is of no concern."""
--- a/fuchsiatrestle/scheduling/_assembly.py
+++ b/fuchsiatrestle/scheduling/_assembly.py
@@ -81,13 +81,15 @@
     def _make_sizes(self):
         if not self.policy.learn_sizes:
             return _sizes.DeclaredSizes()
-        return _sizes.LearnedSizes(self.part.capacities, self.part.quotas)
+        return _sizes.LearnedSizes(
+            self.part.capacities, self.part.quotas, self.policy.shrink_cpu
+        )
 
     def _make_dispatcher(self):
         rule = _placement.FirstFit()
         if self.policy.model_interference:
             rule = _placement.LeastInterference(
-                self.fleet, self.mixes, self.model
+                self.fleet, self.mixes, self.model, self.policy.max_tail_ratio
             )
         return _dispatch.Dispatcher(
             self.part,
--- a/fuchsiatrestle/scheduling/_dispatch.py
+++ b/fuchsiatrestle/scheduling/_dispatch.py
@@ -9,7 +9,14 @@
 __all__ = ('Dispatcher',)
 
 MAX_REASONS = 4096
+# Some hindrances end with time alone, so waiting jobs are tried this often.
+RETRY_MS = 1_000
 MAX_PROBE_OFFERS = 32
+# Rounds for ordinary work are at least so far apart.
+ROUND_GAP_MS = 50
+# With many jobs waiting the speed of a choice counts more than its quality.
+LONG_QUEUE = 1_000
+LONG_QUEUE_CANDIDATES = 8
 
 
 class Dispatcher:
@@ -52,6 +59,8 @@
         self._pending = {}
         self._reasons = {}
         self._dirty = True
+        self._next_ms = 0
+        self._last_ms = -ROUND_GAP_MS
 
     def __len__(self):
         return len(self._queue)
@@ -68,6 +77,12 @@
         else:
             self._queue.discard(job_id)
 
+    def load(self):
+        """Queues every queued job of the agreed state."""
+        self._queue.load(
+            job for job in self._part.jobs.values() if job.state == 'queued'
+        )
+
     def need(self, job):
         """Returns (cpu_milli, memory_mib, accelerators) to reserve."""
         size = self._sizes.reservation(job.spec)
@@ -98,9 +113,11 @@
         Returns:
             The queued jobs of shapes that found no room, one for each shape.
         """
-        if not self._dirty:
+        if not self._due(now_ms):
             return []
         self._dirty = False
+        self._last_ms = now_ms
+        self._next_ms = now_ms + RETRY_MS
         if len(self._reasons) > MAX_REASONS:
             self._reasons.clear()
         blocked = set()
@@ -117,6 +134,16 @@
                 break
         return missed
 
+    def _due(self, now_ms):
+        grown = self._fleet.take_grown()
+        self._dirty |= grown
+        if not self._queue:
+            return False
+        hurried = self._queue.has_urgent
+        if not hurried and now_ms < self._last_ms + ROUND_GAP_MS:
+            return False
+        return self._dirty or now_ms >= self._next_ms
+
     def probe(self, worker, now_ms):
         """Places one ordinary job on a quarantined worker.
 
@@ -178,6 +205,8 @@
         barred.add(self._evictions.avoided(job.spec.job_id, now_ms))
         usable = (name for name in names if name not in barred)
         most = self._policy.max_candidates
+        if len(self._queue) > LONG_QUEUE:
+            most = min(most, LONG_QUEUE_CANDIDATES)
         return self._rule.pick(job, need, list(itertools.islice(usable, most)))
 
     def _reserve(self, job, name, size, now_ms):
--- a/fuchsiatrestle/scheduling/_fleet.py
+++ b/fuchsiatrestle/scheduling/_fleet.py
@@ -92,6 +92,7 @@
         self._infos = {}
         self._by_age = collections.OrderedDict()
         self._indexes = {}
+        self._grown = False
         self._paused = collections.OrderedDict()
 
     # Hearing
@@ -176,10 +177,20 @@
         if worker is None or info is None:
             return
         index = self._index(worker.spec.data_centre)
-        if self.accepts(worker, info, now_ms):
-            index.update(name, self.free(name))
-        else:
+        if not self.accepts(worker, info, now_ms):
             index.remove(name)
+            return
+        before = index.free(name) or (0, 0, 0)
+        free = self.free(name)
+        self._grown |= any(
+            new > old for new, old in zip(free, before, strict=True)
+        )
+        index.update(name, free)
+
+    def take_grown(self):
+        """Returns True if any free capacity grew since the last call."""
+        grown, self._grown = self._grown, False
+        return grown
 
     def accepts(self, worker, info, now_ms):
         """True if ordinary placements may go to the worker now."""
@@ -202,20 +213,16 @@
         info = self._infos[name]
         capacity = worker.spec.capacity
         cpu, memory = info.service_share()
-        pending = info.pending.values()
-        return (
-            capacity.cpu_milli
-            - worker.cpu_milli
-            - cpu
-            - sum(size.cpu_milli for size in pending),
-            capacity.memory_mib
-            - worker.memory_mib
-            - memory
-            - sum(size.memory_mib for size in pending),
-            capacity.accelerators
-            - worker.accelerators
-            - sum(size.accelerators for size in pending),
-        )
+        free = [
+            capacity.cpu_milli - worker.cpu_milli - cpu,
+            capacity.memory_mib - worker.memory_mib - memory,
+            capacity.accelerators - worker.accelerators,
+        ]
+        for size in info.pending.values():
+            free[0] -= size.cpu_milli
+            free[1] -= size.memory_mib
+            free[2] -= size.accelerators
+        return tuple(free)
 
     def fitting(self, need, data_centre):
         """Yields workers with room, alternating between data centres."""
--- a/fuchsiatrestle/scheduling/_placement.py
+++ b/fuchsiatrestle/scheduling/_placement.py
@@ -9,9 +9,6 @@
     'PlacementRule',
 )
 
-# Placements that are estimated to raise a tail beyond this ratio wait.
-MAX_TAIL_RATIO = 1.4
-
 
 class PlacementRule(abc.ABC):
     """Picks the worker of one placement."""
@@ -46,12 +43,14 @@
         fleet: the ``Fleet``.
         mixes: the ``Mixes`` of reserved work.
         model: the ``InterferenceModel``.
+        max_ratio: highest estimated tail, as a multiple of its baseline.
     """
 
-    def __init__(self, fleet, mixes, model):
+    def __init__(self, fleet, mixes, model, max_ratio):
         self._fleet = fleet
         self._mixes = mixes
         self._model = model
+        self._max_ratio = max_ratio
 
     def pick(self, job, need, names):
         """Returns the best name, or None if every one would suffer."""
@@ -74,7 +73,7 @@
             )
             added = cores * self._model.per_core(load.service, spec.job_class)
             after = math.exp(before + added)
-            if after > MAX_TAIL_RATIO and added > 0 and not spec.urgent:
+            if after > self._max_ratio and added > 0 and not spec.urgent:
                 return None
             harm += after - math.exp(before)
         rack = self._fleet.rack(name)
--- a/fuchsiatrestle/scheduling/_policy.py
+++ b/fuchsiatrestle/scheduling/_policy.py
@@ -25,6 +25,12 @@
             trusted workers is parked.
         checkpoint_gap_ms: least time between two agreed checkpoints of one
             attempt that is not being evicted.
+        max_tail_ratio: a placement waits rather than raise the estimated
+            tail of a service beyond this multiple of its baseline.
+        hot_tail_ratio: a measured tail beyond this multiple is answered.
+        calm_tail_ratio: below this multiple a throttle may be lifted.
+        shrink_cpu: reserve the learned processor time even if it is below
+            the declared; memory is never reserved below the declared.
         learn_sizes: reserve by measured sizes too.
         model_interference: place by, and learn, pair interference.
         control_pressure: throttle and evict on measured pressure.
@@ -46,6 +52,10 @@
         'refusal_pause_ms': 10_000,
         'failed_workers': 3,
         'checkpoint_gap_ms': 5_000,
+        'max_tail_ratio': 2.0,
+        'hot_tail_ratio': 2.0,
+        'calm_tail_ratio': 1.6,
+        'shrink_cpu': True,
         'learn_sizes': True,
         'model_interference': True,
         'control_pressure': True,
--- a/fuchsiatrestle/scheduling/_pressure.py
+++ b/fuchsiatrestle/scheduling/_pressure.py
@@ -11,8 +11,6 @@
 
 __all__ = ('PressureControl',)
 
-HOT_TAIL_RATIO = 1.5
-CALM_TAIL_RATIO = 1.2
 HOT_CPU_SHARE = 0.97
 CALM_CPU_SHARE = 0.9
 HOT_MEMORY_SHARE = 0.95
@@ -93,21 +91,38 @@
             state = self._workers[report.worker] = _Worker()
         fresh = self._fresh_loads(state, report, now_ms)
         tail = max((self._model.ratio(load) for load in fresh), default=None)
-        cpu, memory = _used_shares(report)
-        if not report.services:
-            # Batch alone may fill the processors.
-            cpu = 0.0
+        cpu = self._unplanned_share(report, 'cpu_milli')
+        memory = self._unplanned_share(report, 'memory_mib')
         if memory > HOT_MEMORY_SHARE:
             self._relieve_memory(report, now_ms)
-        if cpu > HOT_CPU_SHARE or (tail or 0) > HOT_TAIL_RATIO:
+        if cpu > HOT_CPU_SHARE or (tail or 0) > self._policy.hot_tail_ratio:
             self._heat(state, report, now_ms)
-        elif cpu < CALM_CPU_SHARE and (tail or 1) < CALM_TAIL_RATIO:
+        elif (
+            cpu < CALM_CPU_SHARE and (tail or 1) < self._policy.calm_tail_ratio
+        ):
             self._cool(state, now_ms)
         elif tail is not None:
             state.strikes = 0
             state.calm_since_ms = None
         return self._orders(state)
 
+    def _unplanned_share(self, report, dimension):
+        """Returns the used share of a dimension, 0 if all is as reserved.
+
+        Reservations that are kept may fill a worker; only usage above them,
+        or services that grew into them, count as pressure.
+        """
+        worker = self._part.workers.get(report.worker)
+        if worker is None or not report.services and dimension == 'cpu_milli':
+            return 0.0
+        reserved = getattr(worker, dimension)
+        services = _sum_used(report.services, dimension)
+        attempts = _sum_used(report.attempts, dimension)
+        capacity = max(1, getattr(report.capacity, dimension))
+        if attempts <= reserved and services + reserved <= capacity:
+            return 0.0
+        return (services + attempts) / capacity
+
     # Heat
 
     def _heat(self, state, report, now_ms):
@@ -161,7 +176,9 @@
 
     def _relieve_memory(self, report, now_ms):
         capacity = report.capacity.memory_mib
-        spare = capacity * CALM_MEMORY_SHARE - _used(report, 'memory_mib')
+        spare = capacity * CALM_MEMORY_SHARE
+        spare -= _sum_used(report.services, 'memory_mib')
+        spare -= _sum_used(report.attempts, 'memory_mib')
         for job in self._victims.cheapest(report.worker, now_ms):
             if spare >= 0:
                 return
@@ -220,18 +237,9 @@
         return fresh
 
 
-def _used(report, dimension):
+def _sum_used(items, dimension):
     return sum(
         getattr(item.used, dimension)
-        for items in (report.services, report.attempts)
         for item in items
         if getattr(item, 'state', 'running') == 'running'
     )
-
-
-def _used_shares(report):
-    capacity = report.capacity
-    return (
-        _used(report, 'cpu_milli') / max(1, capacity.cpu_milli),
-        _used(report, 'memory_mib') / max(1, capacity.memory_mib),
-    )
--- a/fuchsiatrestle/scheduling/_queue.py
+++ b/fuchsiatrestle/scheduling/_queue.py
@@ -7,10 +7,14 @@
 over as a whole.
 """
 
+import collections
 import heapq
+import typing
 
 import sortedcontainers
 
+from fuchsiatrestle import messages
+
 __all__ = (
     'JobQueue',
     'Shape',
@@ -19,50 +23,29 @@
 _NO_DEADLINE = 2**62
 
 
-class Shape:
+class Shape(typing.NamedTuple):
     """What decides where a job may go, shared by equal jobs."""
 
-    __slots__ = ('_key', 'data_centre', 'failed_on', 'job_class', 'size')
+    job_class: str
+    size: messages.Resources
+    data_centre: str
+    failed_on: tuple
 
-    def __init__(self, job):
+    @classmethod
+    def of(cls, job):
+        """Returns the shape of a job."""
         spec = job.spec
-        self.job_class = spec.job_class
-        self.size = spec.size
-        self.data_centre = spec.data_centre
-        self.failed_on = tuple(job.failed_on)
-        self._key = (
-            self.job_class,
-            self.size.cpu_milli,
-            self.size.memory_mib,
-            self.size.accelerators,
-            self.data_centre,
-            self.failed_on,
-        )
-
-    def __eq__(self, other):
-        return self._key == other._key
-
-    def __hash__(self):
-        return hash(self._key)
+        failed_on = tuple(job.failed_on)
+        return cls(spec.job_class, spec.size, spec.data_centre, failed_on)
 
-    def __lt__(self, other):
-        return self._key < other._key
 
-    def __repr__(self):
-        return f'Shape{self._key!r}'
+class _Place(typing.NamedTuple):
+    """Where a queued job stands; ``key`` is its order within the team."""
 
-
-class _Place:
-    """Where a queued job stands."""
-
-    __slots__ = ('key', 'level', 'shape', 'team')
-
-    def __init__(self, job):
-        spec = job.spec
-        self.level = (0 if spec.urgent else 1, spec.priority)
-        self.team = spec.team
-        self.shape = Shape(job)
-        self.key = (spec.deadline_ms or _NO_DEADLINE, job.seq, spec.job_id)
+    level: tuple
+    team: str
+    shape: Shape
+    key: tuple
 
 
 class _TeamQueue:
@@ -87,6 +70,10 @@
         keys.add(place.key)
         self._heads.add((keys[0], place.shape))
 
+    def load(self, shape, keys):
+        self._shapes[shape] = sortedcontainers.SortedList(keys)
+        self._heads.add((self._shapes[shape][0], shape))
+
     def discard(self, place):
         keys = self._shapes[place.shape]
         self._heads.remove((keys[0], place.shape))
@@ -109,6 +96,7 @@
 
     def __init__(self):
         self._places = {}
+        self._shapes = {}
         self._levels = sortedcontainers.SortedDict()
 
     def __len__(self):
@@ -126,19 +114,34 @@
         """Returns the shape of a queued job."""
         return self._places[job_id].shape
 
+    def load(self, jobs):
+        """Queues many jobs at once, into an empty queue."""
+        groups = collections.defaultdict(list)
+        for job in jobs:
+            place = self._note(job)
+            groups[place[:3]].append(place.key)
+        for (level, team, shape), keys in groups.items():
+            teams = self._levels.setdefault(level, {})
+            teams.setdefault(team, _TeamQueue()).load(shape, keys)
+
     def add(self, job):
         """Queues a job; a job that is queued already is placed anew."""
         self.discard(job.spec.job_id)
-        place = _Place(job)
-        self._places[job.spec.job_id] = place
+        place = self._note(job)
         teams = self._levels.setdefault(place.level, {})
-        teams.setdefault(place.team, _TeamQueue()).add(place)
+        if place.team not in teams:
+            teams[place.team] = _TeamQueue()
+        teams[place.team].add(place)
 
     def discard(self, job_id):
         """Takes a job out if it is queued."""
         place = self._places.pop(job_id, None)
         if place is None:
             return
+        entry = self._shapes[place.shape]
+        entry[1] -= 1
+        if not entry[1]:
+            del self._shapes[place.shape]
         teams = self._levels[place.level]
         team = teams[place.team]
         team.discard(place)
@@ -147,6 +150,21 @@
             if not teams:
                 del self._levels[place.level]
 
+    def _note(self, job):
+        spec = job.spec
+        shape = Shape.of(job)
+        # One object serves all jobs of a shape.
+        entry = self._shapes.setdefault(shape, [shape, 0])
+        entry[1] += 1
+        place = _Place(
+            (0 if spec.urgent else 1, spec.priority),
+            spec.team,
+            entry[0],
+            (spec.deadline_ms or _NO_DEADLINE, job.seq, spec.job_id),
+        )
+        self._places[spec.job_id] = place
+        return place
+
     def offer(self, share, blocked):
         """Yields queued job ids in the order they should be placed.
 
@@ -161,8 +179,15 @@
             teams = self._levels.get(level)
             if teams is None:
                 continue
+            if self._all_blocked(blocked):
+                return
             yield from self._offer_level(teams, share, blocked)
 
+    def _all_blocked(self, blocked):
+        if len(blocked) < len(self._shapes):
+            return False
+        return all(shape in blocked for shape in self._shapes)
+
     @staticmethod
     def _offer_level(teams, share, blocked):
         heap = [(share(team), team) for team in teams if team not in blocked]
--- a/fuchsiatrestle/scheduling/_sizes.py
+++ b/fuchsiatrestle/scheduling/_sizes.py
@@ -16,6 +16,7 @@
 MAX_CLASSES = 4096
 WINDOW_ATTEMPTS = 64
 MIN_SAMPLES = 4
+MIN_SHRINK_SAMPLES = 8
 QUANTILE = 0.9
 # Above the learned quantile, in thousandths, because samples come late.
 MARGIN_MILLI = 50
@@ -77,9 +78,13 @@
     Args:
         capacities: function that returns the distinct worker capacities.
         quotas: function that returns the team quotas in force.
+        shrink_cpu: True to reserve less processor time than declared when
+            that was learned; it can be throttled, so a wrong guess costs
+            speed and not safety.
     """
 
-    def __init__(self, capacities, quotas):
+    def __init__(self, capacities, quotas, shrink_cpu=False):
+        self._shrink_cpu = shrink_cpu
         self._capacities = capacities
         self._quotas = quotas
         self._classes = collections.OrderedDict()
@@ -102,6 +107,8 @@
         if samples is None or len(samples[0]) < MIN_SAMPLES:
             return spec.size
         cpu = _learned(spec.size.cpu_milli, samples[0], STEP_MILLI)
+        if self._shrink_cpu and len(samples[0]) >= MIN_SHRINK_SAMPLES:
+            cpu = _shrunk(spec.size.cpu_milli, samples[0], STEP_MILLI)
         memory = _learned(spec.size.memory_mib, samples[1], STEP_MIB)
         return self._clamp(spec, cpu, memory)
 
@@ -124,13 +131,21 @@
             cpu_milli = min(cpu_milli, quota.cpu_milli)
             memory_mib = min(memory_mib, quota.memory_mib)
         return messages.Resources(
-            max(spec.size.cpu_milli, min(cpu_milli, largest.cpu_milli)),
+            min(cpu_milli, largest.cpu_milli),
             max(spec.size.memory_mib, min(memory_mib, largest.memory_mib)),
             spec.size.accelerators,
         )
 
 
-def _learned(declared, samples, step):
+def _shrunk(declared, samples, step):
     ratio = samples.quantile() * (1000 + MARGIN_MILLI) / 1000
-    amount = max(declared, int(declared * ratio))
+    amount = max(int(declared * ratio), step)
+    return -(-amount // step) * step
+
+
+def _learned(declared, samples, step):
+    ratio = samples.quantile()
+    if ratio <= 1.0:
+        return declared
+    amount = int(declared * ratio * (1000 + MARGIN_MILLI) / 1000)
     return -(-amount // step) * step
--- a/fuchsiatrestle/scheduling/_victims.py
+++ b/fuchsiatrestle/scheduling/_victims.py
@@ -4,6 +4,9 @@
 
 __all__ = ('Victims',)
 
+# A job evicted so often more than another is spared before it.
+EVICTIONS_STEP = 2
+
 
 class Victims:
     """Orders evictable attempts by the work that stopping them loses.
@@ -58,7 +61,12 @@
         return jobs
 
     def _order(self, job, now_ms):
-        return (-job.spec.priority, self.lost_work(job, now_ms), job.seq)
+        return (
+            -job.spec.priority,
+            job.evictions // EVICTIONS_STEP,
+            self.lost_work(job, now_ms),
+            job.seq,
+        )
 
     def _may_evict(self, job):
         job_id = job.spec.job_id
--- a/standins/_worker_agent.py
+++ b/standins/_worker_agent.py
@@ -117,6 +117,7 @@
         'checkpoint',
         'checkpoint_at_ms',
         'detail',
+        'fails',
         'finish_ms',
         'lease_until_ms',
         'line',
@@ -140,6 +141,7 @@
         self.throttle_until_ms = 0
         self.line = line
         self.detail = ''
+        self.fails = order.command.startswith(FAIL_ALL)
 
 
 class WorkerAgent:
@@ -195,8 +197,8 @@
             if now_ms >= run.lease_until_ms:
                 self._end(run, 'stopped', now_ms, 'lease ran out')
             elif now_ms >= run.finish_ms:
-                state = 'failed' if self.options.mode == FAIL_ALL else 'done'
-                self._end(run, state, now_ms, '')
+                fails = run.fails or self.options.mode == FAIL_ALL
+                self._end(run, 'failed' if fails else 'done', now_ms, '')
             elif now_ms - run.checkpoint_at_ms >= self.options.checkpoint_ms:
                 self._write_checkpoint(run, now_ms)
 
@@ -210,6 +212,7 @@
 
     def report(self, now_ms):
         """Returns the next ``messages.WorkerReport``."""
+        self.tick(now_ms)
         self._seq += 1
         self._changed = False
         self._sent_ms[self._seq] = now_ms
@@ -376,8 +379,8 @@
 
 
 def _run_ms(command, default_ms):
-    """Returns the run time that a command such as ``sleep 1500`` names."""
+    """Returns the run time that ``sleep 1500`` or ``fail 1500`` names."""
     words = command.split()
-    if len(words) == 2 and words[0] == 'sleep' and words[1].isdigit():
+    if len(words) == 2 and words[1].isdigit():
         return int(words[1])
     return default_ms
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -3,7 +3,7 @@
 It reports to the entries each second, and at once when something changed,
 carries out their orders, runs jobs as timers and keeps a ledger of which
 attempt ran when.  ``sleep 1500`` as the command of a job sets its run time in
-milliseconds.
+milliseconds; ``fail 1500`` fails after it, wherever it runs.
 """
 
 import sys
