--- a/tests/standins/test_process_requests.py
+++ b/tests/standins/test_process_requests.py
@@ -74,7 +74,9 @@
 
     def test_planned_stop_of_an_entry_under_load_cuts_nothing(self):
         """Every call that reached the entry is answered; exit status 0."""
-        caller = self.start_callers('stop', LOAD_S)
+        for name in self.cluster.upstreams:
+            self.cluster.set_upstream_mode(name, 'slow')
+        caller = self.start_callers('stop', LOAD_S, callers=16)
         time.sleep(EARLY_S)
         since_ns = time.monotonic_ns()
         status = self.cluster.entries['e1'].stop()
