Give records one JSON form in place of three

Cause: entry, worker stand-in and administration each converted between records and named JSON in a module of its own.

Ruled out: making records objects on the wire; arrays are what keeps log and frames small.

--- a/fuchsiatrestle/admin/_answers.py
+++ b/fuchsiatrestle/admin/_answers.py
@@ -1,7 +1,7 @@
 """Turns outcomes, results and failures into status codes and JSON bodies."""
 
-from fuchsiatrestle.admin import _payloads
 from fuchsiatrestle import metrics
+from fuchsiatrestle import named_json
 from fuchsiatrestle.state import outcomes
 from fuchsiatrestle.state import queries
 
@@ -93,7 +93,7 @@
         f'the patch builds on version {outcome.base}, current is'
         f' {outcome.current}; read it and build a new patch on it'
     )
-    more = _payloads.to_plain(outcome)
+    more = named_json.to_plain(outcome)
     return _error(409, 'version_conflict', detail, outcome='not-run', **more)
 
 
@@ -114,18 +114,18 @@
         return _of_conflict(outcome)
     if isinstance(outcome, outcomes.Invalid):
         return _of_invalid(outcome)
-    return Answer(200, _payloads.to_plain(outcome))
+    return Answer(200, named_json.to_plain(outcome))
 
 
 def of_result(result):
     """Returns the answer that carries the result of a query."""
     if isinstance(result, queries.NotFound):
         return refused(404, 'not_found', f'{result.what} is not known')
-    return Answer(200, _payloads.to_plain(result))
+    return Answer(200, named_json.to_plain(result))
 
 
 def of_message(message):
     """Returns the answer that carries a message of the control leader."""
-    value = _payloads.to_plain(message)
+    value = named_json.to_plain(message)
     value.pop('call_id', None)
     return Answer(200, value)
--- a/fuchsiatrestle/admin/_api.py
+++ b/fuchsiatrestle/admin/_api.py
@@ -6,11 +6,11 @@
 
 from fuchsiatrestle.admin import _answers
 from fuchsiatrestle.admin import _calls
-from fuchsiatrestle.admin import _payloads
 from fuchsiatrestle.admin import _routes
 from fuchsiatrestle import logs
 from fuchsiatrestle import messages
 from fuchsiatrestle import metrics
+from fuchsiatrestle import named_json
 from fuchsiatrestle.net import http
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import queries
@@ -173,16 +173,16 @@
         return await self._ask(queries.GetWorkers())
 
     async def _get_status(self, call):
-        local = _payloads.to_plain(self._local.status())
+        local = named_json.to_plain(self._local.status())
         found = await self._control.ask(queries.GetStatus())
         if isinstance(found, result.Success):
-            control = _payloads.to_plain(found.unwrap())
+            control = named_json.to_plain(found.unwrap())
         else:
             control = _answers.of_failure(found.failure()).value
         return _answers.Answer(200, {'entry': local, 'control': control})
 
     async def _get_upstreams(self, call):
-        views = _payloads.to_plain(self._local.upstreams())
+        views = named_json.to_plain(self._local.upstreams())
         return _answers.Answer(200, {'upstreams': views})
 
     async def _get_counters(self, call):
--- a/fuchsiatrestle/admin/_payloads.py
+++ b/fuchsiatrestle/admin/_payloads.py
@@ -21,7 +21,6 @@
     'SizeBody',
     'SubmitBody',
     'UpstreamView',
-    'to_plain',
 )
 
 MAX_JOBS_PER_CALL = 1000
@@ -190,26 +189,3 @@
     share: int
     in_flight: int
     age_ms: int
-
-
-# Conversion
-
-
-def to_plain(value):
-    """Returns nested dicts and lists of a record or of an answer struct.
-
-    Records are arrays on the wire; people and programs outside get names.
-    """
-    if isinstance(value, msgspec.Struct):
-        fields = msgspec.structs.fields(value)
-        return {
-            field.name: to_plain(getattr(value, field.name))
-            for field in fields
-        }
-    if isinstance(value, (list, tuple)):
-        return [to_plain(item) for item in value]
-    if isinstance(value, dict):
-        return {key: to_plain(item) for key, item in value.items()}
-    if isinstance(value, bytes):
-        return msgspec.Raw(value or b'null')
-    return value
--- a/fuchsiatrestle/entry/_platform.py
+++ b/fuchsiatrestle/entry/_platform.py
@@ -2,10 +2,10 @@
 
 import ipaddress
 
-from fuchsiatrestle.entry import _json_records
 from fuchsiatrestle import errors
 from fuchsiatrestle import messages
 from fuchsiatrestle import metrics
+from fuchsiatrestle import named_json
 from fuchsiatrestle.net import http
 from fuchsiatrestle import routing
 from fuchsiatrestle import settings
@@ -38,6 +38,8 @@
     'Calls on the platform port without a meaning (404).',
 )
 
+_INVALID = (errors.Error, ValueError, named_json.NamedJsonInvalid)
+
 
 class PlatformHandler(http.Handler):
     """Takes announcements and worker reports.
@@ -70,7 +72,7 @@
     async def _announce(self, request):
         try:
             announcement = _announcement(request.body)
-        except (errors.Error, ValueError) as exc:
+        except _INVALID as exc:
             metrics.count(BAD_ANNOUNCEMENT)
             return http.reason_response(400, 'bad_announcement', str(exc))
         metrics.count(ANNOUNCED)
@@ -80,12 +82,10 @@
     async def _report(self, request):
         name = request.path[len(WORKERS_PATH) : -len(REPORT_SUFFIX)]
         try:
-            report = _json_records.from_json(
-                messages.WorkerReport, request.body
-            )
+            report = named_json.decode(messages.WorkerReport, request.body)
             if report.worker != name:
                 raise ValueError(f'path and report differ: {name!r}')
-        except (errors.Error, ValueError) as exc:
+        except _INVALID as exc:
             metrics.count(BAD_REPORT)
             return http.reason_response(400, 'bad_report', str(exc))
         orders = await self._reports.send(report)
@@ -97,7 +97,7 @@
                 'control gave no orders in time; report again',
                 [(b'retry-after', b'1')],
             )
-        return http.json_response(200, _json_records.to_plain(orders))
+        return http.json_response(200, named_json.to_plain(orders))
 
 
 def _announcement(body):
@@ -106,9 +106,7 @@
     if not isinstance(value, dict):
         raise ValueError('expected an object')
     value['age_ms'] = 0
-    said = _json_records.from_json(
-        messages.Announcement, http.encode_json(value)
-    )
+    said = named_json.decode(messages.Announcement, http.encode_json(value))
     address = settings.Address.parse(said.address)
     ipaddress.ip_address(address.host)
     if said.state not in STATES:
--- a/fuchsiatrestle/logs.py
+++ b/fuchsiatrestle/logs.py
@@ -61,6 +61,8 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
+    # Its informational lines are free text about streams that ended.
+    logging.getLogger('grpclib').setLevel(logging.WARNING)
 
 
 def get_logger(name):
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -16,7 +16,7 @@
 from fuchsiatrestle import errors
 from fuchsiatrestle import logs
 from fuchsiatrestle import messages
-from fuchsiatrestle.messages import worker_json
+from fuchsiatrestle import named_json
 from fuchsiatrestle.net import http
 from standins import _ledgers
 from standins import _programs
@@ -141,7 +141,7 @@
             await curio.sleep(TICK_S)
 
     async def _report(self):
-        data = worker_json.encode_report(self._agent.report(_now_ms()))
+        data = named_json.encode(self._agent.report(_now_ms()))
         path = f'/v1/workers/{self._cfg.worker_name}/report'
         client = self._clients[self._turn % len(self._clients)]
         try:
@@ -158,8 +158,8 @@
 
     def _take(self, body):
         try:
-            answer = worker_json.decode_orders(body)
-        except worker_json.JsonInvalid as exc:
+            answer = named_json.decode(messages.WorkerOrders, body)
+        except named_json.NamedJsonInvalid as exc:
             LOG.warning('orders_invalid', extra={'error': str(exc)})
             return
         for order in answer.orders:
