--- a/fuchsiatrestle/control/_daemon.py
+++ b/fuchsiatrestle/control/_daemon.py
@@ -21,8 +21,8 @@
 
 __all__ = ('ControlDaemon',)
 
-REPLICA_TICK_S = 0.025
-STATE_TICK_S = 0.05
+REPLICA_TICK_S = 0.05
+STATE_TICK_S = 0.1
 HAND_OVER_S = 3.0
 DRAIN_S = 0.2
 MAX_STATE_BACKLOG = 10000
@@ -54,7 +54,8 @@
         self._files = files
         self._name = cfg.get('control', 'name')
         self._peers = cfg.get('control', 'peers')
-        self._state_inbox = curio.UniversalQueue()
+        # Bounded by ``MAX_STATE_BACKLOG`` calls and what is uncommitted.
+        self._state_inbox = curio.Queue()
         self._check_peers()
         self._link = link.Link(
             self._name,
@@ -203,8 +204,9 @@
     async def _tick_state(self):
         while True:
             await curio.sleep(STATE_TICK_S)
-            wall_ms = time.time_ns() // 1000000
-            await self._state_inbox.put(_events.Tick(wall_ms))
+            if self._service.leads:
+                wall_ms = time.time_ns() // 1000000
+                await self._state_inbox.put(_events.Tick(wall_ms))
 
     # Stop
 
--- a/fuchsiatrestle/control/_service.py
+++ b/fuchsiatrestle/control/_service.py
@@ -93,6 +93,11 @@
         """The state machine."""
         return self._machine
 
+    @property
+    def leads(self):
+        """True while this replica serves calls and needs ticks."""
+        return self._leader is not None
+
     def step(self, event, now_ms):
         """Handles one event; see ``core.Core``."""
         self._now_ms = now_ms
--- a/tests/fakes/entries.py
+++ b/tests/fakes/entries.py
@@ -52,6 +52,10 @@
         """Gives the lease up and stops."""
         self._step(membership.Release())
         await curio.sleep(TICK_S)
+        await self.crash()
+
+    async def crash(self):
+        """Ends without a word."""
         for task in self._tasks:
             await task.cancel()
         await self._link.stop()
