--- /dev/null
+++ b/tests/control/test_offline.py
@@ -0,0 +1,96 @@
+"""Tests of the offline operations on a data folder."""
+
+import os
+import tempfile
+import unittest
+
+from fuchsiatrestle import agreement
+from fuchsiatrestle.control import offline
+from fuchsiatrestle import errors
+from fuchsiatrestle import messages
+from fuchsiatrestle.state import commands
+from fuchsiatrestle.state import machine
+
+VOTERS = agreement.Voters('main/c1#1', ['c1#1'])
+
+
+class OfflineTest(unittest.TestCase):
+    def setUp(self):
+        root = tempfile.TemporaryDirectory()
+        self.addCleanup(root.cleanup)
+        self.root = root.name
+        self.path = os.path.join(root.name, 'data')
+        os.mkdir(self.path)
+        self.saved = os.path.join(root.name, 'saved')
+        self.folder = agreement.DataFolder.open(self.path, 'c1', 1)
+        self._write(1, 3)
+
+    def _write(self, first, last):
+        """Writes patches under the indexes and closes nothing."""
+        made = [
+            messages.Entry(
+                index,
+                1,
+                'command',
+                commands.CODEC.encode(
+                    commands.PatchConfig(index, f'p{index}', b'{}')
+                ),
+            )
+            for index in range(first, last + 1)
+        ]
+        state = agreement.HardState(1, '', VOTERS.group)
+        self.folder.carry_out([agreement.Write(first, state, None, made)])
+        return made
+
+    def _snapshot(self):
+        state = machine.StateMachine()
+        for index in (1, 2, 3):
+            patch = commands.PatchConfig(index, f'p{index}', b'{}')
+            state.apply(index, patch)
+        snapshot = agreement.Snapshot(3, 1, VOTERS, state.snapshot())
+        self.folder.save_snapshot(snapshot)
+
+    def test_log_report(self):
+        report = offline.verify_log(self.path)
+        self.assertEqual((1, 3), (report.term, report.entries))
+        self.assertEqual(3, report.last_index)
+        self.assertTrue(report.identity.startswith('c1#'))
+
+    def test_snapshot_report_and_copy(self):
+        with self.assertRaises(errors.Error):
+            offline.save_snapshot(self.path, self.saved)
+        self.assertEqual(0, offline.verify_snapshot(self.path).last_index)
+        self._snapshot()
+        report = offline.save_snapshot(self.path, self.saved)
+        self.assertEqual((3, 4), (report.last_index, report.config_version))
+        self.assertGreater(os.path.getsize(self.saved), report.size)
+        with self.assertRaises(errors.Error):
+            offline.save_snapshot(self.path, self.saved)
+
+    def test_damage_is_named(self):
+        self._snapshot()
+        self._write(4, 6)
+        names = [n for n in os.listdir(self.path) if n.startswith('log-')]
+        log = os.path.join(self.path, max(names))
+        for name, check in (
+            (log, offline.verify_log),
+            (os.path.join(self.path, 'snapshot'), offline.verify_snapshot),
+        ):
+            with self.subTest(name=name):
+                with open(name, 'r+b') as stream:
+                    kept = stream.read()
+                    stream.seek(20)
+                    stream.write(b'\xff\xff\xff')
+                with self.assertRaises(errors.DataDamaged) as caught:
+                    check(self.path)
+                self.assertIn(name, caught.exception.reason)
+                with open(name, 'wb') as stream:
+                    stream.write(kept)
+
+    def test_missing_folder(self):
+        with self.assertRaises(errors.StorageFailed):
+            offline.verify_log(os.path.join(self.root, 'none'))
+
+
+if __name__ == '__main__':
+    unittest.main()
