--- a/fuchsiatrestle/control/_daemon.py
+++ b/fuchsiatrestle/control/_daemon.py
@@ -15,6 +15,7 @@
 from fuchsiatrestle import errors
 from fuchsiatrestle import logs
 from fuchsiatrestle import messages
+from fuchsiatrestle import metrics
 from fuchsiatrestle.net import link
 from fuchsiatrestle.net import tls
 from fuchsiatrestle import settings
@@ -37,6 +38,21 @@
     messages.ShowMembers,
 )
 
+_BETWEEN_REPLICAS = (
+    messages.AppendReply,
+    messages.AppendRequest,
+    messages.Hello,
+    messages.InstallReply,
+    messages.InstallRequest,
+    messages.TimeoutNow,
+    messages.VoteReply,
+    messages.VoteRequest,
+)
+
+MISDIRECTED = metrics.declare(
+    'refused.call_misdirected', 'Messages that are not meant for control.'
+)
+
 LOG = logs.get_logger(__name__)
 
 
@@ -163,10 +179,11 @@
                 await self._route(event.peer, event.message)
 
     async def _route(self, peer, message):
-        if not isinstance(message, _CALLS):
-            if hasattr(message, 'group') or hasattr(message, 'cell'):
-                received = agreement.Received(peer, message)
-                await self._replica_task.inbox.put(received)
+        if isinstance(message, _BETWEEN_REPLICAS):
+            received = agreement.Received(peer, message)
+            await self._replica_task.inbox.put(received)
+        elif not isinstance(message, _CALLS):
+            metrics.count(MISDIRECTED)
         elif self._state_inbox.qsize() >= MAX_STATE_BACKLOG:
             _refusals.count('overloaded')
             refused = messages.ControlRefused(
--- a/fuchsiatrestle/control/_storage.py
+++ b/fuchsiatrestle/control/_storage.py
@@ -4,6 +4,7 @@
 disk delays acknowledgements but never a heartbeat.
 """
 
+import os
 import queue
 import threading
 
@@ -16,8 +17,12 @@
 
 MAX_BATCH = 256
 JOIN_TIMEOUT_S = 10.0
+SYNCS_A_MEASUREMENT = 64
 
 SYNCS = metrics.declare('storage.syncs', 'Batches of writes made durable.')
+FOLDER_BYTES = metrics.declare(
+    'storage.folder_bytes', 'Size of the files in the data folder, in bytes.'
+)
 WRITES = metrics.declare('storage.writes', 'Writes made durable.')
 
 
@@ -32,6 +37,7 @@
 
     def __init__(self, folder, report):
         self._folder = folder
+        self._syncs = 0
         self._report = report
         # Bounded by what the replica lets be uncommitted.
         self._waiting = queue.SimpleQueue()
@@ -88,10 +94,19 @@
                 writes.append(item)
         self._write(writes)
 
+    def _measure_folder(self):
+        """Sets the gauge of the folder's size, once in many syncs."""
+        self._syncs += 1
+        if self._syncs % SYNCS_A_MEASUREMENT == 1:
+            with os.scandir(self._folder.path) as found:
+                total = sum(one.stat().st_size for one in found)
+            metrics.gauge(FOLDER_BYTES, total)
+
     def _write(self, writes):
         if not writes:
             return
         write_id = self._folder.carry_out(writes)
         metrics.count(SYNCS)
         metrics.count(WRITES, len(writes))
+        self._measure_folder()
         self._report(agreement.Synced(write_id))
