--- a/benchmarks/_entry_load.py
+++ b/benchmarks/_entry_load.py
@@ -4,8 +4,11 @@
 JSON when it is asked to end through its standard input.
 """
 
+import cProfile
 import json
 import os
+import pathlib
+import pstats
 import subprocess
 import sys
 import time
@@ -143,14 +146,34 @@
 async def _run_until_told(start, *args):
     server = await start(*args)
     print('ready', flush=True)
-    before = os.times()
     await curio.run_in_thread(sys.stdin.readline)
-    after = os.times()
-    used_s = after.user + after.system - before.user - before.system
-    print(json.dumps({'cpu_s': used_s}), flush=True)
     await server.stop(0)
 
 
+def _shares_by_part(profile):
+    """Returns the share of own time by package or module of the product."""
+    stats = pstats.Stats(profile).stats
+    shares = {}
+    total_s = sum(row[2] for row in stats.values())
+    for (path, _, name), row in stats.items():
+        part = _part_of(path, name)
+        shares[part] = shares.get(part, 0.0) + row[2] / total_s
+    return shares
+
+
+def _part_of(path, name):
+    for part in ('h11', 'curio', 'fuchsiatrestle/routing'):
+        if f'/{part}/' in path:
+            return part
+    if '/fuchsiatrestle/' in path:
+        return 'fuchsiatrestle/' + path.rpartition('/fuchsiatrestle/')[2]
+    if 'socket' in name:
+        return 'socket calls'
+    if 'epoll' in name or 'select' in name:
+        return 'waiting'
+    return 'other'
+
+
 _STARTERS = {
     'upstream': _serve_upstream,
     'relay': _serve_relay,
@@ -159,8 +182,19 @@
 
 
 def run_role(kind, *args):
-    """Runs a role in this process until a line arrives on standard input."""
-    curio.run(_run_until_told, _STARTERS[kind], *args)
+    """Runs a role in this process until a line arrives on standard input.
+
+    The kind ``profiled entry`` runs the entry under the profiler.
+    """
+    profile = cProfile.Profile()
+    profiled = kind.startswith('profiled ')
+    starter = _STARTERS[kind.removeprefix('profiled ')]
+    if profiled:
+        profile.enable()
+    curio.run(_run_until_told, starter, *args)
+    profile.disable()
+    shares = _shares_by_part(profile) if profiled else {}
+    print(json.dumps({'shares': shares}), flush=True)
 
 
 class Role:
@@ -184,10 +218,17 @@
         )
         self._process.stdout.readline()
 
+    def cpu_s(self):
+        """Returns the processor time used so far, in seconds."""
+        stat = pathlib.Path(f'/proc/{self._process.pid}/stat').read_text()
+        fields = stat.rpartition(')')[2].split()
+        ticks = int(fields[11]) + int(fields[12])
+        return ticks / os.sysconf('SC_CLK_TCK')
+
     def end(self):
-        """Ends the process; returns the processor time it used, seconds."""
+        """Ends the process; returns its report."""
         out, _ = self._process.communicate('\n', timeout=30)
-        return json.loads(out.splitlines()[-1])['cpu_s']
+        return json.loads(out.splitlines()[-1])
 
 
 # Load
--- a/benchmarks/entry_latency.py
+++ b/benchmarks/entry_latency.py
@@ -12,7 +12,7 @@
 from benchmarks import _entry_load
 
 MODULE = 'benchmarks.entry_latency'
-SETTLE_S = 4.5
+SETTLE_S = 6.0
 
 
 def _compare(callers, seconds, rounds):
@@ -35,8 +35,10 @@
             role = _entry_load.Role(MODULE, kind, *args)
             if kind == 'entry':
                 time.sleep(SETTLE_S)
+            before_s = role.cpu_s()
             result = _entry_load.measure(role.port, callers, seconds)
-            cpu_s = role.end()
+            cpu_s = role.cpu_s() - before_s
+            role.end()
             lines.append(_entry_load.summary_line(kind, result, cpu_s))
             rates.setdefault(kind, []).append(result.rate)
     print('\n'.join(lines))
@@ -48,6 +50,23 @@
         role.end()
 
 
+def _profile(seconds):
+    """Prints where the entry spends its own time."""
+    upstream = _entry_load.Role(MODULE, 'upstream', 0)
+    role = _entry_load.Role(MODULE, 'profiled entry', [upstream.port])
+    time.sleep(SETTLE_S)
+    result = _entry_load.measure(role.port, 8, seconds)
+    shares = role.end()['shares']
+    upstream.end()
+    shares.pop('waiting', None)
+    total = sum(shares.values())
+    print(f'\nprofile of the entry over {result.requests} requests:\n')
+    print('| part | share of own time |')
+    print('|---|---|')
+    for part, share in sorted(shares.items(), key=lambda item: -item[1])[:14]:
+        print(f'| {part} | {100 * share / total:.1f} % |')
+
+
 def main():
     """Runs the comparison."""
     parser = argparse.ArgumentParser()
@@ -60,6 +79,7 @@
         return
     for callers in (1, 8):
         _compare(callers, args.seconds, args.rounds)
+    _profile(args.seconds)
 
 
 if __name__ == '__main__':
