--- a/fuchsiatrestle/routing/_upstreams.py
+++ b/fuchsiatrestle/routing/_upstreams.py
@@ -120,7 +120,7 @@
         free = self.capacity(now_ms) - in_use
         if free <= 0:
             return 0
-        limit = self.health.limit(now_ms) - in_use
+        limit = self.health.limit(now_ms) - len(self._busy)
         if limit < free:
             free = limit
         if free > 0 and not self._idle:
--- /dev/null
+++ b/tests/entry/test_caller_path.py
@@ -0,0 +1,166 @@
+"""Tests of single promises of the caller path over sockets."""
+
+import unittest
+from unittest import mock
+
+import curio
+
+from fuchsiatrestle.entry import _exchange
+from fuchsiatrestle.net import http
+from fuchsiatrestle.routing import _core
+from fuchsiatrestle import settings
+from tests.fakes import entry_world
+from tests.fakes import ports
+
+LIMIT_S = 60
+CALLERS = 8
+FOLLOWERS = 20
+
+
+class _Pair:
+    """One entry and one upstream, settled."""
+
+    async def start(self):
+        entry_port, upstream_port = ports.free_ports(2)
+        control = entry_world.FakeControl(['e1'])
+        self.entry = entry_world.EntryProcess('e1', entry_port, control, 1)
+        self.upstream = entry_world.ScriptedUpstream(
+            upstream_port, [self.entry], slots=CALLERS, connections=16
+        )
+        await self.entry.start()
+        await self.upstream.start()
+        while not any(status.share for status in self._statuses()):
+            await curio.sleep(0.01)
+
+    def _statuses(self):
+        return self.entry.router.core.upstream_statuses(
+            entry_world.daemon.now_ms()
+        )
+
+    def client(self):
+        return http.Client(
+            settings.Address(entry_world.HOST, self.entry.port), 5.0
+        )
+
+    async def stop(self):
+        if self.entry.alive:
+            await self.entry.kill()
+        await self.upstream.stop()
+
+
+async def _call(client, identity, method='GET'):
+    return await client.call(
+        method, f'/quotes/{identity}', b'', [(b'x-id', identity.encode())]
+    )
+
+
+def _run(scenario):
+    async def main():
+        pair = _Pair()
+        await pair.start()
+        try:
+            return await scenario(pair)
+        finally:
+            await pair.stop()
+
+    with entry_world.short_terms():
+        return curio.run(curio.timeout_after, LIMIT_S, main)
+
+
+async def _ask_after_a_late_answer(pair):
+    """Returns, for each answer after a late one, if it was the right one."""
+    client = pair.client()
+    pair.upstream.mode = 'late'
+    await _call(client, 'slow', 'POST')
+    pair.upstream.mode = 'normal'
+    answers = []
+    for number in range(FOLLOWERS):
+        response = await _call(client, f'next{number}')
+        if response.status == 200:
+            own = f'next{number} answered'.encode()
+            answers.append(response.body == own)
+        await curio.sleep(0.1)
+    client.close()
+    return answers
+
+
+async def _stop_under_load(pair):
+    """Returns how many calls were answered and how many were cut."""
+    counts = {'answered': 0, 'refused': 0, 'cut': 0}
+
+    async def call_on(number):
+        client = pair.client()
+        for turn in range(100000):
+            try:
+                response = await _call(client, f'c{number}-{turn}')
+            except http.HttpFailed as exc:
+                refused = exc.step == 'connect'
+                counts['refused' if refused else 'cut'] += 1
+                return
+            counts['answered' if response.status == 200 else 'cut'] += 1
+
+    pair.upstream.gates['wait'] = _Pause()
+    tasks = [await curio.spawn(call_on, n) for n in range(CALLERS)]
+    await curio.sleep(0.3)
+    await pair.entry.stop()
+    for task in tasks:
+        await task.join()
+    return counts
+
+
+class _Pause:
+    """Makes each request last a little."""
+
+    async def passes(self):
+        await curio.sleep(0.02)
+
+
+async def _keep_in_pool(self):
+    """Gives a connection back although its answer is still to come."""
+    conn = http.ClientConnection(self._conn._sock, self._conn.peer)
+    self._pool.keep(self._dispatch.connection_id, conn)
+    return False
+
+
+class CallerPathTest(unittest.TestCase):
+    def test_a_late_answer_reaches_no_other_caller(self):
+        answers = _run(_ask_after_a_late_answer)
+        self.assertTrue(all(answers))
+        self.assertGreater(len(answers), FOLLOWERS // 2)
+
+    def test_the_check_sees_a_connection_reused_too_early(self):
+        # Closing, the stale check and the distrust each prevent it alone.
+        with (
+            mock.patch.object(_exchange.Exchange, '_abandon', _keep_in_pool),
+            mock.patch.object(http.ClientConnection, 'stale', False),
+            mock.patch.object(_core.Core, '_judge', lambda *args: None),
+            mock.patch.object(
+                entry_world.routing,
+                'AttemptEnded',
+                _always_reusable(entry_world.routing.AttemptEnded),
+            ),
+        ):
+            answers = _run(_ask_after_a_late_answer)
+        self.assertFalse(all(answers))
+
+    def test_a_planned_stop_under_load_cuts_nothing(self):
+        counts = _run(_stop_under_load)
+        self.assertEqual(0, counts['cut'])
+        self.assertEqual(CALLERS, counts['refused'])
+        self.assertGreater(counts['answered'], CALLERS)
+
+    def test_the_check_sees_a_stop_that_cuts(self):
+        async def kill(self):
+            await entry_world.EntryProcess.kill(self)
+
+        with mock.patch.object(entry_world.EntryProcess, 'stop', kill):
+            counts = _run(_stop_under_load)
+        self.assertGreater(counts['cut'], 0)
+
+
+def _always_reusable(kind):
+    def create(*args, **kwargs):
+        kwargs.update(reusable=True, draining=False)
+        return kind(*args, **kwargs)
+
+    return create
