Retry placements that an estimate bars; run the fault matrix

Cause: the matrix left a job queued for ever at step throttle: one noisy measurement barred its class from every worker, and without a placement no measurement could correct the estimate. The harness left a job queued that had failed on every worker but a lost one. Change: a shape held back for a minute gets one placement where it harms least; a job of a small cell that failed on every worker in sight is parked. Ruled out: lowering estimates with time alone, which corrects nothing while the class stays away.

--- a/benchmarks/scheduling_policy.py
+++ b/benchmarks/scheduling_policy.py
@@ -58,7 +58,7 @@
 class ByName(_placement.PlacementRule):
     """First fit in a fixed order of workers."""
 
-    def pick(self, job, need, names):
+    def pick(self, job, need, names, patient=True):
         """Returns the first name in the order of names."""
         return min(names) if names else None
 
--- a/fuchsiatrestle/scheduling/_agreed.py
+++ b/fuchsiatrestle/scheduling/_agreed.py
@@ -6,6 +6,7 @@
 __all__ = ('AgreedChanges',)
 
 REASON_FAILS = 'fails_everywhere'
+SMALL_CELL_WORKERS = 64
 
 
 class AgreedChanges:
@@ -181,15 +182,36 @@
         parts.fleet.refresh(name, now_ms)
         parts.dispatcher.wake()
 
+    def park_if_barred(self, job, now_ms):
+        """Parks a waiting job that has failed on every worker in sight.
+
+        In a large cell a job fails on enough distinct workers anyway, so
+        only the workers of a small one are looked through.
+        """
+        workers = self._parts.part.workers
+        if not job.failed_on or len(workers) > SMALL_CELL_WORKERS:
+            return
+        left = [
+            name
+            for name in workers
+            if name not in job.failed_on
+            and not self._parts.quarantine.is_quarantined(name)
+            and not self._parts.fleet.is_lost(name, now_ms)
+        ]
+        if not left:
+            self._park(job)
+
     def _park_if_hopeless(self, job):
         parts = self._parts
-        quarantine = parts.quarantine
         trusted = [
             name
             for name in job.failed_on
-            if not quarantine.is_quarantined(name)
+            if not parts.quarantine.is_quarantined(name)
         ]
-        available = max(1, len(parts.part.workers) - len(quarantine))
-        if len(trusted) >= min(parts.policy.failed_workers, available):
-            parts.dispatcher.withdraw(job.spec.job_id)
-            parts.outbox.park(job.spec.job_id, REASON_FAILS)
+        if len(trusted) >= parts.policy.failed_workers:
+            self._park(job)
+
+    def _park(self, job):
+        parts = self._parts
+        parts.dispatcher.withdraw(job.spec.job_id)
+        parts.outbox.park(job.spec.job_id, REASON_FAILS)
--- a/fuchsiatrestle/scheduling/_assembly.py
+++ b/fuchsiatrestle/scheduling/_assembly.py
@@ -53,7 +53,7 @@
         self.part = part
         self.policy = policy
         self.outbox = _outbox.Outbox(policy.max_batch, policy.max_in_flight)
-        self.fleet = _fleet.Fleet(part, policy)
+        self.fleet = _fleet.Fleet(part, policy, now_ms)
         self.shares = _shares.TeamShares(part.quotas)
         self.mixes = _mixes.Mixes()
         self.model = _interference.InterferenceModel()
--- a/fuchsiatrestle/scheduling/_dispatch.py
+++ b/fuchsiatrestle/scheduling/_dispatch.py
@@ -58,6 +58,7 @@
         self._queue = _queue.JobQueue()
         self._pending = {}
         self._reasons = {}
+        self._held_back = {}
         self._dirty = True
         self._next_ms = 0
         self._last_ms = -ROUND_GAP_MS
@@ -207,7 +208,26 @@
         most = self._policy.max_candidates
         if len(self._queue) > LONG_QUEUE:
             most = min(most, LONG_QUEUE_CANDIDATES)
-        return self._rule.pick(job, need, list(itertools.islice(usable, most)))
+        names = list(itertools.islice(usable, most))
+        if not names:
+            return None
+        name = self._rule.pick(job, need, names)
+        return name or self._pick_at_last(job, need, names, now_ms)
+
+    def _pick_at_last(self, job, need, names, now_ms):
+        """Places one job of a shape that was held back for long.
+
+        An estimate that bars a shape everywhere could never be corrected by
+        a measurement, so one job at a time goes where it harms least.
+        """
+        shape = self._queue.shape(job.spec.job_id)
+        if len(self._held_back) > MAX_REASONS:
+            self._held_back.clear()
+        since_ms = self._held_back.setdefault(shape, now_ms)
+        if now_ms - since_ms < self._policy.tail_patience_ms:
+            return None
+        self._held_back[shape] = now_ms
+        return self._rule.pick(job, need, names, patient=False)
 
     def _reserve(self, job, name, size, now_ms):
         spec = job.spec
--- a/fuchsiatrestle/scheduling/_fleet.py
+++ b/fuchsiatrestle/scheduling/_fleet.py
@@ -12,6 +12,9 @@
 
 # Held free above the recent peak of the services, in thousandths of it.
 SERVICE_HEADROOM_MILLI = 150
+# A worker unheard for so long is not waited for by a job that failed
+# everywhere else.
+LOST_MS = 60_000
 
 
 class WorkerInfo:
@@ -84,11 +87,13 @@
     Args:
         part: the jobs part, read only.
         policy: the ``Policy``.
+        now_ms: start of this leader's term.
     """
 
-    def __init__(self, part, policy):
+    def __init__(self, part, policy, now_ms):
         self._part = part
         self._policy = policy
+        self._started_ms = now_ms
         self._infos = {}
         self._by_age = collections.OrderedDict()
         self._indexes = {}
@@ -125,6 +130,14 @@
             return True
         return now_ms - info.heard_ms > self._policy.silent_ms
 
+    def is_lost(self, name, now_ms):
+        """True if a worker was not heard for long, or never in this term."""
+        info = self._infos.get(name)
+        heard_ms = self._started_ms
+        if info is not None and info.heard_ms is not None:
+            heard_ms = info.heard_ms
+        return now_ms - heard_ms > LOST_MS
+
     def age(self, now_ms):
         """Takes workers that fell silent, or ended a pause, into account.
 
--- a/fuchsiatrestle/scheduling/_placement.py
+++ b/fuchsiatrestle/scheduling/_placement.py
@@ -14,20 +14,21 @@
     """Picks the worker of one placement."""
 
     @abc.abstractmethod
-    def pick(self, job, need, names):
+    def pick(self, job, need, names, patient=True):
         """Returns the name of a worker, or None to wait.
 
         Args:
             job: the job to place.
             need: (cpu_milli, memory_mib, accelerators) to reserve.
             names: candidates that have room, best first by free capacity.
+            patient: False to take the best candidate, however bad.
         """
 
 
 class FirstFit(PlacementRule):
     """Takes the first candidate."""
 
-    def pick(self, job, need, names):
+    def pick(self, job, need, names, patient=True):
         """Returns the first name."""
         return names[0] if names else None
 
@@ -52,18 +53,19 @@
         self._model = model
         self._max_ratio = max_ratio
 
-    def pick(self, job, need, names):
+    def pick(self, job, need, names, patient=True):
         """Returns the best name, or None if every one would suffer."""
+        limit = self._max_ratio if patient else math.inf
         best, least = None, None
         for name in names:
-            cost = self._cost(job, need, name)
+            cost = self._cost(job, need, name, limit)
             if cost is None:
                 continue
             if least is None or cost < least:
                 best, least = name, cost
         return best
 
-    def _cost(self, job, need, name):
+    def _cost(self, job, need, name, limit):
         spec = job.spec
         cores = need[0] / 1000
         harm = 0.0
@@ -73,7 +75,7 @@
             )
             added = cores * self._model.per_core(load.service, spec.job_class)
             after = math.exp(before + added)
-            if after > self._max_ratio and added > 0 and not spec.urgent:
+            if after > limit and added > 0 and not spec.urgent:
                 return None
             harm += after - math.exp(before)
         rack = self._fleet.rack(name)
--- a/fuchsiatrestle/scheduling/_policy.py
+++ b/fuchsiatrestle/scheduling/_policy.py
@@ -27,6 +27,8 @@
             attempt that is not being evicted.
         max_tail_ratio: a placement waits rather than raise the estimated
             tail of a service beyond this multiple of its baseline.
+        tail_patience_ms: a shape of jobs held back for so long gets one
+            placement where it harms least.
         hot_tail_ratio: a measured tail beyond this multiple is answered.
         calm_tail_ratio: below this multiple a throttle may be lifted.
         shrink_cpu: reserve the learned processor time even if it is below
@@ -53,6 +55,7 @@
         'failed_workers': 3,
         'checkpoint_gap_ms': 5_000,
         'max_tail_ratio': 2.0,
+        'tail_patience_ms': 60_000,
         'hot_tail_ratio': 2.0,
         'calm_tail_ratio': 1.6,
         'shrink_cpu': True,
--- a/fuchsiatrestle/scheduling/_scheduler.py
+++ b/fuchsiatrestle/scheduling/_scheduler.py
@@ -181,6 +181,7 @@
     def _dispatch(self, now_ms):
         parts = self._parts
         for job in parts.dispatcher.run(now_ms):
+            self._agreed.park_if_barred(job, now_ms)
             if job.spec.urgent:
                 need = parts.dispatcher.need(job)
                 parts.preemptor.make_room(job, need, now_ms)
--- a/standins/_worker_agent.py
+++ b/standins/_worker_agent.py
@@ -21,6 +21,7 @@
 SLOW = 'slow'
 NOISY = 'noisy'
 SLOW_FACTOR = 4
+NOISE_MS = 30.0
 
 
 class AgentOptions:
@@ -269,7 +270,7 @@
         )
         p99_ms = 10.0
         if self.options.mode == NOISY:
-            p99_ms += 10.0 * len(self.running)
+            p99_ms += NOISE_MS * len(self.running)
         return [messages.ServiceLoad(self.options.service, used, p99_ms, 1000)]
 
     # Orders
--- a/tests/scheduling/_faults.py
+++ b/tests/scheduling/_faults.py
@@ -113,7 +113,8 @@
     def _note_resumes(self, command, outcome):
         if not isinstance(command, commands.PlaceAttempts):
             return
-        for placed, result in zip(command.placements, outcome.jobs):
+        results = zip(command.placements, outcome.jobs, strict=True)
+        for placed, result in results:
             if not result.reason:
                 job = self.part.jobs[placed.job_id]
                 self.resumes[placed.job_id, placed.attempt] = (
@@ -308,7 +309,7 @@
                 raise Breach(f'resumed from {agreed!r} not: {line!r}')
 
     def settle(self):
-        """Heals all but one worker, which is lost for good; all jobs must end."""
+        """Loses one worker for good and heals the rest; all jobs must end."""
         for host in self.hosts.values():
             host.frozen = host.cut = host.agent.leaving = False
             host.woken = True
