Test the policy's mechanisms; send probes before ordinary work

Cause: on a cell with room a quarantined worker was never probed, because every job was placed elsewhere first, so a mended worker stayed out.

--- a/fuchsiatrestle/scheduling/_scheduler.py
+++ b/fuchsiatrestle/scheduling/_scheduler.py
@@ -174,12 +174,13 @@
         if now_ms >= self._next_retire_ms:
             self._retire(now_ms)
         self._dispatch(now_ms)
-        for name in parts.quarantine.due_probes(now_ms):
-            self._probe(name, now_ms)
         return self._gauges(now_ms)
 
     def _dispatch(self, now_ms):
+        # Probes go first: on a cell with room nothing would be left for them.
         parts = self._parts
+        for name in parts.quarantine.due_probes(now_ms):
+            self._probe(name, now_ms)
         for job in parts.dispatcher.run(now_ms):
             self._agreed.park_if_barred(job, now_ms)
             if job.spec.urgent:
--- /dev/null
+++ b/tests/scheduling/test_policy.py
@@ -0,0 +1,236 @@
+"""The policy's mechanisms, one by one on a calm cell."""
+
+import unittest
+
+from fuchsiatrestle import messages
+from fuchsiatrestle import scheduling
+from fuchsiatrestle.scheduling import _capacity
+from fuchsiatrestle.scheduling import _interference
+from fuchsiatrestle.scheduling import _quarantine
+from fuchsiatrestle.scheduling import _sizes
+from fuchsiatrestle.state import commands
+from tests.scheduling import _cell
+
+URGENT_MS = 2_800
+
+
+class OrderTest(unittest.TestCase):
+    """Who goes first."""
+
+    def test_priority_then_deadline_then_submission(self):
+        """One worker with room for one job at a time runs them in order."""
+        cell = _cell.Cell(1)
+        cell.advance(1000)
+        size = {'cpu_milli': 4000, 'command': 'sleep 100'}
+        cell.submit(
+            _cell.spec('late', priority=5, **size),
+            _cell.spec('soon', priority=5, deadline_ms=9, **size),
+            _cell.spec('first', priority=1, **size),
+        )
+        cell.advance(15_000)
+        names = [line.job_id for line in cell.ledger]
+        self.assertEqual(['first', 'soon', 'late'], names)
+
+    def test_teams_share(self):
+        """A team with many jobs does not hold back one with few."""
+        cell = _cell.Cell(2)
+        cell.advance(1000)
+        many = [_cell.spec(f'a{n}', team='a') for n in range(20)]
+        few = [_cell.spec(f'b{n}', team='b') for n in range(4)]
+        cell.submit(*many, *few)
+        cell.advance(1000)
+        teams = [line.job_id[0] for line in cell.ledger]
+        self.assertEqual(4, teams.count('b'))
+
+    def test_quota_holds_a_team_back(self):
+        """A team never holds more than its quota, and is told so."""
+        quota = messages.Resources(2000, 9000, 0)
+        cell = _cell.Cell(2, quotas={'team': quota})
+        cell.advance(1000)
+        cell.submit(*(_cell.spec(f'j{n}') for n in range(4)))
+        cell.advance(1000)
+        self.assertEqual(2, len(cell.ledger))
+        self.assertIn('quota', cell.scheduler.why('j3').lines[0])
+
+
+class UrgentTest(unittest.TestCase):
+    """Urgent work starts in time, also on a full cell."""
+
+    def test_preempts_least_work_lost(self):
+        """An urgent job starts within the bound; the victim resumes once."""
+        cell = _cell.Cell(2)
+        cell.advance(1000)
+        full = [
+            _cell.spec(f'j{n}', 4000, command='sleep 30000') for n in range(2)
+        ]
+        cell.submit(*full)
+        cell.advance(5000)
+        submitted_ms = cell.now_ms
+        cell.submit(_cell.spec('now', 1000, urgent=True))
+        cell.advance(4000, step_ms=200)
+        line = [line for line in cell.ledger if line.job_id == 'now'][0]
+        self.assertLess(line.start_ms - submitted_ms, URGENT_MS)
+        cell.advance(60_000)
+        self.assertEqual({'done': 3}, cell.part.counts())
+        self.assertEqual(4, len(cell.ledger))
+
+    def test_billed_work_is_not_evicted(self):
+        """Urgent work waits rather than evict what must run once."""
+        cell = _cell.Cell(1)
+        cell.advance(1000)
+        cell.submit(
+            _cell.spec('j', 4000, idempotent=False, command='sleep 8000')
+        )
+        cell.advance(2000)
+        cell.submit(_cell.spec('now', 1000, urgent=True))
+        cell.advance(4000)
+        self.assertEqual('running', cell.state('j'))
+        cell.advance(12_000)
+        self.assertEqual({'done': 2}, cell.part.counts())
+
+
+class HopelessTest(unittest.TestCase):
+    """Jobs that can never run and workers that fail everything."""
+
+    def test_failing_job_is_parked_after_distinct_workers(self):
+        """It is tried on three workers and condemns none of them."""
+        cell = _cell.Cell(5)
+        cell.advance(1000)
+        cell.submit(_cell.spec('bad', command='fail 100'))
+        cell.advance(20_000)
+        self.assertEqual('parked', cell.state('bad'))
+        workers = {line.worker for line in cell.ledger}
+        self.assertEqual((3, 3), (len(workers), len(cell.ledger)))
+        states = {w.state for w in cell.scheduler.workers(cell.now_ms).workers}
+        self.assertEqual({'ready'}, states)
+
+    def test_failing_worker_is_quarantined_and_returns(self):
+        """Work goes elsewhere; probes bring the worker back once mended."""
+        cell = _cell.Cell(4)
+        cell.agents['w1'].options.mode = 'fail'
+        cell.advance(1000)
+        jobs = [_cell.spec(f'j{n}', command='sleep 1000') for n in range(60)]
+        cell.submit(*jobs)
+        cell.advance(30_000)
+        self.assertEqual(60, cell.part.counts()['done'])
+        self.assertEqual('quarantined', self._state(cell, 'w1'))
+        cell.agents['w1'].options.mode = ''
+        for number in range(60, 160):
+            cell.submit(_cell.spec(f'j{number}', command='sleep 1000'))
+            cell.advance(1000)
+        self.assertEqual('ready', self._state(cell, 'w1'))
+
+    @staticmethod
+    def _state(cell, name):
+        views = cell.scheduler.workers(cell.now_ms).workers
+        return {view.worker: view.state for view in views}[name]
+
+    def test_quarantine_needs_distinct_jobs(self):
+        """One job failing often says nothing about the worker."""
+        quarantine = _quarantine.Quarantine()
+        for _ in range(9):
+            quarantine.note_failure('w', 'j', 0)
+        self.assertFalse(quarantine.is_quarantined('w'))
+
+    def test_cancellation_wave(self):
+        """A wave of cancellations is one command and stops what runs."""
+        cell = _cell.Cell(3)
+        cell.advance(1000)
+        names = [f'j{n}' for n in range(200)]
+        cell.submit(*(_cell.spec(n, command='sleep 60000') for n in names))
+        cell.advance(2000)
+        cell.apply(commands.CancelJobs(names))
+        cell.advance(3000)
+        self.assertEqual({'cancelled': 200}, cell.part.counts())
+        self.assertFalse(any(a.running for a in cell.agents.values()))
+
+
+class LearningTest(unittest.TestCase):
+    """Sizes and interference from late measurements."""
+
+    def test_learned_size(self):
+        """Reservations follow usage, within what one worker can hold."""
+        capacities = [(messages.Resources(8000, 8000), 'dc1')]
+        sizes = _sizes.LearnedSizes(lambda: capacities, dict, True)
+        spec = _cell.spec('j', 1000, 1000)
+        cases = (
+            (500, 500, 600, 1000),
+            (3000, 2000, 3200, 2112),
+            (9000, 9000, 8000, 8000),
+        )
+        for cpu, memory, reserved_cpu, reserved_memory in cases:
+            for _ in range(_sizes.WINDOW_ATTEMPTS):
+                sizes.note(spec, messages.Resources(cpu, memory))
+            with self.subTest(cpu=cpu):
+                reserved = sizes.reservation(spec)
+                self.assertEqual(
+                    (reserved_cpu, reserved_memory),
+                    (reserved.cpu_milli, reserved.memory_mib),
+                )
+
+    def test_interference_of_a_pair(self):
+        """The class that raises the tail is told from one that does not."""
+        model = _interference.InterferenceModel()
+        used = messages.Resources(4000, 1000)
+        mixes = ({}, {'bad': 4000}, {'good': 4000}, {'bad': 2000})
+        for number in range(400):
+            mix = mixes[number % 4]
+            p99_ms = 10.0 * (1.1 ** (mix.get('bad', 0) / 1000))
+            load = messages.ServiceLoad('s', used, p99_ms, 1000)
+            model.learn(load, mix)
+        self.assertAlmostEqual(0.095, model.per_core('s', 'bad'), delta=0.02)
+        self.assertLess(model.per_core('s', 'good'), 0.01)
+
+    def test_throttle_goes_before_eviction_and_is_lifted(self):
+        """A hot service throttles its neighbour; calm lifts it again."""
+        cell = _cell.Cell(1, service='quotes')
+        cell.advance(20_000)
+        cell.submit(_cell.spec('j', command='sleep 200000'))
+        cell.advance(5000)
+        cell.agents['w0'].options.mode = 'noisy'
+        kinds = self._order_kinds(cell, 8000)
+        self.assertIn('throttle', kinds)
+        self.assertNotIn('stop', kinds)
+        cell.agents['w0'].options.mode = ''
+        self._order_kinds(cell, 90_000)
+        self.assertNotIn('throttle', self._order_kinds(cell, 5000))
+
+    @staticmethod
+    def _order_kinds(cell, duration_ms):
+        kinds = set()
+        end_ms = cell.now_ms + duration_ms
+        while cell.now_ms < end_ms:
+            cell.now_ms += 500
+            cell.step(scheduling.Tick())
+            cell.agree()
+            cell.report('w0')
+            kinds |= {o.kind for a in cell.answers for o in a.orders}
+            cell.agree()
+            cell.deliver()
+        return kinds
+
+
+class FreeIndexTest(unittest.TestCase):
+    """The index gives exactly the workers with room."""
+
+    def test_against_a_plain_search(self):
+        """Every need finds what a plain search finds."""
+        index = _capacity.FreeIndex()
+        workers = {}
+        for number in range(200):
+            name = f'w{number}'
+            free = (number * 37 % 331, number * 53 % 277, number % 3)
+            workers[name] = free
+            index.update(name, (1, 1, 1))
+            index.update(name, free)
+        for number in range(0, 200, 7):
+            index.remove(f'w{number}')
+            del workers[f'w{number}']
+        for need in ((0, 0, 0), (100, 1, 0), (33, 200, 1), (330, 0, 0)):
+            expected = {
+                name
+                for name, free in workers.items()
+                if all(f >= n for f, n in zip(free, need, strict=True))
+            }
+            with self.subTest(need=need):
+                self.assertEqual(expected, set(index.fitting(need)))
