--- a/fuchsiatrestle/agreement/_leader.py
+++ b/fuchsiatrestle/agreement/_leader.py
@@ -210,6 +210,12 @@
         progress = self.progress.get(reply.follower)
         if progress is None:
             return None
+        invariants.require(
+            reply.round <= self._round,
+            'round_sent',
+            round=reply.round,
+            follower=reply.follower,
+        )
         sent_ms = self._round_sent_ms.get(reply.round)
         if sent_ms is not None:
             progress.alive_ms = max(progress.alive_ms, sent_ms)
@@ -387,6 +393,11 @@
             _events.Accepted(event.token, replica.log.last_index, replica.term)
         )
 
+    @property
+    def newcomers(self):
+        """Identities that want to join and may be added."""
+        return self._membership.newcomers()
+
     def on_hello(self, message):
         """Notes a replica that wants to join."""
         self._membership.note_newcomer(message.sender)
--- a/fuchsiatrestle/control/_replica_task.py
+++ b/fuchsiatrestle/control/_replica_task.py
@@ -14,6 +14,9 @@
 
 TERM = metrics.declare('agreement.term', 'Term of this replica.')
 COMMIT = metrics.declare('agreement.commit', 'Committed log index.')
+LOG_ENTRIES = metrics.declare(
+    'agreement.uncommitted', 'Log entries not yet known to be committed.'
+)
 LEADS = metrics.declare('agreement.leads', '1 while this replica leads.')
 LEADER_CHANGED = metrics.declare(
     'agreement.role_changed', 'Changes of role or leader seen here.'
@@ -45,6 +48,7 @@
         self._state_inbox = state_inbox
         self._storage = None
         self._facts_due_ms = 0
+        self._voters = None
         self.inbox = curio.UniversalQueue()
         self.role = ''
 
@@ -53,13 +57,15 @@
         self._storage = storage
 
     async def run(self):
-        """Works until cancelled."""
+        """Works until cancelled; idles once the data folder has failed."""
+        broken = False
         while True:
             event = await self.inbox.get()
             if isinstance(event, _events.StorageBroken):
+                broken = True
                 await self._state_inbox.put(event)
-                return
-            await self._handle(event)
+            elif not broken:
+                await self._handle(event)
 
     async def _handle(self, event):
         if isinstance(event, _events.TakeSnapshot):
@@ -72,11 +78,19 @@
             await self._state_inbox.put(event)
             event = agreement.Compact(event.snapshot)
         now_ms = daemon.now_ms()
-        for effect in self._replica.step(event, now_ms):
-            await self._carry_out(effect)
-        if now_ms >= self._facts_due_ms:
+        effects = self._replica.step(event, now_ms)
+        if self._facts_wanted(effects, now_ms):
             self._facts_due_ms = now_ms + FACTS_MS
             await self._publish_facts(now_ms)
+        for effect in effects:
+            await self._carry_out(effect)
+
+    def _facts_wanted(self, effects, now_ms):
+        """True if the facts are old, or somebody is about to read them."""
+        changed = self._voters is not self._replica.voters
+        self._voters = self._replica.voters
+        read = any(isinstance(one, agreement.ReadReady) for one in effects)
+        return changed or read or now_ms >= self._facts_due_ms
 
     async def _carry_out(self, effect):
         if isinstance(effect, agreement.Send):
@@ -109,17 +123,24 @@
         metrics.gauge(TERM, replica.term)
         metrics.gauge(COMMIT, replica.commit)
         metrics.gauge(LEADS, int(self.role == 'leader'))
+        metrics.gauge(LOG_ENTRIES, replica.log.last_index - replica.commit)
         facts = _events.ReplicaFacts(
             replica.term,
             replica.commit,
-            0,
-            [self._member(identity) for identity in replica.voters.members],
-            [],
+            [self._member(one, now_ms) for one in replica.voters.members],
+            list(replica.newcomers),
         )
         await self._state_inbox.put(facts)
 
-    def _member(self, identity):
-        voters = self._replica.voters
-        role = 'voter' if identity in voters.voters else 'learner'
+    def _member(self, identity, now_ms):
+        replica = self._replica
         name = agreement.name_of(identity)
-        return _events.MemberFacts(identity, name, role, 0, 0)
+        progress = replica.followers.get(identity)
+        match = progress.match if progress else replica.log.last_index
+        heard_ms = max(0, now_ms - progress.alive_ms) if progress else 0
+        # A new voter counts once it holds the agreed entry that made it one:
+        # before that, losing another voter can lose the quorum.
+        holds = replica.voters_committed and match >= replica.voters_index
+        voter = identity in replica.voters.voters and holds
+        role = 'voter' if voter else 'learner'
+        return _events.MemberFacts(identity, name, role, match, heard_ms)
--- a/fuchsiatrestle/net/_http_messages.py
+++ b/fuchsiatrestle/net/_http_messages.py
@@ -14,7 +14,9 @@
     'Request',
     'Response',
     'StreamedResponse',
+    'decode_answer',
     'decode_json',
+    'encode_answer',
     'encode_json',
     'json_response',
     'reason_response',
@@ -116,7 +118,8 @@
 
     Attributes:
         status: HTTP status.
-        headers: ``(name, value)`` pairs of bytes; framing is added.
+        headers: ``(name, value)`` pairs of bytes, names in lower case; the
+            length is added unless it is there.
         body: the body, bytes.
     """
 
@@ -127,6 +130,13 @@
         self.headers = headers
         self.body = body
 
+    @property
+    def needs_length(self):
+        """True if the server has to add the length of the body."""
+        if self.status in (204, 304):
+            return False
+        return all(name != b'content-length' for name, _ in self.headers)
+
 
 class StreamedResponse:
     """A response whose body is still arriving.
@@ -135,7 +145,8 @@
         status: HTTP status.
         headers: ``(name, value)`` pairs of bytes, framing included when the
             length is known.
-        chunks: asynchronous iterator of bytes.  If it raises, the server
+        chunks: asynchronous iterator of bytes with an ``aclose`` method.
+            If it raises, the server
             aborts the connection, so that the body never looks complete.
     """
 
@@ -178,6 +189,26 @@
         raise HttpFailed('bad_json', step='decode_json') from exc
 
 
+class _StoredAnswer(msgspec.Struct, array_like=True):
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+_STORED = msgspec.msgpack.Decoder(_StoredAnswer)
+
+
+def encode_answer(response):
+    """Returns headers and body of a ``Response`` as bytes to be stored."""
+    headers = [(bytes(name), bytes(value)) for name, value in response.headers]
+    return msgspec.msgpack.encode(_StoredAnswer(headers, response.body))
+
+
+def decode_answer(status, data):
+    """Returns the ``Response`` whose headers and body were stored."""
+    stored = _STORED.decode(data)
+    return Response(status, stored.headers, stored.body)
+
+
 def json_response(status, value, headers=()):
     """Returns a ``Response`` whose body is ``value`` as JSON."""
     return Response(status, [_JSON_TYPE, *headers], encode_json(value))
