--- a/tests/scheduling/_matrix.py
+++ b/tests/scheduling/_matrix.py
@@ -37,6 +37,7 @@
         self.step = step
         self.fault = fault
         self.reached = False
+        self.struck = None
         self.heal_ms = None
         self.held = []
         self._reported = {}
@@ -74,7 +75,7 @@
                 self.report(name)
         self._watch()
         while self.reports:
-            if self._zombie_hears():
+            if self._zombie_hears(self.reports[0].worker):
                 self.deliver_to_zombie(0)
             else:
                 self.deliver_report()
@@ -85,9 +86,11 @@
             self.deliver_answer()
         self.check()
 
-    def _zombie_hears(self):
-        return self.fault == 'former leader answers' and (
-            self.reached and self.now_ms < self.heal_ms
+    def _zombie_hears(self, worker):
+        return (
+            self.fault == 'former leader answers'
+            and worker == self.struck
+            and self.now_ms < self.heal_ms
         )
 
     def _provoke(self):
@@ -107,6 +110,7 @@
     def _watch(self):
         if not self.reached and STEPS[self.step](self):
             self.reached = True
+            self.struck = self.victim
             self.heal_ms = self.now_ms + FAULT_MS
             FAULTS[self.fault](self)
 
--- a/tests/scheduling/_mutations.py
+++ b/tests/scheduling/_mutations.py
@@ -189,7 +189,7 @@
     Mutation(
         'what waits is tried again when capacity is freed',
         _swap(_dispatch.Dispatcher, '_due', lambda self, now_ms: self._dirty),
-        3,
+        4,
     ),
     Mutation(
         'silent workers lose their attempts when the lease has run out',
--- a/tests/scheduling/test_machine.py
+++ b/tests/scheduling/test_machine.py
@@ -1,6 +1,7 @@
 """Random faults against the core, judged by the workers' own ledger."""
 
 import unittest
+from unittest import mock
 
 import hypothesis
 from hypothesis import stateful
@@ -142,6 +143,15 @@
                 found = _mutations.fails_with(mutation, mutation.seed)
                 self.assertNotEqual('', found)
 
+    def test_unconfirmed_leader_is_seen(self):
+        """The matrix notices a former leader whose answers get through."""
+        confirmed = mock.patch.object(
+            _faults.FaultyCell, 'confirmed', lambda self, orders: orders
+        )
+        with confirmed:
+            verdict = _matrix.run_cell('renew', 'former leader answers')
+        self.assertIn('two places', verdict)
+
 
 class MatrixTest(unittest.TestCase):
     """Every fault at every step."""
