--- a/fuchsiatrestle/scheduling/_dispatch.py
+++ b/fuchsiatrestle/scheduling/_dispatch.py
@@ -123,6 +123,7 @@
             self._reasons.clear()
         blocked = set()
         missed = []
+        tries = 0
         for job_id in self._queue.offer(self._shares.share, blocked):
             if self._outbox.placing >= self._most_pending:
                 self._dirty = True
@@ -130,8 +131,10 @@
             job = self._part.jobs[job_id]
             if self._place(job, blocked, now_ms):
                 continue
-            missed.append(job)
-            if len(missed) >= self._policy.max_misses:
+            tries += 1
+            if job.spec.team not in blocked:
+                missed.append(job)
+            if tries >= self._policy.max_misses:
                 break
         return missed
 
--- a/standins/_worker_agent.py
+++ b/standins/_worker_agent.py
@@ -15,6 +15,8 @@
 )
 
 MAX_SENT_REPORTS = 64
+# An answer takes one round to a quorum; after this long it was likely lost.
+RESEND_MS = 300
 MAX_REMEMBERED_JOBS = 4096
 
 FAIL_ALL = 'fail'
@@ -179,6 +181,15 @@
         """True if a report should go out at once."""
         return self._changed
 
+    def wants_report(self, now_ms):
+        """True after a change, or if the last report got no answer."""
+        if self._changed:
+            return True
+        sent_ms = self._sent_ms.get(self._seq)
+        if sent_ms is None or self._answered >= self._seq:
+            return False
+        return now_ms - sent_ms >= RESEND_MS
+
     @property
     def running(self):
         """Identifiers of the jobs it runs."""
--- /dev/null
+++ b/tests/scheduling/test_process_evictions.py
@@ -0,0 +1,94 @@
+"""Evictions through the real daemons while the leader is killed."""
+
+import time
+
+from standins import _processes
+from tests.standins import systems
+
+END_TIMEOUT_S = 180.0
+FULL_JOBS = 32
+URGENT_JOBS = 8
+CPU_MILLI = 2000
+
+
+def _job(job_id, team, run_ms, *, urgent=False):
+    return {
+        'job_id': job_id,
+        'team': team,
+        'size': {'cpu_milli': CPU_MILLI, 'memory_mib': 512},
+        'idempotent': True,
+        'submitted_ms': int(time.time() * 1000),
+        'command': f'sleep {run_ms}',
+        'urgent': urgent,
+    }
+
+
+class EvictionWaveTest(systems.SystemTest):
+    """Urgent jobs of one team evict what fills both workers."""
+
+    def setUp(self):
+        """Adds a second team to the configuration."""
+        super().setUp()
+        self.admin = self.cluster.admin()
+        base = self.cluster.wait_for_leader()['config_version']
+        quota = {'cpu_milli': 64000, 'memory_mib': 256000}
+        reply = self.admin.call(
+            'PATCH',
+            '/v1/config',
+            {'base': base, 'patch_id': 'second-team'},
+            {'teams': {'imaging': quota}},
+        )
+        self.assertTrue(reply.ok, reply.value)
+
+    def submit(self, jobs):
+        """Submits jobs and demands that each is accepted."""
+        reply = self.admin.call('POST', '/v1/jobs', value={'jobs': jobs})
+        self.assertTrue(reply.ok, reply.value)
+        reasons = {outcome['reason'] for outcome in reply.value['jobs']}
+        self.assertEqual({''}, reasons)
+
+    def counts(self):
+        """Returns the number of jobs by state, empty without a leader."""
+        status = self.cluster.status()
+        return status['control'].get('jobs', {}) if status else {}
+
+    def wait_for(self, condition, what, timeout_s=END_TIMEOUT_S):
+        """Waits until the counts of jobs meet a condition."""
+        _processes.wait_until(
+            lambda: condition(self.counts()), timeout_s, what
+        )
+
+    def test_leader_killed_in_the_middle_of_an_eviction_wave(self):
+        """Evicted jobs resume once, urgent ones run, all are done."""
+        ordinary = [
+            _job(f'full-{n}', 'repricing', 20_000) for n in range(FULL_JOBS)
+        ]
+        urgent = [
+            _job(f'urgent-{n}', 'imaging', 1_000, urgent=True)
+            for n in range(URGENT_JOBS)
+        ]
+        self.submit(ordinary)
+        self.wait_for(
+            lambda counts: counts.get('running', 0) == FULL_JOBS, 'all run'
+        )
+        self.submit(urgent)
+        self.wait_for(
+            lambda counts: counts.get('evicting', 0) > 0, 'evictions'
+        )
+        leader = self.cluster.status()['control']['leader']
+        self.cluster.controls[leader].kill()
+        total = FULL_JOBS + URGENT_JOBS
+        self.wait_for(
+            lambda counts: counts.get('done', 0) == total, 'all are done'
+        )
+        jobs = {job['job_id']: job for job in ordinary + urgent}
+        self.assert_attempts_sound(jobs)
+        again = [
+            line
+            for line in self.cluster.attempts()
+            if line.event == 'begin' and line.attempt > 1
+        ]
+        self.assertTrue(again, 'nothing was evicted')
+        self.assertEqual(
+            len(again), len({(line.job_id, line.attempt) for line in again})
+        )
