--- a/standins/_worker_agent.py
+++ b/standins/_worker_agent.py
@@ -15,12 +15,15 @@
 )
 
 MAX_SENT_REPORTS = 64
+# An answer takes one round to a quorum; after this long it was likely lost.
+RESEND_MS = 300
 MAX_REMEMBERED_JOBS = 4096
 
 FAIL_ALL = 'fail'
 SLOW = 'slow'
 NOISY = 'noisy'
 SLOW_FACTOR = 4
+NOISE_MS = 30.0
 
 
 class AgentOptions:
@@ -178,6 +181,15 @@
         """True if a report should go out at once."""
         return self._changed
 
+    def wants_report(self, now_ms):
+        """True after a change, or if the last report got no answer."""
+        if self._changed:
+            return True
+        sent_ms = self._sent_ms.get(self._seq)
+        if sent_ms is None or self._answered >= self._seq:
+            return False
+        return now_ms - sent_ms >= RESEND_MS
+
     @property
     def running(self):
         """Identifiers of the jobs it runs."""
@@ -269,7 +281,7 @@
         )
         p99_ms = 10.0
         if self.options.mode == NOISY:
-            p99_ms += 10.0 * len(self.running)
+            p99_ms += NOISE_MS * len(self.running)
         return [messages.ServiceLoad(self.options.service, used, p99_ms, 1000)]
 
     # Orders
