--- a/fuchsiatrestle/admin/_answers.py
+++ b/fuchsiatrestle/admin/_answers.py
@@ -36,7 +36,13 @@
     'refused.admin_not_found', 'Administration calls for something unknown.'
 )
 
-_CALLER_REASONS = frozenset({'bad_request'})
+# Refusals that trying again does not mend.
+_STATUS_BY_REASON = {
+    'bad_request': 400,
+    'unknown_member': 409,
+    'known_member': 409,
+    'last_voter': 409,
+}
 
 
 class Answer:
@@ -82,8 +88,9 @@
     metrics.count(REFUSED_CONTROL)
     more['outcome'] = 'not-run'
     detail = failure.detail or 'nothing was changed; try again'
-    if failure.reason in _CALLER_REASONS:
-        return _error(400, failure.reason, detail, **more)
+    status = _STATUS_BY_REASON.get(failure.reason)
+    if status is not None:
+        return _error(status, failure.reason, detail, **more)
     return _error(503, failure.reason, detail, RETRY_AFTER_S, **more)
 
 
--- a/fuchsiatrestle/ctl/_commands.py
+++ b/fuchsiatrestle/ctl/_commands.py
@@ -6,11 +6,6 @@
 
 __all__ = ('Command', 'Context', 'UsageError', 'report_refusal')
 
-_STATUS_BY_HTTP = {
-    400: _exits.ExitStatus.USAGE,
-    409: _exits.ExitStatus.CONFLICT,
-}
-
 
 class UsageError(Exception):
     """The command line does not fit the command."""
@@ -104,4 +99,6 @@
     if reply.get('detail'):
         text += f': {reply.get("detail")}'
     output.advice(text)
-    return _STATUS_BY_HTTP.get(reply.status, _exits.ExitStatus.REFUSED)
+    if reply.status == 400:
+        return _exits.ExitStatus.USAGE
+    return _exits.ExitStatus.REFUSED
--- a/tests/admin/test_api.py
+++ b/tests/admin/test_api.py
@@ -128,6 +128,7 @@
             (_failure('no_quorum'), 503, 'no_quorum'),
             (_failure('timeout', None), 504, 'timeout'),
             (_failure('bad_request'), 400, 'bad_request'),
+            (_failure('last_voter'), 409, 'last_voter'),
             (_failure('unknown', None), 504, 'unknown'),
         )
         for outcome, status, reason in cells:
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -173,7 +173,7 @@
 |---|---|---|
 | 400 | malformed call: `bad_json`, `bad_field`, ... | `not-run` |
 | 404, 405 | unknown path or thing, wrong method | `not-run` |
-| 409 | `version_conflict` (with `current`), `other_entry` | `not-run` |
+| 409 | `version_conflict` (with `current`), `last_voter`, ... | `not-run` |
 | 422 | refused whole by the agreed state, with `field` | `not-run` |
 | 503 | control could not take it; try again after `Retry-After` | `not-run` |
 | 504 | the answer was lost, send the same call again | `unknown` |
