--- /dev/null
+++ b/tests/standins/test_process_operating.py
@@ -0,0 +1,64 @@
+"""The commands of the operators' page run as the page shows them."""
+
+import os
+import pathlib
+import re
+import shlex
+import subprocess
+import sys
+
+from tests.standins import systems
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+PAGE = ROOT / 'docs' / 'OPERATING.md'
+PROGRAM = 'fuchsiatrestle-ctl'
+TIMEOUT_S = 120
+
+
+class _Command:
+    """One command of the page and the exit code that it names."""
+
+    __slots__ = ('line', 'status')
+
+    def __init__(self, line, status):
+        self.line = line
+        self.status = status
+
+
+def _read_commands():
+    """Returns the commands of all console blocks, in order."""
+    text = PAGE.read_text(encoding='utf-8')
+    commands = []
+    for block in re.findall(r'^```console\n(.*?)^```', text, re.M | re.S):
+        status = 0
+        for line in block.splitlines():
+            if line.startswith('# exit '):
+                status = int(line.rpartition(' ')[2])
+            elif line.startswith('$ '):
+                commands.append(_Command(line[2:], status))
+                status = 0
+    return commands
+
+
+class OperatingTest(systems.SystemTest):
+    def test_every_command_ends_as_the_page_says(self):
+        entries = ' '.join(map(str, self.cluster.admin_addresses))
+        environment = {**os.environ, 'FUCHSIATRESTLE_ENTRIES': entries}
+        commands = _read_commands()
+        self.assertGreater(len(commands), 20)
+        for command in commands:
+            words = shlex.split(command.line)
+            self.assertEqual(PROGRAM, words[0])
+            with self.subTest(command=command.line):
+                done = subprocess.run(
+                    [sys.executable, '-m', 'fuchsiatrestle.ctl', *words[1:]],
+                    cwd=ROOT,
+                    env=environment,
+                    stdin=subprocess.DEVNULL,
+                    capture_output=True,
+                    text=True,
+                    timeout=TIMEOUT_S,
+                )
+                text = done.stdout + done.stderr
+                self.assertEqual(command.status, done.returncode, text)
+        self.assertEqual(0, self.cluster.entries['e2'].wait())
--- /dev/null
+++ b/tests/test_operating.py
@@ -0,0 +1,48 @@
+"""The operators' page covers every refusal, retry and log event."""
+
+import ast
+import fnmatch
+import pathlib
+import re
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PAGE = ROOT / 'docs' / 'OPERATING.md'
+COUNTERS = ROOT / 'docs' / 'COUNTERS.md'
+
+
+def _named_on_page():
+    return re.findall(r'`([a-z_.*]+)`', PAGE.read_text(encoding='utf-8'))
+
+
+def _log_events():
+    """Returns the literal events that the package logs."""
+    for path in (ROOT / 'fuchsiatrestle').rglob('*.py'):
+        tree = ast.parse(path.read_text(encoding='utf-8'))
+        for node in ast.walk(tree):
+            if not isinstance(node, ast.Call):
+                continue
+            if not ast.unparse(node.func).startswith('LOG.'):
+                continue
+            if isinstance(node.args[0], ast.Constant):
+                yield node.args[0].value
+
+
+class OperatingPageTest(unittest.TestCase):
+    def _assert_covered(self, names):
+        patterns = _named_on_page()
+        missing = [
+            name
+            for name in sorted(names)
+            if not any(fnmatch.fnmatch(name, item) for item in patterns)
+        ]
+        self.assertEqual([], missing)
+
+    def test_refusals_and_retries(self):
+        text = COUNTERS.read_text(encoding='utf-8')
+        names = re.findall(r'`((?:refused|retry)\.[a-z_]+)`', text)
+        self.assertGreater(len(names), 50)
+        self._assert_covered(names)
+
+    def test_log_events(self):
+        self._assert_covered(set(_log_events()))
