--- a/standins/_processes.py
+++ b/standins/_processes.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import re
 import signal
 import subprocess
 import sys
@@ -15,6 +16,8 @@
 STOP_TIMEOUT_S = 30.0
 POLL_S = 0.05
 
+_STARTED = re.compile(rb'event=(started|upstream_ready|worker_ready)\b')
+
 
 def wait_until(condition, timeout_s, what):
     """Waits until ``condition()`` is true and returns its value.
@@ -51,6 +54,7 @@
         self.log_path = os.path.join(folder, f'{name}.log')
         self._argv = [sys.executable, '-m', module, *arguments]
         self._popen = None
+        self._log_start = 0
 
     @property
     def pid(self):
@@ -72,6 +76,7 @@
         self.starts += 1
         self.frozen = False
         with open(self.log_path, 'ab') as log:
+            self._log_start = log.tell()
             self._popen = subprocess.Popen(
                 self._argv,
                 cwd=ROOT,
@@ -80,6 +85,12 @@
                 stderr=log,
             )
 
+    def has_started(self):
+        """True once the latest start has logged that it is at work."""
+        with open(self.log_path, 'rb') as log:
+            log.seek(self._log_start)
+            return _STARTED.search(log.read()) is not None
+
     def kill(self):
         """Kills it without warning."""
         self._popen.kill()
