--- a/fuchsiatrestle/agreement/__init__.py
+++ b/fuchsiatrestle/agreement/__init__.py
@@ -34,6 +34,7 @@
 from fuchsiatrestle.agreement._events import *
 from fuchsiatrestle.agreement._files import *
 from fuchsiatrestle.agreement._folder import *
+from fuchsiatrestle.agreement._inspection import read_folder
 from fuchsiatrestle.agreement._replica import *
 from fuchsiatrestle.agreement._settings import *
 from fuchsiatrestle.agreement._stored import FolderState
@@ -46,5 +47,5 @@
     + _replica.__all__
     + _settings.__all__
     + _voters.__all__
-    + ('FolderState',)
+    + ('FolderState', 'read_folder')
 )
