--- /dev/null
+++ b/tests/standins/test_process_relay.py
@@ -0,0 +1,112 @@
+"""The relay does to connections what the soak believes it does."""
+
+import os
+import socket
+import tempfile
+import threading
+import unittest
+
+from fuchsiatrestle import ctl
+from fuchsiatrestle import settings
+from standins import _ports
+from standins import _processes
+
+HOST = '127.0.0.1'
+TIMEOUT_S = 10.0
+# How long a silent connection is watched for bytes that must not come.
+SILENCE_S = 0.5
+
+
+class _Echo:
+    """Sends back whatever it receives."""
+
+    def __init__(self):
+        self._sock = socket.create_server((HOST, 0))
+        self.port = self._sock.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self):
+        """Accepts no more connections."""
+        self._sock.close()
+
+    def _accept(self):
+        while True:
+            try:
+                conn, _ = self._sock.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._echo, args=(conn,), daemon=True
+            ).start()
+
+    def _echo(self, conn):
+        with conn:
+            while data := conn.recv(1024):
+                conn.sendall(data)
+
+
+class RelayTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        echo = _Echo()
+        self.addCleanup(echo.close)
+        control, self.port = _ports.free_ports(2)
+        self.client = ctl.AdminClient(
+            [settings.Address(HOST, control)], TIMEOUT_S
+        )
+        self.process = _processes.Process(
+            'relay',
+            'standins.relay',
+            [
+                f'--control={HOST}:{control}',
+                f'--pair=u1={HOST}:{self.port}>{HOST}:{echo.port}',
+            ],
+            os.path.abspath(folder.name),
+        )
+        self.process.start()
+        self.addCleanup(self.process.kill)
+        _processes.wait_until(self._is_up, TIMEOUT_S, 'the relay is up')
+
+    def _is_up(self):
+        try:
+            return self._set('pass') == 200
+        except ctl.CallFailed:
+            return False
+
+    def _set(self, mode):
+        body = {'target': 'u1', 'mode': mode}
+        return self.client.call('POST', '/standin/relay', value=body).status
+
+    def _connect(self):
+        conn = socket.create_connection((HOST, self.port), TIMEOUT_S)
+        self.addCleanup(conn.close)
+        return conn
+
+    def _answers(self, conn, timeout_s=TIMEOUT_S):
+        conn.settimeout(timeout_s)
+        conn.sendall(b'ping')
+        try:
+            return conn.recv(4) == b'ping'
+        except TimeoutError:
+            return False
+
+    def test_silenced_connections_stay_silent_and_new_ones_pass(self):
+        old = self._connect()
+        self.assertTrue(self._answers(old))
+        self.assertEqual(200, self._set('silence'))
+        self.assertFalse(self._answers(old, SILENCE_S))
+        self.assertTrue(self._answers(self._connect()))
+        self._set('pass')
+        self.assertFalse(self._answers(old, SILENCE_S))
+
+    def test_cut_holds_for_new_connections_until_the_next_pass(self):
+        self._set('cut')
+        during = self._connect()
+        self.assertFalse(self._answers(during, SILENCE_S))
+        self._set('pass')
+        self.assertFalse(self._answers(during, SILENCE_S))
+        self.assertTrue(self._answers(self._connect()))
+
+    def test_unknown_target_and_mode_are_refused(self):
+        self.assertEqual(400, self._set('sideways'))
--- /dev/null
+++ b/tests/standins/test_process_soak.py
@@ -0,0 +1,36 @@
+"""A short soak with faults breaks no promise; a long one is a command."""
+
+import json
+import pathlib
+import subprocess
+import sys
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+SECONDS = 20
+SEED = 2
+TIMEOUT_S = 400
+
+
+class SoakTest(unittest.TestCase):
+    def test_short_soak(self):
+        done = subprocess.run(
+            [
+                sys.executable,
+                '-m',
+                'standins.soak',
+                f'--seconds={SECONDS}',
+                f'--seed={SEED}',
+            ],
+            cwd=ROOT,
+            stdin=subprocess.DEVNULL,
+            capture_output=True,
+            text=True,
+            timeout=TIMEOUT_S,
+        )
+        self.assertEqual(0, done.returncode, done.stdout + done.stderr)
+        report = json.loads(done.stdout)
+        self.assertEqual({}, report['breaches'])
+        answers = [item['answers'].get('whole', 0) for item in report['calls']]
+        self.assertTrue(all(answers), answers)
+        self.assertTrue(report['faults'])
