--- a/standins/_soak_faults.py
+++ b/standins/_soak_faults.py
@@ -9,7 +9,7 @@
 from standins import _ledgers
 from standins import _processes
 
-__all__ = ('CONTROL_LANE', 'PLATFORM_LANE', 'FaultLane')
+__all__ = ('CONTROL_LANE', 'PLATFORM_LANE', 'FaultLane', 'Targets')
 
 MIN_GAP_S = 0.5
 MAX_GAP_S = 2.0
@@ -154,8 +154,8 @@
     hold_s = (4.0, 8.0)
 
 
-# One lane touches one process at a time, so that a majority of the control
-# replicas and one entry always work.
+# One lane touches one process at a time: with one lane of each, a majority of
+# the control replicas and one entry always work.
 CONTROL_LANE = {
     'controls': (Kill(), Stop(), Freeze(), Silence(), Cut()),
 }
@@ -177,6 +177,29 @@
 }
 
 
+class Targets:
+    """Processes under fault, so that two lanes never share one."""
+
+    def __init__(self):
+        self._taken = set()
+        self._lock = threading.Lock()
+
+    def take(self, rng, names):
+        """Returns a name not under fault, None if there is none."""
+        with self._lock:
+            free = [name for name in names if name not in self._taken]
+            if not free:
+                return None
+            name = rng.choice(free)
+            self._taken.add(name)
+            return name
+
+    def give_back(self, name):
+        """Notes that a process is whole again."""
+        with self._lock:
+            self._taken.discard(name)
+
+
 class FaultLane:
     """A thread that does one fault after the other, drawn from a seed.
 
@@ -185,17 +208,19 @@
         name: name of the lane.
         seed: of the order of faults.
         faults: faults by kind of process.
+        targets: the ``Targets`` shared by all lanes.
 
     Attributes:
         lines: ``FaultLine`` values.
         failures: texts of faults that could not be done as they must.
     """
 
-    def __init__(self, cluster, name, seed, faults):
+    def __init__(self, cluster, name, seed, faults, targets):
         self.lines = []
         self.failures = []
         self._ledger = _ledgers.Ledger(cluster.ledger_path(f'faults-{name}'))
         self._cluster = cluster
+        self._targets = targets
         self._rng = random.Random(f'{seed}-{name}')
         self._choices = [
             (kind, fault) for kind, items in faults.items() for fault in items
@@ -221,9 +246,11 @@
             if self._stop.is_set():
                 return
             kind, fault = self._rng.choice(self._choices)
-            names = sorted(getattr(self._cluster, kind))
-            name = self._rng.choice(names)
-            self._do(fault, getattr(self._cluster, kind)[name])
+            processes = getattr(self._cluster, kind)
+            name = self._targets.take(self._rng, sorted(processes))
+            if name is not None:
+                self._do(fault, processes[name])
+                self._targets.give_back(name)
 
     def _do(self, fault, process):
         since_ns = done_ns = time.monotonic_ns()
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -51,12 +51,16 @@
             self.cluster, SUBMITTER, cfg.seed
         )
         self._watcher = _soak_load.VersionWatcher(self.cluster, cfg.seed)
+        targets = _soak_faults.Targets()
         self._lanes = [
-            _soak_faults.FaultLane(self.cluster, name, cfg.seed, faults)
+            _soak_faults.FaultLane(
+                self.cluster, f'{name}{number}', cfg.seed, faults, targets
+            )
             for name, faults in (
                 ('control', _soak_faults.CONTROL_LANE),
                 ('platform', _soak_faults.PLATFORM_LANE),
             )
+            for number in range(cfg.lanes)
         ]
         self._callers = []
         self._caller_reports = []
@@ -246,6 +250,14 @@
         'seconds', 60.0, 'length of the load', 1.0, flag_values=values
     )
     flags.DEFINE_integer('seed', 1, 'of load and faults', flag_values=values)
+    flags.DEFINE_integer(
+        'lanes',
+        1,
+        'faults at once on control, and as many on the rest',
+        1,
+        2,
+        flag_values=values,
+    )
     flags.DEFINE_bool('faults', True, 'bring faults about', values)
     flags.DEFINE_string(
         'folder', '', 'where files stay (default: a temporary folder)', values
