--- a/fuchsiatrestle/ctl/_commands.py
+++ b/fuchsiatrestle/ctl/_commands.py
@@ -73,7 +73,7 @@
             return report_refusal(context.output, reply)
         context.output.value(reply.value)
         self.show(context.output, reply.value, arguments)
-        return _exits.ExitStatus.OK
+        return self.verdict(reply.value)
 
     def make_path(self, arguments):
         """Returns the path to call; refuses arguments by default."""
@@ -85,6 +85,10 @@
         """Returns the query parameters."""
         return {}
 
+    def verdict(self, value):
+        """Returns the exit status for a value that was read."""
+        return _exits.ExitStatus.OK
+
     @abc.abstractmethod
     def show(self, output, value, arguments):
         """Prints the value for people."""
--- a/fuchsiatrestle/ctl/_view_commands.py
+++ b/fuchsiatrestle/ctl/_view_commands.py
@@ -31,6 +31,12 @@
         rows += [(f'jobs.{state}', jobs[state]) for state in sorted(jobs)]
         output.fields(rows)
 
+    def verdict(self, value):
+        """Says by the exit status whether a leader answered."""
+        if 'leader' in value['control']:
+            return _exits.ExitStatus.OK
+        return _exits.ExitStatus.UNAVAILABLE
+
 
 class Upstreams(_commands.QueryCommand):
     """Upstreams as the answering entry sees them."""
--- a/tests/ctl/test_main.py
+++ b/tests/ctl/test_main.py
@@ -85,6 +85,15 @@
         self.assertEqual(EXIT.UNAVAILABLE, run.status)
         self.assertIn('nothing was changed', run.err)
 
+    def test_status_without_a_leader(self):
+        failure = control_client.CallFailure(
+            'no_quorum', step='ask', peer='c1', executed=False
+        )
+        self.control.answers['GetStatus'] = result.Failure(failure)
+        run = _Run('status', self.entry)
+        self.assertEqual(EXIT.UNAVAILABLE, run.status)
+        self.assertIn('no_quorum', run.out)
+
     def test_refused_job_and_unknown_job(self):
         refused = outcomes.JobOutcome('j1', '', 'impossible', detail='cpu')
         self.control.answers = {
