--- a/fuchsiatrestle/scheduling/_assembly.py
+++ b/fuchsiatrestle/scheduling/_assembly.py
@@ -53,7 +53,7 @@
         self.part = part
         self.policy = policy
         self.outbox = _outbox.Outbox(policy.max_batch, policy.max_in_flight)
-        self.fleet = _fleet.Fleet(part, policy)
+        self.fleet = _fleet.Fleet(part, policy, now_ms)
         self.shares = _shares.TeamShares(part.quotas)
         self.mixes = _mixes.Mixes()
         self.model = _interference.InterferenceModel()
@@ -81,13 +81,15 @@
     def _make_sizes(self):
         if not self.policy.learn_sizes:
             return _sizes.DeclaredSizes()
-        return _sizes.LearnedSizes(self.part.capacities, self.part.quotas)
+        return _sizes.LearnedSizes(
+            self.part.capacities, self.part.quotas, self.policy.shrink_cpu
+        )
 
     def _make_dispatcher(self):
         rule = _placement.FirstFit()
         if self.policy.model_interference:
             rule = _placement.LeastInterference(
-                self.fleet, self.mixes, self.model
+                self.fleet, self.mixes, self.model, self.policy.max_tail_ratio
             )
         return _dispatch.Dispatcher(
             self.part,
--- a/fuchsiatrestle/scheduling/_fleet.py
+++ b/fuchsiatrestle/scheduling/_fleet.py
@@ -12,6 +12,9 @@
 
 # Held free above the recent peak of the services, in thousandths of it.
 SERVICE_HEADROOM_MILLI = 150
+# A worker unheard for so long is not waited for by a job that failed
+# everywhere else.
+LOST_MS = 60_000
 
 
 class WorkerInfo:
@@ -84,14 +87,17 @@
     Args:
         part: the jobs part, read only.
         policy: the ``Policy``.
+        now_ms: start of this leader's term.
     """
 
-    def __init__(self, part, policy):
+    def __init__(self, part, policy, now_ms):
         self._part = part
         self._policy = policy
+        self._started_ms = now_ms
         self._infos = {}
         self._by_age = collections.OrderedDict()
         self._indexes = {}
+        self._grown = False
         self._paused = collections.OrderedDict()
 
     # Hearing
@@ -124,6 +130,14 @@
             return True
         return now_ms - info.heard_ms > self._policy.silent_ms
 
+    def is_lost(self, name, now_ms):
+        """True if a worker was not heard for long, or never in this term."""
+        info = self._infos.get(name)
+        heard_ms = self._started_ms
+        if info is not None and info.heard_ms is not None:
+            heard_ms = info.heard_ms
+        return now_ms - heard_ms > LOST_MS
+
     def age(self, now_ms):
         """Takes workers that fell silent, or ended a pause, into account.
 
@@ -176,10 +190,20 @@
         if worker is None or info is None:
             return
         index = self._index(worker.spec.data_centre)
-        if self.accepts(worker, info, now_ms):
-            index.update(name, self.free(name))
-        else:
+        if not self.accepts(worker, info, now_ms):
             index.remove(name)
+            return
+        before = index.free(name) or (0, 0, 0)
+        free = self.free(name)
+        self._grown |= any(
+            new > old for new, old in zip(free, before, strict=True)
+        )
+        index.update(name, free)
+
+    def take_grown(self):
+        """Returns True if any free capacity grew since the last call."""
+        grown, self._grown = self._grown, False
+        return grown
 
     def accepts(self, worker, info, now_ms):
         """True if ordinary placements may go to the worker now."""
@@ -202,20 +226,16 @@
         info = self._infos[name]
         capacity = worker.spec.capacity
         cpu, memory = info.service_share()
-        pending = info.pending.values()
-        return (
-            capacity.cpu_milli
-            - worker.cpu_milli
-            - cpu
-            - sum(size.cpu_milli for size in pending),
-            capacity.memory_mib
-            - worker.memory_mib
-            - memory
-            - sum(size.memory_mib for size in pending),
-            capacity.accelerators
-            - worker.accelerators
-            - sum(size.accelerators for size in pending),
-        )
+        free = [
+            capacity.cpu_milli - worker.cpu_milli - cpu,
+            capacity.memory_mib - worker.memory_mib - memory,
+            capacity.accelerators - worker.accelerators,
+        ]
+        for size in info.pending.values():
+            free[0] -= size.cpu_milli
+            free[1] -= size.memory_mib
+            free[2] -= size.accelerators
+        return tuple(free)
 
     def fitting(self, need, data_centre):
         """Yields workers with room, alternating between data centres."""
--- a/standins/_worker_agent.py
+++ b/standins/_worker_agent.py
@@ -15,12 +15,15 @@
 )
 
 MAX_SENT_REPORTS = 64
+# An answer takes one round to a quorum; after this long it was likely lost.
+RESEND_MS = 300
 MAX_REMEMBERED_JOBS = 4096
 
 FAIL_ALL = 'fail'
 SLOW = 'slow'
 NOISY = 'noisy'
 SLOW_FACTOR = 4
+NOISE_MS = 30.0
 
 
 class AgentOptions:
@@ -117,6 +120,7 @@
         'checkpoint',
         'checkpoint_at_ms',
         'detail',
+        'fails',
         'finish_ms',
         'lease_until_ms',
         'line',
@@ -140,6 +144,7 @@
         self.throttle_until_ms = 0
         self.line = line
         self.detail = ''
+        self.fails = order.command.startswith(FAIL_ALL)
 
 
 class WorkerAgent:
@@ -176,6 +181,15 @@
         """True if a report should go out at once."""
         return self._changed
 
+    def wants_report(self, now_ms):
+        """True after a change, or if the last report got no answer."""
+        if self._changed:
+            return True
+        sent_ms = self._sent_ms.get(self._seq)
+        if sent_ms is None or self._answered >= self._seq:
+            return False
+        return now_ms - sent_ms >= RESEND_MS
+
     @property
     def running(self):
         """Identifiers of the jobs it runs."""
@@ -195,8 +209,8 @@
             if now_ms >= run.lease_until_ms:
                 self._end(run, 'stopped', now_ms, 'lease ran out')
             elif now_ms >= run.finish_ms:
-                state = 'failed' if self.options.mode == FAIL_ALL else 'done'
-                self._end(run, state, now_ms, '')
+                fails = run.fails or self.options.mode == FAIL_ALL
+                self._end(run, 'failed' if fails else 'done', now_ms, '')
             elif now_ms - run.checkpoint_at_ms >= self.options.checkpoint_ms:
                 self._write_checkpoint(run, now_ms)
 
@@ -210,6 +224,7 @@
 
     def report(self, now_ms):
         """Returns the next ``messages.WorkerReport``."""
+        self.tick(now_ms)
         self._seq += 1
         self._changed = False
         self._sent_ms[self._seq] = now_ms
@@ -266,7 +281,7 @@
         )
         p99_ms = 10.0
         if self.options.mode == NOISY:
-            p99_ms += 10.0 * len(self.running)
+            p99_ms += NOISE_MS * len(self.running)
         return [messages.ServiceLoad(self.options.service, used, p99_ms, 1000)]
 
     # Orders
@@ -376,8 +391,8 @@
 
 
 def _run_ms(command, default_ms):
-    """Returns the run time that a command such as ``sleep 1500`` names."""
+    """Returns the run time that ``sleep 1500`` or ``fail 1500`` names."""
     words = command.split()
-    if len(words) == 2 and words[0] == 'sleep' and words[1].isdigit():
+    if len(words) == 2 and words[1].isdigit():
         return int(words[1])
     return default_ms
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -3,7 +3,7 @@
 It reports to the entries each second, and at once when something changed,
 carries out their orders, runs jobs as timers and keeps a ledger of which
 attempt ran when.  ``sleep 1500`` as the command of a job sets its run time in
-milliseconds.
+milliseconds; ``fail 1500`` fails after it, wherever it runs.
 """
 
 import sys
@@ -16,7 +16,7 @@
 from fuchsiatrestle import errors
 from fuchsiatrestle import logs
 from fuchsiatrestle import messages
-from fuchsiatrestle.messages import worker_json
+from fuchsiatrestle import named_json
 from fuchsiatrestle.net import http
 from standins import _ledgers
 from standins import _programs
@@ -135,13 +135,14 @@
         while True:
             self._agent.tick(_now_ms())
             self._lines.write_ends()
-            if self._agent.changed or time.monotonic() >= next_s:
+            wanted = self._agent.wants_report(_now_ms())
+            if wanted or time.monotonic() >= next_s:
                 next_s = time.monotonic() + REPORT_S
                 await self._report()
             await curio.sleep(TICK_S)
 
     async def _report(self):
-        data = worker_json.encode_report(self._agent.report(_now_ms()))
+        data = named_json.encode(self._agent.report(_now_ms()))
         path = f'/v1/workers/{self._cfg.worker_name}/report'
         client = self._clients[self._turn % len(self._clients)]
         try:
@@ -158,8 +159,8 @@
 
     def _take(self, body):
         try:
-            answer = worker_json.decode_orders(body)
-        except worker_json.JsonInvalid as exc:
+            answer = named_json.decode(messages.WorkerOrders, body)
+        except named_json.NamedJsonInvalid as exc:
             LOG.warning('orders_invalid', extra={'error': str(exc)})
             return
         for order in answer.orders:
