Answer heartbeats before the fsync and give way with a hung disk

Cause: a follower's sign of life waited for its disk, so two slow disks deposed a good leader, and replies piled up without bound behind a hung one; a leader's own hung disk let its unsynced entries grow without bound. Ruled out: counting the early reply as durable; it carries only what is synced. An unsynced term in it is safe: no older term can be elected any more. Change: early reply with the durable part, one held message of a kind for each peer, proposals refused and leadership handed over while the own disk lags.

--- a/fuchsiatrestle/agreement/_candidate.py
+++ b/fuchsiatrestle/agreement/_candidate.py
@@ -40,9 +40,15 @@
         )
         for peer in replica.voters.voters:
             if peer != replica.identity:
-                replica.send_durably(peer, request)
+                self._ask(peer, request)
         self._count(replica.identity)
 
+    def _ask(self, peer, request):
+        if self._pre:
+            self._replica.send(peer, request)
+        else:
+            self._replica.send_durably(peer, request)
+
     def tick(self):
         """Starts over when the election has brought no leader in time."""
         if self._replica.now_ms >= self._deadline_ms:
--- a/fuchsiatrestle/agreement/_dispatch.py
+++ b/fuchsiatrestle/agreement/_dispatch.py
@@ -134,12 +134,12 @@
             reply = messages.AppendReply(
                 replica.group, replica.term, replica.identity, False, 0, 0
             )
-            replica.send_durably(message.leader, reply)
+            replica.send(message.leader, reply)
         elif isinstance(message, messages.InstallRequest):
             reply = messages.InstallReply(
                 replica.group, replica.term, replica.identity, 0, 0, False
             )
-            replica.send_durably(message.leader, reply)
+            replica.send(message.leader, reply)
         return True
 
     def _on_append(self, message):
@@ -200,4 +200,7 @@
             granted,
             request.pre,
         )
-        replica.send_durably(request.candidate, reply)
+        if request.pre or not granted:
+            replica.send(request.candidate, reply)
+        else:
+            replica.send_durably(request.candidate, reply)
--- a/fuchsiatrestle/agreement/_follower.py
+++ b/fuchsiatrestle/agreement/_follower.py
@@ -111,8 +111,25 @@
             return
 
     def _reply(self, request, success, match):
+        """Answers at once with what is durable, later with the rest.
+
+        A slow disk then delays only the commit, not the sign of life.
+        """
         replica = self._replica
-        reply = messages.AppendReply(
+        durable = min(match, replica.writes.synced_index)
+        if not success or replica.writes.settled:
+            reply = self._append_reply(request, success, match)
+            replica.send(request.leader, reply)
+            return
+        now = self._append_reply(request, success, durable)
+        replica.send(request.leader, now)
+        if durable < match:
+            later = self._append_reply(request, success, match)
+            replica.send_durably(request.leader, later)
+
+    def _append_reply(self, request, success, match):
+        replica = self._replica
+        return messages.AppendReply(
             replica.group,
             replica.term,
             replica.identity,
@@ -120,7 +137,6 @@
             match,
             request.round,
         )
-        replica.send_durably(request.leader, reply)
 
     # Snapshots
 
--- a/fuchsiatrestle/agreement/_leader.py
+++ b/fuchsiatrestle/agreement/_leader.py
@@ -92,10 +92,17 @@
         now_ms = self._replica.now_ms
         if self.handing_over and now_ms >= self._handover_until_ms:
             self._handover_until_ms = None
+        if not self.handing_over and self._disk_lags:
+            self.hand_over()
         if now_ms >= self._next_heartbeat_ms:
             self._heartbeat()
         self._membership.tick()
 
+    @property
+    def _disk_lags(self):
+        """True if the followers' disks carry what the own one does not."""
+        return self._unsynced >= self._replica.cfg.max_uncommitted // 2
+
     # Sending
 
     def track_members(self):
@@ -277,8 +284,15 @@
             return 'overloaded'
         if self._uncommitted_bytes + size > cfg.max_uncommitted_bytes:
             return 'overloaded'
+        if self._unsynced >= cfg.max_uncommitted:
+            return 'overloaded'
         return ''
 
+    @property
+    def _unsynced(self):
+        """Own entries that wait for the disk."""
+        return self._replica.log.last_index - self._replica.writes.synced_index
+
     # Reads
 
     def read(self, token):
--- a/fuchsiatrestle/agreement/_progress.py
+++ b/fuchsiatrestle/agreement/_progress.py
@@ -64,8 +64,7 @@
             self._inflight.popleft()
         if self._probing:
             self._probing = False
-            self.next = self.match + 1
-            self._inflight.clear()
+            self.next = max([self.match, *self._inflight]) + 1
         return moved
 
     def refused(self, hint):
--- a/fuchsiatrestle/agreement/_replica.py
+++ b/fuchsiatrestle/agreement/_replica.py
@@ -200,7 +200,7 @@
     def release(self, effects):
         """Lets go of held messages, unless their term has passed."""
         for effect in effects:
-            if effect.message.term == self.term or _is_pre(effect.message):
+            if effect.message.term == self.term:
                 self.emit(effect)
 
     def draw_election_ms(self):
@@ -352,7 +352,3 @@
         self.writes.stage_hard_state(
             _events.HardState(self.term, self._vote, self.group)
         )
-
-
-def _is_pre(message):
-    return getattr(message, 'pre', False)
--- a/fuchsiatrestle/agreement/_writes.py
+++ b/fuchsiatrestle/agreement/_writes.py
@@ -16,6 +16,18 @@
         self.last_index = last_index
         self.held = held
 
+    def hold(self, effects):
+        """Adds effects; a later one takes the place of its like."""
+        for effect in effects:
+            self.held = [one for one in self.held if not _alike(one, effect)]
+            self.held.append(effect)
+
+
+def _alike(one, other):
+    """True for two messages of a kind to a peer; the later says more."""
+    same_kind = type(one.message) is type(other.message)
+    return same_kind and one.peer == other.peer
+
 
 class WriteQueue:
     """Collects the durable changes of one step into one ``Write``.
@@ -53,6 +65,17 @@
         """True if all that was asked for is durable."""
         return not self._pending
 
+    @property
+    def settled(self):
+        """True if nothing waits for the disk, this step's changes included."""
+        staged = self._hard_state is not None or self._entries
+        return self.idle and not staged and self._truncate_from is None
+
+    @property
+    def held(self):
+        """Number of messages that wait for the disk."""
+        return sum(len(pending.held) for pending in self._pending)
+
     def knows(self, write_id):
         """Returns True if a write of this number was asked for."""
         return write_id <= self._write_id
@@ -102,7 +125,7 @@
             pending = _Pending(self._write_id, last_index, self._held)
             self._pending.append(pending)
         elif self._pending:
-            self._pending[-1].held.extend(self._held)
+            self._pending[-1].hold(self._held)
         else:
             effects = self._held
         self._clear()
--- a/tests/agreement/mutations.py
+++ b/tests/agreement/mutations.py
@@ -190,7 +190,21 @@
         self._remove_covered(snapshot.last_index)
 
 
+def _reply_late(self, request, success, match):
+    reply = self._append_reply(request, success, match)
+    self._replica.send_durably(request.leader, reply)
+
+
 MUTATIONS = {
+    'sign of life only after the fsync': Mutation(
+        'slow_disks_depose_nobody', _follower.Follower, '_reply', _reply_late
+    ),
+    'leader keeps the lead with a hung disk': Mutation(
+        'leader_with_a_hung_disk_gives_way',
+        _leader.Leader,
+        '_disk_lags',
+        False,
+    ),
     'removed voter does not stand': Mutation(
         'removed_voter_still_stands',
         _replica.Replica,
--- a/tests/agreement/scenarios.py
+++ b/tests/agreement/scenarios.py
@@ -170,6 +170,34 @@
     return any(getattr(one, 'granted', False) for one in replies)
 
 
+def leader_with_a_hung_disk_gives_way():
+    """Followers that outrun the leader's disk get another leader."""
+    group = _founded()
+    leader = group.leader
+    group.nodes[leader].slow_disk = True
+    for _ in range(group.cfg.max_uncommitted):
+        group.propose(leader)
+        group.settle()
+    group.run(1_000)
+    _require(group.leader not in ('', leader), 'the leader keeps the lead')
+    _require(len(group.acknowledged) > 8, 'nothing was agreed meanwhile')
+    group.require_whole()
+
+
+def slow_disks_depose_nobody():
+    """A leader hears its followers although their disks hang."""
+    group = _founded()
+    leader = group.leader
+    for name in _followers(group):
+        group.nodes[name].slow_disk = True
+    group.propose(leader)
+    group.run(5_000)
+    _require(group.leader == leader, 'the leader was deposed')
+    waiting = group.nodes[_followers(group)[0]].replica.writes.held
+    _require(waiting < 4, f'{waiting} messages wait for a disk')
+    group.require_whole()
+
+
 def vote_survives_a_restart():
     """A restarted voter does not vote twice in one term."""
     files = fake_files.FakeFiles(None)
@@ -526,6 +554,8 @@
         deaf_leader_is_replaced,
         frozen_leader_resumes,
         leader_waits_for_its_own_disk,
+        leader_with_a_hung_disk_gives_way,
+        slow_disks_depose_nobody,
         vote_survives_a_restart,
         older_term_waits_for_the_own_entry,
         read_waits_for_a_later_round,
