Do not reuse a connection that brought more than its answer

Cause: an upstream that sends a second answer after the first gave it to the caller of the next request (test_an_answer_too_many_reaches_no_other_caller got b'other'). The stale check looks at the socket; h11 had read the bytes already. Now such a connection is closed.

--- a/fuchsiatrestle/entry/_claims.py
+++ b/fuchsiatrestle/entry/_claims.py
@@ -143,6 +143,9 @@
                 break
             await curio.sleep(FINISH_PAUSE_S)
         outcome = answer.unwrap()
+        if not isinstance(outcome, outcomes.ClaimOutcomes):
+            LOG.error('claims_refused', extra={'outcome': repr(outcome)})
+            return
         for claim, item in zip(command.claims, outcome.claims, strict=True):
             if item.state == 'granted':
                 await self.finish(
--- a/fuchsiatrestle/net/_http_client.py
+++ b/fuchsiatrestle/net/_http_client.py
@@ -92,11 +92,14 @@
 
     @property
     def reusable(self):
-        """True once an exchange is complete and both sides stay open."""
-        return self._h11.states == {
-            h11.CLIENT: h11.IDLE,
-            h11.SERVER: h11.IDLE,
-        }
+        """True once an exchange is complete and both sides stay open.
+
+        Bytes beyond the answer would be taken for that to the next request.
+        """
+        states = self._h11.states
+        if states != {h11.CLIENT: h11.IDLE, h11.SERVER: h11.IDLE}:
+            return False
+        return not self._h11.trailing_data[0]
 
     @property
     def stale(self):
--- a/tests/entry/test_caller_path.py
+++ b/tests/entry/test_caller_path.py
@@ -84,6 +84,20 @@
     return answers
 
 
+async def _ask_after_an_extra_answer(pair):
+    """Returns the bodies of requests after one that got two answers."""
+    client = pair.client()
+    pair.upstream.mode = 'extra answer'
+    await _call(client, 'first')
+    pair.upstream.mode = 'normal'
+    bodies = []
+    for number in range(3):
+        response = await _call(client, f'next{number}')
+        bodies.append(response.body)
+    client.close()
+    return bodies
+
+
 async def _stop_under_load(pair):
     """Returns how many calls were answered and how many were cut."""
     counts = {'answered': 0, 'refused': 0, 'cut': 0}
@@ -143,6 +157,12 @@
             answers = _run(_ask_after_a_late_answer)
         self.assertFalse(all(answers))
 
+    def test_an_answer_too_many_reaches_no_other_caller(self):
+        bodies = _run(_ask_after_an_extra_answer)
+        self.assertEqual(
+            [f'next{number} answered'.encode() for number in range(3)], bodies
+        )
+
     def test_a_planned_stop_under_load_cuts_nothing(self):
         counts = _run(_stop_under_load)
         self.assertEqual(0, counts['cut'])
--- a/tests/fakes/entry_world.py
+++ b/tests/fakes/entry_world.py
@@ -523,7 +523,10 @@
         if self.mode in ('half', 'wrong length'):
             await sock.sendall(body[3:5])
             return False
-        await sock.sendall(body[3:])
+        extra = b''
+        if self.mode == 'extra answer':
+            extra = b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother'
+        await sock.sendall(body[3:] + extra)
         conn.send(
             h11.Response(
                 status_code=200,
