--- a/fuchsiatrestle/agreement/_candidate.py
+++ b/fuchsiatrestle/agreement/_candidate.py
@@ -2,9 +2,14 @@
 
 from fuchsiatrestle.agreement import _role
 from fuchsiatrestle import messages
+from fuchsiatrestle import metrics
 
 __all__ = ('Candidate',)
 
+ELECTION_REPEATED = metrics.declare(
+    'retry.election', 'Elections started again for want of votes.'
+)
+
 
 class Candidate(_role.Role):
     """Asks for votes in two rounds; the first changes no durable state.
@@ -52,6 +57,7 @@
     def tick(self):
         """Starts over when the election has brought no leader in time."""
         if self._replica.now_ms >= self._deadline_ms:
+            metrics.count(ELECTION_REPEATED)
             self._replica.become_candidate(pre=True)
 
     def settled(self):
--- a/fuchsiatrestle/agreement/_leader.py
+++ b/fuchsiatrestle/agreement/_leader.py
@@ -3,16 +3,21 @@
 import collections
 
 from fuchsiatrestle.agreement import _events
-from fuchsiatrestle.agreement import _install
 from fuchsiatrestle.agreement import _membership
 from fuchsiatrestle.agreement import _progress
 from fuchsiatrestle.agreement import _reads
 from fuchsiatrestle.agreement import _role
+from fuchsiatrestle.agreement import _sending
 from fuchsiatrestle import invariants
 from fuchsiatrestle import messages
+from fuchsiatrestle import metrics
 
 __all__ = ('Leader',)
 
+APPEND_REFUSED = metrics.declare(
+    'retry.append_refused', 'Appends sent again from an earlier index.'
+)
+
 
 class Leader(_role.Role):
     """Replica that leads its term.
@@ -26,7 +31,7 @@
     def __init__(self, replica):
         super().__init__(replica)
         self.progress = {}
-        self._round = 0
+        self._sender = _sending.Sender(replica)
         self._round_sent_ms = collections.OrderedDict()
         self._next_heartbeat_ms = replica.now_ms
         self._reads = _reads.ReadQueue()
@@ -121,16 +126,13 @@
 
     def _start_round(self):
         replica = self._replica
-        self._round += 1
-        self._round_sent_ms[self._round] = replica.now_ms
+        self._sender.round += 1
+        self._round_sent_ms[self._sender.round] = replica.now_ms
         self._forget_old_rounds()
         if self.ready:
-            self._reads.start_round(self._round, replica.commit)
+            self._reads.start_round(self._sender.round, replica.commit)
         for peer, progress in self.progress.items():
-            if progress.transfer is not None:
-                self._resend_chunk(peer, progress)
-            elif not self._send_entries(peer, progress):
-                self._send_append(peer, progress, [])
+            self._sender.send_sign_of_life(peer, progress)
         self._confirm_reads()
 
     def _forget_old_rounds(self):
@@ -143,44 +145,7 @@
     def broadcast(self):
         """Sends new entries to every follower that may take more."""
         for peer, progress in self.progress.items():
-            self._send_entries(peer, progress)
-
-    def _send_entries(self, peer, progress):
-        """Sends what the follower lacks; returns False if nothing went."""
-        replica = self._replica
-        cfg = replica.cfg
-        sent = False
-        while progress.may_send(cfg.max_inflight):
-            if progress.next <= replica.log.base_index:
-                return self._start_transfer(peer, progress)
-            entries = replica.log.batch(
-                progress.next, cfg.max_append_entries, cfg.max_append_bytes
-            )
-            if not entries:
-                return sent
-            self._send_append(peer, progress, entries)
-            progress.sent(entries[-1].index, replica.now_ms)
-            sent = True
-        return sent
-
-    def _send_append(self, peer, progress, entries):
-        replica = self._replica
-        prev_index = entries[0].index - 1 if entries else progress.next - 1
-        prev_term = replica.log.term_at(prev_index)
-        if prev_term is None:
-            self._start_transfer(peer, progress)
-            return
-        request = messages.AppendRequest(
-            replica.group,
-            replica.term,
-            replica.identity,
-            prev_index,
-            prev_term,
-            replica.commit,
-            self._round,
-            entries,
-        )
-        replica.send(peer, request)
+            self._sender.send_entries(peer, progress)
 
     # Replies
 
@@ -208,8 +173,9 @@
             progress.succeeded(reply.match)
             self._commit()
         else:
+            metrics.count(APPEND_REFUSED)
             progress.refused(reply.match)
-        self._send_entries(reply.follower, progress)
+        self._sender.send_entries(reply.follower, progress)
         self._continue_hand_over()
 
     def _note_alive(self, reply):
@@ -218,7 +184,7 @@
         if progress is None:
             return None
         invariants.require(
-            reply.round <= self._round,
+            reply.round <= self._sender.round,
             'round_sent',
             round=reply.round,
             follower=reply.follower,
@@ -318,37 +284,9 @@
 
     def _acked_round_of(self, identity):
         if identity == self._replica.identity:
-            return self._round
+            return self._sender.round
         return self.progress[identity].acked_round
 
-    # Snapshots
-
-    def _start_transfer(self, peer, progress):
-        snapshot = self._replica.snapshot
-        invariants.require(
-            snapshot is not None, 'snapshot_behind_log', follower=peer
-        )
-        progress.transfer = _install.Transfer(snapshot)
-        self._send_chunk(peer, progress)
-        return True
-
-    def _send_chunk(self, peer, progress):
-        replica = self._replica
-        progress.sent_ms = replica.now_ms
-        request = progress.transfer.request(
-            replica.group,
-            replica.term,
-            replica.identity,
-            self._round,
-            replica.cfg.chunk_bytes,
-        )
-        replica.send(peer, request)
-
-    def _resend_chunk(self, peer, progress):
-        waited_ms = self._replica.now_ms - progress.sent_ms
-        if waited_ms >= self._replica.cfg.heartbeat_ms:
-            self._send_chunk(peer, progress)
-
     def on_install_reply(self, reply):
         """Sends the next chunk, or entries once the snapshot is installed."""
         progress = self._note_alive(reply)
@@ -360,9 +298,9 @@
             progress.transfer = None
             progress.succeeded(reply.last_index)
             self._commit()
-            self._send_entries(reply.follower, progress)
+            self._sender.send_entries(reply.follower, progress)
         elif progress.transfer.advance(reply.next_offset):
-            self._send_chunk(reply.follower, progress)
+            self._sender.send_chunk(reply.follower, progress)
 
     # Hand-over and members
 
