--- a/fuchsiatrestle/agreement/_candidate.py
+++ b/fuchsiatrestle/agreement/_candidate.py
@@ -27,7 +27,7 @@
         self._pre = pre
         self._handover = handover
         self._granted = set()
-        self._deadline_ms = replica.now_ms + replica.draw_election_ms()
+        self._deadline_ms = replica.now_ms + replica.draw_retry_ms()
         # A vote for oneself counts only once it is durable.
         self._own_vote_settled = pre
 
@@ -55,7 +55,13 @@
             self._replica.send_durably(peer, request)
 
     def tick(self):
-        """Starts over when the election has brought no leader in time."""
+        """Starts over when the election has brought no leader in time.
+
+        An election whose own vote still waits for the disk goes on; starting
+        over would only make the disk write another one.
+        """
+        if not self._own_vote_settled:
+            return
         if self._replica.now_ms >= self._deadline_ms:
             metrics.count(ELECTION_REPEATED)
             self._replica.become_candidate(pre=True)
--- a/fuchsiatrestle/agreement/_replica.py
+++ b/fuchsiatrestle/agreement/_replica.py
@@ -209,6 +209,12 @@
             self.cfg.election_min_ms, self.cfg.election_max_ms
         )
 
+    def draw_retry_ms(self):
+        """Returns a random time to wait for the result of an election."""
+        return self._random.randint(
+            self.cfg.heartbeat_ms, self.cfg.election_min_ms
+        )
+
     def note_leader(self, leader):
         """Remembers the leader of the current term."""
         self.leader = leader
