Test a rolling restart; run the relay of the cut in a process

The rolling restart waits for the new process before it asks whether it is synced: for 600 ms the answer is still that of the old.

--- a/tests/control/_operator.py
+++ b/tests/control/_operator.py
@@ -74,6 +74,10 @@
         value = {'entries': {self.name: entry}}
         await self.patch(value, (await self.status()).config_version)
 
+    async def is_held(self):
+        """True while this entry holds a lease."""
+        return self.entry.is_held()
+
     async def patch(self, value, base, patch_id=None):
         """Submits until there is an outcome; remembers and returns it."""
         patch_id = patch_id or f'{self.name}-{next(self._numbers)}'
--- a/tests/control/test_process_faults.py
+++ b/tests/control/test_process_faults.py
@@ -5,14 +5,17 @@
 
 import curio
 
+from fuchsiatrestle import ctl
 from fuchsiatrestle.state import outcomes
 from fuchsiatrestle.state import queries
+from standins import _processes
 from standins import relay
 from tests.control import _operator
 from tests.fakes import control_groups
 
 NAMES = ('c1', 'c2', 'c3')
 LEASE_S = 2.1
+RELAY_TIMEOUT_S = 5.0
 
 
 class FaultTest(unittest.TestCase):
@@ -101,7 +104,7 @@
         relayed = _Relayed(self)
 
         async def work():
-            await relayed.start()
+            relayed.start()
             group = relayed.group
             async with _operator.Operator(group) as operator:
                 await operator.admit()
@@ -164,6 +167,30 @@
         self.assertEqual((version, document), (again, kept))
         self._assert_stops(group)
 
+    def test_rolling_restart_loses_no_lease(self):
+        group = self._group()
+
+        async def work():
+            async with _operator.Operator(group) as operator:
+                await operator.admit()
+                await _operator.wait_for(operator.is_held, 'lease')
+                for name in NAMES:
+                    process = group.processes[name]
+                    process.ask_to_stop()
+                    await operator.patch_many(5)
+                    status = await curio.run_in_thread(process.wait)
+                    self.assertEqual(0, status)
+                    process.start()
+                    await _operator.wait_for(
+                        lambda: _has_started(group, name), f'{name} started'
+                    )
+                    await _wait_until_synced(operator, name)
+                self.assertEqual([], operator.entry.lost)
+                await operator.verify_outcomes(self)
+
+        _operator.run(work)
+        self._assert_stops(group)
+
     def test_member_added_and_removed(self):
         group = self._group()
 
@@ -206,20 +233,34 @@
         )
         test.addCleanup(self.group.kill)
         real = self.group.addresses
-        self._relay = relay.Relay(
-            [f'c3={inward}>{real["c3"]}']
-            + [f'{name}={outward[name]}>{real[name]}' for name in outward]
+        pairs = {'c3': (inward, real['c3'])}
+        pairs.update((one, (outward[one], real[one])) for one in outward)
+        self._control = control_groups.free_address()
+        flags = [f'--control={self._control}']
+        flags += [f'--pair={one}={a}>{b}' for one, (a, b) in pairs.items()]
+        self._relay = _processes.Process(
+            'relay', 'standins.relay', flags, folder.name
         )
+        test.addCleanup(self._relay.kill)
 
-    async def start(self):
-        """Starts the relays, then the replicas."""
-        await self._relay.start()
+    def start(self):
+        """Starts the relay, then the replicas."""
+        self._relay.start()
         self.group.start()
 
     def set_mode(self, mode):
         """Changes what happens to every stream of c3."""
+        client = ctl.AdminClient([self._control], RELAY_TIMEOUT_S)
         for name in NAMES:
-            self._relay.set_mode(name, mode)
+            body = {'target': name, 'mode': mode}
+            reply = client.call('POST', '/standin/relay', value=body)
+            assert reply.ok, reply.value
+
+
+async def _has_started(group, name):
+    """True once the latest process of a replica is at work."""
+    started = group.log(name).count('event=started')
+    return started == group.processes[name].starts
 
 
 async def _wait_until_synced(operator, name):
