--- a/tests/control/test_service.py
+++ b/tests/control/test_service.py
@@ -135,6 +135,41 @@
         lease = self._answers(effects)[0]
         self.assertEqual('not_admitted', lease.reason)
 
+    def test_claims_of_a_silent_process_are_abandoned(self):
+        claim = commands.Claim('credits', 'k', b'f')
+        claimed = commands.ClaimRequests('e1', 1, 1, [claim])
+        address = b'{"entries": {"e1": {"address": "10.0.0.1:1"}}}'
+        admitted = commands.PatchConfig(1, 'p', address)
+        self._lead()
+        self._apply(2, 1, commands.CODEC.encode(admitted))
+        self._apply(3, 1, commands.CODEC.encode(claimed))
+        for until_ms, renews in ((20000, True), (31500, False)):
+            self.assertEqual([], self._own_commands(until_ms, renews))
+        abandoned = self._own_commands(33500, False)
+        self.assertIn(commands.AbandonClaims('e1', 1), abandoned)
+
+    def _own_commands(self, until_ms, renews):
+        """Lets time pass; returns what the leader itself proposed."""
+        found = []
+        while self.now_ms < until_ms:
+            self.now_ms += 499
+            if renews:
+                self._renew()
+            for effect in self._step(_events.Tick(0)):
+                event = getattr(effect, 'event', None)
+                if isinstance(event, agreement.Propose):
+                    found += [data for _, data in event.items]
+                elif isinstance(event, agreement.ReadRequest):
+                    self._step(agreement.ReadReady(event.token, 1))
+        return [commands.CODEC.decode(data) for data in found]
+
+    def _renew(self):
+        self.last_call += 1
+        renewal = messages.RenewConfigLease(
+            self.last_call, 'e1', 1, 2, '10.0.0.1:1', 1
+        )
+        self._step(_events.Call('e1', renewal))
+
     def test_bad_and_closed_commands_are_refused(self):
         own = commands.CODEC.encode(commands.ParkJobs(['j'], 'x'))
         self._lead()
