--- a/fuchsiatrestle/state/_config.py
+++ b/fuchsiatrestle/state/_config.py
@@ -47,6 +47,7 @@
     accepted: list[_AcceptedId]
     refused: list[_RefusedId]
     history: list[queries.ConfigVersion]
+    oldest: bytes = b''
 
 
 _STATE = records.Codec(_ConfigState)
@@ -59,6 +60,11 @@
     return digest.digest()
 
 
+def _merged(value, patch):
+    """Returns a document after a patch; the three tables always exist."""
+    return {**_EMPTY, **_merge.merge(value, patch)}
+
+
 def _invalid(reason, field, detail):
     return outcomes.Invalid(reason=reason, field=field, detail=detail)
 
@@ -89,6 +95,8 @@
         self._refused = collections.OrderedDict()
         self._history = collections.deque()
         self._history_bytes = 0
+        # Document right before the first version of the history.
+        self._oldest = _EMPTY
 
     @property
     def version(self):
@@ -130,7 +138,19 @@
             return queries.ConfigHistory(newest)
         if query.version in (0, self._version):
             return queries.ConfigDocument(self._version, self._text)
-        return queries.NotFound(f'configuration version {query.version}')
+        return self._document_at(query.version)
+
+    def _document_at(self, version):
+        """Rebuilds an earlier document from the history."""
+        oldest = self._version - len(self._history)
+        if not oldest <= version < self._version:
+            return queries.NotFound(f'configuration version {version}')
+        value = self._oldest
+        for one in self._history:
+            if one.version > version:
+                break
+            value = _merged(value, _merge.parse(one.patch))
+        return queries.ConfigDocument(version, _merge.canonical(value))
 
     def snapshot(self):
         """Returns the part as bytes."""
@@ -147,6 +167,7 @@
                     for patch_id, known in self._refused.items()
                 ],
                 list(self._history),
+                _merge.canonical(self._oldest),
             )
         )
 
@@ -170,6 +191,7 @@
             for item in state.refused
         )
         self._history = collections.deque(state.history)
+        self._oldest = _merge.parse(state.oldest)
         self._history_bytes = sum(len(item.patch) for item in state.history)
 
     # Evaluation
@@ -229,7 +251,7 @@
             return _invalid('bad_json', 'patch', str(exc))
         if not isinstance(patch, dict):
             return _invalid('bad_json', 'patch', 'expected a JSON object')
-        merged = {**_EMPTY, **_merge.merge(self._value, patch)}
+        merged = _merged(self._value, patch)
         try:
             _schema.check(merged)
         except _schema.SchemaInvalid as exc:
@@ -272,7 +294,9 @@
             len(self._history) > HISTORY_VERSIONS
             or self._history_bytes > HISTORY_BYTES
         ):
-            self._history_bytes -= len(self._history.popleft().patch)
+            patch = self._history.popleft().patch
+            self._history_bytes -= len(patch)
+            self._oldest = _merged(self._oldest, _merge.parse(patch))
 
     def _remember_refused(self, command, fingerprint, outcome):
         self._refused[command.patch_id] = (
