End a streamed answer at the deadline of its request

Cause: a caller that takes a byte now and then kept the upstream's slot as long as it liked, past every margin that counts on the deadline. The server now aborts a streamed answer at that time.

--- a/fuchsiatrestle/entry/_exchange.py
+++ b/fuchsiatrestle/entry/_exchange.py
@@ -112,7 +112,10 @@
             raise
         if reason == 'too_large':
             return http.StreamedResponse(
-                self._head.status, self._streamed_headers(), _Stream(self)
+                self._head.status,
+                self._streamed_headers(),
+                _Stream(self),
+                self._dispatch.deadline_ms / 1000,
             )
         if reason == 'not_written':
             await self._give_back()
--- a/fuchsiatrestle/net/_http_messages.py
+++ b/fuchsiatrestle/net/_http_messages.py
@@ -148,14 +148,17 @@
         chunks: asynchronous iterator of bytes with an ``aclose`` method.
             If it raises, the server
             aborts the connection, so that the body never looks complete.
+        until_s: monotonic time in seconds at which the client must have
+            taken everything, or the connection is aborted; None for none.
     """
 
-    __slots__ = ('chunks', 'headers', 'status')
+    __slots__ = ('chunks', 'headers', 'status', 'until_s')
 
-    def __init__(self, status, headers, chunks):
+    def __init__(self, status, headers, chunks, until_s=None):
         self.status = status
         self.headers = headers
         self.chunks = chunks
+        self.until_s = until_s
 
 
 class Handler(abc.ABC):
--- a/fuchsiatrestle/net/_http_server.py
+++ b/fuchsiatrestle/net/_http_server.py
@@ -94,6 +94,7 @@
         '_h11',
         '_server',
         '_sock',
+        '_until_s',
         'deadline_s',
         'phase',
         'since_s',
@@ -107,6 +108,7 @@
             h11.SERVER,
             max_incomplete_event_size=server.limits.head_bytes,
         )
+        self._until_s = None
         self.task = None
         self.phase = HEAD
         self.since_s = time.monotonic()
@@ -118,6 +120,8 @@
         self.phase = phase
         self.since_s = time.monotonic()
         self.deadline_s = None if limit_s is None else self.since_s + limit_s
+        if phase == WRITING and self._until_s is not None:
+            self.deadline_s = min(self.deadline_s, self._until_s)
 
     @property
     def handling(self):
@@ -302,6 +306,7 @@
         return self._h11.send(head)
 
     async def _answer_streamed(self, response):
+        self._until_s = response.until_s
         headers = list(response.headers)
         data = self._head_bytes(response.status, headers)
         try:
@@ -320,6 +325,7 @@
             self._abort()
             return False
         finally:
+            self._until_s = None
             await response.chunks.aclose()
         return self._h11.our_state is h11.DONE
 
--- a/tests/entry/test_caller_path.py
+++ b/tests/entry/test_caller_path.py
@@ -29,10 +29,10 @@
         )
         await self.entry.start()
         await self.upstream.start()
-        while not any(status.share for status in self._statuses()):
+        while not any(status.share for status in self.statuses()):
             await curio.sleep(0.01)
 
-    def _statuses(self):
+    def statuses(self):
         return self.entry.router.core.upstream_statuses(
             entry_world.daemon.now_ms()
         )
@@ -98,6 +98,22 @@
     return bodies
 
 
+async def _stream_to_a_slow_reader(pair):
+    """Returns the slots in use once the deadline is long past."""
+    pair.entry.server.limits.write_s = 3600
+    pair.upstream.mode = 'large'
+    sock = await curio.open_connection(entry_world.HOST, pair.entry.port)
+    await sock.sendall(b'GET /quotes/x HTTP/1.1\r\nhost: a\r\nx-id: x\r\n\r\n')
+    await sock.recv(10)
+    async with curio.ignore_after(15):
+        while any(status.in_use for status in pair.statuses()):
+            # A byte now and then counts as progress, but not for ever.
+            await sock.recv(1)
+            await curio.sleep(0.1)
+    await sock.close()
+    return sum(status.in_use for status in pair.statuses())
+
+
 async def _stop_under_load(pair):
     """Returns how many calls were answered and how many were cut."""
     counts = {'answered': 0, 'refused': 0, 'cut': 0}
@@ -163,6 +179,9 @@
             [f'next{number} answered'.encode() for number in range(3)], bodies
         )
 
+    def test_a_slow_reader_keeps_no_slot_beyond_the_deadline(self):
+        self.assertEqual(0, _run(_stream_to_a_slow_reader))
+
     def test_a_planned_stop_under_load_cuts_nothing(self):
         counts = _run(_stop_under_load)
         self.assertEqual(0, counts['cut'])
--- a/tests/fakes/entry_world.py
+++ b/tests/fakes/entry_world.py
@@ -47,6 +47,7 @@
 LONG_BODY = b'y' * 400000
 SMALL_BUFFER = 4096
 HOLD_BYTES = 65536
+LARGE_BYTES = 20000000
 
 _ABORT = struct.pack('ii', 1, 0)
 
@@ -511,6 +512,10 @@
         if self.mode == 'garbage':
             await sock.sendall(b'\x16\x03\x01garbage\r\n\r\n')
             return False
+        if self.mode == 'large':
+            head = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n'
+            await sock.sendall(head % LARGE_BYTES + bytes(LARGE_BYTES))
+            return False
         if self.mode == 'late':
             await curio.sleep(2 * DEADLINE_MS / 1000)
         if self.mode == 'wrong length':
