--- a/fuchsiatrestle/control/_daemon.py
+++ b/fuchsiatrestle/control/_daemon.py
@@ -15,14 +15,15 @@
 from fuchsiatrestle import errors
 from fuchsiatrestle import logs
 from fuchsiatrestle import messages
+from fuchsiatrestle import metrics
 from fuchsiatrestle.net import link
 from fuchsiatrestle.net import tls
 from fuchsiatrestle import settings
 
 __all__ = ('ControlDaemon',)
 
-REPLICA_TICK_S = 0.025
-STATE_TICK_S = 0.05
+REPLICA_TICK_S = 0.05
+STATE_TICK_S = 0.1
 HAND_OVER_S = 3.0
 DRAIN_S = 0.2
 MAX_STATE_BACKLOG = 10000
@@ -37,6 +38,21 @@
     messages.ShowMembers,
 )
 
+_BETWEEN_REPLICAS = (
+    messages.AppendReply,
+    messages.AppendRequest,
+    messages.Hello,
+    messages.InstallReply,
+    messages.InstallRequest,
+    messages.TimeoutNow,
+    messages.VoteReply,
+    messages.VoteRequest,
+)
+
+MISDIRECTED = metrics.declare(
+    'refused.call_misdirected', 'Messages that are not meant for control.'
+)
+
 LOG = logs.get_logger(__name__)
 
 
@@ -54,7 +70,8 @@
         self._files = files
         self._name = cfg.get('control', 'name')
         self._peers = cfg.get('control', 'peers')
-        self._state_inbox = curio.UniversalQueue()
+        # Bounded by ``MAX_STATE_BACKLOG`` calls and what is uncommitted.
+        self._state_inbox = curio.Queue()
         self._check_peers()
         self._link = link.Link(
             self._name,
@@ -162,10 +179,11 @@
                 await self._route(event.peer, event.message)
 
     async def _route(self, peer, message):
-        if not isinstance(message, _CALLS):
-            if hasattr(message, 'group') or hasattr(message, 'cell'):
-                received = agreement.Received(peer, message)
-                await self._replica_task.inbox.put(received)
+        if isinstance(message, _BETWEEN_REPLICAS):
+            received = agreement.Received(peer, message)
+            await self._replica_task.inbox.put(received)
+        elif not isinstance(message, _CALLS):
+            metrics.count(MISDIRECTED)
         elif self._state_inbox.qsize() >= MAX_STATE_BACKLOG:
             _refusals.count('overloaded')
             refused = messages.ControlRefused(
@@ -203,8 +221,9 @@
     async def _tick_state(self):
         while True:
             await curio.sleep(STATE_TICK_S)
-            wall_ms = time.time_ns() // 1000000
-            await self._state_inbox.put(_events.Tick(wall_ms))
+            if self._service.leads:
+                wall_ms = time.time_ns() // 1000000
+                await self._state_inbox.put(_events.Tick(wall_ms))
 
     # Stop
 
