--- a/fuchsiatrestle/net/_http_messages.py
+++ b/fuchsiatrestle/net/_http_messages.py
@@ -188,7 +188,7 @@
     """
     try:
         return msgspec.json.decode(data)
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
         raise HttpFailed('bad_json', step='decode_json') from exc
 
 
--- /dev/null
+++ b/tests/entry/test_platform.py
@@ -0,0 +1,125 @@
+"""Tests of the platform port: announcements and worker reports."""
+
+import unittest
+
+import curio
+
+from fuchsiatrestle.entry import _platform
+from fuchsiatrestle import messages
+from fuchsiatrestle.net import http
+
+ANNOUNCEMENT = {
+    'service': 'quotes',
+    'address': '127.0.0.1:9001',
+    'incarnation': 5,
+    'seq': 1,
+    'state': 'ready',
+    'slots': 8,
+    'connections': 64,
+}
+REPORT = {
+    'worker': 'w1',
+    'incarnation': 5,
+    'seq': 1,
+    'data_centre': 'dc1',
+    'rack': 'r1',
+    'capacity': {'cpu_milli': 32000, 'memory_mib': 128000},
+    'attempts': [
+        {
+            'job_id': 'j',
+            'attempt': 1,
+            'state': 'running',
+            'used': {'cpu_milli': 1, 'memory_mib': 2},
+            'age_ms': 3,
+        }
+    ],
+}
+BAD_BODIES = {
+    'no JSON': b'{',
+    'no object': b'[1]',
+    'nested too deeply': b'[' * 100000,
+    'not UTF-8': b'{"service": "\xff"}',
+}
+BAD_ANNOUNCEMENTS = (
+    {'state': 'gone'},
+    {'address': 'host:1'},
+    {'address': '127.0.0.1:0'},
+    {'slots': -1},
+    {'slots': 'many'},
+    {'connections': 10**9},
+    {'service': ''},
+    {'unknown': 1},
+)
+BAD_REPORTS = (
+    {'worker': 'other'},
+    {'attempts': 5},
+    {'attempts': [5]},
+    {'capacity': None},
+    {'capacity': {'cpu_milli': 'x', 'memory_mib': 1}},
+    {'unknown': 1},
+)
+
+
+class _Recorder:
+    """Stands for the router and the reports desk."""
+
+    def __init__(self):
+        self.taken = []
+
+    async def step(self, event):
+        self.taken.append(event.announcement)
+
+    async def send(self, report):
+        self.taken.append(report)
+        order = messages.AttemptOrder('renew', 'j', 1, lease_ms=500)
+        return messages.WorkerOrders('w1', 5, 1, [order])
+
+
+class PlatformTest(unittest.TestCase):
+    def setUp(self):
+        self.recorder = _Recorder()
+        self.handler = _platform.PlatformHandler(self.recorder, self.recorder)
+
+    def _post(self, path, body):
+        if not isinstance(body, bytes):
+            body = http.encode_json(body)
+        request = http.Request('POST', path, [], body)
+        return curio.run(self.handler.handle, request)
+
+    def test_takes_an_announcement(self):
+        response = self._post('/v1/announcements', ANNOUNCEMENT)
+        self.assertEqual(200, response.status)
+        (said,) = self.recorder.taken
+        self.assertEqual(
+            (8, 64, 0), (said.slots, said.connections, said.age_ms)
+        )
+
+    def test_takes_a_report_and_answers_named_orders(self):
+        response = self._post('/v1/workers/w1/report', REPORT)
+        (report,) = self.recorder.taken
+        self.assertEqual(2, report.attempts[0].used.memory_mib)
+        orders = http.decode_json(response.body)['orders']
+        self.assertEqual(
+            ('renew', 500), (orders[0]['kind'], orders[0]['lease_ms'])
+        )
+
+    def test_refuses_what_is_not_valid(self):
+        cases = [
+            (path, body)
+            for path in ('/v1/announcements', '/v1/workers/w1/report')
+            for body in BAD_BODIES.values()
+        ]
+        cases += [
+            ('/v1/announcements', ANNOUNCEMENT | wrong)
+            for wrong in BAD_ANNOUNCEMENTS
+        ]
+        cases += [
+            ('/v1/workers/w1/report', REPORT | wrong) for wrong in BAD_REPORTS
+        ]
+        for path, body in cases:
+            with self.subTest(path=path, body=body if len(body) < 999 else ''):
+                response = self._post(path, body)
+                self.assertEqual(400, response.status)
+                self.assertIn('reason', http.decode_json(response.body))
+        self.assertEqual([], self.recorder.taken)
+        self.assertEqual(404, self._post('/v1/other', b'').status)
