Hold a worker free for shapes that small jobs starve

Cause: in a stream of small jobs of uneven length a job as large as a worker never started within 160 s of model time, because each gap took the next small job. The stand-in's usage no longer follows its reservation; learned sizes had grown from their own margin. Ruled out: a margin on jobs that use what they declare, which cost one slot in four.

--- a/fuchsiatrestle/scheduling/_dispatch.py
+++ b/fuchsiatrestle/scheduling/_dispatch.py
@@ -3,6 +3,7 @@
 import itertools
 
 from fuchsiatrestle import messages
+from fuchsiatrestle.scheduling import _holds
 from fuchsiatrestle.scheduling import _queue
 from fuchsiatrestle.state import commands
 
@@ -59,6 +60,7 @@
         self._pending = {}
         self._reasons = {}
         self._held_back = {}
+        self._holds = _holds.Holds(part, fleet)
         self._dirty = True
         self._next_ms = 0
         self._last_ms = -ROUND_GAP_MS
@@ -121,6 +123,7 @@
         self._next_ms = now_ms + RETRY_MS
         if len(self._reasons) > MAX_REASONS:
             self._reasons.clear()
+        self._holds.expire(self._queue.shapes, now_ms)
         blocked = set()
         missed = []
         tries = 0
@@ -198,12 +201,16 @@
         name = self._pick(job, need, now_ms)
         if name is None:
             blocked.add(shape)
-            self._explain_miss(shape, need, spec)
+            self._note_miss(shape, need, spec, now_ms)
             return False
+        self._holds.release(shape, now_ms)
         self._reserve(job, name, size, now_ms)
         return True
 
     def _pick(self, job, need, now_ms):
+        held = self._holds.worker_for(self._queue.shape(job.spec.job_id), need)
+        if held is not None and self._may_use_held(held, now_ms):
+            return held
         names = self._fleet.fitting(need, job.spec.data_centre)
         barred = set(job.failed_on)
         barred.add(self._evictions.avoided(job.spec.job_id, now_ms))
@@ -217,6 +224,13 @@
         name = self._rule.pick(job, need, names)
         return name or self._pick_at_last(job, need, names, now_ms)
 
+    def _may_use_held(self, name, now_ms):
+        worker = self._part.workers[name]
+        info = self._fleet.info(name)
+        return not info.quarantined and self._fleet.accepts_probe(
+            worker, info, now_ms
+        )
+
     def _pick_at_last(self, job, need, names, now_ms):
         """Places one job of a shape that was held back for long.
 
@@ -258,9 +272,10 @@
 
     # Explanations
 
-    def _explain_miss(self, shape, need, spec):
+    def _note_miss(self, shape, need, spec, now_ms):
         short = self._fleet.short_dimension(need, spec.data_centre)
         if short:
+            self._holds.note_short(shape, need, now_ms)
             reason = f'no worker has room for {_text(need)}, short of {short}'
         elif shape.failed_on:
             reason = 'every worker with room failed it before'
--- a/fuchsiatrestle/scheduling/_fleet.py
+++ b/fuchsiatrestle/scheduling/_fleet.py
@@ -29,6 +29,7 @@
         pending: reservations proposed and not yet agreed, by job.
         paused_until_ms: no placement before this time.
         quarantined: True while no placement but a probe goes here.
+        held: True while the worker is held free for one shape.
         cpu_peak: recent peak of the services' processor time.
         memory_peak: recent peak of the services' memory.
     """
@@ -36,6 +37,7 @@
     __slots__ = (
         'cpu_peak',
         'heard_ms',
+        'held',
         'incarnation',
         'memory_peak',
         'name',
@@ -55,6 +57,7 @@
         self.pending = {}
         self.paused_until_ms = 0
         self.quarantined = False
+        self.held = False
         self.cpu_peak = _peaks.RecentPeak()
         self.memory_peak = _peaks.RecentPeak()
 
@@ -207,7 +210,7 @@
 
     def accepts(self, worker, info, now_ms):
         """True if ordinary placements may go to the worker now."""
-        return not info.quarantined and self.accepts_probe(
+        return not (info.quarantined or info.held) and self.accepts_probe(
             worker, info, now_ms
         )
 
@@ -237,6 +240,23 @@
             free[2] -= size.accelerators
         return tuple(free)
 
+    def room_when_empty(self, name):
+        """Returns what batch could have of a worker without attempts."""
+        capacity = self._part.workers[name].spec.capacity
+        cpu, memory = self._infos[name].service_share()
+        return (
+            capacity.cpu_milli - cpu,
+            capacity.memory_mib - memory,
+            capacity.accelerators,
+        )
+
+    def set_held(self, name, held, now_ms):
+        """Holds a worker free for one shape, or ends that."""
+        info = self._infos.get(name)
+        if info is not None:
+            info.held = held
+            self.refresh(name, now_ms)
+
     def fitting(self, need, data_centre):
         """Yields workers with room, alternating between data centres."""
         streams = [
--- a/fuchsiatrestle/scheduling/_queue.py
+++ b/fuchsiatrestle/scheduling/_queue.py
@@ -110,6 +110,11 @@
         """True if an urgent job is queued."""
         return bool(self._levels) and self._levels.keys()[0][0] == 0
 
+    @property
+    def shapes(self):
+        """The distinct shapes queued."""
+        return self._shapes.keys()
+
     def shape(self, job_id):
         """Returns the shape of a queued job."""
         return self._places[job_id].shape
--- a/fuchsiatrestle/scheduling/_sizes.py
+++ b/fuchsiatrestle/scheduling/_sizes.py
@@ -138,9 +138,11 @@
 
 
 def _shrunk(declared, samples, step):
-    ratio = samples.quantile() * (1000 + MARGIN_MILLI) / 1000
-    amount = max(int(declared * ratio), step)
-    return -(-amount // step) * step
+    ratio = samples.quantile()
+    if ratio > 1.0:
+        return _learned(declared, samples, step)
+    amount = max(int(declared * ratio * (1000 + MARGIN_MILLI) / 1000), step)
+    return min(declared, -(-amount // step) * step)
 
 
 def _learned(declared, samples, step):
--- a/standins/_worker_agent.py
+++ b/standins/_worker_agent.py
@@ -24,6 +24,8 @@
 NOISY = 'noisy'
 SLOW_FACTOR = 4
 NOISE_MS = 30.0
+# Usage must not follow the reservation, or the scheduler learns from itself.
+MAX_USED_MILLI = 1000
 
 
 class AgentOptions:
@@ -265,7 +267,7 @@
     def _used(run, now_ms):
         if run.size is None:
             return messages.Resources(0, 0)
-        cpu_milli = run.size.cpu_milli
+        cpu_milli = min(run.size.cpu_milli, MAX_USED_MILLI)
         if run.throttle_milli and now_ms < run.throttle_until_ms:
             cpu_milli = min(cpu_milli, run.throttle_milli)
         return messages.Resources(
--- a/tests/scheduling/test_policy.py
+++ b/tests/scheduling/test_policy.py
@@ -53,6 +53,31 @@
         self.assertIn('quota', cell.scheduler.why('j3').lines[0])
 
 
+class StarvationTest(unittest.TestCase):
+    """Small jobs do not starve a large one."""
+
+    def test_large_job_runs_in_a_stream_of_small_ones(self):
+        """It starts although each gap could take another small job."""
+        cell = _cell.Cell(2)
+        cell.advance(1000)
+        number = 0
+        large = _cell.spec('large', 4000, command='sleep 1000')
+        for second in range(180):
+            jobs = [
+                _cell.spec(
+                    f's{number + n}',
+                    command=f'sleep {3000 + 700 * ((number + n) % 7)}',
+                )
+                for n in range(4)
+            ]
+            number += 4
+            cell.submit(*jobs)
+            if second == 20:
+                cell.submit(large)
+            cell.advance(1000)
+        self.assertEqual('done', cell.state('large'))
+
+
 class UrgentTest(unittest.TestCase):
     """Urgent work starts in time, also on a full cell."""
 
