--- a/fuchsiatrestle/ctl/_commands.py
+++ b/fuchsiatrestle/ctl/_commands.py
@@ -6,11 +6,6 @@
 
 __all__ = ('Command', 'Context', 'UsageError', 'report_refusal')
 
-_STATUS_BY_HTTP = {
-    400: _exits.ExitStatus.USAGE,
-    409: _exits.ExitStatus.CONFLICT,
-}
-
 
 class UsageError(Exception):
     """The command line does not fit the command."""
@@ -78,7 +73,7 @@
             return report_refusal(context.output, reply)
         context.output.value(reply.value)
         self.show(context.output, reply.value, arguments)
-        return _exits.ExitStatus.OK
+        return self.verdict(reply.value)
 
     def make_path(self, arguments):
         """Returns the path to call; refuses arguments by default."""
@@ -90,6 +85,10 @@
         """Returns the query parameters."""
         return {}
 
+    def verdict(self, value):
+        """Returns the exit status for a value that was read."""
+        return _exits.ExitStatus.OK
+
     @abc.abstractmethod
     def show(self, output, value, arguments):
         """Prints the value for people."""
@@ -104,4 +103,6 @@
     if reply.get('detail'):
         text += f': {reply.get("detail")}'
     output.advice(text)
-    return _STATUS_BY_HTTP.get(reply.status, _exits.ExitStatus.REFUSED)
+    if reply.status == 400:
+        return _exits.ExitStatus.USAGE
+    return _exits.ExitStatus.REFUSED
