--- a/fuchsiatrestle/scheduling/_agreed.py
+++ b/fuchsiatrestle/scheduling/_agreed.py
@@ -1,5 +1,6 @@
 """Follows the agreed state: what each applied command changes."""
 
+from fuchsiatrestle.scheduling import _counters
 from fuchsiatrestle.state import _jobs_model as model
 from fuchsiatrestle.state import commands
 
@@ -51,6 +52,7 @@
             return False
         self._parts.outbox.applied(command)
         handler(command, outcome, now_ms)
+        _counters.count_outcome(command, outcome)
         return True
 
     # Workers
--- /dev/null
+++ b/fuchsiatrestle/scheduling/_counters.py
@@ -0,0 +1,56 @@
+"""Counters of refused and retried jobs, counted by the leader alone."""
+
+from fuchsiatrestle import metrics
+from fuchsiatrestle.state import commands
+
+__all__ = ('count_outcome',)
+
+_REFUSED = {
+    reason: metrics.declare(f'refused.job_{reason}', text)
+    for reason, text in {
+        'spec_differs': 'Jobs whose id has another specification.',
+        'impossible': 'Jobs larger than every worker.',
+        'unknown_team': 'Jobs of a team that is not declared.',
+        'unknown_job': 'Calls about a job that is not known.',
+        'over_quota': 'Jobs larger than the quota of their team.',
+        'stale': 'Jobs submitted before the window of remembered jobs.',
+        'queue_full': 'Jobs beyond the bound on open jobs.',
+        'invalid_spec': 'Jobs with a field out of range.',
+        'not_parked': 'Settlements of a job that is not parked.',
+        'may_have_run': 'Requeues of a billed job that may have run.',
+    }.items()
+}
+_RETRIED = {
+    kind: metrics.declare(f'retry.job_{kind}', text)
+    for kind, text in {
+        'stopped': 'Attempts that were stopped or evicted, queued again.',
+        'failed': 'Attempts that failed, queued again.',
+        'refused': 'Attempts that never started, queued again.',
+        'expired': 'Attempts whose lease ran out, queued again.',
+    }.items()
+}
+
+
+def count_outcome(command, outcome):
+    """Counts what one applied command refused or queued again.
+
+    Args:
+        command: an applied command about jobs.
+        outcome: its outcome.
+    """
+    if isinstance(command, commands.RecordAttempts):
+        _count_retries(command, outcome)
+    elif isinstance(
+        command,
+        (commands.SubmitJobs, commands.CancelJobs, commands.ResolveJobs),
+    ):
+        for job in getattr(outcome, 'jobs', ()):
+            if job.reason in _REFUSED:
+                metrics.count(_REFUSED[job.reason])
+
+
+def _count_retries(command, outcome):
+    for event, job in zip(command.events, outcome.jobs, strict=True):
+        requeued = job.state == 'queued' and not job.repeated
+        if requeued and event.kind in _RETRIED:
+            metrics.count(_RETRIED[event.kind])
--- a/tests/scheduling/test_policy.py
+++ b/tests/scheduling/test_policy.py
@@ -3,6 +3,7 @@
 import unittest
 
 from fuchsiatrestle import messages
+from fuchsiatrestle import metrics
 from fuchsiatrestle import scheduling
 from fuchsiatrestle.scheduling import _capacity
 from fuchsiatrestle.scheduling import _interference
@@ -53,6 +54,25 @@
         self.assertIn('quota', cell.scheduler.why('j3').lines[0])
 
 
+class CountersTest(unittest.TestCase):
+    """Refusals and retries are counted by reason."""
+
+    def test_refusal_and_retry(self):
+        """One counter moves for each."""
+        before = metrics.default_registry.counters()
+        cell = _cell.Cell(1)
+        cell.advance(1000)
+        cell.submit(_cell.spec('huge', 5000), _cell.spec('j'))
+        cell.advance(2000)
+        cell.restart('w0')
+        cell.advance(2000)
+        after = metrics.default_registry.counters()
+        for name in ('refused.job_impossible', 'retry.job_stopped'):
+            with self.subTest(name=name):
+                moved = after.get(name, 0) - before.get(name, 0)
+                self.assertEqual(1, moved)
+
+
 class StarvationTest(unittest.TestCase):
     """Small jobs do not starve a large one."""
 
