--- a/fuchsiatrestle/state/_jobs_views.py
+++ b/fuchsiatrestle/state/_jobs_views.py
@@ -1,5 +1,7 @@
 """Read side of the jobs part."""
 
+import heapq
+
 from fuchsiatrestle.state import _jobs_model as model
 from fuchsiatrestle.state import queries
 
@@ -64,11 +66,14 @@
 def list_jobs(store, query):
     """Returns one page of jobs in the order of their identifiers."""
     limit = max(1, min(query.limit, MAX_PAGE_JOBS))
-    names = sorted(
-        name
-        for jobs in (store.jobs, store.ended)
-        for name, job in jobs.items()
-        if name > query.after and _matches(job, query)
+    names = heapq.nsmallest(
+        limit + 1,
+        (
+            name
+            for jobs in (store.jobs, store.ended)
+            for name, job in jobs.items()
+            if name > query.after and _matches(job, query)
+        ),
     )
     page = [view_job(store, name) for name in names[:limit]]
     more = page[-1].job_id if len(names) > limit else ''
