Go on stopping when the streams of a link do not end in time

Change: the time-out is logged and the stop goes on; the bound is 5 s.

Measured: the new test fails on the code before (TimeoutError), passes now; 9 tests of link, pages and operators' commands pass.

--- a/fuchsiatrestle/net/link.py
+++ b/fuchsiatrestle/net/link.py
@@ -18,10 +18,12 @@
 """
 
 import collections
+from concurrent import futures
 
 import curio
 
 from fuchsiatrestle import errors
+from fuchsiatrestle import logs
 from fuchsiatrestle import messages
 from fuchsiatrestle.net import _grpc_thread
 from fuchsiatrestle.net._link_events import Inbound
@@ -36,7 +38,9 @@
     'PeerUp',
 )
 
-CLOSE_TIMEOUT_S = 2.0
+CLOSE_TIMEOUT_S = 5.0
+
+LOG = logs.get_logger(__name__)
 
 
 class Link:
@@ -120,5 +124,9 @@
 
     def _stop_thread(self):
         fut = self._thread.run(self._peers.close())
-        fut.result(CLOSE_TIMEOUT_S)
+        try:
+            fut.result(CLOSE_TIMEOUT_S)
+        except futures.TimeoutError:
+            # A process that was frozen here finds its time used up at once.
+            LOG.warning('link_close_timed_out')
         self._thread.stop()
--- a/tests/net/test_link.py
+++ b/tests/net/test_link.py
@@ -1,6 +1,7 @@
 """Tests of the link between processes."""
 
 import unittest
+from unittest import mock
 
 import curio
 
@@ -110,3 +111,13 @@
         now = metrics.default_registry.counters().get('link.silent')
         self.assertEqual(silent, now)
         await staying.stop()
+
+    def test_stop_goes_on_when_its_streams_do_not_end_in_time(self):
+        async def run():
+            a = link.Link('a', 1, self.first)
+            await a.start()
+            with mock.patch.object(link, 'CLOSE_TIMEOUT_S', 0):
+                with self.assertLogs(link.LOG, 'WARNING'):
+                    await a.stop()
+
+        curio.run(curio.timeout_after, 30, run)
