--- a/tests/routing/test_mechanisms.py
+++ b/tests/routing/test_mechanisms.py
@@ -10,6 +10,7 @@
 from unittest import mock
 
 from fuchsiatrestle import errors
+from fuchsiatrestle.routing import _announcements
 from fuchsiatrestle.routing import _core
 from fuchsiatrestle.routing import _lending
 from fuchsiatrestle.routing import _loans
@@ -24,6 +25,7 @@
 SLOTS = 'world.slots_within_limit'
 ONCE = 'world.runs_at_most_once'
 HONEST = 'world.not_run_is_true'
+LEAVING = 'world.leaving_gets_nothing'
 
 
 def _no_settling():
@@ -122,6 +124,15 @@
     return mock.patch.object(_core.Core, '_may_retry', may_retry)
 
 
+def _leaving_ignored():
+    """Every upstream once heard gets work."""
+    return mock.patch.object(
+        _announcements.AnnouncementTable,
+        'is_usable',
+        lambda self, address, now_ms: address in self._heard,
+    )
+
+
 def _forget_written():
     """A refusal says not-run although an attempt was written."""
     original = _core.Core._refuse
@@ -139,6 +150,7 @@
     'margin of the lender': (_no_loan_margin, 29, SLOTS),
     'doubled loans dropped': (_no_doubled_loan_check, 3, SLOTS),
     'no resend of what may have run': (_resend_anything, 6, ONCE),
+    'nothing for one that leaves': (_leaving_ignored, 1, LEAVING),
     'outcome of a written request': (_forget_written, 1, HONEST),
     'term counted from the demand': (
         _term_from_receipt,
