--- a/standins/relay.py
+++ b/standins/relay.py
@@ -22,6 +22,7 @@
 MODE_PATH = '/standin/relay'
 RECV_BYTES = 65536
 BACKLOG = 256
+SILENT_END_S = 3600
 
 PASS = 'pass'
 SILENCE = 'silence'
@@ -104,16 +105,15 @@
             continue
 
     async def _pump(self, conn, source, sink):
-        while True:
-            data = await source.recv(RECV_BYTES)
-            if conn.silent:
-                # Not even the end of the connection gets through.
-                if not data:
-                    await curio.sleep(3600)
-                continue
-            if not data:
-                return
-            await sink.sendall(data)
+        try:
+            while data := await source.recv(RECV_BYTES):
+                if not conn.silent:
+                    await sink.sendall(data)
+        except OSError as exc:
+            LOG.debug('relay_broken', extra={'error': str(exc)})
+        if conn.silent:
+            # Not even the end of the connection gets through.
+            await curio.sleep(SILENT_END_S)
 
 
 class Relay(http.Handler):
