--- a/fuchsiatrestle/agreement/_candidate.py
+++ b/fuchsiatrestle/agreement/_candidate.py
@@ -2,9 +2,14 @@
 
 from fuchsiatrestle.agreement import _role
 from fuchsiatrestle import messages
+from fuchsiatrestle import metrics
 
 __all__ = ('Candidate',)
 
+ELECTION_REPEATED = metrics.declare(
+    'retry.election', 'Elections started again for want of votes.'
+)
+
 
 class Candidate(_role.Role):
     """Asks for votes in two rounds; the first changes no durable state.
@@ -40,12 +45,19 @@
         )
         for peer in replica.voters.voters:
             if peer != replica.identity:
-                replica.send_durably(peer, request)
+                self._ask(peer, request)
         self._count(replica.identity)
 
+    def _ask(self, peer, request):
+        if self._pre:
+            self._replica.send(peer, request)
+        else:
+            self._replica.send_durably(peer, request)
+
     def tick(self):
         """Starts over when the election has brought no leader in time."""
         if self._replica.now_ms >= self._deadline_ms:
+            metrics.count(ELECTION_REPEATED)
             self._replica.become_candidate(pre=True)
 
     def settled(self):
