--- a/tests/agreement/scenarios.py
+++ b/tests/agreement/scenarios.py
@@ -170,6 +170,34 @@
     return any(getattr(one, 'granted', False) for one in replies)
 
 
+def leader_with_a_hung_disk_gives_way():
+    """Followers that outrun the leader's disk get another leader."""
+    group = _founded()
+    leader = group.leader
+    group.nodes[leader].slow_disk = True
+    for _ in range(group.cfg.max_uncommitted):
+        group.propose(leader)
+        group.settle()
+    group.run(1_000)
+    _require(group.leader not in ('', leader), 'the leader keeps the lead')
+    _require(len(group.acknowledged) > 8, 'nothing was agreed meanwhile')
+    group.require_whole()
+
+
+def slow_disks_depose_nobody():
+    """A leader hears its followers although their disks hang."""
+    group = _founded()
+    leader = group.leader
+    for name in _followers(group):
+        group.nodes[name].slow_disk = True
+    group.propose(leader)
+    group.run(5_000)
+    _require(group.leader == leader, 'the leader was deposed')
+    waiting = group.nodes[_followers(group)[0]].replica.writes.held
+    _require(waiting < 4, f'{waiting} messages wait for a disk')
+    group.require_whole()
+
+
 def vote_survives_a_restart():
     """A restarted voter does not vote twice in one term."""
     files = fake_files.FakeFiles(None)
@@ -326,6 +354,44 @@
     group.require_whole()
 
 
+def removed_voter_still_stands():
+    """One whose removal is not committed may be the only one to win."""
+    group = _founded(('c1', 'c2', 'c3', 'c4'))
+    leader = group.leader
+    member = group.nodes[leader].replica.identity
+    group.kill(_followers(group)[0])
+    group.change_voters(leader, 'remove', member)
+    group.store(leader)
+    group.kill(leader)
+    group.network.clear()
+    group.start(leader)
+    _require(group.commit_one(attempts=2), 'nobody is elected')
+    group.require_whole()
+
+
+def snapshot_made_late_is_dropped():
+    """State copied before an install does not replace the installed one."""
+    group = _founded()
+    behind = _followers(group)[0]
+    _cut_off(group, behind)
+    for _ in range(20):
+        group.propose(group.leader)
+        group.settle()
+    group.compact(group.leader)
+    group.cuts.clear()
+    group.run_until(
+        lambda: group.nodes[behind].replica.log.base_index > 15, 5_000
+    )
+    snapshot = group.nodes[behind].replica.make_snapshot(1, b'')
+    _require(snapshot.last_index > 15, 'an older snapshot was made')
+    old = agreement.Snapshot(1, 1, VOTERS, b'')
+    group.nodes[behind].folder.save_snapshot(old)
+    group.kill(behind)
+    group.start(behind)
+    state = group.nodes[behind].folder.state
+    _require(state.snapshot == snapshot, 'an older snapshot was saved')
+
+
 def hand_over_is_quick():
     """Another voter leads without waiting for an election timeout."""
     group = _founded()
@@ -488,6 +554,8 @@
         deaf_leader_is_replaced,
         frozen_leader_resumes,
         leader_waits_for_its_own_disk,
+        leader_with_a_hung_disk_gives_way,
+        slow_disks_depose_nobody,
         vote_survives_a_restart,
         older_term_waits_for_the_own_entry,
         read_waits_for_a_later_round,
@@ -497,6 +565,8 @@
         snapshot_holds_the_voters_of_its_index,
         removed_change_is_rolled_back,
         removed_leader_leaves,
+        removed_voter_still_stands,
+        snapshot_made_late_is_dropped,
         hand_over_is_quick,
         second_disk_lost_after_a_repair,
         empty_folder_founds_no_second_group,
