Give the jobs part a public module

Cause: the scheduler and the benchmarks imported private modules of state. Change: state.jobs is the thin map; states are compared by their constants.

--- a/benchmarks/scheduling_cost.py
+++ b/benchmarks/scheduling_cost.py
@@ -16,8 +16,8 @@
 
 from fuchsiatrestle import messages
 from fuchsiatrestle import scheduling
-from fuchsiatrestle.state import _jobs
 from fuchsiatrestle.state import commands
+from fuchsiatrestle.state import jobs as jobs_part
 
 WORKERS = (24, 250, 2_000, 16_000)
 QUEUED = 100_000
@@ -48,7 +48,7 @@
 
     def __init__(self, workers):
         self.now_ms = 1_000_000
-        self.part = _jobs.JobsPart()
+        self.part = jobs_part.JobsPart()
         self.index = 0
         self.seq = 0
         self.names = [f'w{number:05d}' for number in range(workers)]
--- a/benchmarks/scheduling_policy.py
+++ b/benchmarks/scheduling_policy.py
@@ -16,8 +16,8 @@
 from fuchsiatrestle import messages
 from fuchsiatrestle import scheduling
 from fuchsiatrestle.scheduling import _placement
-from fuchsiatrestle.state import _jobs
 from fuchsiatrestle.state import commands
+from fuchsiatrestle.state import jobs as jobs_part
 
 STEP_MS = 10_000
 DAY_MS = 6 * 3600 * 1000
@@ -290,7 +290,7 @@
             max_candidates=64,
             **VARIANTS[variant],
         )
-        self.part = _jobs.JobsPart()
+        self.part = jobs_part.JobsPart()
         self.scheduler = scheduling.Scheduler(self.part, 0, policy)
         if variant == 'first_fit':
             self.scheduler._parts.dispatcher._rule = ByName()
--- a/benchmarks/scheduling_urgent.py
+++ b/benchmarks/scheduling_urgent.py
@@ -12,8 +12,8 @@
 
 from fuchsiatrestle import messages
 from fuchsiatrestle import scheduling
-from fuchsiatrestle.state import _jobs
 from fuchsiatrestle.state import commands
+from fuchsiatrestle.state import jobs as jobs_part
 from standins import _worker_agent
 
 STEP_MS = 10
@@ -37,7 +37,7 @@
         self.rng = random.Random(seed)
         self.loss = loss
         self.now_ms = 0
-        self.part = _jobs.JobsPart()
+        self.part = jobs_part.JobsPart()
         self.scheduler = scheduling.Scheduler(self.part, 0)
         self.ledger = []
         self.due = []
--- a/fuchsiatrestle/scheduling/_agreed.py
+++ b/fuchsiatrestle/scheduling/_agreed.py
@@ -1,8 +1,8 @@
 """Follows the agreed state: what each applied command changes."""
 
 from fuchsiatrestle.scheduling import _counters
-from fuchsiatrestle.state import _jobs_model as model
 from fuchsiatrestle.state import commands
+from fuchsiatrestle.state import jobs as states
 
 __all__ = ('AgreedChanges',)
 
@@ -42,7 +42,7 @@
         for job in parts.part.jobs.values():
             if job.is_live:
                 self._hold(job)
-            elif job.failed_on and job.state == model.QUEUED:
+            elif job.failed_on and job.state == states.QUEUED:
                 self._park_if_hopeless(job)
 
     def take(self, command, outcome, now_ms):
@@ -127,7 +127,7 @@
         if known is not None and known.worker:
             parts.fleet.refresh(known.worker, now_ms)
         parts.dispatcher.refresh(job_id)
-        if job is None or job.state != model.QUEUED:
+        if job is None or job.state != states.QUEUED:
             parts.preemptor.forget(job_id)
         elif job.failed_on:
             self._park_if_hopeless(job)
--- a/fuchsiatrestle/scheduling/_attempts.py
+++ b/fuchsiatrestle/scheduling/_attempts.py
@@ -7,8 +7,8 @@
 """
 
 from fuchsiatrestle import messages
-from fuchsiatrestle.state import _jobs_model as model
 from fuchsiatrestle.state import commands
+from fuchsiatrestle.state import jobs as states
 
 __all__ = ('AttemptDesk',)
 
@@ -116,7 +116,7 @@
         self._record_checkpoint(job, item, now_ms)
         if job.cancelled:
             return _order('stop', job_id, item.attempt)
-        if job.state != model.EVICTING:
+        if job.state != states.EVICTING:
             return None
         if self._evictions.wants_stop(job, item.checkpoint, now_ms):
             return _order('stop', job_id, item.attempt)
@@ -126,7 +126,7 @@
         if item.checkpoint <= job.checkpoint:
             return
         last_ms = self._checkpoint_ms.get(item.job_id)
-        hurried = job.state == model.EVICTING
+        hurried = job.state == states.EVICTING
         gap_ms = self._policy.checkpoint_gap_ms
         if not hurried and last_ms is not None and now_ms - last_ms < gap_ms:
             return
@@ -162,7 +162,7 @@
             return None
         if job.incarnation > report.incarnation:
             return None
-        if job.state == model.PLACED and not job.cancelled:
+        if job.state == states.PLACED and not job.cancelled:
             self._unordered.discard(key)
             return self._start(job)
         if key in self._unordered:
--- a/fuchsiatrestle/scheduling/_dispatch.py
+++ b/fuchsiatrestle/scheduling/_dispatch.py
@@ -6,6 +6,7 @@
 from fuchsiatrestle.scheduling import _holds
 from fuchsiatrestle.scheduling import _queue
 from fuchsiatrestle.state import commands
+from fuchsiatrestle.state import jobs as states
 
 __all__ = ('Dispatcher',)
 
@@ -73,7 +74,7 @@
     def refresh(self, job_id):
         """Brings the queue in step with one job of the agreed state."""
         job = self._part.jobs.get(job_id)
-        queued = job is not None and job.state == 'queued'
+        queued = job is not None and job.state == states.QUEUED
         if queued and job_id not in self._pending:
             self._queue.add(job)
             self._dirty = True
@@ -83,7 +84,9 @@
     def load(self):
         """Queues every queued job of the agreed state."""
         self._queue.load(
-            job for job in self._part.jobs.values() if job.state == 'queued'
+            job
+            for job in self._part.jobs.values()
+            if job.state == states.QUEUED
         )
 
     def need(self, job):
--- a/fuchsiatrestle/scheduling/_scheduler.py
+++ b/fuchsiatrestle/scheduling/_scheduler.py
@@ -8,6 +8,7 @@
 from fuchsiatrestle.scheduling import _policy
 from fuchsiatrestle.scheduling import _values
 from fuchsiatrestle.state import commands
+from fuchsiatrestle.state import jobs as states
 from fuchsiatrestle.state import queries
 
 __all__ = ('Scheduler',)
@@ -59,7 +60,7 @@
             return view
         lines = []
         job = self._part.jobs.get(job_id)
-        if job is not None and job.state == 'queued':
+        if job is not None and job.state == states.QUEUED:
             lines.append(self._parts.dispatcher.why(job))
         if view.reason:
             lines.append(view.reason)
--- a/fuchsiatrestle/scheduling/_victims.py
+++ b/fuchsiatrestle/scheduling/_victims.py
@@ -1,6 +1,6 @@
 """Which running attempts to evict, least work lost first."""
 
-from fuchsiatrestle.state import _jobs_model as model
+from fuchsiatrestle.state import jobs as states
 
 __all__ = ('Victims',)
 
@@ -74,7 +74,7 @@
             job.spec.idempotent
             and not job.spec.urgent
             and not job.cancelled
-            and job.state in (model.PLACED, model.RUNNING)
+            and job.state in (states.PLACED, states.RUNNING)
             and job_id not in self._evictions
             and not self._outbox.is_ending(job_id, job.attempt)
         )
