Drop headers that a Connection header names; refuse deep JSON as bad

Cause: found by reading: an entry passed on headers that concern one connection only when Connection named them, and an administration call with very deep JSON ended in 500.

Change: entry/_headers holds the one rule for both directions; admin counts a RecursionError as JSON that is not valid.

Measured: the new table rows fail on the code before (500 for 400; the header passed on), pass now; 18 tests of admin and entry pass.

--- a/fuchsiatrestle/admin/_calls.py
+++ b/fuchsiatrestle/admin/_calls.py
@@ -21,6 +21,9 @@
 _UNKNOWN_FIELD = re.compile(r'unknown field `(?P<name>[^`]*)`')
 _MISSING_FIELD = re.compile(r'missing required field `(?P<name>[^`]*)`')
 
+# Nesting deeper than the decoder's limit ends in a RecursionError.
+_NOT_JSON = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+
 
 class BadCall(Exception):
     """The call can not be carried out as sent.
@@ -62,7 +65,7 @@
     except msgspec.ValidationError as exc:
         text, field = _place(str(exc))
         raise BadCall(400, 'bad_field', text, field) from exc
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except _NOT_JSON as exc:
         raise BadCall(400, 'bad_json', str(exc)) from exc
 
 
--- a/fuchsiatrestle/entry/_callers.py
+++ b/fuchsiatrestle/entry/_callers.py
@@ -4,6 +4,7 @@
 import xxhash
 
 from fuchsiatrestle.entry import _exchange
+from fuchsiatrestle.entry import _headers
 from fuchsiatrestle import metrics
 from fuchsiatrestle.net import http
 from fuchsiatrestle import routing
@@ -125,7 +126,7 @@
         name or '',
         _flag(request, IDEMPOTENT_HEADER, idempotent),
         _number(request, PRIORITY_HEADER, LOWEST_PRIORITY),
-        _number(request, _exchange.DEADLINE_HEADER, 3600000),
+        _number(request, _headers.DEADLINE_HEADER, 3600000),
         key,
         _fingerprint(request) if key else b'',
     )
@@ -163,7 +164,7 @@
     if written and status in (429, 503):
         status = 504
     outcome = b'unknown' if written else b'not-run'
-    headers = [(_exchange.OUTCOME_HEADER, outcome)]
+    headers = [(_headers.OUTCOME_HEADER, outcome)]
     if status in (409, 429, 503):
         headers.append((b'retry-after', b'%d' % max(1, retry_after_s)))
     return http.reason_response(
--- a/fuchsiatrestle/entry/_exchange.py
+++ b/fuchsiatrestle/entry/_exchange.py
@@ -5,29 +5,13 @@
 import curio
 
 from fuchsiatrestle import daemon
+from fuchsiatrestle.entry import _headers
 from fuchsiatrestle.net import http
 from fuchsiatrestle import routing
 
 __all__ = ('Exchange', 'ForwardedRequest')
 
 STORED_BYTES = 8192
-HOP_BY_HOP = frozenset(
-    (
-        b'connection',
-        b'content-length',
-        b'expect',
-        b'keep-alive',
-        b'proxy-authenticate',
-        b'proxy-authorization',
-        b'proxy-connection',
-        b'te',
-        b'trailer',
-        b'transfer-encoding',
-        b'upgrade',
-    )
-)
-OUTCOME_HEADER = b'fuchsiatrestle-outcome'
-DEADLINE_HEADER = b'fuchsiatrestle-deadline-ms'
 
 _REFUSED_STATUSES = (429, 503)
 _REASONS = {
@@ -47,8 +31,8 @@
         self.body = request.body
         self.headers = [
             item
-            for item in request.headers
-            if item[0] not in HOP_BY_HOP and item[0] != DEADLINE_HEADER
+            for item in _headers.end_to_end(request.headers)
+            if item[0] != _headers.DEADLINE_HEADER
         ]
 
 
@@ -140,7 +124,7 @@
         left_ms = self._dispatch.deadline_ms - daemon.now_ms()
         headers = [
             *forwarded.headers,
-            (DEADLINE_HEADER, b'%d' % max(1, left_ms)),
+            (_headers.DEADLINE_HEADER, b'%d' % max(1, left_ms)),
         ]
         self._writing = True
         try:
@@ -187,7 +171,7 @@
         head = self._head
         if head.status not in _REFUSED_STATUSES:
             return False
-        return head.header(OUTCOME_HEADER) == 'not-run'
+        return head.header(_headers.OUTCOME_HEADER) == 'not-run'
 
     def _reason_of(self, exc):
         if exc.step == 'connect':
@@ -288,19 +272,11 @@
     # Answers
 
     def _kept_headers(self):
-        return [
-            item
-            for item in self._head.headers
-            if item[0] not in HOP_BY_HOP
-            or (item[0] == b'content-length' and not self._body)
-        ]
+        kept = () if self._body else (b'content-length',)
+        return _headers.end_to_end(self._head.headers, kept)
 
     def _streamed_headers(self):
-        return [
-            item
-            for item in self._head.headers
-            if item[0] not in HOP_BY_HOP or item[0] == b'content-length'
-        ]
+        return _headers.end_to_end(self._head.headers, (b'content-length',))
 
     async def next_chunk(self):
         """Returns the next bytes of a streamed answer, None at its end.
--- a/tests/admin/test_api.py
+++ b/tests/admin/test_api.py
@@ -67,6 +67,7 @@
             ('PATCH', '/v1/config', b'{}', 400, 'missing_parameter', 'base'),
             ('PATCH', PATCH, b'{', 400, 'bad_json', ''),
             ('PATCH', PATCH, b'\xff', 400, 'bad_json', ''),
+            ('PATCH', PATCH, b'[' * 100000, 400, 'bad_json', ''),
             ('PATCH', PATCH, [1], 400, 'bad_json', ''),
             ('PATCH', PATCH + 'x' * 128, {}, 400, 'bad_parameter', 'patch_id'),
             ('POST', '/v1/jobs', b'', 400, 'bad_json', ''),
--- /dev/null
+++ b/tests/entry/test_headers.py
@@ -0,0 +1,24 @@
+"""Tests of the headers that are passed on."""
+
+import unittest
+
+from fuchsiatrestle.entry import _headers
+
+RECEIVED = [
+    (b'accept', b'*/*'),
+    (b'connection', b'close, X-Trace'),
+    (b'x-trace', b'1'),
+    (b'transfer-encoding', b'chunked'),
+    (b'content-length', b'5'),
+    (b'x-other', b'2'),
+]
+
+
+class EndToEndTest(unittest.TestCase):
+    def test_drops_what_concerns_one_connection(self):
+        names = [name for name, _ in _headers.end_to_end(RECEIVED)]
+        self.assertEqual([b'accept', b'x-other'], names)
+
+    def test_keeps_the_length_on_demand(self):
+        kept = _headers.end_to_end(RECEIVED, (b'content-length',))
+        self.assertIn((b'content-length', b'5'), kept)
