Send a keep-alive only on streams that were quiet

Cause: the watch of each stream sent an empty frame every 0.4 s whatever else went out; with heartbeats and renewals those frames were a third of a leader's traffic.

Ruled out: a longer period; a silent stream must be found within a lease.

Change: a frame is prompted only if nothing was written for 0.2 s. The longest gap is 0.6 s, half of the silence limit.

--- a/fuchsiatrestle/net/_link_exchange.py
+++ b/fuchsiatrestle/net/_link_exchange.py
@@ -33,13 +33,21 @@
 class Outbox:
     """Messages that wait for one stream, and when it last moved."""
 
-    __slots__ = ('_ready', '_waiting', 'closed', 'heard_s', 'writing_since_s')
+    __slots__ = (
+        '_ready',
+        '_waiting',
+        'closed',
+        'heard_s',
+        'written_s',
+        'writing_since_s',
+    )
 
     def __init__(self, now_s):
         self._waiting = collections.deque()
         self._ready = asyncio.Event()
         self.closed = asyncio.Event()
         self.heard_s = now_s
+        self.written_s = now_s
         self.writing_since_s = None
 
     def put(self, data):
@@ -63,6 +71,10 @@
             self._ready.clear()
         return items
 
+    def is_quiet(self, now_s):
+        """True if the peer may soon take this process for silent."""
+        return now_s - self.written_s >= KEEPALIVE_S / 2
+
     def is_silent(self, now_s):
         """True if the peer neither sent nor took anything for too long."""
         oldest_s = self.heard_s
@@ -127,6 +139,7 @@
             self._outbox.writing_since_s = loop_time_s()
             await self._stream.send_message(frame)
             self._outbox.writing_since_s = None
+            self._outbox.written_s = loop_time_s()
             items = await self._outbox.take()
 
     async def _read(self):
@@ -145,7 +158,8 @@
         """
         while True:
             await asyncio.sleep(KEEPALIVE_S)
-            self._outbox.prompt()
+            if self._outbox.is_quiet(loop_time_s()):
+                self._outbox.prompt()
             if self._outbox.is_silent(loop_time_s()):
                 await asyncio.sleep(KEEPALIVE_S / 4)
             if self._outbox.is_silent(loop_time_s()):
