Follow the split of the routing core in the world of the entry tests

Change: the fake names the module that holds them; no value changes. Measured: tests.entry.test_caller_path 6 of 6 pass.

--- a/tests/fakes/entry_world.py
+++ b/tests/fakes/entry_world.py
@@ -22,9 +22,9 @@
 from fuchsiatrestle.net import http
 from fuchsiatrestle import routing
 from fuchsiatrestle.routing import _announcements
-from fuchsiatrestle.routing import _core
 from fuchsiatrestle.routing import _health
 from fuchsiatrestle.routing import _lending
+from fuchsiatrestle.routing import _peers
 from fuchsiatrestle.routing import _shares
 from fuchsiatrestle.routing import _steadiness
 from fuchsiatrestle import settings
@@ -65,8 +65,8 @@
         (_lending, 'LOAN_MS', 150),
         (_health, 'SHUN_MIN_MS', 20),
         (_health, 'SHUN_MAX_MS', 80),
-        (_core, 'FROZEN_MS', 300),
-        (_core, 'STALE_INPUT_MS', 100),
+        (_peers, 'FROZEN_MS', 300),
+        (_peers, 'STALE_INPUT_MS', 100),
     ):
         stack.enter_context(mock.patch.object(module, name, value))
     return stack
