--- a/fuchsiatrestle/agreement/__init__.py
+++ b/fuchsiatrestle/agreement/__init__.py
@@ -19,10 +19,11 @@
 * ``Accepted``, ``Rejected``, ``ReadReady``, ``RoleChanged``: answer callers.
 
 To compact, take ``replica.make_snapshot(applied_index, data)``, have the
-storage thread call ``DataFolder.save_snapshot`` with it, then step
-``Compact``.  ``errors.StorageFailed`` and ``errors.InvariantBreach`` end the
-process.  On start the state machine begins from ``folder.state.snapshot``;
-the entries behind it come again through ``Apply`` once committed.
+storage thread call ``DataFolder.save_snapshot`` with it, in order with the
+writes asked for before, then step ``Compact``.  ``errors.StorageFailed`` and
+``errors.InvariantBreach`` end the process.  On start the state machine begins
+from ``folder.state.snapshot``; the entries behind it come again through
+``Apply`` once committed.
 """
 
 from fuchsiatrestle.agreement import _events
