Show the counters of the control leader through API and ctl

Cause: counters of refusals and retries in control went to statsd only; they were to be readable through the administration API and ctl as well. Change: GetCounters is answered by the leader's process; GET /v1/control/counters and `fuchsiatrestle-ctl control counters`. Not met: followers' counters are in statsd only.

--- a/fuchsiatrestle/admin/_api.py
+++ b/fuchsiatrestle/admin/_api.py
@@ -185,6 +185,9 @@
         views = named_json.to_plain(self._local.upstreams())
         return _answers.Answer(200, {'upstreams': views})
 
+    async def _get_control_counters(self, call):
+        return await self._ask(queries.GetCounters())
+
     async def _get_counters(self, call):
         value = {
             'entry': self._local.status().entry,
--- a/fuchsiatrestle/admin/_routes.py
+++ b/fuchsiatrestle/admin/_routes.py
@@ -157,6 +157,12 @@
         'get_counters',
         'Counters and gauges of this entry since its start.',
     ),
+    Route(
+        'GET',
+        '/v1/control/counters',
+        'get_control_counters',
+        'Counters and gauges of the leading control replica.',
+    ),
     Route(
         'POST',
         '/v1/drain',
--- a/fuchsiatrestle/control/_leader.py
+++ b/fuchsiatrestle/control/_leader.py
@@ -188,8 +188,16 @@
             return self._scheduler.workers(now_ms)
         if isinstance(query, queries.GetJobReason):
             return self._scheduler.why(query.job_id)
+        if isinstance(query, queries.GetCounters):
+            return self._counters()
         return None
 
+    def _counters(self):
+        registry = metrics.default_registry
+        return queries.CounterList(
+            self._name, registry.counters(), registry.gauges()
+        )
+
     def _status(self, now_ms):
         facts = self._facts
         members = facts.members if facts else []
--- a/fuchsiatrestle/ctl/_view_commands.py
+++ b/fuchsiatrestle/ctl/_view_commands.py
@@ -89,6 +89,7 @@
     arguments = '[PREFIX]'
     summary = 'counters and gauges of the answering entry'
     path = '/v1/counters'
+    process = 'entry'
 
     def make_path(self, arguments):
         """Takes a prefix; the entry sends all names all the same."""
@@ -99,7 +100,7 @@
     def show(self, output, value, arguments):
         """Prints the names that start with the prefix."""
         prefix = arguments[0] if arguments else ''
-        rows = [('entry', value['entry'])]
+        rows = [(self.process, value[self.process])]
         for group in ('counters', 'gauges'):
             rows += [
                 (name, number)
@@ -109,6 +110,15 @@
         output.fields(rows)
 
 
+class ControlCounters(Counters):
+    """Counters and gauges of the leading control replica."""
+
+    words = ('control', 'counters')
+    summary = 'counters and gauges of the leading control replica'
+    path = '/v1/control/counters'
+    process = 'replica'
+
+
 class _Members:
     """Shows the control replicas; shared by the commands about them."""
 
@@ -223,6 +233,7 @@
     Upstreams(),
     Workers(),
     Counters(),
+    ControlCounters(),
     Drain(),
     ShowMembers(),
     AddMember(),
--- a/fuchsiatrestle/state/queries/__init__.py
+++ b/fuchsiatrestle/state/queries/__init__.py
@@ -10,8 +10,10 @@
     'ConfigDocument',
     'ConfigHistory',
     'ConfigVersion',
+    'CounterList',
     'GetConfig',
     'GetConfigHistory',
+    'GetCounters',
     'GetJob',
     'GetJobReason',
     'GetStatus',
@@ -195,6 +197,18 @@
     workers: list[WorkerView]
 
 
+class GetCounters(records.Record, tag='counters?'):
+    """Asks the leader's process for its own counters and gauges."""
+
+
+class CounterList(records.Record, tag='counters'):
+    """Counters and gauges of one control replica since its start."""
+
+    replica: str
+    counters: dict[str, int]
+    gauges: dict[str, float]
+
+
 CODEC = records.Codec(
     NotFound,
     GetConfig,
@@ -211,4 +225,6 @@
     StatusView,
     GetWorkers,
     WorkerList,
+    GetCounters,
+    CounterList,
 )
--- a/tests/admin/test_api.py
+++ b/tests/admin/test_api.py
@@ -193,6 +193,13 @@
         self.assertEqual(8, answer['upstreams'][0]['slots'])
         _, answer = self._call('GET', '/v1/counters')
         self.assertIn('refused.admin_not_found', answer['counters'])
+        self.control.answers = {
+            'GetCounters': queries.CounterList('c1', {'refused.x': 2}, {})
+        }
+        _, answer = self._call('GET', '/v1/control/counters')
+        self.assertEqual(
+            ('c1', {'refused.x': 2}), (answer['replica'], answer['counters'])
+        )
 
     def test_members(self):
         member = messages.MemberView('c1', 'i', '127.0.0.1:1', 'voter', 9, 3)
--- a/tests/ctl/test_main.py
+++ b/tests/ctl/test_main.py
@@ -127,6 +127,9 @@
                 [queries.WorkerView('w1', 'd', 'r', 'ready', 1, 5, 9, 3)]
             ),
         }
+        self.control.answers['GetCounters'] = queries.CounterList(
+            'c1', {}, {'agreement.term': 4}
+        )
         cells = (
             (('status',), '1 of 1 entries'),
             (('jobs', 'show', 'j1'), 'running'),
@@ -139,6 +142,7 @@
             (('workers',), 'w1'),
             (('upstreams',), '127.0.0.1:9001'),
             (('counters',), 'entry'),
+            (('control', 'counters'), 'agreement.term'),
         )
         for words, text in cells:
             with self.subTest(words=words):
