Evict for a tail only when it is severe

Change: with every neighbour throttled as far as it goes, a hot tail evicts only above 1.5 times the hot limit.

--- a/fuchsiatrestle/scheduling/_pressure.py
+++ b/fuchsiatrestle/scheduling/_pressure.py
@@ -16,6 +16,8 @@
 HOT_MEMORY_SHARE = 0.95
 CALM_MEMORY_SHARE = 0.9
 HOT_STRIKES = 2
+# Throttled as far as it goes, a worker evicts only above so many times hot.
+SEVERE = 1.5
 SETTLE_MS = 8_000
 CALM_MS = 20_000
 THROTTLE_FACTOR = 0.5
@@ -96,7 +98,8 @@
         if memory > HOT_MEMORY_SHARE:
             self._relieve_memory(report, now_ms)
         if cpu > HOT_CPU_SHARE or (tail or 0) > self._policy.hot_tail_ratio:
-            self._heat(state, report, now_ms)
+            severe = (tail or 0) > SEVERE * self._policy.hot_tail_ratio
+            self._heat(state, report, severe, now_ms)
         elif (
             cpu < CALM_CPU_SHARE and (tail or 1) < self._policy.calm_tail_ratio
         ):
@@ -125,7 +128,7 @@
 
     # Heat
 
-    def _heat(self, state, report, now_ms):
+    def _heat(self, state, report, severe, now_ms):
         state.calm_since_ms = None
         state.strikes += 1
         if state.strikes < HOT_STRIKES or now_ms < state.action_ms:
@@ -136,7 +139,7 @@
             self._throttle_more(state, job)
             return
         jobs = self._victims.cheapest(report.worker, now_ms)
-        if jobs:
+        if severe and jobs:
             self._evictions.begin(jobs[0], now_ms, 'pressure on the worker')
 
     def _worst(self, state, report):
