Run the daemons over TLS in a test

Cause: TLS was tested on links only; the daemons read the settings, but no run had shown them agree over it.

--- a/standins/_cluster.py
+++ b/standins/_cluster.py
@@ -69,9 +69,18 @@
         sizes: the ``Sizes``.
         log_level: level of the daemons' logs.
         relayed: True to put a relay before controls and upstreams.
+        tls_files: function from the name of a daemon to its ``TlsFiles``;
+            None for plain TCP between the daemons.
     """
 
-    def __init__(self, folder, sizes=None, log_level='info', relayed=False):
+    def __init__(
+        self,
+        folder,
+        sizes=None,
+        log_level='info',
+        relayed=False,
+        tls_files=None,
+    ):
         self.folder = folder
         self.sizes = sizes or Sizes()
         self.controls = {}
@@ -86,6 +95,7 @@
         self._relay_control = None
         self.relays = {}
         self._relay_wanted = relayed
+        self._tls_files = tls_files
         self._plan_ports()
         self._plan_processes()
 
@@ -165,6 +175,13 @@
 
     def _daemon(self, name, module, sections):
         sections['log'] = {'level': self._log_level}
+        if self._tls_files is not None:
+            files = self._tls_files(name)
+            sections['tls'] = {
+                'certificate': files.certificate,
+                'key': files.key,
+                'authority': files.authority,
+            }
         path = self.path(f'{name}.ini')
         _write_ini(path, sections)
         return _processes.Process(
--- a/tests/net/test_tls.py
+++ b/tests/net/test_tls.py
@@ -1,46 +1,35 @@
 """Tests of mutual TLS on links."""
 
-import os
 import tempfile
 import unittest
 
 import curio
-import trustme
 
 from fuchsiatrestle import errors
 from fuchsiatrestle import messages
 from fuchsiatrestle.net import link
 from fuchsiatrestle.net import tls
 from fuchsiatrestle import settings
+from tests.fakes import certificates
 from tests.fakes import ports
 
 HEARD_LIMIT_S = 30
 UNHEARD_AFTER_S = 1.5
 
 
-def _issue(folder, authority, name):
-    cert = authority.issue_cert(name)
-    paths = [os.path.join(folder, f'{name}.{kind}') for kind in ('pem', 'key')]
-    cert.cert_chain_pems[0].write_to_path(paths[0])
-    cert.private_key_pem.write_to_path(paths[1])
-    root = os.path.join(folder, f'{id(authority)}.pem')
-    authority.cert_pem.write_to_path(root)
-    return tls.TlsFiles(paths[0], paths[1], root)
-
-
 class TlsLinkTest(unittest.TestCase):
     def setUp(self):
         holder = tempfile.TemporaryDirectory()
         self.addCleanup(holder.cleanup)
         self.folder = holder.name
-        self.authority = trustme.CA()
+        self.authority = certificates.Authority(self.folder)
         self.address = settings.Address('127.0.0.1', ports.free_ports(1)[0])
 
     def _is_heard(self, sender_name, sender_files, limit_s=UNHEARD_AFTER_S):
         """Returns whether b accepts a message of a process so certified."""
 
         async def run():
-            files = _issue(self.folder, self.authority, 'b')
+            files = self.authority.issue('b')
             b = link.Link('b', 1, self.address, files)
             a = link.Link(sender_name, 1, None, sender_files)
             await b.start()
@@ -61,15 +50,15 @@
             await curio.sleep(0.05)
 
     def test_certified_name_is_heard(self):
-        files = _issue(self.folder, self.authority, 'a')
+        files = self.authority.issue('a')
         self.assertTrue(self._is_heard('a', files, HEARD_LIMIT_S))
 
     def test_other_name_than_certified_is_not_heard(self):
-        files = _issue(self.folder, self.authority, 'a')
+        files = self.authority.issue('a')
         self.assertFalse(self._is_heard('c', files))
 
     def test_foreign_authority_is_not_heard(self):
-        files = _issue(self.folder, trustme.CA(), 'a')
+        files = certificates.Authority(self.folder).issue('a')
         self.assertFalse(self._is_heard('a', files))
 
     def test_plain_tcp_is_not_heard(self):
