--- a/fuchsiatrestle/control/_daemon.py
+++ b/fuchsiatrestle/control/_daemon.py
@@ -134,7 +134,7 @@
             replica, self._link, self._state_inbox
         )
         self._storage = _storage.StorageThread(
-            folder, self._replica_task.storage_inbox.put
+            folder, self._replica_task.inbox.put
         )
         self._replica_task.attach(self._storage)
         self._storage.start()
@@ -161,7 +161,6 @@
         try:
             async with curio.TaskGroup(wait=any) as tasks:
                 await tasks.spawn(self._receive)
-                await tasks.spawn(self._replica_task.forward)
                 await tasks.spawn(self._replica_task.run)
                 await tasks.spawn(self._run_state)
                 await tasks.spawn(self._tick_replica)
--- a/fuchsiatrestle/control/_replica_task.py
+++ b/fuchsiatrestle/control/_replica_task.py
@@ -49,24 +49,13 @@
         self._storage = None
         self._facts_due_ms = 0
         self._voters = None
-        # Bounded by the replica's own limits on what it accepts.
-        self.inbox = curio.Queue()
-        self.storage_inbox = curio.UniversalQueue()
+        self.inbox = curio.UniversalQueue()
         self.role = ''
 
     def attach(self, storage):
-        """Sets the ``StorageThread`` that reports to ``storage_inbox``."""
+        """Sets the ``StorageThread`` that reports to ``inbox``."""
         self._storage = storage
 
-    async def forward(self):
-        """Moves what the storage thread reports into ``inbox``.
-
-        A queue between threads wakes the kernel through a socket; messages
-        and ticks, which are many, go without it.
-        """
-        while True:
-            await self.inbox.put(await self.storage_inbox.get())
-
     async def run(self):
         """Works until cancelled; idles once the data folder has failed."""
         broken = False
