--- a/fuchsiatrestle/entry/_callers.py
+++ b/fuchsiatrestle/entry/_callers.py
@@ -1,4 +1,4 @@
-"""Answers callers: every request gets an answer or an honest refusal."""
+"""Answers callers: each request gets an answer or a refusal."""
 
 import curio
 import xxhash
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -3,7 +3,7 @@
 Passes TCP connections on, one listener for each target.  ``POST
 /standin/relay`` with ``{"target": "c1", "mode": "cut"}`` changes what happens
 to a target, see ``MODES``.  A silent connection stays open and its bytes go
-nowhere, as when a middlebox has lost track of it.
+nowhere, as behind a middlebox that dropped its state.
 """
 
 import sys
--- a/tests/scheduling/_matrix.py
+++ b/tests/scheduling/_matrix.py
@@ -37,7 +37,7 @@
         self.step = step
         self.fault = fault
         self.reached = False
-        self.struck = None
+        self.faulted = None
         self.heal_ms = None
         self.held = []
         self._reported = {}
@@ -89,7 +89,7 @@
     def _zombie_hears(self, worker):
         return (
             self.fault == 'former leader answers'
-            and worker == self.struck
+            and worker == self.faulted
             and self.now_ms < self.heal_ms
         )
 
@@ -110,7 +110,7 @@
     def _watch(self):
         if not self.reached and STEPS[self.step](self):
             self.reached = True
-            self.struck = self.victim
+            self.faulted = self.victim
             self.heal_ms = self.now_ms + FAULT_MS
             FAULTS[self.fault](self)
 
