Give events and effects one base class

Cause: four packages each had their own class of plain data with slots. Change: core.Value; it checks the number of values, compares and prints. Three functions of the scheduler gained their doc comments.

--- a/fuchsiatrestle/agreement/_events.py
+++ b/fuchsiatrestle/agreement/_events.py
@@ -1,5 +1,7 @@
 """Events that a replica takes and effects that it asks for."""
 
+from fuchsiatrestle import core
+
 __all__ = (
     'Accepted',
     'Apply',
@@ -21,34 +23,7 @@
 )
 
 
-class _Value:
-    """Plain data with positional slots, a readable repr and equality."""
-
-    __slots__ = ()
-
-    def __init__(self, *values):
-        names = self.__slots__
-        if len(values) != len(names):
-            raise TypeError(f'{type(self).__name__} takes {names!r}')
-        for name, value in zip(names, values, strict=True):
-            setattr(self, name, value)
-
-    def _values(self):
-        return tuple(getattr(self, name) for name in self.__slots__)
-
-    def __eq__(self, other):
-        return type(self) is type(other) and self._values() == other._values()
-
-    def __repr__(self):
-        inner = ', '.join(
-            f'{name}={getattr(self, name)!r}' for name in self.__slots__
-        )
-        return f'{type(self).__name__}({inner})'
-
-    __hash__ = None
-
-
-class HardState(_Value):
+class HardState(core.Value):
     """What must be synced before it is acted on.
 
     ``vote`` is the identity voted for in ``term`` or empty; ``group`` is the
@@ -61,31 +36,31 @@
 # Events
 
 
-class Tick(_Value):
+class Tick(core.Value):
     """Time has passed; sent every few milliseconds."""
 
     __slots__ = ()
 
 
-class Received(_Value):
+class Received(core.Value):
     """A message from another replica."""
 
     __slots__ = ('sender', 'message')
 
 
-class Propose(_Value):
+class Propose(core.Value):
     """Commands to agree: ``items`` is a list of (token, bytes) pairs."""
 
     __slots__ = ('items',)
 
 
-class Synced(_Value):
+class Synced(core.Value):
     """The ``Write`` with this number, and all before it, are durable."""
 
     __slots__ = ('write_id',)
 
 
-class Compact(_Value):
+class Compact(core.Value):
     """This ``Snapshot`` is durable; drop the log that it covers.
 
     It is kept in memory to be sent to followers far behind.
@@ -94,19 +69,19 @@
     __slots__ = ('snapshot',)
 
 
-class ReadRequest(_Value):
+class ReadRequest(core.Value):
     """Asks for a linearizable read, answered by ``ReadReady``."""
 
     __slots__ = ('token',)
 
 
-class HandOver(_Value):
+class HandOver(core.Value):
     """Gives leadership away, for a planned stop."""
 
     __slots__ = ()
 
 
-class ChangeVoters(_Value):
+class ChangeVoters(core.Value):
     """Adds a learner, promotes it or removes a voter.
 
     ``change`` is ``add`` (as a learner), ``promote`` or ``remove``;
@@ -119,13 +94,13 @@
 # Effects
 
 
-class Send(_Value):
+class Send(core.Value):
     """Send a message to the replica named ``peer``; it may be lost."""
 
     __slots__ = ('peer', 'message')
 
 
-class Write(_Value):
+class Write(core.Value):
     """Make durable, then report ``Synced(write_id)``.
 
     ``hard_state`` is None if unchanged; ``truncate_from`` is None or the
@@ -135,13 +110,13 @@
     __slots__ = ('write_id', 'hard_state', 'truncate_from', 'entries')
 
 
-class Apply(_Value):
+class Apply(core.Value):
     """Apply committed entries to the state machine, in order."""
 
     __slots__ = ('entries',)
 
 
-class Restore(_Value):
+class Restore(core.Value):
     """Install a ``Snapshot`` sent by the leader.
 
     Replace folder and state machine by it in the order of the writes, then
@@ -151,13 +126,13 @@
     __slots__ = ('write_id', 'snapshot')
 
 
-class Accepted(_Value):
+class Accepted(core.Value):
     """The proposal got a place in the log; its fate is not yet known."""
 
     __slots__ = ('token', 'index', 'term')
 
 
-class Rejected(_Value):
+class Rejected(core.Value):
     """The proposal, read or change was refused and certainly not agreed.
 
     ``reason`` is ``not_leader``, ``overloaded``, ``stopping`` or
@@ -170,13 +145,13 @@
     __slots__ = ('token', 'reason', 'leader')
 
 
-class ReadReady(_Value):
+class ReadReady(core.Value):
     """The read may be answered once ``index`` is applied."""
 
     __slots__ = ('token', 'index')
 
 
-class RoleChanged(_Value):
+class RoleChanged(core.Value):
     """``role`` is ``leader``, ``follower``, ``candidate`` or ``learner``.
 
     ``ready`` is True for a leader whose first own entry is committed.
--- a/fuchsiatrestle/control/_events.py
+++ b/fuchsiatrestle/control/_events.py
@@ -5,6 +5,8 @@
 ``RoleChanged``.
 """
 
+from fuchsiatrestle import core
+
 __all__ = (
     'Call',
     'ConnectPeer',
@@ -20,44 +22,28 @@
 )
 
 
-class _Value:
-    """Plain data with positional slots."""
-
-    __slots__ = ()
-
-    def __init__(self, *values):
-        for name, value in zip(self.__slots__, values, strict=True):
-            setattr(self, name, value)
-
-    def __repr__(self):
-        inner = ', '.join(
-            f'{name}={getattr(self, name)!r}' for name in self.__slots__
-        )
-        return f'{type(self).__name__}({inner})'
-
-
 # Events of the service
 
 
-class Tick(_Value):
+class Tick(core.Value):
     """Time has passed; ``wall_ms`` is the time since the epoch."""
 
     __slots__ = ('wall_ms',)
 
 
-class Call(_Value):
+class Call(core.Value):
     """A message with a ``call_id`` from a link peer."""
 
     __slots__ = ('peer', 'message')
 
 
-class MemberFacts(_Value):
+class MemberFacts(core.Value):
     """What the replica knows of one member."""
 
     __slots__ = ('identity', 'name', 'role', 'match', 'heard_ms')
 
 
-class ReplicaFacts(_Value):
+class ReplicaFacts(core.Value):
     """State of the replica: ``members`` holds ``MemberFacts``.
 
     ``newcomers`` holds the identities that want to join.
@@ -66,7 +52,7 @@
     __slots__ = ('term', 'commit', 'members', 'newcomers')
 
 
-class StorageBroken(_Value):
+class StorageBroken(core.Value):
     """The data folder failed with ``error``; nothing is acknowledged now."""
 
     __slots__ = ('error',)
@@ -75,19 +61,19 @@
 # Effects of the service
 
 
-class Send(_Value):
+class Send(core.Value):
     """Send ``message`` to the link peer called ``peer``."""
 
     __slots__ = ('peer', 'message')
 
 
-class ToReplica(_Value):
+class ToReplica(core.Value):
     """Hand ``event`` to the replica task."""
 
     __slots__ = ('event',)
 
 
-class ConnectPeer(_Value):
+class ConnectPeer(core.Value):
     """Keep a stream to a control replica at ``address``."""
 
     __slots__ = ('name', 'address')
@@ -96,19 +82,19 @@
 # Between the replica task and the storage thread
 
 
-class TakeSnapshot(_Value):
+class TakeSnapshot(core.Value):
     """``data`` is the state after ``last_index``; save it as a snapshot."""
 
     __slots__ = ('last_index', 'data')
 
 
-class SaveSnapshot(_Value):
+class SaveSnapshot(core.Value):
     """Make an ``agreement`` snapshot durable."""
 
     __slots__ = ('snapshot',)
 
 
-class SnapshotSaved(_Value):
+class SnapshotSaved(core.Value):
     """The snapshot is durable."""
 
     __slots__ = ('snapshot',)
--- a/fuchsiatrestle/core.py
+++ b/fuchsiatrestle/core.py
@@ -7,7 +7,7 @@
 
 import abc
 
-__all__ = ('Core',)
+__all__ = ('Core', 'Value')
 
 
 class Core(abc.ABC):
@@ -25,3 +25,30 @@
         Returns:
             A list of the core's effect classes, to be carried out in order.
         """
+
+
+class Value:
+    """Plain data with positional slots: base of events and effects."""
+
+    __slots__ = ()
+
+    def __init__(self, *values):
+        names = self.__slots__
+        if len(values) != len(names):
+            raise TypeError(f'{type(self).__name__} takes {names!r}')
+        for name, value in zip(names, values, strict=True):
+            setattr(self, name, value)
+
+    def __eq__(self, other):
+        return type(self) is type(other) and self._values() == other._values()
+
+    def __repr__(self):
+        inner = ', '.join(
+            f'{name}={getattr(self, name)!r}' for name in self.__slots__
+        )
+        return f'{type(self).__name__}({inner})'
+
+    __hash__ = None
+
+    def _values(self):
+        return tuple(getattr(self, name) for name in self.__slots__)
--- a/fuchsiatrestle/membership/_events.py
+++ b/fuchsiatrestle/membership/_events.py
@@ -1,5 +1,7 @@
 """Events and effects of the configuration lease cores."""
 
+from fuchsiatrestle import core
+
 __all__ = (
     'ConfigInForce',
     'LeaseLost',
@@ -12,50 +14,34 @@
 )
 
 
-class _Value:
-    """Plain data with positional slots."""
-
-    __slots__ = ()
-
-    def __init__(self, *values):
-        for name, value in zip(self.__slots__, values, strict=True):
-            setattr(self, name, value)
-
-    def __repr__(self):
-        inner = ', '.join(
-            f'{name}={getattr(self, name)!r}' for name in self.__slots__
-        )
-        return f'{type(self).__name__}({inner})'
-
-
 # Events
 
 
-class Tick(_Value):
+class Tick(core.Value):
     """Time has passed; sent every ``TICK_MS`` or more often."""
 
     __slots__ = ()
 
 
-class Received(_Value):
+class Received(core.Value):
     """A message from the link peer called ``peer``."""
 
     __slots__ = ('peer', 'message')
 
 
-class Release(_Value):
+class Release(core.Value):
     """The entry has stopped serving and gives its lease up."""
 
     __slots__ = ()
 
 
-class LeaderReady(_Value):
+class LeaderReady(core.Value):
     """This control replica leads ``term``, its first entry is agreed."""
 
     __slots__ = ('term',)
 
 
-class VersionAgreed(_Value):
+class VersionAgreed(core.Value):
     """A configuration version was applied.
 
     ``document`` is its JSON, ``entries`` maps each entry that may serve to
@@ -69,19 +55,19 @@
 # Effects
 
 
-class Send(_Value):
+class Send(core.Value):
     """Send ``message`` to the link peer called ``peer``; it may be lost."""
 
     __slots__ = ('peer', 'message')
 
 
-class ConfigInForce(_Value):
+class ConfigInForce(core.Value):
     """``version`` with this ``document`` (JSON bytes) is now in force."""
 
     __slots__ = ('version', 'document')
 
 
-class LeaseLost(_Value):
+class LeaseLost(core.Value):
     """The lease ended; the entry must refuse callers as not run."""
 
     __slots__ = ('reason',)
--- a/fuchsiatrestle/scheduling/_pressure.py
+++ b/fuchsiatrestle/scheduling/_pressure.py
@@ -39,6 +39,7 @@
 
     @property
     def is_lowest(self):
+        """True if the throttle can not go further down."""
         return self.milli <= self.full_milli * LEAST_THROTTLE_SHARE
 
 
--- a/fuchsiatrestle/scheduling/_queue.py
+++ b/fuchsiatrestle/scheduling/_queue.py
@@ -61,6 +61,7 @@
         return bool(self._shapes)
 
     def add(self, place):
+        """Queues the place of a job."""
         keys = self._shapes.get(place.shape)
         if keys is None:
             keys = sortedcontainers.SortedList()
@@ -71,10 +72,12 @@
         self._heads.add((keys[0], place.shape))
 
     def load(self, shape, keys):
+        """Queues all places of one shape, which has none yet."""
         self._shapes[shape] = sortedcontainers.SortedList(keys)
         self._heads.add((self._shapes[shape][0], shape))
 
     def discard(self, place):
+        """Takes the place of a job out; it has to be queued."""
         keys = self._shapes[place.shape]
         self._heads.remove((keys[0], place.shape))
         keys.remove(place.key)
--- a/fuchsiatrestle/scheduling/_sizes.py
+++ b/fuchsiatrestle/scheduling/_sizes.py
@@ -57,12 +57,14 @@
         return len(self._order)
 
     def add(self, ratio):
+        """Notes one attempt's measured size over its declared."""
         self._order.append(ratio)
         self._sorted.add(ratio)
         if len(self._order) > WINDOW_ATTEMPTS:
             self._sorted.remove(self._order.popleft())
 
     def quantile(self):
+        """Returns the ratio that few attempts of the window exceed."""
         position = min(len(self._sorted) - 1, int(len(self) * QUANTILE))
         return self._sorted[position]
 
--- a/fuchsiatrestle/scheduling/_values.py
+++ b/fuchsiatrestle/scheduling/_values.py
@@ -1,5 +1,7 @@
 """Events that a scheduler takes and effects that it asks for."""
 
+from fuchsiatrestle import core
+
 __all__ = (
     'AnswerReports',
     'Applied',
@@ -11,28 +13,10 @@
 )
 
 
-class _Value:
-    __slots__ = ()
-
-    def __eq__(self, other):
-        return type(self) is type(other) and self._values() == other._values()
-
-    def __repr__(self):
-        inner = ', '.join(
-            f'{name}={getattr(self, name)!r}' for name in self.__slots__
-        )
-        return f'{type(self).__name__}({inner})'
-
-    __hash__ = None
-
-    def _values(self):
-        return tuple(getattr(self, name) for name in self.__slots__)
-
-
 # Events
 
 
-class Reports(_Value):
+class Reports(core.Value):
     """Worker reports that one entry fanned in.
 
     Attributes:
@@ -49,7 +33,7 @@
         self.reports = reports
 
 
-class Applied(_Value):
+class Applied(core.Value):
     """A command was applied to the jobs part, whoever proposed it.
 
     Attributes:
@@ -64,7 +48,7 @@
         self.outcome = outcome
 
 
-class Rejected(_Value):
+class Rejected(core.Value):
     """A ``ProposeBatch`` got no place in the log and never will.
 
     Attributes:
@@ -79,7 +63,7 @@
         self.reason = reason
 
 
-class Tick(_Value):
+class Tick(core.Value):
     """Time has passed; sent every ``Policy.tick_ms`` or more often.
 
     Attributes:
@@ -96,7 +80,7 @@
 # Effects
 
 
-class ProposeBatch(_Value):
+class ProposeBatch(core.Value):
     """Propose this command to the replicated log.
 
     Attributes:
@@ -111,7 +95,7 @@
         self.command = command
 
 
-class AnswerReports(_Value):
+class AnswerReports(core.Value):
     """Answer a ``ReportBatch`` with an ``OrderBatch``.
 
     The leadership must have been confirmed by a quorum after the ``Reports``
@@ -126,7 +110,7 @@
         self.orders = orders
 
 
-class SetGauges(_Value):
+class SetGauges(core.Value):
     """Set gauges of the process; ``values`` maps declared names."""
 
     __slots__ = ('values',)
