Show a voter that lacks the newest set as syncing, not as learner

Cause, found by running `members add` and `members remove` with ctl against daemons: the answer came from facts of before the commit and listed every voter as a learner.

Ruled out: dropping the rule that a new voter counts only once it holds the agreed entry; the repair test rests on it.

Change: facts are published when the set in force is committed; a voter that does not hold that entry is `syncing`.

--- a/fuchsiatrestle/control/_leader.py
+++ b/fuchsiatrestle/control/_leader.py
@@ -209,7 +209,7 @@
             facts.commit if facts else 0,
             self._machine.applied,
             [one.name for one in members if one.role == 'voter'],
-            [one.name for one in members if one.role == 'learner'],
+            [one.name for one in members if one.role != 'voter'],
             self._granter.version,
             running - len(lagging),
             running,
--- a/fuchsiatrestle/control/_replica_task.py
+++ b/fuchsiatrestle/control/_replica_task.py
@@ -87,8 +87,10 @@
 
     def _facts_wanted(self, effects, now_ms):
         """True if the facts are old, or somebody is about to read them."""
-        changed = self._voters is not self._replica.voters
-        self._voters = self._replica.voters
+        replica = self._replica
+        voters = (replica.voters, replica.voters_committed)
+        changed = self._voters != voters
+        self._voters = voters
         read = any(isinstance(one, agreement.ReadReady) for one in effects)
         return changed or read or now_ms >= self._facts_due_ms
 
@@ -141,6 +143,7 @@
         # A new voter counts once it holds the agreed entry that made it one:
         # before that, losing another voter can lose the quorum.
         holds = replica.voters_committed and match >= replica.voters_index
-        voter = identity in replica.voters.voters and holds
-        role = 'voter' if voter else 'learner'
+        role = 'learner'
+        if identity in replica.voters.voters:
+            role = 'voter' if holds else 'syncing'
         return _events.MemberFacts(identity, name, role, match, heard_ms)
--- a/fuchsiatrestle/messages/_control.py
+++ b/fuchsiatrestle/messages/_control.py
@@ -183,7 +183,8 @@
 
     Attributes:
         identity: made when its data folder was made.
-        role: ``voter`` or ``learner``.
+        role: ``voter``, ``learner``, or ``syncing`` for a voter that does not
+            yet hold the agreed entry of the newest set.
         match: highest log index known to be synced there.
         heard_ms: time since the leader last heard it.
     """
--- a/tests/control/_operator.py
+++ b/tests/control/_operator.py
@@ -105,14 +105,18 @@
         return version
 
     async def change_member(self, change, name):
-        """Changes the control replicas until it is accepted."""
+        """Changes the control replicas; returns the ``MembersView``."""
+        views = []
 
         async def submit():
             message = messages.ChangeMember(0, change, name)
             found = await self.entry.client.call(message, 2000)
-            return isinstance(found, result.Success)
+            if isinstance(found, result.Success):
+                views.append(found.unwrap())
+            return bool(views)
 
         await wait_for(submit, f'{change} {name}')
+        return views[-1]
 
     async def members(self):
         """Returns the ``MembersView``, None without an answer."""
--- a/tests/control/test_process_faults.py
+++ b/tests/control/test_process_faults.py
@@ -199,7 +199,11 @@
                 await operator.patch_many(3)
                 group.add('c4', (*NAMES, 'c4'), {})
                 group.processes['c4'].start()
-                await operator.change_member('add', 'c4')
+                view = await operator.change_member('add', 'c4')
+                learners = [
+                    one.name for one in view.members if one.role == 'learner'
+                ]
+                self.assertEqual(['c4'], learners)
                 await _wait_until_synced(operator, 'c4')
                 await operator.change_member('remove', 'c1')
                 view = await operator.wait_for_status(
