Let the soak wait for every entry before it reads their counters

The system itself had not failed; the soak waited for a leader through any entry only.

Ruled out: passing over an entry that does not answer; one that stays away has to be seen, and is now a breach.

Change: the phase that settles waits until every entry has the current version in force.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -120,7 +120,9 @@
     def _settle(self):
         """Waits until all is whole again and every job has ended."""
         try:
-            self.cluster.wait_for_leader()
+            control = self.cluster.wait_for_leader()
+            # A fault may have ended right before; its entry is starting.
+            self.cluster.wait_in_force(control['config_version'])
             _processes.wait_until(
                 self._all_jobs_ended, SETTLE_TIMEOUT_S, 'every job ends'
             )
