Remove a merge of patches that nothing called

Cause: ctl kept its own copy of the merge patch of state/_merge; found by reading the whole change, no caller was left. Ruled out: exporting the one of state; ctl sends patches and merges none.

--- a/fuchsiatrestle/ctl/_patch_files.py
+++ b/fuchsiatrestle/ctl/_patch_files.py
@@ -12,7 +12,7 @@
 
 from fuchsiatrestle import errors
 
-__all__ = ('from_assignments', 'from_file', 'merge')
+__all__ = ('from_assignments', 'from_file')
 
 KINDS = {'service': 'services', 'entry': 'entries', 'team': 'teams'}
 REMOVE_KEY = 'remove'
@@ -109,16 +109,3 @@
         group = patch.setdefault(KINDS[kind], {})
         group.setdefault(name, {})[key] = _parse_value(value)
     return patch
-
-
-def merge(target, patch):
-    """Returns ``target`` with a merge patch applied (RFC 7396)."""
-    if not isinstance(patch, dict):
-        return patch
-    merged = dict(target) if isinstance(target, dict) else {}
-    for key, value in patch.items():
-        if value is None:
-            merged.pop(key, None)
-        else:
-            merged[key] = merge(merged.get(key), value)
-    return merged
