List the reasons of a refused control call once

Cause: control and its client each listed the thirteen reasons; a new one had to be added twice to be counted on both sides. Change: messages.REFUSAL_REASONS beside ControlRefused; the client adds the three it finds by itself. Counters keep their names.

--- a/fuchsiatrestle/messages/_control.py
+++ b/fuchsiatrestle/messages/_control.py
@@ -4,6 +4,7 @@
 from fuchsiatrestle import records
 
 __all__ = (
+    'REFUSAL_REASONS',
     'AskQuery',
     'ChangeMember',
     'CommandOutcome',
@@ -20,6 +21,23 @@
     'ShowMembers',
 )
 
+# Every ``reason`` of a ``ControlRefused``.
+REFUSAL_REASONS = (
+    'not_leader',
+    'no_quorum',
+    'overloaded',
+    'stopping',
+    'storage_failed',
+    'bad_request',
+    'unknown',
+    'change_pending',
+    'not_ready',
+    'not_caught_up',
+    'unknown_member',
+    'known_member',
+    'last_voter',
+)
+
 
 class ProposeCommand(records.Record, tag='cp'):
     """Asks the leader to agree one command.
--- a/fuchsiatrestle/net/control_client.py
+++ b/fuchsiatrestle/net/control_client.py
@@ -43,24 +43,8 @@
 CALL_ID_BITS = 22
 INCARNATION_MASK = (1 << 40) - 1
 
-REASONS = (
-    'not_leader',
-    'no_quorum',
-    'overloaded',
-    'stopping',
-    'storage_failed',
-    'bad_request',
-    'unknown',
-    'timeout',
-    'peer_down',
-    'bad_answer',
-    'change_pending',
-    'not_ready',
-    'not_caught_up',
-    'unknown_member',
-    'known_member',
-    'last_voter',
-)
+# Reasons of control, and those that this process finds by itself.
+REASONS = messages.REFUSAL_REASONS + ('timeout', 'peer_down', 'bad_answer')
 # Refusals after which another attempt may succeed.
 _PASSING_REASONS = (
     'not_leader',
