Serve workflows on the users' platform, thin path

Cause: the product spoke only its own protocol; jobs had one task and workers were pulled. Change: state parts for workflows and whole configuration documents, a dispatcher core with a push driver port, relaying of worker announcements to the leader, open membership of control replicas, an adapter package and the deploy file. Logs go to standard output through a bounded queue; SIGHUP reloads the log level. Not yet: tests of the new parts.

--- a/fuchsiatrestle/agreement/_founding.py
+++ b/fuchsiatrestle/agreement/_founding.py
@@ -22,7 +22,8 @@
         cell: name of the cell.
         identity: the replica's own identity.
         name: its name.
-        names: names of all first members, the own one included.
+        names: names of all first members; a replica that is not one of
+            them joins and never founds.
         hello_ms: interval between two hellos.
     """
 
@@ -38,8 +39,10 @@
 
     @property
     def is_founder(self):
-        """True for the replica with the lowest name."""
-        return all(self._name < other for other in self._others)
+        """True for the first member with the lowest name."""
+        return self._name in self.names and all(
+            self._name < other for other in self._others
+        )
 
     def hello(self, group, joined):
         """Returns the hello that describes this replica."""
--- a/fuchsiatrestle/agreement/_membership.py
+++ b/fuchsiatrestle/agreement/_membership.py
@@ -151,10 +151,11 @@
         return False
 
     def _admit_newcomers(self):
-        """Admits the names of first members; others need an operator."""
+        """Admits the names of first members, and others if set so."""
         replica = self._replica
         for identity in self.newcomers():
-            if _voters.name_of(identity) not in replica.founding.names:
+            listed = _voters.name_of(identity) in replica.founding.names
+            if not listed and not replica.cfg.admit_unlisted:
                 continue
             rival = self._namesake(replica.voters.learners, identity)
             if rival and self._leader.alive(rival):
--- a/fuchsiatrestle/agreement/_settings.py
+++ b/fuchsiatrestle/agreement/_settings.py
@@ -25,9 +25,11 @@
         promote_lag: entries that a learner may lack to be promoted.
         auto_admit: True if the leader admits new identities of the first
             members by itself and lets them replace silent namesakes.
+        admit_unlisted: True if it admits others in the same way.
     """
 
     __slots__ = (
+        'admit_unlisted',
         'auto_admit',
         'chunk_bytes',
         'election_max_ms',
@@ -63,6 +65,7 @@
         kept_entries=1000,
         promote_lag=0,
         auto_admit=True,
+        admit_unlisted=False,
     ):
         self.heartbeat_ms = heartbeat_ms
         self.election_min_ms = election_min_ms
@@ -79,3 +82,4 @@
         self.kept_entries = kept_entries
         self.promote_lag = promote_lag
         self.auto_admit = auto_admit
+        self.admit_unlisted = admit_unlisted
--- a/fuchsiatrestle/control/__init__.py
+++ b/fuchsiatrestle/control/__init__.py
@@ -7,3 +7,8 @@
 - the storage thread owns the data folder and groups writes into fsyncs;
 - the state task owns the state machine and the leader's services.
 """
+
+from fuchsiatrestle.control._daemon import ControlDaemon
+from fuchsiatrestle.control._settings import SECTIONS
+
+__all__ = ('SECTIONS', 'ControlDaemon')
--- a/fuchsiatrestle/control/_daemon.py
+++ b/fuchsiatrestle/control/_daemon.py
@@ -16,9 +16,11 @@
 from fuchsiatrestle import logs
 from fuchsiatrestle import messages
 from fuchsiatrestle import metrics
+from fuchsiatrestle.net import control_client
 from fuchsiatrestle.net import link
 from fuchsiatrestle.net import tls
 from fuchsiatrestle import settings
+from fuchsiatrestle import workflows
 
 __all__ = ('ControlDaemon',)
 
@@ -36,6 +38,16 @@
     messages.ReportBatch,
     messages.ChangeMember,
     messages.ShowMembers,
+    messages.AnnounceWorker,
+    messages.WithdrawWorker,
+)
+
+_ANSWERS = (
+    messages.CommandOutcome,
+    messages.ControlRefused,
+    messages.MembersView,
+    messages.Noted,
+    messages.QueryAnswer,
 )
 
 _BETWEEN_REPLICAS = (
@@ -52,6 +64,9 @@
 MISDIRECTED = metrics.declare(
     'refused.call_misdirected', 'Messages that are not meant for control.'
 )
+UNDRIVEN = metrics.declare(
+    'refused.order_undriven', 'Orders for workers that nothing carries out.'
+)
 
 LOG = logs.get_logger(__name__)
 
@@ -63,11 +78,17 @@
         cfg: checked ``settings.Settings``.
         files: ``agreement.Files`` to reach the data folder through, None for
             the file system.
+        driver: ``workflows.Driver`` of the workers, None for none.
+
+    Attributes:
+        client: ``ControlClient`` for what runs in this process.
     """
 
-    def __init__(self, cfg, files=None):
+    def __init__(self, cfg, files=None, driver=None):
         self._cfg = cfg
         self._files = files
+        self._driver = driver
+        self._open = cfg.get('control', 'open_membership')
         self._name = cfg.get('control', 'name')
         self._peers = cfg.get('control', 'peers')
         # Bounded by ``MAX_STATE_BACKLOG`` calls and what is uncommitted.
@@ -79,9 +100,14 @@
             cfg.get('control', 'link'),
             tls.files_from_settings(cfg),
         )
+        self.client = control_client.ControlClient(
+            self._link,
+            {**self._peers, self._name: cfg.get('control', 'link')},
+            settings.Address.parse if self._open else None,
+        )
 
     def _check_peers(self):
-        if self._name not in self._peers:
+        if self._name not in self._peers and not self._open:
             raise daemon.refused_setting(
                 self._cfg, 'control', 'name', 'not listed in peers'
             )
@@ -99,9 +125,9 @@
                 self._cfg, 'control', 'link', exc.reason
             ) from exc
         self._build(folder)
-        for name, address in self._peers.items():
-            if name != self._name:
-                self._link.connect(name, address)
+        self.client.connect()
+        if self._driver is not None:
+            await self._driver.start(self._report_answer)
 
     def _open_folder(self):
         path = self._cfg.get('control', 'data_folder')
@@ -121,6 +147,7 @@
             self._name,
             self._cfg.get('control', 'snapshot_entries'),
             state.snapshot,
+            self._worker_timing(),
         )
         replica = agreement.Replica(
             self._cfg.get('control', 'cell'),
@@ -131,7 +158,7 @@
             daemon.now_ms(),
         )
         self._replica_task = _replica_task.ReplicaTask(
-            replica, self._link, self._state_inbox
+            replica, self._link, self._state_inbox, self._note_members
         )
         self._storage = _storage.StorageThread(
             folder, self._replica_task.inbox.put
@@ -152,8 +179,27 @@
             heartbeat_ms=self._cfg.get('timing', 'heartbeat_ms'),
             election_min_ms=self._cfg.get('timing', 'election_min_ms'),
             election_max_ms=self._cfg.get('timing', 'election_max_ms'),
+            admit_unlisted=self._open,
         )
 
+    def _worker_timing(self):
+        return workflows.Timing(
+            **{
+                key: self._cfg.get('workers', key)
+                for key in (
+                    'lease_ms',
+                    'longest_lease_ms',
+                    'announce_ms',
+                    'harm_ms',
+                )
+            }
+        )
+
+    def _note_members(self, names):
+        """Keeps streams to the members of the group."""
+        for name in names:
+            self.client.learn(name)
+
     # Work
 
     async def serve(self, stop_requested):
@@ -169,6 +215,8 @@
             if tasks.exception:
                 raise tasks.exception
         finally:
+            if self._driver is not None:
+                await self._driver.stop()
             await curio.run_in_thread(self._storage.stop)
             await self._link.stop()
 
@@ -176,7 +224,10 @@
         while True:
             event = await self._link.receive()
             if isinstance(event, link.Inbound):
-                await self._route(event.peer, event.message)
+                if not isinstance(event.message, _ANSWERS):
+                    await self._route(event.peer, event.message)
+                    continue
+            await self.client.handle(event)
 
     async def _route(self, peer, message):
         if isinstance(message, _BETWEEN_REPLICAS):
@@ -209,10 +260,22 @@
             self._link.send(effect.peer, effect.message)
         elif isinstance(effect, _events.ToReplica):
             await self._replica_task.inbox.put(effect.event)
+        elif isinstance(effect, _events.OrderWorker):
+            await self._order_worker(effect.order)
         elif isinstance(effect, _events.ConnectPeer):
             address = settings.Address.parse(effect.address)
             self._link.connect(effect.name, address)
 
+    async def _report_answer(self, answered):
+        await self._state_inbox.put(_events.WorkerAnswered(answered))
+
+    async def _order_worker(self, order):
+        if self._driver is None:
+            metrics.count(UNDRIVEN)
+            LOG.error('order_without_driver', extra={'worker': order.worker})
+            return
+        await self._driver.send(order)
+
     async def _tick_replica(self):
         while True:
             await curio.sleep(REPLICA_TICK_S)
--- a/fuchsiatrestle/control/_events.py
+++ b/fuchsiatrestle/control/_events.py
@@ -11,6 +11,7 @@
     'Call',
     'ConnectPeer',
     'MemberFacts',
+    'OrderWorker',
     'ReplicaFacts',
     'SaveSnapshot',
     'Send',
@@ -19,6 +20,7 @@
     'TakeSnapshot',
     'Tick',
     'ToReplica',
+    'WorkerAnswered',
 )
 
 
@@ -37,6 +39,12 @@
     __slots__ = ('peer', 'message')
 
 
+class WorkerAnswered(core.Value):
+    """A worker's answer: ``event`` is a ``workflows.Answered``."""
+
+    __slots__ = ('event',)
+
+
 class MemberFacts(core.Value):
     """What the replica knows of one member."""
 
@@ -73,6 +81,12 @@
     __slots__ = ('event',)
 
 
+class OrderWorker(core.Value):
+    """Hand a ``workflows.Order`` to the driver."""
+
+    __slots__ = ('order',)
+
+
 class ConnectPeer(core.Value):
     """Keep a stream to a control replica at ``address``."""
 
--- a/fuchsiatrestle/control/_leader.py
+++ b/fuchsiatrestle/control/_leader.py
@@ -8,6 +8,7 @@
 from fuchsiatrestle import scheduling
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import queries
+from fuchsiatrestle import workflows
 
 __all__ = (
     'ConfirmedSend',
@@ -15,6 +16,14 @@
     'OwnProposal',
 )
 
+_DISPATCHED = (
+    commands.CancelWorkflow,
+    commands.PutDocument,
+    commands.RecordProgress,
+    commands.SubmitWorkflow,
+)
+_ANNOUNCEMENTS = (messages.AnnounceWorker, messages.WithdrawWorker)
+
 ABANDON_CHECK_MS = 1000
 ABANDON_AFTER_MS = 10000
 
@@ -35,7 +44,8 @@
 
     Attributes:
         command: the command record.
-        token: token of the scheduler, None for the leader's other commands.
+        token: token of the scheduler or dispatcher, None for the leader's
+            other commands.
     """
 
     __slots__ = ('command', 'token')
@@ -65,10 +75,11 @@
         name: name of this control replica.
         term: the term it leads.
         machine: the state machine, read only.
+        timing: ``workflows.Timing``.
         now_ms: monotonic time.
     """
 
-    def __init__(self, name, term, machine, now_ms):
+    def __init__(self, name, term, machine, timing, now_ms):
         self.term = term
         self._name = name
         self._machine = machine
@@ -77,6 +88,9 @@
         self._granter.step(self._version_agreed(), now_ms)
         self._granter.step(membership.LeaderReady(term), now_ms)
         self._scheduler = scheduling.Scheduler(machine.jobs, now_ms)
+        self._dispatcher = workflows.Dispatcher(
+            machine.workflows, term, timing, now_ms
+        )
         self._abandon_check_ms = now_ms + ABANDON_CHECK_MS
         self._ended_since_ms = {}
 
@@ -89,6 +103,7 @@
     def tick(self, wall_ms, now_ms):
         """Lets time pass."""
         effects = self._schedule(scheduling.Tick(wall_ms), now_ms)
+        effects += self._dispatch(workflows.Tick(wall_ms), now_ms)
         if now_ms >= self._abandon_check_ms:
             self._abandon_check_ms = now_ms + ABANDON_CHECK_MS
             effects += self._abandon_claims(now_ms)
@@ -97,6 +112,8 @@
 
     def applied(self, command, outcome, now_ms):
         """Follows up an applied command, whoever proposed it."""
+        if isinstance(command, _DISPATCHED):
+            return self._dispatch(workflows.Applied(command), now_ms)
         effects = []
         if isinstance(command, commands.PatchConfig):
             agreed = self._version_agreed(command.patch)
@@ -109,6 +126,9 @@
         """Takes back an own proposal that certainly was not agreed."""
         if proposal.token is None:
             return []
+        if isinstance(proposal.command, commands.RecordProgress):
+            refused = workflows.Rejected(proposal.token)
+            return self._dispatch(refused, now_ms)
         event = scheduling.Rejected(proposal.token, reason)
         return self._schedule(event, now_ms)
 
@@ -125,6 +145,8 @@
         if isinstance(message, messages.ShowMembers):
             view = self.members_view(message.call_id)
             return [_events.Send(call.peer, view)]
+        if isinstance(message, _ANNOUNCEMENTS):
+            return self._announced(call, now_ms)
         event = membership.Received(call.peer, message)
         return _as_sends(self._granter.step(event, now_ms))
 
@@ -178,6 +200,32 @@
                     metrics.gauge(name, value)
         return effects
 
+    # Workflows
+
+    def worker_answered(self, event, now_ms):
+        """Takes a worker's answer to an order."""
+        return self._dispatch(event, now_ms)
+
+    def _announced(self, call, now_ms):
+        message = call.message
+        if isinstance(message, messages.AnnounceWorker):
+            event = workflows.Announced(message.announcement)
+        else:
+            event = workflows.Withdrawn(message.worker)
+        noted = messages.Noted(message.call_id, self._name)
+        sends = [_events.Send(call.peer, noted)]
+        return self._dispatch(event, now_ms) + sends
+
+    def _dispatch(self, event, now_ms):
+        effects = []
+        for effect in self._dispatcher.step(event, now_ms):
+            if isinstance(effect, workflows.Propose):
+                command = effect.command
+                effects.append(OwnProposal(command, command.token))
+            else:
+                effects.append(_events.OrderWorker(effect))
+        return effects
+
     # Queries
 
     def query(self, query, now_ms):
--- a/fuchsiatrestle/control/_replica_task.py
+++ b/fuchsiatrestle/control/_replica_task.py
@@ -40,12 +40,14 @@
         replica: the ``agreement.Replica``.
         lnk: the link.
         state_inbox: queue of the state task.
+        note_members: called with the names of all members when they change.
     """
 
-    def __init__(self, replica, lnk, state_inbox):
+    def __init__(self, replica, lnk, state_inbox, note_members):
         self._replica = replica
         self._link = lnk
         self._state_inbox = state_inbox
+        self._note_members = note_members
         self._storage = None
         self._facts_due_ms = 0
         self._voters = None
@@ -90,6 +92,9 @@
         replica = self._replica
         voters = (replica.voters, replica.voters_committed)
         changed = self._voters != voters
+        if changed:
+            members = replica.voters.members
+            self._note_members([agreement.name_of(one) for one in members])
         self._voters = voters
         read = any(isinstance(one, agreement.ReadReady) for one in effects)
         return changed or read or now_ms >= self._facts_due_ms
--- a/fuchsiatrestle/control/_service.py
+++ b/fuchsiatrestle/control/_service.py
@@ -18,6 +18,7 @@
 from fuchsiatrestle.state import machine as state_machine
 from fuchsiatrestle.state import outcomes
 from fuchsiatrestle.state import queries
+from fuchsiatrestle import workflows
 
 __all__ = ('Service',)
 
@@ -39,6 +40,9 @@
     commands.ResolveJobs,
     commands.ClaimRequests,
     commands.FinishClaims,
+    commands.PutDocument,
+    commands.SubmitWorkflow,
+    commands.CancelWorkflow,
 )
 
 
@@ -55,10 +59,12 @@
         name: name of this control replica.
         snapshot_entries: log entries between two snapshots.
         snapshot: ``agreement.Snapshot`` to start from, or None.
+        timing: ``workflows.Timing``.
     """
 
-    def __init__(self, name, snapshot_entries, snapshot=None):
+    def __init__(self, name, snapshot_entries, snapshot=None, timing=None):
         self._name = name
+        self._timing = timing or workflows.Timing()
         self._snapshot_entries = snapshot_entries
         self._machine = state_machine.StateMachine()
         self._snapshot_index = 0
@@ -80,6 +86,7 @@
             _events.ReplicaFacts: self._on_facts,
             _events.SnapshotSaved: self._on_snapshot_saved,
             _events.StorageBroken: self._on_storage_broken,
+            _events.WorkerAnswered: self._on_worker_answered,
             agreement.Apply: self._on_apply,
             agreement.Restore: self._on_restore,
             agreement.Accepted: self._on_accepted,
@@ -181,6 +188,12 @@
             self._unconfirmed = []
         self._run_leader(self._leader.tick(tick.wall_ms, self._now_ms))
 
+    def _on_worker_answered(self, answered):
+        if self._leader is not None:
+            self._run_leader(
+                self._leader.worker_answered(answered.event, self._now_ms)
+            )
+
     def _on_facts(self, facts):
         self._facts = facts
         metrics.gauge(APPLIED, self._machine.applied)
@@ -220,7 +233,7 @@
 
     def _start_leading(self, term):
         self._leader = _leader.LeaderServices(
-            self._name, term, self._machine, self._now_ms
+            self._name, term, self._machine, self._timing, self._now_ms
         )
         self._leader.note_facts(self._facts)
 
--- a/fuchsiatrestle/control/_settings.py
+++ b/fuchsiatrestle/control/_settings.py
@@ -15,6 +15,15 @@
         settings.NameOption('cell', 'main'),
         settings.TextOption('data_centre', ''),
         settings.IntOption('snapshot_entries', 2000, low=10, high=1000000),
+        # The name of each replica is then its link address.
+        settings.BoolOption('open_membership', False),
+    ),
+    settings.Section(
+        'workers',
+        settings.IntOption('lease_ms', 5000, low=500, high=60000),
+        settings.IntOption('longest_lease_ms', 6000, low=500, high=60000),
+        settings.IntOption('announce_ms', 1500, low=50, high=60000),
+        settings.IntOption('harm_ms', 4000, low=100, high=60000),
     ),
     settings.Section(
         'timing',
--- a/fuchsiatrestle/daemon.py
+++ b/fuchsiatrestle/daemon.py
@@ -11,12 +11,15 @@
 The factory is called with the checked ``settings.Settings`` and returns a
 ``Daemon``, whose ``serve`` runs in curio until the process is told to stop.
 
+SIGHUP has the settings file read again; the log level follows it.
+
 Exit status: 0 after a graceful stop, 2 for settings that can not be used,
 ``DATA_EXIT_STATUS`` for a data folder that fails, and
 ``invariants.DAEMON_EXIT_STATUS`` after a broken invariant.
 """
 
 import abc
+import functools
 import signal
 import socket
 import sys
@@ -139,25 +142,44 @@
 
 
 def _open_signal_pipe():
-    """Returns a socket that becomes readable when told to stop."""
+    """Returns a socket on which each signal arrives as a byte."""
     reader, writer = socket.socketpair()
     writer.setblocking(False)
     signal.set_wakeup_fd(writer.detach())
-    for signum in STOP_SIGNALS:
+    for signum in (*STOP_SIGNALS, signal.SIGHUP):
         signal.signal(signum, lambda received, frame: None)
     return reader
 
 
-async def _watch_signals(stop_requested):
+async def _watch_signals(stop_requested, reload):
     async with curio.io.Socket(_open_signal_pipe()) as pipe:
-        await pipe.recv(1)
+        while signum := await pipe.recv(1):
+            if signum[0] in STOP_SIGNALS:
+                break
+            reload()
     LOG.info('stop_requested')
     await stop_requested.set()
 
 
-async def _serve(daemon):
+def _reload(program):
+    """Takes from the settings file what can change in a running process.
+
+    A file that can not be used changes nothing.
+    """
+    try:
+        cfg = settings.load(_FLAGS.config, program.sections)
+    except errors.SettingsInvalid as exc:
+        LOG.error('reload_refused', extra={'error': exc.reason})
+        return
+    logs.set_level(cfg.get('log', 'level'))
+    LOG.info('reloaded', extra={'level': cfg.get('log', 'level')})
+
+
+async def _serve(daemon, reload):
     stop_requested = curio.Event()
-    watcher = await curio.spawn(_watch_signals, stop_requested, daemon=True)
+    watcher = await curio.spawn(
+        _watch_signals, stop_requested, reload, daemon=True
+    )
     try:
         await daemon.start()
         LOG.info('started')
@@ -169,7 +191,11 @@
 def _serve_until_stopped(program, cfg):
     """Returns the exit status."""
     try:
-        curio.run(_serve, program.factory(cfg))
+        curio.run(
+            _serve,
+            program.factory(cfg),
+            functools.partial(_reload, program),
+        )
     except errors.SettingsInvalid as exc:
         return _refuse(exc.reason)
     except errors.InvariantBreach as exc:
@@ -184,6 +210,7 @@
         LOG.exception('stopped_by_fault')
         return FAULT_EXIT_STATUS
     LOG.info('stopped')
+    logs.flush()
     return 0
 
 
--- a/fuchsiatrestle/messages/__init__.py
+++ b/fuchsiatrestle/messages/__init__.py
@@ -6,11 +6,13 @@
 """
 
 from fuchsiatrestle.messages import _agreement
+from fuchsiatrestle.messages import _announcements
 from fuchsiatrestle.messages import _control
 from fuchsiatrestle.messages import _frames
 from fuchsiatrestle.messages import _routing
 from fuchsiatrestle.messages import _workers
 from fuchsiatrestle.messages._agreement import *
+from fuchsiatrestle.messages._announcements import *
 from fuchsiatrestle.messages._control import *
 from fuchsiatrestle.messages._frames import *
 from fuchsiatrestle.messages._routing import *
@@ -19,6 +21,7 @@
 
 __all__ = (
     _agreement.__all__
+    + _announcements.__all__
     + _control.__all__
     + _frames.__all__
     + _routing.__all__
@@ -27,5 +30,9 @@
 )
 
 CODEC = records.Codec(
-    *_agreement.KINDS, *_control.KINDS, *_routing.KINDS, *_frames.KINDS
+    *_agreement.KINDS,
+    *_announcements.KINDS,
+    *_control.KINDS,
+    *_routing.KINDS,
+    *_frames.KINDS,
 )
--- a/fuchsiatrestle/net/_http_client.py
+++ b/fuchsiatrestle/net/_http_client.py
@@ -239,15 +239,22 @@
         self._idle = collections.deque()
         self._host = str(address).encode('ascii')
 
-    async def call(self, method, target, body=b'', headers=()):
+    async def call(self, method, target, body=b'', headers=(), timeout_s=None):
         """Returns the ``Response`` to one request.
 
+        Args:
+            method: upper-case method, text.
+            target: request target, text.
+            body: bytes.
+            headers: pairs of bytes besides Host and framing.
+            timeout_s: for this call in place of the client's own.
+
         Raises:
             HttpFailed: no whole answer in time.
         """
         conn = None
         try:
-            async with curio.timeout_after(self._timeout_s):
+            async with curio.timeout_after(timeout_s or self._timeout_s):
                 conn = await self._take()
                 response = await self._exchange(
                     conn, method, target, body, headers
--- a/fuchsiatrestle/net/control_client.py
+++ b/fuchsiatrestle/net/control_client.py
@@ -118,14 +118,18 @@
     Args:
         lnk: the ``link.Link`` of this process.
         controls: ``settings.Address`` of each control replica, by name.
+        resolve: function from the name of a replica that is not among them
+            to its ``settings.Address``; None if the list is complete.
     """
 
-    def __init__(self, lnk, controls):
+    def __init__(self, lnk, controls, resolve=None):
         self._link = lnk
         self._controls = dict(controls)
+        self._resolve = resolve
         self._names = sorted(controls)
         self._target = self._names[0]
-        self._down = set()
+        # Addresses from elsewhere may be dead from the start.
+        self._down = set(controls) - {lnk.name} if resolve else set()
         self._pending = {}
         self._last_call_id = (
             lnk.incarnation & INCARNATION_MASK
@@ -136,10 +140,26 @@
         """Name of the control replica that is asked next."""
         return self._target
 
+    @property
+    def is_connected(self):
+        """True while a stream to a control replica is up."""
+        return len(self._down) < len(self._controls)
+
     def connect(self):
         """Keeps a stream to every control replica."""
         for name, address in self._controls.items():
-            self._link.connect(name, address)
+            if name != self._link.name:
+                self._link.connect(name, address)
+
+    def learn(self, name):
+        """Adds a control replica that was not listed."""
+        if name in self._controls or self._resolve is None:
+            return
+        self._controls[name] = self._resolve(name)
+        self._names = sorted(self._controls)
+        if name != self._link.name:
+            self._down.add(name)
+            self._link.connect(name, self._controls[name])
 
     async def handle(self, event):
         """Takes an event of the link: an answer, or a peer that went away.
@@ -252,6 +272,8 @@
     async def _turn_to_next(self, refused):
         """Follows the hint at once; else waits and asks the next replica."""
         hinted = refused.leader
+        if hinted:
+            self.learn(hinted)
         if hinted in self._controls and hinted != self._target:
             self._target = hinted
             return
--- a/fuchsiatrestle/net/link.py
+++ b/fuchsiatrestle/net/link.py
@@ -99,7 +99,13 @@
         self._thread.call(self._peers.hang_up, peer)
 
     def send(self, peer, message):
-        """Sends a message; drops and counts it if the peer is away."""
+        """Sends a message; drops and counts it if the peer is away.
+
+        A message to this process itself is received like any other.
+        """
+        if peer == self.name:
+            self._put([Inbound(peer, self.incarnation, message)])
+            return
         self._unsent.append((peer, messages.CODEC.encode(message)))
         if not self._flush_scheduled:
             self._flush_scheduled = True
--- /dev/null
+++ b/fuchsiatrestle/platform/_programs.py
@@ -0,0 +1,118 @@
+"""The two daemons on the platform: the product's tasks behind its calls."""
+
+import curio
+
+from fuchsiatrestle import control
+from fuchsiatrestle import daemon
+from fuchsiatrestle import logs
+from fuchsiatrestle.net import control_client
+from fuchsiatrestle.net import http
+from fuchsiatrestle.net import link
+from fuchsiatrestle.platform import _callers
+from fuchsiatrestle.platform import _driver
+from fuchsiatrestle.platform import _operators
+from fuchsiatrestle.platform import _settings
+from fuchsiatrestle import settings
+
+__all__ = ('PROGRAMS',)
+
+MAX_BODY_BYTES = 8 * 1024 * 1024
+# Time left of the grace for the process itself to end.
+EXIT_MARGIN_S = 0.5
+
+LOG = logs.get_logger(__name__)
+
+
+class EntryDaemon(daemon.Daemon):
+    """Takes callers' requests on an edge VM.
+
+    Args:
+        cfg: checked ``settings.Settings``.
+    """
+
+    def __init__(self, cfg):
+        self._cfg = cfg
+        self._draining = False
+        address = cfg.get('platform', 'link')
+        self._link = link.Link(str(address), daemon.draw_incarnation())
+        self._client = control_client.ControlClient(
+            self._link,
+            _settings.control_peers(cfg),
+            settings.Address.parse,
+        )
+        limits = http.Limits(body_bytes=MAX_BODY_BYTES)
+        self._callers = http.Server(
+            cfg.get('platform', 'callers'),
+            _callers.CallerHandler(self._client),
+            limits,
+        )
+        self._ready = http.Server(
+            cfg.get('platform', 'ready'),
+            _callers.ReadyHandler(self._is_ready),
+        )
+
+    def _is_ready(self):
+        return not self._draining and self._client.is_connected
+
+    async def start(self):
+        """Opens the listeners."""
+        await self._link.start()
+        self._client.connect()
+        await self._callers.start()
+        await self._ready.start()
+
+    async def serve(self, stop_requested):
+        """Answers until told to stop, then finishes what is open."""
+        receiver = await curio.spawn(self._receive_forever)
+        await stop_requested.wait()
+        self._draining = True
+        lead_s = self._cfg.get('platform', 'health_lead_s')
+        grace_s = self._cfg.get('platform', 'grace_s')
+        await curio.sleep(lead_s)
+        await self._callers.stop(max(0.1, grace_s - lead_s - EXIT_MARGIN_S))
+        await self._ready.stop(0)
+        await receiver.cancel()
+        await self._link.stop()
+
+    async def _receive_forever(self):
+        while True:
+            await self._client.handle(await self._link.receive())
+
+
+class ControlDaemon(daemon.Daemon):
+    """Takes operators' and workers' calls beside a control replica.
+
+    Args:
+        cfg: checked ``settings.Settings``.
+    """
+
+    def __init__(self, cfg):
+        self._replica = control.ControlDaemon(
+            _settings.for_control_daemon(cfg), driver=_driver.HttpDriver()
+        )
+        address = cfg.get('platform', 'control')
+        self._server = http.Server(
+            address,
+            _operators.ControlHandler(self._replica.client, address.port),
+            http.Limits(body_bytes=MAX_BODY_BYTES),
+        )
+
+    async def start(self):
+        """Opens the replica, then the listener."""
+        await self._replica.start()
+        await self._server.start()
+
+    async def serve(self, stop_requested):
+        """Works until told to stop."""
+        await self._replica.serve(stop_requested)
+        await self._server.stop(0)
+
+
+PROGRAMS = {
+    'entry': daemon.Program(
+        'fuchsiatrestle-entry', _settings.ENTRY_SECTIONS, EntryDaemon
+    ),
+    'control': daemon.Program(
+        'fuchsiatrestle-control', _settings.CONTROL_SECTIONS, ControlDaemon
+    ),
+}
--- a/fuchsiatrestle/settings.py
+++ b/fuchsiatrestle/settings.py
@@ -14,6 +14,7 @@
 
 __all__ = (
     'Address',
+    'AddressListOption',
     'AddressOption',
     'BoolOption',
     'ChoiceOption',
@@ -26,6 +27,7 @@
     'Section',
     'Settings',
     'TextOption',
+    'defaults',
     'load',
 )
 
@@ -194,6 +196,14 @@
         return path
 
 
+class AddressListOption(Option):
+    """Comma or space separated ``IP:port`` items."""
+
+    def parse(self, text):
+        """Returns a list of ``Address``."""
+        return [Address.parse(item) for item in text.replace(',', ' ').split()]
+
+
 class PeerListOption(Option):
     """Space or line separated ``name=IP:port`` items."""
 
@@ -236,6 +246,10 @@
         """Returns the typed value of one key."""
         return self._values[section, key]
 
+    def extended(self, values):
+        """Returns the settings with more values, by (section, key)."""
+        return Settings(self.path, {**self._values, **values})
+
 
 def _invalid(path, section, key, value, reason):
     place = f'{path}: [{section}]'
@@ -290,6 +304,16 @@
         ) from exc
 
 
+def defaults(sections):
+    """Returns the values of the options that need not be set."""
+    return {
+        (section.name, option.name): option.default
+        for section in sections
+        for option in section.options.values()
+        if not option.required
+    }
+
+
 def load(path, sections):
     """Reads and checks a settings file.
 
--- a/fuchsiatrestle/state/commands/__init__.py
+++ b/fuchsiatrestle/state/commands/__init__.py
@@ -7,13 +7,19 @@
 from fuchsiatrestle.state.commands import _claims
 from fuchsiatrestle.state.commands import _config
 from fuchsiatrestle.state.commands import _jobs
+from fuchsiatrestle.state.commands import _workflows
 from fuchsiatrestle.state.commands._claims import *
 from fuchsiatrestle.state.commands._config import *
 from fuchsiatrestle.state.commands._jobs import *
+from fuchsiatrestle.state.commands._workflows import *
 
 __all__ = (
-    _claims.__all__ + _config.__all__ + _jobs.__all__ + ('CODEC', 'KINDS')
+    _claims.__all__
+    + _config.__all__
+    + _jobs.__all__
+    + _workflows.__all__
+    + ('CODEC', 'KINDS')
 )
 
-KINDS = _claims.KINDS + _config.KINDS + _jobs.KINDS
+KINDS = _claims.KINDS + _config.KINDS + _jobs.KINDS + _workflows.KINDS
 CODEC = records.Codec(*KINDS)
--- a/fuchsiatrestle/state/machine.py
+++ b/fuchsiatrestle/state/machine.py
@@ -5,7 +5,9 @@
 from fuchsiatrestle import records
 from fuchsiatrestle.state import _claims
 from fuchsiatrestle.state import _config
+from fuchsiatrestle.state import _documents
 from fuchsiatrestle.state import _jobs
+from fuchsiatrestle.state import _workflows
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import queries
 
@@ -23,7 +25,14 @@
 def _create_parts():
     config = _config.ConfigPart()
     jobs = _jobs.JobsPart(teams=config.team_quotas)
-    return [config, _claims.ClaimsPart(), jobs]
+    documents = _documents.DocumentsPart()
+    return [
+        config,
+        _claims.ClaimsPart(),
+        jobs,
+        documents,
+        _workflows.WorkflowsPart(documents),
+    ]
 
 
 def decode_command(entry):
@@ -77,6 +86,11 @@
         """The part with the jobs."""
         return self._parts['jobs']
 
+    @property
+    def workflows(self):
+        """The part with the workflows."""
+        return self._parts['workflows']
+
     def apply(self, index, command):
         """Applies one command.
 
--- a/fuchsiatrestle/state/outcomes.py
+++ b/fuchsiatrestle/state/outcomes.py
@@ -16,6 +16,7 @@
     'Invalid',
     'JobOutcome',
     'JobOutcomes',
+    'WorkflowOutcome',
 )
 
 
@@ -103,6 +104,20 @@
     claims: list[ClaimAnswer]
 
 
+class WorkflowOutcome(records.Record, tag='workflow'):
+    """Outcome for one workflow.
+
+    Attributes:
+        state: ``queued``, ``running``, ``completed``, ``failed`` or
+            ``cancelled``; empty if refused.
+        reason: empty, or why it was refused: ``no_document``, ``no_queue``,
+            ``no_workflow``.
+    """
+
+    state: str
+    reason: str = ''
+
+
 CODEC = records.Codec(
     Done,
     Invalid,
@@ -110,4 +125,5 @@
     ConfigConflict,
     JobOutcomes,
     ClaimOutcomes,
+    WorkflowOutcome,
 )
--- a/fuchsiatrestle/state/queries/__init__.py
+++ b/fuchsiatrestle/state/queries/__init__.py
@@ -11,9 +11,11 @@
     'ConfigHistory',
     'ConfigVersion',
     'CounterList',
+    'DocumentText',
     'GetConfig',
     'GetConfigHistory',
     'GetCounters',
+    'GetDocument',
     'GetJob',
     'GetJobReason',
     'GetStatus',
@@ -22,10 +24,13 @@
     'JobReason',
     'JobView',
     'ListJobs',
+    'LookUpPath',
     'NotFound',
+    'PendingCount',
     'StatusView',
     'WorkerList',
     'WorkerView',
+    'WorkflowState',
 )
 
 
@@ -209,6 +214,36 @@
     gauges: dict[str, float]
 
 
+class GetDocument(records.Record, tag='document?'):
+    """Asks for the configuration document."""
+
+
+class DocumentText(records.Record, tag='document'):
+    """The operator's own form of the current document, compressed."""
+
+    version: int
+    text: bytes
+
+
+class LookUpPath(records.Record, tag='path?'):
+    """Asks for what a caller's path names: a workflow or a queue."""
+
+    host: str
+    path: str
+
+
+class WorkflowState(records.Record, tag='workflow'):
+    """State of a workflow, see ``outcomes.WorkflowOutcome``."""
+
+    state: str
+
+
+class PendingCount(records.Record, tag='pending'):
+    """Workflows of a queue of which no task has started."""
+
+    pending: int
+
+
 CODEC = records.Codec(
     NotFound,
     GetConfig,
@@ -227,4 +262,9 @@
     WorkerList,
     GetCounters,
     CounterList,
+    GetDocument,
+    DocumentText,
+    LookUpPath,
+    WorkflowState,
+    PendingCount,
 )
--- /dev/null
+++ b/fuchsiatrestle/workflows/_orders.py
@@ -0,0 +1,124 @@
+"""Which orders a worker gets next."""
+
+from fuchsiatrestle.workflows import _events
+from fuchsiatrestle.workflows import _fleet
+
+__all__ = ('OrderBook',)
+
+_Phase = _fleet.Phase
+
+
+class OrderBook:
+    """Makes the orders that are due for a worker.
+
+    Args:
+        part: the state part with the workflows.
+        token: fencing token of this leader.
+        timing: ``Timing``.
+
+    Attributes:
+        token: fencing token of this leader.
+    """
+
+    def __init__(self, part, token, timing):
+        self.token = token
+        self._part = part
+        self._timing = timing
+
+    def ends_noted(self, worker):
+        """Returns the number of a worker's last end that is agreed."""
+        record = self._part.workers.get(worker.name)
+        if record is None or record.born_ms != worker.record.born_ms:
+            return 0
+        return record.ends_noted
+
+    def due(self, worker, now_ms):
+        """Returns the orders to send to a worker now."""
+        orders = []
+        for run in worker.runs.values():
+            if run.calling or now_ms < run.retry_ms:
+                continue
+            order = self._order_about(worker, run, now_ms)
+            if order is not None:
+                run.calling = True
+                orders.append(order)
+        orders += self._look(worker, now_ms)
+        return orders
+
+    def _order_about(self, worker, run, now_ms):
+        record = worker.record
+        if run.phase == _Phase.STARTING and run.started_ms is None:
+            if run.adopted and not worker.fenced:
+                return None
+            return self._start(worker, run, now_ms)
+        if run.phase == _Phase.STOPPING and run.stopped_ms is None:
+            return _events.StopRun(
+                record.worker, record.address, *run.key, self.token
+            )
+        wrong_pace = run.fills and run.pace != worker.pacing.pace
+        if run.phase == _Phase.RUNNING and wrong_pace:
+            return _events.PaceRun(
+                record.worker,
+                record.address,
+                *run.key,
+                worker.pacing.pace,
+                self.token,
+            )
+        return None
+
+    def _start(self, worker, run, now_ms):
+        until_ms = worker.clock.extend(now_ms)
+        if until_ms is None:
+            return None
+        task_id, number = run.key
+        workflow = self._part.workflow(task_id.workflow_id)
+        return _events.StartRun(
+            worker.record.worker,
+            worker.record.address,
+            task_id,
+            number,
+            workflow.spec.payload,
+            until_ms,
+            self.token,
+            workflow.tasks[task_id].checkpoint,
+            '',
+        )
+
+    # Looks
+
+    def _look(self, worker, now_ms):
+        if worker.looking or now_ms < worker.look_ms:
+            return []
+        noted = self.ends_noted(worker)
+        holds_runs = any(run.is_active for run in worker.runs.values())
+        if not holds_runs and noted <= worker.ends_told:
+            return []
+        if noted < worker.ends_taken and not self._must_renew(worker, now_ms):
+            # It would answer at once with the ends that are being agreed.
+            return []
+        worker.looking = True
+        worker.looked_ms = now_ms
+        until_ms = worker.clock.extend(now_ms) if holds_runs else None
+        return [
+            _events.LookAt(
+                worker.record.worker,
+                worker.record.address,
+                until_ms,
+                self.token,
+                noted,
+                self._wait_ms(worker, holds_runs),
+            )
+        ]
+
+    def _must_renew(self, worker, now_ms):
+        remaining_ms = worker.clock.remaining_ms(now_ms)
+        return remaining_ms < self._timing.lease_ms / 2
+
+    def _wait_ms(self, worker, holds_runs):
+        if not holds_runs or not worker.fenced:
+            return 0
+        if any(run.phase == _Phase.STOPPING for run in worker.runs.values()):
+            return self._timing.busy_look_wait_ms
+        if worker.room.serving and worker.room.filling_cpu:
+            return self._timing.busy_look_wait_ms
+        return self._timing.look_wait_ms
--- /dev/null
+++ b/fuchsiatrestle/workflows/_placement.py
@@ -0,0 +1,180 @@
+"""Choice of the worker for a task; decisions only.
+
+Answers the load of a heavy day on shared workers: room must not fragment,
+work should run near its data, and tasks that fill must not sit beside tasks
+that serve while there is another place.
+"""
+
+import abc
+
+__all__ = ('BestFit', 'FirstFit', 'Placer')
+
+# Share of the processor time reserved by serving tasks that they leave to
+# tasks that fill; the rest covers the peaks of their load.
+SERVING_LEAVES = 0.3
+
+
+class Placer(abc.ABC):
+    """Picks workers for the tasks of a group."""
+
+    def place(self, group, workers):
+        """Returns (task, worker) pairs, at most one for a waiting task.
+
+        Args:
+            group: ``Group``; for a gang all of its tasks are placed or none.
+            workers: usable workers of the service.
+        """
+        ledger = _Ledger(group.step)
+        if group.step.gang:
+            return self._place_gang(group, workers)
+        pairs = []
+        for task in group.waiting:
+            worker = self._choose(group, task, workers, ledger)
+            if worker is None:
+                break
+            ledger.take(worker)
+            pairs.append((task, worker))
+        return pairs
+
+    def _place_gang(self, group, workers):
+        for candidates in self._gang_candidates(group.step, workers):
+            ledger = _Ledger(group.step)
+            pairs = []
+            for task in group.waiting:
+                worker = self._choose(group, task, candidates, ledger)
+                if worker is None:
+                    break
+                ledger.take(worker)
+                pairs.append((task, worker))
+            if len(pairs) == group.step.count:
+                return pairs
+        return []
+
+    def _gang_candidates(self, step, workers):
+        """Yields sets of workers to try, best first."""
+        if step.one_rack:
+            racks = {}
+            for worker in workers:
+                racks.setdefault(_rack(worker), []).append(worker)
+            yield from sorted(racks.values(), key=len, reverse=True)
+        yield workers
+
+    def _choose(self, group, task, workers, ledger):
+        step = group.step
+        best = None
+        best_score = None
+        for worker in workers:
+            if not _is_allowed(step, task, worker, ledger):
+                continue
+            score = self.score(step, worker, ledger)
+            if score is None:
+                continue
+            if best_score is None or score < best_score:
+                best, best_score = worker, score
+        return best
+
+    @abc.abstractmethod
+    def score(self, step, worker, ledger):
+        """Returns a value that is lowest for the best worker, None to skip.
+
+        Args:
+            step: the ``Step``.
+            worker: a worker with room.
+            ledger: what this round has put on the workers already.
+        """
+
+
+class FirstFit(Placer):
+    """The first worker with room; the baseline of the comparisons."""
+
+    def score(self, step, worker, ledger):
+        """Returns the same value for all."""
+        return 0
+
+
+class BestFit(Placer):
+    """Near the data, apart from what it would disturb, in the tightest gap."""
+
+    def score(self, step, worker, ledger):
+        """Orders by distance, disturbance and what is left over."""
+        far = bool(step.data_rack) and step.data_rack not in _labels(worker)
+        if step.fills:
+            unused = self._unused_cpu(worker, ledger)
+            if unused < step.cpu:
+                return None
+            return far, worker.room.serving > 0, -unused
+        crowded = 0
+        if step.tail_target_ms:
+            crowded = worker.room.filling_cpu
+        left = worker.room.free_cpu - ledger.cpu(worker) - step.cpu
+        return far, crowded, left
+
+    @staticmethod
+    def _unused_cpu(worker, ledger):
+        """Returns the processor time that a task that fills could use."""
+        room = worker.room
+        serving_cpu = sum(
+            run.step.cpu for run in worker.runs.values() if run.serves
+        )
+        return (
+            room.free_cpu
+            + SERVING_LEAVES * serving_cpu
+            - room.filling_cpu
+            - ledger.cpu(worker)
+        )
+
+
+class _Ledger:
+    """What a round of placing has put on workers but not yet reserved."""
+
+    __slots__ = ('_counts', '_step')
+
+    def __init__(self, step):
+        self._step = step
+        self._counts = {}
+
+    def take(self, worker):
+        """Notes one more task of the step on a worker."""
+        self._counts[worker.name] = self.count(worker) + 1
+
+    def count(self, worker):
+        """Returns the tasks put on a worker."""
+        return self._counts.get(worker.name, 0)
+
+    def cpu(self, worker):
+        """Returns their processor time."""
+        return self.count(worker) * self._step.cpu
+
+    def memory_mb(self, worker):
+        """Returns their memory."""
+        return self.count(worker) * self._step.memory_mb
+
+    def accelerators(self, worker):
+        """Returns their accelerators."""
+        return self.count(worker) * self._step.accelerators
+
+
+def _is_allowed(step, task, worker, ledger):
+    """True if a worker may run one more task of the step."""
+    if step.label and step.label not in _labels(worker):
+        return False
+    room = worker.room
+    if step.most_per_worker:
+        present = room.count(task) + ledger.count(worker)
+        if present >= step.most_per_worker:
+            return False
+    if room.free_memory_mb < step.memory_mb + ledger.memory_mb(worker):
+        return False
+    needed = step.accelerators + ledger.accelerators(worker)
+    if room.free_accelerators < needed:
+        return False
+    return step.fills or room.free_cpu >= step.cpu + ledger.cpu(worker)
+
+
+def _labels(worker):
+    return worker.record.labels
+
+
+def _rack(worker):
+    """Returns the labels that place a worker; equal within a rack."""
+    return tuple(worker.record.labels[1:])
