Learn which images disturb which and place by it

Change: evidence by pair of images, serving tasks of one image together, one image that is not yet known at a time on a worker, an expected tail bounds placing, suspects are halted and what is known to disturb is moved.

--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -9,7 +9,9 @@
 from fuchsiatrestle.workflows import _backlog
 from fuchsiatrestle.workflows import _events
 from fuchsiatrestle.workflows import _fleet
+from fuchsiatrestle.workflows import _interference
 from fuchsiatrestle.workflows import _orders
+from fuchsiatrestle.workflows import _pacing
 from fuchsiatrestle.workflows import _placement
 from fuchsiatrestle.workflows import _progress
 
@@ -45,7 +47,8 @@
     def __init__(self, part, token, timing, now_ms, placer=None):
         self._part = part
         self._timing = timing
-        self._placer = placer or _placement.BestFit()
+        self._interference = _interference.Interference()
+        self._placer = placer or _placement.BestFit(self._interference)
         self._fleet = _fleet.Fleet(timing)
         self._backlog = _backlog.Backlog(part)
         self._progress = _progress.Progress()
@@ -407,31 +410,15 @@
             self._lose(worker, run, 'stopped_unstarted')
 
     def _control_pace(self, worker):
-        if not worker.room.filling_cpu:
-            return
-        tails = [
-            run.figure / run.step.tail_target_ms
+        running = [
+            run
             for run in worker.runs.values()
-            if run.serves and run.figure is not None
+            if run.phase == _Phase.RUNNING and run.step is not None
         ]
-        control = worker.pacing
-        before = control.pace
-        worst = max(tails, default=None)
-        control.observe(worst, self._now_ms)
-        if control.pace != before:
-            LOG.info(
-                'pace_changed',
-                extra={
-                    'worker': worker.name,
-                    'pace': control.pace,
-                    'worst': worst,
-                },
-            )
-        if control.should_move(self._now_ms):
-            control.keep_away(self._now_ms)
-            for run in worker.runs.values():
-                if run.fills and run.phase == _Phase.RUNNING:
-                    self._stop(run, 'harms')
+        if worker.pacing is None:
+            worker.pacing = _pacing.PaceControl(self._interference)
+        for run in worker.pacing.observe(running, self._now_ms):
+            self._stop(run, 'disturbs')
 
     # Settling
 
@@ -558,12 +545,6 @@
             self._place_group(group, pools[queue.pool])
 
     def _place_group(self, group, workers):
-        if group.step.fills:
-            workers = [
-                worker
-                for worker in workers
-                if worker.pacing.away_until_ms <= self._now_ms
-            ]
         for task_id, worker in self._placer.place(group, workers):
             task = group.workflow.tasks[task_id]
             live = workflows.LiveRun(
@@ -574,6 +555,9 @@
             )
             run = _fleet.Run(live, group.step, _Phase.PLACED)
             worker.add(run)
+            if run.fills and worker.pacing is not None:
+                share = group.step.cpu / worker.record.cpu
+                worker.pacing.note_added(share, self._now_ms)
             self._progress.add_placed(live)
             self._log_run(
                 'run_placed',
--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -5,7 +5,6 @@
 from fuchsiatrestle import logs
 from fuchsiatrestle.state import workflows
 from fuchsiatrestle.workflows import _clock
-from fuchsiatrestle.workflows import _pacing
 
 __all__ = ('Fleet', 'Phase', 'Room', 'Run', 'Worker', 'describe')
 
@@ -46,6 +45,7 @@
         percent: progress that the worker listed last.
         figure: tail latency or processor time that it listed last.
         pace: share of its speed that it was told last, in percent.
+        wanted_pace: share of its speed that it is to have.
     """
 
     __slots__ = (
@@ -62,6 +62,7 @@
         'step',
         'stopped_ms',
         'unsure',
+        'wanted_pace',
     )
 
     def __init__(self, live, step, phase):
@@ -78,6 +79,7 @@
         self.percent = 0
         self.figure = None
         self.pace = 100
+        self.wanted_pace = 100
 
     @property
     def key(self):
@@ -114,7 +116,8 @@
         free_memory_mb: memory not reserved, in MiB.
         free_accelerators: accelerators not reserved.
         filling_cpu: processor time wanted by runs that fill.
-        serving: number of runs with a tail target.
+        serving: number of runs with a tail target by image.
+        serving_cpu: processor time reserved by them.
     """
 
     __slots__ = (
@@ -124,6 +127,7 @@
         'free_cpu',
         'free_memory_mb',
         'serving',
+        'serving_cpu',
     )
 
     def __init__(self, record):
@@ -131,7 +135,8 @@
         self.free_memory_mb = record.memory_mb
         self.free_accelerators = record.accelerators
         self.filling_cpu = 0
-        self.serving = 0
+        self.serving = collections.Counter()
+        self.serving_cpu = 0
         self._steps = collections.Counter()
 
     def fits(self, step):
@@ -146,6 +151,10 @@
         """Returns how many tasks of the step of a task hold room."""
         return self._steps[_step_key(task)]
 
+    def serving_images(self):
+        """Returns the images of the runs with a tail target."""
+        return {image for image, count in self.serving.items() if count}
+
     def take(self, run):
         """Reserves the room of a run."""
         self._change(run, 1)
@@ -161,7 +170,9 @@
             return
         self.free_memory_mb -= sign * step.memory_mb
         self.free_accelerators -= sign * step.accelerators
-        self.serving += sign * run.serves
+        if run.serves:
+            self.serving[step.image] += sign
+            self.serving_cpu += sign * step.cpu
         if step.fills:
             self.filling_cpu += sign * step.cpu
         else:
@@ -192,7 +203,7 @@
         ends_told: number of the newest end it was told to forget.
         runs: ``Run`` by task and run number.
         room: ``Room`` that the runs hold.
-        pacing: ``PaceControl`` of the tasks that fill here.
+        pacing: ``PaceControl`` of the tasks that fill here, made when needed.
     """
 
     __slots__ = (
@@ -232,7 +243,7 @@
         self.ends_told = record.ends_noted
         self.runs = {}
         self.room = Room(record)
-        self.pacing = _pacing.PaceControl()
+        self.pacing = None
 
     @property
     def name(self):
@@ -270,6 +281,16 @@
             return False
         return now_ms - self.heard_ms <= MISSED_ANNOUNCEMENTS * announce_ms
 
+    @property
+    def serving_images(self):
+        """Images of the serving tasks here."""
+        return self.room.serving_images()
+
+    @property
+    def filling_images(self):
+        """Images of the tasks that fill here."""
+        return {run.step.image for run in self.runs.values() if run.fills}
+
     def note_answer(self):
         """Notes that it answered an order."""
         self.failures = 0
--- a/fuchsiatrestle/workflows/_orders.py
+++ b/fuchsiatrestle/workflows/_orders.py
@@ -55,13 +55,12 @@
             return _events.StopRun(
                 record.worker, record.address, *run.key, self.token
             )
-        wrong_pace = run.fills and run.pace != worker.pacing.pace
-        if run.phase == _Phase.RUNNING and wrong_pace:
+        if run.phase == _Phase.RUNNING and run.pace != run.wanted_pace:
             return _events.PaceRun(
                 record.worker,
                 record.address,
                 *run.key,
-                worker.pacing.pace,
+                run.wanted_pace,
                 self.token,
             )
         return None
@@ -119,6 +118,6 @@
             return 0
         if any(run.phase == _Phase.STOPPING for run in worker.runs.values()):
             return self._timing.busy_look_wait_ms
-        if worker.room.serving and worker.room.filling_cpu:
+        if worker.room.serving_cpu and worker.room.filling_cpu:
             return self._timing.busy_look_wait_ms
         return self._timing.look_wait_ms
--- a/fuchsiatrestle/workflows/_pacing.py
+++ b/fuchsiatrestle/workflows/_pacing.py
@@ -1,71 +1,165 @@
 """Keeps the tails of serving tasks under their targets; decisions only.
 
 Answers the interference of tasks that fill, which shifts within seconds and
-is known only from figures half a second old: they are slowed at once when a
-tail nears its target, moved away when that does not help, and let go again
-slowly.
+is known only from figures half a second old.  Those that may be the cause are
+halted at once, those that are known to be are moved away, and the others are
+let go again when the tails have calmed down.
 """
 
+from fuchsiatrestle.workflows import _interference
+
 __all__ = ('PaceControl',)
 
 FULL_PACE = 100
-# Shares of the target at which tasks that fill are slowed, halted, let go.
-SLOW_AT = 0.8
-HALT_AT = 1.0
-RELEASE_AT = 0.55
-SLOWED_BY = 0.5
-LOWEST_PACE = 15
-RELEASE_STEP = 20
+HALVED = 50
+HALTED = 0
+# Shares of the target at which suspects are halted, all are slowed, all are
+# halted, all go on.
+SUSPECT_AT = 0.85
+SLOW_AT = 0.95
+HALT_AT = 1.1
+RELEASE_AT = 0.72
+# Largest share of the target that placing one more may lead to.
+PLACE_BELOW = 0.85
+# What tasks that fill add to a tail, as a share of its target, if they use a
+# whole worker and the images go well together.
+LIGHT_EFFECT = 1.4
 # Figures cover half a second; an older pace has to show in them first.
 SETTLE_MS = 700
 # A halted task that fills is worth more elsewhere after this time.
 MOVE_AFTER_MS = 2500
-KEEP_AWAY_MS = 6000
+
+_Verdict = _interference.Verdict
 
 
 class PaceControl:
-    """Pace of the tasks that fill on one worker.
+    """Decides on the runs that fill on one worker.
 
-    Attributes:
-        pace: share of their speed, in percent.
-        away_until_ms: no task that fills is placed here before.
+    Args:
+        interference: what is known of pairs of images.
     """
 
-    __slots__ = ('_changed_ms', '_halted_ms', 'away_until_ms', 'pace')
+    __slots__ = (
+        '_added',
+        '_added_ms',
+        '_halted_ms',
+        '_interference',
+        '_slowed_ms',
+        '_worst',
+    )
 
-    def __init__(self):
-        self.pace = FULL_PACE
-        self.away_until_ms = 0
-        self._changed_ms = 0
+    def __init__(self, interference):
+        self._interference = interference
         self._halted_ms = None
+        self._slowed_ms = 0
+        self._worst = 0.0
+        self._added = 0.0
+        self._added_ms = 0
+
+    # Placing
+
+    def expected(self, share):
+        """Returns the highest tail to expect, as a share of its target.
+
+        Args:
+            share: processor time of what is to be added, as a share of the
+                worker's.
+        """
+        return self._worst + LIGHT_EFFECT * (self._added + share)
+
+    def note_added(self, share, now_ms):
+        """Notes a task that does not show in the figures yet."""
+        self._added += share
+        self._added_ms = now_ms
+
+    # Running
+
+    def observe(self, runs, now_ms):
+        """Learns from the newest figures and decides.
 
-    def observe(self, worst, now_ms):
-        """Takes the highest tail, as a share of its target; None for none."""
-        if worst is None:
-            self._set(FULL_PACE, now_ms)
-        elif worst >= HALT_AT:
-            self._set(0, now_ms)
-        elif now_ms - self._changed_ms < SETTLE_MS:
-            return
-        elif worst >= SLOW_AT:
-            lower = int(self.pace * SLOWED_BY)
-            self._set(lower if lower >= LOWEST_PACE else 0, now_ms)
-        elif worst < RELEASE_AT:
-            self._set(min(FULL_PACE, self.pace + RELEASE_STEP), now_ms)
-
-    def should_move(self, now_ms):
-        """True if halted tasks should go to another worker."""
+        Args:
+            runs: running ``Run`` values of the worker.
+            now_ms: monotonic time.
+
+        Returns:
+            The runs to be stopped; the paces wanted are set on the others.
+        """
+        filling = [run for run in runs if run.fills]
+        serving = [
+            run for run in runs if run.serves and run.figure is not None
+        ]
+        if now_ms - self._added_ms >= SETTLE_MS:
+            self._added = 0.0
+        cpu_by_image = self._cpu_by_image(filling)
+        self._worst = 0.0
+        for run in serving:
+            ratio = run.figure / run.step.tail_target_ms
+            self._worst = max(self._worst, ratio)
+            self._interference.observe(run.step.image, ratio, cpu_by_image)
+        if not filling:
+            self._halted_ms = None
+            return []
+        images = {run.step.image for run in serving}
+        self._set_paces(filling, images, now_ms)
+        return self._to_move(filling, images, now_ms)
+
+    @staticmethod
+    def _cpu_by_image(filling):
+        cpu_by_image = {}
+        for run in filling:
+            used = run.figure or 0
+            image = run.step.image
+            cpu_by_image[image] = cpu_by_image.get(image, 0) + used
+        return cpu_by_image
+
+    def _set_paces(self, filling, images, now_ms):
+        suspects = [
+            run
+            for run in filling
+            if self._verdict(images, run) != _Verdict.LIGHT
+        ]
+        if self._worst >= SUSPECT_AT and suspects:
+            self._halt(suspects, now_ms)
+        elif self._worst >= HALT_AT:
+            self._halt(filling, now_ms)
+        elif self._worst >= SLOW_AT:
+            self._slow(filling, now_ms)
+        elif self._worst < RELEASE_AT and self._settled(now_ms):
+            self._halted_ms = None
+            for run in filling:
+                run.wanted_pace = FULL_PACE
+
+    def _halt(self, runs, now_ms):
+        for run in runs:
+            run.wanted_pace = HALTED
         if self._halted_ms is None:
-            return False
-        return now_ms - self._halted_ms >= MOVE_AFTER_MS
-
-    def keep_away(self, now_ms):
-        """Notes that the tasks that fill are moved off this worker."""
-        self.away_until_ms = now_ms + KEEP_AWAY_MS
-
-    def _set(self, pace, now_ms):
-        if pace == self.pace:
-            return
-        self.pace = pace
-        self._changed_ms = now_ms
-        self._halted_ms = now_ms if pace == 0 else None
+            self._halted_ms = now_ms
+
+    def _slow(self, runs, now_ms):
+        self._slowed_ms = now_ms
+        for run in runs:
+            run.wanted_pace = min(run.wanted_pace, HALVED)
+
+    def _settled(self, now_ms):
+        changed_ms = max(self._halted_ms or 0, self._slowed_ms)
+        return now_ms - changed_ms >= SETTLE_MS
+
+    def _to_move(self, filling, images, now_ms):
+        """Returns what is known to disturb, or has been halted for long."""
+        late = (
+            self._halted_ms is not None
+            and now_ms - self._halted_ms >= MOVE_AFTER_MS
+        )
+        for run in filling:
+            if self._verdict(images, run) == _Verdict.HEAVY:
+                run.wanted_pace = HALTED
+        return [
+            run
+            for run in filling
+            if run.wanted_pace == HALTED
+            and run.pace == HALTED
+            and (late or self._verdict(images, run) == _Verdict.HEAVY)
+        ]
+
+    def _verdict(self, images, run):
+        return self._interference.worst(images, run.step.image)
--- a/fuchsiatrestle/workflows/_placement.py
+++ b/fuchsiatrestle/workflows/_placement.py
@@ -7,11 +7,14 @@
 
 import abc
 
+from fuchsiatrestle.workflows import _interference
+from fuchsiatrestle.workflows import _pacing
+
 __all__ = ('BestFit', 'FirstFit', 'Placer')
 
 # Share of the processor time reserved by serving tasks that they leave to
 # tasks that fill; the rest covers the peaks of their load.
-SERVING_LEAVES = 0.3
+SERVING_LEAVES = 0.5
 
 
 class Placer(abc.ABC):
@@ -93,32 +96,72 @@
 
 
 class BestFit(Placer):
-    """Near the data, apart from what it would disturb, in the tightest gap."""
+    """Near the data, apart from what it would disturb, in the tightest gap.
+
+    Serving tasks of one image go together, so that there are workers on which
+    a given image that fills disturbs none.
+
+    Args:
+        interference: what is known of pairs of images.
+    """
+
+    def __init__(self, interference):
+        self._interference = interference
 
     def score(self, step, worker, ledger):
         """Orders by distance, disturbance and what is left over."""
         far = bool(step.data_rack) and step.data_rack not in _labels(worker)
         if step.fills:
-            unused = self._unused_cpu(worker, ledger)
-            if unused < step.cpu:
-                return None
-            return far, worker.room.serving > 0, -unused
-        crowded = 0
+            return self._score_filling(step, worker, ledger, far)
+        mixed = 0
         if step.tail_target_ms:
-            crowded = worker.room.filling_cpu
+            mixed = self._mixed(step, worker)
         left = worker.room.free_cpu - ledger.cpu(worker) - step.cpu
-        return far, crowded, left
+        return far, mixed, left
+
+    def _score_filling(self, step, worker, ledger, far):
+        unused = self._unused_cpu(worker, ledger)
+        if unused < step.cpu:
+            return None
+        serving = worker.serving_images
+        verdict = self._interference.worst(serving, step.image)
+        if verdict == _interference.Verdict.HEAVY:
+            return None
+        if verdict == _interference.Verdict.UNKNOWN:
+            if ledger.count(worker) or self._is_trying(worker, serving):
+                return None
+        expected = 0.0
+        if serving and worker.pacing is not None:
+            added_cpu = ledger.cpu(worker) + step.cpu
+            expected = worker.pacing.expected(added_cpu / worker.record.cpu)
+            if expected > _pacing.PLACE_BELOW:
+                return None
+        return far, verdict, expected, -unused
+
+    def _is_trying(self, worker, serving):
+        """True if an image that may disturb is being tried there."""
+        return any(
+            self._interference.worst(serving, image)
+            != _interference.Verdict.LIGHT
+            for image in worker.filling_images
+        )
+
+    def _mixed(self, step, worker):
+        """Returns how ill a serving task would sit on a worker."""
+        disturbed = sum(
+            self._interference.verdict(step.image, image)
+            == _interference.Verdict.HEAVY
+            for image in worker.filling_images
+        )
+        return disturbed + len(worker.serving_images - {step.image})
 
     @staticmethod
     def _unused_cpu(worker, ledger):
         """Returns the processor time that a task that fills could use."""
         room = worker.room
-        serving_cpu = sum(
-            run.step.cpu for run in worker.runs.values() if run.serves
-        )
         return (
             room.free_cpu
-            + SERVING_LEAVES * serving_cpu
+            + SERVING_LEAVES * room.serving_cpu
             - room.filling_cpu
             - ledger.cpu(worker)
         )
