--- /dev/null
+++ b/tests/platform/test_workers.py
@@ -0,0 +1,148 @@
+"""Tests of announcements, orders and answers in the platform's form."""
+
+import json
+import unittest
+
+from fuchsiatrestle.net import http
+from fuchsiatrestle.platform import _documents
+from fuchsiatrestle.platform import _workers
+from fuchsiatrestle.state import workflows as records
+from fuchsiatrestle import workflows
+
+HEARTBEAT = {
+    'service': 's',
+    'address': '10.128.0.9:8080',
+    'zone': 'riga-a',
+    'version': 'v1',
+    'slots': 8,
+    'state': 'ready',
+    'cold_left_ms': 0,
+    'capacity': {'cpu': 16000, 'mem_mb': 32768, 'gpu': 0},
+    'labels': ['a', 'r1-3'],
+    'clock_ms': 482113,
+    'sequence': 4,
+    'born': 17,
+}
+TASK = records.TaskId('5c0e7a21d94b36f8', 0, 1, 17)
+NAME = '5c0e7a21d94b36f8.0.1.17'
+START = workflows.StartRun(
+    'i-1', '10.128.0.9:8080', TASK, 2, 'text', 486000, 7, 'saved', ''
+)
+LOOK = workflows.LookAt('i-1', '10.128.0.9:8080', None, 7, 57, 1000)
+
+
+def _reply(status, value, order=LOOK):
+    return _workers.decode_reply(order, http.json_response(status, value))
+
+
+class AnnouncementTest(unittest.TestCase):
+    def test_decoded(self):
+        said = _workers.decode_announcement('i-1', json.dumps(HEARTBEAT))
+        self.assertEqual(('i-1', 17, 4), (said.worker, said.born_ms, 4))
+        self.assertEqual((16000, 32768, 0), (said.cpu, said.memory_mb, 0))
+        self.assertEqual(482113, said.clock_ms)
+
+    def test_foreign_writers_name_no_worker(self):
+        wrong = (
+            {'state': 'asleep'},
+            {'address': 'nowhere'},
+            {'address': 5},
+            {'sequence': 'x'},
+            {'capacity': 'large'},
+            {'labels': None},
+        )
+        for change in wrong:
+            with self.subTest(change=change):
+                body = json.dumps({**HEARTBEAT, **change})
+                with self.assertRaises(_documents.BodyInvalid):
+                    _workers.decode_announcement('i-1', body)
+        for body in (b'', b'\xff\xfe', b'{"service":"s"}', b'[' * 99999):
+            with self.assertRaises(_documents.BodyInvalid):
+                _workers.decode_announcement('i-1', body)
+
+
+class OrderTest(unittest.TestCase):
+    def test_start(self):
+        path, body = _workers.encode_order(START)
+        self.assertEqual('/run-start', path)
+        self.assertEqual(
+            {
+                'task': NAME,
+                'run_id': 2,
+                'task_spec': 'text',
+                'until_ms': 486000,
+                'fencing_token': 7,
+                'checkpoint': 'saved',
+            },
+            json.loads(body),
+        )
+
+    def test_look_without_a_lease(self):
+        path, body = _workers.encode_order(LOOK)
+        self.assertEqual('/hold', path)
+        self.assertEqual(
+            {'fencing_token': 7, 'last_seen': 57, 'wait_ms': 1000},
+            json.loads(body),
+        )
+
+    def test_stop_and_pace(self):
+        stop = workflows.StopRun('i-1', 'x', TASK, 2, 7)
+        pace = workflows.PaceRun('i-1', 'x', TASK, 2, 40, 7)
+        self.assertEqual('/run-stop', _workers.encode_order(stop)[0])
+        path, body = _workers.encode_order(pace)
+        self.assertEqual('/pace', path)
+        self.assertEqual(40, json.loads(body)['percent'])
+
+
+class ReplyTest(unittest.TestCase):
+    def test_rows_of_a_look(self):
+        reply = _reply(
+            200,
+            {
+                'clock_ms': 5,
+                'born': 17,
+                'running': [[NAME, 2, 'saved', 41, 12], [NAME, 3, '', 0]],
+                'ended': [[58, NAME, 1, 'done', '']],
+            },
+        )
+        self.assertEqual(workflows.Verdict.ACCEPTED, reply.verdict)
+        self.assertEqual((5, 17), (reply.clock_ms, reply.born_ms))
+        self.assertEqual([12, None], [row.figure for row in reply.running])
+        self.assertEqual(
+            [workflows.EndRow(58, TASK, 1, 'done', '')], reply.ends
+        )
+
+    def test_reasons_of_a_refusal(self):
+        verdict = workflows.Verdict
+        expected = {
+            'fence': verdict.FENCED,
+            'old': verdict.OUTDATED,
+            'late': verdict.TOO_LATE,
+            'room': verdict.NO_ROOM,
+            'ticket': verdict.NO_TICKET,
+            'new reason': verdict.INVALID,
+        }
+        for reason, wanted in expected.items():
+            found = _reply(409, {'clock_ms': 1, 'reason': reason}, START)
+            self.assertEqual(wanted, found.verdict)
+        self.assertEqual(verdict.OTHER_LIFE, _reply(421, {}).verdict)
+        self.assertEqual(verdict.UNHEALTHY, _reply(503, {}).verdict)
+        self.assertEqual(verdict.SILENT, _reply(500, {}).verdict)
+
+    def test_unreadable_answers_count_as_none(self):
+        bodies = (
+            {'running': [['x']]},
+            {'running': [5]},
+            {'ended': [[1, 'name', 1, 'done', '']]},
+            {'ended': [[1, NAME, 1, 'evaporated', '']]},
+            {'clock_ms': 'noon'},
+        )
+        for body in bodies:
+            with self.subTest(body=body):
+                with self.assertLogs(level='WARNING'):
+                    verdict = _reply(200, body).verdict
+                self.assertEqual(workflows.Verdict.SILENT, verdict)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/state/test_workflows.py
@@ -0,0 +1,234 @@
+"""Tests of the agreed workflows and documents."""
+
+import unittest
+
+from fuchsiatrestle import errors
+from fuchsiatrestle.state import commands
+from fuchsiatrestle.state import machine
+from fuchsiatrestle.state import outcomes
+from fuchsiatrestle.state import queries
+from fuchsiatrestle.state import workflows
+
+HOST = 'shop.example'
+WORKER = workflows.WorkerRecord(
+    'w1', 5, '10.0.0.1:80', 'pool', 'dc', 8000, 8000, 0, ['a', 'r1']
+)
+
+
+def _queue(name='quick', prefix='/quick/', failures=2):
+    return workflows.Queue(
+        name, HOST, prefix, 'pool', 0, failures, 1.5, 250, 3000
+    )
+
+
+def _document(version, *queues):
+    pools = [workflows.Pool('pool', False)]
+    return commands.PutDocument(
+        workflows.Document(version, list(queues), pools), b'text%d' % version
+    )
+
+
+def _task(index=0, step=0, occurrence=0, name='a'):
+    return workflows.TaskId(name, occurrence, step, index)
+
+
+class WorkflowsTest(unittest.TestCase):
+    def setUp(self):
+        self.machine = machine.StateMachine()
+        self.part = self.machine.workflows
+        self.ends = 0
+        self._apply(_document(1, _queue()))
+        self._apply(commands.RecordProgress(1, 10, workers=[WORKER]))
+
+    def _apply(self, command):
+        return self.machine.apply(self.machine.applied + 1, command)
+
+    def _submit(self, *steps, name='a', **fields):
+        spec = workflows.WorkflowSpec('text', list(steps), **fields)
+        return self._apply(
+            commands.SubmitWorkflow(HOST, f'/quick/{name}', spec, 10)
+        )
+
+    def _place(self, task, run=1):
+        live = workflows.LiveRun(task, run, 'w1', 5)
+        self._apply(commands.RecordProgress(1, 10, placed=[live]))
+
+    def _end(self, task, run=1, how='done', checkpoint='', number=None):
+        self.ends = number or self.ends + 1
+        end = commands.RunEnd('w1', 5, self.ends, task, run, how, checkpoint)
+        self._apply(commands.RecordProgress(1, 10, ends=[end]))
+
+    def _look_up(self, path):
+        return self.machine.query(queries.LookUpPath(HOST, path))
+
+    def _state(self, name='a'):
+        return self._look_up(f'/quick/{name}').state
+
+    # Submission
+
+    def test_resend_is_the_same_workflow(self):
+        step = workflows.Step(1)
+        first = self._submit(step)
+        self._place(_task())
+        again = self._submit(step)
+        self.assertEqual('queued', first.state)
+        self.assertEqual('running', again.state)
+        self._end(_task())
+        self.assertEqual('completed', self._submit(step).state)
+        self.assertFalse(self.part.open_workflows)
+
+    def test_refused_without_queue_or_document(self):
+        spec = workflows.WorkflowSpec('', [workflows.Step(1)])
+        command = commands.SubmitWorkflow(HOST, '/other/a', spec, 10)
+        self.assertEqual('no_queue', self._apply(command).reason)
+        fresh = machine.StateMachine()
+        self.assertEqual('no_document', fresh.apply(1, command).reason)
+        self.assertEqual(
+            queries.NotFound('document'),
+            fresh.query(queries.LookUpPath(HOST, '/quick/')),
+        )
+
+    def test_pending_counts_what_has_not_started(self):
+        self._submit(workflows.Step(1), name='a')
+        self._submit(workflows.Step(1), name='b')
+        self._place(_task(name='b'))
+        self.assertEqual(queries.PendingCount(1), self._look_up('/quick/'))
+        self.assertEqual(
+            queries.NotFound('workflow'), self._look_up('/quick/c')
+        )
+        self.assertEqual(queries.NotFound('queue'), self._look_up('/slow/'))
+
+    # Runs
+
+    def test_one_live_run_a_task(self):
+        self._submit(workflows.Step(1))
+        self._place(_task(), 1)
+        self._place(_task(), 2)
+        self.assertEqual([1], [run.run for run in self.part.live_runs()])
+
+    def test_lost_run_leaves_its_checkpoint(self):
+        self._submit(workflows.Step(1, checkpoints=True))
+        self._place(_task())
+        lost = commands.RunLost(_task(), 1, 'half', 'lease_over')
+        self._apply(commands.RecordProgress(1, 10, lost=[lost]))
+        task = self.part.workflow('a').tasks[_task()]
+        self.assertEqual(('half', {}), (task.checkpoint, task.live))
+        self._place(_task(), 2)
+        self.assertTrue(self.part.is_live(_task(), 2))
+
+    def test_end_listed_twice_counts_once(self):
+        self._submit(workflows.Step(1))
+        self._place(_task())
+        self._end(_task(), how='failed', number=1)
+        self._end(_task(), how='failed', number=1)
+        task = self.part.workflow('a').tasks[_task()]
+        self.assertEqual(1, task.failures)
+        self.assertEqual(1, self.part.workers['w1'].ends_noted)
+
+    def test_fails_after_the_allowed_failures(self):
+        self._submit(workflows.Step(1))
+        for run in (1, 2):
+            self.assertEqual(
+                'running' if run == 2 else 'queued', self._state()
+            )
+            self._place(_task(), run)
+            self._end(_task(), run, 'failed')
+        self.assertEqual('failed', self._state())
+
+    def test_lasting_task_never_fails_its_workflow(self):
+        self._submit(workflows.Step(1, lasts=True))
+        for run in range(1, 6):
+            self._place(_task(), run)
+            self._end(_task(), run, 'failed')
+        self.assertEqual('running', self._state())
+
+    def test_step_waits_for_all_tasks_before_it(self):
+        self._submit(workflows.Step(2), workflows.Step(1, after=[0]))
+        workflow = self.part.workflow('a')
+        for index in (0, 1):
+            self.assertFalse(workflow.is_step_free(0, 1))
+            self._place(_task(index))
+            self._end(_task(index))
+        self.assertTrue(workflow.is_step_free(0, 1))
+        self.assertEqual('running', self._state())
+
+    def test_gang_is_done_together(self):
+        self._submit(workflows.Step(3, gang=True))
+        for index in range(3):
+            self._place(_task(index))
+        self._end(_task(1))
+        self.assertEqual('completed', self._state())
+        self.assertEqual([], self.part.live_runs())
+
+    def test_occurrences_are_all_owed(self):
+        self._submit(
+            workflows.Step(1), occurrences=2, first_due_ms=50, interval_ms=5
+        )
+        self._place(_task())
+        self._end(_task())
+        self.assertEqual('running', self._state())
+        self._place(_task(occurrence=1))
+        self._end(_task(occurrence=1))
+        self.assertEqual('completed', self._state())
+
+    def test_cancelled_workflow_places_nothing(self):
+        self._submit(workflows.Step(2))
+        self._place(_task(0))
+        cancel = commands.CancelWorkflow(HOST, '/quick/a')
+        self.assertEqual('cancelled', self._apply(cancel).state)
+        self._place(_task(1))
+        self.assertEqual(1, len(self.part.live_runs()))
+        unknown = commands.CancelWorkflow(HOST, '/quick/b')
+        self.assertEqual('no_workflow', self._apply(unknown).reason)
+
+    def test_end_before_the_agreed_loss_still_counts(self):
+        self._submit(workflows.Step(1))
+        self._place(_task())
+        lost = commands.RunLost(_task(), 1, '', 'lease_over')
+        self._apply(commands.RecordProgress(1, 10, lost=[lost]))
+        self._end(_task())
+        self.assertEqual('completed', self._state())
+
+    # Documents
+
+    def test_highest_version_stays(self):
+        self._apply(_document(7, _queue(), _queue('slow', '/quick/slow/')))
+        answer = self._apply(_document(3, _queue()))
+        self.assertEqual(outcomes.ConfigAccepted(7, True), answer)
+        self.assertEqual(
+            queries.DocumentText(7, b'text7'),
+            self.machine.query(queries.GetDocument()),
+        )
+        self.assertEqual(
+            queries.PendingCount(0), self._look_up('/quick/slow/')
+        )
+
+    def test_queue_taken_out_keeps_its_terms_for_what_it_has(self):
+        self._submit(workflows.Step(1))
+        self._apply(_document(2))
+        workflow = self.part.workflow('a')
+        self.assertEqual('pool', self.part.queue_of(workflow).pool)
+        self.assertEqual(queries.NotFound('queue'), self._look_up('/quick/a'))
+
+    # Snapshots
+
+    def test_snapshot_restores_everything(self):
+        self._submit(workflows.Step(2, checkpoints=True), workflows.Step(1))
+        self._place(_task(0))
+        self._end(_task(0), how='stopped', checkpoint='half')
+        self._place(_task(0), 2)
+        other = machine.StateMachine()
+        other.restore(self.machine.snapshot())
+        self.assertEqual(self.machine.snapshot(), other.snapshot())
+        part = other.workflows
+        self.assertEqual('half', part.workflow('a').tasks[_task()].checkpoint)
+        self.assertTrue(part.is_live(_task(), 2))
+        self.assertEqual(['a'], list(part.open_workflows))
+
+    def test_damaged_snapshot_is_refused(self):
+        with self.assertRaises(errors.DataDamaged):
+            machine.StateMachine().restore(b'no snapshot')
+
+
+if __name__ == '__main__':
+    unittest.main()
