--- /dev/null
+++ b/tests/platform/_deployment.py
@@ -0,0 +1,215 @@
+"""Both programs of the platform on loopback, with settings of their own."""
+
+import json
+import os
+
+import curio
+
+from fuchsiatrestle.net import http
+from fuchsiatrestle import settings
+from standins import _ports
+from standins import _processes
+from standins import platform_fleet
+
+__all__ = ('HOST', 'PREFIX', 'Deployment', 'configuration')
+
+HOST = 'shop.example'
+PREFIX = '/queue/'
+SERVICE = 'pool'
+START_TIMEOUT_S = 20.0
+CALL_TIMEOUT_S = 4.0
+
+_CONTROL = """\
+[platform]
+seeds = {seeds}
+link = {host}:{link}
+control = {host}:{control}
+data_folder = {folder}
+
+[workers]
+announce_ms = 500
+"""
+_ENTRY = """\
+[platform]
+seeds = {seeds}
+link = {host}:{link}
+callers = {host}:{control}
+ready = {host}:{ready}
+grace_s = 3
+health_lead_s = 0.2
+"""
+
+
+def configuration(version, **route):
+    """Returns a configuration with one queue."""
+    queue = {
+        'name': 'r',
+        'host': HOST,
+        'path_prefix': PREFIX,
+        'route_kind': 'non_idempotent',
+        'timeout_ms': 3000,
+        'target_latency_ms': 250,
+        'priority': 0,
+        'service': SERVICE,
+        'max_attempts': 3,
+        'stretch': 1.5,
+        **route,
+    }
+    service = {'name': SERVICE, 'admission_check': False}
+    return {'version': version, 'routes': [queue], 'services': [service]}
+
+
+class Deployment:
+    """Control daemons, one entry and a fleet of workers.
+
+    Args:
+        folder: where settings, data and logs go.
+        size_of: function from a task name to its ``worker_model.Size``.
+        controls: number of control daemons.
+        seeds: how many of them the settings name.
+        workers: number of workers.
+    """
+
+    def __init__(self, folder, size_of, controls=3, seeds=3, workers=4):
+        link, control, ready, worker = _ports.free_ports(4)
+        self._folder = folder
+        self._ports = {'link': link, 'control': control, 'ready': ready}
+        self.hosts = [f'127.0.7.{number + 1}' for number in range(controls)]
+        self._seeds = ','.join(
+            f'{host}:{control}' for host in self.hosts[:seeds]
+        )
+        self.controls = {
+            host: self._program('control', host, _CONTROL)
+            for host in self.hosts
+        }
+        self.entry = self._program('entry', '127.0.8.1', _ENTRY)
+        self._front = settings.Address('127.0.8.1', control)
+        self.fleet = platform_fleet.Fleet(
+            SERVICE,
+            [self.address(host) for host in self.hosts],
+            [
+                settings.Address(f'127.0.9.{number + 1}', worker)
+                for number in range(workers)
+            ],
+            size_of,
+        )
+
+    def address(self, host):
+        """Returns the control address of a daemon."""
+        return settings.Address(host, self._ports['control'])
+
+    def _program(self, role, host, text):
+        folder = os.path.join(self._folder, f'{host}.data')
+        os.makedirs(folder, exist_ok=True)
+        path = os.path.join(self._folder, f'{host}.ini')
+        with open(path, 'w', encoding='utf-8') as stream:
+            stream.write(
+                text.format(
+                    seeds=self._seeds, host=host, folder=folder, **self._ports
+                )
+            )
+        return _processes.Process(
+            host,
+            'fuchsiatrestle.platform',
+            [role, f'--config={path}'],
+            self._folder,
+        )
+
+    async def start(self):
+        """Starts everything; returns when the entry is ready."""
+        for process in (*self.controls.values(), self.entry):
+            process.start()
+        await self.fleet.start()
+        await self.until(self._is_ready, 'an entry that is ready')
+
+    async def stop(self):
+        """Stops the fleet; returns the exit statuses of the programs."""
+        await self.fleet.stop()
+        programs = [*self.controls.values(), self.entry]
+        running = [one for one in programs if one.running]
+        for one in running:
+            one.ask_to_stop()
+        return [await curio.run_in_thread(one.wait) for one in running]
+
+    async def _is_ready(self):
+        address = settings.Address('127.0.8.1', self._ports['ready'])
+        client = http.Client(address, 1.0)
+        try:
+            return (await client.call('GET', '/ready')).status == 200
+        except http.HttpFailed:
+            return False
+        finally:
+            client.close()
+
+    async def until(self, condition, what, timeout_s=START_TIMEOUT_S):
+        """Waits for an asynchronous condition; fails the test if late."""
+        try:
+            async with curio.timeout_after(timeout_s):
+                while not await condition():
+                    await curio.sleep(0.05)
+        except curio.TaskTimeout as exc:
+            raise AssertionError(f'not within {timeout_s} s: {what}') from exc
+
+    # Calls
+
+    async def submit(self, name, steps):
+        """Submits until there is a clear answer; returns the status."""
+        job = {'task_spec': 'text', 'steps': steps}
+        while True:
+            status, _ = await self.caller('POST', PREFIX + name, job)
+            if status not in (0, 502, 503, 504):
+                return status
+            await curio.sleep(0.2)
+
+    async def caller(self, method, path, value=None):
+        """Makes one call; status 0 stands for no answer."""
+        conn = None
+        body = b'' if value is None else json.dumps(value).encode()
+        headers = [
+            (b'host', HOST.encode()),
+            (b'content-type', b'application/json'),
+        ]
+        try:
+            async with curio.timeout_after(CALL_TIMEOUT_S):
+                conn = await http.ClientConnection.open(self._front)
+                await conn.send(method, path, headers, body)
+                head = await conn.receive_head()
+                data = bytearray()
+                while (chunk := await conn.receive_chunk()) is not None:
+                    data += chunk
+        except (http.HttpFailed, curio.TaskTimeout):
+            return 0, None
+        finally:
+            if conn is not None:
+                conn.close()
+        return head.status, json.loads(data) if data else None
+
+    async def operator(self, host, method, path, value=None):
+        """Calls a control daemon; returns status and body, 0 for none."""
+        client = http.Client(self.address(host), CALL_TIMEOUT_S)
+        try:
+            return await client.call_json(method, path, value)
+        except http.HttpFailed:
+            return 0, None
+        finally:
+            client.close()
+
+    async def put(self, value):
+        """Sends a configuration to each daemon in turn until taken."""
+        for attempt in range(200):
+            host = self.hosts[attempt % len(self.hosts)]
+            status, _ = await self.operator(host, 'POST', '/config/put', value)
+            if status == 200:
+                return
+            await curio.sleep(0.1)
+        raise AssertionError('configuration not acknowledged')
+
+    def leader(self):
+        """Returns the host of the replica that said last that it leads."""
+        newest = ('', '')
+        for host, process in self.controls.items():
+            with open(process.log_path, encoding='utf-8') as log:
+                for line in log:
+                    if 'role=leader' in line and 'ready=True' in line:
+                        newest = max(newest, (line[:30], host))
+        return newest[1]
--- /dev/null
+++ b/tests/platform/test_process_platform.py
@@ -0,0 +1,151 @@
+"""The whole path on the platform, as processes on loopback."""
+
+import signal
+import tempfile
+import unittest
+
+import curio
+
+from standins import worker_model
+from tests.platform import _deployment
+
+STEPS = [
+    {'count': 3, 'cpu': 1000, 'mem_mb': 256, 'est_runtime_ms': 300},
+    {
+        'count': 2,
+        'cpu': 2000,
+        'mem_mb': 256,
+        'est_runtime_ms': 500,
+        'start_after': [0],
+        'checkpointing': True,
+    },
+]
+SIZES = [
+    worker_model.Size(1000, 256, 300),
+    worker_model.Size(2000, 256, 500, saves=True),
+]
+FINISH_S = 40.0
+
+
+def _size(task):
+    return SIZES[int(task.split('.')[2])]
+
+
+class PlatformTest(unittest.TestCase):
+    def setUp(self):
+        self._folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self._folder.cleanup)
+
+    def _deploy(self, **sizes):
+        world = _deployment.Deployment(self._folder.name, _size, **sizes)
+        for process in (*world.controls.values(), world.entry):
+            self.addCleanup(
+                lambda one=process: one.kill() if one.running else None
+            )
+        return world
+
+    async def _finish(self, world, names):
+        async def all_completed():
+            for name in names:
+                path = _deployment.PREFIX + name
+                _, body = await world.caller('GET', path)
+                if body is None or body.get('state') != 'completed':
+                    return False
+            return True
+
+        await world.until(all_completed, 'all completed', FINISH_S)
+
+    def test_calm_path(self):
+        curio.run(self._calm_path)
+
+    async def _calm_path(self):
+        world = self._deploy()
+        path = _deployment.PREFIX + f'{1:016x}'
+        await world.start()
+        self.assertEqual(503, (await world.caller('GET', path))[0])
+        await world.put(_deployment.configuration(5))
+        self.assertEqual(410, (await world.caller('GET', path))[0])
+        self.assertEqual(410, (await world.caller('DELETE', path))[0])
+        self.assertEqual(404, (await world.caller('GET', '/no/'))[0])
+        names = [f'{number:016x}' for number in range(1, 6)]
+        for name in names:
+            self.assertEqual(200, await world.submit(name, STEPS))
+            self.assertEqual(200, await world.submit(name, STEPS))
+        await self._finish(world, names)
+        self.assertEqual(5 * 5, world.fleet.ledger.starts)
+        self.assertEqual([], world.fleet.ledger.breaches)
+        self.assertEqual(
+            (200, {'pending': 0}),
+            await world.caller('GET', _deployment.PREFIX),
+        )
+        await self._check_configuration(world)
+        await self._check_reload(world)
+        self.assertEqual([0] * 4, await world.stop())
+
+    async def _check_configuration(self, world):
+        """An older one is acknowledged and changes nothing, a bad one not."""
+        newest = _deployment.configuration(9, timeout_ms=2500)
+        await world.put(newest)
+        for host in world.hosts:
+            older = _deployment.configuration(7)
+            found = await world.operator(host, 'POST', '/config/put', older)
+            self.assertEqual(200, found[0])
+            invalid = _deployment.configuration(11, service='other')
+            found = await world.operator(host, 'POST', '/config/put', invalid)
+            self.assertEqual(400, found[0])
+            found = await world.operator(host, 'GET', '/config/get')
+            self.assertEqual((200, newest), found)
+
+    async def _check_reload(self, world):
+        world.entry._popen.send_signal(signal.SIGHUP)
+
+        async def has_reloaded():
+            with open(world.entry.log_path, encoding='utf-8') as log:
+                return 'event=reloaded' in log.read()
+
+        await world.until(has_reloaded, 'a reload')
+        self.assertTrue(world.entry.running)
+
+    def test_leader_killed(self):
+        curio.run(self._leader_killed)
+
+    async def _leader_killed(self):
+        world = self._deploy()
+        await world.start()
+        await world.put(_deployment.configuration(1))
+        names = [f'{number:016x}' for number in range(1, 13)]
+        for number, name in enumerate(names):
+            self.assertEqual(200, await world.submit(name, STEPS))
+            if number in (4, 8):
+                killed = world.controls[world.leader()]
+                killed.kill()
+                killed.start()
+        await self._finish(world, names)
+        self.assertEqual([], world.fleet.ledger.breaches)
+        self.assertEqual([0] * 4, await world.stop())
+
+    def test_replica_that_is_no_seed_joins(self):
+        curio.run(self._joins)
+
+    async def _joins(self):
+        world = self._deploy(controls=4)
+        await world.start()
+        await world.put(_deployment.configuration(1))
+        joined = world.controls[world.hosts[3]]
+
+        async def is_voter():
+            with open(joined.log_path, encoding='utf-8') as log:
+                return 'role=follower' in log.read()
+
+        await world.until(is_voter, 'a fourth voter')
+        # Without the fourth, the last two of the first three are no quorum.
+        world.controls[world.leader()].kill()
+        name = f'{1:016x}'
+        self.assertEqual(200, await world.submit(name, STEPS))
+        await self._finish(world, [name])
+        self.assertEqual([], world.fleet.ledger.breaches)
+        await world.stop()
+
+
+if __name__ == '__main__':
+    unittest.main()
