--- a/fuchsiatrestle/workflows/_backlog.py
+++ b/fuchsiatrestle/workflows/_backlog.py
@@ -93,11 +93,13 @@
         since_ms = workflow.spec.due_ms(group.occurrence)
         since_ms = since_ms or workflow.submitted_ms
         age_ms = wall_ms - since_ms
-        worthless = (
-            not group.step.lasts and age_ms > WORTHLESS_AFTER * objective_ms
-        )
         slack_ms = objective_ms - age_ms - chains.from_step[group.number]
-        return worthless, queue.priority, slack_ms, workflow.workflow_id
+        lateness = 0
+        if not group.step.lasts:
+            late = slack_ms < 0
+            worthless = age_ms > WORTHLESS_AFTER * objective_ms
+            lateness = late + worthless
+        return lateness, queue.priority, slack_ms, workflow.workflow_id
 
 
 def _find_groups(workflow):
