Bound what fills by verdicts on pairs of images alone

Found: on looks at which only such images were active, the tail does not rise with what they use (median 0.3 to 0.6 of the target at any share from 0.0 to 0.7); peaks are those of the load. Change: the expected tail no longer bounds placing; evidence is weighed by processor time, capped, and not taken while a halt settles.

--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -555,9 +555,6 @@
             )
             run = _fleet.Run(live, group.step, _Phase.PLACED)
             worker.add(run)
-            if run.fills and worker.pacing is not None:
-                share = group.step.cpu / worker.record.cpu
-                worker.pacing.note_added(share, self._now_ms)
             self._progress.add_placed(live)
             self._log_run(
                 'run_placed',
--- a/fuchsiatrestle/workflows/_interference.py
+++ b/fuchsiatrestle/workflows/_interference.py
@@ -11,16 +11,18 @@
 # Share of its target above which a tail counts as disturbed, below which a
 # task that fills beside it is cleared.
 DISTURBED_AT = 0.9
-CLEARED_AT = 0.68
+CLEARED_AT = 0.7
 # Processor time in use, in thousandths of a core, from which on a task that
-# fills can be blamed or cleared.
+# fills can be blamed, and which counts as one whole observation.
 BLAME_CPU = 300
-CLEAR_CPU = 1000
+WHOLE_CPU = 3000
 HEAVY_BLAME = 0.45
-LIGHT_CLEARED = 3
+LIGHT_CLEARED = 2.0
+# More observations than these do not make a pair any safer.
+MOST_CLEARED = 9.0
 # So many observations without a disturbance outweigh one with it.
 CLEARED_PER_BLAME = 6
-BLAME_KEPT = 0.85
+BLAME_KEPT = 0.9
 
 
 class Verdict:
@@ -38,7 +40,7 @@
 
     def __init__(self):
         self.blame = 0.0
-        self.cleared = 0
+        self.cleared = 0.0
 
     @property
     def verdict(self):
@@ -50,6 +52,15 @@
             return Verdict.LIGHT
         return Verdict.UNKNOWN
 
+    def accuse(self, share):
+        """Notes a share of a disturbance."""
+        self.blame += share
+
+    def clear(self, weight):
+        """Notes an observation without a disturbance."""
+        self.cleared = min(MOST_CLEARED, self.cleared + weight)
+        self.blame *= BLAME_KEPT**weight
+
 
 class Interference:
     """Evidence by (serving image, filling image)."""
@@ -78,30 +89,29 @@
             cpu_by_image: processor time in use beside it by each image that
                 fills, in thousandths of a core.
         """
+        active = {
+            image: cpu
+            for image, cpu in cpu_by_image.items()
+            if cpu >= BLAME_CPU
+        }
         if ratio >= DISTURBED_AT:
-            self._blame(serving, cpu_by_image)
+            self._accuse(serving, active)
         elif ratio < CLEARED_AT:
-            self._clear(serving, cpu_by_image)
-
-    def _blame(self, serving, cpu_by_image):
-        active = [
-            image for image, cpu in cpu_by_image.items() if cpu >= BLAME_CPU
-        ]
-        suspects = [
-            image
-            for image in active
+            for image, cpu in active.items():
+                weight = min(1.0, cpu / WHOLE_CPU)
+                self._evidence(serving, image).clear(weight)
+
+    def _accuse(self, serving, active):
+        """Blames the images that are not known to be light, else all."""
+        suspects = {
+            image: cpu
+            for image, cpu in active.items()
             if self.verdict(serving, image) != Verdict.LIGHT
-        ]
-        for image in suspects or active:
-            evidence = self._evidence(serving, image)
-            evidence.blame += 1 / len(suspects or active)
-
-    def _clear(self, serving, cpu_by_image):
-        for image, cpu in cpu_by_image.items():
-            if cpu >= CLEAR_CPU:
-                evidence = self._evidence(serving, image)
-                evidence.cleared += 1
-                evidence.blame *= BLAME_KEPT
+        }
+        suspects = suspects or active
+        total = sum(suspects.values())
+        for image, cpu in suspects.items():
+            self._evidence(serving, image).accuse(cpu / total)
 
     def _evidence(self, serving, image):
         return self._pairs.setdefault((serving, image), _Evidence())
--- a/fuchsiatrestle/workflows/_pacing.py
+++ b/fuchsiatrestle/workflows/_pacing.py
@@ -19,11 +19,6 @@
 SLOW_AT = 0.95
 HALT_AT = 1.1
 RELEASE_AT = 0.72
-# Largest share of the target that placing one more may lead to.
-PLACE_BELOW = 0.85
-# What tasks that fill add to a tail, as a share of its target, if they use a
-# whole worker and the images go well together.
-LIGHT_EFFECT = 1.4
 # Figures cover half a second; an older pace has to show in them first.
 SETTLE_MS = 700
 # A halted task that fills is worth more elsewhere after this time.
@@ -40,8 +35,6 @@
     """
 
     __slots__ = (
-        '_added',
-        '_added_ms',
         '_halted_ms',
         '_interference',
         '_slowed_ms',
@@ -53,26 +46,6 @@
         self._halted_ms = None
         self._slowed_ms = 0
         self._worst = 0.0
-        self._added = 0.0
-        self._added_ms = 0
-
-    # Placing
-
-    def expected(self, share):
-        """Returns the highest tail to expect, as a share of its target.
-
-        Args:
-            share: processor time of what is to be added, as a share of the
-                worker's.
-        """
-        return self._worst + LIGHT_EFFECT * (self._added + share)
-
-    def note_added(self, share, now_ms):
-        """Notes a task that does not show in the figures yet."""
-        self._added += share
-        self._added_ms = now_ms
-
-    # Running
 
     def observe(self, runs, now_ms):
         """Learns from the newest figures and decides.
@@ -88,14 +61,15 @@
         serving = [
             run for run in runs if run.serves and run.figure is not None
         ]
-        if now_ms - self._added_ms >= SETTLE_MS:
-            self._added = 0.0
+        settled = self._settled(now_ms)
         cpu_by_image = self._cpu_by_image(filling)
         self._worst = 0.0
         for run in serving:
             ratio = run.figure / run.step.tail_target_ms
             self._worst = max(self._worst, ratio)
-            self._interference.observe(run.step.image, ratio, cpu_by_image)
+            if settled:
+                # Else the figures still show what has been halted.
+                self._interference.observe(run.step.image, ratio, cpu_by_image)
         if not filling:
             self._halted_ms = None
             return []
@@ -142,7 +116,7 @@
 
     def _settled(self, now_ms):
         changed_ms = max(self._halted_ms or 0, self._slowed_ms)
-        return now_ms - changed_ms >= SETTLE_MS
+        return not changed_ms or now_ms - changed_ms >= SETTLE_MS
 
     def _to_move(self, filling, images, now_ms):
         """Returns what is known to disturb, or has been halted for long."""
--- a/fuchsiatrestle/workflows/_placement.py
+++ b/fuchsiatrestle/workflows/_placement.py
@@ -8,7 +8,6 @@
 import abc
 
 from fuchsiatrestle.workflows import _interference
-from fuchsiatrestle.workflows import _pacing
 
 __all__ = ('BestFit', 'FirstFit', 'Placer')
 
@@ -130,13 +129,7 @@
         if verdict == _interference.Verdict.UNKNOWN:
             if ledger.count(worker) or self._is_trying(worker, serving):
                 return None
-        expected = 0.0
-        if serving and worker.pacing is not None:
-            added_cpu = ledger.cpu(worker) + step.cpu
-            expected = worker.pacing.expected(added_cpu / worker.record.cpu)
-            if expected > _pacing.PLACE_BELOW:
-                return None
-        return far, verdict, expected, -unused
+        return far, verdict, -unused
 
     def _is_trying(self, worker, serving):
         """True if an image that may disturb is being tried there."""
