Keep some workers free of serving tasks, let blame fade

Cause: an image blamed with most serving images had no place left (0 of 24) while a quarter of all processor time was unreserved, spread over all. Change: 15% of the workers begin to serve last; blame fades by 5% a second; a tail a little over its target no longer blames images known to be light.

--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -140,6 +140,7 @@
         self._wall_ms = tick.wall_ms
         self._wall_read_ms = self._now_ms
         self._dirty = True
+        self._interference.fade(self._now_ms)
         for worker in self._fleet:
             self._check_gone(worker)
             self._drive(worker)
--- a/fuchsiatrestle/workflows/_interference.py
+++ b/fuchsiatrestle/workflows/_interference.py
@@ -12,6 +12,9 @@
 # task that fills beside it is cleared.
 DISTURBED_AT = 0.9
 CLEARED_AT = 0.7
+# The same for images that are known to be light: a peak of the load alone
+# may lead a little over the target.
+SURELY_DISTURBED_AT = 1.3
 # Processor time in use, in thousandths of a core, from which on a task that
 # fills can be blamed, and which counts as one whole observation.
 BLAME_CPU = 300
@@ -23,6 +26,9 @@
 # So many observations without a disturbance outweigh one with it.
 CLEARED_PER_BLAME = 6
 BLAME_KEPT = 0.9
+# Blame fades, so that an image is tried again some time.
+FADE_MS = 1000
+FADE_KEPT = 0.95
 
 
 class Verdict:
@@ -67,6 +73,15 @@
 
     def __init__(self):
         self._pairs = {}
+        self._faded_ms = 0
+
+    def fade(self, now_ms):
+        """Lets blame fade with time."""
+        if now_ms - self._faded_ms < FADE_MS:
+            return
+        self._faded_ms = now_ms
+        for evidence in self._pairs.values():
+            evidence.blame *= FADE_KEPT
 
     def verdict(self, serving, filling):
         """Returns the ``Verdict`` on a pair of images."""
@@ -95,20 +110,21 @@
             if cpu >= BLAME_CPU
         }
         if ratio >= DISTURBED_AT:
-            self._accuse(serving, active)
+            self._accuse(serving, ratio, active)
         elif ratio < CLEARED_AT:
             for image, cpu in active.items():
                 weight = min(1.0, cpu / WHOLE_CPU)
                 self._evidence(serving, image).clear(weight)
 
-    def _accuse(self, serving, active):
+    def _accuse(self, serving, ratio, active):
         """Blames the images that are not known to be light, else all."""
         suspects = {
             image: cpu
             for image, cpu in active.items()
             if self.verdict(serving, image) != Verdict.LIGHT
         }
-        suspects = suspects or active
+        if not suspects and ratio >= SURELY_DISTURBED_AT:
+            suspects = active
         total = sum(suspects.values())
         for image, cpu in suspects.items():
             self._evidence(serving, image).accuse(cpu / total)
--- a/fuchsiatrestle/workflows/_placement.py
+++ b/fuchsiatrestle/workflows/_placement.py
@@ -14,6 +14,14 @@
 # Share of the processor time reserved by serving tasks that they leave to
 # tasks that fill; the rest covers the peaks of their load.
 SERVING_LEAVES = 0.5
+# Share of the workers that are kept free of serving tasks while others have
+# room, for images that would disturb on all of them.
+KEPT_FREE = 0.15
+
+# Costs that order the workers for a serving task.
+OPEN_COST = 1
+MIX_COST = 2
+OPEN_LAST_COST = 5
 
 
 class Placer(abc.ABC):
@@ -27,6 +35,7 @@
             workers: usable workers of the service.
         """
         ledger = _Ledger(group.step)
+        self.survey(workers)
         if group.step.gang:
             return self._place_gang(group, workers)
         pairs = []
@@ -75,6 +84,9 @@
                 best, best_score = worker, score
         return best
 
+    def survey(self, workers):
+        """Looks at all candidates before the first choice."""
+
     @abc.abstractmethod
     def score(self, step, worker, ledger):
         """Returns a value that is lowest for the best worker, None to skip.
@@ -106,6 +118,12 @@
 
     def __init__(self, interference):
         self._interference = interference
+        self._may_open = True
+
+    def survey(self, workers):
+        """Notes whether another worker may begin to serve."""
+        free = sum(not worker.room.serving_cpu for worker in workers)
+        self._may_open = free > KEPT_FREE * len(workers)
 
     def score(self, step, worker, ledger):
         """Orders by distance, disturbance and what is left over."""
@@ -129,7 +147,7 @@
         if verdict == _interference.Verdict.UNKNOWN:
             if ledger.count(worker) or self._is_trying(worker, serving):
                 return None
-        return far, verdict, -unused
+        return far, verdict, not serving, -unused
 
     def _is_trying(self, worker, serving):
         """True if an image that may disturb is being tried there."""
@@ -141,12 +159,15 @@
 
     def _mixed(self, step, worker):
         """Returns how ill a serving task would sit on a worker."""
+        if not worker.room.serving_cpu:
+            return OPEN_COST if self._may_open else OPEN_LAST_COST
         disturbed = sum(
             self._interference.verdict(step.image, image)
             == _interference.Verdict.HEAVY
             for image in worker.filling_images
         )
-        return disturbed + len(worker.serving_images - {step.image})
+        others = len(worker.serving_images - {step.image})
+        return MIX_COST * (disturbed + others)
 
     @staticmethod
     def _unused_cpu(worker, ledger):
