Weigh evidence by the share of a worker in use

Found: in 600 looks with one image active, those that disturb do so from a tenth of the worker on (medians 7 to 12 times the target at two tenths, 0.5 below one tenth): small shares cleared them wrongly. Change: only a telling share clears, an image is tried up to 15% of a worker, what ended within the last figures still counts as active, tails a little over the target are weak evidence.

--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -418,7 +418,9 @@
         ]
         if worker.pacing is None:
             worker.pacing = _pacing.PaceControl(self._interference)
-        for run in worker.pacing.observe(running, self._now_ms):
+        for run in worker.pacing.observe(
+            running, worker.record.cpu, self._now_ms
+        ):
             self._stop(run, 'disturbs')
 
     # Settling
--- a/fuchsiatrestle/workflows/_interference.py
+++ b/fuchsiatrestle/workflows/_interference.py
@@ -8,17 +8,19 @@
 
 __all__ = ('Interference', 'Verdict')
 
-# Share of its target above which a tail counts as disturbed, below which a
-# task that fills beside it is cleared.
+# Shares of its target above which a tail counts as disturbed, surely so, and
+# below which a task that fills beside it is cleared.
 DISTURBED_AT = 0.9
-CLEARED_AT = 0.7
-# The same for images that are known to be light: a peak of the load alone
-# may lead a little over the target.
 SURELY_DISTURBED_AT = 1.3
-# Processor time in use, in thousandths of a core, from which on a task that
-# fills can be blamed, and which counts as one whole observation.
-BLAME_CPU = 300
-WHOLE_CPU = 3000
+CLEARED_AT = 0.7
+# What a tail between the two first is worth as evidence: a peak of the load
+# alone may lead there.
+WEAK_EVIDENCE = 0.3
+# Shares of a worker in use from which on an image can be blamed, and from
+# which on it would show if it disturbed.
+BLAME_SHARE = 0.01
+TELLING_SHARE = 0.12
+WEAK_CLEARANCE = 0.1
 HEAVY_BLAME = 0.45
 LIGHT_CLEARED = 2.0
 # More observations than these do not make a pair any safer.
@@ -95,39 +97,44 @@
             default=Verdict.LIGHT,
         )
 
-    def observe(self, serving, ratio, cpu_by_image):
-        """Takes one tail.
+    def disturbed(self, serving, ratio, shares):
+        """Takes a tail near or over its target.
 
         Args:
             serving: image of the serving task.
             ratio: its tail as a share of its target.
-            cpu_by_image: processor time in use beside it by each image that
-                fills, in thousandths of a core.
+            shares: share of the worker in use by each image that fills, now
+                or a moment ago.
         """
+        if ratio < DISTURBED_AT:
+            return
         active = {
-            image: cpu
-            for image, cpu in cpu_by_image.items()
-            if cpu >= BLAME_CPU
+            image: share
+            for image, share in shares.items()
+            if share >= BLAME_SHARE
         }
-        if ratio >= DISTURBED_AT:
-            self._accuse(serving, ratio, active)
-        elif ratio < CLEARED_AT:
-            for image, cpu in active.items():
-                weight = min(1.0, cpu / WHOLE_CPU)
-                self._evidence(serving, image).clear(weight)
-
-    def _accuse(self, serving, ratio, active):
-        """Blames the images that are not known to be light, else all."""
         suspects = {
-            image: cpu
-            for image, cpu in active.items()
+            image: share
+            for image, share in active.items()
             if self.verdict(serving, image) != Verdict.LIGHT
         }
-        if not suspects and ratio >= SURELY_DISTURBED_AT:
-            suspects = active
+        weight = WEAK_EVIDENCE
+        if ratio >= SURELY_DISTURBED_AT:
+            weight = 1.0
+            suspects = suspects or active
         total = sum(suspects.values())
-        for image, cpu in suspects.items():
-            self._evidence(serving, image).accuse(cpu / total)
+        for image, share in suspects.items():
+            self._evidence(serving, image).accuse(weight * share / total)
+
+    def calm(self, serving, ratio, shares):
+        """Takes a tail well below its target; see ``disturbed``."""
+        if ratio >= CLEARED_AT:
+            return
+        for image, share in shares.items():
+            if share >= BLAME_SHARE:
+                telling = share >= TELLING_SHARE
+                weight = 1.0 if telling else WEAK_CLEARANCE
+                self._evidence(serving, image).clear(weight)
 
     def _evidence(self, serving, image):
         return self._pairs.setdefault((serving, image), _Evidence())
--- a/fuchsiatrestle/workflows/_pacing.py
+++ b/fuchsiatrestle/workflows/_pacing.py
@@ -37,6 +37,7 @@
     __slots__ = (
         '_halted_ms',
         '_interference',
+        '_recent',
         '_slowed_ms',
         '_worst',
     )
@@ -46,12 +47,15 @@
         self._halted_ms = None
         self._slowed_ms = 0
         self._worst = 0.0
+        self._recent = {}
 
-    def observe(self, runs, now_ms):
+    def observe(self, runs, capacity_cpu, now_ms):
         """Learns from the newest figures and decides.
 
         Args:
             runs: running ``Run`` values of the worker.
+            capacity_cpu: processor time of the worker, in thousandths of a
+                core.
             now_ms: monotonic time.
 
         Returns:
@@ -61,15 +65,7 @@
         serving = [
             run for run in runs if run.serves and run.figure is not None
         ]
-        settled = self._settled(now_ms)
-        cpu_by_image = self._cpu_by_image(filling)
-        self._worst = 0.0
-        for run in serving:
-            ratio = run.figure / run.step.tail_target_ms
-            self._worst = max(self._worst, ratio)
-            if settled:
-                # Else the figures still show what has been halted.
-                self._interference.observe(run.step.image, ratio, cpu_by_image)
+        self._learn(filling, serving, capacity_cpu, now_ms)
         if not filling:
             self._halted_ms = None
             return []
@@ -77,14 +73,32 @@
         self._set_paces(filling, images, now_ms)
         return self._to_move(filling, images, now_ms)
 
-    @staticmethod
-    def _cpu_by_image(filling):
-        cpu_by_image = {}
+    def _learn(self, filling, serving, capacity_cpu, now_ms):
+        shares = {}
         for run in filling:
-            used = run.figure or 0
             image = run.step.image
-            cpu_by_image[image] = cpu_by_image.get(image, 0) + used
-        return cpu_by_image
+            used = (run.figure or 0) / capacity_cpu
+            shares[image] = shares.get(image, 0) + used
+        self._note_recent(shares, now_ms)
+        recent = {image: share for image, (share, _) in self._recent.items()}
+        self._worst = 0.0
+        for run in serving:
+            image = run.step.image
+            ratio = run.figure / run.step.tail_target_ms
+            self._worst = max(self._worst, ratio)
+            self._interference.calm(image, ratio, shares)
+            if self._settled(now_ms):
+                # Else the figures still show what has been halted.
+                self._interference.disturbed(image, ratio, recent)
+
+    def _note_recent(self, shares, now_ms):
+        """Keeps what ended a moment ago: the figures still show it."""
+        for image, (_, seen_ms) in list(self._recent.items()):
+            if now_ms - seen_ms >= SETTLE_MS:
+                del self._recent[image]
+        for image, share in shares.items():
+            before = self._recent.get(image, (0.0, 0))[0]
+            self._recent[image] = (max(share, before), now_ms)
 
     def _set_paces(self, filling, images, now_ms):
         suspects = [
--- a/fuchsiatrestle/workflows/_placement.py
+++ b/fuchsiatrestle/workflows/_placement.py
@@ -14,6 +14,8 @@
 # Share of the processor time reserved by serving tasks that they leave to
 # tasks that fill; the rest covers the peaks of their load.
 SERVING_LEAVES = 0.5
+# Share of a worker up to which an image is tried that may disturb there.
+TRIED_SHARE = 0.15
 # Share of the workers that are kept free of serving tasks while others have
 # room, for images that would disturb on all of them.
 KEPT_FREE = 0.15
@@ -145,17 +147,28 @@
         if verdict == _interference.Verdict.HEAVY:
             return None
         if verdict == _interference.Verdict.UNKNOWN:
-            if ledger.count(worker) or self._is_trying(worker, serving):
+            if not self._may_try(step, worker, ledger):
                 return None
         return far, verdict, not serving, -unused
 
-    def _is_trying(self, worker, serving):
-        """True if an image that may disturb is being tried there."""
-        return any(
-            self._interference.worst(serving, image)
-            != _interference.Verdict.LIGHT
-            for image in worker.filling_images
-        )
+    def _may_try(self, step, worker, ledger):
+        """True if one more task may show whether its image disturbs.
+
+        One such image at a time, and enough of it to be telling.
+        """
+        serving = worker.serving_images
+        tried_cpu = ledger.cpu(worker)
+        for run in worker.runs.values():
+            if not run.fills:
+                continue
+            if run.step.image == step.image:
+                tried_cpu += run.step.cpu
+            elif (
+                self._interference.worst(serving, run.step.image)
+                != _interference.Verdict.LIGHT
+            ):
+                return False
+        return tried_cpu < TRIED_SHARE * worker.record.cpu
 
     def _mixed(self, step, worker):
         """Returns how ill a serving task would sit on a worker."""
