Use a worker again that announces itself after it was silent

Trace: from 7.3 s on three workers with every processor free were not usable: five orders in a row had got no answer, their runs were settled as their leases were over, and with nothing running no order was sent that could have reset the count, though they announced themselves every 1.5 s. Change: an announcement resets the count while nothing is known to run there; if orders still fail, the next one rests the worker again.

--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -173,6 +173,9 @@
             return
         self._note_change(worker, said)
         worker.sequence = said.sequence
+        if not worker.runs:
+            # No order is under way that could be answered.
+            worker.failures = 0
         worker.heard_ms = self._now_ms
         worker.clock.note(said.clock_ms, self._now_ms)
         self._dirty = True
--- /dev/null
+++ b/tests/workflows/test_recovery.py
@@ -0,0 +1,70 @@
+"""Faults played one at a time against the dispatcher."""
+
+import logging
+import unittest
+
+from fuchsiatrestle.state import workflows
+from standins import worker_model
+from tests.fakes import dispatch_world
+
+STEP = workflows.Step(1, cpu=1000, memory_mb=100, estimate_ms=500)
+SIZE = worker_model.Size(1000, 100, 500)
+LASTING = workflows.Step(1, cpu=1000, memory_mb=100, lasts=True)
+FOREVER = worker_model.Size(1000, 100, None)
+
+
+class RecoveryTest(unittest.TestCase):
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    def test_worker_is_used_again_after_a_cut(self):
+        world = dispatch_world.World(1, workers=1)
+        world.submit('lasting', [LASTING], [FOREVER])
+        world.run(1000)
+        world.cut.add('w0')
+        world.run(20_000)
+        self.assertEqual([], world.part.live_runs())
+        world.cut.clear()
+        world.run(5000)
+        self.assertEqual(1, len(world.part.live_runs()))
+        world.submit('quick', [STEP], [SIZE])
+        world.run(3000)
+        self.assertEqual('completed', world.state('quick'))
+        self.assertEqual([], world.ledger.breaches)
+
+    def test_lasting_task_is_restarted_however_it_ends(self):
+        world = dispatch_world.World(2, workers=2)
+        world.submit('lasting', [LASTING], [FOREVER])
+        for _ in range(5):
+            world.run(3000)
+            worker = world.part.live_runs()[0].worker
+            world.crash(worker, 500)
+        world.run(8000)
+        self.assertEqual('running', world.state('lasting'))
+        self.assertEqual(1, len(world.ledger.running))
+        self.assertEqual([], world.ledger.breaches)
+
+    def test_cancelled_tasks_stop_in_time(self):
+        world = dispatch_world.World(3, workers=2)
+        world.submit('lasting', [LASTING], [FOREVER])
+        world.run(2000)
+        self.assertEqual(1, len(world.ledger.running))
+        world.cancel('lasting')
+        world.run(1000)
+        self.assertEqual({}, world.ledger.running)
+        self.assertEqual('cancelled', world.state('lasting'))
+
+    def test_new_leader_adopts_what_runs(self):
+        world = dispatch_world.World(4, workers=2)
+        world.submit('lasting', [LASTING], [FOREVER])
+        world.run(2000)
+        for _ in range(5):
+            world.lead()
+            world.run(4000)
+        self.assertEqual(1, world.ledger.starts)
+        self.assertEqual(1, len(world.ledger.running))
+
+
+if __name__ == '__main__':
+    unittest.main()
