Do not renew leases of a worker that does not answer

Cause: each look at a silent worker was counted as a renewal that may have been carried out, so that a lease given to a worker that is cut off for long was never known to be over and its tasks were not started elsewhere. Change: after an order without an answer looks carry no lease and do not wait, and starts wait for the next answer.

--- a/fuchsiatrestle/workflows/_orders.py
+++ b/fuchsiatrestle/workflows/_orders.py
@@ -48,7 +48,7 @@
     def _order_about(self, worker, run, now_ms):
         record = worker.record
         if run.phase == _Phase.STARTING and run.started_ms is None:
-            if run.adopted and not worker.fenced:
+            if worker.failures or (run.adopted and not worker.fenced):
                 return None
             return self._start(worker, run, now_ms)
         if run.phase == _Phase.STOPPING and run.stopped_ms is None:
@@ -97,7 +97,10 @@
             return []
         worker.looking = True
         worker.looked_ms = now_ms
-        until_ms = worker.clock.extend(now_ms) if holds_runs else None
+        until_ms = None
+        if holds_runs and not worker.failures:
+            # Renewed without an answer, a lease would never be known over.
+            until_ms = worker.clock.extend(now_ms)
         return [
             _events.LookAt(
                 worker.record.worker,
@@ -114,7 +117,7 @@
         return remaining_ms < self._timing.lease_ms / 2
 
     def _wait_ms(self, worker, holds_runs):
-        if not holds_runs or not worker.fenced:
+        if not holds_runs or not worker.fenced or worker.failures:
             return 0
         if any(run.phase == _Phase.STOPPING for run in worker.runs.values()):
             return self._timing.busy_look_wait_ms
