Let every modelled worker lapse before a start is judged

The world was wrong, not the dispatcher. Change: the world advances every worker before it carries an order out.

--- a/tests/fakes/dispatch_world.py
+++ b/tests/fakes/dispatch_world.py
@@ -289,10 +289,13 @@
             self._execute(order)
 
     def _execute(self, order):
+        now_ms = self.now_ms
+        for one in self._models.values():
+            # What has ended elsewhere by now must not count as running.
+            one.advance(now_ms)
         model = self._models.get(order.worker)
         if model is None:
             return None
-        now_ms = self.now_ms
         running, ends = [], []
         if isinstance(order, workflows.StartRun):
             result = model.start(
