--- a/fuchsiatrestle/daemon.py
+++ b/fuchsiatrestle/daemon.py
@@ -33,6 +33,7 @@
 from fuchsiatrestle import invariants
 from fuchsiatrestle import logs
 from fuchsiatrestle import metrics
+from fuchsiatrestle.net import http
 from fuchsiatrestle import settings
 
 __all__ = (
@@ -59,6 +60,7 @@
         'metrics',
         settings.AddressOption('statsd', None),
         settings.NameOption('prefix', 'fuchsiatrestle'),
+        settings.AddressOption('listen', None),
     ),
 )
 
@@ -175,17 +177,37 @@
     LOG.info('reloaded', extra={'level': cfg.get('log', 'level')})
 
 
-async def _serve(daemon, reload):
+async def _serve(daemon, reload, listen):
     stop_requested = curio.Event()
     watcher = await curio.spawn(
         _watch_signals, stop_requested, reload, daemon=True
     )
+    exporter = _make_exporter(listen)
     try:
+        if exporter is not None:
+            await exporter.start()
         await daemon.start()
         LOG.info('started')
         await daemon.serve(stop_requested)
     finally:
         await watcher.cancel()
+        if exporter is not None:
+            await exporter.stop(0)
+
+
+class _MetricsHandler(http.Handler):
+    """Shows the metrics of the process."""
+
+    async def handle(self, request):
+        """Returns all counters, gauges and histograms as text."""
+        text = metrics.render().encode()
+        return http.Response(200, [(b'content-type', b'text/plain')], text)
+
+
+def _make_exporter(listen):
+    if listen is None:
+        return None
+    return http.Server(listen, _MetricsHandler())
 
 
 def _serve_until_stopped(program, cfg):
@@ -195,6 +217,7 @@
             _serve,
             program.factory(cfg),
             functools.partial(_reload, program),
+            cfg.get('metrics', 'listen'),
         )
     except errors.SettingsInvalid as exc:
         return _refuse(exc.reason)
--- a/fuchsiatrestle/metrics.py
+++ b/fuchsiatrestle/metrics.py
@@ -2,25 +2,32 @@
 
 Counter names are declared in one place with the line of documentation that
 ``docs/COUNTERS.md`` is made from, so that a misspelt name fails at once.  The
-in-process values are what ``fuchsiatrestle-ctl counters`` reads.
+in-process values are what ``fuchsiatrestle-ctl counters`` reads, and what
+``render`` writes for the metrics address.
 """
 
+import bisect
 import threading
 
 import statsd
 
 __all__ = (
     'DECLARED',
+    'BUCKETS_MS',
     'Registry',
     'count',
     'declare',
     'default_registry',
     'gauge',
+    'render',
     'timing',
 )
 
 DECLARED = {}
 
+# Upper bounds of the buckets of a latency histogram, in milliseconds.
+BUCKETS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000)
+
 
 def declare(name, description):
     """Declares a metric; returns its name for use as a constant.
@@ -39,6 +46,7 @@
     def __init__(self):
         self._counts = {}
         self._gauges = {}
+        self._histograms = {}
         self._lock = threading.Lock()
         self._sink = None
 
@@ -65,9 +73,12 @@
             self._sink.gauge(name, value)
 
     def timing(self, name, duration_ms):
-        """Sends one duration to statsd; no value is kept in process."""
+        """Adds one duration to a declared histogram."""
         if name not in DECLARED:
             raise KeyError(name)
+        with self._lock:
+            histogram = self._histograms.setdefault(name, _Histogram())
+            histogram.add(duration_ms)
         if self._sink is not None:
             self._sink.timing(name, duration_ms)
 
@@ -81,6 +92,44 @@
         with self._lock:
             return dict(sorted(self._gauges.items()))
 
+    def render(self):
+        """Returns all values as text, one ``name value`` pair a line.
+
+        A histogram has a line for each bucket, which counts the durations
+        up to its bound, and lines for their number and sum.
+        """
+        lines = [f'{name} {value}' for name, value in self.counters().items()]
+        lines += [f'{name} {value}' for name, value in self.gauges().items()]
+        with self._lock:
+            for name, histogram in sorted(self._histograms.items()):
+                lines += histogram.lines(name)
+        return '\n'.join(lines) + '\n'
+
+
+class _Histogram:
+    """Durations counted in buckets."""
+
+    __slots__ = ('_counts', '_sum_ms')
+
+    def __init__(self):
+        self._counts = [0] * (len(BUCKETS_MS) + 1)
+        self._sum_ms = 0.0
+
+    def add(self, duration_ms):
+        """Counts one duration."""
+        self._counts[bisect.bisect_left(BUCKETS_MS, duration_ms)] += 1
+        self._sum_ms += duration_ms
+
+    def lines(self, name):
+        """Yields the lines of the text form."""
+        total = 0
+        bounds = (*BUCKETS_MS, 'inf')
+        for bound, count in zip(bounds, self._counts, strict=True):
+            total += count
+            yield f'{name}.le_{bound} {total}'
+        yield f'{name}.count {total}'
+        yield f'{name}.sum_ms {self._sum_ms:.1f}'
+
 
 default_registry = Registry()
 
@@ -95,6 +144,11 @@
     default_registry.gauge(name, value)
 
 
+def render():
+    """Returns the values of the process's own registry as text."""
+    return default_registry.render()
+
+
 def timing(name, duration_ms):
     """Records a duration in the process's own registry."""
     default_registry.timing(name, duration_ms)
--- a/fuchsiatrestle/platform/_callers.py
+++ b/fuchsiatrestle/platform/_callers.py
@@ -31,6 +31,9 @@
     'refused.control_away',
     'Calls that certainly had no effect, for want of control (503).',
 )
+ANSWERED = metrics.declare(
+    'callers.answer_ms', 'Time from a whole request to its answer, in ms.'
+)
 OUTCOME_UNKNOWN = metrics.declare(
     'refused.outcome_unknown', 'Calls whose outcome is not known (504).'
 )
@@ -77,6 +80,8 @@
         started_s = time.monotonic()
         host = request.header(b'host').partition(':')[0]
         response = await action(request, host, _budget_ms(request))
+        took_ms = (time.monotonic() - started_s) * 1000
+        metrics.timing(ANSWERED, took_ms)
         LOG.info(
             'caller_answered',
             extra={
@@ -85,7 +90,7 @@
                 'path': request.path,
                 'status': response.status,
                 'control': self._client.target,
-                'took_ms': round((time.monotonic() - started_s) * 1000),
+                'took_ms': round(took_ms),
             },
         )
         return response
--- a/fuchsiatrestle/platform/_driver.py
+++ b/fuchsiatrestle/platform/_driver.py
@@ -1,5 +1,7 @@
 """Carries orders to workers over HTTP."""
 
+import time
+
 import curio
 
 from fuchsiatrestle import logs
@@ -16,6 +18,9 @@
 CALL_TIMEOUT_S = 1.0
 
 ORDERS = metrics.declare('workers.orders', 'Orders sent to workers.')
+ORDER_TIME = metrics.declare(
+    'workers.order_ms', 'Time from an order to its answer, looks left out.'
+)
 UNANSWERED = metrics.declare(
     'workers.unanswered', 'Orders to workers that got no answer in time.'
 )
@@ -64,7 +69,10 @@
             reply = await self._call(channel, order, timeout_s)
         else:
             async with channel.slots:
+                started_s = time.monotonic()
                 reply = await self._call(channel, order, CALL_TIMEOUT_S)
+                took_ms = (time.monotonic() - started_s) * 1000
+                metrics.timing(ORDER_TIME, took_ms)
         await self._report(workflows.Answered(order, reply))
 
     def _channel(self, order):
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -2,7 +2,9 @@
 
 import io
 import logging
+import threading
 import unittest
+from unittest import mock
 
 from fuchsiatrestle import logs
 
@@ -19,3 +21,50 @@
         self.assertEqual(1, line.count('\n'))
         self.assertIn(' level=INFO logger=unit event=refused peer=e1 ', line)
         self.assertIn('why="two\\nlines \\"x\\""', line)
+
+
+class _StalledStream(io.StringIO):
+    """Takes nothing until it is let go."""
+
+    def __init__(self):
+        super().__init__()
+        self.let_go = threading.Event()
+
+    def write(self, text):
+        """Waits, then takes the text."""
+        self.let_go.wait()
+        return super().write(text)
+
+
+class ConfigureTest(unittest.TestCase):
+    def setUp(self):
+        root = logging.getLogger()
+        handlers, level = root.handlers[:], root.level
+        self.addCleanup(root.setLevel, level)
+        self.addCleanup(root.handlers.__setitem__, slice(None), handlers)
+
+    def test_reader_that_stalls_delays_nothing(self):
+        stream = _StalledStream()
+        self.addCleanup(stream.let_go.set)
+        with mock.patch.object(logs, 'MAX_WAITING_LINES', 10):
+            logs.configure('info', stream)
+        for number in range(50):
+            logs.get_logger('unit').info('line', extra={'number': number})
+        stream.let_go.set()
+        logs.flush()
+        logs.get_logger('unit').info('last')
+        logs.flush()
+        text = stream.getvalue()
+        self.assertIn('event=lines_dropped count=', text)
+        self.assertIn('event=last', text)
+        self.assertLess(text.count('event=line '), 20)
+
+    def test_level_can_change(self):
+        stream = io.StringIO()
+        logs.configure('warning', stream)
+        logs.get_logger('unit').info('quiet')
+        logs.set_level('info')
+        logs.get_logger('unit').info('loud')
+        logs.flush()
+        self.assertNotIn('event=quiet', stream.getvalue())
+        self.assertIn('event=loud', stream.getvalue())
