Split the dispatcher along what it handles

Change: _book (shared state, settling), _announcing, _answers, _runs, _room; the dispatcher wires them and follows what was agreed. No behaviour changes; an unused method went. Run: tests.workflows and tests.control.test_service, 21 passed.

--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -1,12 +1,11 @@
 """Workers and what runs on them, as the leader sees them."""
 
-import collections
-
 from fuchsiatrestle import logs
 from fuchsiatrestle.state import workflows
 from fuchsiatrestle.workflows import _clock
+from fuchsiatrestle.workflows import _room
 
-__all__ = ('Fleet', 'Phase', 'Room', 'Run', 'Worker', 'describe')
+__all__ = ('Fleet', 'Worker', 'describe')
 
 READY = 'ready'
 # Announcements that may be missed before nothing new is placed on a worker.
@@ -19,170 +18,6 @@
 LOG = logs.get_logger(__name__)
 
 
-class Phase:
-    """Where a run is."""
-
-    PLACED = 'placed'  # proposed, not yet agreed
-    STARTING = 'starting'
-    RUNNING = 'running'
-    STOPPING = 'stopping'
-
-
-class Run:
-    """A run on a worker; it holds room until it is settled.
-
-    Attributes:
-        live: its ``LiveRun``.
-        step: its ``Step``, None if the workflow is not known.
-        phase: one of ``Phase``.
-        adopted: True if an earlier leader placed it.
-        unsure: True once a start got no answer; it may come late.
-        calling: True while an order about it waits for its answer.
-        retry_ms: earliest time of the next order about it.
-        started_ms: when its start was accepted, None before.
-        stopped_ms: when its stop was accepted, None before.
-        checkpoint: newest saved progress that the worker listed.
-        percent: progress that the worker listed last.
-        figure: tail latency or processor time that it listed last.
-        pace: share of its speed that it was told last, in percent.
-        wanted_pace: share of its speed that it is to have.
-    """
-
-    __slots__ = (
-        'adopted',
-        'calling',
-        'checkpoint',
-        'figure',
-        'live',
-        'pace',
-        'percent',
-        'phase',
-        'retry_ms',
-        'started_ms',
-        'step',
-        'stopped_ms',
-        'unsure',
-        'wanted_pace',
-    )
-
-    def __init__(self, live, step, phase):
-        self.live = live
-        self.step = step
-        self.phase = phase
-        self.adopted = False
-        self.unsure = False
-        self.calling = False
-        self.retry_ms = 0
-        self.started_ms = None
-        self.stopped_ms = None
-        self.checkpoint = ''
-        self.percent = 0
-        self.figure = None
-        self.pace = 100
-        self.wanted_pace = 100
-
-    @property
-    def key(self):
-        """Task and run number."""
-        return self.live.task, self.live.run
-
-    @property
-    def is_active(self):
-        """True if the worker may know of it."""
-        return self.phase != Phase.PLACED
-
-    @property
-    def serves(self):
-        """True if its tail latency has a target."""
-        return self.step is not None and self.step.tail_target_ms > 0
-
-    @property
-    def fills(self):
-        """True if it reserves no processor time."""
-        return self.step is not None and self.step.fills
-
-
-class Room:
-    """Capacity of a worker and what its runs hold of it.
-
-    A run that fills reserves no processor time; how much it would use is
-    kept apart.
-
-    Args:
-        record: the ``WorkerRecord``.
-
-    Attributes:
-        free_cpu: processor time not reserved, in thousandths of a core.
-        free_memory_mb: memory not reserved, in MiB.
-        free_accelerators: accelerators not reserved.
-        filling_cpu: processor time wanted by runs that fill.
-        serving: number of runs with a tail target by image.
-        serving_cpu: processor time reserved by them.
-    """
-
-    __slots__ = (
-        '_steps',
-        'filling_cpu',
-        'free_accelerators',
-        'free_cpu',
-        'free_memory_mb',
-        'serving',
-        'serving_cpu',
-    )
-
-    def __init__(self, record):
-        self.free_cpu = record.cpu
-        self.free_memory_mb = record.memory_mb
-        self.free_accelerators = record.accelerators
-        self.filling_cpu = 0
-        self.serving = collections.Counter()
-        self.serving_cpu = 0
-        self._steps = collections.Counter()
-
-    def fits(self, step):
-        """True if one more task of a step keeps within the capacity."""
-        if step.memory_mb > self.free_memory_mb:
-            return False
-        if step.accelerators > self.free_accelerators:
-            return False
-        return step.fills or step.cpu <= self.free_cpu
-
-    def count(self, task):
-        """Returns how many tasks of the step of a task hold room."""
-        return self._steps[_step_key(task)]
-
-    def serving_images(self):
-        """Returns the images of the runs with a tail target."""
-        return {image for image, count in self.serving.items() if count}
-
-    def take(self, run):
-        """Reserves the room of a run."""
-        self._change(run, 1)
-
-    def give_back(self, run):
-        """Frees the room of a run."""
-        self._change(run, -1)
-
-    def _change(self, run, sign):
-        self._steps[_step_key(run.live.task)] += sign
-        step = run.step
-        if step is None:
-            return
-        self.free_memory_mb -= sign * step.memory_mb
-        self.free_accelerators -= sign * step.accelerators
-        if run.serves:
-            self.serving[step.image] += sign
-            self.serving_cpu += sign * step.cpu
-        if step.fills:
-            self.filling_cpu += sign * step.cpu
-        else:
-            self.free_cpu -= sign * step.cpu
-
-
-def _step_key(task):
-    return task.workflow_id, task.occurrence, task.step
-
-
 class Worker:
     """One life of a worker.
 
@@ -242,7 +77,7 @@
         self.ends_taken = record.ends_noted
         self.ends_told = record.ends_noted
         self.runs = {}
-        self.room = Room(record)
+        self.room = _room.Room(record)
         self.pacing = None
 
     @property
@@ -267,7 +102,7 @@
     def change_record(self, record):
         """Takes another description of the same life."""
         self.record = record
-        self.room = Room(record)
+        self.room = _room.Room(record)
         for run in self.runs.values():
             self.room.take(run)
 
--- a/fuchsiatrestle/workflows/_orders.py
+++ b/fuchsiatrestle/workflows/_orders.py
@@ -1,37 +1,25 @@
 """Which orders a worker gets next."""
 
 from fuchsiatrestle.workflows import _events
-from fuchsiatrestle.workflows import _fleet
+from fuchsiatrestle.workflows import _runs
 
-__all__ = ('OrderBook',)
+__all__ = ('Orders',)
 
-_Phase = _fleet.Phase
+_Phase = _runs.Phase
 
 
-class OrderBook:
+class Orders:
     """Makes the orders that are due for a worker.
 
     Args:
-        part: the state part with the workflows.
-        token: fencing token of this leader.
+        book: ``Book``.
         timing: ``Timing``.
-
-    Attributes:
-        token: fencing token of this leader.
     """
 
-    def __init__(self, part, token, timing):
-        self.token = token
-        self._part = part
+    def __init__(self, book, timing):
+        self._book = book
         self._timing = timing
 
-    def ends_noted(self, worker):
-        """Returns the number of a worker's last end that is agreed."""
-        record = self._part.workers.get(worker.name)
-        if record is None or record.born_ms != worker.record.born_ms:
-            return 0
-        return record.ends_noted
-
     def due(self, worker, now_ms):
         """Returns the orders to send to a worker now."""
         orders = []
@@ -53,7 +41,7 @@
             return self._start(worker, run, now_ms)
         if run.phase == _Phase.STOPPING and run.stopped_ms is None:
             return _events.StopRun(
-                record.worker, record.address, *run.key, self.token
+                record.worker, record.address, *run.key, self._book.token
             )
         if run.phase == _Phase.RUNNING and run.pace != run.wanted_pace:
             return _events.PaceRun(
@@ -61,7 +49,7 @@
                 record.address,
                 *run.key,
                 run.wanted_pace,
-                self.token,
+                self._book.token,
             )
         return None
 
@@ -70,7 +58,7 @@
         if until_ms is None:
             return None
         task_id, number = run.key
-        workflow = self._part.workflow(task_id.workflow_id)
+        workflow = self._book.part.workflow(task_id.workflow_id)
         return _events.StartRun(
             worker.record.worker,
             worker.record.address,
@@ -78,7 +66,7 @@
             number,
             workflow.spec.payload,
             until_ms,
-            self.token,
+            self._book.token,
             workflow.tasks[task_id].checkpoint,
             '',
         )
@@ -88,7 +76,7 @@
     def _look(self, worker, now_ms):
         if worker.looking or now_ms < worker.look_ms:
             return []
-        noted = self.ends_noted(worker)
+        noted = self._book.ends_noted(worker)
         holds_runs = any(run.is_active for run in worker.runs.values())
         if not holds_runs and noted <= worker.ends_told:
             return []
@@ -106,7 +94,7 @@
                 worker.record.worker,
                 worker.record.address,
                 until_ms,
-                self.token,
+                self._book.token,
                 noted,
                 self._wait_ms(worker, holds_runs),
             )
