Let lasting tasks leave a share of the room while quick ones wait

Trace of a replay: lasting tasks hold 96% of all processor time (1177 of 1232 cores reserved at 22 s), 99 quick tasks wait at gaps of 1.5 cores; lasting tasks never end, so it stays so. Change: while a task that ends finds no room, lasting groups that would lead beyond 88% of the service's processor time wait behind it; they are placed as soon as no quick task waits.

--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -209,15 +209,30 @@
 
     def _place_waiting(self):
         offers = {}
+        later = []
         for group in self._backlog.ordered(self._wall_now()):
-            pool = self._book.part.queue_of(group.workflow).pool
-            if pool not in offers:
-                usable = self._book.fleet.usable(pool, self._book.now_ms)
-                offers[pool] = _placement.Offer(usable)
-            offer = offers[pool]
-            placed = self._place_group(group, offer.workers_for(group.step))
-            if placed < len(group.waiting):
-                offer.reserve(group)
+            offer = self._offer(offers, group)
+            if offer.is_beyond_share(group):
+                later.append(group)
+            else:
+                self._place_or_reserve(offer, group)
+        for group in later:
+            offer = self._offer(offers, group)
+            if not offer.has_quick_waiting:
+                self._place_or_reserve(offer, group)
+
+    def _offer(self, offers, group):
+        """Returns the ``Offer`` of a group's service in this round."""
+        pool = self._book.part.queue_of(group.workflow).pool
+        if pool not in offers:
+            usable = self._book.fleet.usable(pool, self._book.now_ms)
+            offers[pool] = _placement.Offer(usable)
+        return offers[pool]
+
+    def _place_or_reserve(self, offer, group):
+        placed = self._place_group(group, offer.workers_for(group.step))
+        if placed < len(group.waiting):
+            offer.note_waiting(group)
 
     def _place_group(self, group, workers):
         """Places what fits; returns the number of tasks placed."""
--- a/fuchsiatrestle/workflows/_placement.py
+++ b/fuchsiatrestle/workflows/_placement.py
@@ -19,6 +19,8 @@
 # Share of the workers that are kept free of serving tasks while others have
 # room, for images that would disturb on all of them.
 KEPT_FREE = 0.15
+# Share of all processor time that lasting tasks get while quick ones wait.
+MOST_LASTING = 0.88
 # Share of the workers that are kept at most for tasks that do not fit yet.
 MOST_RESERVED = 0.2
 
@@ -205,12 +207,29 @@
 
     Args:
         workers: the usable workers.
+
+    Attributes:
+        has_quick_waiting: True once a task that ends found no room.
     """
 
     def __init__(self, workers):
+        self.has_quick_waiting = False
         self._workers = workers
         self._reserved = set()
         self._most = int(MOST_RESERVED * len(workers)) + 1
+        self._capacity = sum(worker.record.cpu for worker in workers)
+
+    def is_beyond_share(self, group):
+        """True if a lasting group leads beyond the share of lasting tasks.
+
+        Answers a day with more lasting tasks than room: they never end, so
+        that quick work of the same priority would find none any more.
+        """
+        if not group.step.lasts:
+            return False
+        held = sum(worker.room.lasting_cpu for worker in self._workers)
+        wanted = group.step.cpu * len(group.waiting)
+        return held + wanted > MOST_LASTING * self._capacity
 
     def workers_for(self, step):
         """Returns the workers on which a step may be placed."""
@@ -222,9 +241,13 @@
             if worker.name not in self._reserved
         ]
 
-    def reserve(self, group):
+    def note_waiting(self, group):
         """Keeps the worker where a waiting task will fit first."""
-        if group.step.fills or len(self._reserved) >= self._most:
+        if group.step.fills:
+            return
+        if not group.step.lasts:
+            self.has_quick_waiting = True
+        if len(self._reserved) >= self._most:
             return
         task = group.waiting[-1]
         best = max(
@@ -247,12 +270,7 @@
         return False
     if step.most_per_worker and room.count(task) >= step.most_per_worker:
         return False
-    reserved_for_long = sum(
-        run.step.cpu
-        for run in worker.runs.values()
-        if run.step is not None and run.step.lasts
-    )
-    return step.cpu <= worker.record.cpu - reserved_for_long
+    return step.cpu <= worker.record.cpu - room.lasting_cpu
 
 
 class _Ledger:
--- a/fuchsiatrestle/workflows/_room.py
+++ b/fuchsiatrestle/workflows/_room.py
@@ -19,6 +19,7 @@
         free_memory_mb: memory not reserved, in MiB.
         free_accelerators: accelerators not reserved.
         filling_cpu: processor time wanted by runs that fill.
+        lasting_cpu: processor time reserved by runs that last.
         serving: number of runs with a tail target by image.
         serving_cpu: processor time reserved by them.
     """
@@ -29,6 +30,7 @@
         'free_accelerators',
         'free_cpu',
         'free_memory_mb',
+        'lasting_cpu',
         'serving',
         'serving_cpu',
     )
@@ -38,6 +40,7 @@
         self.free_memory_mb = record.memory_mb
         self.free_accelerators = record.accelerators
         self.filling_cpu = 0
+        self.lasting_cpu = 0
         self.serving = collections.Counter()
         self.serving_cpu = 0
         self._steps = collections.Counter()
@@ -70,8 +73,10 @@
             self.serving_cpu += sign * step.cpu
         if step.fills:
             self.filling_cpu += sign * step.cpu
-        else:
-            self.free_cpu -= sign * step.cpu
+            return
+        self.free_cpu -= sign * step.cpu
+        if step.lasts:
+            self.lasting_cpu += sign * step.cpu
 
 
 def _step_key(task):
--- a/tests/workflows/test_placing.py
+++ b/tests/workflows/test_placing.py
@@ -40,6 +40,28 @@
         self.assertEqual('running', world.state('large'))
         self.assertEqual([], world.ledger.breaches)
 
+    def test_lasting_tasks_leave_room_for_quick_ones(self):
+        """More lasting tasks than there is room for do not take it all."""
+        world = dispatch_world.World(5, workers=4)
+        lasting = workflows.Step(1, cpu=2500, memory_mb=10, lasts=True)
+        quick = workflows.Step(2, cpu=1500, memory_mb=10, estimate_ms=400)
+        names = []
+        for number in range(60):
+            world.submit(
+                f'lasting-{number}',
+                [lasting],
+                [worker_model.Size(2500, 10, None)],
+            )
+            name = f'quick-{number}'
+            world.submit(name, [quick], [worker_model.Size(1500, 10, 400)])
+            names.append(name)
+            world.run(400)
+        world.run(3000)
+        states = [world.state(name) for name in names]
+        self.assertGreaterEqual(states.count('completed'), 54)
+        self.assertGreaterEqual(len(world.ledger.running), 8)
+        self.assertEqual([], world.ledger.breaches)
+
 
 if __name__ == '__main__':
     unittest.main()
