--- a/fuchsiatrestle/workflows/_settings.py
+++ b/fuchsiatrestle/workflows/_settings.py
@@ -30,9 +30,9 @@
     def __init__(
         self,
         *,
-        lease_ms=5000,
+        lease_ms=5900,
         longest_lease_ms=6000,
-        look_wait_ms=1500,
+        look_wait_ms=1000,
         busy_look_wait_ms=500,
         announce_ms=1500,
         harm_ms=4000,
