Let lasting tasks make way only for quick ones of their priority

Cause: any waiting quick task held lasting groups back, one of a lower priority too. Change: the round remembers the priorities of what found no room. Run: tests.workflows (9) pass.

--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -211,28 +211,27 @@
         offers = {}
         later = []
         for group in self._backlog.ordered(self._wall_now()):
-            offer = self._offer(offers, group)
+            queue = self._book.part.queue_of(group.workflow)
+            offer = self._offer(offers, queue.pool)
             if offer.is_beyond_share(group):
-                later.append(group)
+                later.append((group, queue, offer))
             else:
-                self._place_or_reserve(offer, group)
-        for group in later:
-            offer = self._offer(offers, group)
-            if not offer.has_quick_waiting:
-                self._place_or_reserve(offer, group)
-
-    def _offer(self, offers, group):
-        """Returns the ``Offer`` of a group's service in this round."""
-        pool = self._book.part.queue_of(group.workflow).pool
+                self._place_or_wait(group, queue, offer)
+        for group, queue, offer in later:
+            if not offer.yields(queue.priority):
+                self._place_or_wait(group, queue, offer)
+
+    def _offer(self, offers, pool):
+        """Returns the ``Offer`` of a service in this round."""
         if pool not in offers:
             usable = self._book.fleet.usable(pool, self._book.now_ms)
             offers[pool] = _placement.Offer(usable)
         return offers[pool]
 
-    def _place_or_reserve(self, offer, group):
+    def _place_or_wait(self, group, queue, offer):
         placed = self._place_group(group, offer.workers_for(group.step))
         if placed < len(group.waiting):
-            offer.note_waiting(group)
+            offer.note_waiting(group, queue.priority)
 
     def _place_group(self, group, workers):
         """Places what fits; returns the number of tasks placed."""
--- a/fuchsiatrestle/workflows/_placement.py
+++ b/fuchsiatrestle/workflows/_placement.py
@@ -207,13 +207,10 @@
 
     Args:
         workers: the usable workers.
-
-    Attributes:
-        has_quick_waiting: True once a task that ends found no room.
     """
 
     def __init__(self, workers):
-        self.has_quick_waiting = False
+        self._quick_waiting = []
         self._workers = workers
         self._reserved = set()
         self._most = int(MOST_RESERVED * len(workers)) + 1
@@ -241,12 +238,16 @@
             if worker.name not in self._reserved
         ]
 
-    def note_waiting(self, group):
+    def yields(self, priority):
+        """True if a lasting group makes way for quick tasks that wait."""
+        return any(one <= priority for one in self._quick_waiting)
+
+    def note_waiting(self, group, priority):
         """Keeps the worker where a waiting task will fit first."""
         if group.step.fills:
             return
         if not group.step.lasts:
-            self.has_quick_waiting = True
+            self._quick_waiting.append(priority)
         if len(self._reserved) >= self._most:
             return
         task = group.waiting[-1]
