--- a/tests/fakes/dispatch_world.py
+++ b/tests/fakes/dispatch_world.py
@@ -57,6 +57,8 @@
 
     Attributes:
         now_ms: virtual time.
+        cut: names of workers that nothing reaches or leaves.
+        draining: names of workers that say they leave.
         ledger: ``worker_model.Ledger`` with the breaches found.
         part: the agreed workflows.
     """
@@ -71,6 +73,7 @@
         self.part = self.machine.workflows
         self.sizes = {}
         self.cut = set()
+        self.draining = set()
         self._cpu = cpu
         self._models = {}
         self._sequence = itertools.count(1)
@@ -221,7 +224,7 @@
             f'{model.name}:1',
             POOL,
             'dc',
-            'ready',
+            'draining' if model.name in self.draining else 'ready',
             model.cpu,
             model.memory_mb,
             0,
--- a/tests/workflows/test_recovery.py
+++ b/tests/workflows/test_recovery.py
@@ -45,6 +45,19 @@
         self.assertEqual(1, len(world.ledger.running))
         self.assertEqual([], world.ledger.breaches)
 
+    def test_draining_worker_gets_nothing_new(self):
+        world = dispatch_world.World(5, workers=2)
+        world.draining.add('w0')
+        world.run(2000)
+        for number in range(20):
+            world.submit(f'quick-{number}', [STEP], [SIZE])
+            world.run(200)
+            names = set(world.ledger.running.values())
+            self.assertLessEqual(names, {'w1'})
+        world.run(10_000)
+        states = {world.state(f'quick-{number}') for number in range(20)}
+        self.assertEqual({'completed'}, states)
+
     def test_cancelled_tasks_stop_in_time(self):
         world = dispatch_world.World(3, workers=2)
         world.submit('lasting', [LASTING], [FOREVER])
