Log each control replica reached and lost; stop an entry whose task fails

Change: one line for each, with how many are reached and how many calls waited; the entry's tasks form a group, the failure of one ends it. The deploy file, its templates and packages are tested against the programs.

--- a/fuchsiatrestle/net/control_client.py
+++ b/fuchsiatrestle/net/control_client.py
@@ -23,6 +23,7 @@
 from returns import result
 
 from fuchsiatrestle import errors
+from fuchsiatrestle import logs
 from fuchsiatrestle import messages
 from fuchsiatrestle import metrics
 from fuchsiatrestle.net import link
@@ -72,6 +73,8 @@
     for reason in _PASSING_REASONS
 }
 
+LOG = logs.get_logger(__name__)
+
 
 class CallFailure(errors.Failure):
     """A call that got no outcome.
@@ -169,13 +172,28 @@
         """
         if isinstance(event, link.Inbound):
             return await self._take_answer(event)
+        if event.peer not in self._controls:
+            return False
         if isinstance(event, link.PeerUp):
             self._down.discard(event.peer)
-        elif event.peer in self._controls:
+            self._log_reach('control_reached', event.peer)
+        else:
             self._down.add(event.peer)
+            self._log_reach('control_lost', event.peer)
             await self._fail_attempts(event.peer)
         return False
 
+    def _log_reach(self, event, peer):
+        LOG.info(
+            event,
+            extra={
+                'peer': peer,
+                'reached': len(self._controls) - len(self._down),
+                'known': len(self._controls),
+                'waiting': len(self._pending),
+            },
+        )
+
     async def propose(self, command, deadline_ms=DEFAULT_DEADLINE_MS):
         """Agrees a command; returns ``Result`` of its outcome."""
         message = messages.ProposeCommand(0, commands.CODEC.encode(command))
--- a/fuchsiatrestle/platform/_programs.py
+++ b/fuchsiatrestle/platform/_programs.py
@@ -63,7 +63,14 @@
 
     async def serve(self, stop_requested):
         """Answers until told to stop, then finishes what is open."""
-        receiver = await curio.spawn(self._receive_forever)
+        async with curio.TaskGroup(wait=any) as tasks:
+            await tasks.spawn(self._receive_forever)
+            await tasks.spawn(self._stop_gracefully, stop_requested)
+        if tasks.exception:
+            raise tasks.exception
+        await self._link.stop()
+
+    async def _stop_gracefully(self, stop_requested):
         await stop_requested.wait()
         self._draining = True
         lead_s = self._cfg.get('platform', 'health_lead_s')
@@ -71,8 +78,6 @@
         await curio.sleep(lead_s)
         await self._callers.stop(max(0.1, grace_s - lead_s - EXIT_MARGIN_S))
         await self._ready.stop(0)
-        await receiver.cancel()
-        await self._link.stop()
 
     async def _receive_forever(self):
         while True:
--- /dev/null
+++ b/tests/platform/test_deploy.py
@@ -0,0 +1,94 @@
+"""The deploy file, its templates and packages fit the programs."""
+
+import pathlib
+import re
+import tempfile
+import tomllib
+import unittest
+
+from fuchsiatrestle.platform import _programs
+from fuchsiatrestle.platform import _settings
+from fuchsiatrestle import settings
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+PLACEHOLDER = re.compile(r'\{\{([a-z_.0-9]+)\}\}')
+
+
+def _values(folder):
+    """Returns what the platform fills in, by the name of a placeholder."""
+    return {
+        'seed_nodes': '10.1.0.16:8166,10.2.0.32:8166,10.3.0.38:8166',
+        'ip': '10.1.0.16',
+        'internal_ports.0': '7720',
+        'zone': 'dc-a',
+        'listen_addrs.front': '10.1.0.16:8161',
+        'listen_addrs.ready': '10.1.0.16:8167',
+        'listen_addrs.control': '10.1.0.16:8166',
+        'bounds.grace_s': '6',
+        'bounds.max_hold_ms': '6000',
+        'bounds.harm_ms': '4000',
+        'heartbeat_ms': '1500',
+        'data_dir': folder,
+    }
+
+
+class DeployTest(unittest.TestCase):
+    def setUp(self):
+        text = (ROOT / 'deploy/system.toml').read_text(encoding='utf-8')
+        self.deploy = tomllib.loads(text)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = folder.name
+
+    def _load(self, role):
+        """Returns the settings of a role as its program reads them."""
+        template = ROOT / self.deploy['roles'][role]['template']
+        values = _values(self.folder)
+        text = PLACEHOLDER.sub(
+            lambda match: values[match[1]],
+            template.read_text(encoding='utf-8'),
+        )
+        path = pathlib.Path(self.folder) / f'{role}.ini'
+        path.write_text(text, encoding='utf-8')
+        return settings.load(path, _programs.PROGRAMS[role].sections)
+
+    def test_each_role_names_its_program(self):
+        for role, entry in self.deploy['roles'].items():
+            words = entry['run'].split()
+            self.assertEqual('fuchsiatrestle.platform', words[2])
+            self.assertIn(words[3], _programs.PROGRAMS)
+            self.assertEqual(role, words[3])
+
+    def test_settings_of_the_entry(self):
+        cfg = self._load('entry')
+        peers = _settings.control_peers(cfg)
+        self.assertEqual(
+            ['10.1.0.16:7720', '10.2.0.32:7720', '10.3.0.38:7720'],
+            list(peers),
+        )
+        self.assertEqual(6.0, cfg.get('platform', 'grace_s'))
+
+    def test_settings_of_control(self):
+        cfg = _settings.for_control_daemon(self._load('control'))
+        self.assertEqual('10.1.0.16:7720', cfg.get('control', 'name'))
+        self.assertTrue(cfg.get('control', 'open_membership'))
+        self.assertEqual(6000, cfg.get('workers', 'longest_lease_ms'))
+        self.assertEqual(150, cfg.get('timing', 'heartbeat_ms'))
+
+    def test_metrics_are_where_the_deploy_file_says(self):
+        for role, entry in self.deploy['roles'].items():
+            port, _, path = entry['metrics'].partition('/')
+            listen = self._load(role).get('metrics', 'listen')
+            self.assertEqual((int(port), 'metrics'), (listen.port, path))
+
+    def test_packages_are_those_of_the_project(self):
+        pinned = (ROOT / 'constraints.txt').read_text(encoding='utf-8')
+        needed = (ROOT / 'deploy/requirements.txt').read_text('utf-8')
+        self.assertLessEqual(set(needed.split()), set(pinned.split()))
+        project = tomllib.loads((ROOT / 'pyproject.toml').read_text('utf-8'))
+        own = set(project['project']['dependencies'])
+        self.assertLessEqual(own, set(needed.split()))
+
+
+if __name__ == '__main__':
+    unittest.main()
