--- a/fuchsiatrestle/control/_daemon.py
+++ b/fuchsiatrestle/control/_daemon.py
@@ -190,7 +190,6 @@
                     'lease_ms',
                     'longest_lease_ms',
                     'announce_ms',
-                    'harm_ms',
                 )
             }
         )
--- a/fuchsiatrestle/control/_settings.py
+++ b/fuchsiatrestle/control/_settings.py
@@ -23,7 +23,6 @@
         settings.IntOption('lease_ms', 5900, low=500, high=60000),
         settings.IntOption('longest_lease_ms', 6000, low=500, high=60000),
         settings.IntOption('announce_ms', 1500, low=50, high=60000),
-        settings.IntOption('harm_ms', 4000, low=100, high=60000),
     ),
     settings.Section(
         'timing',
--- a/fuchsiatrestle/workflows/_settings.py
+++ b/fuchsiatrestle/workflows/_settings.py
@@ -15,13 +15,11 @@
         busy_look_wait_ms: the same where tasks that fill run beside tasks
             that serve, whose tail latency is then watched.
         announce_ms: interval of the workers' announcements.
-        harm_ms: time for which a tail may be over its target.
     """
 
     __slots__ = (
         'announce_ms',
         'busy_look_wait_ms',
-        'harm_ms',
         'lease_ms',
         'longest_lease_ms',
         'look_wait_ms',
@@ -35,11 +33,9 @@
         look_wait_ms=1000,
         busy_look_wait_ms=500,
         announce_ms=1500,
-        harm_ms=4000,
     ):
         self.lease_ms = min(lease_ms, longest_lease_ms)
         self.longest_lease_ms = longest_lease_ms
         self.look_wait_ms = look_wait_ms
         self.busy_look_wait_ms = busy_look_wait_ms
         self.announce_ms = announce_ms
-        self.harm_ms = harm_ms
--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -26,7 +26,6 @@
         'listen_addrs.control': '10.1.0.16:8166',
         'bounds.grace_s': '6',
         'bounds.max_hold_ms': '6000',
-        'bounds.harm_ms': '4000',
         'heartbeat_ms': '1500',
         'data_dir': folder,
     }
