Reach a leader that the settings do not list, and let it admit newcomers

Found: tests.platform.test_process_platform, one disk lost with all processes killed, failed in about half of its runs beside load: a replica answered no read for 20 s. Trace (logs of one run): the leader was the replica that is no seed. (1) It had dialled the others before they knew it as a replica; they learnt its name from the agreed voters later, marked it down until its stream would come up, and that had happened already. (2) The replica whose disk was lost says hello to the seeds only; a leader that is no seed never heard it and did not admit it, so the group stayed one disk short. Ruled out: elections (the leader was ready 1.6 s after the start), the disk. Change: the client remembers every stream that is up; a replica passes the hello of a newcomer on to the leader. Tests that failed before: tests.net.test_control_client (learns a leader whose stream is up already), tests.agreement.test_cluster (unlisted leader admits a lost disk).

--- a/fuchsiatrestle/agreement/_dispatch.py
+++ b/fuchsiatrestle/agreement/_dispatch.py
@@ -80,7 +80,8 @@
             if identities:
                 replica.found(identities)
 
-    def _on_hello(self, message):
+    def _on_hello(self, event):
+        message = event.message
         replica = self._replica
         if message.cell != replica.cell:
             return
@@ -90,13 +91,27 @@
             hello = replica.founding.hello(replica.group, joined=True)
             replica.emit(_events.Send(name, hello))
             replica.role.on_hello(message)
+            self._pass_hello_on(event)
+
+    def _pass_hello_on(self, event):
+        """Lets the leader know of a newcomer that does not know it.
+
+        Only what comes from the newcomer itself is passed on, so that two
+        replicas that are wrong about the leader do not pass it to and fro.
+        """
+        replica = self._replica
+        leader = replica.leader_name
+        newcomer = _voters.name_of(event.message.sender)
+        leads = replica.leader == replica.identity
+        if leader and not leads and event.sender == newcomer:
+            replica.emit(_events.Send(leader, event.message))
 
     # Messages
 
     def _on_received(self, event):
         message = event.message
         if isinstance(message, messages.Hello):
-            self._on_hello(message)
+            self._on_hello(event)
         elif not self._accepts(message.group):
             return
         elif isinstance(message, messages.VoteRequest):
--- a/fuchsiatrestle/net/control_client.py
+++ b/fuchsiatrestle/net/control_client.py
@@ -133,6 +133,8 @@
         self._target = self._names[0]
         # Addresses from elsewhere may be dead from the start.
         self._down = set(controls) - {lnk.name} if resolve else set()
+        # Peers with a stream, also those not yet known to be replicas.
+        self._up = set()
         self._pending = {}
         self._last_call_id = (
             lnk.incarnation & INCARNATION_MASK
@@ -160,9 +162,11 @@
             return
         self._controls[name] = self._resolve(name)
         self._names = sorted(self._controls)
-        if name != self._link.name:
+        if name == self._link.name:
+            return
+        if name not in self._up:
             self._down.add(name)
-            self._link.connect(name, self._controls[name])
+        self._link.connect(name, self._controls[name])
 
     async def handle(self, event):
         """Takes an event of the link: an answer, or a peer that went away.
@@ -172,8 +176,15 @@
         """
         if isinstance(event, link.Inbound):
             return await self._take_answer(event)
-        if event.peer not in self._controls:
-            return False
+        if isinstance(event, link.PeerUp):
+            self._up.add(event.peer)
+        else:
+            self._up.discard(event.peer)
+        if event.peer in self._controls:
+            await self._note_reach(event)
+        return False
+
+    async def _note_reach(self, event):
         if isinstance(event, link.PeerUp):
             self._down.discard(event.peer)
             self._log_reach('control_reached', event.peer)
@@ -181,7 +192,6 @@
             self._down.add(event.peer)
             self._log_reach('control_lost', event.peer)
             await self._fail_attempts(event.peer)
-        return False
 
     def _log_reach(self, event, peer):
         LOG.info(
--- a/tests/agreement/test_cluster.py
+++ b/tests/agreement/test_cluster.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from fuchsiatrestle import agreement
+from fuchsiatrestle import messages
 from tests.agreement import cluster
 
 
@@ -51,5 +53,48 @@
         self.cluster.require_whole()
 
 
+class UnlistedTest(unittest.TestCase):
+    """A replica that the settings do not list joins, leads and admits."""
+
+    def setUp(self):
+        cfg = cluster.small_config()
+        cfg.admit_unlisted = True
+        self.cluster = cluster.Cluster(
+            ('c1', 'c2', 'c3', 'c4'), 1, cfg, ('c1', 'c2', 'c3')
+        )
+        self.assertTrue(self._run_until_voters(4))
+
+    def _run_until_voters(self, count):
+        """Lets time pass until the leader knows so many level voters."""
+
+        def is_whole():
+            leader = self.cluster.leader
+            if not leader:
+                return False
+            replica = self.cluster.nodes[leader].replica
+            names = {one.split('#')[0] for one in replica.voters.voters}
+            alive = {
+                self.cluster.nodes[name].replica.identity for name in names
+            }
+            return len(names) == count and alive == set(replica.voters.voters)
+
+        return self.cluster.run_until(is_whole, 20_000)
+
+    def _make_lead(self, name):
+        leader = self.cluster.nodes[self.cluster.leader].replica
+        order = messages.TimeoutNow(leader.group, leader.term, leader.identity)
+        self.cluster.step(name, agreement.Received(leader.identity, order))
+        self.cluster.run(1_000)
+        self.assertEqual(name, self.cluster.leader)
+
+    def test_unlisted_leader_admits_a_lost_disk(self):
+        self._make_lead('c4')
+        self.cluster.kill('c2')
+        self.cluster.erase('c2')
+        self.cluster.start('c2')
+        self.assertTrue(self._run_until_voters(4))
+        self.assertEqual('c4', self.cluster.leader)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/net/test_control_client.py
+++ b/tests/net/test_control_client.py
@@ -23,6 +23,7 @@
     """
 
     incarnation = 5
+    name = 'e1'
 
     def __init__(self, script):
         self._script = list(script)
@@ -69,7 +70,25 @@
     return found, [peer for peer, _ in lnk.sent]
 
 
+async def _propose_to_unlisted():
+    """The leader dialled this process before it was known to be one."""
+    lnk = _FakeLink([('not_leader', 'c9'), 'accept'])
+    client = control_client.ControlClient(lnk, {'c1': 'a1'}, str.upper)
+    lnk.client = client
+    await client.handle(link.PeerUp('c9'))
+    await client.handle(link.PeerUp('c1'))
+    task = await curio.spawn(lnk.answer)
+    found = await client.propose(COMMAND, 2000)
+    await task.cancel()
+    return found, [peer for peer, _ in lnk.sent]
+
+
 class ControlClientTest(unittest.TestCase):
+    def test_learns_a_leader_whose_stream_is_up_already(self):
+        found, peers = curio.run(_propose_to_unlisted)
+        self.assertIsInstance(found, result.Success)
+        self.assertEqual(['c1', 'c9'], peers)
+
     def _propose(self, script, deadline_ms=20000):
         return curio.run(
             curio.timeout_after, 60, _propose, script, deadline_ms
--- a/tests/platform/test_process_platform.py
+++ b/tests/platform/test_process_platform.py
@@ -107,6 +107,23 @@
         await world.until(has_reloaded, 'a reload')
         self.assertTrue(world.entry.running)
 
+    def test_entry_that_is_told_to_stop_answers_open_connections(self):
+        curio.run(self._entry_stops)
+
+    async def _entry_stops(self):
+        world = self._deploy()
+        await world.start()
+        await world.put(_deployment.configuration(1))
+        conn = await world.connect()
+        path = _deployment.PREFIX + f'{1:016x}'
+        self.assertEqual(410, await world.request(conn, 'GET', path))
+        world.entry.ask_to_stop()
+        await world.until(world.is_draining, 'an entry that drains')
+        self.assertEqual(410, await world.request(conn, 'GET', path))
+        conn.close()
+        self.assertEqual(0, await curio.run_in_thread(world.entry.wait))
+        await world.stop()
+
     def test_leader_killed(self):
         curio.run(self._leader_killed)
 
