Fill a group with workers in one place

Cause: a round of placing stood twice, for gangs and for single tasks, and made a ledger that a gang threw away; a method of the fleet was called by nobody. Change: _fill serves both; no decision changes.

--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -178,10 +178,6 @@
         self._workers[record.worker] = worker
         return worker
 
-    def remove(self, name):
-        """Forgets a worker that has left."""
-        self._workers.pop(name, None)
-
     def usable(self, pool, now_ms):
         """Returns the workers of a service that can take something new."""
         announce_ms = self._timing.announce_ms
--- a/fuchsiatrestle/workflows/_placement.py
+++ b/fuchsiatrestle/workflows/_placement.py
@@ -40,10 +40,21 @@
             group: ``Group``; for a gang all of its tasks are placed or none.
             workers: usable workers of the service.
         """
-        ledger = _Ledger(group.step)
         self.survey(workers)
         if group.step.gang:
             return self._place_gang(group, workers)
+        return self._fill(group, workers)
+
+    def _place_gang(self, group, workers):
+        for candidates in self._gang_candidates(group.step, workers):
+            pairs = self._fill(group, candidates)
+            if len(pairs) == group.step.count:
+                return pairs
+        return []
+
+    def _fill(self, group, workers):
+        """Returns (task, worker) pairs up to the first that does not fit."""
+        ledger = _Ledger(group.step)
         pairs = []
         for task in group.waiting:
             worker = self._choose(group, task, workers, ledger)
@@ -53,20 +64,6 @@
             pairs.append((task, worker))
         return pairs
 
-    def _place_gang(self, group, workers):
-        for candidates in self._gang_candidates(group.step, workers):
-            ledger = _Ledger(group.step)
-            pairs = []
-            for task in group.waiting:
-                worker = self._choose(group, task, candidates, ledger)
-                if worker is None:
-                    break
-                ledger.take(worker)
-                pairs.append((task, worker))
-            if len(pairs) == group.step.count:
-                return pairs
-        return []
-
     def _gang_candidates(self, step, workers):
         """Yields sets of workers to try, best first."""
         if step.one_rack:
