Silence a link only after the relay has accepted it

The peer counts as up once the kernel has connected; the relay in the test may accept later and can only silence what it has accepted. The stream then passes for good and the test waits for a loss that never comes.

Ruled out: the link itself.

Change: the test waits until the other end is up as well, which takes a byte through the relay. No bound changed.

--- a/tests/net/test_link.py
+++ b/tests/net/test_link.py
@@ -82,6 +82,9 @@
             await a.start()
             a.connect('b', middle)
             self.assertIsInstance(await a.receive(), link.PeerUp)
+            # The kernel connects before the relay accepts; the relay can
+            # only silence a connection that it has accepted.
+            self.assertIsInstance(await b.receive(), link.PeerUp)
             network.set_mode('b', relay.SILENCE)
             self.assertIsInstance(await a.receive(), link.PeerDown)
             self.assertIsInstance(await a.receive(), link.PeerUp)
