Place a group by one ranking, and hold lasting tasks back 2 s at most

Change: HeldBack ends the wait after 2 s. A group ranks its workers once and judges only the one that was taken again; a step that asks for as much as one that found no worker in the round is not tried. Offer is a module of its own.

Test: test_lasting_task_with_room_is_not_held_back_for_long, failed before.

--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -10,6 +10,7 @@
 from fuchsiatrestle.workflows import _book
 from fuchsiatrestle.workflows import _events
 from fuchsiatrestle.workflows import _interference
+from fuchsiatrestle.workflows import _offer
 from fuchsiatrestle.workflows import _orders
 from fuchsiatrestle.workflows import _placement
 from fuchsiatrestle.workflows import _runs
@@ -40,6 +41,7 @@
         self._interference = _interference.Interference()
         self._placer = placer or _placement.BestFit(self._interference)
         self._backlog = _backlog.Backlog(part)
+        self._held_back = _offer.HeldBack()
         self._orders = _orders.Orders(self._book, timing)
         self._announcing = _announcing.Announcing(self._book)
         self._answers = _answers.Answers(
@@ -212,24 +214,34 @@
         later = []
         for group in self._backlog.ordered(self._wall_now()):
             queue = self._book.part.queue_of(group.workflow)
-            offer = self._offer(offers, queue.pool)
+            offer = self._offer_of(offers, queue.pool)
             if offer.is_beyond_share(group):
                 later.append((group, queue, offer))
             else:
                 self._place_or_wait(group, queue, offer)
+        self._place_later(later)
+
+    def _place_later(self, later):
+        """Places lasting tasks that would take more than their share."""
+        now_ms = self._book.now_ms
         for group, queue, offer in later:
-            if not offer.yields(queue.priority):
+            over = self._held_back.is_over(group, now_ms)
+            if over or not offer.yields(queue.priority):
                 self._place_or_wait(group, queue, offer)
+        self._held_back.renew([group for group, _, _ in later], now_ms)
 
-    def _offer(self, offers, pool):
+    def _offer_of(self, offers, pool):
         """Returns the ``Offer`` of a service in this round."""
         if pool not in offers:
             usable = self._book.fleet.usable(pool, self._book.now_ms)
-            offers[pool] = _placement.Offer(usable)
+            offers[pool] = _offer.Offer(usable)
         return offers[pool]
 
     def _place_or_wait(self, group, queue, offer):
-        placed = self._place_group(group, offer.workers_for(group.step))
+        placed = 0
+        if offer.has_room(group.step):
+            placed = self._place_group(group, offer.workers_for(group.step))
+            offer.note_placed(group.step, placed)
         if placed < len(group.waiting):
             offer.note_waiting(group, queue.priority)
 
--- a/fuchsiatrestle/workflows/_placement.py
+++ b/fuchsiatrestle/workflows/_placement.py
@@ -6,10 +6,11 @@
 """
 
 import abc
+import heapq
 
 from fuchsiatrestle.workflows import _interference
 
-__all__ = ('BestFit', 'FirstFit', 'Offer', 'Placer')
+__all__ = ('BestFit', 'FirstFit', 'Placer', 'labels_of')
 
 # Share of the processor time reserved by serving tasks that they leave to
 # tasks that fill; the rest covers the peaks of their load.
@@ -19,10 +20,6 @@
 # Share of the workers that are kept free of serving tasks while others have
 # room, for images that would disturb on all of them.
 KEPT_FREE = 0.15
-# Share of all processor time that lasting tasks get while quick ones wait.
-MOST_LASTING = 0.88
-# Share of the workers that are kept at most for tasks that do not fit yet.
-MOST_RESERVED = 0.2
 
 # Costs that order the workers for a serving task.
 OPEN_COST = 1
@@ -55,12 +52,14 @@
     def _fill(self, group, workers):
         """Returns (task, worker) pairs up to the first that does not fit."""
         ledger = _Ledger(group.step)
+        ranking = _Ranking(self, group, ledger, workers)
         pairs = []
         for task in group.waiting:
-            worker = self._choose(group, task, workers, ledger)
+            worker = ranking.best()
             if worker is None:
                 break
             ledger.take(worker)
+            ranking.renew_best()
             pairs.append((task, worker))
         return pairs
 
@@ -73,20 +72,6 @@
             yield from sorted(racks.values(), key=len, reverse=True)
         yield workers
 
-    def _choose(self, group, task, workers, ledger):
-        step = group.step
-        best = None
-        best_score = None
-        for worker in workers:
-            if not _is_allowed(step, task, worker, ledger):
-                continue
-            score = self.score(step, worker, ledger)
-            if score is None:
-                continue
-            if best_score is None or score < best_score:
-                best, best_score = worker, score
-        return best
-
     def survey(self, workers):
         """Looks at all candidates before the first choice."""
 
@@ -130,7 +115,7 @@
 
     def score(self, step, worker, ledger):
         """Orders by distance, disturbance and what is left over."""
-        far = bool(step.data_rack) and step.data_rack not in _labels(worker)
+        far = bool(step.data_rack) and step.data_rack not in labels_of(worker)
         if step.fills:
             return self._score_filling(step, worker, ledger, far)
         mixed = 0
@@ -195,80 +180,50 @@
         )
 
 
-class Offer:
-    """Workers of a service in one round of placing.
+class _Ranking:
+    """Workers that may run one more task of a group, best first.
 
-    Answers small tasks that take every gap as it opens, so that room for a
-    large one never comes together: what does not fit has a worker kept for
-    it, on which nothing behind it is placed.
+    Only the worker that was taken has to be judged again for the next task.
 
     Args:
-        workers: the usable workers.
+        placer: ``Placer`` that scores.
+        group: the ``Group``.
+        ledger: what this round has put on the workers.
+        workers: the candidates.
     """
 
-    def __init__(self, workers):
-        self._quick_waiting = []
-        self._workers = workers
-        self._reserved = set()
-        self._most = int(MOST_RESERVED * len(workers)) + 1
-        self._capacity = sum(worker.record.cpu for worker in workers)
-
-    def is_beyond_share(self, group):
-        """True if a lasting group leads beyond the share of lasting tasks.
-
-        Answers a day with more lasting tasks than room: they never end, so
-        that quick work of the same priority would find none any more.
-        """
-        if not group.step.lasts:
-            return False
-        held = sum(worker.room.lasting_cpu for worker in self._workers)
-        wanted = group.step.cpu * len(group.waiting)
-        return held + wanted > MOST_LASTING * self._capacity
-
-    def workers_for(self, step):
-        """Returns the workers on which a step may be placed."""
-        if step.fills:
-            return self._workers
-        return [
-            worker
-            for worker in self._workers
-            if worker.name not in self._reserved
-        ]
-
-    def yields(self, priority):
-        """True if a lasting group makes way for quick tasks that wait."""
-        return any(one <= priority for one in self._quick_waiting)
-
-    def note_waiting(self, group, priority):
-        """Keeps the worker where a waiting task will fit first."""
-        if group.step.fills:
-            return
-        if not group.step.lasts:
-            self._quick_waiting.append(priority)
-        if len(self._reserved) >= self._most:
-            return
-        task = group.waiting[-1]
-        best = max(
-            (
-                worker
-                for worker in self.workers_for(group.step)
-                if _could_run(group.step, task, worker)
-            ),
-            key=lambda worker: worker.room.free_cpu,
-            default=None,
-        )
-        if best is not None:
-            self._reserved.add(best.name)
-
-
-def _could_run(step, task, worker):
-    """True if a worker would run a task once enough of its room is free."""
-    room = worker.room
-    if step.label and step.label not in _labels(worker):
-        return False
-    if step.most_per_worker and room.count(task) >= step.most_per_worker:
-        return False
-    return step.cpu <= worker.record.cpu - room.lasting_cpu
+    __slots__ = ('_group', '_heap', '_ledger', '_placer')
+
+    def __init__(self, placer, group, ledger, workers):
+        self._placer = placer
+        self._group = group
+        self._ledger = ledger
+        self._heap = []
+        for index, worker in enumerate(workers):
+            score = self._score(worker)
+            if score is not None:
+                self._heap.append((score, index, worker))
+        heapq.heapify(self._heap)
+
+    def best(self):
+        """Returns the best worker, None if none has room."""
+        return self._heap[0][2] if self._heap else None
+
+    def renew_best(self):
+        """Judges the best worker again after it was taken."""
+        _, index, worker = self._heap[0]
+        score = self._score(worker)
+        if score is None:
+            heapq.heappop(self._heap)
+        else:
+            heapq.heapreplace(self._heap, (score, index, worker))
+
+    def _score(self, worker):
+        """Returns what orders a worker, None if it can not run the step."""
+        group = self._group
+        if not _is_allowed(group.step, group.waiting[0], worker, self._ledger):
+            return None
+        return self._placer.score(group.step, worker, self._ledger)
 
 
 class _Ledger:
@@ -302,23 +257,25 @@
 
 
 def _is_allowed(step, task, worker, ledger):
-    """True if a worker may run one more task of the step."""
-    if step.label and step.label not in _labels(worker):
-        return False
+    """True if a worker may run one more task of the step of a task."""
     room = worker.room
-    if step.most_per_worker:
-        present = room.count(task) + ledger.count(worker)
-        if present >= step.most_per_worker:
-            return False
+    if not step.fills and room.free_cpu < step.cpu + ledger.cpu(worker):
+        return False
     if room.free_memory_mb < step.memory_mb + ledger.memory_mb(worker):
         return False
     needed = step.accelerators + ledger.accelerators(worker)
     if room.free_accelerators < needed:
         return False
-    return step.fills or room.free_cpu >= step.cpu + ledger.cpu(worker)
+    if step.label and step.label not in labels_of(worker):
+        return False
+    if not step.most_per_worker:
+        return True
+    present = room.count(task) + ledger.count(worker)
+    return present < step.most_per_worker
 
 
-def _labels(worker):
+def labels_of(worker):
+    """Returns the labels of a worker."""
     return worker.record.labels
 
 
--- a/tests/workflows/test_placing.py
+++ b/tests/workflows/test_placing.py
@@ -62,6 +62,31 @@
         self.assertGreaterEqual(len(world.ledger.running), 8)
         self.assertEqual([], world.ledger.breaches)
 
+    def test_lasting_task_with_room_is_not_held_back_for_long(self):
+        """Quick work that can not use the room does not keep it empty."""
+        world = dispatch_world.World(7, workers=4)
+        world.submit(
+            'most',
+            [workflows.Step(4, cpu=6500, memory_mb=10, lasts=True)],
+            [worker_model.Size(6500, 10, None)],
+        )
+        world.run(500)
+        world.submit(
+            'quick',
+            [workflows.Step(4, cpu=3000, memory_mb=10, estimate_ms=400)],
+            [worker_model.Size(3000, 10, 400)],
+        )
+        world.submit(
+            'lasting',
+            [workflows.Step(2, cpu=1200, memory_mb=10, lasts=True)],
+            [worker_model.Size(1200, 10, None)],
+        )
+        world.run(1000)
+        self.assertEqual('queued', world.state('lasting'))
+        world.run(2500)
+        self.assertEqual('running', world.state('lasting'))
+        self.assertEqual([], world.ledger.breaches)
+
 
 if __name__ == '__main__':
     unittest.main()
