Let finalizers log and count in the middle of any statement

A garbage collection in its critical section ran a finalizer that logs; its thread then waited for its own lock, and every other thread at its next line. Shown by a run with a collection at every allocation: the stacks have the writer in Queue.get under a finalizer and the others in Queue.put.

Ruled out: the storage thread and the link (their waits are bounded), the hand-over (the process wrote nothing at all any more, not even of orders).

Change: SimpleQueue, which may be entered again; RLock in the metrics.

--- a/fuchsiatrestle/logs.py
+++ b/fuchsiatrestle/logs.py
@@ -67,15 +67,18 @@
     def __init__(self, stream):
         super().__init__(name='log-writer', daemon=True)
         self._stream = stream
-        self._lines = queue.Queue(MAX_WAITING_LINES)
+        # Finalizers log in the middle of any statement, so that a lock that
+        # its own thread can not take again would block all threads for good.
+        self._lines = queue.SimpleQueue()
+        self._most_waiting = MAX_WAITING_LINES
         self._dropped = 0
 
     def put(self, line):
         """Takes a line; drops and counts it while too many wait."""
-        try:
-            self._lines.put_nowait(line)
-        except queue.Full:
+        if self._lines.qsize() >= self._most_waiting:
             self._dropped += 1
+        else:
+            self._lines.put(line)
 
     def flush(self):
         """Waits for a short time until all lines are written."""
--- a/fuchsiatrestle/metrics.py
+++ b/fuchsiatrestle/metrics.py
@@ -47,7 +47,8 @@
         self._counts = {}
         self._gauges = {}
         self._histograms = {}
-        self._lock = threading.Lock()
+        # A finalizer may count while its own thread holds the lock.
+        self._lock = threading.RLock()
         self._sink = None
 
     def connect(self, host, port, prefix):
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -2,6 +2,8 @@
 
 import io
 import logging
+import subprocess
+import sys
 import threading
 import unittest
 from unittest import mock
@@ -23,6 +25,36 @@
         self.assertIn('why="two\\nlines \\"x\\""', line)
 
 
+# A finalizer may run, and log, in the middle of any statement.
+_COLLECT_ALL_THE_TIME = """
+import gc
+import io
+import threading
+from fuchsiatrestle import logs
+
+class Garbage:
+    def __init__(self):
+        self.itself = self
+
+    def __del__(self):
+        LOG.info('collected')
+
+def log_many():
+    for number in range(8000):
+        Garbage()
+        LOG.info('line', extra={'number': number})
+
+logs.configure('info', io.StringIO())
+LOG = logs.get_logger('unit')
+gc.set_threshold(1)
+threads = [threading.Thread(target=log_many) for _ in range(3)]
+for thread in threads:
+    thread.start()
+for thread in threads:
+    thread.join()
+"""
+
+
 class _StalledStream(io.StringIO):
     """Takes nothing until it is let go."""
 
@@ -59,6 +91,13 @@
         self.assertIn('event=last', text)
         self.assertLess(text.count('event=line '), 20)
 
+    def test_finalizers_that_log_block_nothing(self):
+        subprocess.run(
+            [sys.executable, '-c', _COLLECT_ALL_THE_TIME],
+            check=True,
+            timeout=20,
+        )
+
     def test_level_can_change(self):
         stream = io.StringIO()
         logs.configure('warning', stream)
