Keep serving images apart, and mix those that the same images disturb

Each image that fills is heavy beside two or three of the five serving images (verdicts in the trace), and two thirds of the workers served two images or more, so that some images found 3 open workers of 33.

Change: a serving task opens an empty worker before it joins other images; no workers are kept empty any more. When it has to join, it goes to images that the same ones disturb.

Tests: two, both failed before.

--- a/fuchsiatrestle/workflows/_interference.py
+++ b/fuchsiatrestle/workflows/_interference.py
@@ -97,6 +97,30 @@
             default=Verdict.LIGHT,
         )
 
+    def unlikeness(self, first, second):
+        """Returns how far the images that disturb two serving images differ.
+
+        From 0, the same ones disturb both, to 1; 1 while nothing is known.
+        """
+        if first == second:
+            return 0
+        heavy = [
+            one
+            for one in self._verdicts_on(first, second)
+            if Verdict.HEAVY in one and Verdict.UNKNOWN not in one
+        ]
+        if not heavy:
+            return 1
+        return sum(len(one) > 1 for one in heavy) / len(heavy)
+
+    def _verdicts_on(self, first, second):
+        """Yields the set of verdicts of each image that fills on two."""
+        for filling in {filling for _, filling in self._pairs}:
+            yield {
+                self.verdict(first, filling),
+                self.verdict(second, filling),
+            }
+
     def disturbed(self, serving, ratio, shares):
         """Takes a tail near or over its target.
 
--- a/fuchsiatrestle/workflows/_placement.py
+++ b/fuchsiatrestle/workflows/_placement.py
@@ -17,14 +17,10 @@
 SERVING_LEAVES = 0.5
 # Share of a worker up to which an image is tried that may disturb there.
 TRIED_SHARE = 0.15
-# Share of the workers that are kept free of serving tasks while others have
-# room, for images that would disturb on all of them.
-KEPT_FREE = 0.15
 
 # Costs that order the workers for a serving task.
 OPEN_COST = 1
 MIX_COST = 2
-OPEN_LAST_COST = 5
 
 
 class Placer(abc.ABC):
@@ -37,7 +33,6 @@
             group: ``Group``; for a gang all of its tasks are placed or none.
             workers: usable workers of the service.
         """
-        self.survey(workers)
         if group.step.gang:
             return self._place_gang(group, workers)
         return self._fill(group, workers)
@@ -72,9 +67,6 @@
             yield from sorted(racks.values(), key=len, reverse=True)
         yield workers
 
-    def survey(self, workers):
-        """Looks at all candidates before the first choice."""
-
     @abc.abstractmethod
     def score(self, step, worker, ledger):
         """Returns a value that is lowest for the best worker, None to skip.
@@ -97,8 +89,9 @@
 class BestFit(Placer):
     """Near the data, apart from what it would disturb, in the tightest gap.
 
-    Serving tasks of one image go together, so that there are workers on which
-    a given image that fills disturbs none.
+    Serving tasks of one image go together, then those of images that the same
+    ones disturb, so that there are workers on which a given image that fills
+    disturbs none.
 
     Args:
         interference: what is known of pairs of images.
@@ -106,12 +99,6 @@
 
     def __init__(self, interference):
         self._interference = interference
-        self._may_open = True
-
-    def survey(self, workers):
-        """Notes whether another worker may begin to serve."""
-        free = sum(not worker.room.serving_cpu for worker in workers)
-        self._may_open = free > KEPT_FREE * len(workers)
 
     def score(self, step, worker, ledger):
         """Orders by distance, disturbance and what is left over."""
@@ -159,14 +146,17 @@
     def _mixed(self, step, worker):
         """Returns how ill a serving task would sit on a worker."""
         if not worker.room.serving_cpu:
-            return OPEN_COST if self._may_open else OPEN_LAST_COST
+            return OPEN_COST
         disturbed = sum(
             self._interference.verdict(step.image, image)
             == _interference.Verdict.HEAVY
             for image in worker.filling_images
         )
-        others = len(worker.serving_images - {step.image})
-        return MIX_COST * (disturbed + others)
+        unlike = sum(
+            self._interference.unlikeness(step.image, image)
+            for image in worker.serving_images
+        )
+        return MIX_COST * (disturbed + unlike)
 
     @staticmethod
     def _unused_cpu(worker, ledger):
--- a/tests/workflows/test_decisions.py
+++ b/tests/workflows/test_decisions.py
@@ -122,6 +122,46 @@
         _run(workers[5], other, 'second')
         self.assertEqual(['d'], self._place(step, workers))
 
+    def test_serving_image_shares_a_worker_with_its_like(self):
+        """What is disturbed by the same images goes together."""
+        workers = [_worker(name) for name in 'ab']
+        for worker, image in zip(workers, ('u', 't'), strict=True):
+            step = _step(lasts=True, image=image, tail_target_ms=9)
+            _run(worker, step, image)
+        for image in 'st':
+            self.interference.disturbed(image, 5.0, {'f': 0.3})
+            for _ in range(3):
+                self.interference.calm(image, 0.4, {'g': 0.3})
+        for _ in range(3):
+            self.interference.calm('u', 0.4, {'f': 0.3})
+        step = _step(1, lasts=True, image='s', tail_target_ms=9)
+        self.assertEqual(['b'], self._place(step, workers))
+
+    def test_filling_work_finds_room_on_a_fleet_that_serves(self):
+        """Five serving images fill most of a fleet before anything is known.
+
+        Each of the images that fill is heavy beside two or three of them.
+        """
+        workers = [_worker(f'w{number}', cpu=32000) for number in range(33)]
+        images = 'abcde'
+        for number in range(210):
+            image = images[number % len(images)]
+            step = _step(
+                1, cpu=4500, lasts=True, image=image, tail_target_ms=9
+            )
+            group = _group(step, f'job-{number}')
+            for _, worker in self.placer.place(group, workers):
+                _run(worker, step, f'job-{number}')
+        for heavy in ('ab', 'cde'):
+            light_share = 1 - len(heavy) / len(images)
+            found = _count_without(workers, heavy)
+            self.assertGreaterEqual(found, light_share * len(workers))
+
+
+def _count_without(workers, images):
+    """Returns the number of workers that serve none of some images."""
+    return sum(not worker.serving_images & set(images) for worker in workers)
+
 
 class InterferenceTest(unittest.TestCase):
     def setUp(self):
