Keep the noted ends of a worker that is described again

Cause: a record that a leader proposed before an end was agreed could be agreed after it and carry the older number, so that the same end counted as new. Ruled out as harmless only by the checks on run numbers. Test: test_worker_described_again_keeps_its_noted_ends, failed before.

--- a/fuchsiatrestle/state/_workflows.py
+++ b/fuchsiatrestle/state/_workflows.py
@@ -158,7 +158,7 @@
     def _record(self, command):
         self._now_ms = max(self._now_ms, command.now_ms)
         for worker in command.workers:
-            self._workers[worker.worker] = worker
+            self._register(worker)
         for end in command.ends:
             self._note_end(end)
         for lost in command.lost:
@@ -168,6 +168,14 @@
         self._forget_old()
         return outcomes.Done()
 
+    def _register(self, worker):
+        """Takes a worker's description; noted ends stay noted."""
+        known = self._workers.get(worker.worker)
+        if known is not None and known.born_ms == worker.born_ms:
+            noted = max(known.ends_noted, worker.ends_noted)
+            worker = msgspec.structs.replace(worker, ends_noted=noted)
+        self._workers[worker.worker] = worker
+
     def _note_end(self, end):
         worker = self._workers.get(end.worker)
         if worker is not None and worker.born_ms == end.born_ms:
