Show a cancelled workflow for its time also after a long rest

Cause, found by the test of the frozen leader: the end of a workflow is dated by the last progress. Cancelled after 15 minutes without any, it was forgotten at the next progress and callers were told 410. Ruled out: the shared clock taking callers' times, which one VM with a wrong clock would push forward for all. Change: CancelWorkflow carries the time of the request; it dates that end.

--- a/fuchsiatrestle/platform/_callers.py
+++ b/fuchsiatrestle/platform/_callers.py
@@ -103,16 +103,14 @@
         except _documents.BodyInvalid as exc:
             metrics.count(BAD_WORKFLOW)
             return http.reason_response(400, 'bad_workflow', str(exc))
-        command = commands.SubmitWorkflow(
-            host, request.path, spec, int(time.time() * 1000)
-        )
+        command = commands.SubmitWorkflow(host, request.path, spec, _wall_ms())
         response = await self._propose(command, budget_ms)
         if response.status == 200:
             metrics.count(SUBMITTED)
         return response
 
     async def _cancel(self, request, host, budget_ms):
-        command = commands.CancelWorkflow(host, request.path)
+        command = commands.CancelWorkflow(host, request.path, _wall_ms())
         return await self._propose(command, budget_ms)
 
     async def _propose(self, command, budget_ms):
@@ -140,6 +138,10 @@
         return http.json_response(200, {'state': view.state})
 
 
+def _wall_ms():
+    return int(time.time() * 1000)
+
+
 def _budget_ms(request):
     """Returns how long to ask control on behalf of a caller."""
     text = request.header(DEADLINE_HEADER)
--- a/fuchsiatrestle/state/_workflows.py
+++ b/fuchsiatrestle/state/_workflows.py
@@ -152,7 +152,9 @@
         if workflow is None:
             return _refused('no_workflow')
         workflow.cancel()
-        self._close_ended(workflow)
+        # Nothing may have told the time for long.
+        now_ms = max(self._now_ms, command.cancelled_ms)
+        self._close_ended(workflow, now_ms)
         return outcomes.WorkflowOutcome(workflow.shown_state)
 
     def _record(self, command):
@@ -196,7 +198,7 @@
             )
         else:
             workflow.settle(end.task, end.run, end.checkpoint)
-        self._close_ended(workflow)
+        self._close_ended(workflow, self._now_ms)
 
     def _note_lost(self, lost):
         workflow = self._workflows.get(lost.task.workflow_id)
@@ -208,11 +210,11 @@
         if workflow is not None and workflow.may_place(placement):
             workflow.place(placement)
 
-    def _close_ended(self, workflow):
+    def _close_ended(self, workflow, now_ms):
         if workflow.is_open or workflow.workflow_id not in self._open:
             return
         del self._open[workflow.workflow_id]
-        self._ended.append(_Ended(workflow.workflow_id, self._now_ms))
+        self._ended.append(_Ended(workflow.workflow_id, now_ms))
 
     def _forget_old(self):
         while self._ended:
--- a/fuchsiatrestle/state/commands/_workflows.py
+++ b/fuchsiatrestle/state/commands/_workflows.py
@@ -42,10 +42,17 @@
 
 
 class CancelWorkflow(records.Record, tag='cancel-workflow'):
-    """Cancels a workflow; its tasks are stopped."""
+    """Cancels a workflow; its tasks are stopped.
+
+    Attributes:
+        host: host that the caller named.
+        path: path of the request: prefix of the queue and the id.
+        cancelled_ms: time since the epoch when the request came.
+    """
 
     host: str
     path: str
+    cancelled_ms: int = 0
 
 
 class RunEnd(records.Record, tag='end'):
--- a/tests/fakes/dispatch_world.py
+++ b/tests/fakes/dispatch_world.py
@@ -5,6 +5,7 @@
 change with their last proposal agreed or not.
 """
 
+import copy
 import heapq
 import itertools
 import random
@@ -16,7 +17,7 @@
 from fuchsiatrestle import workflows
 from standins import worker_model
 
-__all__ = ('Faults', 'World')
+__all__ = ('Faults', 'Frozen', 'World')
 
 HOST = 'shop.example'
 PREFIX = '/q/'
@@ -46,6 +47,35 @@
         self.late = late
 
 
+class Frozen:
+    """A leader that is frozen, with the state that it knew.
+
+    Args:
+        state: its copy of the state machine.
+        dispatcher: its dispatcher.
+        unread: commands agreed in its term that it has not taken yet.
+    """
+
+    def __init__(self, state, dispatcher, unread):
+        self._machine = state
+        self._dispatcher = dispatcher
+        self._unread = unread
+
+    def wake(self, wall_ms, now_ms):
+        """Takes what was agreed and the time; returns its orders."""
+        effects = []
+        for command in self._unread:
+            self._machine.apply(self._machine.applied + 1, command)
+            applied = workflows.Applied(command)
+            effects += self._dispatcher.step(applied, now_ms)
+        effects += self._dispatcher.step(workflows.Tick(wall_ms), now_ms)
+        return [
+            effect
+            for effect in effects
+            if not isinstance(effect, workflows.Propose)
+        ]
+
+
 class World:
     """One run of the world.
 
@@ -82,6 +112,7 @@
         self._token = 0
         self._dispatcher = None
         self._proposed = []
+        self._agreed = []
         self.agree(commands.PutDocument(_document(), b''))
         self.lead()
         for number in range(workers):
@@ -123,8 +154,29 @@
             self.part, self._token, workflows.Timing(), self.now_ms
         )
 
+    def freeze_leader(self):
+        """Makes a new leader; returns the old one, ``Frozen``."""
+        parts = copy.deepcopy((self.machine, self._dispatcher))
+        count = self.machine.applied
+        self.lead()
+        return Frozen(*parts, self._agreed[count:])
+
+    def wake(self, frozen):
+        """Lets a frozen leader send what it still wants to send.
+
+        Its answers come too late for it.
+
+        Returns:
+            The number of orders that it sent.
+        """
+        orders = frozen.wake(WALL_MS + self.now_ms, self.now_ms)
+        for order in orders:
+            self._at(self.random.randint(1, 4), self._execute, order)
+        return len(orders)
+
     def agree(self, command):
         """Applies a command and tells the leader."""
+        self._agreed.append(command)
         self.machine.apply(self.machine.applied + 1, command)
         if self._dispatcher is not None:
             self._step(workflows.Applied(command))
@@ -172,7 +224,11 @@
 
     def cancel(self, workflow_id):
         """Cancels a workflow."""
-        self.agree(commands.CancelWorkflow(HOST, PREFIX + workflow_id))
+        self.agree(
+            commands.CancelWorkflow(
+                HOST, PREFIX + workflow_id, WALL_MS + self.now_ms
+            )
+        )
 
     def state(self, workflow_id):
         """Returns the state that callers are shown."""
--- a/tests/state/test_workflows.py
+++ b/tests/state/test_workflows.py
@@ -183,6 +183,15 @@
         self._end(_task(occurrence=1))
         self.assertEqual('completed', self._state())
 
+    def test_cancelled_after_a_long_rest_is_shown(self):
+        """Nothing has told the time since the worker came."""
+        rest_ms = 3_600_000
+        self._submit(workflows.Step(1))
+        cancel = commands.CancelWorkflow(HOST, '/quick/a', rest_ms)
+        self._apply(cancel)
+        self._apply(commands.RecordProgress(1, rest_ms + 1000))
+        self.assertEqual('cancelled', self._state())
+
     def test_cancelled_workflow_places_nothing(self):
         self._submit(workflows.Step(2))
         self._place(_task(0))
--- a/tests/workflows/test_recovery.py
+++ b/tests/workflows/test_recovery.py
@@ -78,6 +78,34 @@
         self.assertEqual(1, world.ledger.starts)
         self.assertEqual(1, len(world.ledger.running))
 
+    def test_frozen_leader_that_wakes_does_no_harm(self):
+        """Its late orders reach workers that know the new leader or not."""
+        for asleep_ms in (0, 2, 100, 1500, 6000):
+            with self.subTest(asleep_ms=asleep_ms):
+                self._freeze_and_wake(asleep_ms)
+
+    def _freeze_and_wake(self, asleep_ms):
+        world = dispatch_world.World(6, workers=3)
+        steps = [STEP, workflows.Step(4, cpu=1000, memory_mb=10, after=[0])]
+        sizes = [SIZE, worker_model.Size(1000, 10, 900)]
+        sent = 0
+        for number in range(12):
+            world.submit(f'job-{number}', steps, sizes)
+            # Its placements are agreed while it is frozen.
+            world.run(5)
+            frozen = world.freeze_leader()
+            if number % 4 == 3:
+                world.cancel(f'job-{number}')
+            world.run(asleep_ms)
+            sent += world.wake(frozen)
+            world.run(world.random.randint(1, 700))
+        self.assertGreater(sent, 0)
+        world.run(20_000)
+        states = {world.state(f'job-{number}') for number in range(12)}
+        self.assertLessEqual(states, {'completed', 'cancelled'})
+        self.assertEqual({}, world.ledger.running)
+        self.assertEqual([], world.ledger.breaches)
+
 
 if __name__ == '__main__':
     unittest.main()
