--- a/tests/_runner.py
+++ b/tests/_runner.py
@@ -31,6 +31,17 @@
 PARALLEL_PROCESS_MODULES = 3
 MODULE_TIMEOUT_S = 1200
 REPORT_MARK = 'MODULE-REPORT '
+# Started first, so that none of them runs on alone at the end.
+LONG_MODULES = (
+    'tests.standins.test_process_requests',
+    'tests.standins.test_process_jobs',
+    'tests.control.test_process_faults',
+    'tests.entry.test_fault_matrix',
+    'tests.scheduling.test_process_evictions',
+    'tests.standins.test_process_soak',
+    'tests.platform.test_process_platform',
+    'tests.net.test_link',
+)
 
 
 class ModuleReport:
@@ -150,8 +161,15 @@
         )
 
 
+def _start_order(name):
+    if name in LONG_MODULES:
+        return LONG_MODULES.index(name)
+    return len(LONG_MODULES)
+
+
 def run_modules(names):
     """Yields the ``ModuleReport`` of each module."""
+    names = sorted(names, key=_start_order)
     daemons = [name for name in names if '.test_process_' in name]
     together = [name for name in names if name not in daemons]
     yield from _run_side_by_side(together, PARALLEL_MODULES)
