--- a/standins/worker_model.py
+++ b/standins/worker_model.py
@@ -48,6 +48,11 @@
         done: tasks of which an end as done was taken note of.
         starts: number of runs started.
         saved: checkpoints that each task ever produced.
+        may_start: function from a task, True if it is its turn.
+        may_run_on: function from a worker name and a task, True if the task
+            may begin there beside what runs already.
+        most_failures: failed runs of a task, once taken note of, after which
+            it may not start again; None for no limit.
     """
 
     def __init__(self):
@@ -58,7 +63,10 @@
         self.starts = 0
         self.failures = collections.Counter()
         self.saved = collections.defaultdict(set)
+        self.noted_failures = collections.Counter()
         self.may_start = lambda task: True
+        self.may_run_on = lambda worker, task: True
+        self.most_failures = None
 
     def begin(self, now_ms, worker, task, run, checkpoint):
         """Notes a start."""
@@ -74,6 +82,10 @@
             self._breach(now_ms, f'{task} run {run} after it was done')
         if not self.may_start(task):
             self._breach(now_ms, f'{task} run {run} before its turn')
+        if not self.may_run_on(worker, task):
+            self._breach(now_ms, f'{task} run {run} may not be on {worker}')
+        if self._has_failed_too_often(task):
+            self._breach(now_ms, f'{task} run {run} after its last attempt')
         if checkpoint and checkpoint not in self.saved[task]:
             self._breach(now_ms, f'{task} with foreign {checkpoint}')
         self.running[task, run] = worker
@@ -84,10 +96,22 @@
         if how == 'done':
             self.finished.add(task)
 
+    def note(self, task, how):
+        """Takes note that an end is known to whoever gave the order."""
+        if how == 'done':
+            self.done.add(task)
+        elif how == 'failed':
+            self.noted_failures[task] += 1
+
     def overloaded(self, now_ms, worker, what):
         """Notes a worker beyond its capacity."""
         self._breach(now_ms, f'{worker} beyond its {what}')
 
+    def _has_failed_too_often(self, task):
+        if self.most_failures is None:
+            return False
+        return self.noted_failures[task] >= self.most_failures
+
     def _breach(self, now_ms, text):
         self.breaches.append(f'{now_ms}: {text}')
 
@@ -182,8 +206,8 @@
             return 409, 'fence'
         self._token = token
         for end in self.ends:
-            if end[0] <= last_seen and end[3] == 'done':
-                self._ledger.done.add(end[1])
+            if end[0] <= last_seen:
+                self._ledger.note(end[1], end[3])
         self.ends = [end for end in self.ends if end[0] > last_seen]
         if until_ms is not None:
             self._extend(now_ms, until_ms)
--- a/tests/fakes/dispatch_world.py
+++ b/tests/fakes/dispatch_world.py
@@ -17,7 +17,7 @@
 from fuchsiatrestle import workflows
 from standins import worker_model
 
-__all__ = ('Faults', 'Frozen', 'World')
+__all__ = ('Faults', 'Frozen', 'World', 'labels_of')
 
 HOST = 'shop.example'
 PREFIX = '/q/'
@@ -99,6 +99,8 @@
         self.faults = faults or Faults()
         self.ledger = worker_model.Ledger()
         self.ledger.may_start = self._may_start
+        self.ledger.may_run_on = self._may_run_on
+        self.ledger.most_failures = MAX_FAILURES
         self.machine = machine.StateMachine()
         self.part = self.machine.workflows
         self.sizes = {}
@@ -246,6 +248,22 @@
             for earlier_task in workflow.task_ids(task.occurrence, earlier)
         )
 
+    def _may_run_on(self, worker, task):
+        """True if the label and the spread of a task's step allow it."""
+        workflow = self.part.workflow(task.workflow_id)
+        step = workflow.spec.steps[task.step]
+        if step.label and step.label not in labels_of(worker):
+            return False
+        if not step.most_per_worker:
+            return True
+        beside = sum(
+            name == worker
+            and (other.workflow_id, other.step)
+            == (task.workflow_id, task.step)
+            for (other, _), name in self.ledger.running.items()
+        )
+        return beside < step.most_per_worker
+
     # Workers
 
     def add_worker(self, name):
@@ -284,7 +302,7 @@
             model.cpu,
             model.memory_mb,
             0,
-            ['a', 'r1'],
+            labels_of(model.name),
             model.clock(self.now_ms),
         )
         self._step(workflows.Announced(said))
@@ -386,6 +404,11 @@
         )
 
 
+def labels_of(worker):
+    """Returns the kind and the rack of a worker; two kinds by turns."""
+    return ['b', 'r2'] if int(worker[1:]) % 2 else ['a', 'r1']
+
+
 def _document():
     queue = records.Queue(
         'queue', HOST, PREFIX, POOL, 0, MAX_FAILURES, 1.5, 250, 3000
--- a/tests/workflows/test_random_runs.py
+++ b/tests/workflows/test_random_runs.py
@@ -2,8 +2,9 @@
 
 The promises are checked by the ledger of the workers, which knows nothing of
 the dispatcher: no task runs twice at a time or after it was done, none before
-its turn, no worker is overloaded, no checkpoint is invented; and once the
-faults stop, everything is finished.
+its turn, where it may not be or after its last attempt, no worker is
+overloaded, no checkpoint is invented; and once the faults stop, everything is
+finished.
 """
 
 import logging
@@ -36,6 +37,8 @@
                 estimate_ms=work_ms,
                 after=[step - 1] if step else [],
                 checkpoints=saves,
+                label=draws.choice(('', '', 'a', 'b')),
+                most_per_worker=draws.choice((0, 0, 2)),
             )
         )
         sizes.append(
@@ -55,7 +58,7 @@
 def _disturb(world, draws):
     """Does one thing to the world."""
     worker = f'w{draws.randrange(4)}'
-    kind = draws.choice(('crash', 'cut', 'join', 'lead', 'none'))
+    kind = draws.choice(('crash', 'cut', 'join', 'lead', 'freeze', 'none'))
     if kind == 'crash' and worker in world._models:
         world.crash(worker, draws.randint(200, 4000))
     elif kind == 'cut':
@@ -64,6 +67,10 @@
         world.cut.clear()
     elif kind == 'lead':
         world.lead()
+    elif kind == 'freeze':
+        frozen = world.freeze_leader()
+        world.run(draws.randint(0, 4000))
+        world.wake(frozen)
 
 
 def _play(seed, faults):
@@ -94,6 +101,21 @@
             states = {name: world.state(name) for name in names}
             self.assertEqual({'completed'}, set(states.values()), states)
 
+    def test_hopeless_tasks_use_up_their_attempts(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                world = dispatch_world.World(seed)
+                step = workflows.Step(3, cpu=500, memory_mb=10)
+                size = worker_model.Size(500, 10, 300, fails=lambda run: True)
+                world.submit('hopeless', [step], [size])
+                for _ in range(6):
+                    world.run(400)
+                    _disturb(world, world.random)
+                world.cut.clear()
+                world.run(CALM_MS)
+                self.assertEqual('failed', world.state('hopeless'))
+                self.assertEqual([], world.ledger.breaches)
+
     def test_without_lost_orders(self):
         for seed in SEEDS:
             self._check(seed, dispatch_world.Faults())
