Serve with one piece of code what stood twice

Found by reading the whole change again; no decision, bound or check changes.

One piece now: labels and spread of a step (_placement.suits), the run of an agreed record (Book.find), the run of an answered order, reading and refusing of bodies in the adapter (_documents.decode, refuse_if), the JSON of orders (http.encode_json), the JSON and Retry-After headers (http.JSON_TYPE, http.retry_after, also in the product's own entry and administration), wall time (daemon.wall_ms), waiting in tests (tests.fakes.waiting). At the right depth: a leader no longer looks up the noted ends of a worker before it describes it again, the agreed state keeps them. Done once: the ids of a workflow's tasks, made anew at each change of it before; evidence is kept by serving image, so that two images are compared without going through all pairs. Gone, never used: a task group of the driver, the index of services, the result of Progress.agreed.

--- a/fuchsiatrestle/admin/_api.py
+++ b/fuchsiatrestle/admin/_api.py
@@ -200,5 +200,5 @@
 def _response(answer):
     headers = []
     if answer.retry_after_s:
-        headers.append((b'retry-after', b'%d' % answer.retry_after_s))
+        headers.append(http.retry_after(answer.retry_after_s))
     return http.json_response(answer.status, answer.value, headers)
--- a/fuchsiatrestle/control/_daemon.py
+++ b/fuchsiatrestle/control/_daemon.py
@@ -1,7 +1,6 @@
 """The control daemon: opens folder and listener, runs the tasks."""
 
 import os
-import time
 
 import curio
 
@@ -284,8 +283,8 @@
         while True:
             await curio.sleep(STATE_TICK_S)
             if self._service.leads:
-                wall_ms = time.time_ns() // 1000000
-                await self._state_inbox.put(_events.Tick(wall_ms))
+                tick = _events.Tick(daemon.wall_ms())
+                await self._state_inbox.put(tick)
 
     # Stop
 
--- a/fuchsiatrestle/daemon.py
+++ b/fuchsiatrestle/daemon.py
@@ -45,6 +45,7 @@
     'now_ms',
     'refused_setting',
     'run',
+    'wall_ms',
 )
 
 DATA_EXIT_STATUS = 74
@@ -112,9 +113,14 @@
     return time.monotonic_ns() // 1000000
 
 
+def wall_ms():
+    """Returns the time since the epoch in whole milliseconds."""
+    return time.time_ns() // 1000000
+
+
 def draw_incarnation():
     """Returns a number that grows from one start of a process to the next."""
-    return time.time_ns() // 1000000
+    return wall_ms()
 
 
 def refused_setting(cfg, section, key, reason):
--- a/fuchsiatrestle/entry/_callers.py
+++ b/fuchsiatrestle/entry/_callers.py
@@ -166,7 +166,7 @@
     outcome = b'unknown' if written else b'not-run'
     headers = [(_headers.OUTCOME_HEADER, outcome)]
     if status in (409, 429, 503):
-        headers.append((b'retry-after', b'%d' % max(1, retry_after_s)))
+        headers.append(http.retry_after(max(1, retry_after_s)))
     return http.reason_response(
         status, reason, detail or known.description, headers
     )
--- a/fuchsiatrestle/entry/_platform.py
+++ b/fuchsiatrestle/entry/_platform.py
@@ -16,6 +16,7 @@
 WORKERS_PATH = '/v1/workers/'
 REPORT_SUFFIX = '/report'
 MAX_SLOTS = 4096
+RETRY_AFTER_S = 1
 MAX_CONNECTIONS = 65536
 MAX_NAME_CHARS = 64
 STATES = ('ready', 'leaving')
@@ -95,7 +96,7 @@
                 503,
                 'control_unavailable',
                 'control gave no orders in time; report again',
-                [(b'retry-after', b'1')],
+                [http.retry_after(RETRY_AFTER_S)],
             )
         return http.json_response(200, named_json.to_plain(orders))
 
--- a/fuchsiatrestle/net/_http_messages.py
+++ b/fuchsiatrestle/net/_http_messages.py
@@ -10,6 +10,7 @@
 __all__ = (
     'Handler',
     'HttpFailed',
+    'JSON_TYPE',
     'Limits',
     'Request',
     'Response',
@@ -20,9 +21,10 @@
     'encode_json',
     'json_response',
     'reason_response',
+    'retry_after',
 )
 
-_JSON_TYPE = (b'content-type', b'application/json')
+JSON_TYPE = (b'content-type', b'application/json')
 
 
 class HttpFailed(errors.Error):
@@ -175,6 +177,11 @@
         """
 
 
+def retry_after(delay_s):
+    """Returns the header that tells a client when to come again."""
+    return b'retry-after', b'%d' % delay_s
+
+
 def encode_json(value):
     """Returns ``value`` as JSON, bytes."""
     return msgspec.json.encode(value)
@@ -214,7 +221,7 @@
 
 def json_response(status, value, headers=()):
     """Returns a ``Response`` whose body is ``value`` as JSON."""
-    return Response(status, [_JSON_TYPE, *headers], encode_json(value))
+    return Response(status, [JSON_TYPE, *headers], encode_json(value))
 
 
 def reason_response(status, reason, detail='', headers=()):
--- a/fuchsiatrestle/net/http.py
+++ b/fuchsiatrestle/net/http.py
@@ -24,6 +24,7 @@
     'ClientConnection',
     'Handler',
     'HttpFailed',
+    'JSON_TYPE',
     'Limits',
     'Request',
     'Response',
@@ -36,12 +37,14 @@
     'encode_json',
     'json_response',
     'reason_response',
+    'retry_after',
 )
 
 Client = _http_client.Client
 ClientConnection = _http_client.ClientConnection
 Handler = _http_messages.Handler
 HttpFailed = _http_messages.HttpFailed
+JSON_TYPE = _http_messages.JSON_TYPE
 Limits = _http_messages.Limits
 Request = _http_messages.Request
 Response = _http_messages.Response
@@ -54,3 +57,4 @@
 encode_json = _http_messages.encode_json
 json_response = _http_messages.json_response
 reason_response = _http_messages.reason_response
+retry_after = _http_messages.retry_after
--- a/fuchsiatrestle/platform/_callers.py
+++ b/fuchsiatrestle/platform/_callers.py
@@ -4,6 +4,7 @@
 
 from returns import pipeline
 
+from fuchsiatrestle import daemon
 from fuchsiatrestle import logs
 from fuchsiatrestle import metrics
 from fuchsiatrestle.net import http
@@ -103,14 +104,16 @@
         except _documents.BodyInvalid as exc:
             metrics.count(BAD_WORKFLOW)
             return http.reason_response(400, 'bad_workflow', str(exc))
-        command = commands.SubmitWorkflow(host, request.path, spec, _wall_ms())
+        command = commands.SubmitWorkflow(
+            host, request.path, spec, daemon.wall_ms()
+        )
         response = await self._propose(command, budget_ms)
         if response.status == 200:
             metrics.count(SUBMITTED)
         return response
 
     async def _cancel(self, request, host, budget_ms):
-        command = commands.CancelWorkflow(host, request.path, _wall_ms())
+        command = commands.CancelWorkflow(host, request.path, daemon.wall_ms())
         return await self._propose(command, budget_ms)
 
     async def _propose(self, command, budget_ms):
@@ -138,10 +141,6 @@
         return http.json_response(200, {'state': view.state})
 
 
-def _wall_ms():
-    return int(time.time() * 1000)
-
-
 def _budget_ms(request):
     """Returns how long to ask control on behalf of a caller."""
     text = request.header(DEADLINE_HEADER)
@@ -150,7 +149,7 @@
 
 
 def _come_back(reason, detail):
-    headers = [(b'retry-after', b'%d' % RETRY_AFTER_S)]
+    headers = [http.retry_after(RETRY_AFTER_S)]
     return http.reason_response(503, reason, detail, headers)
 
 
--- a/fuchsiatrestle/platform/_documents.py
+++ b/fuchsiatrestle/platform/_documents.py
@@ -10,9 +10,11 @@
 __all__ = (
     'BodyInvalid',
     'compress',
+    'decode',
     'decode_document',
     'decode_workflow',
     'decompress',
+    'refuse_if',
 )
 
 COMPRESSION_LEVEL = 3
@@ -109,16 +111,22 @@
     return zlib.decompress(data)
 
 
-def _decode(decoder, body, step):
+def decode(decoder, body, step, peer=''):
+    """Returns what a decoder makes of a body.
+
+    Raises:
+        BodyInvalid: the body can not be read or lacks something.
+    """
     try:
         return decoder.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
-        raise BodyInvalid(str(exc), step=step) from exc
+        raise BodyInvalid(str(exc), step=step, peer=peer) from exc
 
 
-def _refuse_if(condition, reason, step):
+def refuse_if(condition, reason, step, peer=''):
+    """Raises ``BodyInvalid`` with the reason if the condition is true."""
     if condition:
-        raise BodyInvalid(reason, step=step)
+        raise BodyInvalid(reason, step=step, peer=peer)
 
 
 # Configuration
@@ -130,7 +138,7 @@
     Raises:
         BodyInvalid: it can not be read whole or contradicts itself.
     """
-    found = _decode(_CONFIGURATION, body, 'decode_configuration')
+    found = decode(_CONFIGURATION, body, 'decode_configuration')
     _check_configuration(found)
     return workflows.Document(
         found.version,
@@ -144,21 +152,21 @@
 
 def _check_configuration(found):
     step = 'check_configuration'
-    _refuse_if(found.version < 1, f'version {found.version!r}', step)
+    refuse_if(found.version < 1, f'version {found.version!r}', step)
     names = {service.name for service in found.services}
-    _refuse_if(len(names) < len(found.services), 'service named twice', step)
+    refuse_if(len(names) < len(found.services), 'service named twice', step)
     places = set()
     queues = set()
     for route in found.routes:
         place = (route.host, route.path_prefix)
-        _refuse_if(place in places, f'two routes at {place!r}', step)
-        _refuse_if(route.name in queues, f'two routes {route.name!r}', step)
-        _refuse_if(
+        refuse_if(place in places, f'two routes at {place!r}', step)
+        refuse_if(route.name in queues, f'two routes {route.name!r}', step)
+        refuse_if(
             route.service not in names,
             f'route {route.name!r} names service {route.service!r}',
             step,
         )
-        _refuse_if(
+        refuse_if(
             route.timeout_ms < 1, f'route {route.name!r}: no timeout', step
         )
         places.add(place)
@@ -196,7 +204,7 @@
     Raises:
         BodyInvalid: it is malformed or beyond the limits.
     """
-    job = _decode(_JOB, body, 'decode_job')
+    job = decode(_JOB, body, 'decode_job')
     _check_job(job)
     return workflows.WorkflowSpec(
         job.task_spec,
@@ -209,16 +217,16 @@
 
 def _check_job(job):
     step = 'check_job'
-    _refuse_if(len(job.task_spec) > MAX_PAYLOAD_CHARS, 'long payload', step)
-    _refuse_if(not 0 < len(job.steps) <= MAX_STEPS, 'number of steps', step)
+    refuse_if(len(job.task_spec) > MAX_PAYLOAD_CHARS, 'long payload', step)
+    refuse_if(not 0 < len(job.steps) <= MAX_STEPS, 'number of steps', step)
     tasks = sum(one.count for one in job.steps) * max(1, job.repeat_count)
-    _refuse_if(tasks > MAX_TASKS, f'{tasks} tasks', step)
-    _refuse_if(job.repeat_count < 0, 'negative repeat_count', step)
+    refuse_if(tasks > MAX_TASKS, f'{tasks} tasks', step)
+    refuse_if(job.repeat_count < 0, 'negative repeat_count', step)
     for number, one in enumerate(job.steps):
-        _refuse_if(one.count < 1, f'step {number} has no task', step)
+        refuse_if(one.count < 1, f'step {number} has no task', step)
         sizes = (one.cpu, one.mem_mb, one.gpu, one.est_runtime_ms)
-        _refuse_if(min(sizes) < 0, f'step {number}: negative size', step)
-        _refuse_if(
+        refuse_if(min(sizes) < 0, f'step {number}: negative size', step)
+        refuse_if(
             any(not 0 <= earlier < number for earlier in one.start_after),
             f'step {number} waits for {one.start_after!r}',
             step,
--- a/fuchsiatrestle/platform/_driver.py
+++ b/fuchsiatrestle/platform/_driver.py
@@ -46,7 +46,6 @@
     def __init__(self):
         self._channels = {}
         self._report = None
-        self._tasks = curio.TaskGroup(wait=None)
 
     async def start(self, report):
         """Starts the driver; see ``workflows.Driver``."""
@@ -84,7 +83,7 @@
     async def _call(self, channel, order, timeout_s):
         path, body = _workers.encode_order(order)
         headers = (
-            (b'content-type', b'application/json'),
+            http.JSON_TYPE,
             (b'fuchsiatrestle-target-instance', order.worker.encode()),
         )
         try:
--- a/fuchsiatrestle/platform/_operators.py
+++ b/fuchsiatrestle/platform/_operators.py
@@ -97,9 +97,7 @@
         if isinstance(view, queries.NotFound):
             return http.reason_response(503, 'no_document')
         text = _documents.decompress(view.text)
-        return http.Response(
-            200, [(b'content-type', b'application/json')], text
-        )
+        return http.Response(200, [http.JSON_TYPE], text)
 
     # Workers
 
--- a/fuchsiatrestle/platform/_settings.py
+++ b/fuchsiatrestle/platform/_settings.py
@@ -17,6 +17,9 @@
     settings.TextOption('data_centre', ''),
 )
 
+# Sections of control that are set here as they are there.
+_SHARED_SECTIONS = ('workers', 'timing')
+
 ENTRY_SECTIONS = (
     settings.Section(
         'platform',
@@ -38,7 +41,7 @@
     *(
         section
         for section in control.SECTIONS
-        if section.name in ('workers', 'timing')
+        if section.name in _SHARED_SECTIONS
     ),
 )
 
@@ -62,7 +65,7 @@
     link = cfg.get('platform', 'link')
     values = settings.defaults(control.SECTIONS)
     for key in list(values):
-        if key[0] in ('workers', 'timing'):
+        if key[0] in _SHARED_SECTIONS:
             del values[key]
     own = {
         'name': str(link),
--- a/fuchsiatrestle/platform/_workers.py
+++ b/fuchsiatrestle/platform/_workers.py
@@ -1,17 +1,21 @@
 """Announcements and orders of workers as the platform writes them."""
 
-import json
-
 import msgspec
 
 from fuchsiatrestle import logs
 from fuchsiatrestle import messages
+from fuchsiatrestle.net import http
 from fuchsiatrestle.platform import _documents
 from fuchsiatrestle import settings
 from fuchsiatrestle.state import workflows as workflow_records
 from fuchsiatrestle import workflows
 
-__all__ = ('decode_announcement', 'decode_reply', 'encode_order')
+__all__ = (
+    'decode_announcement',
+    'decode_reply',
+    'encode_order',
+    'silence',
+)
 
 STATES = ('ready', 'draining')
 ENDS = ('done', 'failed', 'stopped', 'lapsed', 'broken', 'alone')
@@ -79,15 +83,14 @@
         BodyInvalid: it names no worker that can be used.
     """
     step = 'decode_heartbeat'
+    said = _documents.decode(_HEARTBEAT, body, step, worker)
     try:
-        said = _HEARTBEAT.decode(body)
         settings.Address.parse(said.address)
-    except (ValueError, RecursionError) as exc:
+    except ValueError as exc:
         raise _documents.BodyInvalid(str(exc), step=step, peer=worker) from exc
-    if said.state not in STATES:
-        raise _documents.BodyInvalid(
-            f'state {said.state!r}', step=step, peer=worker
-        )
+    _documents.refuse_if(
+        said.state not in STATES, f'state {said.state!r}', step, worker
+    )
     return messages.WorkerAnnouncement(
         worker,
         said.born,
@@ -168,7 +171,7 @@
 def encode_order(order):
     """Returns path and body of the call that carries an order."""
     path, make_body = _CALLS[type(order)]
-    return path, json.dumps(make_body(order)).encode()
+    return path, http.encode_json(make_body(order))
 
 
 # Answers
--- a/fuchsiatrestle/state/_documents.py
+++ b/fuchsiatrestle/state/_documents.py
@@ -30,7 +30,6 @@
         self._text = b''
         self._by_host = {}
         self._by_name = {}
-        self._pools = {}
 
     @property
     def version(self):
@@ -41,10 +40,6 @@
         """Returns the queue of that name, or None."""
         return self._by_name.get(name)
 
-    def pool(self, name):
-        """Returns the service of that name, or None."""
-        return self._pools.get(name)
-
     def resolve(self, host, path):
         """Returns the queue that a path belongs to and the rest of the path.
 
@@ -84,7 +79,6 @@
         self.document = document
         self._text = text
         self._by_name = {queue.name: queue for queue in document.queues}
-        self._pools = {pool.name: pool for pool in document.pools}
         self._by_host = {}
         longest_first = sorted(
             document.queues, key=lambda queue: -len(queue.prefix)
--- a/fuchsiatrestle/state/_workflows_model.py
+++ b/fuchsiatrestle/state/_workflows_model.py
@@ -69,6 +69,7 @@
 
     __slots__ = (
         '_left',
+        '_task_ids',
         'queue',
         'spec',
         'state',
@@ -85,11 +86,19 @@
         self.state = OPEN
         self.tasks = {}
         self._left = {}
+        self._task_ids = {}
         for occurrence in self.occurrences:
             for number, step in enumerate(spec.steps):
-                self._left[occurrence, number] = step.count
-                for task_id in self.task_ids(occurrence, number):
-                    self.tasks[task_id] = Task()
+                self._add_tasks(occurrence, number, step.count)
+
+    def _add_tasks(self, occurrence, step, count):
+        task_ids = tuple(
+            workflows.TaskId(self.workflow_id, occurrence, step, index)
+            for index in range(count)
+        )
+        self._left[occurrence, step] = count
+        self._task_ids[occurrence, step] = task_ids
+        self.tasks.update({task_id: Task() for task_id in task_ids})
 
     # Queries
 
@@ -117,10 +126,7 @@
 
     def task_ids(self, occurrence, step):
         """Returns the ids of the tasks of one step."""
-        return [
-            workflows.TaskId(self.workflow_id, occurrence, step, index)
-            for index in range(self.spec.steps[step].count)
-        ]
+        return self._task_ids[occurrence, step]
 
     def step_of(self, task_id):
         """Returns the ``Step`` of a task."""
--- a/fuchsiatrestle/workflows/_answers.py
+++ b/fuchsiatrestle/workflows/_answers.py
@@ -42,7 +42,6 @@
             _events.StartRun: self._on_start,
             _events.StopRun: self._on_stop,
             _events.PaceRun: self._on_pace,
-            _events.LookAt: self._on_look,
         }
 
     def take(self, event):
@@ -69,15 +68,20 @@
             worker.looking = False
             worker.rest(self._book.now_ms)
             self._book.lose_all(worker, 'other_worker_there')
+        elif isinstance(order, _events.LookAt):
+            self._on_look(worker, order, reply, wait_ms)
         else:
-            self._handlers[type(order)](worker, order, reply, wait_ms)
+            self._on_run_order(worker, order, reply, wait_ms)
         return worker
 
-    def _on_start(self, worker, order, reply, wait_ms):
+    def _on_run_order(self, worker, order, reply, wait_ms):
         run = worker.runs.get((order.task, order.run))
         if run is None:
             return
         run.calling = False
+        self._handlers[type(order)](worker, run, order, reply, wait_ms)
+
+    def _on_start(self, worker, run, order, reply, wait_ms):
         verdict = reply.verdict
         if verdict in (_Verdict.ACCEPTED, _Verdict.OUTDATED):
             run.started_ms = self._book.now_ms
@@ -99,11 +103,7 @@
         else:
             self._book.lose(worker, run, verdict)
 
-    def _on_stop(self, worker, order, reply, wait_ms):
-        run = worker.runs.get((order.task, order.run))
-        if run is None:
-            return
-        run.calling = False
+    def _on_stop(self, worker, run, order, reply, wait_ms):
         if reply.verdict in (_Verdict.ACCEPTED, _Verdict.OUTDATED):
             run.stopped_ms = self._book.now_ms
             worker.look_ms = self._book.now_ms
@@ -112,11 +112,7 @@
             run.retry_ms = self._book.now_ms + wait_ms
         self._book.log_run('run_stop_answered', run, verdict=reply.verdict)
 
-    def _on_pace(self, worker, order, reply, wait_ms):
-        run = worker.runs.get((order.task, order.run))
-        if run is None:
-            return
-        run.calling = False
+    def _on_pace(self, worker, run, order, reply, wait_ms):
         if reply.verdict == _Verdict.ACCEPTED:
             run.pace = order.percent
         else:
--- a/fuchsiatrestle/workflows/_book.py
+++ b/fuchsiatrestle/workflows/_book.py
@@ -1,7 +1,5 @@
 """What the parts of the dispatcher share: state and settling of runs."""
 
-import msgspec
-
 from fuchsiatrestle import logs
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.workflows import _fleet
@@ -50,6 +48,12 @@
             return None
         return workflow.step_of(task_id)
 
+    def find(self, live):
+        """Returns the worker of a ``LiveRun`` and the run there, or Nones."""
+        worker = self.fleet.get(live.worker)
+        run = worker.runs.get((live.task, live.run)) if worker else None
+        return worker, run
+
     def is_wanted(self, live):
         """True if a run should go on."""
         workflow = self.part.open_workflows.get(live.task.workflow_id)
@@ -69,10 +73,7 @@
 
     def register(self, worker):
         """Has a worker's record agreed."""
-        noted = self.ends_noted(worker)
-        self.progress.add_worker(
-            msgspec.structs.replace(worker.record, ends_noted=noted)
-        )
+        self.progress.add_worker(worker.record)
 
     def lose_all(self, worker, reason):
         """Records that nothing that ran on a worker goes on."""
--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -169,8 +169,7 @@
                 self._drive(worker)
 
     def _note_placed(self, live):
-        worker = self._book.fleet.get(live.worker)
-        run = worker.runs.get((live.task, live.run)) if worker else None
+        worker, run = self._book.find(live)
         if run is None or run.phase != _Phase.PLACED:
             return
         if not self._book.part.is_live(live.task, live.run):
@@ -193,8 +192,7 @@
                     self._stop_live(live, reason)
 
     def _stop_live(self, live, reason):
-        worker = self._book.fleet.get(live.worker)
-        run = worker.runs.get((live.task, live.run)) if worker else None
+        worker, run = self._book.find(live)
         if run is None or run.phase == _Phase.PLACED:
             return
         self._book.stop(run, reason)
@@ -202,9 +200,9 @@
 
     def _on_rejected(self, event):
         for live in self._book.progress.take_back(event.token):
-            worker = self._book.fleet.get(live.worker)
-            if worker is not None:
-                worker.drop((live.task, live.run))
+            worker, run = self._book.find(live)
+            if run is not None:
+                worker.drop(run.key)
         self._book.dirty = True
 
     # Placing
--- a/fuchsiatrestle/workflows/_interference.py
+++ b/fuchsiatrestle/workflows/_interference.py
@@ -71,7 +71,7 @@
 
 
 class Interference:
-    """Evidence by (serving image, filling image)."""
+    """Evidence by filling image, by serving image."""
 
     def __init__(self):
         self._pairs = {}
@@ -82,12 +82,13 @@
         if now_ms - self._faded_ms < FADE_MS:
             return
         self._faded_ms = now_ms
-        for evidence in self._pairs.values():
-            evidence.blame *= FADE_KEPT
+        for by_filling in self._pairs.values():
+            for evidence in by_filling.values():
+                evidence.blame *= FADE_KEPT
 
     def verdict(self, serving, filling):
         """Returns the ``Verdict`` on a pair of images."""
-        evidence = self._pairs.get((serving, filling))
+        evidence = self._pairs.get(serving, {}).get(filling)
         return evidence.verdict if evidence else Verdict.UNKNOWN
 
     def worst(self, serving_images, filling):
@@ -104,23 +105,21 @@
         """
         if first == second:
             return 0
+        seconds = self._pairs.get(second, {})
+        verdicts = [
+            {evidence.verdict, seconds[filling].verdict}
+            for filling, evidence in self._pairs.get(first, {}).items()
+            if filling in seconds
+        ]
         heavy = [
             one
-            for one in self._verdicts_on(first, second)
+            for one in verdicts
             if Verdict.HEAVY in one and Verdict.UNKNOWN not in one
         ]
         if not heavy:
             return 1
         return sum(len(one) > 1 for one in heavy) / len(heavy)
 
-    def _verdicts_on(self, first, second):
-        """Yields the set of verdicts of each image that fills on two."""
-        for filling in {filling for _, filling in self._pairs}:
-            yield {
-                self.verdict(first, filling),
-                self.verdict(second, filling),
-            }
-
     def disturbed(self, serving, ratio, shares):
         """Takes a tail near or over its target.
 
@@ -161,4 +160,5 @@
                 self._evidence(serving, image).clear(weight)
 
     def _evidence(self, serving, image):
-        return self._pairs.setdefault((serving, image), _Evidence())
+        by_filling = self._pairs.setdefault(serving, {})
+        return by_filling.setdefault(image, _Evidence())
--- a/fuchsiatrestle/workflows/_offer.py
+++ b/fuchsiatrestle/workflows/_offer.py
@@ -158,9 +158,6 @@
 
 def _could_run(step, task, worker):
     """True if a worker would run a task once enough of its room is free."""
-    room = worker.room
-    if step.label and step.label not in _placement.labels_of(worker):
+    if not _placement.suits(step, task, worker):
         return False
-    if step.most_per_worker and room.count(task) >= step.most_per_worker:
-        return False
-    return step.cpu <= worker.record.cpu - room.lasting_cpu
+    return step.cpu <= worker.record.cpu - worker.room.lasting_cpu
--- a/fuchsiatrestle/workflows/_placement.py
+++ b/fuchsiatrestle/workflows/_placement.py
@@ -10,7 +10,7 @@
 
 from fuchsiatrestle.workflows import _interference
 
-__all__ = ('BestFit', 'FirstFit', 'Placer', 'labels_of')
+__all__ = ('BestFit', 'FirstFit', 'Placer', 'suits')
 
 # Share of the processor time reserved by serving tasks that they leave to
 # tasks that fill; the rest covers the peaks of their load.
@@ -102,7 +102,9 @@
 
     def score(self, step, worker, ledger):
         """Orders by distance, disturbance and what is left over."""
-        far = bool(step.data_rack) and step.data_rack not in labels_of(worker)
+        far = (
+            bool(step.data_rack) and step.data_rack not in worker.record.labels
+        )
         if step.fills:
             return self._score_filling(step, worker, ledger, far)
         mixed = 0
@@ -256,17 +258,23 @@
     needed = step.accelerators + ledger.accelerators(worker)
     if room.free_accelerators < needed:
         return False
-    if step.label and step.label not in labels_of(worker):
+    return suits(step, task, worker, ledger.count(worker))
+
+
+def suits(step, task, worker, added=0):
+    """True if label and spread let a worker run one more task of a step.
+
+    Args:
+        step: the ``Step``.
+        task: id of any of its tasks.
+        worker: the worker, whose room does not matter here.
+        added: tasks of the step put there and not yet reserved.
+    """
+    if step.label and step.label not in worker.record.labels:
         return False
     if not step.most_per_worker:
         return True
-    present = room.count(task) + ledger.count(worker)
-    return present < step.most_per_worker
-
-
-def labels_of(worker):
-    """Returns the labels of a worker."""
-    return worker.record.labels
+    return worker.room.count(task) + added < step.most_per_worker
 
 
 def _rack(worker):
--- a/fuchsiatrestle/workflows/_progress.py
+++ b/fuchsiatrestle/workflows/_progress.py
@@ -50,11 +50,9 @@
         return [_events.Propose(command)]
 
     def agreed(self, command):
-        """Notes an agreed command; returns True if it is the own one."""
-        if self._under_way != command:
-            return False
-        self._under_way = None
-        return True
+        """Notes an agreed command, its own or that of another leader."""
+        if self._under_way == command:
+            self._under_way = None
 
     def take_back(self, token):
         """Collects a refused proposal again, but for its placements.
--- a/tests/_runner.py
+++ b/tests/_runner.py
@@ -156,9 +156,7 @@
     for slot in range(parallel):
         slots.put(slot)
     with concurrent.futures.ThreadPoolExecutor(parallel) as pool:
-        yield from pool.map(
-            _run_in_child, names, [slots] * len(names), timeout=None
-        )
+        yield from pool.map(lambda name: _run_in_child(name, slots), names)
 
 
 def _start_order(name):
--- a/tests/control/_operator.py
+++ b/tests/control/_operator.py
@@ -12,29 +12,16 @@
 from fuchsiatrestle.state import queries
 from tests.fakes import control_groups
 from tests.fakes import entries
+from tests.fakes import waiting
 
-__all__ = ('Operator', 'run', 'wait_for')
-
-PATIENCE_S = 60.0
-POLL_S = 0.05
+__all__ = ('Operator', 'run')
 
 
 def run(corofunc, *args):
     """Runs a coroutine in curio with a generous time limit."""
-    return curio.run(curio.timeout_after, PATIENCE_S * 2, corofunc, *args)
-
-
-async def wait_for(condition, what):
-    """Waits until the awaitable condition gives a true value."""
-    try:
-        async with curio.timeout_after(PATIENCE_S):
-            while True:
-                value = await condition()
-                if value:
-                    return value
-                await curio.sleep(POLL_S)
-    except curio.TaskTimeout:
-        raise AssertionError(f'not in time: {what}') from None
+    return curio.run(
+        curio.timeout_after, waiting.PATIENCE_S * 2, corofunc, *args
+    )
 
 
 class Operator:
@@ -58,7 +45,9 @@
 
     async def ask(self, query):
         """Returns the result of a query, asked until it is answered."""
-        return await wait_for(lambda: self._ask(query), type(query).__name__)
+        return await waiting.wait_for(
+            lambda: self._ask(query), type(query).__name__
+        )
 
     async def _ask(self, query):
         found = await self.entry.client.ask(query, 2000)
@@ -90,7 +79,7 @@
                 return found.unwrap()
             return None
 
-        outcome = await wait_for(submit, f'outcome of {patch_id}')
+        outcome = await waiting.wait_for(submit, f'outcome of {patch_id}')
         self.outcomes[patch_id] = (command, outcome)
         return outcome
 
@@ -115,7 +104,7 @@
                 views.append(found.unwrap())
             return bool(views)
 
-        await wait_for(submit, f'{change} {name}')
+        await waiting.wait_for(submit, f'{change} {name}')
         return views[-1]
 
     async def members(self):
@@ -130,7 +119,7 @@
             view = await self._ask(queries.GetStatus())
             return view if view and condition(view) else None
 
-        return await wait_for(check, what)
+        return await waiting.wait_for(check, what)
 
     # Checks
 
@@ -152,4 +141,4 @@
                 return found.unwrap()
             return None
 
-        return await wait_for(submit, f'again {command.patch_id}')
+        return await waiting.wait_for(submit, f'again {command.patch_id}')
--- a/tests/control/test_process_faults.py
+++ b/tests/control/test_process_faults.py
@@ -12,6 +12,7 @@
 from standins import relay
 from tests.control import _operator
 from tests.fakes import control_groups
+from tests.fakes import waiting
 
 NAMES = ('c1', 'c2', 'c3')
 LEASE_S = 2.1
@@ -173,7 +174,7 @@
         async def work():
             async with _operator.Operator(group) as operator:
                 await operator.admit()
-                await _operator.wait_for(operator.is_held, 'lease')
+                await waiting.wait_for(operator.is_held, 'lease')
                 for name in NAMES:
                     process = group.processes[name]
                     process.ask_to_stop()
@@ -181,7 +182,7 @@
                     status = await curio.run_in_thread(process.wait)
                     self.assertEqual(0, status)
                     process.start()
-                    await _operator.wait_for(
+                    await waiting.wait_for(
                         lambda: _has_started(group, name), f'{name} started'
                     )
                     await _wait_until_synced(operator, name)
@@ -277,7 +278,7 @@
                 return member.match >= view.commit and member.heard_ms < 600
         return False
 
-    await _operator.wait_for(check, f'{name} synced')
+    await waiting.wait_for(check, f'{name} synced')
 
 
 if __name__ == '__main__':
--- a/tests/platform/_deployment.py
+++ b/tests/platform/_deployment.py
@@ -11,6 +11,7 @@
 from standins import _ports
 from standins import _processes
 from standins import platform_fleet
+from tests.fakes import waiting
 
 __all__ = ('HOST', 'PREFIX', 'Deployment', 'configuration')
 
@@ -148,12 +149,7 @@
 
     async def until(self, condition, what, timeout_s=START_TIMEOUT_S):
         """Waits for an asynchronous condition; fails the test if late."""
-        try:
-            async with curio.timeout_after(timeout_s):
-                while not await condition():
-                    await curio.sleep(0.05)
-        except curio.TaskTimeout as exc:
-            raise AssertionError(f'not within {timeout_s} s: {what}') from exc
+        await waiting.wait_for(condition, what, timeout_s)
 
     # Calls
 
