Check the types of the rows that a worker lists

Ruled out: leaving out just the row that can not be read. The list would then say that a run is not there, and the task would be started a second time.

Change: rows are typed; an answer with a row of another form counts as none, as an unreadable one did before.

--- a/fuchsiatrestle/platform/_workers.py
+++ b/fuchsiatrestle/platform/_workers.py
@@ -58,15 +58,30 @@
     machine: str = ''
 
 
+class _RunningRow(msgspec.Struct, array_like=True):
+    task: str
+    run: int
+    saved: str
+    percent: int | float
+    figure: int | float | None = None
+
+
+class _EndRow(msgspec.Struct, array_like=True):
+    number: int
+    task: str
+    run: int
+    how: str
+    saved: str
+
+
 class _Answer(msgspec.Struct):
     """Body of an answer to any order."""
 
     clock_ms: int | None = None
     reason: str = ''
     born: int = 0
-    # Rows of different types; see ``_running_row`` and ``_end_row``.
-    running: list = []
-    ended: list = []
+    running: list[_RunningRow] = []
+    ended: list[_EndRow] = []
 
 
 _HEARTBEAT = msgspec.json.Decoder(_Heartbeat)
@@ -206,15 +221,14 @@
 
 
 def _running_row(row):
-    """Decodes [task, run, saved, percent, figure]."""
-    task, run, saved, percent, *more = row
-    figure = more[0] if more else None
-    return workflows.RunningRow(_task_id(task), run, saved, percent, figure)
+    return workflows.RunningRow(
+        _task_id(row.task), row.run, row.saved, row.percent, row.figure
+    )
 
 
 def _end_row(row):
-    """Decodes [number, task, run, how, saved]."""
-    number, task, run, how, saved = row[:5]
-    if how not in ENDS:
-        raise ValueError(f'end {how!r}')
-    return workflows.EndRow(number, _task_id(task), run, how, saved)
+    if row.how not in ENDS:
+        raise ValueError(f'end {row.how!r}')
+    return workflows.EndRow(
+        row.number, _task_id(row.task), row.run, row.how, row.saved
+    )
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -112,6 +112,26 @@
             [workflows.EndRow(58, TASK, 1, 'done', '')], reply.ends
         )
 
+    def test_rows_of_a_foreign_writer_count_as_no_answer(self):
+        rows = (
+            [NAME, '2', 'saved', 41],
+            [NAME, 2, None, 41],
+            [NAME, 2, 'saved', 'much'],
+            [NAME, 2, 'saved', 41, []],
+            [NAME, 2],
+            {'task': NAME},
+            ['no task', 2, 'saved', 41],
+            [5, 2, 'saved', 41],
+        )
+        for row in rows:
+            with self.subTest(row=row):
+                reply = _reply(200, {'clock_ms': 5, 'running': [row]})
+                self.assertEqual(workflows.Verdict.SILENT, reply.verdict)
+        for row in (['1', NAME, 1, 'done', ''], [1, NAME, 1, 'done', 7]):
+            with self.subTest(row=row):
+                reply = _reply(200, {'clock_ms': 5, 'ended': [row]})
+                self.assertEqual(workflows.Verdict.SILENT, reply.verdict)
+
     def test_reasons_of_a_refusal(self):
         verdict = workflows.Verdict
         expected = {
