Believe in pairs of images, and have what is believed agreed

A tail falls by half in half a second, so what was placed after a disturbance was blamed for the one before; several looks within the half second that a figure covers counted as several disturbances; workers that were slow blamed all that ran there; and each new leader started from nothing. 724 tasks that fill waited beside 392 to 600 cores that nobody used.

Change: each pair is heavy with a probability; a disturbed tail is explained by the images that fill, the worker itself or a peak of the load, each as far as the others leave it unexplained. Windows of half a second; falling tails blame nobody; one worker convinces only so far. Verdicts go along with the leader's progress and are adopted by the next one. What fills goes first to the workers that few other images may use.

--- a/fuchsiatrestle/state/_workflows.py
+++ b/fuchsiatrestle/state/_workflows.py
@@ -17,6 +17,8 @@
 # Time for which the state of an ended workflow can be asked for and its id
 # is known again.
 RETENTION_MS = 900_000
+# Pairs of images that are remembered at most.
+MOST_PAIRS = 4096
 
 
 class _Ended(records.Record, tag='e'):
@@ -29,6 +31,7 @@
     workflows: list[_workflows_model.WorkflowState]
     ended: list[_Ended]
     workers: list[workflows.WorkerRecord]
+    pairs: list[workflows.ImagePair] = []
 
 
 _STATE = records.Codec(_PartState)
@@ -59,6 +62,7 @@
         self._open = {}
         self._ended = collections.deque()
         self._workers = {}
+        self._pairs = {}
         self._now_ms = 0
         self._handlers = {
             commands.SubmitWorkflow: self._submit,
@@ -78,6 +82,11 @@
         """``WorkerRecord`` by id."""
         return self._workers
 
+    @property
+    def image_pairs(self):
+        """``ImagePair`` by serving and filling image."""
+        return self._pairs
+
     def workflow(self, workflow_id):
         """Returns the ``Workflow`` of that id, or None."""
         return self._workflows.get(workflow_id)
@@ -167,6 +176,8 @@
             self._note_lost(lost)
         for placement in command.placed:
             self._place(placement)
+        for pair in command.learned:
+            self._note_pair(pair)
         self._forget_old()
         return outcomes.Done()
 
@@ -210,6 +221,13 @@
         if workflow is not None and workflow.may_place(placement):
             workflow.place(placement)
 
+    def _note_pair(self, pair):
+        key = pair.serving, pair.filling
+        self._pairs.pop(key, None)
+        self._pairs[key] = pair
+        if len(self._pairs) > MOST_PAIRS:
+            del self._pairs[next(iter(self._pairs))]
+
     def _close_ended(self, workflow, now_ms):
         if workflow.is_open or workflow.workflow_id not in self._open:
             return
@@ -236,6 +254,7 @@
                 [one.to_state() for one in self._workflows.values()],
                 list(self._ended),
                 list(self._workers.values()),
+                list(self._pairs.values()),
             )
         )
 
@@ -254,3 +273,4 @@
         }
         self._ended = collections.deque(state.ended)
         self._workers = {one.worker: one for one in state.workers}
+        self._pairs = {(one.serving, one.filling): one for one in state.pairs}
--- a/fuchsiatrestle/state/commands/_workflows.py
+++ b/fuchsiatrestle/state/commands/_workflows.py
@@ -106,6 +106,7 @@
         ends: ends listed by workers.
         lost: runs settled without an end.
         placed: runs to be started next.
+        learned: pairs of images of which something else is believed now.
     """
 
     token: int
@@ -114,6 +115,7 @@
     ends: list[RunEnd] = []
     lost: list[RunLost] = []
     placed: list[workflows.LiveRun] = []
+    learned: list[workflows.ImagePair] = []
 
 
 KINDS = (PutDocument, SubmitWorkflow, CancelWorkflow, RecordProgress)
--- a/fuchsiatrestle/state/workflows.py
+++ b/fuchsiatrestle/state/workflows.py
@@ -9,6 +9,7 @@
 __all__ = (
     'AdviceTerms',
     'Document',
+    'ImagePair',
     'LiveRun',
     'Pool',
     'Queue',
@@ -99,6 +100,20 @@
     index: int
 
 
+class ImagePair(records.Record, tag='pair'):
+    """What a leader believes of two images on one worker.
+
+    Attributes:
+        serving: image of tasks with a tail target.
+        filling: image of tasks that fill.
+        heavy: True if the second drives the tails of the first too high.
+    """
+
+    serving: str
+    filling: str
+    heavy: bool
+
+
 class LiveRun(records.Record, tag='live'):
     """A run that may be going on.
 
--- a/fuchsiatrestle/workflows/_answers.py
+++ b/fuchsiatrestle/workflows/_answers.py
@@ -209,7 +209,9 @@
             if run.phase == _Phase.RUNNING and run.step is not None
         ]
         if worker.pacing is None:
-            worker.pacing = _pacing.PaceControl(self._interference)
+            worker.pacing = _pacing.PaceControl(
+                self._interference, worker.name
+            )
         for run in worker.pacing.observe(
             running, worker.record.cpu, self._book.now_ms
         ):
--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -19,6 +19,8 @@
 
 # A worker that withdrew ends its process within this time.
 LEAVING_MS = 500
+# Interval at which what was learnt of images goes along to be agreed.
+LEARN_MS = 1000
 
 LOG = logs.get_logger(__name__)
 
@@ -47,6 +49,7 @@
         self._answers = _answers.Answers(
             self._book, self._announcing, self._interference
         )
+        self._learnt_ms = now_ms
         self._wall_ms = 0
         self._wall_read_ms = now_ms
         self._effects = []
@@ -63,6 +66,7 @@
             commands.CancelWorkflow: self._on_cancelled,
             commands.RecordProgress: self._on_progress,
         }
+        self._interference.adopt(part.image_pairs.values())
         self._adopt_all()
 
     def step(self, event, now_ms):
@@ -119,11 +123,22 @@
         self._wall_ms = tick.wall_ms
         self._wall_read_ms = self._book.now_ms
         self._book.dirty = True
-        self._interference.fade(self._book.now_ms)
+        self._learn()
         for worker in self._book.fleet:
             self._check_gone(worker)
             self._drive(worker)
 
+    def _learn(self):
+        """Has what is believed of images agreed, for the next leader."""
+        now_ms = self._book.now_ms
+        self._interference.fade(now_ms)
+        if now_ms - self._learnt_ms < LEARN_MS:
+            return
+        self._learnt_ms = now_ms
+        agreed = self._book.part.image_pairs
+        for pair in self._interference.changes(agreed):
+            self._book.progress.add_learned(pair)
+
     def _check_gone(self, worker):
         if not worker.runs:
             return
--- a/fuchsiatrestle/workflows/_pacing.py
+++ b/fuchsiatrestle/workflows/_pacing.py
@@ -7,6 +7,7 @@
 """
 
 from fuchsiatrestle.workflows import _interference
+from fuchsiatrestle.workflows import _tails
 
 __all__ = ('PaceControl',)
 
@@ -32,22 +33,23 @@
 
     Args:
         interference: what is known of pairs of images.
+        worker: id of the worker.
     """
 
     __slots__ = (
         '_halted_ms',
         '_interference',
-        '_recent',
         '_slowed_ms',
+        '_window',
         '_worst',
     )
 
-    def __init__(self, interference):
+    def __init__(self, interference, worker=''):
         self._interference = interference
         self._halted_ms = None
         self._slowed_ms = 0
+        self._window = _tails.TailWindow(worker, interference)
         self._worst = 0.0
-        self._recent = {}
 
     def observe(self, runs, capacity_cpu, now_ms):
         """Learns from the newest figures and decides.
@@ -65,7 +67,11 @@
         serving = [
             run for run in runs if run.serves and run.figure is not None
         ]
-        self._learn(filling, serving, capacity_cpu, now_ms)
+        self._window.observe(filling, serving, capacity_cpu, now_ms)
+        self._worst = max(
+            (run.figure / run.step.tail_target_ms for run in serving),
+            default=0.0,
+        )
         if not filling:
             self._halted_ms = None
             return []
@@ -73,33 +79,6 @@
         self._set_paces(filling, images, now_ms)
         return self._to_move(filling, images, now_ms)
 
-    def _learn(self, filling, serving, capacity_cpu, now_ms):
-        shares = {}
-        for run in filling:
-            image = run.step.image
-            used = (run.figure or 0) / capacity_cpu
-            shares[image] = shares.get(image, 0) + used
-        self._note_recent(shares, now_ms)
-        recent = {image: share for image, (share, _) in self._recent.items()}
-        self._worst = 0.0
-        for run in serving:
-            image = run.step.image
-            ratio = run.figure / run.step.tail_target_ms
-            self._worst = max(self._worst, ratio)
-            self._interference.calm(image, ratio, shares)
-            if self._settled(now_ms):
-                # Else the figures still show what has been halted.
-                self._interference.disturbed(image, ratio, recent)
-
-    def _note_recent(self, shares, now_ms):
-        """Keeps what ended a moment ago: the figures still show it."""
-        for image, (_, seen_ms) in list(self._recent.items()):
-            if now_ms - seen_ms >= SETTLE_MS:
-                del self._recent[image]
-        for image, share in shares.items():
-            before = self._recent.get(image, (0.0, 0))[0]
-            self._recent[image] = (max(share, before), now_ms)
-
     def _set_paces(self, filling, images, now_ms):
         suspects = [
             run
--- a/fuchsiatrestle/workflows/_placement.py
+++ b/fuchsiatrestle/workflows/_placement.py
@@ -91,7 +91,8 @@
 
     Serving tasks of one image go together, then those of images that the same
     ones disturb, so that there are workers on which a given image that fills
-    disturbs none.
+    disturbs none.  What fills goes first where few others may go, and leaves
+    the workers that most may use.
 
     Args:
         interference: what is known of pairs of images.
@@ -124,7 +125,8 @@
         if verdict == _interference.Verdict.UNKNOWN:
             if not self._may_try(step, worker, ledger):
                 return None
-        return far, verdict, not serving, -unused
+        welcome = self._interference.welcome(serving)
+        return far, verdict, not serving, welcome, -unused
 
     def _may_try(self, step, worker, ledger):
         """True if one more task may show whether its image disturbs.
--- a/fuchsiatrestle/workflows/_progress.py
+++ b/fuchsiatrestle/workflows/_progress.py
@@ -1,4 +1,7 @@
-"""Collects what is to be agreed next; one proposal is under way at a time."""
+"""Collects what is to be agreed next; one proposal is under way at a time.
+
+What was learnt of images goes along with the rest and waits for it.
+"""
 
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.workflows import _events
@@ -16,6 +19,7 @@
         self._ends = []
         self._lost = []
         self._placed = []
+        self._learned = {}
 
     @property
     def is_idle(self):
@@ -38,15 +42,23 @@
         """Places a run."""
         self._placed.append(live)
 
+    def add_learned(self, pair):
+        """Records what is believed of a pair of images."""
+        self._learned[pair.serving, pair.filling] = pair
+
     def propose(self, wall_ms):
         """Returns the effects that have the collected items agreed."""
         items = (self._workers, self._ends, self._lost, self._placed)
         if not self.is_idle or not any(items):
             return []
         self._last_token += 1
-        command = commands.RecordProgress(self._last_token, wall_ms, *items)
+        learned = list(self._learned.values())
+        command = commands.RecordProgress(
+            self._last_token, wall_ms, *items, learned
+        )
         self._under_way = command
         self._workers, self._ends, self._lost, self._placed = [], [], [], []
+        self._learned = {}
         return [_events.Propose(command)]
 
     def agreed(self, command):
--- a/tests/state/test_workflows.py
+++ b/tests/state/test_workflows.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from fuchsiatrestle import errors
+from fuchsiatrestle.state import _workflows
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import machine
 from fuchsiatrestle.state import outcomes
@@ -246,6 +247,19 @@
         self.assertTrue(part.is_live(_task(), 2))
         self.assertEqual(['a'], list(part.open_workflows))
 
+    def test_pairs_of_images_are_kept_up_to_a_bound(self):
+        pairs = [
+            workflows.ImagePair('serving', f'filling-{number}', True)
+            for number in range(_workflows.MOST_PAIRS + 2)
+        ]
+        self._apply(commands.RecordProgress(1, 10, learned=pairs))
+        changed = workflows.ImagePair('serving', 'filling-2', False)
+        self._apply(commands.RecordProgress(1, 10, learned=[changed]))
+        other = machine.StateMachine()
+        other.restore(self.machine.snapshot())
+        found = list(other.workflows.image_pairs.values())
+        self.assertEqual([*pairs[3:], changed], found)
+
     def test_damaged_snapshot_is_refused(self):
         with self.assertRaises(errors.DataDamaged):
             machine.StateMachine().restore(b'no snapshot')
--- a/tests/workflows/test_decisions.py
+++ b/tests/workflows/test_decisions.py
@@ -10,6 +10,7 @@
 from fuchsiatrestle.workflows import _pacing
 from fuchsiatrestle.workflows import _placement
 from fuchsiatrestle.workflows import _runs
+from fuchsiatrestle.workflows import _tails
 
 QUEUE = records.Queue('q', 'h', '/q/', 'pool', 0, 3, 1.5, 250, 3000)
 CPU = 10_000
@@ -114,6 +115,23 @@
             self.interference.calm('s', 0.4, {'f': 0.2})
         self.assertEqual(['a'], self._place(step, [worker]))
 
+    def test_what_fills_leaves_the_workers_that_most_may_use(self):
+        """An image that disturbs none goes where the others may not go."""
+        workers = [_worker('open', cpu=30_000), _worker('closed')]
+        for worker, image in zip(workers, 'st', strict=True):
+            step = _step(lasts=True, image=image, tail_target_ms=9)
+            _run(worker, step, image)
+        pairs = [
+            records.ImagePair(serving, filling, serving + filling == 'tf')
+            for serving in 'st'
+            for filling in 'fg'
+        ]
+        self.interference.adopt(pairs)
+        light = _step(1, fills=True, image='g')
+        self.assertEqual(['closed'], self._place(light, workers))
+        heavy = _step(1, fills=True, image='f')
+        self.assertEqual(['open'], self._place(heavy, workers))
+
     def test_serving_tasks_of_one_image_go_together(self):
         workers = [_worker(name) for name in 'abcdefgh']
         step = _step(1, lasts=True, image='s', tail_target_ms=9)
@@ -194,6 +212,98 @@
             self.interference.fade(second * 1000)
         self.assertEqual(_interference.Verdict.UNKNOWN, self._verdict())
 
+    def test_what_ran_beside_a_heavy_image_is_not_blamed(self):
+        self.interference.adopt([records.ImagePair('s', 'f', True)])
+        for worker in 'abcd':
+            self.interference.disturbed('s', 3.0, {'f': 0.3, 'g': 0.1}, worker)
+        verdict = _interference.Verdict
+        self.assertEqual(verdict.HEAVY, self._verdict('f'))
+        self.assertNotEqual(verdict.HEAVY, self._verdict('g'))
+
+    def test_unsound_worker_blames_no_image(self):
+        for _ in range(5):
+            self.interference.calm('s', 0.3, {'f': 0.2}, 'sound')
+        for _ in range(20):
+            self.interference.disturbed('s', 30.0, {'f': 0.2}, 'unsound')
+        self.assertNotEqual(_interference.Verdict.HEAVY, self._verdict())
+        for worker in 'abc':
+            self.interference.disturbed('s', 3.0, {'f': 0.3}, worker)
+        self.assertEqual(_interference.Verdict.HEAVY, self._verdict())
+
+    def test_next_leader_believes_what_this_one_learnt(self):
+        self.interference.disturbed('s', 3.0, {'f': 0.3})
+        for _ in range(5):
+            self.interference.calm('t', 0.3, {'f': 0.2})
+        learnt = self.interference.changes({})
+        agreed = {(one.serving, one.filling): one for one in learnt}
+        self.assertEqual([], self.interference.changes(agreed))
+        other = _interference.Interference()
+        other.adopt(learnt)
+        verdict = _interference.Verdict
+        self.assertEqual(verdict.HEAVY, other.verdict('s', 'f'))
+        self.assertEqual(verdict.LIGHT, other.verdict('t', 'f'))
+
+
+class TailWindowTest(unittest.TestCase):
+    def setUp(self):
+        self.interference = _interference.Interference()
+        self.window = _tails.TailWindow('a', self.interference)
+        self.worker = _worker('a')
+        serving = _step(lasts=True, image='s', tail_target_ms=10)
+        self.serving = _run(self.worker, serving, 's')
+        self.now_ms = 10_000
+
+    def _fill(self, image):
+        run = _run(self.worker, _step(fills=True, image=image), image)
+        run.figure = 2000
+        return run
+
+    def _look(self, tail_ms, filling, after_ms=500):
+        self.now_ms += after_ms
+        self.serving.figure = tail_ms
+        self.window.observe(filling, [self.serving], CPU, self.now_ms)
+
+    def test_recovering_tail_blames_nobody(self):
+        """A tail falls for seconds after its cause has gone."""
+        heavy = self._fill('f')
+        self._look(4, [heavy])
+        for tail_ms in (100, 100):
+            self._look(tail_ms, [heavy])
+        other = self._fill('g')
+        for tail_ms in (60, 35, 20, 11):
+            self._look(tail_ms, [other])
+        verdict = _interference.Verdict
+        self.assertEqual(verdict.HEAVY, self.interference.verdict('s', 'f'))
+        self.assertEqual(verdict.UNKNOWN, self.interference.verdict('s', 'g'))
+
+    def test_looks_within_half_a_second_count_once(self):
+        run = self._fill('f')
+        run.figure = 1000
+        self._look(4, [run])
+        self._look(4, [run])
+        once = self.interference.verdict('s', 'f')
+        for _ in range(4):
+            self._look(4, [run], 50)
+        self.assertEqual(_interference.Verdict.UNKNOWN, once)
+        self.assertEqual(once, self.interference.verdict('s', 'f'))
+
+    def test_peak_of_one_task_alone_blames_nobody(self):
+        others = [
+            _run(self.worker, self.serving.step, 's', index=index)
+            for index in (1, 2)
+        ]
+        for run in others:
+            run.figure = 4
+        filling = self._fill('f')
+        for _ in range(4):
+            self.now_ms += 500
+            self.serving.figure = 50
+            self.window.observe(
+                [filling], [self.serving, *others], CPU, self.now_ms
+            )
+        verdict = self.interference.verdict('s', 'f')
+        self.assertEqual(_interference.Verdict.LIGHT, verdict)
+
 
 class PacingTest(unittest.TestCase):
     def setUp(self):
--- a/tests/workflows/test_recovery.py
+++ b/tests/workflows/test_recovery.py
@@ -3,6 +3,7 @@
 import logging
 import unittest
 
+from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import workflows
 from standins import worker_model
 from tests.fakes import dispatch_world
@@ -45,6 +46,34 @@
         self.assertEqual(1, len(world.ledger.running))
         self.assertEqual([], world.ledger.breaches)
 
+    def test_next_leader_knows_which_images_disturb(self):
+        world = dispatch_world.World(4, workers=2)
+        serving = workflows.Step(
+            1,
+            cpu=1000,
+            memory_mb=100,
+            lasts=True,
+            image='s',
+            tail_target_ms=9,
+        )
+        world.submit('serving', [serving], [FOREVER])
+        world.run(1000)
+        beside = world.part.live_runs()[0].worker
+        pair = workflows.ImagePair('s', 'f', True)
+        world.agree(commands.RecordProgress(0, 0, learned=[pair]))
+        world.lead()
+        filling = workflows.Step(
+            4, cpu=1000, memory_mb=100, image='f', fills=True
+        )
+        world.submit('filling', [filling], [FOREVER])
+        world.run(3000)
+        found = {
+            run.worker
+            for run in world.part.live_runs()
+            if run.task.workflow_id == 'filling'
+        }
+        self.assertEqual({'w0', 'w1'} - {beside}, found)
+
     def test_draining_worker_gets_nothing_new(self):
         world = dispatch_world.World(5, workers=2)
         world.draining.add('w0')
