Soak the platform's programs under signals and a relay

The real programs run as processes: two callers over kept connections, an operator, workers behind a relay that delays, resets, mutes, silences and cuts; control daemons and the entry are killed, frozen and stopped, series overlap. Judged: no task twice or before its turn, accepted jobs known and completed, refused ones never started, configuration never older, planned stops with status 0.

Not covered: the links between control daemons (their names are their addresses, so no relay fits between), lost disks, clocks and slow storage, several entries.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -28,9 +28,9 @@
 class _Worker(http.Handler):
     """One worker: its model behind an HTTP server."""
 
-    def __init__(self, name, address, fleet):
+    def __init__(self, name, address, announced, fleet):
         self.name = name
-        self.address = address
+        self.announced = announced
         self.born = time.time_ns() // 1000000
         self.model = worker_model.WorkerModel(
             name,
@@ -43,6 +43,7 @@
         )
         self.server = http.Server(address, self)
         self.sequence = 0
+        self._fleet = fleet
 
     async def handle(self, request):
         """Answers one order."""
@@ -60,6 +61,8 @@
         return await calls[request.path](body)
 
     async def _start(self, body):
+        # What has ended on a worker that nothing reaches is not running.
+        self._fleet.advance()
         status, reason = self.model.start(
             _now_ms(),
             body['task'],
@@ -109,7 +112,7 @@
         self.sequence += 1
         return {
             'service': service,
-            'address': str(self.address),
+            'address': str(self.announced),
             'zone': 'dc-a',
             'version': 'v1',
             'slots': 8,
@@ -136,9 +139,13 @@
         addresses: ``settings.Address`` of each worker.
         size_of: function from a task name to its ``worker_model.Size``.
         cpu: capacity of each, in thousandths of a core.
+        announced: ``settings.Address`` under which each is called, if not
+            its own.
     """
 
-    def __init__(self, service, controls, addresses, size_of, cpu=8000):
+    def __init__(
+        self, service, controls, addresses, size_of, cpu=8000, announced=None
+    ):
         self.ledger = worker_model.Ledger()
         self.size_of = size_of
         self.cpu = cpu
@@ -146,8 +153,10 @@
         self._service = service
         self._controls = list(controls)
         self._workers = [
-            _Worker(f'i-{number}', address, self)
-            for number, address in enumerate(addresses)
+            _Worker(f'i-{number}', address, called, self)
+            for number, (address, called) in enumerate(
+                zip(addresses, announced or addresses, strict=True)
+            )
         ]
         self._tasks = []
 
@@ -163,10 +172,15 @@
         """Stops everything."""
         for task in self._tasks:
             await task.cancel()
+        self.advance()
         for worker in self._workers:
-            worker.model.advance(_now_ms())
             await worker.server.stop(0)
 
+    def advance(self):
+        """Lets the runs of all workers end that are over by now."""
+        for worker in self._workers:
+            worker.model.advance(_now_ms())
+
     async def _announce_forever(self, worker):
         place = 0
         told = None
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -6,6 +6,9 @@
 nowhere, as behind a middlebox that dropped its state.
 """
 
+import random
+import socket
+import struct
 import sys
 
 from absl import flags
@@ -23,15 +26,24 @@
 RECV_BYTES = 65536
 BACKLOG = 256
 SILENT_END_S = 3600
+MAX_DELAY_S = 1.0
+# Closing with this lingers for no time: the peer sees a reset.
+RESET_AT_CLOSE = struct.pack('ii', 1, 0)
 
 PASS = 'pass'
 SILENCE = 'silence'
 CUT = 'cut'
+MUTE = 'mute'
+DELAY = 'delay'
+RESET = 'reset'
 
 MODES = {
     PASS: 'everything passes; silent connections stay silent',
     SILENCE: 'open connections go silent for good, new ones pass',
     CUT: 'open and new connections are silent until the next pass',
+    MUTE: 'what the target sends goes nowhere; what it is sent arrives',
+    DELAY: f'bytes arrive up to {MAX_DELAY_S} s late, in order',
+    RESET: 'open connections are reset at once, new ones pass',
 }
 
 LOG = logs.get_logger(__name__)
@@ -45,12 +57,26 @@
 
 
 class _Conn:
-    """One connection passed on."""
+    """One connection passed on.
 
-    __slots__ = ('silent',)
+    Attributes:
+        inner: the socket towards the caller.
+        silent: True if its bytes go nowhere any more, both ways.
+        mute: True if what the target sends goes nowhere any more.
+    """
+
+    __slots__ = ('inner', 'mute', 'silent')
 
-    def __init__(self, silent):
-        self.silent = silent
+    def __init__(self, inner, mode):
+        self.inner = inner
+        self.silent = mode == CUT
+        self.mute = mode == MUTE
+
+    def reset(self):
+        """Has the caller see a reset."""
+        sock = self.inner._socket
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        sock.shutdown(socket.SHUT_RD)
 
 
 class _Target:
@@ -66,9 +92,13 @@
     def set_mode(self, mode):
         """Changes what happens to the connections."""
         self.mode = mode
-        if mode != PASS:
-            for conn in self._conns:
+        for conn in self._conns:
+            if mode in (SILENCE, CUT):
                 conn.silent = True
+            elif mode == MUTE:
+                conn.mute = True
+            elif mode == RESET:
+                conn.reset()
 
     async def serve(self):
         """Accepts connections until cancelled."""
@@ -81,7 +111,7 @@
                 await curio.spawn(self._pass_on, inner, daemon=True)
 
     async def _pass_on(self, inner):
-        conn = _Conn(self.mode == CUT)
+        conn = _Conn(inner, self.mode)
         self._conns.add(conn)
         outer = None
         try:
@@ -94,7 +124,7 @@
                 )
                 async with outer, curio.TaskGroup(wait=any) as group:
                     await group.spawn(self._pump, conn, inner, outer)
-                    await group.spawn(self._pump, conn, outer, inner)
+                    await group.spawn(self._pump, conn, outer, inner, True)
         except OSError as exc:
             LOG.debug('relay_broken', extra={'error': str(exc)})
         finally:
@@ -104,14 +134,16 @@
         while await sock.recv(RECV_BYTES):
             continue
 
-    async def _pump(self, conn, source, sink):
+    async def _pump(self, conn, source, sink, back=False):
         try:
             while data := await source.recv(RECV_BYTES):
-                if not conn.silent:
+                if self.mode == DELAY:
+                    await curio.sleep(random.uniform(0, MAX_DELAY_S))
+                if not conn.silent and not (back and conn.mute):
                     await sink.sendall(data)
         except OSError as exc:
             LOG.debug('relay_broken', extra={'error': str(exc)})
-        if conn.silent:
+        if conn.silent or conn.mute:
             # Not even the end of the connection gets through.
             await curio.sleep(SILENT_END_S)
 
@@ -134,6 +166,11 @@
                 settings.Address.parse(address),
             )
 
+    @property
+    def targets(self):
+        """Names of the targets."""
+        return self._targets.keys()
+
     async def start(self):
         """Starts every listener in a task of its own."""
         for target in self._targets.values():
--- a/tests/platform/_deployment.py
+++ b/tests/platform/_deployment.py
@@ -11,9 +11,10 @@
 from standins import _ports
 from standins import _processes
 from standins import platform_fleet
+from standins import relay
 from tests.fakes import waiting
 
-__all__ = ('HOST', 'PREFIX', 'Deployment', 'configuration')
+__all__ = ('HOST', 'PREFIX', 'Deployment', 'configuration', 'exchange')
 
 HOST = 'shop.example'
 PREFIX = '/queue/'
@@ -70,10 +71,14 @@
         controls: number of control daemons.
         seeds: how many of them the settings name.
         workers: number of workers.
+
+    Attributes:
+        relay: ``relay.Relay`` before the workers, by the names that they
+            announce.
     """
 
     def __init__(self, folder, size_of, controls=3, seeds=3, workers=4):
-        link, control, ready, worker = _ports.free_ports(4)
+        link, control, ready, worker, called = _ports.free_ports(5)
         self._folder = folder
         self._ports = {'link': link, 'control': control, 'ready': ready}
         self.hosts = [f'127.0.7.{number + 1}' for number in range(controls)]
@@ -89,11 +94,19 @@
         self.fleet = platform_fleet.Fleet(
             SERVICE,
             [self.address(host) for host in self.hosts],
-            [
-                settings.Address(f'127.0.9.{number + 1}', worker)
-                for number in range(workers)
-            ],
+            _addresses(workers, worker),
             size_of,
+            announced=_addresses(workers, called),
+        )
+        self.relay = relay.Relay(
+            f'i-{number}={listen}>{address}'
+            for number, (listen, address) in enumerate(
+                zip(
+                    _addresses(workers, called),
+                    _addresses(workers, worker),
+                    strict=True,
+                )
+            )
         )
 
     def address(self, host):
@@ -121,6 +134,7 @@
         """Starts everything; returns when the entry is ready."""
         for process in (*self.controls.values(), self.entry):
             process.start()
+        await self.relay.start()
         await self.fleet.start()
         await self.until(self._is_ready, 'an entry that is ready')
 
@@ -168,13 +182,12 @@
         try:
             async with curio.timeout_after(CALL_TIMEOUT_S):
                 conn = await self.connect()
-                head, data = await _exchange(conn, method, path, value)
+                return await exchange(conn, method, path, value)
         except (http.HttpFailed, curio.TaskTimeout):
             return 0, None
         finally:
             if conn is not None:
                 conn.close()
-        return head.status, json.loads(data) if data else None
 
     async def connect(self):
         """Returns an open connection to the entry."""
@@ -182,8 +195,8 @@
 
     async def request(self, conn, method, path):
         """Makes one call on an open connection; returns the status."""
-        head, _ = await _exchange(conn, method, path, None)
-        return head.status
+        status, _ = await exchange(conn, method, path, None)
+        return status
 
     async def operator(self, host, method, path, value=None):
         """Calls a control daemon; returns status and body, 0 for none."""
@@ -234,8 +247,15 @@
         return newest[1]
 
 
-async def _exchange(conn, method, path, value):
-    """Makes one call as a caller; returns head and body."""
+def _addresses(count, port):
+    return [
+        settings.Address(f'127.0.9.{number + 1}', port)
+        for number in range(count)
+    ]
+
+
+async def exchange(conn, method, path, value):
+    """Makes one call as a caller; returns status and decoded body."""
     body = b'' if value is None else json.dumps(value).encode()
     headers = [
         (b'host', HOST.encode()),
@@ -246,4 +266,4 @@
     data = bytearray()
     while (chunk := await conn.receive_chunk()) is not None:
         data += chunk
-    return head, bytes(data)
+    return head.status, json.loads(data) if data else None
--- /dev/null
+++ b/tests/platform/soak.py
@@ -0,0 +1,384 @@
+"""Fault soak of the platform's programs, as processes on loopback.
+
+``python -m tests.platform.soak --seed 1 --runs 50 --seconds 20``.  Callers,
+an operator and workers are served while processes are killed, frozen and
+restarted by signals and connections to workers are delayed, reset, muted,
+silenced and cut by a relay.  What callers, the operator and the workers see
+is judged.  A run that breaks a promise keeps its folder with the logs.
+"""
+
+import argparse
+import random
+import shutil
+import sys
+import tempfile
+import time
+
+import curio
+
+from fuchsiatrestle import errors
+from fuchsiatrestle.net import http
+from standins import relay
+from standins import worker_model
+from tests.platform import _deployment
+
+__all__ = ('Soak', 'main')
+
+STEPS = [
+    {'count': 3, 'cpu': 1000, 'mem_mb': 256, 'est_runtime_ms': 300},
+    {
+        'count': 2,
+        'cpu': 2000,
+        'mem_mb': 256,
+        'est_runtime_ms': 500,
+        'start_after': [0],
+        'checkpointing': True,
+    },
+]
+SIZES = [
+    worker_model.Size(1000, 256, 300),
+    worker_model.Size(2000, 256, 500, saves=True),
+]
+# The entry answers by then, also if nothing answers it.
+CALL_TIMEOUT_S = 4.0
+GAP_S = (0.3, 1.5)
+FAULT_S = (0.3, 5.0)
+CALLER_GAP_S = (0.05, 0.4)
+RESEND_SHARE = 0.15
+CANCEL_SHARE = 0.1
+SETTLE_S = 90.0
+STOP_S = 30.0
+REFUSED = (429, 503)
+
+
+def _size(task):
+    return SIZES[int(task.split('.')[2])]
+
+
+class _Job:
+    """What the callers know of one job.
+
+    Attributes:
+        accepted: True once a submission was answered with success.
+        unclear: True once an answer was lost or said that nothing is known.
+        cancelled: True once a cancel was sent.
+    """
+
+    __slots__ = ('accepted', 'cancelled', 'name', 'unclear')
+
+    def __init__(self, name):
+        self.name = name
+        self.accepted = False
+        self.unclear = False
+        self.cancelled = False
+
+    @property
+    def never_ran(self):
+        """True if every answer said that it was not taken."""
+        return not self.accepted and not self.unclear
+
+
+class Soak:
+    """One run.
+
+    Args:
+        seed: of callers, operator and faults.
+        folder: where settings, data and logs go.
+        seconds: length of the load.
+
+    Attributes:
+        breaches: what was broken, texts.
+        faults: kinds of faults that were brought about.
+    """
+
+    def __init__(self, seed, folder, seconds):
+        self._seed = seed
+        self._seconds = seconds
+        self._world = _deployment.Deployment(folder, _size)
+        self._world.fleet.ledger.may_start = self._may_start
+        self._jobs = {}
+        self._started = set()
+        self._versions = [1]
+        self._sent_version = 1
+        self.breaches = []
+        self.faults = []
+
+    # Phases
+
+    async def run(self):
+        """Runs all phases."""
+        try:
+            await self._world.start()
+            await self._world.put(_deployment.configuration(1))
+            await self._load()
+            await self._settle()
+            await self._check_end()
+            statuses = await self._world.stop()
+            if any(statuses):
+                self._breach(f'planned stops ended with {statuses}')
+        except (AssertionError, errors.Error, curio.TaskError) as exc:
+            self._breach(f'{type(exc).__name__}: {exc}')
+        finally:
+            self._kill_all()
+        self.breaches += self._world.fleet.ledger.breaches
+
+    async def _load(self):
+        lanes = (
+            self._call_forever,
+            self._call_forever,
+            self._operate_forever,
+            self._signal_controls,
+            self._signal_entry,
+            self._disturb_network,
+        )
+        end_s = time.monotonic() + self._seconds
+        async with curio.TaskGroup() as group:
+            for number, lane in enumerate(lanes):
+                draws = random.Random(f'{self._seed}-{number}')
+                await group.spawn(lane, draws, end_s)
+
+    async def _settle(self):
+        names = [job.name for job in self._jobs.values() if job.accepted]
+        await self._world.until(
+            lambda: self._all_ended(names), 'all accepted jobs end', SETTLE_S
+        )
+
+    async def _all_ended(self, names):
+        while names:
+            path = _deployment.PREFIX + names[-1]
+            status, body = await self._world.caller('GET', path)
+            if status != 200 or body['state'] not in (
+                'completed',
+                'cancelled',
+            ):
+                return False
+            names.pop()
+        return True
+
+    async def _check_end(self):
+        for job in self._jobs.values():
+            if job.never_ran and job.name in self._started:
+                self._breach(f'{job.name} ran though always refused')
+            if job.accepted and not job.cancelled:
+                await self._check_completed(job)
+        for host in self._world.hosts:
+            found = await self._world.get_configuration(host)
+            self._check_version(found['version'], max(self._versions), host)
+
+    async def _check_completed(self, job):
+        path = _deployment.PREFIX + job.name
+        _, body = await self._world.caller('GET', path)
+        if body is None or body.get('state') != 'completed':
+            self._breach(f'{job.name} ended as {body}')
+        tasks = [f'{job.name}.0.0.{index}' for index in range(3)]
+        if not self._world.fleet.ledger.finished.issuperset(tasks):
+            self._breach(f'{job.name} is shown as completed and is not')
+
+    def _kill_all(self):
+        for process in (*self._world.controls.values(), self._world.entry):
+            if process.running:
+                process.kill()
+
+    def _breach(self, text):
+        self.breaches.append(f'{time.strftime("%H:%M:%S")} {text}')
+
+    def _may_start(self, task):
+        name, _, step, _ = task.split('.')
+        self._started.add(name)
+        if step == '0':
+            return True
+        earlier = {f'{name}.0.0.{index}' for index in range(3)}
+        return self._world.fleet.ledger.finished.issuperset(earlier)
+
+    # Callers
+
+    async def _call_forever(self, draws, end_s):
+        """Submits, resends, asks and cancels over one kept connection."""
+        caller = _Caller(self._world)
+        while time.monotonic() < end_s:
+            await curio.sleep(draws.uniform(*CALLER_GAP_S))
+            known = sorted(self._jobs)
+            draw = draws.random()
+            if not known or draw > 0.5:
+                job = _Job(f'{draws.getrandbits(64):016x}')
+                self._jobs[job.name] = job
+                await self._submit(caller, job)
+                continue
+            job = self._jobs[draws.choice(known)]
+            if draw < RESEND_SHARE:
+                await self._submit(caller, job)
+            elif draw < RESEND_SHARE + CANCEL_SHARE and job.accepted:
+                job.cancelled = True
+                await caller.call('DELETE', job.name)
+            else:
+                await self._ask(caller, job)
+        caller.close()
+
+    async def _submit(self, caller, job):
+        body = {'task_spec': 'text', 'steps': STEPS}
+        status, _ = await caller.call('POST', job.name, body)
+        if status == 200:
+            job.accepted = True
+        elif status not in REFUSED:
+            job.unclear = True
+
+    async def _ask(self, caller, job):
+        accepted = job.accepted
+        status, body = await caller.call('GET', job.name)
+        if status == 410 and accepted:
+            self._breach(f'{job.name} was accepted and is not known')
+        if status == 200 and body['state'] == 'failed':
+            self._breach(f'{job.name} is shown as failed')
+        if status == 200 and body['state'] == 'cancelled':
+            if not job.cancelled:
+                self._breach(f'{job.name} is shown as cancelled')
+
+    # Operator
+
+    async def _operate_forever(self, draws, end_s):
+        while time.monotonic() < end_s:
+            await curio.sleep(draws.uniform(*GAP_S))
+            host = draws.choice(self._world.hosts)
+            if draws.random() < 0.5:
+                await self._read_configuration(host)
+            else:
+                await self._change_configuration(draws, host)
+
+    async def _read_configuration(self, host):
+        newest = max(self._versions)
+        status, body = await self._world.operator(host, 'GET', '/config/get')
+        if status == 200:
+            self._check_version(body['version'], newest, host)
+
+    async def _change_configuration(self, draws, host):
+        self._sent_version += draws.randint(1, 3)
+        value = _deployment.configuration(
+            self._sent_version, timeout_ms=draws.randint(2000, 4000)
+        )
+        version = self._sent_version
+        status, _ = await self._world.operator(
+            host, 'POST', '/config/put', value
+        )
+        if status == 200:
+            self._versions.append(version)
+        elif 400 <= status < 500:
+            self._breach(f'{host} refused version {version}: {status}')
+
+    def _check_version(self, version, newest, host):
+        if version < newest:
+            self._breach(f'{host} shows version {version} after {newest}')
+
+    # Faults
+
+    async def _signal_controls(self, draws, end_s):
+        while time.monotonic() < end_s:
+            await curio.sleep(draws.uniform(*GAP_S))
+            host = draws.choice(self._world.hosts)
+            await self._signal(draws, self._world.controls[host])
+
+    async def _signal_entry(self, draws, end_s):
+        while time.monotonic() < end_s:
+            await curio.sleep(3 * draws.uniform(*GAP_S))
+            await self._signal(draws, self._world.entry)
+
+    async def _signal(self, draws, process):
+        """Kills, freezes or stops a process and makes it whole again."""
+        kind = draws.choice(('kill', 'freeze', 'stop'))
+        self._note_fault(kind, process.name)
+        if kind == 'kill':
+            await curio.run_in_thread(process.kill)
+        elif kind == 'freeze':
+            process.freeze()
+        elif not process.has_started():
+            # An interpreter that is still starting has no handler yet.
+            return
+        else:
+            status = await curio.run_in_thread(process.stop, STOP_S)
+            if status:
+                self._breach(f'{process.name} stopped with {status}')
+        await curio.sleep(draws.uniform(*FAULT_S))
+        if kind == 'freeze':
+            process.resume()
+        else:
+            process.start()
+
+    async def _disturb_network(self, draws, end_s):
+        modes = sorted(set(relay.MODES) - {'pass'})
+        workers = sorted(self._world.relay.targets)
+        while time.monotonic() < end_s:
+            await curio.sleep(draws.uniform(*GAP_S))
+            mode = draws.choice(modes)
+            worker = draws.choice(workers)
+            self._note_fault(mode, worker)
+            self._world.relay.set_mode(worker, mode)
+            await curio.sleep(draws.uniform(*FAULT_S))
+            self._world.relay.set_mode(worker, 'pass')
+
+    def _note_fault(self, kind, target):
+        self.faults.append(f'{time.strftime("%H:%M:%S")} {kind} {target}')
+
+
+class _Caller:
+    """Calls the entry over one connection for as long as it is open."""
+
+    def __init__(self, world):
+        self._world = world
+        self._conn = None
+
+    async def call(self, method, name, value=None):
+        """Makes one call; status 0 stands for no answer."""
+        path = _deployment.PREFIX + name
+        try:
+            async with curio.timeout_after(CALL_TIMEOUT_S):
+                return await self._exchange(method, path, value)
+        except (http.HttpFailed, curio.TaskTimeout):
+            self.close()
+            return 0, None
+
+    async def _exchange(self, method, path, value):
+        if self._conn is None:
+            self._conn = await self._world.connect()
+        found = await _deployment.exchange(self._conn, method, path, value)
+        if not self._conn.reusable:
+            self.close()
+        return found
+
+    def close(self):
+        """Closes the connection."""
+        if self._conn is not None:
+            self._conn.close()
+            self._conn = None
+
+
+def run_seed(seed, seconds):
+    """Plays one seed; returns the finished ``Soak``."""
+    folder = tempfile.mkdtemp(prefix=f'platform-soak-{seed}-')
+    soak = Soak(seed, folder, seconds)
+    curio.run(soak.run)
+    if soak.breaches:
+        print(f'seed {seed}: logs in {folder}')
+    else:
+        shutil.rmtree(folder)
+    return soak
+
+
+def main():
+    """Runs the seeds; exit status 1 after a breach."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--runs', type=int, default=10)
+    parser.add_argument('--seconds', type=float, default=20.0)
+    options = parser.parse_args()
+    failed = 0
+    for seed in range(options.seed, options.seed + options.runs):
+        soak = run_seed(seed, options.seconds)
+        failed += bool(soak.breaches)
+        print(f'seed {seed}: {len(soak.faults)} faults', flush=True)
+        for text in soak.breaches[:5]:
+            print(f'    {text}', flush=True)
+    print(f'{options.runs} runs, {failed} with a breach')
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
