Keep the workflow of the platform's tests in one place

They stand in the deployment now; assertions are unchanged. A bound on log odds has a constant of its own in place of one for probabilities, of the same value.

--- a/fuchsiatrestle/workflows/_interference.py
+++ b/fuchsiatrestle/workflows/_interference.py
@@ -50,6 +50,7 @@
 
 # What one worker says of a pair counts up to this much, in log odds.
 MOST_PER_WORKER = 3.0
+FORGOTTEN_BELOW = 0.03
 # What is believed fades towards the prior, so that it is tested again.
 FADE_MS = 1000
 FADE_KEPT = 0.965
@@ -109,7 +110,7 @@
         self._by_worker = {
             worker: said * FADE_KEPT
             for worker, said in self._by_worker.items()
-            if said > LEAST
+            if said > FORGOTTEN_BELOW
         }
 
 
--- a/tests/platform/_deployment.py
+++ b/tests/platform/_deployment.py
@@ -12,15 +12,39 @@
 from standins import _processes
 from standins import platform_fleet
 from standins import relay
+from standins import worker_model
 from tests.fakes import waiting
 
-__all__ = ('HOST', 'PREFIX', 'Deployment', 'configuration', 'exchange')
+__all__ = (
+    'HOST',
+    'PREFIX',
+    'STEPS',
+    'Deployment',
+    'configuration',
+    'exchange',
+)
 
 HOST = 'shop.example'
 PREFIX = '/queue/'
 SERVICE = 'pool'
 START_TIMEOUT_S = 20.0
 CALL_TIMEOUT_S = 4.0
+# A workflow of two steps, as callers submit it, and what its tasks use.
+STEPS = [
+    {'count': 3, 'cpu': 1000, 'mem_mb': 256, 'est_runtime_ms': 300},
+    {
+        'count': 2,
+        'cpu': 2000,
+        'mem_mb': 256,
+        'est_runtime_ms': 500,
+        'start_after': [0],
+        'checkpointing': True,
+    },
+]
+SIZES = [
+    worker_model.Size(1000, 256, 300),
+    worker_model.Size(2000, 256, 500, saves=True),
+]
 
 _CONTROL = """\
 [platform]
@@ -67,7 +91,6 @@
 
     Args:
         folder: where settings, data and logs go.
-        size_of: function from a task name to its ``worker_model.Size``.
         controls: number of control daemons.
         seeds: how many of them the settings name.
         workers: number of workers.
@@ -77,7 +100,7 @@
             announce.
     """
 
-    def __init__(self, folder, size_of, controls=3, seeds=3, workers=4):
+    def __init__(self, folder, controls=3, seeds=3, workers=4):
         link, control, ready, worker, called = _ports.free_ports(5)
         self._folder = folder
         self._ports = {'link': link, 'control': control, 'ready': ready}
@@ -95,7 +118,7 @@
             SERVICE,
             [self.address(host) for host in self.hosts],
             _addresses(workers, worker),
-            size_of,
+            _size,
             announced=_addresses(workers, called),
         )
         self.relay = relay.Relay(
@@ -247,6 +270,10 @@
         return newest[1]
 
 
+def _size(task):
+    return SIZES[int(task.split('.')[2])]
+
+
 def _addresses(count, port):
     return [
         settings.Address(f'127.0.9.{number + 1}', port)
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -19,26 +19,10 @@
 from fuchsiatrestle import errors
 from fuchsiatrestle.net import http
 from standins import relay
-from standins import worker_model
 from tests.platform import _deployment
 
 __all__ = ('Soak', 'main')
 
-STEPS = [
-    {'count': 3, 'cpu': 1000, 'mem_mb': 256, 'est_runtime_ms': 300},
-    {
-        'count': 2,
-        'cpu': 2000,
-        'mem_mb': 256,
-        'est_runtime_ms': 500,
-        'start_after': [0],
-        'checkpointing': True,
-    },
-]
-SIZES = [
-    worker_model.Size(1000, 256, 300),
-    worker_model.Size(2000, 256, 500, saves=True),
-]
 # The entry answers by then, also if nothing answers it.
 CALL_TIMEOUT_S = 4.0
 GAP_S = (0.3, 1.5)
@@ -51,10 +35,6 @@
 REFUSED = (429, 503)
 
 
-def _size(task):
-    return SIZES[int(task.split('.')[2])]
-
-
 class _Job:
     """What the callers know of one job.
 
@@ -94,7 +74,7 @@
     def __init__(self, seed, folder, seconds):
         self._seed = seed
         self._seconds = seconds
-        self._world = _deployment.Deployment(folder, _size)
+        self._world = _deployment.Deployment(folder)
         self._world.fleet.ledger.may_start = self._may_start
         self._jobs = {}
         self._started = set()
@@ -215,7 +195,7 @@
         caller.close()
 
     async def _submit(self, caller, job):
-        body = {'task_spec': 'text', 'steps': STEPS}
+        body = {'task_spec': 'text', 'steps': _deployment.STEPS}
         status, _ = await caller.call('POST', job.name, body)
         if status == 200:
             job.accepted = True
--- a/tests/platform/test_process_platform.py
+++ b/tests/platform/test_process_platform.py
@@ -6,31 +6,11 @@
 
 import curio
 
-from standins import worker_model
 from tests.platform import _deployment
 
-STEPS = [
-    {'count': 3, 'cpu': 1000, 'mem_mb': 256, 'est_runtime_ms': 300},
-    {
-        'count': 2,
-        'cpu': 2000,
-        'mem_mb': 256,
-        'est_runtime_ms': 500,
-        'start_after': [0],
-        'checkpointing': True,
-    },
-]
-SIZES = [
-    worker_model.Size(1000, 256, 300),
-    worker_model.Size(2000, 256, 500, saves=True),
-]
 FINISH_S = 40.0
 
 
-def _size(task):
-    return SIZES[int(task.split('.')[2])]
-
-
 class PlatformTest(unittest.TestCase):
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -38,7 +18,7 @@
         self.folder = folder.name
 
     def _deploy(self, folder=None, **sizes):
-        world = _deployment.Deployment(folder or self.folder, _size, **sizes)
+        world = _deployment.Deployment(folder or self.folder, **sizes)
         for process in (*world.controls.values(), world.entry):
             self.addCleanup(
                 lambda one=process: one.kill() if one.running else None
@@ -70,8 +50,8 @@
         self.assertEqual(404, (await world.caller('GET', '/no/'))[0])
         names = [f'{number:016x}' for number in range(1, 6)]
         for name in names:
-            self.assertEqual(200, await world.submit(name, STEPS))
-            self.assertEqual(200, await world.submit(name, STEPS))
+            self.assertEqual(200, await world.submit(name, _deployment.STEPS))
+            self.assertEqual(200, await world.submit(name, _deployment.STEPS))
         await self._finish(world, names)
         self.assertEqual(5 * 5, world.fleet.ledger.starts)
         self.assertEqual([], world.fleet.ledger.breaches)
@@ -133,7 +113,7 @@
         await world.put(_deployment.configuration(1))
         names = [f'{number:016x}' for number in range(1, 13)]
         for number, name in enumerate(names):
-            self.assertEqual(200, await world.submit(name, STEPS))
+            self.assertEqual(200, await world.submit(name, _deployment.STEPS))
             if number in (4, 8):
                 killed = world.controls[world.leader()]
                 killed.kill()
@@ -160,7 +140,7 @@
         # Without the fourth, the last two of the first three are no quorum.
         world.controls[world.leader()].kill()
         name = f'{1:016x}'
-        self.assertEqual(200, await world.submit(name, STEPS))
+        self.assertEqual(200, await world.submit(name, _deployment.STEPS))
         await self._finish(world, [name])
         self.assertEqual([], world.fleet.ledger.breaches)
         await world.stop()
@@ -177,7 +157,7 @@
         newest = _deployment.configuration(1)
         await world.put(newest)
         name = f'{1:016x}'
-        self.assertEqual(200, await world.submit(name, STEPS))
+        self.assertEqual(200, await world.submit(name, _deployment.STEPS))
         await self._joined(world, world.hosts[3])
         for process in world.controls.values():
             process.kill()
