Let a crashed lane fail the soak; one caller for deployment and soak

A task group keeps the exception of a task and does not raise it, so a fault lane that crashed, also over a process that did not stop in time, ended the load without a breach.

The soak's caller and that of the deployment were twins, with the same timeout twice: one Caller serves both. A reset of the relay on a connection that its caller has just ended no longer raises; the three modes added to the relay have tests.

No product code changed.

--- a/standins/relay.py
+++ b/standins/relay.py
@@ -76,7 +76,11 @@
         """Has the caller see a reset."""
         sock = self.inner._socket
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
-        sock.shutdown(socket.SHUT_RD)
+        try:
+            sock.shutdown(socket.SHUT_RD)
+        except OSError as exc:
+            # The caller was faster.
+            LOG.debug('relay_reset_late', extra={'error': str(exc)})
 
 
 class _Target:
@@ -124,7 +128,7 @@
                 )
                 async with outer, curio.TaskGroup(wait=any) as group:
                     await group.spawn(self._pump, conn, inner, outer)
-                    await group.spawn(self._pump, conn, outer, inner, True)
+                    await group.spawn(self._pump_back, conn, outer, inner)
         except OSError as exc:
             LOG.debug('relay_broken', extra={'error': str(exc)})
         finally:
@@ -134,7 +138,10 @@
         while await sock.recv(RECV_BYTES):
             continue
 
-    async def _pump(self, conn, source, sink, back=False):
+    async def _pump_back(self, conn, outer, inner):
+        await self._pump(conn, outer, inner, back=True)
+
+    async def _pump(self, conn, source, sink, *, back=False):
         try:
             while data := await source.recv(RECV_BYTES):
                 if self.mode == DELAY:
--- a/tests/platform/_deployment.py
+++ b/tests/platform/_deployment.py
@@ -19,6 +19,7 @@
     'HOST',
     'PREFIX',
     'STEPS',
+    'Caller',
     'Deployment',
     'configuration',
     'exchange',
@@ -201,16 +202,11 @@
 
     async def caller(self, method, path, value=None):
         """Makes one call; status 0 stands for no answer."""
-        conn = None
+        caller = Caller(self)
         try:
-            async with curio.timeout_after(CALL_TIMEOUT_S):
-                conn = await self.connect()
-                return await exchange(conn, method, path, value)
-        except (http.HttpFailed, curio.TaskTimeout):
-            return 0, None
+            return await caller.call(method, path, value)
         finally:
-            if conn is not None:
-                conn.close()
+            caller.close()
 
     async def connect(self):
         """Returns an open connection to the entry."""
@@ -270,6 +266,41 @@
         return newest[1]
 
 
+class Caller:
+    """Calls the entry over one connection for as long as it is open.
+
+    Args:
+        world: the ``Deployment``.
+    """
+
+    def __init__(self, world):
+        self._world = world
+        self._conn = None
+
+    async def call(self, method, path, value=None):
+        """Makes one call; returns status and body, 0 for no answer."""
+        try:
+            async with curio.timeout_after(CALL_TIMEOUT_S):
+                return await self._exchange(method, path, value)
+        except (http.HttpFailed, curio.TaskTimeout):
+            self.close()
+            return 0, None
+
+    async def _exchange(self, method, path, value):
+        if self._conn is None:
+            self._conn = await self._world.connect()
+        found = await exchange(self._conn, method, path, value)
+        if not self._conn.reusable:
+            self.close()
+        return found
+
+    def close(self):
+        """Closes the connection."""
+        if self._conn is not None:
+            self._conn.close()
+            self._conn = None
+
+
 def _size(task):
     return SIZES[int(task.split('.')[2])]
 
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -17,14 +17,11 @@
 import curio
 
 from fuchsiatrestle import errors
-from fuchsiatrestle.net import http
 from standins import relay
 from tests.platform import _deployment
 
 __all__ = ('Soak', 'main')
 
-# The entry answers by then, also if nothing answers it.
-CALL_TIMEOUT_S = 4.0
 GAP_S = (0.3, 1.5)
 FAULT_S = (0.3, 5.0)
 CALLER_GAP_S = (0.05, 0.4)
@@ -96,7 +93,7 @@
             statuses = await self._world.stop()
             if any(statuses):
                 self._breach(f'planned stops ended with {statuses}')
-        except (AssertionError, errors.Error, curio.TaskError) as exc:
+        except (AssertionError, errors.Error, OSError) as exc:
             self._breach(f'{type(exc).__name__}: {exc}')
         finally:
             self._kill_all()
@@ -116,6 +113,8 @@
             for number, lane in enumerate(lanes):
                 draws = random.Random(f'{self._seed}-{number}')
                 await group.spawn(lane, draws, end_s)
+        if group.exception:
+            raise group.exception
 
     async def _settle(self):
         names = [job.name for job in self._jobs.values() if job.accepted]
@@ -146,8 +145,7 @@
             self._check_version(found['version'], max(self._versions), host)
 
     async def _check_completed(self, job):
-        path = _deployment.PREFIX + job.name
-        _, body = await self._world.caller('GET', path)
+        _, body = await self._world.caller('GET', _path(job))
         if body is None or body.get('state') != 'completed':
             self._breach(f'{job.name} ended as {body}')
         tasks = [f'{job.name}.0.0.{index}' for index in range(3)]
@@ -174,7 +172,7 @@
 
     async def _call_forever(self, draws, end_s):
         """Submits, resends, asks and cancels over one kept connection."""
-        caller = _Caller(self._world)
+        caller = _deployment.Caller(self._world)
         while time.monotonic() < end_s:
             await curio.sleep(draws.uniform(*CALLER_GAP_S))
             known = sorted(self._jobs)
@@ -189,14 +187,14 @@
                 await self._submit(caller, job)
             elif draw < RESEND_SHARE + CANCEL_SHARE and job.accepted:
                 job.cancelled = True
-                await caller.call('DELETE', job.name)
+                await caller.call('DELETE', _path(job))
             else:
                 await self._ask(caller, job)
         caller.close()
 
     async def _submit(self, caller, job):
         body = {'task_spec': 'text', 'steps': _deployment.STEPS}
-        status, _ = await caller.call('POST', job.name, body)
+        status, _ = await caller.call('POST', _path(job), body)
         if status == 200:
             job.accepted = True
         elif status not in REFUSED:
@@ -204,7 +202,7 @@
 
     async def _ask(self, caller, job):
         accepted = job.accepted
-        status, body = await caller.call('GET', job.name)
+        status, body = await caller.call('GET', _path(job))
         if status == 410 and accepted:
             self._breach(f'{job.name} was accepted and is not known')
         if status == 200 and body['state'] == 'failed':
@@ -298,36 +296,8 @@
         self.faults.append(f'{time.strftime("%H:%M:%S")} {kind} {target}')
 
 
-class _Caller:
-    """Calls the entry over one connection for as long as it is open."""
-
-    def __init__(self, world):
-        self._world = world
-        self._conn = None
-
-    async def call(self, method, name, value=None):
-        """Makes one call; status 0 stands for no answer."""
-        path = _deployment.PREFIX + name
-        try:
-            async with curio.timeout_after(CALL_TIMEOUT_S):
-                return await self._exchange(method, path, value)
-        except (http.HttpFailed, curio.TaskTimeout):
-            self.close()
-            return 0, None
-
-    async def _exchange(self, method, path, value):
-        if self._conn is None:
-            self._conn = await self._world.connect()
-        found = await _deployment.exchange(self._conn, method, path, value)
-        if not self._conn.reusable:
-            self.close()
-        return found
-
-    def close(self):
-        """Closes the connection."""
-        if self._conn is not None:
-            self._conn.close()
-            self._conn = None
+def _path(job):
+    return _deployment.PREFIX + job.name
 
 
 def run_seed(seed, seconds):
--- a/tests/platform/test_process_soak.py
+++ b/tests/platform/test_process_soak.py
@@ -1,7 +1,10 @@
 """A short run of the platform's fault soak, and the seeds that once failed."""
 
+import tempfile
 import unittest
 
+import curio
+
 from tests.platform import soak
 
 SECONDS = 6
@@ -12,7 +15,21 @@
 )
 
 
+class _Crashing(soak.Soak):
+    """A soak whose faults can not be brought about."""
+
+    async def _signal_entry(self, draws, end_s):
+        raise OSError('no such process')
+
+
 class SoakTest(unittest.TestCase):
+    def test_lane_that_crashes_fails_the_run(self):
+        with tempfile.TemporaryDirectory() as folder:
+            played = _Crashing(1, folder, SECONDS)
+            curio.run(played.run)
+        self.assertEqual(1, len(played.breaches), played.breaches)
+        self.assertIn('no such process', played.breaches[0])
+
     def _play(self, seed):
         played = soak.run_seed(seed, SECONDS)
         self.assertEqual([], played.breaches)
--- a/tests/standins/test_process_relay.py
+++ b/tests/standins/test_process_relay.py
@@ -21,6 +21,7 @@
     """Sends back whatever it receives."""
 
     def __init__(self):
+        self.received = []
         self._sock = socket.create_server((HOST, 0))
         self.port = self._sock.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
@@ -42,6 +43,7 @@
     def _echo(self, conn):
         with conn:
             while data := conn.recv(1024):
+                self.received.append(data)
                 conn.sendall(data)
 
 
@@ -49,7 +51,7 @@
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        echo = _Echo()
+        echo = self.echo = _Echo()
         self.addCleanup(echo.close)
         control, self.port = _ports.free_ports(2)
         self.client = ctl.AdminClient(
@@ -100,6 +102,28 @@
         self._set('pass')
         self.assertFalse(self._answers(old, SILENCE_S))
 
+    def test_muted_target_gets_what_it_is_sent_and_answers_nothing(self):
+        old = self._connect()
+        self._set('mute')
+        self.assertFalse(self._answers(old, SILENCE_S))
+        self.assertFalse(self._answers(self._connect(), SILENCE_S))
+        self.assertEqual([b'ping', b'ping'], self.echo.received)
+        self._set('pass')
+        self.assertTrue(self._answers(self._connect()))
+
+    def test_reset_ends_open_connections_and_new_ones_pass(self):
+        old = self._connect()
+        self.assertTrue(self._answers(old))
+        self._set('reset')
+        with self.assertRaises(ConnectionError):
+            while old.recv(4):
+                pass
+        self.assertTrue(self._answers(self._connect()))
+
+    def test_delayed_bytes_arrive(self):
+        self._set('delay')
+        self.assertTrue(self._answers(self._connect()))
+
     def test_cut_holds_for_new_connections_until_the_next_pass(self):
         self._set('cut')
         during = self._connect()
