Log why groups of long-running tasks wait

Change: run_placed has kind and cpu; group_waits, once a second for at most ten groups, counts the workers with room by open, reserved and unusable.

The lines counted workers that had left as unusable; they are left out now.

--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -17,6 +17,7 @@
 from fuchsiatrestle.workflows import _placement
 from fuchsiatrestle.workflows import _rounds
 from fuchsiatrestle.workflows import _runs
+from fuchsiatrestle.workflows import _waiting
 
 __all__ = ('Dispatcher',)
 
@@ -50,6 +51,8 @@
         self._placer = placer or _placement.BestFit(self._interference_model)
         self._backlog = _backlog.Backlog(workflow_store)
         self._deferrals = _rounds.Deferrals()
+        self._wait_times = _waiting.WaitTimes()
+        self._waiting_log = _waiting.WaitingLog(self._wait_times, now_ms)
         self._order_planner = _orders.OrderPlanner(self._state, timing)
         self._announcement_handler = _announcing.AnnouncementHandler(
             self._state
@@ -268,9 +271,14 @@
     # Placement of waiting groups
 
     def _place_waiting_groups(self):
+        now_ms = self._state.now_ms
         round_by_pool = {}
         deferred_groups = []
-        for group in self._backlog.ready_groups(self._wall_now()):
+        ready_groups = self._backlog.ready_groups(self._wall_now())
+        self._wait_times.set_waiting_groups(
+            [group for group in ready_groups if group.step.lasts], now_ms
+        )
+        for group in ready_groups:
             queue = self._state.workflow_store.current_queue(group.workflow)
             pool_round = self._find_pool_round(round_by_pool, queue.pool)
             if pool_round.exceeds_long_running_share(group):
@@ -278,6 +286,9 @@
             else:
                 self._place_or_record_waiting(group, queue, pool_round)
         self._place_deferred_groups(deferred_groups)
+        self._waiting_log.report_if_due(
+            round_by_pool.values(), self._state.fleet, now_ms
+        )
 
     def _place_deferred_groups(self, deferred_groups):
         """Places long-running tasks beyond their share of the processor time.
@@ -293,6 +304,8 @@
                 queue.priority
             ):
                 self._place_or_record_waiting(group, queue, pool_round)
+            else:
+                pool_round.record_deferred_group(group)
         self._deferrals.set_deferred_groups(
             [group for group, _, _ in deferred_groups], now_ms
         )
@@ -308,7 +321,7 @@
             usable_workers = self._state.fleet.usable_workers(
                 pool, self._state.now_ms
             )
-            round_by_pool[pool] = _rounds.PlacementRound(usable_workers)
+            round_by_pool[pool] = _rounds.PlacementRound(pool, usable_workers)
         return round_by_pool[pool]
 
     def _place_or_record_waiting(self, group, queue, pool_round):
@@ -343,6 +356,8 @@
             'run_placed',
             run,
             waiting=len(group.waiting_task_ids),
+            kind=_runs.step_kind(group.step),
+            cpu=group.step.cpu,
             free_cpu=worker.capacity.free_cpu,
             heard_ms=self._state.now_ms - worker.last_announced_ms,
         )
--- a/fuchsiatrestle/workflows/_placement.py
+++ b/fuchsiatrestle/workflows/_placement.py
@@ -10,7 +10,7 @@
 
 from fuchsiatrestle.workflows import _interference
 
-__all__ = ('BestFit', 'FirstFit', 'Placer', 'meets_constraints')
+__all__ = ('BestFit', 'FirstFit', 'Placer', 'has_room', 'meets_constraints')
 
 # Share of the processor time reserved by serving tasks that best-effort tasks
 # may use; the rest covers the load peaks of the serving tasks.
@@ -324,6 +324,17 @@
     )
 
 
+def has_room(step, task_id, worker):
+    """True if a worker has the capacity and the labels for a task.
+
+    Args:
+        step: the ``Step``.
+        task_id: id of any of its tasks.
+        worker: the ``Worker``.
+    """
+    return _is_task_allowed(step, task_id, worker, _RoundAllocations(step))
+
+
 def meets_constraints(step, task_id, worker, added_task_count=0):
     """True if label and ``most_per_worker`` allow one more task of a step.
 
--- a/fuchsiatrestle/workflows/_rounds.py
+++ b/fuchsiatrestle/workflows/_rounds.py
@@ -35,10 +35,18 @@
     its step is a gang or has ``most_per_worker``.
 
     Args:
+        pool: name of the service.
         workers: the workers of the service that accept placements.
+
+    Attributes:
+        pool: name of the service.
+        waiting_long_running_groups: the groups of long-running tasks that were
+            not placed, or not whole.
     """
 
-    def __init__(self, workers):
+    def __init__(self, pool, workers):
+        self.pool = pool
+        self.waiting_long_running_groups = []
         self._workers = workers
         # Highest priority (lowest number) of the queues of the batch groups
         # that found no worker for some of their tasks.
@@ -48,8 +56,10 @@
             int(MAX_RESERVED_WORKER_SHARE * len(workers)) + 1
         )
         self._unplaced_steps_by_competition = {}
-        total_cpu = sum(worker.record.cpu for worker in workers)
-        self._max_long_running_cpu = MAX_LONG_RUNNING_CPU_SHARE * total_cpu
+        self._total_cpu = sum(worker.record.cpu for worker in workers)
+        self._max_long_running_cpu = (
+            MAX_LONG_RUNNING_CPU_SHARE * self._total_cpu
+        )
         self._long_running_cpu = sum(
             worker.capacity.long_running_cpu for worker in workers
         )
@@ -98,6 +108,28 @@
             if worker.name not in self._reserved_workers
         ]
 
+    # Figures for log lines
+
+    @property
+    def reserved_worker_count(self):
+        """Number of workers reserved for groups that do not fit."""
+        return len(self._reserved_workers)
+
+    @property
+    def long_running_share(self):
+        """Share of the processor time that long-running tasks reserve."""
+        return round(self._long_running_cpu / max(self._total_cpu, 1), 3)
+
+    def has_pool_of(self, worker):
+        """True if a worker of the service can still become usable."""
+        return worker.record.pool == self._pool and worker.withdrawn_ms is None
+
+    def find_availability(self, worker):
+        """Returns ``open``, ``reserved`` or ``unusable`` for a worker."""
+        if worker.name in self._reserved_workers:
+            return 'reserved'
+        return 'open' if worker in self._workers else 'unusable'
+
     # Results of the round
 
     def record_placed_tasks(self, step, task_count):
@@ -118,6 +150,8 @@
             priority: priority of its queue.
         """
         step = group.step
+        if step.lasts:
+            self.waiting_long_running_groups.append(group)
         if not step.gang and not step.most_per_worker and self.may_fit(step):
             self._unplaced_steps_by_competition.setdefault(
                 _competition_key(step), []
@@ -129,6 +163,10 @@
         if len(self._reserved_workers) < self._max_reserved_workers:
             self._reserve_worker(group)
 
+    def record_deferred_group(self, group):
+        """Records a long-running group that made way for batch tasks."""
+        self.waiting_long_running_groups.append(group)
+
     def _record_waiting_batch_priority(self, priority):
         if self._waiting_batch_priority is not None:
             priority = min(priority, self._waiting_batch_priority)
--- a/fuchsiatrestle/workflows/_runs.py
+++ b/fuchsiatrestle/workflows/_runs.py
@@ -1,6 +1,6 @@
 """A run of a task, as the leader knows it."""
 
-__all__ = ('Phase', 'Run', 'format_task_id')
+__all__ = ('Phase', 'Run', 'format_task_id', 'step_kind')
 
 
 class Phase:
@@ -102,3 +102,10 @@
 def format_task_id(task_id):
     """Returns occurrence, step and index of a task id, for log lines."""
     return f'{task_id.occurrence}.{task_id.step}.{task_id.index}'
+
+
+def step_kind(step):
+    """Returns the kind of a step's tasks, for log lines."""
+    if step.fills:
+        return 'best_effort'
+    return 'long_running' if step.lasts else 'batch'
