Start interrupted long-running tasks before all others

Cause: beyond the long-running share of 88% a waiting group was placed after all other groups, also if its tasks had run before. A deferral of 2 s bounded when it might be placed, not that it got a turn: batch tasks took each gap.

Change: waiting tasks of a long-running step that ran before form a group of their own. It comes first in the order and is exempt from the share. That a task ran before is agreed state, so a change of leader resets nothing.

Why it works: a gap that is large enough goes to an interrupted task in the next round. They ask for no more than what they had.

--- a/fuchsiatrestle/workflows/_backlog.py
+++ b/fuchsiatrestle/workflows/_backlog.py
@@ -3,10 +3,14 @@
 The objective of a workflow is the time in which it should be completed.  The
 slack of a group is the estimated time that would be left of the objective when
 the workflow ends, if the group started now.  A group with negative slack is
-late.  Groups that are not late come first, then late ones; those so late that
-their workflow earns nothing come last, but they are never dropped.  Within
-each of these classes, groups are ordered by the priority of their queue and
-then by their slack, the least first.  Long-running tasks never count as late.
+late.  Groups of interrupted tasks come first, then groups that are not late,
+then late ones; those so late that their workflow earns nothing come last, but
+they are never dropped.  Within each of these classes, groups are ordered by
+the priority of their queue and then by their slack, the least first.
+
+Long-running tasks never count as late.  One that ran before is interrupted
+while it waits: its users miss it, and only a worker without room may delay it.
+As it is waiting, the capacity that it had is free or lost.
 """
 
 __all__ = ('Backlog', 'Group')
@@ -18,7 +22,9 @@
 class Group:
     """Waiting tasks of one step in one occurrence of a workflow.
 
-    The steps of a workflow are run once in each of its occurrences.
+    The steps of a workflow are run once in each of its occurrences.  The
+    interrupted tasks of a long-running step are in a group of their own,
+    unless the step is a gang.
 
     Attributes:
         workflow: the ``Workflow``.
@@ -27,9 +33,11 @@
         step_number: number of the step in the workflow.
         step: the ``Step``.
         waiting_task_ids: ids of its waiting tasks.
+        is_interrupted: True if the tasks are long-running and ran before.
     """
 
     __slots__ = (
+        'is_interrupted',
         'occurrence',
         'step',
         'step_number',
@@ -37,12 +45,20 @@
         'workflow',
     )
 
-    def __init__(self, workflow, occurrence, step_number, waiting_task_ids):
+    def __init__(
+        self,
+        workflow,
+        occurrence,
+        step_number,
+        waiting_task_ids,
+        is_interrupted=False,
+    ):
         self.workflow = workflow
         self.occurrence = occurrence
         self.step_number = step_number
         self.step = workflow.spec.steps[step_number]
         self.waiting_task_ids = waiting_task_ids
+        self.is_interrupted = is_interrupted
 
 
 class _CriticalPaths:
@@ -133,7 +149,13 @@
             is_late = slack_ms < 0
             is_worthless = age_ms > WORTHLESS_OBJECTIVE_FACTOR * objective_ms
             lateness_class = is_late + is_worthless
-        return lateness_class, queue.priority, slack_ms, workflow.workflow_id
+        return (
+            not group.is_interrupted,
+            lateness_class,
+            queue.priority,
+            slack_ms,
+            workflow.workflow_id,
+        )
 
 
 def _find_groups(workflow):
@@ -148,10 +170,35 @@
                 for task_id in workflow.task_ids(occurrence, step_number)
                 if _is_waiting(workflow.tasks[task_id])
             ]
-            if waiting_task_ids:
-                yield Group(
-                    workflow, occurrence, step_number, waiting_task_ids
-                )
+            for task_ids, is_interrupted in _split_interrupted(
+                workflow, step_number, waiting_task_ids
+            ):
+                if task_ids:
+                    yield Group(
+                        workflow,
+                        occurrence,
+                        step_number,
+                        task_ids,
+                        is_interrupted,
+                    )
+
+
+def _split_interrupted(workflow, step_number, task_ids):
+    """Returns the waiting tasks of a step that are interrupted and the others.
+
+    Returns:
+        Two pairs of a list of task ids, which may be empty, and True if these
+        tasks are interrupted.
+    """
+    step = workflow.spec.steps[step_number]
+    interrupted_ids, other_ids = [], []
+    for task_id in task_ids:
+        has_run = workflow.tasks[task_id].last_run_number > 0
+        is_interrupted = step.lasts and has_run
+        (interrupted_ids if is_interrupted else other_ids).append(task_id)
+    if step.gang and interrupted_ids:
+        return (task_ids, True), ([], False)
+    return (interrupted_ids, True), (other_ids, False)
 
 
 def _is_waiting(task):
--- a/fuchsiatrestle/workflows/_rounds.py
+++ b/fuchsiatrestle/workflows/_rounds.py
@@ -71,9 +71,9 @@
 
         Long-running tasks free no capacity by themselves.  Without the limit,
         more of them than the workers can run would leave no room for batch
-        tasks of the same priority.
+        tasks of the same priority.  Interrupted tasks had their share before.
         """
-        if not group.step.lasts:
+        if not group.step.lasts or group.is_interrupted:
             return False
         wanted_cpu = group.step.cpu * len(group.waiting_task_ids)
         return self._long_running_cpu + wanted_cpu > self._max_long_running_cpu
--- a/tests/workflows/test_placing.py
+++ b/tests/workflows/test_placing.py
@@ -99,6 +99,33 @@
         self.assertEqual('running', world.workflow_state('lasting'))
         self.assertEqual([], world.ledger.breaches)
 
+    def test_interrupted_long_running_tasks_do_not_wait_behind_batch(self):
+        """Batch tasks that fit into each gap do not take all of them."""
+        world = dispatch_world.World(13, workers=4)
+        step = workflows.Step(
+            12, cpu=2000, memory_mb=10, lasts=True, most_per_worker=4
+        )
+        world.submit(
+            'lasting', [step], [worker_model.TaskProfile(2000, 10, None)]
+        )
+        world.run(1000)
+        random_source = random.Random(13)
+        for number in range(40):
+            self._submit_small_workflow(world, random_source, number)
+        world.run(1000)
+        crashed_worker = next(iter(world.ledger.running.values()))
+        world.crash_worker(crashed_worker, 30_000)
+        for number in range(40, 80):
+            self._submit_small_workflow(world, random_source, number)
+            world.run(200)
+        running_tasks = [
+            task
+            for task, _ in world.ledger.running
+            if task.workflow_id == 'lasting'
+        ]
+        self.assertEqual(12, len(running_tasks))
+        self.assertEqual([], world.ledger.breaches)
+
 
 if __name__ == '__main__':
     unittest.main()
