Let interrupted and overdue long-running tasks use reserved workers

Cause: each placement round reserves the workers with the most room, up to a fifth and one more, for groups that do not fit, and no group placed later may use them. The reservation had no bound: under load the next round reserves the same worker again, for the same group or another. Class: capacity held for one waiter keeps others off for an unbounded time.

Change: interrupted groups, and overdue groups within the long-running share, ignore reservations. The wait is measured for each task from when it waits, not from when its group was first deferred. What was not found among the unreserved workers no longer rules out the reserved ones for such groups.

Why it works: after a round no usable worker has room for a task of these groups, whatever waits beside it. They reserve workers for themselves as before, so large ones are not overtaken by batch tasks.

Measured: test_long_running_task_is_not_kept_off_a_reserved_worker and test_interrupted_task_is_not_kept_off_a_reserved_worker fail without this and pass with it.

--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -50,7 +50,6 @@
         self._interference_model = _interference.InterferenceModel()
         self._placer = placer or _placement.BestFit(self._interference_model)
         self._backlog = _backlog.Backlog(workflow_store)
-        self._deferrals = _rounds.Deferrals()
         self._wait_times = _waiting.WaitTimes()
         self._waiting_log = _waiting.WaitingLog(self._wait_times, now_ms)
         self._order_planner = _orders.OrderPlanner(self._state, timing)
@@ -284,31 +283,34 @@
             if pool_round.exceeds_long_running_share(group):
                 deferred_groups.append((group, queue, pool_round))
             else:
-                self._place_or_record_waiting(group, queue, pool_round)
+                self._place_or_record_waiting(
+                    group,
+                    queue,
+                    pool_round,
+                    group.is_interrupted or self._is_overdue(group),
+                )
         self._place_deferred_groups(deferred_groups)
         self._waiting_log.report_if_due(
             round_by_pool.values(), self._state.fleet, now_ms
         )
 
     def _place_deferred_groups(self, deferred_groups):
-        """Places long-running tasks beyond their share of the processor time.
+        """Places new long-running tasks beyond their share of processor time.
 
         They are placed after all other groups.  While batch tasks of the same
-        or a higher priority wait, they are placed only once they have been
-        deferred for ``MAX_DEFERRAL_MS``.
+        or a higher priority wait, they are placed only once they are overdue,
+        and not on reserved workers.
         """
-        now_ms = self._state.now_ms
         for group, queue, pool_round in deferred_groups:
-            has_expired = self._deferrals.has_deferral_expired(group, now_ms)
-            if has_expired or not pool_round.must_yield_to_batch(
+            if self._is_overdue(group) or not pool_round.must_yield_to_batch(
                 queue.priority
             ):
-                self._place_or_record_waiting(group, queue, pool_round)
+                self._place_or_record_waiting(group, queue, pool_round, False)
             else:
                 pool_round.record_deferred_group(group)
-        self._deferrals.set_deferred_groups(
-            [group for group, _, _ in deferred_groups], now_ms
-        )
+
+    def _is_overdue(self, group):
+        return self._wait_times.is_overdue(group, self._state.now_ms)
 
     def _find_pool_round(self, round_by_pool, pool):
         """Returns the round for a service's workers; creates it if missing.
@@ -324,15 +326,20 @@
             round_by_pool[pool] = _rounds.PlacementRound(pool, usable_workers)
         return round_by_pool[pool]
 
-    def _place_or_record_waiting(self, group, queue, pool_round):
+    def _place_or_record_waiting(
+        self, group, queue, pool_round, ignores_reservations
+    ):
         placed_count = 0
-        if pool_round.may_fit(group.step):
+        if pool_round.may_fit(group.step, ignores_reservations):
             placed_count = self._place_group(
-                group, pool_round.workers_for(group.step)
+                group,
+                pool_round.workers_for(group.step, ignores_reservations),
             )
             pool_round.record_placed_tasks(group.step, placed_count)
         if placed_count < len(group.waiting_task_ids):
-            pool_round.record_waiting_group(group, queue.priority)
+            pool_round.record_waiting_group(
+                group, queue.priority, ignores_reservations
+            )
 
     def _place_group(self, group, workers):
         """Places the tasks that fit and returns their number."""
--- a/fuchsiatrestle/workflows/_rounds.py
+++ b/fuchsiatrestle/workflows/_rounds.py
@@ -8,14 +8,11 @@
 
 from fuchsiatrestle.workflows import _placement
 
-__all__ = ('Deferrals', 'PlacementRound')
+__all__ = ('PlacementRound',)
 
 # Share of the processor time of a round's workers that long-running tasks may
 # reserve; groups that would exceed it make way for waiting batch tasks.
 MAX_LONG_RUNNING_CPU_SHARE = 0.88
-# A long-running task for which there is room has to start within seconds, so
-# it makes way for batch tasks no longer than this.
-MAX_DEFERRAL_MS = 2000
 # Share of the workers that may be reserved for tasks that do not fit yet.  One
 # more worker than this may be reserved, so that a small fleet can reserve one.
 MAX_RESERVED_WORKER_SHARE = 0.2
@@ -27,8 +24,10 @@
     Small tasks would take every gap as it opens, and a large task would
     never find enough room on one worker.  So the round reserves a worker for
     a group that does not fit, and groups that come later in the round do not
-    use that worker; only best-effort tasks, which reserve no processor time,
-    may still be placed on it.
+    use that worker.  Best-effort tasks, which reserve no processor time, may
+    still be placed on it.  So may groups that ignore reservations, which are
+    interrupted or have waited too long: as each round may reserve the same
+    worker again, the room on it could stay unused for ever.
 
     Free capacity only shrinks within a round.  So if a task found no worker,
     later steps that need at least as much as its step are not tried, unless
@@ -89,18 +88,28 @@
             return False
         return self._waiting_batch_priority <= priority
 
-    def may_fit(self, step):
-        """False if a step with no larger needs found no worker this round."""
+    def may_fit(self, step, ignores_reservations):
+        """False if a step with no larger needs found no worker this round.
+
+        Args:
+            step: the ``Step``.
+            ignores_reservations: True if its group may use reserved workers.
+        """
         return not any(
             _needs_at_most(unplaced_step, step)
             for unplaced_step in self._unplaced_steps_by_competition.get(
-                _competition_key(step), ()
+                _competition_key(step, ignores_reservations), ()
             )
         )
 
-    def workers_for(self, step):
-        """Returns the workers on which tasks of a step may be placed."""
-        if step.fills or not self._reserved_workers:
+    def workers_for(self, step, ignores_reservations):
+        """Returns the workers on which tasks of a step may be placed.
+
+        Args:
+            step: the ``Step``.
+            ignores_reservations: True if its group may use reserved workers.
+        """
+        if step.fills or ignores_reservations or not self._reserved_workers:
             return self._workers
         return [
             worker
@@ -142,19 +151,24 @@
         if step.lasts:
             self._long_running_cpu += task_count * step.cpu
 
-    def record_waiting_group(self, group, priority):
+    def record_waiting_group(self, group, priority, ignores_reservations):
         """Records a group with waiting tasks and reserves a worker for it.
 
         Args:
             group: the ``Group``.
             priority: priority of its queue.
+            ignores_reservations: True if it may use reserved workers.
         """
         step = group.step
         if step.lasts:
             self.waiting_long_running_groups.append(group)
-        if not step.gang and not step.most_per_worker and self.may_fit(step):
+        if (
+            not step.gang
+            and not step.most_per_worker
+            and self.may_fit(step, ignores_reservations)
+        ):
             self._unplaced_steps_by_competition.setdefault(
-                _competition_key(step), []
+                _competition_key(step, ignores_reservations), []
             ).append(step)
         if step.fills:
             return
@@ -184,7 +198,7 @@
         best_worker = max(
             (
                 worker
-                for worker in self.workers_for(group.step)
+                for worker in self.workers_for(group.step, False)
                 if _fits_without_batch_tasks(group.step, task_id, worker)
             ),
             key=lambda worker: worker.capacity.free_cpu,
@@ -194,44 +208,13 @@
             self._reserved_workers.add(best_worker.name)
 
 
-class Deferrals:
-    """Measures for how long groups of long-running tasks were deferred.
-
-    Batch tasks go first, but not for ever: the users of a long-running task
-    miss it while it does not run.
-    """
-
-    def __init__(self):
-        self._deferred_since_ms_by_group = {}
-
-    def has_deferral_expired(self, group, now_ms):
-        """True if a group was deferred for ``MAX_DEFERRAL_MS``."""
-        deferred_since_ms = self._deferred_since_ms_by_group.get(
-            _group_key(group), now_ms
-        )
-        return now_ms - deferred_since_ms >= MAX_DEFERRAL_MS
-
-    def set_deferred_groups(self, groups, now_ms):
-        """Records the groups that were deferred in this round.
-
-        For any other group the time starts anew when it is deferred again.
-        """
-        self._deferred_since_ms_by_group = {
-            key: self._deferred_since_ms_by_group.get(key, now_ms)
-            for key in map(_group_key, groups)
-        }
-
-
-def _group_key(group):
-    return group.workflow.workflow_id, group.occurrence, group.step_number
-
-
-def _competition_key(step):
+def _competition_key(step, ignores_reservations):
     """Returns a key that is equal for steps that compete for capacity.
 
-    Best-effort steps compete only with best-effort steps of the same image.
+    Best-effort steps compete only with best-effort steps of the same image,
+    and groups that ignore reservations may use more workers than others.
     """
-    return step.fills, step.image if step.fills else ''
+    return step.fills, step.image if step.fills else '', ignores_reservations
 
 
 def _needs_at_most(unplaced_step, step):
--- a/fuchsiatrestle/workflows/_waiting.py
+++ b/fuchsiatrestle/workflows/_waiting.py
@@ -10,6 +10,10 @@
 
 __all__ = ('WaitTimes', 'WaitingLog')
 
+# Wait from which a long-running task is overdue.  It makes way for batch tasks
+# no longer; within the share of the long-running tasks, it may also use
+# reserved workers.
+OVERDUE_WAIT_MS = 2000
 # Shortest time between two reports.
 REPORT_INTERVAL_MS = 1000
 # Groups that have waited for less are not reported.
@@ -52,6 +56,17 @@
         )
         return now_ms - waiting_since_ms
 
+    def is_overdue(self, group, now_ms):
+        """True if a task of a long-running group has waited too long.
+
+        Args:
+            group: the ``Group``.
+            now_ms: monotonic time.
+        """
+        if not group.step.lasts:
+            return False
+        return self.longest_wait_ms(group, now_ms) >= OVERDUE_WAIT_MS
+
 
 class WaitingLog:
     """Reports the long-running groups that have waited longest.
--- a/tests/fakes/dispatch_world.py
+++ b/tests/fakes/dispatch_world.py
@@ -17,10 +17,17 @@
 from fuchsiatrestle import workflows
 from standins import worker_model
 
-__all__ = ('Faults', 'FrozenLeader', 'World', 'worker_labels')
+__all__ = (
+    'LOW_PRIORITY_PREFIX',
+    'Faults',
+    'FrozenLeader',
+    'World',
+    'worker_labels',
+)
 
 HOST = 'shop.example'
 PREFIX = '/q/'
+LOW_PRIORITY_PREFIX = '/low/'
 POOL = 'pool'
 START_WALL_MS = 1_700_000_000_000
 TICK_INTERVAL_MS = 100
@@ -252,20 +259,21 @@
 
     # Callers
 
-    def submit(self, workflow_id, steps, profiles):
+    def submit(self, workflow_id, steps, profiles, prefix=PREFIX):
         """Submits a workflow.
 
         Args:
             workflow_id: its id.
             steps: list of ``Step``.
             profiles: list of ``worker_model.TaskProfile``, one for each step.
+            prefix: prefix of the queue's paths.
         """
         self.profiles_by_workflow[workflow_id] = profiles
         workflow_spec = records.WorkflowSpec('payload', steps)
         self.apply_agreed(
             commands.SubmitWorkflow(
                 HOST,
-                PREFIX + workflow_id,
+                prefix + workflow_id,
                 workflow_spec,
                 START_WALL_MS + self.now_ms,
             )
@@ -507,4 +515,17 @@
     queue = records.Queue(
         'queue', HOST, PREFIX, POOL, 0, MAX_FAILURES, 1.5, 250, 3000
     )
-    return records.Document(1, [queue], [records.Pool(POOL, False)])
+    low_priority_queue = records.Queue(
+        'low',
+        HOST,
+        LOW_PRIORITY_PREFIX,
+        POOL,
+        5,
+        MAX_FAILURES,
+        1.5,
+        250,
+        3000,
+    )
+    return records.Document(
+        1, [queue, low_priority_queue], [records.Pool(POOL, False)]
+    )
--- a/tests/workflows/test_placing.py
+++ b/tests/workflows/test_placing.py
@@ -99,6 +99,63 @@
         self.assertEqual('running', world.workflow_state('lasting'))
         self.assertEqual([], world.ledger.breaches)
 
+    def _submit_long_running(self, world, name, cpu, **fields):
+        world.submit(
+            name,
+            [workflows.Step(1, cpu=cpu, memory_mb=10, lasts=True)],
+            [worker_model.TaskProfile(cpu, 10, None)],
+            **fields,
+        )
+
+    def _submit_batch(self, world, name, cpu, work_ms):
+        world.submit(
+            name,
+            [workflows.Step(1, cpu=cpu, memory_mb=10, estimate_ms=work_ms)],
+            [worker_model.TaskProfile(cpu, 10, work_ms)],
+        )
+
+    def test_long_running_task_is_not_kept_off_a_reserved_worker(self):
+        """Room reserved for urgent batch tasks does not stay unused."""
+        world = dispatch_world.World(11, workers=4)
+        for number, cpu in enumerate((7000, 7000, 7000, 4000)):
+            self._submit_long_running(world, f'most-{number}', cpu)
+            world.run(500)
+        self._submit_batch(world, 'slow', 2500, 60_000)
+        world.run(500)
+        for number in range(15):
+            self._submit_batch(world, f'too-large-now-{number}', 3500, 400)
+            world.run(200)
+            if number == 0:
+                self._submit_long_running(
+                    world,
+                    'fits',
+                    1200,
+                    prefix=dispatch_world.LOW_PRIORITY_PREFIX,
+                )
+        self.assertEqual('running', world.workflow_state('fits'))
+        self.assertEqual([], world.ledger.breaches)
+
+    def test_interrupted_task_is_not_kept_off_a_reserved_worker(self):
+        """Room reserved for a larger interrupted task does not stay unused."""
+        world = dispatch_world.World(11, workers=4)
+        for name, cpu in (('large', 4000), ('small', 2500)):
+            self._submit_long_running(world, name, cpu)
+            world.run(500)
+        crashed_worker = next(iter(world.ledger.running.values()))
+        for number, cpu in enumerate((7000, 7000, 3000)):
+            self._submit_long_running(world, f'most-{number}', cpu)
+            world.run(500)
+        self._submit_batch(world, 'slow', 2000, 60_000)
+        world.run(500)
+        world.crash_worker(crashed_worker, 60_000)
+        world.run(6000)
+        running_workflow_ids = {
+            task.workflow_id for task, _ in world.ledger.running
+        }
+        self.assertIn('small', running_workflow_ids)
+        self.assertNotIn('large', running_workflow_ids)
+        self.assertEqual([], world.ledger.breaches)
+
     def test_interrupted_long_running_tasks_do_not_wait_behind_batch(self):
         """Batch tasks that fit into each gap do not take all of them."""
         world = dispatch_world.World(13, workers=4)
