Read link and replica events from an inbox that can not hang

Cause: in curio 1.6 a reader of UniversalQueue that is cancelled while it is ready to run leaves its future among the waiting getters; the next put fills the future while it holds the queue's lock, and the callback of the future puts the item back, which asks for that lock.

The link and the replica task now use inbox.Inbox: a deque, and a future for each reader that waits. put appends, completes these futures and takes no lock of its own, so that it may be called from any thread. An item is removed in the step in which get returns it, so a cancelled reader has taken nothing. As put never waits, it is no coroutine; the calls in curio tasks lose their await, which never suspended.

Failed before, passes after: a task group of one reader, one writer and a stop after each of 0 to 19 steps, in a thread that counts as hanging after 5 s.

--- a/fuchsiatrestle/control/_daemon.py
+++ b/fuchsiatrestle/control/_daemon.py
@@ -261,7 +261,7 @@
     async def _route_message(self, peer, message):
         if isinstance(message, _REPLICA_MESSAGES):
             event = agreement.MessageReceived(peer, message)
-            await self._replica_task.inbox.put(event)
+            self._replica_task.inbox.put(event)
         elif not isinstance(message, _CALL_MESSAGES):
             metrics.count(REFUSED_MISDIRECTED)
         elif self._state_inbox.qsize() >= MAX_STATE_BACKLOG_EVENTS:
@@ -293,7 +293,7 @@
         if isinstance(effect, _events.SendToPeer):
             self._link.send(effect.peer, effect.message)
         elif isinstance(effect, _events.SendToReplica):
-            await self._replica_task.inbox.put(effect.event)
+            self._replica_task.inbox.put(effect.event)
         elif isinstance(effect, _events.OrderWorker):
             await self._send_order(effect.order)
         elif isinstance(effect, _events.ConnectPeer):
@@ -313,7 +313,7 @@
     async def _tick_replica(self):
         while True:
             await curio.sleep(REPLICA_TICK_INTERVAL_S)
-            await self._replica_task.inbox.put(agreement.Tick())
+            self._replica_task.inbox.put(agreement.Tick())
 
     async def _tick_state(self):
         while True:
@@ -327,7 +327,7 @@
     async def _stop_gracefully(self, stop_requested):
         await stop_requested.wait()
         if self._replica_task.role == 'leader':
-            await self._replica_task.inbox.put(agreement.TransferLeadership())
+            self._replica_task.inbox.put(agreement.TransferLeadership())
             async with curio.ignore_after(LEADERSHIP_TRANSFER_TIMEOUT_S):
                 while self._replica_task.role == 'leader':
                     await curio.sleep(REPLICA_TICK_INTERVAL_S)
--- a/fuchsiatrestle/control/_replica_task.py
+++ b/fuchsiatrestle/control/_replica_task.py
@@ -1,10 +1,9 @@
 """The task that owns the agreement core of this control replica."""
 
-import curio
-
 from fuchsiatrestle import agreement
 from fuchsiatrestle.control import _events
 from fuchsiatrestle import daemon
+from fuchsiatrestle import inbox
 from fuchsiatrestle import logs
 from fuchsiatrestle import metrics
 
@@ -46,7 +45,7 @@
             or their roles change.
 
     Attributes:
-        inbox: queue of the events of this task; other threads may put to it.
+        inbox: ``inbox.Inbox`` of the events of this task.
         role: role of this replica, as in ``agreement.RoleChanged``; empty
             until the first ``RoleChanged``.
     """
@@ -59,7 +58,7 @@
         self._storage = None
         self._status_due_ms = 0
         self._last_voter_state = None
-        self.inbox = curio.UniversalQueue()
+        self.inbox = inbox.Inbox()
         self.role = ''
 
     def attach_storage(self, storage):
--- a/fuchsiatrestle/net/link.py
+++ b/fuchsiatrestle/net/link.py
@@ -24,6 +24,7 @@
 import curio
 
 from fuchsiatrestle import errors
+from fuchsiatrestle import inbox
 from fuchsiatrestle import logs
 from fuchsiatrestle import messages
 from fuchsiatrestle.net import _grpc_thread
@@ -66,7 +67,7 @@
         self._peer_streams = _link_peers.PeerStreams(
             name, incarnation, tls_files, self._put_events
         )
-        self._inbox = curio.UniversalQueue()
+        self._inbox = inbox.Inbox()
         self._received_events = collections.deque()
         self._outgoing_messages = collections.deque()
         self._is_send_scheduled = False
@@ -137,8 +138,6 @@
     # ``_put_events``, from the thread of its caller.
 
     def _put_events(self, events):
-        # In a function that is no coroutine, ``put`` of curio.UniversalQueue
-        # is synchronous and needs no await.
         self._inbox.put(events)
 
     def _send_outgoing_messages(self):
--- a/tests/net/test_link.py
+++ b/tests/net/test_link.py
@@ -1,5 +1,6 @@
 """Tests of order, redialling, silence and planned stops of links."""
 
+import functools
 import unittest
 from unittest import mock
 
@@ -11,6 +12,7 @@
 from fuchsiatrestle import settings
 from standins import relay
 from tests.fakes import ports
+from tests.fakes import stops
 
 MESSAGE_COUNT = 3000
 
@@ -140,3 +142,10 @@
                     await a.stop()
 
         curio.run(curio.timeout_after, 30, scenario)
+
+    def test_a_stop_between_receive_and_send_does_not_hang(self):
+        def make_queue():
+            a = link.Link('a', 1)
+            return a.receive, functools.partial(a.send, 'a', _make_message(1))
+
+        self.assertEqual([], stops.find_hanging_stops(make_queue))
