Catch stop signals before a program imports its modules

The entry points now call signals.catch_signals first and import the daemon then, within run. The signals' numbers wait in the pipe that the daemon reads later, so that SIGHUP is kept as well. If a stop signal has come before the daemon is made, the process logs stopped_before_start and ends with 0, before it has opened the data folder or a port; one that comes during the start lets the start finish and stops gracefully, as before. The classes that the programs share moved to control.program and entry.program, because python -m imports a package's __init__ before the first line of its __main__.

Not covered: the interpreter's own start.

--- a/fuchsiatrestle/control/__init__.py
+++ b/fuchsiatrestle/control/__init__.py
@@ -12,9 +12,6 @@
   fsync;
 - the state task owns the state machine and, while this replica leads, the
   leader's services.
-"""
-
-from fuchsiatrestle.control._daemon import ControlDaemon
-from fuchsiatrestle.control._settings import SECTIONS
 
-__all__ = ('SECTIONS', 'ControlDaemon')
+``program`` has what the programs need of this package.
+"""
--- a/fuchsiatrestle/control/__main__.py
+++ b/fuchsiatrestle/control/__main__.py
@@ -1,19 +1,19 @@
 """Entry point of the program ``fuchsiatrestle-control``."""
 
-from fuchsiatrestle.control import _daemon
-from fuchsiatrestle.control import _settings
-from fuchsiatrestle import daemon
+from fuchsiatrestle import signals
 
-__all__ = ('PROGRAM', 'run')
-
-PROGRAM = daemon.Program(
-    'fuchsiatrestle-control', _settings.SECTIONS, _daemon.ControlDaemon
-)
+__all__ = ('run',)
 
 
 def run():
     """Runs the control daemon and exits the process with its exit status."""
-    daemon.run(PROGRAM)
+    signals.catch_signals()
+    # Imported here, as the import of a daemon takes long enough for a signal
+    # to arrive meanwhile.
+    from fuchsiatrestle.control import program
+    from fuchsiatrestle import daemon
+
+    daemon.run(program.PROGRAM)
 
 
 if __name__ == '__main__':
--- a/fuchsiatrestle/daemon.py
+++ b/fuchsiatrestle/daemon.py
@@ -1,18 +1,15 @@
 """Common main program of the daemons.
 
 It parses the command line, reads the settings, sets up logs and metrics,
-handles signals and chooses the exit status.  A daemon module declares a
-``Program`` and passes it to ``run``::
+handles signals and chooses the exit status.  A daemon declares a ``Program``
+in a module that its ``__main__`` imports after it has called
+``signals.catch_signals``::
 
     PROGRAM = daemon.Program('fuchsiatrestle-entry', SECTIONS, Entry)
 
-
-    def run():
-        daemon.run(PROGRAM)
-
-The third argument, ``create_daemon``, is called with the checked
-``settings.Settings`` and returns a ``Daemon``, whose ``serve`` runs in curio
-until SIGTERM or SIGINT arrives.
+``__main__`` then calls ``daemon.run(PROGRAM)``.  The third argument,
+``create_daemon``, is called with the checked ``settings.Settings`` and returns
+a ``Daemon``, whose ``serve`` runs in curio until SIGTERM or SIGINT arrives.
 
 On SIGHUP the settings file is read again and its log level is applied; the
 other settings stay as they were at the start.
@@ -27,8 +24,6 @@
 
 import abc
 import functools
-import signal
-import socket
 import sys
 import time
 
@@ -42,6 +37,7 @@
 from fuchsiatrestle import metrics
 from fuchsiatrestle.net import http
 from fuchsiatrestle import settings
+from fuchsiatrestle import signals
 
 __all__ = (
     'COMMON_SECTIONS',
@@ -58,7 +54,6 @@
 # EX_IOERR of sysexits.h: input/output error.
 DATA_EXIT_STATUS = 74
 FAULT_EXIT_STATUS = 1
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 COMMON_SECTIONS = (
     settings.Section(
@@ -181,20 +176,10 @@
     metrics.default_registry.connect(address.host, address.port, prefix)
 
 
-def _open_signal_pipe():
-    """Returns a socket that receives the number of each signal as a byte."""
-    reader, writer = socket.socketpair()
-    writer.setblocking(False)
-    signal.set_wakeup_fd(writer.detach())
-    for signum in (*STOP_SIGNALS, signal.SIGHUP):
-        signal.signal(signum, lambda received_signum, frame: None)
-    return reader
-
-
 async def _watch_signals(stop_requested, reload_settings):
-    async with curio.io.Socket(_open_signal_pipe()) as pipe:
+    async with curio.io.Socket(signals.catch_signals().reader) as pipe:
         while signum := await pipe.recv(1):
-            if signum[0] in STOP_SIGNALS:
+            if signum[0] in signals.STOP_SIGNALS:
                 break
             reload_settings()
     LOG.info('stop_requested')
@@ -303,12 +288,18 @@
         return 0
     logs.configure(cfg.get('log', 'level'))
     _connect_statsd(cfg, program.name)
+    if signals.catch_signals().is_stop_requested:
+        LOG.info('stopped_before_start')
+        return 0
     return _run_until_stopped(program, cfg)
 
 
 def run(program):
     """Runs a program with the command line of this process, then exits.
 
+    A stop signal that arrived before the daemon has started, but after
+    ``signals.catch_signals`` was called, ends the process with status 0.
+
     Args:
         program: the ``Program``.
 
--- a/fuchsiatrestle/entry/__main__.py
+++ b/fuchsiatrestle/entry/__main__.py
@@ -1,19 +1,19 @@
 """Entry point of the program ``fuchsiatrestle-entry``."""
 
-from fuchsiatrestle import daemon
-from fuchsiatrestle.entry import _daemon
-from fuchsiatrestle.entry import _settings
+from fuchsiatrestle import signals
 
 __all__ = ('run',)
 
-PROGRAM = daemon.Program(
-    'fuchsiatrestle-entry', _settings.SECTIONS, _daemon.EntryDaemon
-)
-
 
 def run():
     """Runs the entry daemon and exits the process with its exit status."""
-    daemon.run(PROGRAM)
+    signals.catch_signals()
+    # Imported here, as the import of a daemon takes long enough for a signal
+    # to arrive meanwhile.
+    from fuchsiatrestle import daemon
+    from fuchsiatrestle.entry import program
+
+    daemon.run(program.PROGRAM)
 
 
 if __name__ == '__main__':
--- a/fuchsiatrestle/platform/__main__.py
+++ b/fuchsiatrestle/platform/__main__.py
@@ -3,8 +3,7 @@
 import os
 import sys
 
-from fuchsiatrestle import daemon
-from fuchsiatrestle.platform import _programs
+from fuchsiatrestle import signals
 
 __all__ = ('main',)
 
@@ -21,6 +20,12 @@
     Args:
         argv: command line of the process; its second word is the program.
     """
+    signals.catch_signals()
+    # Imported here, as the import of the programs takes long enough for a
+    # signal to arrive meanwhile.
+    from fuchsiatrestle import daemon
+    from fuchsiatrestle.platform import _programs
+
     program_name = argv[1] if len(argv) > 1 else ''
     program = _programs.PROGRAMS.get(program_name)
     if program is None:
--- a/fuchsiatrestle/platform/_programs.py
+++ b/fuchsiatrestle/platform/_programs.py
@@ -2,7 +2,7 @@
 
 import curio
 
-from fuchsiatrestle import control
+from fuchsiatrestle.control import program
 from fuchsiatrestle import daemon
 from fuchsiatrestle import logs
 from fuchsiatrestle.net import control_client
@@ -106,7 +106,7 @@
     """
 
     def __init__(self, cfg):
-        self._control_daemon = control.ControlDaemon(
+        self._control_daemon = program.ControlDaemon(
             _settings.make_control_daemon_settings(cfg),
             driver=_driver.HttpDriver(),
         )
--- a/fuchsiatrestle/platform/_settings.py
+++ b/fuchsiatrestle/platform/_settings.py
@@ -1,6 +1,6 @@
 """Settings of the two programs on the platform."""
 
-from fuchsiatrestle import control
+from fuchsiatrestle.control import program
 from fuchsiatrestle import settings
 
 __all__ = (
@@ -43,7 +43,7 @@
     ),
     *(
         section
-        for section in control.SECTIONS
+        for section in program.SECTIONS
         if section.name in _SHARED_SECTION_NAMES
     ),
 )
@@ -67,7 +67,7 @@
 
 
 def make_control_daemon_settings(cfg):
-    """Returns the settings in the form that ``control.ControlDaemon`` reads.
+    """Returns the settings in the form that ``program.ControlDaemon`` reads.
 
     Options that the platform's settings file does not declare get their
     defaults.
@@ -76,7 +76,7 @@
         cfg: settings loaded with ``CONTROL_SECTIONS``.
     """
     link_address = cfg.get('platform', 'link')
-    value_by_option = settings.get_default_values(control.SECTIONS)
+    value_by_option = settings.get_default_values(program.SECTIONS)
     for key in list(value_by_option):
         if key[0] in _SHARED_SECTION_NAMES:
             del value_by_option[key]
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -18,10 +18,10 @@
 __all__ = ('PAGES', 'main')
 
 DOCS = pathlib.Path(__file__).resolve().parent.parent / 'docs'
-# Main module of each program.
+# Module that declares each program.
 PROGRAMS = {
-    'entry': 'fuchsiatrestle.entry.__main__',
-    'control': 'fuchsiatrestle.control.__main__',
+    'entry': 'fuchsiatrestle.entry.program',
+    'control': 'fuchsiatrestle.control.program',
 }
 # Prefix of the names, title and introduction of each table of counters. A name
 # is listed in the first group that its prefix matches.
@@ -49,7 +49,7 @@
     its metrics and those of the other programs must not be among them.
 
     Args:
-        module: name of the main module of the program.
+        module: name of the module that declares the program.
     """
     completed = subprocess.run(
         [sys.executable, '-c', _PRINT_DECLARED.format(module=module)],
