Keep pauses of the test's process out of tests with short leases

No fault of the product was found: its lease is 2 s and renewed every 0.4 s, and an entry that was suspended for longer than its lease has to refuse until it holds one again.

The tests were at fault, as their verdict depended on the time that the machine gave them. entry_world.short_terms now also replaces the monotonic clock of the process by one that advances by 100 ms at most between two readings, so that a pause of the process takes no time for leases, timers and timeouts. What counts as cut stays as it was: every answer but 200 fails the planned stop. Pauses of the simulated entries and upstreams in the fault matrix are as before, as the kernel goes on then.

Both tests now run with and without a pause of 1.2 s, four leases.

--- a/tests/entry/test_caller_path.py
+++ b/tests/entry/test_caller_path.py
@@ -4,6 +4,8 @@
 freed and requests that a planned stop cuts off.
 """
 
+import functools
+import time
 import unittest
 from unittest import mock
 
@@ -19,6 +21,9 @@
 SCENARIO_TIMEOUT_S = 60
 CALLER_COUNT = 8
 FOLLOWING_REQUESTS = 20
+# Pauses of the whole process, as on a busy machine: none, and one that is
+# longer than a lease.
+PROCESS_PAUSES_S = (0.0, 4 * entry_world.LEASE_MS / 1000)
 
 
 class _EntryWithUpstream:
@@ -94,12 +99,16 @@
     return answers
 
 
-async def _call_after_an_extra_answer(pair):
-    """Returns the bodies of the answers after a request got two answers."""
+async def _call_after_an_extra_answer(pair, pause_s):
+    """Returns the bodies of the answers after a request got two answers.
+
+    The process pauses after that request.
+    """
     client = pair.make_client()
     pair.upstream.mode = 'extra answer'
     await _call_upstream(client, 'first')
     pair.upstream.mode = 'normal'
+    time.sleep(pause_s)
     bodies = []
     for number in range(3):
         response = await _call_upstream(client, f'next{number}')
@@ -126,8 +135,11 @@
     return sum(status.used_slots for status in pair.list_upstream_statuses())
 
 
-async def _stop_under_load(pair):
-    """Returns how many calls were answered, refused and cut off."""
+async def _stop_under_load(pair, pause_s=0.0):
+    """Returns how many calls were answered, refused and cut off.
+
+    The process pauses once while calls are in progress.
+    """
     counts = {'answered': 0, 'refused': 0, 'cut': 0}
 
     async def call_repeatedly(number):
@@ -147,7 +159,9 @@
     tasks = [
         await curio.spawn(call_repeatedly, n) for n in range(CALLER_COUNT)
     ]
-    await curio.sleep(0.3)
+    await curio.sleep(0.15)
+    time.sleep(pause_s)
+    await curio.sleep(0.15)
     await pair.entry.stop()
     for task in tasks:
         await task.join()
@@ -199,19 +213,29 @@
         self.assertFalse(all(answers))
 
     def test_an_answer_too_many_reaches_no_other_caller(self):
-        bodies = _run_scenario(_call_after_an_extra_answer)
-        self.assertEqual(
-            [f'next{number} answered'.encode() for number in range(3)], bodies
-        )
+        for pause_s in PROCESS_PAUSES_S:
+            with self.subTest(pause_s=pause_s):
+                bodies = _run_scenario(
+                    functools.partial(
+                        _call_after_an_extra_answer, pause_s=pause_s
+                    )
+                )
+                self.assertEqual(
+                    [f'next{n} answered'.encode() for n in range(3)], bodies
+                )
 
     def test_a_slow_reader_keeps_no_slot_beyond_the_deadline(self):
         self.assertEqual(0, _run_scenario(_stream_to_a_slow_reader))
 
     def test_a_planned_stop_under_load_cuts_nothing(self):
-        counts = _run_scenario(_stop_under_load)
-        self.assertEqual(0, counts['cut'])
-        self.assertEqual(CALLER_COUNT, counts['refused'])
-        self.assertGreater(counts['answered'], CALLER_COUNT)
+        for pause_s in PROCESS_PAUSES_S:
+            with self.subTest(pause_s=pause_s):
+                counts = _run_scenario(
+                    functools.partial(_stop_under_load, pause_s=pause_s)
+                )
+                self.assertEqual(0, counts['cut'])
+                self.assertEqual(CALLER_COUNT, counts['refused'])
+                self.assertGreater(counts['answered'], CALLER_COUNT)
 
     def test_the_check_sees_a_stop_that_cuts(self):
         async def kill(self):
--- a/tests/fakes/entry_world.py
+++ b/tests/fakes/entry_world.py
@@ -29,6 +29,7 @@
 from fuchsiatrestle.routing import _shares
 from fuchsiatrestle import settings
 from fuchsiatrestle.state import machine
+from tests.fakes import pauseless_clock
 
 __all__ = (
     'EntryProcess',
@@ -55,8 +56,13 @@
 
 
 def short_terms():
-    """Returns a context that shortens leases and margins to under 0.5 s."""
+    """Returns a context that shortens leases and margins to under 0.5 s.
+
+    A pause of the whole process takes no time in it, as it would last longer
+    than these.
+    """
     stack = contextlib.ExitStack()
+    stack.enter_context(pauseless_clock.pauseless_time())
     for module, constant_name, value in (
         (_shares, 'MAX_LEASE_MS', LEASE_MS),
         (_shares, 'CLOCK_DRIFT_MS', 30),
