Let urgent jobs use a worker that is held for another shape

What callers would see: an urgent job stays queued although a worker has room or evictable work, if that worker is held for a large job. A hold lasts up to 600 s; an urgent job has to start within 2.8 s. In a cell of up to 31 workers one worker may be held, in a cell of one worker that is all of it.

Change: for an urgent job the held workers are candidates too, after the others, and preemption looks for victims on them as well. Quarantine, leaving, silence and pauses still count.

Evidence: both new tests failed before (the job was still queued after 2.8 s) and pass now; test_policy and test_machine pass.

--- a/fuchsiatrestle/scheduling/_dispatch.py
+++ b/fuchsiatrestle/scheduling/_dispatch.py
@@ -253,7 +253,7 @@
             held_worker_name, now_ms
         ):
             return held_worker_name
-        candidate_names = self._fleet.iter_fitting(need, job.spec.data_centre)
+        candidate_names = self._iter_candidates(job.spec, need, now_ms)
         excluded_names = set(job.failed_on)
         excluded_names.add(
             self._evictions.worker_to_avoid(job.spec.job_id, now_ms)
@@ -279,9 +279,18 @@
     def _can_use_held_worker(self, worker_name, now_ms):
         worker = self._jobs_part.workers[worker_name]
         info = self._fleet.worker_info(worker_name)
-        return not info.quarantined and self._fleet.accepts_probe(
-            worker, info, now_ms
-        )
+        return self._fleet.accepts_despite_hold(worker, info, now_ms)
+
+    def _iter_candidates(self, spec, need, now_ms):
+        """Yields workers with room; for an urgent job, held ones come last.
+
+        A hold may last far longer than an urgent job may wait.
+        """
+        yield from self._fleet.iter_fitting(need, spec.data_centre)
+        if spec.urgent:
+            yield from self._fleet.iter_fitting_held(
+                need, spec.data_centre, now_ms
+            )
 
     def _pick_above_tail_limit(self, job, need, candidate_names, now_ms):
         """Picks a worker for a shape that the tail latency limit holds back.
--- a/fuchsiatrestle/scheduling/_fleet.py
+++ b/fuchsiatrestle/scheduling/_fleet.py
@@ -113,6 +113,8 @@
         self._index_by_data_centre = {}
         self._has_capacity_grown = False
         self._paused_until_ms_by_worker = collections.OrderedDict()
+        # Names of the held workers, as keys, in the order of their holds.
+        self._held_workers = {}
 
     # Reports
 
@@ -236,7 +238,16 @@
 
     def accepts_placement(self, worker, info, now_ms):
         """True if ordinary jobs may be placed on the worker now."""
-        return not (info.quarantined or info.held) and self.accepts_probe(
+        return not info.held and self.accepts_despite_hold(
+            worker, info, now_ms
+        )
+
+    def accepts_despite_hold(self, worker, info, now_ms):
+        """True if jobs that holds don't bind may be placed on the worker now.
+
+        These are urgent jobs, and the jobs of the shape that it is held for.
+        """
+        return not info.quarantined and self.accepts_probe(
             worker, info, now_ms
         )
 
@@ -287,6 +298,35 @@
         if info is not None:
             info.held = held
             self.refresh_worker(name, now_ms)
+        if held:
+            self._held_workers[name] = None
+        else:
+            self._held_workers.pop(name, None)
+
+    def iter_fitting_held(self, need, data_centre, now_ms):
+        """Yields the held workers with room, in the order of their holds.
+
+        Args:
+            need: required (cpu_milli, memory_mib, accelerators).
+            data_centre: name of the data centre to search, empty for all.
+            now_ms: monotonic time in milliseconds.
+        """
+        for name in list(self._held_workers):
+            worker = self._jobs_part.workers.get(name)
+            info = self._info_by_worker.get(name)
+            if worker is None or info is None:
+                continue
+            if (
+                data_centre in ('', worker.spec.data_centre)
+                and self.accepts_despite_hold(worker, info, now_ms)
+                and all(
+                    free >= needed
+                    for free, needed in zip(
+                        self.free_capacity(name), need, strict=True
+                    )
+                )
+            ):
+                yield name
 
     def iter_fitting(self, need, data_centre):
         """Yields workers with room, alternating between data centres.
--- a/fuchsiatrestle/scheduling/_holds.py
+++ b/fuchsiatrestle/scheduling/_holds.py
@@ -2,9 +2,10 @@
 
 Jobs that can go to the same workers have one shape (see ``_queue.Shape``).  If
 no worker has had room for a shape for ``WAIT_BEFORE_HOLD_MS``, one worker is
-held for the shape: the worker gets no other placement, so that its free
-capacity grows as attempts end.  At most one worker in ``WORKERS_PER_HOLD`` is
-held at a time, but at least one may be, and each for up to ``MAX_HOLD_MS``.
+held for the shape: the worker gets no other placement but of urgent jobs, so
+that its free capacity grows as attempts end.  At most one worker in
+``WORKERS_PER_HOLD`` is held at a time, but at least one may be, and each for
+up to ``MAX_HOLD_MS``.
 """
 
 import itertools
--- a/fuchsiatrestle/scheduling/_preemption.py
+++ b/fuchsiatrestle/scheduling/_preemption.py
@@ -81,8 +81,10 @@
         The worker is the one with the fewest victims, and among such workers
         the one where the evictions lose the least work.
         """
-        candidate_names = self._fleet.iter_fitting(
-            (0, 0, 0), job.spec.data_centre
+        data_centre = job.spec.data_centre
+        candidate_names = itertools.chain(
+            self._fleet.iter_fitting_held((0, 0, 0), data_centre, now_ms),
+            self._fleet.iter_fitting((0, 0, 0), data_centre),
         )
         cheapest = None
         for name in itertools.islice(candidate_names, MAX_SEARCHED_WORKERS):
--- /dev/null
+++ b/tests/scheduling/test_starvation.py
@@ -0,0 +1,72 @@
+"""Tests that no reservation or search bound makes a job wait without end."""
+
+import unittest
+
+from fuchsiatrestle.scheduling import _holds
+from tests.scheduling import _cell
+
+# Longest time from the submission of an urgent job to its start.
+URGENT_MS = 2_800
+
+
+def _make_endless_spec(job_id, cpu_milli, **fields):
+    """Returns the spec of a job that isn't evicted and does not end."""
+    return _cell.make_spec(
+        job_id,
+        cpu_milli,
+        idempotent=False,
+        command='sleep 100000000',
+        **fields,
+    )
+
+
+def _find_start_ms(cell, job_id):
+    """Returns when a job first started, or None if it has not."""
+    for line in cell.ledger:
+        if line.job_id == job_id:
+            return line.start_ms
+    return None
+
+
+class HeldWorkerTest(unittest.TestCase):
+    """A worker held for one shape keeps no other job waiting for ever."""
+
+    def _make_cell_with_hold(self, *large_sizes):
+        cell = _cell.Cell(1)
+        cell.advance(1000)
+        cell.submit(_make_endless_spec('endless', 1000))
+        cell.advance(1000)
+        cell.submit(
+            *(
+                _cell.make_spec(f'large-{size}', size, priority=1)
+                for size in large_sizes
+            )
+        )
+        cell.advance(_holds.WAIT_BEFORE_HOLD_MS + 2000)
+        return cell
+
+    def test_urgent_job_is_not_kept_off_a_held_worker(self):
+        """It starts in time on a worker held for another shape."""
+        cell = self._make_cell_with_hold(4000)
+        cell.submit(_cell.make_spec('now', 1000, urgent=True))
+        cell.advance(URGENT_MS, step_ms=200)
+        self.assertIsNotNone(_find_start_ms(cell, 'now'))
+
+    def test_urgent_job_evicts_work_on_a_held_worker(self):
+        """It makes room for itself where a hold lets nothing else in."""
+        cell = _cell.Cell(1)
+        cell.advance(1000)
+        cell.submit(
+            _make_endless_spec('endless', 1000),
+            _cell.make_spec('evictable', 2000, command='sleep 100000000'),
+        )
+        cell.advance(1000)
+        cell.submit(_cell.make_spec('large', 4000, priority=1))
+        cell.advance(_holds.WAIT_BEFORE_HOLD_MS + 2000)
+        cell.submit(_cell.make_spec('now', 2000, urgent=True))
+        cell.advance(URGENT_MS, step_ms=200)
+        self.assertIsNotNone(_find_start_ms(cell, 'now'))
+
+
+if __name__ == '__main__':
+    unittest.main()
