Open a held worker to all jobs between two holds

Each hold ends after 600 s, but the next one begins in the same placement round, before the round reaches the job.

Cause: the end of a hold bounds one hold, not the time for which the worker is closed. With two shapes the other one has waited for long enough whenever a hold ends.

Change: after a hold, a worker is not held again for MIN_HOLD_GAP_MS. Within that time every job that fits is placed there by the ordinary rounds, so none waits for longer than one hold.

Evidence: the test with two large shapes failed before (queued after 602 s) and passes now. With one large shape the wait was bounded before too; the second test shows it.

--- a/fuchsiatrestle/scheduling/_holds.py
+++ b/fuchsiatrestle/scheduling/_holds.py
@@ -5,7 +5,8 @@
 held for the shape: the worker gets no other placement but of urgent jobs, so
 that its free capacity grows as attempts end.  At most one worker in
 ``WORKERS_PER_HOLD`` is held at a time, but at least one may be, and each for
-up to ``MAX_HOLD_MS``.
+up to ``MAX_HOLD_MS``.  A worker is open to all jobs for ``MIN_HOLD_GAP_MS``
+between two holds, so that no job that fits waits for more than one hold.
 """
 
 import itertools
@@ -15,6 +16,8 @@
 # Time for which no worker had room for a shape before one is held for it.
 WAIT_BEFORE_HOLD_MS = 60_000
 MAX_HOLD_MS = 600_000
+# Long enough for several rounds, which look at all queued shapes.
+MIN_HOLD_GAP_MS = 10_000
 # At most one worker in this many is held at a time, but one always may be.
 WORKERS_PER_HOLD = 16
 # Workers looked at to find one that is large enough when empty.
@@ -52,6 +55,7 @@
         self._fleet = fleet
         self._waiting_since_ms_by_shape = {}
         self._hold_by_shape = {}
+        self._gap_end_ms_by_worker = {}
 
     def __len__(self):
         return len(self._hold_by_shape)
@@ -84,7 +88,7 @@
         max_holds = max(1, len(self._jobs_part.workers) // WORKERS_PER_HOLD)
         if len(self._hold_by_shape) >= max_holds:
             return
-        worker_name = self._find_worker_to_hold(job_shape, need)
+        worker_name = self._find_worker_to_hold(job_shape, need, now_ms)
         if worker_name is not None:
             self._hold_by_shape[job_shape] = _Hold(
                 worker_name, now_ms + MAX_HOLD_MS
@@ -96,6 +100,9 @@
         self._waiting_since_ms_by_shape.pop(job_shape, None)
         hold = self._hold_by_shape.pop(job_shape, None)
         if hold is not None:
+            self._gap_end_ms_by_worker[hold.worker_name] = (
+                now_ms + MIN_HOLD_GAP_MS
+            )
             self._fleet.set_held(hold.worker_name, False, now_ms)
 
     def release_expired(self, shapes, now_ms):
@@ -109,12 +116,20 @@
             if job_shape not in shapes or now_ms >= hold.until_ms:
                 self.release_shape(job_shape, now_ms)
 
-    def _find_worker_to_hold(self, job_shape, need):
+    def _find_worker_to_hold(self, job_shape, need, now_ms):
+        self._gap_end_ms_by_worker = {
+            name: gap_end_ms
+            for name, gap_end_ms in self._gap_end_ms_by_worker.items()
+            if gap_end_ms > now_ms
+        }
         candidate_names = self._fleet.iter_fitting(
             (0, 0, 0), job_shape.data_centre
         )
         for name in itertools.islice(candidate_names, MAX_SEARCHED_WORKERS):
-            if name in job_shape.failed_on:
+            if (
+                name in job_shape.failed_on
+                or name in self._gap_end_ms_by_worker
+            ):
                 continue
             capacity = self._fleet.capacity_when_empty(name)
             if all(r >= n for r, n in zip(capacity, need, strict=True)):
--- a/tests/scheduling/test_starvation.py
+++ b/tests/scheduling/test_starvation.py
@@ -67,6 +67,20 @@
         cell.advance(URGENT_MS, step_ms=200)
         self.assertIsNotNone(_find_start_ms(cell, 'now'))
 
+    def test_job_that_fits_waits_for_one_hold_at_most(self):
+        """It starts after the hold, for a shape that can't be satisfied."""
+        cell = self._make_cell_with_hold(4000)
+        cell.submit(_cell.make_spec('fits', 1000))
+        cell.advance(_holds.MAX_HOLD_MS + 2000)
+        self.assertIsNotNone(_find_start_ms(cell, 'fits'))
+
+    def test_holds_of_different_shapes_do_not_follow_without_a_gap(self):
+        """A job that fits starts between the holds of two large shapes."""
+        cell = self._make_cell_with_hold(4000, 3900)
+        cell.submit(_cell.make_spec('fits', 1000))
+        cell.advance(_holds.MAX_HOLD_MS + 2000)
+        self.assertIsNotNone(_find_start_ms(cell, 'fits'))
+
 
 if __name__ == '__main__':
     unittest.main()
