End the hold of a worker that takes no placements

What callers would see: a large job waits up to 600 s longer for a worker that leaves, is quarantined or is lost, although another worker could be cleared for it. The hold also counts towards the bound on holds, so no other large shape gets a worker in that time.

Cause: a hold ended only with time or when no job of the shape was queued.

Change: a round ends a hold whose worker left the cell, leaves, is in quarantine or has been silent for LOST_AFTER_MS. The shape keeps its waiting time, so that another worker can be held at once.

Evidence: the new test failed before (the large job had not started 20 s after its held worker announced that it leaves) and passes now.

--- a/fuchsiatrestle/scheduling/_holds.py
+++ b/fuchsiatrestle/scheduling/_holds.py
@@ -98,15 +98,14 @@
     def release_shape(self, job_shape, now_ms):
         """Ends the hold and the waiting time of a shape, if any."""
         self._waiting_since_ms_by_shape.pop(job_shape, None)
-        hold = self._hold_by_shape.pop(job_shape, None)
-        if hold is not None:
-            self._gap_end_ms_by_worker[hold.worker_name] = (
-                now_ms + MIN_HOLD_GAP_MS
-            )
-            self._fleet.set_held(hold.worker_name, False, now_ms)
+        self._end_hold(job_shape, now_ms)
 
     def release_expired(self, shapes, now_ms):
-        """Ends holds after ``MAX_HOLD_MS``, or if no job of the shape waits.
+        """Ends the holds that have lasted too long or serve no purpose.
+
+        A hold lasts for up to ``MAX_HOLD_MS``, and serves no purpose if no job
+        of the shape waits, or if nothing can be placed on the worker for some
+        time.  In the last case another worker may be held at once.
 
         Args:
             shapes: the shapes of the queued jobs.
@@ -115,6 +114,28 @@
         for job_shape, hold in list(self._hold_by_shape.items()):
             if job_shape not in shapes or now_ms >= hold.until_ms:
                 self.release_shape(job_shape, now_ms)
+            elif not self._is_usable(hold.worker_name, now_ms):
+                self._end_hold(job_shape, now_ms)
+
+    def _end_hold(self, job_shape, now_ms):
+        hold = self._hold_by_shape.pop(job_shape, None)
+        if hold is not None:
+            self._gap_end_ms_by_worker[hold.worker_name] = (
+                now_ms + MIN_HOLD_GAP_MS
+            )
+            self._fleet.set_held(hold.worker_name, False, now_ms)
+
+    def _is_usable(self, worker_name, now_ms):
+        """True unless the worker left, leaves, is quarantined or is lost."""
+        worker = self._jobs_part.workers.get(worker_name)
+        info = self._fleet.find_worker_info(worker_name)
+        return (
+            worker is not None
+            and info is not None
+            and not worker.spec.leaving
+            and not info.quarantined
+            and not self._fleet.is_lost(worker_name, now_ms)
+        )
 
     def _find_worker_to_hold(self, job_shape, need, now_ms):
         self._gap_end_ms_by_worker = {
--- a/tests/scheduling/test_starvation.py
+++ b/tests/scheduling/test_starvation.py
@@ -81,6 +81,27 @@
         cell.advance(_holds.MAX_HOLD_MS + 2000)
         self.assertIsNotNone(_find_start_ms(cell, 'fits'))
 
+    def test_hold_on_a_leaving_worker_ends(self):
+        """Another worker is held for the shape in its place."""
+        cell = _cell.Cell(2)
+        cell.advance(1000, silent_workers=('w1',))
+        cell.submit(_make_endless_spec('endless', 1000))
+        cell.advance(1000, silent_workers=('w1',))
+        cell.submit(_cell.make_spec('large', 4000, priority=1))
+        cell.advance(_holds.WAIT_BEFORE_HOLD_MS + 2000, silent_workers=('w1',))
+        cell.agents['w0'].leaving = True
+        for second in range(20):
+            cell.submit(
+                *(
+                    _cell.make_spec(
+                        f's{second}-{n}', priority=0, command='sleep 3000'
+                    )
+                    for n in range(4)
+                )
+            )
+            cell.advance(1000)
+        self.assertIsNotNone(_find_start_ms(cell, 'large'))
+
 
 if __name__ == '__main__':
     unittest.main()
