Let a placement round go on where the last one ended

What callers would see: a job, urgent or not, never starts although a worker has room for it, while 64 shapes or teams that go first find none. Declared sizes make most jobs a shape of their own, so 64 large jobs are enough.

Cause: a round ends after Policy.max_misses failed tries, and each round began at the head of the queue, so that all rounds tried the same shapes.

Change: a round passes over what earlier rounds of the same walk through the queue have tried in vain, until a round reaches the end. Urgent jobs are tried anew in each round before the walk goes on, so that capacity that became free goes to them first. A round that ended early is followed by the next one at once. A search for the next offer of a team begins at the last offer, as all shapes before it are blocked; without this a round would cost the number of shapes passed over for each offer.

Evidence: of the four new tests three failed before (200 shapes, urgent and not, and 200 teams at their quota); the fourth guards the place of urgent jobs.

--- a/fuchsiatrestle/scheduling/_dispatch.py
+++ b/fuchsiatrestle/scheduling/_dispatch.py
@@ -4,6 +4,11 @@
 fits.  Jobs that can go to the same workers have one shape (see
 ``_queue.Shape``).  A shape for which no worker has room, or a team at its
 quota, is passed over for the rest of the round.
+
+A round ends after ``Policy.max_misses`` failed tries.  The next round then
+goes on where it ended: it passes over what has failed since the walk through
+the queue began, so that each walk reaches every shape.  Urgent jobs are tried
+again in each round, before the walk through the other jobs goes on.
 """
 
 import itertools
@@ -75,6 +80,10 @@
         self._waiting_reasons = {}
         self._tail_wait_since_ms_by_shape = {}
         self._worker_holds = _holds.WorkerHolds(jobs_part, fleet)
+        # Shapes and teams for which earlier rounds of this walk found nothing,
+        # urgent jobs apart.
+        self._missed_urgent = set()
+        self._missed_ordinary = set()
         self._round_requested = True
         self._next_retry_round_ms = 0
         self._last_round_ms = -MIN_ROUND_GAP_MS
@@ -132,7 +141,7 @@
         """Runs a round if one is due, and proposes the placements found.
 
         Returns:
-            One queued job of each shape for which no worker was found.
+            One queued job of each shape for which this round found no worker.
         """
         if not self._is_round_due(now_ms):
             return []
@@ -142,7 +151,8 @@
         if len(self._waiting_reasons) > MAX_REMEMBERED_SHAPES:
             self._waiting_reasons.clear()
         self._worker_holds.release_expired(self._queue.shapes, now_ms)
-        blocked_shapes_and_teams = set()
+        blocked_shapes_and_teams = set(self._missed_urgent)
+        is_among_urgent_jobs = True
         unplaced_jobs = []
         failed_try_count = 0
         for job_id in self._queue.iter_offers(
@@ -155,15 +165,40 @@
                 self._round_requested = True
                 break
             job = self._jobs_part.jobs[job_id]
+            if is_among_urgent_jobs and not job.spec.urgent:
+                is_among_urgent_jobs = False
+                blocked_shapes_and_teams |= self._missed_ordinary
+            if self._is_blocked(job, blocked_shapes_and_teams):
+                continue
             if self._try_place(job, blocked_shapes_and_teams, now_ms):
                 continue
             failed_try_count += 1
             if job.spec.team not in blocked_shapes_and_teams:
                 unplaced_jobs.append(job)
             if failed_try_count >= self._policy.max_misses:
+                self._suspend_walk(job, blocked_shapes_and_teams)
                 break
+        else:
+            self._missed_urgent = set()
+            self._missed_ordinary = set()
         return unplaced_jobs
 
+    def _suspend_walk(self, last_job, blocked_shapes_and_teams):
+        """Stores what the next round passes over to go on behind a job."""
+        if last_job.spec.urgent:
+            self._missed_urgent = blocked_shapes_and_teams
+        else:
+            self._missed_urgent = set()
+            self._missed_ordinary = blocked_shapes_and_teams
+        self._round_requested = True
+
+    def _is_blocked(self, job, blocked_shapes_and_teams):
+        return (
+            job.spec.team in blocked_shapes_and_teams
+            or self._queue.shape_of(job.spec.job_id)
+            in blocked_shapes_and_teams
+        )
+
     def _is_round_due(self, now_ms):
         has_capacity_grown = self._fleet.pop_capacity_growth()
         self._round_requested |= has_capacity_grown
--- a/fuchsiatrestle/scheduling/_queue.py
+++ b/fuchsiatrestle/scheduling/_queue.py
@@ -101,11 +101,19 @@
         else:
             del self._order_keys_by_shape[entry.shape]
 
-    def first_job_id(self, blocked_shapes_and_teams):
-        """Returns the first job whose shape is not blocked, or None."""
-        for order_key, shape in self._first_order_keys:
+    def find_first(self, blocked_shapes_and_teams, minimum=None):
+        """Finds the first job whose shape is not blocked.
+
+        Args:
+            blocked_shapes_and_teams: set of shapes and team names.
+            minimum: an earlier result; the search begins there.
+
+        Returns:
+            (order key, shape) of the job, or None.
+        """
+        for order_key, shape in self._first_order_keys.irange(minimum):
             if shape not in blocked_shapes_and_teams:
-                return order_key[2]
+                return order_key, shape
         return None
 
 
@@ -233,16 +241,22 @@
             if team not in blocked_shapes_and_teams
         ]
         heapq.heapify(team_heap)
+        # Newest offer by team.  All shapes before it are blocked, so that the
+        # search for the next offer begins there.
+        offer_by_team = {}
         while team_heap:
             _, team = heapq.heappop(team_heap)
             team_queue = team_queues.get(team)
-            job_id = (
-                team_queue.first_job_id(blocked_shapes_and_teams)
+            offer = (
+                team_queue.find_first(
+                    blocked_shapes_and_teams, offer_by_team.get(team)
+                )
                 if team_queue
                 else None
             )
-            if job_id is None:
+            if offer is None:
                 continue
-            yield job_id
+            offer_by_team[team] = offer
+            yield offer[0][2]
             if team in team_queues and team not in blocked_shapes_and_teams:
                 heapq.heappush(team_heap, (team_share(team), team))
--- a/tests/scheduling/test_starvation.py
+++ b/tests/scheduling/test_starvation.py
@@ -2,11 +2,14 @@
 
 import unittest
 
+from fuchsiatrestle import messages
 from fuchsiatrestle.scheduling import _holds
 from tests.scheduling import _cell
 
 # Longest time from the submission of an urgent job to its start.
 URGENT_MS = 2_800
+# More shapes than one round tries to place.
+MANY_SHAPES = 200
 
 
 def _make_endless_spec(job_id, cpu_milli, **fields):
@@ -103,5 +106,68 @@
         self.assertIsNotNone(_find_start_ms(cell, 'large'))
 
 
+class RoundTest(unittest.TestCase):
+    """Jobs that find no room do not hide those behind them from a round."""
+
+    def _run_behind_many_shapes(self, **fields):
+        cell = _cell.Cell(1)
+        cell.advance(1000)
+        cell.submit(_make_endless_spec('endless', 1000))
+        cell.advance(1000)
+        cell.submit(
+            *(
+                _cell.make_spec(f'large-{n}', 3500 + n, priority=1, **fields)
+                for n in range(MANY_SHAPES)
+            )
+        )
+        cell.advance(1000)
+        cell.submit(_cell.make_spec('fits', 1000, priority=9, **fields))
+        cell.advance(URGENT_MS, step_ms=200)
+        return cell
+
+    def test_urgent_job_behind_many_urgent_shapes_starts_in_time(self):
+        """It is tried although more shapes miss than a round tries."""
+        cell = self._run_behind_many_shapes(urgent=True)
+        self.assertIsNotNone(_find_start_ms(cell, 'fits'))
+
+    def test_job_behind_many_shapes_of_higher_priority_starts(self):
+        """It gets the free room that none of the shapes fits into."""
+        cell = self._run_behind_many_shapes()
+        self.assertIsNotNone(_find_start_ms(cell, 'fits'))
+
+    def test_job_behind_many_teams_at_their_quota_starts(self):
+        """Teams at their quota use up no more tries than shapes do."""
+        quotas = {
+            f't{n}': messages.Resources(1000, 8000, 0)
+            for n in range(MANY_SHAPES)
+        }
+        cell = _cell.Cell(1, quotas=quotas)
+        cell.submit(
+            *(_cell.make_spec(f'j-{t}', team=t, priority=1) for t in quotas)
+        )
+        quotas.update(dict.fromkeys(quotas, messages.Resources(500, 8000, 0)))
+        quotas['other'] = messages.Resources(4000, 8000, 0)
+        cell.submit(_cell.make_spec('fits', team='other', priority=9))
+        cell.advance(10_000)
+        self.assertIsNotNone(_find_start_ms(cell, 'fits'))
+
+    def test_urgent_job_goes_before_the_rest_of_a_long_walk(self):
+        """Shapes passed over before are tried again for an urgent job."""
+        cell = _cell.Cell(1)
+        cell.advance(1000)
+        cell.submit(_cell.make_spec('filler', 4000, command='sleep 4000'))
+        cell.advance(1000)
+        cell.submit(
+            *(
+                _cell.make_spec(f'j{n}', 1000 + n, priority=1)
+                for n in range(20 * MANY_SHAPES)
+            )
+        )
+        cell.advance(1000)
+        cell.submit(_cell.make_spec('now', 1000, urgent=True))
+        cell.advance(URGENT_MS, step_ms=200)
+        self.assertIsNotNone(_find_start_ms(cell, 'now'))
+
+
 if __name__ == '__main__':
     unittest.main()
