Look at every worker for one to clear for an urgent or large job

What callers would see: an urgent job waits until attempts end by themselves although a worker has work that may be evicted, and a large job gets no worker held for it, in a cell of more than 64 workers. So it is for a job that needs an accelerator, as workers without one are looked at first, and for an urgent job if the 64 emptiest workers run billed work. On a worker whose services have grown since it was filled, less than nothing is free: it was never cleared, in a cell of any size.

Cause: both searches stopped after 64 workers of the index of free capacity, in an order that does not change, whether or not these workers were suitable. And they asked the index for workers with room for nothing, which leaves out those with less than nothing free.

Change: both searches look at all workers that accept placements. The one for victims still compares at most 64 workers with enough victims; what a worker would have free with all evictable jobs gone is computed once a round for all urgent jobs. A search for a worker to hold that finds none is repeated after WAIT_BEFORE_HOLD_MS.

Evidence: the four new tests failed before.

--- a/fuchsiatrestle/scheduling/_capacity.py
+++ b/fuchsiatrestle/scheduling/_capacity.py
@@ -11,7 +11,7 @@
 
 import sortedcontainers
 
-__all__ = ('FreeCapacityIndex',)
+__all__ = ('FreeCapacityIndex', 'covers')
 
 # A search gives up after it has found this many workers too small.
 MAX_TOO_SMALL_WORKERS = 512
@@ -20,6 +20,11 @@
 _GRID_STEP_BITS = 2
 
 
+def covers(amounts, need):
+    """True if amounts are at least as large as a need in each dimension."""
+    return all(a >= n for a, n in zip(amounts, need, strict=True))
+
+
 def _grid_step(amount):
     """Returns the logarithmic grid step of an amount.
 
@@ -90,6 +95,12 @@
             if not grid:
                 del self._grids[location[0]]
 
+    def iter_workers(self):
+        """Yields all workers, in the order of ``iter_fitting``."""
+        for grid in list(self._grids.values()):
+            for bucket in list(reversed(grid)):
+                yield from list(grid[bucket])
+
     def iter_fitting(self, need):
         """Yields workers with enough free, fewest free accelerators first.
 
--- a/fuchsiatrestle/scheduling/_dispatch.py
+++ b/fuchsiatrestle/scheduling/_dispatch.py
@@ -14,6 +14,7 @@
 import itertools
 
 from fuchsiatrestle import messages
+from fuchsiatrestle.scheduling import _capacity
 from fuchsiatrestle.scheduling import _holds
 from fuchsiatrestle.scheduling import _queue
 from fuchsiatrestle.state import commands
@@ -246,7 +247,7 @@
             and not spec.urgent
             and worker_name not in job.failed_on
             and spec.data_centre in ('', self._fleet.rack_of(worker_name)[0])
-            and all(f >= n for f, n in zip(free, need, strict=True))
+            and _capacity.covers(free, need)
             and not self._team_shares.exceeded_dimension(spec.team, need)
         )
 
@@ -323,9 +324,9 @@
         """
         yield from self._fleet.iter_fitting(need, spec.data_centre)
         if spec.urgent:
-            yield from self._fleet.iter_fitting_held(
-                need, spec.data_centre, now_ms
-            )
+            for name in self._fleet.iter_held(spec.data_centre, now_ms):
+                if self._fleet.fits(name, need):
+                    yield name
 
     def _pick_above_tail_limit(self, job, need, candidate_names, now_ms):
         """Picks a worker for a shape that the tail latency limit holds back.
--- a/fuchsiatrestle/scheduling/_fleet.py
+++ b/fuchsiatrestle/scheduling/_fleet.py
@@ -303,31 +303,42 @@
         else:
             self._held_workers.pop(name, None)
 
-    def iter_fitting_held(self, need, data_centre, now_ms):
-        """Yields the held workers with room, in the order of their holds.
+    def iter_held(self, data_centre, now_ms):
+        """Yields the held workers that urgent jobs may be placed on now.
 
         Args:
-            need: required (cpu_milli, memory_mib, accelerators).
             data_centre: name of the data centre to search, empty for all.
             now_ms: monotonic time in milliseconds.
         """
         for name in list(self._held_workers):
             worker = self._jobs_part.workers.get(name)
             info = self._info_by_worker.get(name)
-            if worker is None or info is None:
-                continue
             if (
-                data_centre in ('', worker.spec.data_centre)
+                worker is not None
+                and info is not None
+                and data_centre in ('', worker.spec.data_centre)
                 and self.accepts_despite_hold(worker, info, now_ms)
-                and all(
-                    free >= needed
-                    for free, needed in zip(
-                        self.free_capacity(name), need, strict=True
-                    )
-                )
             ):
                 yield name
 
+    def iter_accepting(self, data_centre):
+        """Yields all workers that accept ordinary jobs, whatever is free.
+
+        Args:
+            data_centre: name of the data centre to search, empty for all.
+        """
+        for index_data_centre, index in self._index_by_data_centre.items():
+            if data_centre in ('', index_data_centre):
+                yield from index.iter_workers()
+
+    def fits_when_empty(self, name, need):
+        """True if a need would fit on a worker if no attempt ran there."""
+        return _capacity.covers(self.capacity_when_empty(name), need)
+
+    def fits(self, name, need):
+        """True if a need fits into a worker's free capacity."""
+        return _capacity.covers(self.free_capacity(name), need)
+
     def iter_fitting(self, need, data_centre):
         """Yields workers with room, alternating between data centres.
 
--- a/fuchsiatrestle/scheduling/_holds.py
+++ b/fuchsiatrestle/scheduling/_holds.py
@@ -9,8 +9,6 @@
 between two holds, so that no job that fits waits for more than one hold.
 """
 
-import itertools
-
 __all__ = ('WorkerHolds',)
 
 # Time for which no worker had room for a shape before one is held for it.
@@ -20,8 +18,6 @@
 MIN_HOLD_GAP_MS = 10_000
 # At most one worker in this many is held at a time, but one always may be.
 WORKERS_PER_HOLD = 16
-# Workers looked at to find one that is large enough when empty.
-MAX_SEARCHED_WORKERS = 64
 # Bound on the shapes whose waiting time is kept; above it all waiting times
 # are cleared.
 MAX_WAITING_SHAPES = 4096
@@ -65,8 +61,7 @@
         hold = self._hold_by_shape.get(job_shape)
         if hold is None or hold.worker_name not in self._jobs_part.workers:
             return None
-        free = self._fleet.free_capacity(hold.worker_name)
-        fits = all(f >= n for f, n in zip(free, need, strict=True))
+        fits = self._fleet.fits(hold.worker_name, need)
         return hold.worker_name if fits else None
 
     def record_shortage(self, job_shape, need, now_ms):
@@ -89,7 +84,10 @@
         if len(self._hold_by_shape) >= max_holds:
             return
         worker_name = self._find_worker_to_hold(job_shape, need, now_ms)
-        if worker_name is not None:
+        if worker_name is None:
+            # The next search, which may look at all workers, is as far away.
+            self._waiting_since_ms_by_shape[job_shape] = now_ms
+        else:
             self._hold_by_shape[job_shape] = _Hold(
                 worker_name, now_ms + MAX_HOLD_MS
             )
@@ -143,16 +141,11 @@
             for name, gap_end_ms in self._gap_end_ms_by_worker.items()
             if gap_end_ms > now_ms
         }
-        candidate_names = self._fleet.iter_fitting(
-            (0, 0, 0), job_shape.data_centre
-        )
-        for name in itertools.islice(candidate_names, MAX_SEARCHED_WORKERS):
+        for name in self._fleet.iter_accepting(job_shape.data_centre):
             if (
-                name in job_shape.failed_on
-                or name in self._gap_end_ms_by_worker
+                name not in job_shape.failed_on
+                and name not in self._gap_end_ms_by_worker
+                and self._fleet.fits_when_empty(name, need)
             ):
-                continue
-            capacity = self._fleet.capacity_when_empty(name)
-            if all(r >= n for r, n in zip(capacity, need, strict=True)):
                 return name
         return None
--- a/fuchsiatrestle/scheduling/_preemption.py
+++ b/fuchsiatrestle/scheduling/_preemption.py
@@ -2,10 +2,12 @@
 
 import itertools
 
+from fuchsiatrestle.scheduling import _capacity
+
 __all__ = ('Preemptor',)
 
-# Workers searched for victims of one urgent job.
-MAX_SEARCHED_WORKERS = 64
+# Workers with enough victims that are compared for one urgent job.
+MAX_COMPARED_WORKERS = 64
 # A worker on which more attempts would have to be evicted isn't considered.
 MAX_VICTIMS = 8
 # Time for the evictions to take effect before the same job tries again.
@@ -34,6 +36,11 @@
         # While one urgent job waits for the victims on a worker to end, no
         # other urgent job chooses the same worker.
         self._urgent_job_by_worker = {}
+        # Free capacity of a worker plus the sizes of its evictable jobs, by
+        # worker, at the time below.  A search looks at all workers if few have
+        # enough victims, and all urgent jobs search at once.
+        self._clearable_by_worker = {}
+        self._clearable_at_ms = None
 
     def forget_job(self, job_id):
         """Discards a job's retry time and its claim on a worker."""
@@ -81,18 +88,11 @@
         The worker is the one with the fewest victims, and among such workers
         the one where the evictions lose the least work.
         """
-        data_centre = job.spec.data_centre
-        candidate_names = itertools.chain(
-            self._fleet.iter_fitting_held((0, 0, 0), data_centre, now_ms),
-            self._fleet.iter_fitting((0, 0, 0), data_centre),
+        names_and_victims = itertools.islice(
+            self._iter_victims(job, need, now_ms), MAX_COMPARED_WORKERS
         )
         cheapest = None
-        for name in itertools.islice(candidate_names, MAX_SEARCHED_WORKERS):
-            if name in job.failed_on or name in self._urgent_job_by_worker:
-                continue
-            victims = self._choose_victims(name, need, now_ms)
-            if victims is None:
-                continue
+        for name, victims in names_and_victims:
             cost = (
                 len(victims),
                 sum(
@@ -104,6 +104,36 @@
                 cheapest = (cost, name, victims)
         return cheapest and cheapest[1:]
 
+    def _iter_victims(self, job, need, now_ms):
+        """Yields pairs of a worker and the jobs to evict there."""
+        data_centre = job.spec.data_centre
+        for name in itertools.chain(
+            self._fleet.iter_held(data_centre, now_ms),
+            self._fleet.iter_accepting(data_centre),
+        ):
+            if name in job.failed_on or name in self._urgent_job_by_worker:
+                continue
+            if not _capacity.covers(
+                self._clearable_capacity(name, now_ms), need
+            ):
+                continue
+            victims = self._choose_victims(name, need, now_ms)
+            if victims is not None:
+                yield name, victims
+
+    def _clearable_capacity(self, worker_name, now_ms):
+        """Returns what would be free if all evictable jobs were evicted."""
+        if self._clearable_at_ms != now_ms:
+            self._clearable_at_ms = now_ms
+            self._clearable_by_worker.clear()
+        amounts = self._clearable_by_worker.get(worker_name)
+        if amounts is None:
+            amounts = list(self._fleet.free_capacity(worker_name))
+            for job in self._victim_selector.evictable_jobs(worker_name):
+                _add_size(amounts, job.reserved)
+            self._clearable_by_worker[worker_name] = amounts
+        return amounts
+
     def _choose_victims(self, worker_name, need, now_ms):
         """Returns the jobs to evict so that the need fits on a worker.
 
@@ -113,12 +143,15 @@
         free = list(self._fleet.free_capacity(worker_name))
         victims = []
         for victim in self._victim_selector.rank_by_loss(worker_name, now_ms):
-            if all(f >= n for f, n in zip(free, need, strict=True)):
+            if _capacity.covers(free, need):
                 break
-            size = victim.reserved
-            free[0] += size.cpu_milli
-            free[1] += size.memory_mib
-            free[2] += size.accelerators
+            _add_size(free, victim.reserved)
             victims.append(victim)
-        fits = all(f >= n for f, n in zip(free, need, strict=True))
+        fits = _capacity.covers(free, need)
         return victims if fits and len(victims) <= MAX_VICTIMS else None
+
+
+def _add_size(amounts, size):
+    amounts[0] += size.cpu_milli
+    amounts[1] += size.memory_mib
+    amounts[2] += size.accelerators
--- a/tests/scheduling/test_starvation.py
+++ b/tests/scheduling/test_starvation.py
@@ -169,5 +169,79 @@
         self.assertIsNotNone(_find_start_ms(cell, 'now'))
 
 
+class SearchTest(unittest.TestCase):
+    """Searches for a worker to clear find the one that can be cleared."""
+
+    def _make_cell(self):
+        """Returns a cell where only ``w99`` has accelerators."""
+        cell = _cell.Cell(100, capacity=messages.Resources(4000, 8000, 0))
+        cell.agents['w99'].options.capacity = _cell.CAPACITY
+        cell.advance(1000)
+        return cell
+
+    def test_urgent_job_evicts_on_the_only_worker_with_accelerators(self):
+        """Workers that are too small when empty hide none that is not."""
+        cell = self._make_cell()
+        cell.submit(
+            _cell.make_spec(
+                'evictable', accelerators=1, command='sleep 100000000'
+            )
+        )
+        cell.advance(2000)
+        cell.submit(_cell.make_spec('now', accelerators=1, urgent=True))
+        cell.advance(URGENT_MS, step_ms=200)
+        self.assertIsNotNone(_find_start_ms(cell, 'now'))
+
+    def test_urgent_job_evicts_beside_many_workers_with_billed_work(self):
+        """Workers without evictable work hide none that has some."""
+        cell = _cell.Cell(100)
+        cell.advance(1000)
+        cell.submit(
+            *(_make_endless_spec(f'billed-{n}', 3000) for n in range(99)),
+            _cell.make_spec('evictable', 4000, command='sleep 100000000'),
+        )
+        cell.advance(2000)
+        cell.submit(_cell.make_spec('now', 2000, urgent=True))
+        cell.advance(URGENT_MS, step_ms=200)
+        self.assertIsNotNone(_find_start_ms(cell, 'now'))
+
+    def test_urgent_job_evicts_where_services_have_outgrown_the_rest(self):
+        """Free capacity below zero does not hide a worker."""
+        cell = _cell.Cell(1)
+        cell.advance(1000)
+        cell.submit(
+            *(
+                _cell.make_spec(f'j{n}', command='sleep 100000000')
+                for n in range(4)
+            )
+        )
+        cell.advance(2000)
+        cell.agents['w0'].options.service = 'quotes'
+        cell.advance(2000)
+        cell.submit(_cell.make_spec('now', urgent=True))
+        cell.advance(URGENT_MS, step_ms=200)
+        self.assertIsNotNone(_find_start_ms(cell, 'now'))
+
+    def test_worker_is_held_beside_many_that_are_too_small(self):
+        """A large job gets the only worker that is large enough when empty."""
+        cell = self._make_cell()
+        for second in range(90):
+            cell.submit(
+                *(
+                    _cell.make_spec(
+                        f's{second}-{n}',
+                        priority=0,
+                        accelerators=n // 3,
+                        command='sleep 3000',
+                    )
+                    for n in range(4)
+                )
+            )
+            if second == 5:
+                cell.submit(_cell.make_spec('large', 4000, accelerators=1))
+            cell.advance(1000)
+        self.assertIsNotNone(_find_start_ms(cell, 'large'))
+
+
 if __name__ == '__main__':
     unittest.main()
