Keep a job that is larger than a lowered quota from blocking its team

What callers would see: no job of a team starts any more, urgent ones of lower order included, once the quota of the team has been lowered below the size of a job that is queued. It lasts until somebody cancels that job or raises the quota.

Cause: a job for which the rest of the quota is too small keeps the other jobs of its team back, so that it gets its turn. A job larger than the whole quota is refused at submission, but a lowered quota made it so later, and its turn never comes.

Change: such a job blocks only the jobs of its team and shape. It stays queued with its reason.

--- a/fuchsiatrestle/scheduling/_dispatch.py
+++ b/fuchsiatrestle/scheduling/_dispatch.py
@@ -174,7 +174,7 @@
             if self._try_place(job, blocked_shapes_and_teams, now_ms):
                 continue
             failed_try_count += 1
-            if job.spec.team not in blocked_shapes_and_teams:
+            if self._queue.shape_of(job_id) in blocked_shapes_and_teams:
                 unplaced_jobs.append(job)
             if failed_try_count >= self._policy.max_misses:
                 self._suspend_walk(job, blocked_shapes_and_teams)
@@ -194,10 +194,11 @@
         self._round_requested = True
 
     def _is_blocked(self, job, blocked_shapes_and_teams):
-        return (
-            job.spec.team in blocked_shapes_and_teams
-            or self._queue.shape_of(job.spec.job_id)
-            in blocked_shapes_and_teams
+        team = job.spec.team
+        shape = self._queue.shape_of(job.spec.job_id)
+        return any(
+            key in blocked_shapes_and_teams
+            for key in (team, shape, (team, shape))
         )
 
     def _is_round_due(self, now_ms):
@@ -258,8 +259,10 @@
     def _try_place(self, job, blocked_shapes_and_teams, now_ms):
         """Proposes a placement of a job; True if one is proposed.
 
-        If none is found, the team (if at its quota) or else the shape of the
-        job is added to ``blocked_shapes_and_teams``.
+        If none is found, the shape of the job is added to
+        ``blocked_shapes_and_teams``, or if the team is at its quota, the team.
+        A job that became larger than a lowered quota blocks only the jobs of
+        its team and shape, as it may wait for ever.
         """
         spec = job.spec
         shape = self._queue.shape_of(spec.job_id)
@@ -267,7 +270,10 @@
         need = (size.cpu_milli, size.memory_mib, size.accelerators)
         dimension = self._team_shares.exceeded_dimension(spec.team, need)
         if dimension:
-            blocked_shapes_and_teams.add(spec.team)
+            if self._team_shares.is_larger_than_quota(spec.team, need):
+                blocked_shapes_and_teams.add((spec.team, shape))
+            else:
+                blocked_shapes_and_teams.add(spec.team)
             self._waiting_reasons[shape, spec.team] = (
                 f'team {spec.team} is at its quota in {dimension}'
             )
--- a/fuchsiatrestle/scheduling/_queue.py
+++ b/fuchsiatrestle/scheduling/_queue.py
@@ -101,18 +101,22 @@
         else:
             del self._order_keys_by_shape[entry.shape]
 
-    def find_first(self, blocked_shapes_and_teams, minimum=None):
+    def find_first(self, team, blocked_shapes_and_teams, minimum=None):
         """Finds the first job whose shape is not blocked.
 
         Args:
-            blocked_shapes_and_teams: set of shapes and team names.
+            team: the team.
+            blocked_shapes_and_teams: see ``JobQueue.iter_offers``.
             minimum: an earlier result; the search begins there.
 
         Returns:
             (order key, shape) of the job, or None.
         """
         for order_key, shape in self._first_order_keys.irange(minimum):
-            if shape not in blocked_shapes_and_teams:
+            if (
+                shape not in blocked_shapes_and_teams
+                and (team, shape) not in blocked_shapes_and_teams
+            ):
                 return order_key, shape
         return None
 
@@ -213,8 +217,9 @@
         Args:
             team_share: function that returns the current dominant share of a
                 team.
-            blocked_shapes_and_teams: set of shapes and team names to pass
-                over; the caller may add to it between two jobs.
+            blocked_shapes_and_teams: set of shapes, team names and pairs of a
+                team name and a shape to pass over; the caller may add to it
+                between two jobs.
         """
         for level in list(self._team_queues_by_level):
             team_queues = self._team_queues_by_level.get(level)
@@ -249,7 +254,7 @@
             team_queue = team_queues.get(team)
             offer = (
                 team_queue.find_first(
-                    blocked_shapes_and_teams, offer_by_team.get(team)
+                    team, blocked_shapes_and_teams, offer_by_team.get(team)
                 )
                 if team_queue
                 else None
--- a/fuchsiatrestle/scheduling/_shares.py
+++ b/fuchsiatrestle/scheduling/_shares.py
@@ -1,5 +1,7 @@
 """Reservations of each team, relative to its quota or the whole cell."""
 
+from fuchsiatrestle.scheduling import _capacity
+
 __all__ = ('TeamShares',)
 
 DIMENSIONS = ('cpu_milli', 'memory_mib', 'accelerators')
@@ -83,6 +85,18 @@
             )
         )
 
+    def is_larger_than_quota(self, team, need):
+        """True if a need exceeds the whole quota of a team, if it has one.
+
+        Args:
+            team: the team.
+            need: required (cpu_milli, memory_mib, accelerators).
+        """
+        quota = self._get_team_quotas().get(team)
+        return quota is not None and not _capacity.covers(
+            _amounts_of_size(quota), need
+        )
+
     def exceeded_dimension(self, team, need):
         """Returns a dimension in which a team would exceed its quota.
 
