End the wait for orders to an address that a worker has left

What callers would see: tasks on a worker run on, but their ends are never recorded, and nothing is placed in their room, until the leader changes. The worker counts as answering, so that its runs are not declared lost either.

Cause: a reply to an order that was sent to a former address of the worker is dropped, as it proves nothing. But the poll or the order to the run remained pending, and no other one is sent before it ends. The process need not have restarted: it is enough that it announces another address.

Change: such a reply ends the order as one without an answer, and a poll only if it is the pending one. It still proves nothing: a start may have happened.

--- a/fuchsiatrestle/workflows/_answers.py
+++ b/fuchsiatrestle/workflows/_answers.py
@@ -59,12 +59,15 @@
 
         Returns:
             The ``Worker``, or None if it is not known or the reply is from
-            an earlier process or address of the worker.
+            an earlier process of the worker.
         """
         order, reply = event.order, event.reply
         worker = self._dispatch_state.fleet.get(order.worker)
-        if worker is None or worker.record.address != order.address:
+        if worker is None:
             return None
+        if worker.record.address != order.address:
+            self._end_order_to_former_address(worker, order)
+            return worker
         if reply.verdict == _Verdict.SILENT:
             retry_delay_ms = worker.record_timeout(self._dispatch_state.now_ms)
         else:
@@ -93,6 +96,19 @@
             self._on_run_reply(worker, order, reply, retry_delay_ms)
         return worker
 
+    def _end_order_to_former_address(self, worker, order):
+        """Ends the wait for an order to an address that the worker has left.
+
+        Whatever process answers there, its reply proves nothing.
+        """
+        if not isinstance(order, _events.PollWorker):
+            silent_reply = _events.Reply(_Verdict.SILENT, None, 0, [], [])
+            self._on_run_reply(
+                worker, order, silent_reply, _fleet.RETRY_MIN_MS
+            )
+        elif worker.poll_address == order.address:
+            worker.poll_pending = False
+
     def _on_run_reply(self, worker, order, reply, retry_delay_ms):
         run = worker.runs.get((order.task, order.run))
         if run is None:
--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -41,6 +41,7 @@
         unanswered_orders: number of consecutive orders without a reply.
         paused_until_ms: time before which it gets no new tasks.
         next_poll_ms: earliest time of the next poll.
+        poll_address: address to which the newest poll was sent.
         poll_sent_ms: when the newest poll was sent.
         collected_end_number: number of the newest end of a run that was
             collected from it, to be proposed.
@@ -62,6 +63,7 @@
         'next_poll_ms',
         'pace_control',
         'paused_until_ms',
+        'poll_address',
         'poll_pending',
         'poll_sent_ms',
         'record',
@@ -84,6 +86,7 @@
         self.unanswered_orders = 0
         self.paused_until_ms = 0
         self.next_poll_ms = 0
+        self.poll_address = ''
         self.poll_sent_ms = 0
         self.collected_end_number = record.ends_noted
         self.acknowledged_end_number = record.ends_noted
--- a/fuchsiatrestle/workflows/_orders.py
+++ b/fuchsiatrestle/workflows/_orders.py
@@ -114,6 +114,7 @@
             # the run ends that were collected but are not agreed yet.
             return []
         worker.poll_pending = True
+        worker.poll_address = worker.record.address
         worker.poll_sent_ms = now_ms
         lease_until_ms = None
         if has_dispatched_runs and not worker.unanswered_orders:
--- a/tests/fakes/dispatch_world.py
+++ b/tests/fakes/dispatch_world.py
@@ -109,6 +109,7 @@
         unreachable_workers: names of workers without any connection.
         draining_workers: names of workers that announce themselves as
             draining.
+        port_by_worker: port that a worker announces, 1 if it is missing here.
         ledger: ``worker_model.RunLedger``, which lists breaches of the rules.
         workflow_store: the part of the replicated state with the workflows.
     """
@@ -126,6 +127,7 @@
         self.profiles_by_workflow = {}
         self.unreachable_workers = set()
         self.draining_workers = set()
+        self.port_by_worker = {}
         self._cpu_milli = cpu_milli
         self._worker_models = {}
         self._announcement_numbers = itertools.count(1)
@@ -356,7 +358,7 @@
             model.name,
             model.born_ms,
             next(self._announcement_numbers),
-            f'{model.name}:1',
+            f'{model.name}:{self.port_by_worker.get(model.name, 1)}',
             POOL,
             'dc',
             'draining' if model.name in self.draining_workers else 'ready',
