Probe a quarantined worker again after a probe that was not placed

What callers would see: a worker that has been repaired stays in quarantine until the leader changes. Where it is the only one with room or with an accelerator, jobs wait for it without end.

Cause: a worker gets one probe at a time, and the probe in progress is cleared by an event of its attempt. If the placement is refused, for instance because the job was cancelled in the meantime, or its proposal is rejected, there is no attempt and no event.

Change: both ways end the probe, so that another job can be used.

--- a/fuchsiatrestle/scheduling/_agreed.py
+++ b/fuchsiatrestle/scheduling/_agreed.py
@@ -136,6 +136,10 @@
                     placement.job_id, placement.attempt
                 )
                 assembly.lease_tracker.track_worker(placement.worker, now_ms)
+            else:
+                assembly.quarantine.end_probe(
+                    placement.worker, placement.job_id
+                )
             self.refresh_job(placement.job_id, now_ms)
 
     def _on_events_recorded(self, command, outcome, now_ms):
--- a/fuchsiatrestle/scheduling/_quarantine.py
+++ b/fuchsiatrestle/scheduling/_quarantine.py
@@ -172,7 +172,7 @@
         self._record_by_worker[worker_name].probe_job_id = job_id
 
     def end_probe(self, worker_name, job_id):
-        """Clears a probe that ended without success or failure."""
+        """Clears a probe that never started or ended without a result."""
         record = self._record_by_worker.get(worker_name)
         if record is not None and record.probe_job_id == job_id:
             record.probe_job_id = None
--- a/fuchsiatrestle/scheduling/_scheduler.py
+++ b/fuchsiatrestle/scheduling/_scheduler.py
@@ -174,6 +174,7 @@
         assembly = self._assembly
         for placement in assembly.outbox.handle_rejected_proposal(event.token):
             assembly.dispatcher.end_pending_placement(placement, now_ms)
+            assembly.quarantine.end_probe(placement.worker, placement.job_id)
             self._change_handler.refresh_job(placement.job_id, now_ms)
         return []
 
--- a/tests/scheduling/test_starvation.py
+++ b/tests/scheduling/test_starvation.py
@@ -3,7 +3,9 @@
 import unittest
 
 from fuchsiatrestle import messages
+from fuchsiatrestle import scheduling
 from fuchsiatrestle.scheduling import _holds
+from fuchsiatrestle.state import commands
 from tests.scheduling import _cell
 
 # Longest time from the submission of an urgent job to its start.
@@ -267,5 +269,77 @@
         self.assertEqual('queued', cell.job_state('large'))
 
 
+class ProbeTest(unittest.TestCase):
+    """A worker in quarantine gets probes until it is released."""
+
+    def _make_cell_with_quarantine(self):
+        """Returns a cell where the repaired ``w1`` is in quarantine."""
+        cell = _cell.Cell(4)
+        cell.agents['w1'].options.mode = 'fail'
+        cell.advance(1000)
+        cell.submit(
+            *(
+                _cell.make_spec(f'j{n}', command='sleep 1000')
+                for n in range(60)
+            )
+        )
+        cell.advance(25_000)
+        self.assertEqual('quarantined', self._find_state(cell))
+        cell.agents['w1'].options.mode = ''
+        return cell
+
+    def _find_state(self, cell):
+        views = cell.scheduler.list_workers(cell.now_ms).workers
+        return {view.worker: view.state for view in views}['w1']
+
+    def _run_jobs(self, cell, count):
+        for number in range(count):
+            cell.submit(
+                _cell.make_spec(
+                    f'{cell.now_ms}-{number}', command='sleep 1000'
+                )
+            )
+            cell.advance(1000)
+
+    def _propose_probe(self, cell):
+        """Runs the cell until a probe is proposed; returns the proposal."""
+        for number in range(200):
+            cell.submit(_cell.make_spec(f'p{number}', command='sleep 1000'))
+            cell.now_ms += 500
+            cell.step(scheduling.Tick())
+            for proposal in cell.proposals:
+                placements = getattr(proposal.command, 'placements', [])
+                if any(p.worker == 'w1' for p in placements):
+                    return proposal
+            cell.agree()
+            cell.advance(500)
+        self.fail('no probe was proposed')
+
+    def test_refused_placement_of_a_probe_is_followed_by_another_probe(self):
+        """A job cancelled before its placement is agreed ends the probe."""
+        cell = self._make_cell_with_quarantine()
+        proposal = self._propose_probe(cell)
+        cell.apply_command(
+            commands.CancelJobs(
+                [
+                    p.job_id
+                    for p in proposal.command.placements
+                    if p.worker == 'w1'
+                ]
+            )
+        )
+        self._run_jobs(cell, 100)
+        self.assertEqual('ready', self._find_state(cell))
+
+    def test_rejected_proposal_of_a_probe_is_followed_by_another_probe(self):
+        """A proposal that is not agreed ends the probe."""
+        cell = self._make_cell_with_quarantine()
+        proposal = self._propose_probe(cell)
+        cell.proposals.remove(proposal)
+        cell.step(scheduling.ProposalRejected(proposal.token, 'not_leader'))
+        self._run_jobs(cell, 100)
+        self.assertEqual('ready', self._find_state(cell))
+
+
 if __name__ == '__main__':
     unittest.main()
