--- a/fuchsiatrestle/scheduling/_dispatch.py
+++ b/fuchsiatrestle/scheduling/_dispatch.py
@@ -4,11 +4,17 @@
 fits.  Jobs that can go to the same workers have one shape (see
 ``_queue.Shape``).  A shape for which no worker has room, or a team at its
 quota, is passed over for the rest of the round.
+
+A round ends after ``Policy.max_misses`` failed tries.  The next round then
+goes on where it ended: it passes over what has failed since the walk through
+the queue began, so that each walk reaches every shape.  Urgent jobs are tried
+again in each round, before the walk through the other jobs goes on.
 """
 
 import itertools
 
 from fuchsiatrestle import messages
+from fuchsiatrestle.scheduling import _capacity
 from fuchsiatrestle.scheduling import _holds
 from fuchsiatrestle.scheduling import _queue
 from fuchsiatrestle.state import commands
@@ -75,6 +81,10 @@
         self._waiting_reasons = {}
         self._tail_wait_since_ms_by_shape = {}
         self._worker_holds = _holds.WorkerHolds(jobs_part, fleet)
+        # Shapes and teams for which earlier rounds of this walk found nothing,
+        # urgent jobs apart.
+        self._missed_urgent = set()
+        self._missed_ordinary = set()
         self._round_requested = True
         self._next_retry_round_ms = 0
         self._last_round_ms = -MIN_ROUND_GAP_MS
@@ -132,7 +142,7 @@
         """Runs a round if one is due, and proposes the placements found.
 
         Returns:
-            One queued job of each shape for which no worker was found.
+            One queued job of each shape for which this round found no worker.
         """
         if not self._is_round_due(now_ms):
             return []
@@ -142,7 +152,8 @@
         if len(self._waiting_reasons) > MAX_REMEMBERED_SHAPES:
             self._waiting_reasons.clear()
         self._worker_holds.release_expired(self._queue.shapes, now_ms)
-        blocked_shapes_and_teams = set()
+        blocked_shapes_and_teams = set(self._missed_urgent)
+        is_among_urgent_jobs = True
         unplaced_jobs = []
         failed_try_count = 0
         for job_id in self._queue.iter_offers(
@@ -155,15 +166,41 @@
                 self._round_requested = True
                 break
             job = self._jobs_part.jobs[job_id]
+            if is_among_urgent_jobs and not job.spec.urgent:
+                is_among_urgent_jobs = False
+                blocked_shapes_and_teams |= self._missed_ordinary
+            if self._is_blocked(job, blocked_shapes_and_teams):
+                continue
             if self._try_place(job, blocked_shapes_and_teams, now_ms):
                 continue
             failed_try_count += 1
-            if job.spec.team not in blocked_shapes_and_teams:
+            if self._queue.shape_of(job_id) in blocked_shapes_and_teams:
                 unplaced_jobs.append(job)
             if failed_try_count >= self._policy.max_misses:
+                self._suspend_walk(job, blocked_shapes_and_teams)
                 break
+        else:
+            self._missed_urgent = set()
+            self._missed_ordinary = set()
         return unplaced_jobs
 
+    def _suspend_walk(self, last_job, blocked_shapes_and_teams):
+        """Stores what the next round passes over to go on behind a job."""
+        if last_job.spec.urgent:
+            self._missed_urgent = blocked_shapes_and_teams
+        else:
+            self._missed_urgent = set()
+            self._missed_ordinary = blocked_shapes_and_teams
+        self._round_requested = True
+
+    def _is_blocked(self, job, blocked_shapes_and_teams):
+        team = job.spec.team
+        shape = self._queue.shape_of(job.spec.job_id)
+        return any(
+            key in blocked_shapes_and_teams
+            for key in (team, shape, (team, shape))
+        )
+
     def _is_round_due(self, now_ms):
         has_capacity_grown = self._fleet.pop_capacity_growth()
         self._round_requested |= has_capacity_grown
@@ -211,7 +248,7 @@
             and not spec.urgent
             and worker_name not in job.failed_on
             and spec.data_centre in ('', self._fleet.rack_of(worker_name)[0])
-            and all(f >= n for f, n in zip(free, need, strict=True))
+            and _capacity.covers(free, need)
             and not self._team_shares.exceeded_dimension(spec.team, need)
         )
 
@@ -222,8 +259,10 @@
     def _try_place(self, job, blocked_shapes_and_teams, now_ms):
         """Proposes a placement of a job; True if one is proposed.
 
-        If none is found, the team (if at its quota) or else the shape of the
-        job is added to ``blocked_shapes_and_teams``.
+        If none is found, the shape of the job is added to
+        ``blocked_shapes_and_teams``, or if the team is at its quota, the team.
+        A job that became larger than a lowered quota blocks only the jobs of
+        its team and shape, as it may wait for ever.
         """
         spec = job.spec
         shape = self._queue.shape_of(spec.job_id)
@@ -231,7 +270,10 @@
         need = (size.cpu_milli, size.memory_mib, size.accelerators)
         dimension = self._team_shares.exceeded_dimension(spec.team, need)
         if dimension:
-            blocked_shapes_and_teams.add(spec.team)
+            if self._team_shares.is_larger_than_quota(spec.team, need):
+                blocked_shapes_and_teams.add((spec.team, shape))
+            else:
+                blocked_shapes_and_teams.add(spec.team)
             self._waiting_reasons[shape, spec.team] = (
                 f'team {spec.team} is at its quota in {dimension}'
             )
@@ -253,7 +295,7 @@
             held_worker_name, now_ms
         ):
             return held_worker_name
-        candidate_names = self._fleet.iter_fitting(need, job.spec.data_centre)
+        candidate_names = self._iter_candidates(job.spec, need, now_ms)
         excluded_names = set(job.failed_on)
         excluded_names.add(
             self._evictions.worker_to_avoid(job.spec.job_id, now_ms)
@@ -279,9 +321,18 @@
     def _can_use_held_worker(self, worker_name, now_ms):
         worker = self._jobs_part.workers[worker_name]
         info = self._fleet.worker_info(worker_name)
-        return not info.quarantined and self._fleet.accepts_probe(
-            worker, info, now_ms
-        )
+        return self._fleet.accepts_despite_hold(worker, info, now_ms)
+
+    def _iter_candidates(self, spec, need, now_ms):
+        """Yields workers with room; for an urgent job, held ones come last.
+
+        A hold may last far longer than an urgent job may wait.
+        """
+        yield from self._fleet.iter_fitting(need, spec.data_centre)
+        if spec.urgent:
+            for name in self._fleet.iter_held(spec.data_centre, now_ms):
+                if self._fleet.fits(name, need):
+                    yield name
 
     def _pick_above_tail_limit(self, job, need, candidate_names, now_ms):
         """Picks a worker for a shape that the tail latency limit holds back.
--- a/fuchsiatrestle/scheduling/_holds.py
+++ b/fuchsiatrestle/scheduling/_holds.py
@@ -2,22 +2,22 @@
 
 Jobs that can go to the same workers have one shape (see ``_queue.Shape``).  If
 no worker has had room for a shape for ``WAIT_BEFORE_HOLD_MS``, one worker is
-held for the shape: the worker gets no other placement, so that its free
-capacity grows as attempts end.  At most one worker in ``WORKERS_PER_HOLD`` is
-held at a time, but at least one may be, and each for up to ``MAX_HOLD_MS``.
+held for the shape: the worker gets no other placement but of urgent jobs, so
+that its free capacity grows as attempts end.  At most one worker in
+``WORKERS_PER_HOLD`` is held at a time, but at least one may be, and each for
+up to ``MAX_HOLD_MS``.  A worker is open to all jobs for ``MIN_HOLD_GAP_MS``
+between two holds, so that no job that fits waits for more than one hold.
 """
 
-import itertools
-
 __all__ = ('WorkerHolds',)
 
 # Time for which no worker had room for a shape before one is held for it.
 WAIT_BEFORE_HOLD_MS = 60_000
 MAX_HOLD_MS = 600_000
+# Long enough for several rounds, which look at all queued shapes.
+MIN_HOLD_GAP_MS = 10_000
 # At most one worker in this many is held at a time, but one always may be.
 WORKERS_PER_HOLD = 16
-# Workers looked at to find one that is large enough when empty.
-MAX_SEARCHED_WORKERS = 64
 # Bound on the shapes whose waiting time is kept; above it all waiting times
 # are cleared.
 MAX_WAITING_SHAPES = 4096
@@ -51,6 +51,7 @@
         self._fleet = fleet
         self._waiting_since_ms_by_shape = {}
         self._hold_by_shape = {}
+        self._gap_end_ms_by_worker = {}
 
     def __len__(self):
         return len(self._hold_by_shape)
@@ -60,8 +61,7 @@
         hold = self._hold_by_shape.get(job_shape)
         if hold is None or hold.worker_name not in self._jobs_part.workers:
             return None
-        free = self._fleet.free_capacity(hold.worker_name)
-        fits = all(f >= n for f, n in zip(free, need, strict=True))
+        fits = self._fleet.fits(hold.worker_name, need)
         return hold.worker_name if fits else None
 
     def record_shortage(self, job_shape, need, now_ms):
@@ -83,8 +83,11 @@
         max_holds = max(1, len(self._jobs_part.workers) // WORKERS_PER_HOLD)
         if len(self._hold_by_shape) >= max_holds:
             return
-        worker_name = self._find_worker_to_hold(job_shape, need)
-        if worker_name is not None:
+        worker_name = self._find_worker_to_hold(job_shape, need, now_ms)
+        if worker_name is None:
+            # The next search, which may look at all workers, is as far away.
+            self._waiting_since_ms_by_shape[job_shape] = now_ms
+        else:
             self._hold_by_shape[job_shape] = _Hold(
                 worker_name, now_ms + MAX_HOLD_MS
             )
@@ -93,12 +96,14 @@
     def release_shape(self, job_shape, now_ms):
         """Ends the hold and the waiting time of a shape, if any."""
         self._waiting_since_ms_by_shape.pop(job_shape, None)
-        hold = self._hold_by_shape.pop(job_shape, None)
-        if hold is not None:
-            self._fleet.set_held(hold.worker_name, False, now_ms)
+        self._end_hold(job_shape, now_ms)
 
     def release_expired(self, shapes, now_ms):
-        """Ends holds after ``MAX_HOLD_MS``, or if no job of the shape waits.
+        """Ends the holds that have lasted too long or serve no purpose.
+
+        A hold lasts for up to ``MAX_HOLD_MS``, and serves no purpose if no job
+        of the shape waits, or if nothing can be placed on the worker for some
+        time.  In the last case another worker may be held at once.
 
         Args:
             shapes: the shapes of the queued jobs.
@@ -107,15 +112,40 @@
         for job_shape, hold in list(self._hold_by_shape.items()):
             if job_shape not in shapes or now_ms >= hold.until_ms:
                 self.release_shape(job_shape, now_ms)
+            elif not self._is_usable(hold.worker_name, now_ms):
+                self._end_hold(job_shape, now_ms)
 
-    def _find_worker_to_hold(self, job_shape, need):
-        candidate_names = self._fleet.iter_fitting(
-            (0, 0, 0), job_shape.data_centre
+    def _end_hold(self, job_shape, now_ms):
+        hold = self._hold_by_shape.pop(job_shape, None)
+        if hold is not None:
+            self._gap_end_ms_by_worker[hold.worker_name] = (
+                now_ms + MIN_HOLD_GAP_MS
+            )
+            self._fleet.set_held(hold.worker_name, False, now_ms)
+
+    def _is_usable(self, worker_name, now_ms):
+        """True unless the worker left, leaves, is quarantined or is lost."""
+        worker = self._jobs_part.workers.get(worker_name)
+        info = self._fleet.find_worker_info(worker_name)
+        return (
+            worker is not None
+            and info is not None
+            and not worker.spec.leaving
+            and not info.quarantined
+            and not self._fleet.is_lost(worker_name, now_ms)
         )
-        for name in itertools.islice(candidate_names, MAX_SEARCHED_WORKERS):
-            if name in job_shape.failed_on:
-                continue
-            capacity = self._fleet.capacity_when_empty(name)
-            if all(r >= n for r, n in zip(capacity, need, strict=True)):
+
+    def _find_worker_to_hold(self, job_shape, need, now_ms):
+        self._gap_end_ms_by_worker = {
+            name: gap_end_ms
+            for name, gap_end_ms in self._gap_end_ms_by_worker.items()
+            if gap_end_ms > now_ms
+        }
+        for name in self._fleet.iter_accepting(job_shape.data_centre):
+            if (
+                name not in job_shape.failed_on
+                and name not in self._gap_end_ms_by_worker
+                and self._fleet.fits_when_empty(name, need)
+            ):
                 return name
         return None
