Ignore a withdrawal of a worker that does not drain

Callers would see tasks that run twice: on a worker that was started again under its id, each run was recorded as lost half a second after its start and placed again while it was executing.

Cause: a withdrawal names a worker, not its process. A late one of the ended process hit the next process. Its announcements set the state back to ready, so that it got new tasks, but the time of the withdrawal stayed.

Change: a withdrawal counts only for a process that has announced that it drains, as each does before it leaves; otherwise it is logged and ignored. Announcements of a process that has withdrawn are ignored.

Evidence: test_late_withdrawal_loses_no_runs_of_the_next_process, two runs of one task at a time before, one after. If a withdrawal is ignored wrongly, the runs are recorded as lost when the lease of the silent worker is over.

--- a/fuchsiatrestle/workflows/_announcing.py
+++ b/fuchsiatrestle/workflows/_announcing.py
@@ -43,6 +43,8 @@
             return
         elif announcement.sequence <= worker.announcement_sequence:
             return
+        elif worker.withdrawn_ms is not None:
+            return
         self._update_worker(worker, announcement)
         worker.announcement_sequence = announcement.sequence
         if not worker.runs:
@@ -137,12 +139,22 @@
     def on_worker_withdrawn(self, event):
         """Records that a worker is ending its process.
 
+        A withdrawal does not name the process.  One that drains before it ends
+        has said so; if the current process has not, the withdrawal is a late
+        one of an earlier process and is ignored.
+
         Args:
             event: ``WorkerWithdrawn``.
         """
         worker = self._dispatch_state.fleet.get(event.worker)
         if worker is None:
             return
+        if worker.state != _fleet.DRAINING:
+            LOG.warning(
+                'withdrawal_ignored',
+                extra={'worker': worker.name, 'state': worker.state},
+            )
+            return
         LOG.info('worker_withdrawn', extra={'worker': worker.name})
         worker.state = 'withdrawn'
         worker.withdrawn_ms = self._dispatch_state.now_ms
--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -8,6 +8,7 @@
 __all__ = ('Fleet', 'Worker', 'record_from_announcement')
 
 READY = 'ready'
+DRAINING = 'draining'
 # A worker gets no new tasks once its last announcement is older than this many
 # announcement intervals.
 MAX_MISSED_ANNOUNCEMENTS = 3
--- a/tests/fakes/dispatch_world.py
+++ b/tests/fakes/dispatch_world.py
@@ -356,6 +356,14 @@
         self._worker_models.pop(name).crash()
         self._schedule(downtime_ms, self.add_worker, name)
 
+    def withdraw_worker(self, name):
+        """Delivers a withdrawal of a worker; its process runs on.
+
+        Args:
+            name: name of the worker.
+        """
+        self._step_dispatcher(workflows.WorkerWithdrawn(name))
+
     def _announce(self, model):
         if self._worker_models.get(model.name) is not model:
             return
--- a/tests/workflows/test_recovery.py
+++ b/tests/workflows/test_recovery.py
@@ -143,6 +143,32 @@
         self.assertEqual({}, world.ledger.running)
         self.assertEqual([], world.ledger.breaches)
 
+    def test_late_withdrawal_loses_no_runs_of_the_next_process(self):
+        world = dispatch_world.World(4, workers=1)
+        world.run(500)
+        world.crash_worker('w0', 1000)
+        world.run(2000)
+        world.submit('lasting', [LONG_RUNNING_STEP], [ENDLESS_SIZE])
+        world.run(1000)
+        world.withdraw_worker('w0')
+        world.run(10_000)
+        self.assertEqual(['w0'], list(world.ledger.running.values()))
+        self.assertEqual([], world.ledger.breaches)
+
+    def test_runs_of_a_worker_that_drained_and_left_start_elsewhere(self):
+        world = dispatch_world.World(4, workers=2)
+        world.submit('lasting', [LONG_RUNNING_STEP], [ENDLESS_SIZE])
+        world.run(1000)
+        (worker,) = world.ledger.running.values()
+        world.draining_workers.add(worker)
+        world.run(2000)
+        world.withdraw_worker(worker)
+        world.crash_worker(worker, 60_000)
+        world.run(2000)
+        self.assertEqual(1, len(world.ledger.running))
+        self.assertNotIn(worker, world.ledger.running.values())
+        self.assertEqual([], world.ledger.breaches)
+
 
 if __name__ == '__main__':
     unittest.main()
