--- a/fuchsiatrestle/workflows/_rounds.py
+++ b/fuchsiatrestle/workflows/_rounds.py
@@ -129,10 +129,6 @@
         """Share of the processor time that long-running tasks reserve."""
         return round(self._long_running_cpu / max(self._total_cpu, 1), 3)
 
-    def has_pool_of(self, worker):
-        """True if a worker of the service can still become usable."""
-        return worker.record.pool == self._pool and worker.withdrawn_ms is None
-
     def find_availability(self, worker):
         """Returns ``open``, ``reserved`` or ``unusable`` for a worker."""
         if worker.name in self._reserved_workers:
--- a/tests/workflows/test_placing.py
+++ b/tests/workflows/test_placing.py
@@ -183,6 +183,31 @@
         self.assertEqual(12, len(running_tasks))
         self.assertEqual([], world.ledger.breaches)
 
+    def test_interrupted_task_comes_before_an_older_new_one(self):
+        """A task that never ran does not take the room of an interrupted."""
+        world = dispatch_world.World(11, workers=2)
+        self._submit_long_running(world, 'other', 5200)
+        world.run(500)
+        self._submit_long_running(world, 'cancelled', 2900)
+        world.run(500)
+        self._submit_long_running(world, 'new', 5200)
+        world.run(500)
+        self._submit_long_running(world, 'interrupted', 5000)
+        world.run(4000)
+        world.cancel('cancelled')
+        crashed_worker = next(
+            worker
+            for (task, _), worker in world.ledger.running.items()
+            if task.workflow_id == 'interrupted'
+        )
+        world.crash_worker(crashed_worker, 20_000)
+        world.run(25_000)
+        running_workflow_ids = {
+            task.workflow_id for task, _ in world.ledger.running
+        }
+        self.assertEqual({'other', 'interrupted'}, running_workflow_ids)
+        self.assertEqual([], world.ledger.breaches)
+
 
 if __name__ == '__main__':
     unittest.main()
