--- a/fuchsiatrestle/workflows/_backlog.py
+++ b/fuchsiatrestle/workflows/_backlog.py
@@ -9,8 +9,8 @@
 the priority of their queue and then by their slack, the least first.
 
 Long-running tasks never count as late.  One that ran before is interrupted
-while it waits: its users miss it, and only a worker without room may delay it.
-As it is waiting, the capacity that it had is free or lost.
+while it waits, and goes before all other groups whatever its priority: its
+start continues what was running, and running tasks do not make way either.
 """
 
 __all__ = ('Backlog', 'Group')
@@ -170,35 +170,38 @@
                 for task_id in workflow.task_ids(occurrence, step_number)
                 if _is_waiting(workflow.tasks[task_id])
             ]
-            for task_ids, is_interrupted in _split_interrupted(
-                workflow, step_number, waiting_task_ids
-            ):
-                if task_ids:
-                    yield Group(
-                        workflow,
-                        occurrence,
-                        step_number,
-                        task_ids,
-                        is_interrupted,
-                    )
-
-
-def _split_interrupted(workflow, step_number, task_ids):
-    """Returns the waiting tasks of a step that are interrupted and the others.
-
-    Returns:
-        Two pairs of a list of task ids, which may be empty, and True if these
-        tasks are interrupted.
+            yield from _make_groups(
+                workflow, occurrence, step_number, waiting_task_ids
+            )
+
+
+def _make_groups(workflow, occurrence, step_number, waiting_task_ids):
+    """Yields a group of the interrupted tasks of a step and one of the others.
+
+    All waiting tasks of a gang count as interrupted if one of them does.
     """
     step = workflow.spec.steps[step_number]
-    interrupted_ids, other_ids = [], []
-    for task_id in task_ids:
-        has_run = workflow.tasks[task_id].last_run_number > 0
-        is_interrupted = step.lasts and has_run
-        (interrupted_ids if is_interrupted else other_ids).append(task_id)
+    interrupted_ids = [
+        task_id
+        for task_id in waiting_task_ids
+        if step.lasts and workflow.tasks[task_id].last_run_number > 0
+    ]
     if step.gang and interrupted_ids:
-        return (task_ids, True), ([], False)
-    return (interrupted_ids, True), (other_ids, False)
+        interrupted_ids = waiting_task_ids
+    other_ids = [
+        task_id
+        for task_id in waiting_task_ids
+        if task_id not in interrupted_ids
+    ]
+    for task_ids in (interrupted_ids, other_ids):
+        if task_ids:
+            yield Group(
+                workflow,
+                occurrence,
+                step_number,
+                task_ids,
+                is_interrupted=task_ids is interrupted_ids,
+            )
 
 
 def _is_waiting(task):
--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -271,28 +271,44 @@
 
     def _place_waiting_groups(self):
         now_ms = self._state.now_ms
-        round_by_pool = {}
-        deferred_groups = []
         ready_groups = self._backlog.ready_groups(self._wall_now())
-        self._wait_times.set_waiting_groups(
+        self._wait_times.update_waiting_groups(
             [group for group in ready_groups if group.step.lasts], now_ms
         )
+        round_by_pool = {}
+        deferred_groups = self._place_ready_groups(ready_groups, round_by_pool)
+        self._place_deferred_groups(deferred_groups)
+        self._waiting_log.report_if_due(
+            round_by_pool.values(), self._state.fleet, now_ms
+        )
+
+    def _place_ready_groups(self, ready_groups, round_by_pool):
+        """Places groups in their order; returns those that are deferred.
+
+        Args:
+            ready_groups: the groups.
+            round_by_pool: ``PlacementRound`` by name of the service; the
+                missing ones are added.
+
+        Returns:
+            A list of (``Group``, its ``Queue``, its ``PlacementRound``).
+        """
+        deferred_groups = []
         for group in ready_groups:
             queue = self._state.workflow_store.current_queue(group.workflow)
             pool_round = self._find_pool_round(round_by_pool, queue.pool)
             if pool_round.exceeds_long_running_share(group):
                 deferred_groups.append((group, queue, pool_round))
-            else:
-                self._place_or_record_waiting(
-                    group,
-                    queue,
-                    pool_round,
-                    group.is_interrupted or self._is_overdue(group),
-                )
-        self._place_deferred_groups(deferred_groups)
-        self._waiting_log.report_if_due(
-            round_by_pool.values(), self._state.fleet, now_ms
-        )
+                continue
+            self._place_or_record_waiting(
+                group,
+                queue,
+                pool_round,
+                ignores_reservations=(
+                    group.is_interrupted or self._is_overdue(group)
+                ),
+            )
+        return deferred_groups
 
     def _place_deferred_groups(self, deferred_groups):
         """Places new long-running tasks beyond their share of processor time.
@@ -305,7 +321,9 @@
             if self._is_overdue(group) or not pool_round.must_yield_to_batch(
                 queue.priority
             ):
-                self._place_or_record_waiting(group, queue, pool_round, False)
+                self._place_or_record_waiting(
+                    group, queue, pool_round, ignores_reservations=False
+                )
             else:
                 pool_round.record_deferred_group(group)
 
@@ -327,18 +345,22 @@
         return round_by_pool[pool]
 
     def _place_or_record_waiting(
-        self, group, queue, pool_round, ignores_reservations
+        self, group, queue, pool_round, *, ignores_reservations
     ):
         placed_count = 0
-        if pool_round.may_fit(group.step, ignores_reservations):
-            placed_count = self._place_group(
-                group,
-                pool_round.workers_for(group.step, ignores_reservations),
+        if pool_round.may_fit(
+            group.step, ignores_reservations=ignores_reservations
+        ):
+            workers = pool_round.workers_for(
+                group.step, ignores_reservations=ignores_reservations
             )
+            placed_count = self._place_group(group, workers)
             pool_round.record_placed_tasks(group.step, placed_count)
         if placed_count < len(group.waiting_task_ids):
             pool_round.record_waiting_group(
-                group, queue.priority, ignores_reservations
+                group,
+                queue.priority,
+                ignores_reservations=ignores_reservations,
             )
 
     def _place_group(self, group, workers):
--- a/fuchsiatrestle/workflows/_rounds.py
+++ b/fuchsiatrestle/workflows/_rounds.py
@@ -8,7 +8,7 @@
 
 from fuchsiatrestle.workflows import _placement
 
-__all__ = ('PlacementRound',)
+__all__ = ('Availability', 'PlacementRound')
 
 # Share of the processor time of a round's workers that long-running tasks may
 # reserve; groups that would exceed it make way for waiting batch tasks.
@@ -18,6 +18,14 @@
 MAX_RESERVED_WORKER_SHARE = 0.2
 
 
+class Availability:
+    """Availability of a worker for the groups that come later in a round."""
+
+    OPEN = 'open'
+    RESERVED = 'reserved'  # for a group that does not fit yet
+    UNUSABLE = 'unusable'  # it accepts no placements
+
+
 class PlacementRound:
     """Workers of a service in one placement round.
 
@@ -25,9 +33,10 @@
     never find enough room on one worker.  So the round reserves a worker for
     a group that does not fit, and groups that come later in the round do not
     use that worker.  Best-effort tasks, which reserve no processor time, may
-    still be placed on it.  So may groups that ignore reservations, which are
-    interrupted or have waited too long: as each round may reserve the same
-    worker again, the room on it could stay unused for ever.
+    still be placed on it.  So may the groups that ignore reservations, the
+    interrupted ones and, within the share of the long-running tasks, the
+    overdue ones: other groups may wait, and reserve the worker again in each
+    round, for an unlimited time.
 
     Free capacity only shrinks within a round.  So if a task found no worker,
     later steps that need at least as much as its step are not tried, unless
@@ -47,6 +56,7 @@
         self.pool = pool
         self.waiting_long_running_groups = []
         self._workers = workers
+        self._usable_names = {worker.name for worker in workers}
         # Highest priority (lowest number) of the queues of the batch groups
         # that found no worker for some of their tasks.
         self._waiting_batch_priority = None
@@ -70,7 +80,8 @@
 
         Long-running tasks free no capacity by themselves.  Without the limit,
         more of them than the workers can run would leave no room for batch
-        tasks of the same priority.  Interrupted tasks had their share before.
+        tasks of the same priority.  Interrupted tasks are exempt: they were
+        placed within the share before.
         """
         if not group.step.lasts or group.is_interrupted:
             return False
@@ -88,7 +99,7 @@
             return False
         return self._waiting_batch_priority <= priority
 
-    def may_fit(self, step, ignores_reservations):
+    def may_fit(self, step, *, ignores_reservations):
         """False if a step with no larger needs found no worker this round.
 
         Args:
@@ -102,7 +113,7 @@
             )
         )
 
-    def workers_for(self, step, ignores_reservations):
+    def workers_for(self, step, *, ignores_reservations):
         """Returns the workers on which tasks of a step may be placed.
 
         Args:
@@ -130,10 +141,12 @@
         return round(self._long_running_cpu / max(self._total_cpu, 1), 3)
 
     def find_availability(self, worker):
-        """Returns ``open``, ``reserved`` or ``unusable`` for a worker."""
+        """Returns the ``Availability`` of a worker."""
         if worker.name in self._reserved_workers:
-            return 'reserved'
-        return 'open' if worker in self._workers else 'unusable'
+            return Availability.RESERVED
+        if worker.name in self._usable_names:
+            return Availability.OPEN
+        return Availability.UNUSABLE
 
     # Results of the round
 
@@ -147,7 +160,7 @@
         if step.lasts:
             self._long_running_cpu += task_count * step.cpu
 
-    def record_waiting_group(self, group, priority, ignores_reservations):
+    def record_waiting_group(self, group, priority, *, ignores_reservations):
         """Records a group with waiting tasks and reserves a worker for it.
 
         Args:
@@ -161,7 +174,7 @@
         if (
             not step.gang
             and not step.most_per_worker
-            and self.may_fit(step, ignores_reservations)
+            and self.may_fit(step, ignores_reservations=ignores_reservations)
         ):
             self._unplaced_steps_by_competition.setdefault(
                 _competition_key(step, ignores_reservations), []
@@ -194,7 +207,9 @@
         best_worker = max(
             (
                 worker
-                for worker in self.workers_for(group.step, False)
+                for worker in self.workers_for(
+                    group.step, ignores_reservations=False
+                )
                 if _fits_without_batch_tasks(group.step, task_id, worker)
             ),
             key=lambda worker: worker.capacity.free_cpu,
--- a/fuchsiatrestle/workflows/_waiting.py
+++ b/fuchsiatrestle/workflows/_waiting.py
@@ -1,18 +1,19 @@
-"""Measures how long tasks of long-running steps wait, and logs why.
+"""Decides when long-running tasks have waited too long, and logs why.
 
-A long-running task has to run again within seconds after it ended if a worker
-has room for it.  The log lines show whether the workers with room were
-reserved for other groups, accepted no placements, or did not exist.
+A long-running task has to start within seconds if a worker has room for it.
+The log lines show whether the workers with room were reserved for other
+groups, accepted no placements, or did not exist.
 """
 
 from fuchsiatrestle import logs
 from fuchsiatrestle.workflows import _placement
+from fuchsiatrestle.workflows import _rounds
 
 __all__ = ('WaitTimes', 'WaitingLog')
 
-# Wait from which a long-running task is overdue.  It makes way for batch tasks
-# no longer; within the share of the long-running tasks, it may also use
-# reserved workers.
+# Wait from which a long-running task is overdue.  It no longer yields to batch
+# tasks; within the share of the long-running tasks, it may also use reserved
+# workers.
 OVERDUE_WAIT_MS = 2000
 # Shortest time between two reports.
 REPORT_INTERVAL_MS = 1000
@@ -28,9 +29,10 @@
     """Measures for how long the tasks of long-running groups have waited."""
 
     def __init__(self):
+        # By task id.
         self._waiting_since_ms_by_task = {}
 
-    def set_waiting_groups(self, groups, now_ms):
+    def update_waiting_groups(self, groups, now_ms):
         """Records which tasks wait now; the wait of all others has ended.
 
         Args:
@@ -95,19 +97,14 @@
             self._report_round(pool_round, workers, now_ms)
 
     def _report_round(self, pool_round, workers, now_ms):
-        waits = [
-            (self._wait_times.longest_wait_ms(group, now_ms), group)
-            for group in pool_round.waiting_long_running_groups
-        ]
-        waits = [wait for wait in waits if wait[0] >= MIN_REPORTED_WAIT_MS]
-        waits.sort(key=lambda wait: wait[0], reverse=True)
         pool_workers = [
             worker
             for worker in workers
             if worker.record.pool == pool_round.pool
             and worker.withdrawn_ms is None
         ]
-        for wait_ms, group in waits[:MAX_REPORTED_GROUPS]:
+        waits_and_groups = self._find_long_waits(pool_round, now_ms)
+        for wait_ms, group in waits_and_groups[:MAX_REPORTED_GROUPS]:
             room_counts = _count_workers_with_room(
                 group, pool_round, pool_workers
             )
@@ -117,15 +114,32 @@
                     'workflow': group.workflow.workflow_id,
                     'step': f'{group.occurrence}.{group.step_number}',
                     'waiting': len(group.waiting_task_ids),
+                    'interrupted': group.is_interrupted,
                     'waited_ms': wait_ms,
                     'cpu': group.step.cpu,
                     **room_counts,
                     'reserved': pool_round.reserved_worker_count,
                     'long_running_share': pool_round.long_running_share,
-                    'groups': len(waits),
+                    'groups': len(waits_and_groups),
                 },
             )
 
+    def _find_long_waits(self, pool_round, now_ms):
+        """Returns (wait in ms, ``Group``) pairs, the longest wait first."""
+        waits_and_groups = [
+            (self._wait_times.longest_wait_ms(group, now_ms), group)
+            for group in pool_round.waiting_long_running_groups
+        ]
+        return sorted(
+            (
+                wait_and_group
+                for wait_and_group in waits_and_groups
+                if wait_and_group[0] >= MIN_REPORTED_WAIT_MS
+            ),
+            key=lambda wait_and_group: wait_and_group[0],
+            reverse=True,
+        )
+
 
 def _count_workers_with_room(group, pool_round, workers):
     """Returns how many workers have room for a task of a group.
@@ -133,7 +147,12 @@
     The keys of the dict are those of the log line, one for each availability
     of the workers.
     """
-    counts = dict.fromkeys(('room_open', 'room_reserved', 'room_unusable'), 0)
+    availabilities = (
+        _rounds.Availability.OPEN,
+        _rounds.Availability.RESERVED,
+        _rounds.Availability.UNUSABLE,
+    )
+    counts = {f'room_{availability}': 0 for availability in availabilities}
     task_id = group.waiting_task_ids[0]
     for worker in workers:
         if _placement.has_room(group.step, task_id, worker):
--- a/tests/workflows/test_waiting.py
+++ b/tests/workflows/test_waiting.py
@@ -35,6 +35,31 @@
             (record.room_open, record.room_reserved, record.room_unusable),
         )
 
+    def test_new_task_beyond_the_share_leaves_reserved_room_to_batch(self):
+        world = dispatch_world.World(3, workers=4)
+        for number, cpu in enumerate((7200, 7200, 7200, 5000)):
+            self._submit_long_running(world, f'filler-{number}', cpu)
+            world.run(500)
+        for name, cpu, work_ms in (
+            ('slow', 1000, 60_000),
+            ('larger-than-free', 2300, 400),
+        ):
+            world.submit(
+                name,
+                [workflows.Step(1, cpu=cpu, memory_mb=10)],
+                [worker_model.TaskProfile(cpu, 10, work_ms)],
+            )
+            world.run(500)
+        self._submit_long_running(world, 'waits', 1800)
+        with self.assertLogs(_waiting.LOG) as logs:
+            world.run(_waiting.MIN_REPORTED_WAIT_MS + 2000)
+        record = logs.records[-1]
+        self.assertEqual('waits', record.workflow)
+        self.assertEqual(
+            (0, 1, 0),
+            (record.room_open, record.room_reserved, record.room_unusable),
+        )
+
     def test_room_on_a_worker_out_of_use_is_told_apart(self):
         world = dispatch_world.World(3, workers=2)
         self._submit_long_running(world, 'most', 7000)
