Search all queued shapes for a probe of a quarantined worker

What callers would see: a worker that has been repaired stays in quarantine while 32 shapes that go first in the queue can't be its probe, because they are larger than what is free there, urgent, not idempotent or have failed there.

Cause: a search looked at the first 32 shapes of the queue, the same ones in each step.

Change: a search that ends early goes on behind these shapes in the next step, as placement rounds do.

--- a/fuchsiatrestle/scheduling/_dispatch.py
+++ b/fuchsiatrestle/scheduling/_dispatch.py
@@ -29,7 +29,8 @@
 # evicted job avoids its worker, so waiting jobs are tried again at least this
 # often.
 RETRY_INTERVAL_MS = 1_000
-# Queued jobs looked at to find one that can probe a quarantined worker.
+# Queued jobs looked at in one step to find one that can probe a quarantined
+# worker; the next step goes on behind them.
 MAX_PROBE_CANDIDATES = 32
 # Least time between two rounds while no urgent job is queued.
 MIN_ROUND_GAP_MS = 50
@@ -224,19 +225,22 @@
             The id of the job, or None if no queued job is suitable.
         """
         free = self._fleet.free_capacity(worker_name)
-        blocked_shapes_and_teams = set()
-        for job_id in itertools.islice(
-            self._queue.iter_offers(
-                self._team_shares.dominant_share, blocked_shapes_and_teams
-            ),
-            MAX_PROBE_CANDIDATES,
-        ):
+        info = self._fleet.worker_info(worker_name)
+        blocked_shapes = info.unsuitable_probe_shapes
+        info.unsuitable_probe_shapes = set()
+        candidate_ids = self._queue.iter_offers(
+            self._team_shares.dominant_share, blocked_shapes
+        )
+        for number, job_id in enumerate(candidate_ids, 1):
             job = self._jobs_part.jobs[job_id]
-            blocked_shapes_and_teams.add(self._queue.shape_of(job_id))
             size = self._size_rule.reservation_size(job.spec)
             if self._is_suitable_probe(job, worker_name, size, free):
                 self._propose_placement(job, worker_name, size, now_ms)
                 return job_id
+            blocked_shapes.add(self._queue.shape_of(job_id))
+            if number == MAX_PROBE_CANDIDATES:
+                info.unsuitable_probe_shapes = blocked_shapes
+                break
         return None
 
     def _is_suitable_probe(self, job, worker_name, size, free):
--- a/fuchsiatrestle/scheduling/_fleet.py
+++ b/fuchsiatrestle/scheduling/_fleet.py
@@ -32,6 +32,8 @@
             not yet applied, by job id.
         paused_until_ms: monotonic time before which nothing is placed here.
         quarantined: True while only probes are placed here.
+        unsuitable_probe_shapes: shapes whose jobs were found unsuitable as
+            probes of this worker by a search that is to be continued.
         held: True while the worker is kept free for the jobs of one shape
             (see ``_queue.Shape``).
         cpu_peak: ``RecentPeak`` of the services' processor time, in
@@ -51,6 +53,7 @@
         'quarantined',
         'seq',
         'services',
+        'unsuitable_probe_shapes',
     )
 
     def __init__(self, name):
@@ -62,6 +65,7 @@
         self.pending_reservations = {}
         self.paused_until_ms = 0
         self.quarantined = False
+        self.unsuitable_probe_shapes = set()
         self.held = False
         self.cpu_peak = _peaks.RecentPeak()
         self.memory_peak = _peaks.RecentPeak()
--- a/tests/scheduling/test_starvation.py
+++ b/tests/scheduling/test_starvation.py
@@ -340,6 +340,25 @@
         self._run_jobs(cell, 100)
         self.assertEqual('ready', self._find_state(cell))
 
+    def test_probe_is_found_behind_many_unsuitable_shapes(self):
+        """Jobs that can't be probes do not hide one that can."""
+        cell = self._make_cell_with_quarantine()
+        cell.submit(
+            *(
+                _make_endless_spec(f'b{n}', 3001 + n, priority=1)
+                for n in range(MANY_SHAPES)
+            )
+        )
+        for number in range(100):
+            cell.submit(
+                *(
+                    _cell.make_spec(f'{number}-{n}', command='sleep 1000')
+                    for n in range(4)
+                )
+            )
+            cell.advance(1000)
+        self.assertEqual('ready', self._find_state(cell))
+
 
 if __name__ == '__main__':
     unittest.main()
