Let an urgent job try again soon while others have claimed the workers

What callers would see: of two urgent jobs that need the same worker cleared, the second one starts after 3.8 s; it has to start within 2.8 s.

Cause: while an urgent job waits for its victims, no other one chooses the same worker. A job that found no worker for this reason tried again after RETRY_INTERVAL_MS, 3 s, the time that evictions of its own would need.

Change: it tries again after 200 ms, as a claim ends once its job is placed. A job that finds no worker while there is no claim waits as long as before.

--- a/fuchsiatrestle/scheduling/_preemption.py
+++ b/fuchsiatrestle/scheduling/_preemption.py
@@ -12,6 +12,10 @@
 MAX_VICTIMS = 8
 # Time for the evictions to take effect before the same job tries again.
 RETRY_INTERVAL_MS = 3_000
+# Time before a job tries again if it found no worker and others have claimed
+# some.  A claim ends once its job is placed, far sooner than an urgent job
+# has to start.
+CLAIMED_RETRY_INTERVAL_MS = 200
 # At this number of urgent jobs with a retry time, all retry times and claims
 # on workers are cleared.
 MAX_REMEMBERED_JOBS = 4096
@@ -53,8 +57,8 @@
     def make_room(self, job, need, now_ms):
         """Begins the evictions that make room for one urgent job.
 
-        Does nothing within ``RETRY_INTERVAL_MS`` of the last try, or if no
-        worker has suitable victims.
+        Does nothing if the last try was too short a time ago, or if no worker
+        has suitable victims.
 
         Args:
             job: the urgent job.
@@ -69,9 +73,14 @@
             self._urgent_job_by_worker.clear()
         self.forget_job(job_id)
         name_and_victims = self._find_cheapest_victims(job, need, now_ms)
-        self._next_try_ms_by_job[job_id] = now_ms + RETRY_INTERVAL_MS
         if name_and_victims is None:
+            self._next_try_ms_by_job[job_id] = now_ms + (
+                CLAIMED_RETRY_INTERVAL_MS
+                if self._urgent_job_by_worker
+                else RETRY_INTERVAL_MS
+            )
             return
+        self._next_try_ms_by_job[job_id] = now_ms + RETRY_INTERVAL_MS
         worker_name, victims = name_and_victims
         self._urgent_job_by_worker[worker_name] = job_id
         for victim in victims:
--- a/tests/scheduling/test_starvation.py
+++ b/tests/scheduling/test_starvation.py
@@ -230,6 +230,29 @@
         cell.advance(URGENT_MS, step_ms=200)
         self.assertIsNotNone(_find_start_ms(cell, 'now'))
 
+    def test_urgent_jobs_that_claim_one_worker_start_in_time(self):
+        """The claim of one job does not make the next one miss its time."""
+        cell = _cell.Cell(1)
+        cell.advance(1000)
+        cell.submit(
+            *(
+                _cell.make_spec(f'j{n}', 2000, command='sleep 100000000')
+                for n in range(2)
+            )
+        )
+        cell.advance(2000)
+        cell.submit(
+            *(
+                _cell.make_spec(
+                    f'now-{n}', 2000, urgent=True, command='sleep 60000'
+                )
+                for n in range(2)
+            )
+        )
+        cell.advance(URGENT_MS, step_ms=200)
+        self.assertIsNotNone(_find_start_ms(cell, 'now-0'))
+        self.assertIsNotNone(_find_start_ms(cell, 'now-1'))
+
     def test_worker_is_held_beside_many_that_are_too_small(self):
         """A large job gets the only worker that is large enough when empty."""
         cell = self._make_cell()
