Make room for all urgent jobs that wait, not for one after the other

What callers would see: of ten urgent jobs of one kind that arrive together in a full cell, the first starts after 0.6 s and the last after 4.4 s; each has to start within 2.8 s. The same for urgent jobs that need one worker.

Cause: a round offers one job of each shape that finds no room, and room was made only for the jobs offered. And a worker could be cleared for one urgent job at a time.

Change: room is made for up to 64 urgent jobs of such a shape that are within their quotas. A claim on a worker counts the room that its victims will leave; another urgent job takes its part of that, or has further work evicted there. This replaces the short retry beside claims.

--- a/fuchsiatrestle/scheduling/_dispatch.py
+++ b/fuchsiatrestle/scheduling/_dispatch.py
@@ -11,6 +11,7 @@
 again in each round, before the walk through the other jobs goes on.
 """
 
+import collections
 import itertools
 
 from fuchsiatrestle import messages
@@ -32,6 +33,8 @@
 # Queued jobs looked at in one step to find one that can probe a quarantined
 # worker; the next step goes on behind them.
 MAX_PROBE_CANDIDATES = 32
+# Urgent jobs of one shape for which room is made at a time.
+MAX_URGENT_ALIKE = 64
 # Least time between two rounds while no urgent job is queued.
 MIN_ROUND_GAP_MS = 50
 # Above this queue length fewer workers are scored for each placement, because
@@ -93,6 +96,9 @@
     def __len__(self):
         return len(self._queue)
 
+    def __contains__(self, job_id):
+        return job_id in self._queue
+
     # Queue
 
     def refresh_job(self, job_id):
@@ -185,6 +191,27 @@
             self._missed_ordinary = set()
         return unplaced_jobs
 
+    def iter_urgent_alike(self, job):
+        """Yields queued urgent jobs of a job's shape, within their quotas.
+
+        A round offers one job of a shape for which no worker has room, but
+        each of them needs room of its own.
+        """
+        need = self.reservation_for(job)
+        job_count_by_team = collections.Counter()
+        for job_id in self._queue.iter_urgent(
+            self._queue.shape_of(job.spec.job_id)
+        ):
+            other_job = self._jobs_part.jobs[job_id]
+            team = other_job.spec.team
+            team_need = [n * (job_count_by_team[team] + 1) for n in need]
+            if self._team_shares.exceeded_dimension(team, team_need):
+                continue
+            yield other_job
+            job_count_by_team[team] += 1
+            if job_count_by_team.total() >= MAX_URGENT_ALIKE:
+                return
+
     def _suspend_walk(self, last_job, blocked_shapes_and_teams):
         """Stores what the next round passes over to go on behind a job."""
         if last_job.spec.urgent:
--- a/fuchsiatrestle/scheduling/_preemption.py
+++ b/fuchsiatrestle/scheduling/_preemption.py
@@ -12,15 +12,35 @@
 MAX_VICTIMS = 8
 # Time for the evictions to take effect before the same job tries again.
 RETRY_INTERVAL_MS = 3_000
-# Time before a job tries again if it found no worker and others have claimed
-# some.  A claim ends once its job is placed, far sooner than an urgent job
-# has to start.
-CLAIMED_RETRY_INTERVAL_MS = 200
 # At this number of urgent jobs with a retry time, all retry times and claims
 # on workers are cleared.
 MAX_REMEMBERED_JOBS = 4096
 
 
+class _Claim:
+    """Room on one worker that urgent jobs wait for.
+
+    Attributes:
+        data_centre: data centre of the worker.
+        job_ids: the urgent jobs.
+        room: [cpu_milli, memory_mib, accelerators] that will be left over once
+            the victims have ended and the jobs are placed.
+    """
+
+    __slots__ = ('data_centre', 'job_ids', 'room')
+
+    def __init__(self, data_centre, room):
+        self.data_centre = data_centre
+        self.job_ids = set()
+        self.room = room
+
+    def add_job(self, job_id, need):
+        """Gives a part of the room to a job."""
+        self.job_ids.add(job_id)
+        for position, amount in enumerate(need):
+            self.room[position] -= amount
+
+
 class Preemptor:
     """Chooses and evicts victims for urgent jobs that find no room.
 
@@ -37,9 +57,8 @@
         self._evictions = evictions
         self._policy = policy
         self._next_try_ms_by_job = {}
-        # While one urgent job waits for the victims on a worker to end, no
-        # other urgent job chooses the same worker.
-        self._urgent_job_by_worker = {}
+        # A claim lasts until its jobs are placed or try again.
+        self._claim_by_worker = {}
         # Free capacity of a worker plus the sizes of its evictable jobs, by
         # worker, at the time below.  A search looks at all workers if few have
         # enough victims, and all urgent jobs search at once.
@@ -49,10 +68,10 @@
     def forget_job(self, job_id):
         """Discards a job's retry time and its claim on a worker."""
         self._next_try_ms_by_job.pop(job_id, None)
-        for worker_name in [
-            w for w, j in self._urgent_job_by_worker.items() if j == job_id
-        ]:
-            del self._urgent_job_by_worker[worker_name]
+        for worker_name, claim in list(self._claim_by_worker.items()):
+            claim.job_ids.discard(job_id)
+            if not claim.job_ids:
+                self._drop_claim(worker_name)
 
     def make_room(self, job, need, now_ms):
         """Begins the evictions that make room for one urgent job.
@@ -70,26 +89,64 @@
             return
         if len(self._next_try_ms_by_job) >= MAX_REMEMBERED_JOBS:
             self._next_try_ms_by_job.clear()
-            self._urgent_job_by_worker.clear()
+            self._claim_by_worker.clear()
         self.forget_job(job_id)
+        self._next_try_ms_by_job[job_id] = now_ms + RETRY_INTERVAL_MS
+        claim = self._find_claim_with_room(job, need)
+        if claim is None:
+            claim = self._begin_evictions(job, need, now_ms)
+        if claim is not None:
+            claim.add_job(job_id, need)
+
+    def _find_claim_with_room(self, job, need):
+        """Returns a claim whose victims leave room for one more job."""
+        for worker_name, claim in self._claim_by_worker.items():
+            if (
+                worker_name not in job.failed_on
+                and job.spec.data_centre in ('', claim.data_centre)
+                and _capacity.covers(claim.room, need)
+            ):
+                return claim
+        return None
+
+    def _begin_evictions(self, job, need, now_ms):
+        """Evicts the cheapest victims; returns their ``_Claim``, or None."""
         name_and_victims = self._find_cheapest_victims(job, need, now_ms)
         if name_and_victims is None:
-            self._next_try_ms_by_job[job_id] = now_ms + (
-                CLAIMED_RETRY_INTERVAL_MS
-                if self._urgent_job_by_worker
-                else RETRY_INTERVAL_MS
-            )
-            return
-        self._next_try_ms_by_job[job_id] = now_ms + RETRY_INTERVAL_MS
+            return None
         worker_name, victims = name_and_victims
-        self._urgent_job_by_worker[worker_name] = job_id
+        room = self._find_room(worker_name)
         for victim in victims:
+            _add_size(room, victim.reserved)
             self._evictions.begin_eviction(
                 victim,
                 now_ms,
-                f'makes room for urgent job {job_id}',
+                f'makes room for urgent job {job.spec.job_id}',
                 self._policy.urgent_patience_ms,
             )
+        self._forget_clearable(worker_name)
+        claim = self._claim_by_worker.get(worker_name)
+        if claim is None:
+            data_centre, _ = self._fleet.rack_of(worker_name)
+            claim = self._claim_by_worker[worker_name] = _Claim(
+                data_centre, room
+            )
+        claim.room = room
+        return claim
+
+    def _drop_claim(self, worker_name):
+        del self._claim_by_worker[worker_name]
+        self._forget_clearable(worker_name)
+
+    def _forget_clearable(self, worker_name):
+        self._clearable_by_worker.pop(worker_name, None)
+
+    def _find_room(self, worker_name):
+        """Returns what is free, or will be once the victims have ended."""
+        claim = self._claim_by_worker.get(worker_name)
+        if claim is not None:
+            return list(claim.room)
+        return list(self._fleet.free_capacity(worker_name))
 
     def _find_cheapest_victims(self, job, need, now_ms):
         """Returns the name of a worker and the jobs to evict there, or None.
@@ -120,7 +177,7 @@
             self._fleet.iter_held(data_centre, now_ms),
             self._fleet.iter_accepting(data_centre),
         ):
-            if name in job.failed_on or name in self._urgent_job_by_worker:
+            if name in job.failed_on:
                 continue
             if not _capacity.covers(
                 self._clearable_capacity(name, now_ms), need
@@ -137,7 +194,7 @@
             self._clearable_by_worker.clear()
         amounts = self._clearable_by_worker.get(worker_name)
         if amounts is None:
-            amounts = list(self._fleet.free_capacity(worker_name))
+            amounts = self._find_room(worker_name)
             for job in self._victim_selector.evictable_jobs(worker_name):
                 _add_size(amounts, job.reserved)
             self._clearable_by_worker[worker_name] = amounts
@@ -149,7 +206,7 @@
         None if that takes more than ``MAX_VICTIMS`` evictions, or if the
         evictable jobs are not enough.
         """
-        free = list(self._fleet.free_capacity(worker_name))
+        free = self._find_room(worker_name)
         victims = []
         for victim in self._victim_selector.rank_by_loss(worker_name, now_ms):
             if _capacity.covers(free, need):
--- a/fuchsiatrestle/scheduling/_queue.py
+++ b/fuchsiatrestle/scheduling/_queue.py
@@ -101,6 +101,11 @@
         else:
             del self._order_keys_by_shape[entry.shape]
 
+    def iter_shape(self, shape):
+        """Yields the jobs of a shape in their order."""
+        for order_key in self._order_keys_by_shape.get(shape, ()):
+            yield order_key[2]
+
     def find_first(self, team, blocked_shapes_and_teams, minimum=None):
         """Finds the first job whose shape is not blocked.
 
@@ -207,6 +212,14 @@
         self._entry_by_job[spec.job_id] = entry
         return entry
 
+    def iter_urgent(self, shape):
+        """Yields the urgent jobs of a shape by level, then by team."""
+        for level, team_queues in self._team_queues_by_level.items():
+            if level[0]:
+                return
+            for team_queue in team_queues.values():
+                yield from team_queue.iter_shape(shape)
+
     def iter_offers(self, team_share, blocked_shapes_and_teams):
         """Yields queued job ids in the order they should be placed.
 
--- a/fuchsiatrestle/scheduling/_scheduler.py
+++ b/fuchsiatrestle/scheduling/_scheduler.py
@@ -203,8 +203,16 @@
         for job in assembly.dispatcher.run_round(now_ms):
             self._change_handler.park_if_no_worker_left(job, now_ms)
             if job.spec.urgent:
-                need = assembly.dispatcher.reservation_for(job)
-                assembly.preemptor.make_room(job, need, now_ms)
+                self._make_room_for_shape(job, now_ms)
+
+    def _make_room_for_shape(self, job, now_ms):
+        """Makes room for all urgent jobs of the shape of an unplaced job."""
+        assembly = self._assembly
+        if job.spec.job_id not in assembly.dispatcher:
+            return
+        need = assembly.dispatcher.reservation_for(job)
+        for urgent_job in assembly.dispatcher.iter_urgent_alike(job):
+            assembly.preemptor.make_room(urgent_job, need, now_ms)
 
     def _end_attempts_without_lease(self, worker_name):
         worker = self._jobs_part.workers.get(worker_name)
--- a/tests/scheduling/test_starvation.py
+++ b/tests/scheduling/test_starvation.py
@@ -274,6 +274,47 @@
         self.assertIsNotNone(_find_start_ms(cell, 'large'))
 
 
+class UrgentBurstTest(unittest.TestCase):
+    """Urgent jobs that arrive together do not wait for one another."""
+
+    def _run_burst(self, workers, count, cpu_milli):
+        """Returns a full cell some time after urgent jobs of one shape."""
+        cell = _cell.Cell(workers)
+        cell.advance(1000)
+        cell.submit(
+            *(
+                _cell.make_spec(f'j{n}', 4000, command='sleep 100000000')
+                for n in range(workers)
+            )
+        )
+        cell.advance(3000)
+        cell.submit(
+            *(
+                _cell.make_spec(
+                    f'now-{n}', cpu_milli, urgent=True, command='sleep 60000'
+                )
+                for n in range(count)
+            )
+        )
+        cell.advance(URGENT_MS, step_ms=200)
+        for number in range(count):
+            self.assertIsNotNone(_find_start_ms(cell, f'now-{number}'))
+        return cell
+
+    def _count_evictions(self, cell):
+        return sum(job.evictions for job in cell.part.jobs.values())
+
+    def test_urgent_jobs_of_one_shape_start_in_time(self):
+        """Room is made for all of them at once."""
+        cell = self._run_burst(12, 10, 4000)
+        self.assertEqual(10, self._count_evictions(cell))
+
+    def test_urgent_jobs_share_the_room_of_one_victim(self):
+        """No more work is evicted than they need together."""
+        cell = self._run_burst(4, 4, 1000)
+        self.assertEqual(1, self._count_evictions(cell))
+
+
 class QuotaTest(unittest.TestCase):
     """A job above its team's quota does not stop the team."""
 
