--- a/fuchsiatrestle/scheduling/_dispatch.py
+++ b/fuchsiatrestle/scheduling/_dispatch.py
@@ -11,6 +11,7 @@
 again in each round, before the walk through the other jobs goes on.
 """
 
+import collections
 import itertools
 
 from fuchsiatrestle import messages
@@ -29,8 +30,11 @@
 # evicted job avoids its worker, so waiting jobs are tried again at least this
 # often.
 RETRY_INTERVAL_MS = 1_000
-# Queued jobs looked at to find one that can probe a quarantined worker.
+# Queued jobs looked at in one step to find one that can probe a quarantined
+# worker; the next step goes on behind them.
 MAX_PROBE_CANDIDATES = 32
+# Urgent jobs of one shape for which room is made at a time.
+MAX_URGENT_ALIKE = 64
 # Least time between two rounds while no urgent job is queued.
 MIN_ROUND_GAP_MS = 50
 # Above this queue length fewer workers are scored for each placement, because
@@ -92,6 +96,9 @@
     def __len__(self):
         return len(self._queue)
 
+    def __contains__(self, job_id):
+        return job_id in self._queue
+
     # Queue
 
     def refresh_job(self, job_id):
@@ -184,6 +191,27 @@
             self._missed_ordinary = set()
         return unplaced_jobs
 
+    def iter_urgent_alike(self, job):
+        """Yields queued urgent jobs of a job's shape, within their quotas.
+
+        A round offers one job of a shape for which no worker has room, but
+        each of them needs room of its own.
+        """
+        need = self.reservation_for(job)
+        job_count_by_team = collections.Counter()
+        for job_id in self._queue.iter_urgent(
+            self._queue.shape_of(job.spec.job_id)
+        ):
+            other_job = self._jobs_part.jobs[job_id]
+            team = other_job.spec.team
+            team_need = [n * (job_count_by_team[team] + 1) for n in need]
+            if self._team_shares.exceeded_dimension(team, team_need):
+                continue
+            yield other_job
+            job_count_by_team[team] += 1
+            if job_count_by_team.total() >= MAX_URGENT_ALIKE:
+                return
+
     def _suspend_walk(self, last_job, blocked_shapes_and_teams):
         """Stores what the next round passes over to go on behind a job."""
         if last_job.spec.urgent:
@@ -224,19 +252,22 @@
             The id of the job, or None if no queued job is suitable.
         """
         free = self._fleet.free_capacity(worker_name)
-        blocked_shapes_and_teams = set()
-        for job_id in itertools.islice(
-            self._queue.iter_offers(
-                self._team_shares.dominant_share, blocked_shapes_and_teams
-            ),
-            MAX_PROBE_CANDIDATES,
-        ):
+        info = self._fleet.worker_info(worker_name)
+        blocked_shapes = info.unsuitable_probe_shapes
+        info.unsuitable_probe_shapes = set()
+        candidate_ids = self._queue.iter_offers(
+            self._team_shares.dominant_share, blocked_shapes
+        )
+        for number, job_id in enumerate(candidate_ids, 1):
             job = self._jobs_part.jobs[job_id]
-            blocked_shapes_and_teams.add(self._queue.shape_of(job_id))
             size = self._size_rule.reservation_size(job.spec)
             if self._is_suitable_probe(job, worker_name, size, free):
                 self._propose_placement(job, worker_name, size, now_ms)
                 return job_id
+            blocked_shapes.add(self._queue.shape_of(job_id))
+            if number == MAX_PROBE_CANDIDATES:
+                info.unsuitable_probe_shapes = blocked_shapes
+                break
         return None
 
     def _is_suitable_probe(self, job, worker_name, size, free):
--- a/tests/scheduling/test_starvation.py
+++ b/tests/scheduling/test_starvation.py
@@ -230,6 +230,29 @@
         cell.advance(URGENT_MS, step_ms=200)
         self.assertIsNotNone(_find_start_ms(cell, 'now'))
 
+    def test_urgent_jobs_that_claim_one_worker_start_in_time(self):
+        """The claim of one job does not make the next one miss its time."""
+        cell = _cell.Cell(1)
+        cell.advance(1000)
+        cell.submit(
+            *(
+                _cell.make_spec(f'j{n}', 2000, command='sleep 100000000')
+                for n in range(2)
+            )
+        )
+        cell.advance(2000)
+        cell.submit(
+            *(
+                _cell.make_spec(
+                    f'now-{n}', 2000, urgent=True, command='sleep 60000'
+                )
+                for n in range(2)
+            )
+        )
+        cell.advance(URGENT_MS, step_ms=200)
+        self.assertIsNotNone(_find_start_ms(cell, 'now-0'))
+        self.assertIsNotNone(_find_start_ms(cell, 'now-1'))
+
     def test_worker_is_held_beside_many_that_are_too_small(self):
         """A large job gets the only worker that is large enough when empty."""
         cell = self._make_cell()
@@ -251,6 +274,47 @@
         self.assertIsNotNone(_find_start_ms(cell, 'large'))
 
 
+class UrgentBurstTest(unittest.TestCase):
+    """Urgent jobs that arrive together do not wait for one another."""
+
+    def _run_burst(self, workers, count, cpu_milli):
+        """Returns a full cell some time after urgent jobs of one shape."""
+        cell = _cell.Cell(workers)
+        cell.advance(1000)
+        cell.submit(
+            *(
+                _cell.make_spec(f'j{n}', 4000, command='sleep 100000000')
+                for n in range(workers)
+            )
+        )
+        cell.advance(3000)
+        cell.submit(
+            *(
+                _cell.make_spec(
+                    f'now-{n}', cpu_milli, urgent=True, command='sleep 60000'
+                )
+                for n in range(count)
+            )
+        )
+        cell.advance(URGENT_MS, step_ms=200)
+        for number in range(count):
+            self.assertIsNotNone(_find_start_ms(cell, f'now-{number}'))
+        return cell
+
+    def _count_evictions(self, cell):
+        return sum(job.evictions for job in cell.part.jobs.values())
+
+    def test_urgent_jobs_of_one_shape_start_in_time(self):
+        """Room is made for all of them at once."""
+        cell = self._run_burst(12, 10, 4000)
+        self.assertEqual(10, self._count_evictions(cell))
+
+    def test_urgent_jobs_share_the_room_of_one_victim(self):
+        """No more work is evicted than they need together."""
+        cell = self._run_burst(4, 4, 1000)
+        self.assertEqual(1, self._count_evictions(cell))
+
+
 class QuotaTest(unittest.TestCase):
     """A job above its team's quota does not stop the team."""
 
@@ -340,6 +404,25 @@
         self._run_jobs(cell, 100)
         self.assertEqual('ready', self._find_state(cell))
 
+    def test_probe_is_found_behind_many_unsuitable_shapes(self):
+        """Jobs that can't be probes do not hide one that can."""
+        cell = self._make_cell_with_quarantine()
+        cell.submit(
+            *(
+                _make_endless_spec(f'b{n}', 3001 + n, priority=1)
+                for n in range(MANY_SHAPES)
+            )
+        )
+        for number in range(100):
+            cell.submit(
+                *(
+                    _cell.make_spec(f'{number}-{n}', command='sleep 1000')
+                    for n in range(4)
+                )
+            )
+            cell.advance(1000)
+        self.assertEqual('ready', self._find_state(cell))
+
 
 if __name__ == '__main__':
     unittest.main()
