Open a reserved worker to all groups after thirty seconds

The next round reserves the same worker again, here for a task that can not fit while a long batch task runs beside it.

Change: after 30 s of reservations without a break a worker is not reserved for 1 s, in which groups that fit get their turn in their order. The 30 s are longer than a large task waits for its turn in test_placing.

Measured: test_batch_task_is_not_kept_off_a_reserved_worker, still queued after 300 s before, completed after. The other tests of workflows pass.

--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -50,6 +50,7 @@
         self._interference_model = _interference.InterferenceModel()
         self._placer = placer or _placement.BestFit(self._interference_model)
         self._backlog = _backlog.Backlog(workflow_store)
+        self._reservation_limits = _rounds.ReservationLimits()
         self._wait_times = _waiting.WaitTimes()
         self._waiting_log = _waiting.WaitingLog(self._wait_times, now_ms)
         self._order_planner = _orders.OrderPlanner(self._state, timing)
@@ -278,6 +279,14 @@
         round_by_pool = {}
         deferred_groups = self._place_ready_groups(ready_groups, round_by_pool)
         self._place_deferred_groups(deferred_groups)
+        self._reservation_limits.record_reservations(
+            {
+                name
+                for pool_round in round_by_pool.values()
+                for name in pool_round.reserved_workers
+            },
+            now_ms,
+        )
         self._waiting_log.report_if_due(
             round_by_pool.values(), self._state.fleet, now_ms
         )
@@ -341,7 +350,12 @@
             usable_workers = self._state.fleet.usable_workers(
                 pool, self._state.now_ms
             )
-            round_by_pool[pool] = _rounds.PlacementRound(pool, usable_workers)
+            round_by_pool[pool] = _rounds.PlacementRound(
+                pool,
+                usable_workers,
+                self._reservation_limits,
+                self._state.now_ms,
+            )
         return round_by_pool[pool]
 
     def _place_or_record_waiting(
--- a/fuchsiatrestle/workflows/_rounds.py
+++ b/fuchsiatrestle/workflows/_rounds.py
@@ -8,7 +8,7 @@
 
 from fuchsiatrestle.workflows import _placement
 
-__all__ = ('Availability', 'PlacementRound')
+__all__ = ('Availability', 'PlacementRound', 'ReservationLimits')
 
 # Share of the processor time of a round's workers that long-running tasks may
 # reserve; groups that would exceed it make way for waiting batch tasks.
@@ -16,6 +16,10 @@
 # Share of the workers that may be reserved for tasks that do not fit yet.  One
 # more worker than this may be reserved, so that a small fleet can reserve one.
 MAX_RESERVED_WORKER_SHARE = 0.2
+# Longest time for which rounds may reserve a worker without a break, and the
+# length of the break: groups that fit get their turn in it.
+MAX_RESERVATION_MS = 30_000
+RESERVATION_BREAK_MS = 1000
 
 
 class Availability:
@@ -26,6 +30,48 @@
     UNUSABLE = 'unusable'  # it accepts no placements
 
 
+class ReservationLimits:
+    """Limits for how long the rounds may reserve a worker without a break.
+
+    What a group waits for may not come for a long time, while the room on the
+    worker that is reserved for it would suffice for others.
+    """
+
+    def __init__(self):
+        # Both by name of the worker.
+        self._reserved_since_ms = {}
+        self._break_until_ms = {}
+
+    def may_reserve(self, worker, now_ms):
+        """False if the reservations of a worker are in a break.
+
+        Args:
+            worker: the ``Worker``.
+            now_ms: monotonic time.
+        """
+        return now_ms >= self._break_until_ms.get(worker.name, now_ms)
+
+    def record_reservations(self, worker_names, now_ms):
+        """Records which workers all rounds at a time have reserved.
+
+        Args:
+            worker_names: names of the workers.
+            now_ms: monotonic time.
+        """
+        self._reserved_since_ms = {
+            name: self._reserved_since_ms.get(name, now_ms)
+            for name in worker_names
+        }
+        self._break_until_ms = {
+            name: break_until_ms
+            for name, break_until_ms in self._break_until_ms.items()
+            if break_until_ms > now_ms
+        }
+        for name, since_ms in self._reserved_since_ms.items():
+            if now_ms - since_ms >= MAX_RESERVATION_MS:
+                self._break_until_ms[name] = now_ms + RESERVATION_BREAK_MS
+
+
 class PlacementRound:
     """Workers of a service in one placement round.
 
@@ -45,22 +91,27 @@
     Args:
         pool: name of the service.
         workers: the workers of the service that accept placements.
+        reservation_limits: the ``ReservationLimits``.
+        now_ms: monotonic time.
 
     Attributes:
         pool: name of the service.
+        reserved_workers: set of the names of the reserved workers.
         waiting_long_running_groups: the groups of long-running tasks that were
             not placed, or not whole.
     """
 
-    def __init__(self, pool, workers):
+    def __init__(self, pool, workers, reservation_limits, now_ms):
         self.pool = pool
         self.waiting_long_running_groups = []
         self._workers = workers
+        self._reservation_limits = reservation_limits
+        self._now_ms = now_ms
         self._usable_names = {worker.name for worker in workers}
         # Highest priority (lowest number) of the queues of the batch groups
         # that found no worker for some of their tasks.
         self._waiting_batch_priority = None
-        self._reserved_workers = set()
+        self.reserved_workers = set()
         self._max_reserved_workers = (
             int(MAX_RESERVED_WORKER_SHARE * len(workers)) + 1
         )
@@ -120,21 +171,16 @@
             step: the ``Step``.
             ignores_reservations: True if its group may use reserved workers.
         """
-        if step.fills or ignores_reservations or not self._reserved_workers:
+        if step.fills or ignores_reservations or not self.reserved_workers:
             return self._workers
         return [
             worker
             for worker in self._workers
-            if worker.name not in self._reserved_workers
+            if worker.name not in self.reserved_workers
         ]
 
     # Figures for log lines
 
-    @property
-    def reserved_worker_count(self):
-        """Number of workers reserved for groups that do not fit."""
-        return len(self._reserved_workers)
-
     @property
     def long_running_share(self):
         """Share of the processor time that long-running tasks reserve."""
@@ -142,7 +188,7 @@
 
     def find_availability(self, worker):
         """Returns the ``Availability`` of a worker."""
-        if worker.name in self._reserved_workers:
+        if worker.name in self.reserved_workers:
             return Availability.RESERVED
         if worker.name in self._usable_names:
             return Availability.OPEN
@@ -183,7 +229,7 @@
             return
         if not step.lasts:
             self._record_waiting_batch_priority(priority)
-        if len(self._reserved_workers) < self._max_reserved_workers:
+        if len(self.reserved_workers) < self._max_reserved_workers:
             self._reserve_worker(group)
 
     def record_deferred_group(self, group):
@@ -198,10 +244,10 @@
     def _reserve_worker(self, group):
         """Reserves the worker on which a group is likely to fit first.
 
-        The candidates are the workers that are not reserved yet, meet the
-        constraints of the group's step and would have the processor time for
-        one of its tasks if they ran no batch tasks.  The one with the most
-        free processor time is chosen.
+        The candidates are the workers that may be reserved and are not
+        reserved yet, meet the constraints of the group's step and would have
+        the processor time for one of its tasks if they ran no batch tasks.
+        The one with the most free processor time is chosen.
         """
         task_id = group.waiting_task_ids[-1]
         best_worker = max(
@@ -210,13 +256,14 @@
                 for worker in self.workers_for(
                     group.step, ignores_reservations=False
                 )
-                if _fits_without_batch_tasks(group.step, task_id, worker)
+                if self._reservation_limits.may_reserve(worker, self._now_ms)
+                and _fits_without_batch_tasks(group.step, task_id, worker)
             ),
             key=lambda worker: worker.capacity.free_cpu,
             default=None,
         )
         if best_worker is not None:
-            self._reserved_workers.add(best_worker.name)
+            self.reserved_workers.add(best_worker.name)
 
 
 def _competition_key(step, ignores_reservations):
--- a/fuchsiatrestle/workflows/_waiting.py
+++ b/fuchsiatrestle/workflows/_waiting.py
@@ -118,7 +118,7 @@
                     'waited_ms': wait_ms,
                     'cpu': group.step.cpu,
                     **room_counts,
-                    'reserved': pool_round.reserved_worker_count,
+                    'reserved': len(pool_round.reserved_workers),
                     'long_running_share': pool_round.long_running_share,
                     'groups': len(waits_and_groups),
                 },
--- a/tests/workflows/test_placing.py
+++ b/tests/workflows/test_placing.py
@@ -156,6 +156,22 @@
         self.assertNotIn('large', running_workflow_ids)
         self.assertEqual([], world.ledger.breaches)
 
+    def test_batch_task_is_not_kept_off_a_reserved_worker(self):
+        """Room reserved for a task that can not fit for long is lent out."""
+        world = dispatch_world.World(11, workers=4)
+        for number, cpu in enumerate((7200, 7200, 7200, 5500)):
+            self._submit_long_running(world, f'most-{number}', cpu)
+            world.run(500)
+        self._submit_batch(world, 'slow', 1000, 10_000_000)
+        self._submit_batch(world, 'fills-the-gap', 1500, 40_000)
+        world.run(500)
+        self._submit_batch(world, 'larger-than-gap', 2200, 400)
+        world.run(1000)
+        self._submit_batch(world, 'fits', 1400, 400)
+        world.run(300_000)
+        self.assertEqual('completed', world.workflow_state('fits'))
+        self.assertEqual([], world.ledger.breaches)
+
     def test_interrupted_long_running_tasks_do_not_wait_behind_batch(self):
         """Batch tasks that fit into each gap do not take all of them."""
         world = dispatch_world.World(13, workers=4)
