--- a/tests/fakes/dispatch_world.py
+++ b/tests/fakes/dispatch_world.py
@@ -281,6 +281,27 @@
             )
         )
 
+    def submit_task(self, workflow_id, cpu, work_ms=None, prefix=PREFIX):
+        """Submits a workflow of one task.
+
+        Args:
+            workflow_id: its id.
+            cpu: processor time that the task reserves, in thousandths of a
+                core.
+            work_ms: run time of a batch task; None if the task is
+                long-running.
+            prefix: prefix of the queue's paths.
+        """
+        step = records.Step(
+            1,
+            cpu=cpu,
+            memory_mb=10,
+            estimate_ms=work_ms or 0,
+            lasts=work_ms is None,
+        )
+        profile = worker_model.TaskProfile(cpu, 10, work_ms)
+        self.submit(workflow_id, [step], [profile], prefix)
+
     def cancel(self, workflow_id):
         """Cancels a workflow."""
         self.apply_agreed(
--- a/tests/workflows/test_placing.py
+++ b/tests/workflows/test_placing.py
@@ -99,35 +99,19 @@
         self.assertEqual('running', world.workflow_state('lasting'))
         self.assertEqual([], world.ledger.breaches)
 
-    def _submit_long_running(self, world, name, cpu, **fields):
-        world.submit(
-            name,
-            [workflows.Step(1, cpu=cpu, memory_mb=10, lasts=True)],
-            [worker_model.TaskProfile(cpu, 10, None)],
-            **fields,
-        )
-
-    def _submit_batch(self, world, name, cpu, work_ms):
-        world.submit(
-            name,
-            [workflows.Step(1, cpu=cpu, memory_mb=10, estimate_ms=work_ms)],
-            [worker_model.TaskProfile(cpu, 10, work_ms)],
-        )
-
     def test_long_running_task_is_not_kept_off_a_reserved_worker(self):
         """Room reserved for urgent batch tasks does not stay unused."""
         world = dispatch_world.World(11, workers=4)
         for number, cpu in enumerate((7000, 7000, 7000, 4000)):
-            self._submit_long_running(world, f'most-{number}', cpu)
+            world.submit_task(f'filler-{number}', cpu)
             world.run(500)
-        self._submit_batch(world, 'slow', 2500, 60_000)
+        world.submit_task('slow', 2500, 60_000)
         world.run(500)
         for number in range(15):
-            self._submit_batch(world, f'too-large-now-{number}', 3500, 400)
+            world.submit_task(f'larger-than-free-{number}', 3500, 400)
             world.run(200)
             if number == 0:
-                self._submit_long_running(
-                    world,
+                world.submit_task(
                     'fits',
                     1200,
                     prefix=dispatch_world.LOW_PRIORITY_PREFIX,
@@ -139,13 +123,13 @@
         """Room reserved for a larger interrupted task does not stay unused."""
         world = dispatch_world.World(11, workers=4)
         for name, cpu in (('large', 4000), ('small', 2500)):
-            self._submit_long_running(world, name, cpu)
+            world.submit_task(name, cpu)
             world.run(500)
         crashed_worker = next(iter(world.ledger.running.values()))
         for number, cpu in enumerate((7000, 7000, 3000)):
-            self._submit_long_running(world, f'most-{number}', cpu)
+            world.submit_task(f'filler-{number}', cpu)
             world.run(500)
-        self._submit_batch(world, 'slow', 2000, 60_000)
+        world.submit_task('slow', 2000, 60_000)
         world.run(500)
         world.crash_worker(crashed_worker, 60_000)
         world.run(6000)
@@ -160,14 +144,14 @@
         """Room reserved for a task that can not fit for long is lent out."""
         world = dispatch_world.World(11, workers=4)
         for number, cpu in enumerate((7200, 7200, 7200, 5500)):
-            self._submit_long_running(world, f'most-{number}', cpu)
+            world.submit_task(f'filler-{number}', cpu)
             world.run(500)
-        self._submit_batch(world, 'slow', 1000, 10_000_000)
-        self._submit_batch(world, 'fills-the-gap', 1500, 40_000)
+        world.submit_task('slow', 1000, 10_000_000)
+        world.submit_task('fills-the-gap', 1500, 40_000)
         world.run(500)
-        self._submit_batch(world, 'larger-than-gap', 2200, 400)
+        world.submit_task('larger-than-free', 2200, 400)
         world.run(1000)
-        self._submit_batch(world, 'fits', 1400, 400)
+        world.submit_task('fits', 1400, 400)
         world.run(300_000)
         self.assertEqual('completed', world.workflow_state('fits'))
         self.assertEqual([], world.ledger.breaches)
@@ -202,13 +186,13 @@
     def test_interrupted_task_comes_before_an_older_new_one(self):
         """A task that never ran does not take the room of an interrupted."""
         world = dispatch_world.World(11, workers=2)
-        self._submit_long_running(world, 'other', 5200)
+        world.submit_task('other', 5200)
         world.run(500)
-        self._submit_long_running(world, 'cancelled', 2900)
+        world.submit_task('cancelled', 2900)
         world.run(500)
-        self._submit_long_running(world, 'new', 5200)
+        world.submit_task('new', 5200)
         world.run(500)
-        self._submit_long_running(world, 'interrupted', 5000)
+        world.submit_task('interrupted', 5000)
         world.run(4000)
         world.cancel('cancelled')
         crashed_worker = next(
