--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -1,5 +1,6 @@
 """Tests that the deploy file, its templates and packages fit the programs."""
 
+import math
 import pathlib
 import re
 import tempfile
@@ -31,6 +32,13 @@
     }
 
 
+def _count_replicas(role_table, vm_count):
+    """Returns how many VMs of a data centre run a role."""
+    if 'share' in role_table:
+        return math.ceil(role_table['share'] * vm_count)
+    return min(role_table['count'], vm_count)
+
+
 class DeployTest(unittest.TestCase):
     def setUp(self):
         text = (ROOT / 'deploy/system.toml').read_text(encoding='utf-8')
@@ -74,6 +82,23 @@
         self.assertEqual(6000, cfg.get('workers', 'longest_lease_ms'))
         self.assertEqual(150, cfg.get('timing', 'heartbeat_ms'))
 
+    def test_control_keeps_a_quorum_after_the_losses_to_be_borne(self):
+        role_table = self.deploy['roles']['control']
+        for core_vms_by_data_centre, lost_count in (
+            ((2, 2, 1), 1),
+            ((2, 1, 1, 1), 1),
+            ((3, 2, 2, 2), 2),
+            ((3, 3, 3), 2),
+        ):
+            with self.subTest(core_vms=core_vms_by_data_centre):
+                replica_count = sum(
+                    _count_replicas(role_table, vm_count)
+                    for vm_count in core_vms_by_data_centre
+                )
+                self.assertGreater(
+                    replica_count - lost_count, replica_count // 2
+                )
+
     def test_metrics_are_where_the_deploy_file_says(self):
         for role, role_table in self.deploy['roles'].items():
             port, _, path = role_table['metrics'].partition('/')
--- a/tests/platform/test_process_platform.py
+++ b/tests/platform/test_process_platform.py
@@ -183,10 +183,13 @@
         for lost_index in range(4):
             with self.subTest(lost_index=lost_index):
                 with tempfile.TemporaryDirectory() as folder:
-                    curio.run(self._check_disk_loss, folder, lost_index)
+                    curio.run(self._check_disk_loss, folder, 4, (lost_index,))
 
-    async def _check_disk_loss(self, folder, lost_index):
-        deployment = self._deploy(folder, control_count=4)
+    def test_all_killed_and_two_of_five_disks_lost(self):
+        curio.run(self._check_disk_loss, self.folder, 5, (0, 4))
+
+    async def _check_disk_loss(self, folder, control_count, lost_indexes):
+        deployment = self._deploy(folder, control_count=control_count)
         await deployment.start()
         newest_configuration = _deployment.make_configuration(1)
         await deployment.put_configuration(newest_configuration)
@@ -194,10 +197,12 @@
         self.assertEqual(
             200, await deployment.submit_workflow(name, _deployment.STEPS)
         )
-        await self._wait_until_joined(deployment, deployment.hosts[3])
+        for host in deployment.hosts[3:]:
+            await self._wait_until_joined(deployment, host)
         for process in deployment.controls.values():
             process.kill()
-        deployment.lose_disk(deployment.hosts[lost_index])
+        for lost_index in lost_indexes:
+            deployment.lose_disk(deployment.hosts[lost_index])
         for process in deployment.controls.values():
             process.start()
         await self._wait_until_completed(deployment, [name])
