--- a/fuchsiatrestle/workflows/_rounds.py
+++ b/fuchsiatrestle/workflows/_rounds.py
@@ -52,7 +52,7 @@
         return now_ms >= self._break_until_ms.get(worker.name, now_ms)
 
     def record_reservations(self, worker_names, now_ms):
-        """Records which workers all rounds at a time have reserved.
+        """Records which workers the rounds of all services have reserved.
 
         Args:
             worker_names: names of the workers.
@@ -81,8 +81,8 @@
     use that worker.  Best-effort tasks, which reserve no processor time, may
     still be placed on it.  So may the groups that ignore reservations, the
     interrupted ones and, within the share of the long-running tasks, the
-    overdue ones: other groups may wait, and reserve the worker again in each
-    round, for an unlimited time.
+    overdue ones: they can not wait for as long as the rounds may reserve the
+    worker again and again.
 
     Free capacity only shrinks within a round.  So if a task found no worker,
     later steps that need at least as much as its step are not tried, unless
