--- a/fuchsiatrestle/workflows/_answers.py
+++ b/fuchsiatrestle/workflows/_answers.py
@@ -72,7 +72,7 @@
             retry_delay_ms = worker.record_timeout(self._dispatch_state.now_ms)
         else:
             retry_delay_ms = 0
-            worker.record_reply()
+            worker.record_reply(self._dispatch_state.now_ms)
             worker.lease_clock.record_reading(
                 reply.clock_ms, self._dispatch_state.now_ms
             )
--- a/fuchsiatrestle/workflows/_book.py
+++ b/fuchsiatrestle/workflows/_book.py
@@ -123,7 +123,14 @@
                 run.live_run.task, run.live_run.run, run.checkpoint, reason
             )
         )
-        self.log_run('run_lost', run, warn=True, reason=reason)
+        self.log_run(
+            'run_lost',
+            run,
+            warn=True,
+            reason=reason,
+            silent_ms=worker.silent_ms(self.now_ms),
+            adopted=run.adopted,
+        )
 
     def stop_run(self, run, reason):
         """Marks a run to be stopped, unless it is being stopped already.
--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -40,6 +40,8 @@
             of this leader.
         poll_pending: True while a poll waits for its reply.
         unanswered_orders: number of consecutive orders without a reply.
+        last_replied_ms: time of its last reply to this leader, None before
+            the first.
         paused_until_ms: time before which it gets no new tasks.
         next_poll_ms: earliest time of the next poll.
         poll_address: address to which the newest poll was sent.
@@ -60,6 +62,7 @@
         'collected_end_number',
         'has_seen_token',
         'last_announced_ms',
+        'last_replied_ms',
         'lease_clock',
         'next_poll_ms',
         'pace_control',
@@ -85,6 +88,7 @@
         self.has_seen_token = False
         self.poll_pending = False
         self.unanswered_orders = 0
+        self.last_replied_ms = None
         self.paused_until_ms = 0
         self.next_poll_ms = 0
         self.poll_address = ''
@@ -158,9 +162,16 @@
             run.step.image for run in self.runs.values() if run.is_best_effort
         }
 
-    def record_reply(self):
+    def record_reply(self, now_ms):
         """Resets the count of orders without a reply."""
         self.unanswered_orders = 0
+        self.last_replied_ms = now_ms
+
+    def silent_ms(self, now_ms):
+        """Returns the time since its last reply to this leader, or None."""
+        if self.last_replied_ms is None:
+            return None
+        return now_ms - self.last_replied_ms
 
     def record_timeout(self, now_ms):
         """Counts an order without a reply and pauses placement.
--- a/tests/workflows/test_waiting.py
+++ b/tests/workflows/test_waiting.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from fuchsiatrestle.workflows import _book
 from fuchsiatrestle.workflows import _waiting
 from tests.fakes import dispatch_world
 
@@ -65,6 +66,34 @@
         record = self._record_last_report(world)
         self._check_room(record, open_count=0, reserved=0, unusable=1)
 
+    def test_lost_run_tells_for_how_long_its_worker_was_silent(self):
+        world = dispatch_world.World(4, workers=1)
+        world.submit_task('lasting', 1000)
+        world.run(1000)
+        world.unreachable_workers.add('w0')
+        with self.assertLogs(_book.LOG) as logs:
+            world.run(10_000)
+        record = next(
+            record for record in logs.records if record.msg == 'run_lost'
+        )
+        self.assertEqual('lease_over', record.reason)
+        self.assertGreater(record.silent_ms, 5900)
+        self.assertFalse(record.adopted)
+
+    def test_lost_run_of_a_worker_that_never_replied_is_told_apart(self):
+        world = dispatch_world.World(4, workers=1)
+        world.submit_task('lasting', 1000)
+        world.run(1000)
+        world.unreachable_workers.add('w0')
+        world.start_leader()
+        with self.assertLogs(_book.LOG) as logs:
+            world.run(20_000)
+        record = next(
+            record for record in logs.records if record.msg == 'run_lost'
+        )
+        self.assertIsNone(record.silent_ms)
+        self.assertTrue(record.adopted)
+
 
 if __name__ == '__main__':
     unittest.main()
