Test that tasks of a worker lost about a leader change run again in time

Under a model of workers, a worker that ends before a change of leader, or is cut off at the change, leaves its task without a run for more than 9 s.

--- a/tests/fakes/dispatch_world.py
+++ b/tests/fakes/dispatch_world.py
@@ -105,6 +105,7 @@
         workers: number of workers.
         faults: ``Faults``.
         cpu_milli: capacity of each worker, in thousandths of a core.
+        timing: ``workflows.Timing`` of all leaders, the defaults if None.
 
     Attributes:
         random: source of all random choices.
@@ -121,7 +122,9 @@
         workflow_store: the part of the replicated state with the workflows.
     """
 
-    def __init__(self, seed, workers=4, faults=None, cpu_milli=8000):
+    def __init__(
+        self, seed, workers=4, faults=None, cpu_milli=8000, timing=None
+    ):
         self.random = random.Random(seed)
         self.now_ms = 0
         self.faults = faults or Faults()
@@ -136,6 +139,7 @@
         self.draining_workers = set()
         self.port_by_worker = {}
         self._cpu_milli = cpu_milli
+        self._timing = timing or workflows.Timing()
         self._worker_models = {}
         self._announcement_numbers = itertools.count(1)
         self._scheduled_calls = []
@@ -190,7 +194,7 @@
         self._dispatcher = workflows.Dispatcher(
             self.workflow_store,
             self._leader_token,
-            workflows.Timing(),
+            self._timing,
             self.now_ms,
         )
 
--- /dev/null
+++ b/tests/workflows/test_leader_changes.py
@@ -0,0 +1,67 @@
+"""Runs the dispatcher through losses of workers about a change of leader."""
+
+import logging
+import unittest
+
+from fuchsiatrestle import workflows
+from tests.fakes import dispatch_world
+
+# A long-running task runs again within this time after its last run if a
+# worker has room for it.
+MAX_WAIT_MS = 9000
+# Longest leases that the workers of a deployment may accept.
+LONGEST_LEASES_MS = (6000, 10_000)
+
+
+class LeaderChangeTest(unittest.TestCase):
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    def _start_world(self, longest_lease_ms):
+        """Returns a ``World`` in which one long-running task runs.
+
+        Returns:
+            The world and the name of the worker that runs the task.
+        """
+        world = dispatch_world.World(
+            4,
+            workers=2,
+            timing=workflows.Timing(longest_lease_ms=longest_lease_ms),
+        )
+        world.submit_task('lasting', 1000)
+        world.run(3000)
+        (worker,) = world.ledger.running.values()
+        return world, worker
+
+    def _check_runs_elsewhere(self, world, worker):
+        self.assertEqual(1, len(world.ledger.running))
+        self.assertNotIn(worker, world.ledger.running.values())
+        self.assertEqual([], world.ledger.breaches)
+
+    def test_task_of_worker_lost_before_leader_change_runs_again_in_time(self):
+        for longest_lease_ms in LONGEST_LEASES_MS:
+            with self.subTest(longest_lease_ms=longest_lease_ms):
+                world, worker = self._start_world(longest_lease_ms)
+                world.crash_worker(worker, 60_000)
+                world.run(2000)
+                world.start_leader()
+                world.run(MAX_WAIT_MS - 2000)
+                self._check_runs_elsewhere(world, worker)
+
+    def test_task_of_worker_cut_off_at_leader_change_runs_again_in_time(self):
+        """The worker ends while neither leader can reach it."""
+        for longest_lease_ms in LONGEST_LEASES_MS:
+            with self.subTest(longest_lease_ms=longest_lease_ms):
+                world, worker = self._start_world(longest_lease_ms)
+                world.unreachable_workers.add(worker)
+                world.run(500)
+                world.start_leader()
+                world.run(500)
+                world.crash_worker(worker, 60_000)
+                world.run(MAX_WAIT_MS)
+                self._check_runs_elsewhere(world, worker)
+
+
+if __name__ == '__main__':
+    unittest.main()
