Bound the wait of a new leader for earlier leases by what leaders give

Cause: until a worker has answered it, a new leader waits for the longest lease that the worker accepts and 2 s more for orders on their way. Where that lease is 10 s this is 12.24 s from the take-over on, though leaders give 5.9 s. An order names the end of its lease by the worker's clock, so a delay on its way does not prolong the lease. Class: a wait that starts anew with each leader, bounded by another party's limit and not by what was promised. Change: the wait is the lease that leaders give and 100 ms for what a leader may take the worker's clock to be ahead, on the slowest clock: 6.12 s. Why it works: only orders made before the take-over can extend the lease, none by more than a lease from then on by the worker's clock.

--- a/fuchsiatrestle/workflows/_clock.py
+++ b/fuchsiatrestle/workflows/_clock.py
@@ -9,9 +9,9 @@
 # Lowest assumed rate of a worker's clock, relative to the clock of this
 # process.
 MIN_CLOCK_RATE = 0.98
-# Longest time that an order of an earlier leader may be on its way to a worker
-# and still extend its lease.
-MAX_ORDER_DELAY_MS = 2000
+# Longest time by which a leader may take a worker's clock to be ahead when it
+# extends a lease: the drift since a reading that is at most 5 s old.
+MAX_CLOCK_LEAD_MS = 100
 # A lease counts as over only this long after its end, because the readings of
 # a worker's clock may be rounded.
 CLOCK_ROUNDING_MARGIN_MS = 20
@@ -21,26 +21,24 @@
     """Relates the monotonic clock of this process to a worker's clock.
 
     Args:
-        lease_ms: duration of the leases that this leader gives.
-        longest_lease_ms: longest duration of a lease that the worker accepts.
-        sole_leader_since_ms: monotonic time from which only this leader can
-            send orders that extend the lease; orders that earlier leaders
-            sent before may still be on their way.  None if no other leader
-            ever gave the worker a lease.
+        lease_ms: duration of the leases that this leader and all others give.
+        sole_leader_since_ms: monotonic time from which only this leader makes
+            orders that extend the lease.  Orders that earlier leaders made
+            before may still be on their way, but name an end of the lease by
+            the worker's clock, so their delay does not prolong it.  None if
+            no other leader ever gave the worker a lease.
     """
 
     __slots__ = (
         '_lease_end_worker_clock_ms',
         '_lease_ms',
-        '_longest_lease_ms',
         '_reading_received_ms',
         '_sole_leader_since_ms',
         '_clock_reading_ms',
     )
 
-    def __init__(self, lease_ms, longest_lease_ms, sole_leader_since_ms=None):
+    def __init__(self, lease_ms, sole_leader_since_ms=None):
         self._lease_ms = lease_ms
-        self._longest_lease_ms = longest_lease_ms
         self._sole_leader_since_ms = sole_leader_since_ms
         self._clock_reading_ms = None
         self._reading_received_ms = 0
@@ -86,8 +84,8 @@
         """Records that the worker has seen the fencing token of this leader.
 
         From now on the worker refuses orders of earlier leaders.  The leases
-        that earlier leaders with the same settings gave end no later than a
-        lease that starts now, so the end of such a lease is recorded.
+        that earlier leaders gave end no later than a lease that starts now,
+        so the end of such a lease is recorded.
         """
         self._sole_leader_since_ms = None
         if self._clock_reading_ms is not None:
@@ -130,9 +128,7 @@
         min_elapsed_worker_ms = (
             now_ms - self._sole_leader_since_ms
         ) * MIN_CLOCK_RATE
-        return (
-            min_elapsed_worker_ms > self._longest_lease_ms + MAX_ORDER_DELAY_MS
-        )
+        return min_elapsed_worker_ms > self._lease_ms + MAX_CLOCK_LEAD_MS
 
     def _min_worker_clock_ms(self, now_ms):
         """Returns the least that the worker's clock can show now."""
--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -256,7 +256,6 @@
     def _make_lease_clock(self, sole_leader_since_ms):
         return _clock.LeaseClock(
             self._timing.lease_ms,
-            self._timing.longest_lease_ms,
             sole_leader_since_ms,
         )
 
