Send orders only while the leadership is confirmed

A replica that was frozen for longer than election_min_ms could wake up, handle a tick or a worker's reply, and extend such a lease or start a run although another replica led already. The new leader could then start a second run of a task whose first run still had a lease. Found by reading the code, not observed.

Cause: the state task sends orders on its own; that the quorum is gone is noticed by the replica task, at its next event.

Now the leader role tells until when its leadership is confirmed: the newest time at which a round was sent that a quorum has answered, plus election_min_ms; unknown during a leadership transfer and before a quorum's first answer. The replica task publishes it with the term after each event.

Why it works: a lease starts when its order is made, which is before the check. Voters that answered a round ignore candidates for election_min_ms after it was sent, so no other replica can have been elected at the check.

--- a/fuchsiatrestle/agreement/_leader.py
+++ b/fuchsiatrestle/agreement/_leader.py
@@ -18,6 +18,9 @@
     'retry.append_refused', 'Appends sent again from an earlier index.'
 )
 
+# Stands for the time of a round that was never answered.
+_NEVER_MS = -1
+
 
 class Leader(_role.Role):
     """Leads one term: appends proposals and replicates them to the members.
@@ -83,6 +86,35 @@
             return
         replica.become_follower(replica.term, '')
 
+    @property
+    def confirmed_until_ms(self):
+        """Time before which no other replica can be elected, 0 if unknown.
+
+        A voter ignores candidates for ``election_min_ms`` after it heard this
+        leader, except those of a leadership transfer.  A voter that restarts
+        within that time does not, as it forgets that it heard the leader.
+        """
+        if self.is_transferring_leadership:
+            return 0
+        voters = self._replica.voters
+        heard_ms = sorted(
+            map(self._get_acked_round_sent_ms, voters.voters), reverse=True
+        )
+        quorum_heard_ms = heard_ms[voters.quorum_size - 1]
+        if quorum_heard_ms == _NEVER_MS:
+            return 0
+        return quorum_heard_ms + self._replica.cfg.election_min_ms
+
+    def _get_acked_round_sent_ms(self, identity):
+        """Returns when the newest round that a voter answered was sent."""
+        if identity == self._replica.identity:
+            return self._replica.now_ms
+        progress = self.progress_by_identity[identity]
+        # Before its first answer the time is that of the election.
+        if progress.acked_round == 0:
+            return _NEVER_MS
+        return progress.last_acked_round_sent_ms
+
     def is_alive(self, identity):
         """Returns True if a member answered a recent heartbeat round.
 
--- a/fuchsiatrestle/agreement/_replica.py
+++ b/fuchsiatrestle/agreement/_replica.py
@@ -145,6 +145,14 @@
         """Identities that asked to join, empty unless leading."""
         return self.role.joining_identities
 
+    @property
+    def leadership_confirmed_until_ms(self):
+        """Time before which no other replica can be elected, 0 if unknown.
+
+        The time is on the clock of ``now_ms``; it is 0 unless leading.
+        """
+        return self.role.confirmed_until_ms
+
     @property
     def _snapshot_index(self):
         return self.snapshot.last_index if self.snapshot else 0
--- a/fuchsiatrestle/agreement/_role.py
+++ b/fuchsiatrestle/agreement/_role.py
@@ -32,6 +32,14 @@
     def __init__(self, replica):
         self._replica = replica
 
+    @property
+    def confirmed_until_ms(self):
+        """Time before which no other replica can be elected, 0 if unknown.
+
+        Only a leader knows such a time.
+        """
+        return 0
+
     @abc.abstractmethod
     def tick(self):
         """Runs the timed work of the role."""
--- a/fuchsiatrestle/control/__init__.py
+++ b/fuchsiatrestle/control/__init__.py
@@ -11,7 +11,9 @@
 - the storage thread owns the data folder and syncs several writes with one
   fsync;
 - the state task owns the state machine and, while this replica leads, the
-  leader's services.
+  leader's services;
+- the order task holds back orders to workers while another replica may have
+  been elected.
 
 ``program`` has what the programs need of this package.
 """
--- a/fuchsiatrestle/control/_daemon.py
+++ b/fuchsiatrestle/control/_daemon.py
@@ -6,6 +6,7 @@
 
 from fuchsiatrestle import agreement
 from fuchsiatrestle.control import _events
+from fuchsiatrestle.control import _orders
 from fuchsiatrestle.control import _refusals
 from fuchsiatrestle.control import _replica_task
 from fuchsiatrestle.control import _service
@@ -181,6 +182,9 @@
         self._replica_task = _replica_task.ReplicaTask(
             replica, self._link, self._state_inbox, self._connect_members
         )
+        self._order_task = _orders.OrderTask(
+            self._replica_task.leadership, self._driver
+        )
         self._storage = _storage.StorageThread(
             folder, self._replica_task.inbox.put
         )
@@ -238,6 +242,7 @@
                 await tasks.spawn(self._receive_messages)
                 await tasks.spawn(self._replica_task.run)
                 await tasks.spawn(self._run_state_task)
+                await tasks.spawn(self._order_task.run)
                 await tasks.spawn(self._tick_replica)
                 await tasks.spawn(self._tick_state)
                 await tasks.spawn(self._stop_gracefully, stop_requested)
@@ -308,7 +313,7 @@
             metrics.count(REFUSED_WITHOUT_DRIVER)
             LOG.error('order_without_driver', extra={'worker': order.worker})
             return
-        await self._driver.send(order)
+        await self._order_task.send(order)
 
     async def _tick_replica(self):
         while True:
--- a/fuchsiatrestle/control/_replica_task.py
+++ b/fuchsiatrestle/control/_replica_task.py
@@ -2,6 +2,7 @@
 
 from fuchsiatrestle import agreement
 from fuchsiatrestle.control import _events
+from fuchsiatrestle.control import _leadership
 from fuchsiatrestle import daemon
 from fuchsiatrestle import inbox
 from fuchsiatrestle import logs
@@ -48,6 +49,7 @@
         inbox: ``inbox.Inbox`` of the events of this task.
         role: role of this replica, as in ``agreement.RoleChanged``; empty
             until the first ``RoleChanged``.
+        leadership: ``_leadership.Leadership`` as of the last event.
     """
 
     def __init__(self, replica, link, state_inbox, connect_members):
@@ -60,6 +62,7 @@
         self._last_voter_state = None
         self.inbox = inbox.Inbox()
         self.role = ''
+        self.leadership = _leadership.Leadership()
 
     def attach_storage(self, storage):
         """Sets the ``StorageThread``, which reports to ``inbox``."""
@@ -92,6 +95,7 @@
             event = agreement.CompactLog(event.snapshot)
         now_ms = daemon.monotonic_ms()
         effects = self._replica.step(event, now_ms)
+        self.leadership.publish(self._replica)
         if self._update_members(effects, now_ms):
             self._status_due_ms = now_ms + STATUS_INTERVAL_MS
             await self._publish_status(now_ms)
