Test that a job whose task crashes each worker that starts it fails in time

After three such crashes a task may be started twice more, and no harmless job may fail for it. Change: tasks of the model of a worker may crash it, and the ledger records a breach at the third start after three crashes. With the defaults the existing simulations draw as before. The random faults hit no task early more than twice: after a third time nothing would tell it from a deadly one.

--- a/standins/worker_model.py
+++ b/standins/worker_model.py
@@ -13,6 +13,10 @@
 STOP_DELAY_MS = 150
 MAX_LEASE_MS = 6000
 CHECKPOINT_INTERVAL_MS = 1000
+# A task under which this many workers have crashed may be started only so many
+# times more.
+CRASH_LIMIT = 3
+MAX_STARTS_AFTER_CRASH_LIMIT = 2
 
 
 class TaskProfile:
@@ -28,10 +32,17 @@
             fails.
         fills: True if its runs reserve no processors and use what other runs
             leave idle; they do not count towards the capacity of the worker.
+        crash_delay_ms: time after the start of a run at which the run ends the
+            process of its worker, None if no run does.
+        crashes_worker: function of the task that returns True if the runs of
+            that task crash their workers; by default, all tasks of a profile
+            with a ``crash_delay_ms`` do.
     """
 
     __slots__ = (
         'cpu_milli',
+        'crash_delay_ms',
+        'crashes_worker',
         'fills',
         'memory_mib',
         'run_fails',
@@ -47,6 +58,8 @@
         writes_checkpoints=False,
         run_fails=None,
         fills=False,
+        crash_delay_ms=None,
+        crashes_worker=None,
     ):
         self.cpu_milli = cpu_milli
         self.memory_mib = memory_mib
@@ -54,6 +67,19 @@
         self.writes_checkpoints = writes_checkpoints
         self.run_fails = run_fails or (lambda run: False)
         self.fills = fills
+        self.crash_delay_ms = crash_delay_ms
+        self.crashes_worker = crashes_worker or (lambda task: True)
+
+    def find_crash_delay_ms(self, task):
+        """Returns after which time a run of a task crashes its worker.
+
+        Args:
+            task: name of the task.
+
+        Returns:
+            Milliseconds from the start of the run, None for a harmless task.
+        """
+        return self.crash_delay_ms if self.crashes_worker(task) else None
 
 
 class RunLedger:
@@ -78,6 +104,15 @@
             if the task may start there, given what runs already.
         max_failures: number of acknowledged failures after which a task must
             not start again; None for no limit.
+        start_ms_by_run: time of the start of each run, by (task, run).
+        crash_ages_ms_by_task: for each crash of a worker that ran a task, the
+            time that the run had been executing, by task.
+        deadly_crash_counts: number of crashes of workers that ran a task whose
+            runs crash their workers, by task.
+        starts_after_crash_limit: number of starts of a task after
+            ``crash_limit`` workers had crashed under it, by task.
+        crash_limit: number of these crashes from which on starts are limited.
+        max_starts_after_crash_limit: greatest allowed number of these starts.
     """
 
     def __init__(self):
@@ -92,6 +127,12 @@
         self.may_start = lambda task: True
         self.may_run_on = lambda worker, task: True
         self.max_failures = None
+        self.start_ms_by_run = {}
+        self.crash_ages_ms_by_task = collections.defaultdict(list)
+        self.deadly_crash_counts = collections.Counter()
+        self.starts_after_crash_limit = collections.Counter()
+        self.crash_limit = CRASH_LIMIT
+        self.max_starts_after_crash_limit = MAX_STARTS_AFTER_CRASH_LIMIT
 
     def record_start(self, now_ms, worker, task, run, checkpoint):
         """Records the start of a run and checks that it is allowed."""
@@ -127,7 +168,17 @@
             self._record_breach(
                 now_ms, f'{task} resumed from {checkpoint}, which no run wrote'
             )
+        if self.deadly_crash_counts[task] >= self.crash_limit:
+            self.starts_after_crash_limit[task] += 1
+            start_number = self.starts_after_crash_limit[task]
+            if start_number > self.max_starts_after_crash_limit:
+                self._record_breach(
+                    now_ms,
+                    f'{task} run {run} is start {start_number} after '
+                    f'{self.crash_limit} workers crashed under the task',
+                )
         self.running[task, run] = worker
+        self.start_ms_by_run[task, run] = now_ms
 
     def record_end(self, task, run, outcome):
         """Records the end of a run with an outcome such as ``done``."""
@@ -135,6 +186,22 @@
         if outcome == 'done':
             self.finished.add(task)
 
+    def record_crash(self, now_ms, task, run, is_deadly):
+        """Records the end of a run by a crash of its worker.
+
+        Args:
+            now_ms: time of the crash.
+            task: name of the task.
+            run: number of the run.
+            is_deadly: True if runs of the task crash their workers.
+        """
+        self.crash_ages_ms_by_task[task].append(
+            now_ms - self.start_ms_by_run[task, run]
+        )
+        if is_deadly:
+            self.deadly_crash_counts[task] += 1
+        self.record_end(task, run, 'crashed')
+
     def acknowledge_end(self, task, outcome):
         """Records that the scheduler has confirmed the end of a run."""
         if outcome == 'done':
@@ -169,9 +236,11 @@
             from.
         stop_ms: when an ordered stop takes effect, None without an order.
         finish_ms: when its work is done, None for a task without an end.
+        crash_ms: when it crashes the worker, None for a harmless task.
     """
 
     __slots__ = (
+        'crash_ms',
         'finish_ms',
         'initial_progress_ms',
         'last_checkpoint',
@@ -180,7 +249,7 @@
         'task_profile',
     )
 
-    def __init__(self, task_profile, started_ms, checkpoint):
+    def __init__(self, task, task_profile, started_ms, checkpoint):
         self.task_profile = task_profile
         self.started_ms = started_ms
         self.last_checkpoint = checkpoint
@@ -193,6 +262,10 @@
             self.finish_ms = started_ms + max(
                 0, task_profile.work_ms - self.initial_progress_ms
             )
+        self.crash_ms = None
+        crash_delay_ms = task_profile.find_crash_delay_ms(task)
+        if crash_delay_ms is not None:
+            self.crash_ms = started_ms + crash_delay_ms
 
 
 class WorkerModel:
@@ -278,7 +351,7 @@
         if lease_until_ms <= self.clock_ms(now_ms):
             return 409, 'late'
         self._extend_lease(now_ms, lease_until_ms)
-        new_run = _Run(self._find_profile(task), now_ms, checkpoint)
+        new_run = _Run(task, self._find_profile(task), now_ms, checkpoint)
         self.running_runs[task, run] = new_run
         self._ledger.record_start(now_ms, self.name, task, run, checkpoint)
         self._check_capacity(now_ms)
@@ -404,10 +477,27 @@
         ]
         return min(event_times_ms) if self.running_runs else None
 
-    def crash(self):
-        """Ends all runs as when the VM crashes; none is reported as ended."""
-        for task, run in list(self.running_runs):
-            self._ledger.record_end(task, run, 'crashed')
+    def find_crash_ms(self):
+        """Returns when a run crashes the worker, None if no run does."""
+        return min(
+            (
+                run_state.crash_ms
+                for run_state in self.running_runs.values()
+                if run_state.crash_ms is not None
+            ),
+            default=None,
+        )
+
+    def crash(self, now_ms):
+        """Ends all runs as when the VM crashes; none is reported as ended.
+
+        Args:
+            now_ms: time of the crash.
+        """
+        for (task, run), run_state in list(self.running_runs.items()):
+            self._ledger.record_crash(
+                now_ms, task, run, run_state.crash_ms is not None
+            )
         self.running_runs = {}
 
     def _end_run(self, task, run, outcome):
--- a/tests/fakes/dispatch_world.py
+++ b/tests/fakes/dispatch_world.py
@@ -2,7 +2,8 @@
 
 Orders may be lost or carried out late and replies may be lost, as drawn from a
 seed.  Workers may crash, restart or be unreachable, and the leader may change,
-after which the pending proposals of the old one are agreed or dropped.
+after which the pending proposals of the old one are agreed or dropped.  Deadly
+tasks crash their workers, see ``worker_model.TaskProfile.crash_delay_ms``.
 """
 
 import copy
@@ -34,6 +35,13 @@
 ANNOUNCE_INTERVAL_MS = 1500
 ORDER_TIMEOUT_MS = 1000
 MAX_FAILURES = 3
+# Time after which a connection to a VM without a process is refused.
+REFUSAL_DELAY_MS = 3
+# Time until the process of a crashed worker is started again.
+RESTART_MS = 3000
+# Step between the numbers in the ids of consecutive workers of one VM.  It is
+# even, so that all of them have the same labels.
+VM_NUMBER_STEP = 1000
 
 _VERDICTS_BY_REASON = {
     'fence': workflows.Verdict.FENCED,
@@ -106,6 +114,8 @@
         faults: ``Faults``.
         cpu_milli: capacity of each worker, in thousandths of a core.
         timing: ``workflows.Timing`` of all leaders, the defaults if None.
+        refuses_connections: True if orders to a VM without a process fail at
+            once instead of after the timeout of the order.
 
     Attributes:
         random: source of all random choices.
@@ -118,12 +128,21 @@
         draining_workers: names of workers that announce themselves as
             draining.
         port_by_worker: port that a worker announces, 1 if it is missing here.
+        restart_ms: time until a worker that a task has crashed is started
+            again.
+        renames_restarted: True if it then has a new id at the same address.
         ledger: ``worker_model.RunLedger``, which lists breaches of the rules.
         workflow_store: the part of the replicated state with the workflows.
     """
 
     def __init__(
-        self, seed, workers=4, faults=None, cpu_milli=8000, timing=None
+        self,
+        seed,
+        workers=4,
+        faults=None,
+        cpu_milli=8000,
+        timing=None,
+        refuses_connections=False,
     ):
         self.random = random.Random(seed)
         self.now_ms = 0
@@ -138,6 +157,9 @@
         self.unreachable_workers = set()
         self.draining_workers = set()
         self.port_by_worker = {}
+        self.restart_ms = RESTART_MS
+        self.renames_restarted = True
+        self._refuses_connections = refuses_connections
         self._cpu_milli = cpu_milli
         self._timing = timing or workflows.Timing()
         self._worker_models = {}
@@ -198,6 +220,15 @@
             self.now_ms,
         )
 
+    def restore_replicas(self):
+        """Starts a new leader on a state that is restored from a snapshot."""
+        self.start_leader()
+        snapshot = self.machine.snapshot()
+        self.machine = machine.StateMachine()
+        self.machine.restore(snapshot)
+        self.workflow_store = self.machine.workflows
+        self.start_leader()
+
     def freeze_leader(self):
         """Starts a new leader; returns the old one as a ``FrozenLeader``.
 
@@ -371,16 +402,45 @@
         self._worker_models[name] = model
         self._announce(model)
 
-    def crash_worker(self, name, downtime_ms):
+    def worker_names(self):
+        """Returns the ids of the workers whose processes run, sorted."""
+        return sorted(self._worker_models)
+
+    def crash_worker(self, name, downtime_ms, gets_new_id=False):
         """Ends the process of a worker and restarts it after a while.
 
         Args:
             name: name of the worker.
             downtime_ms: time until the restart.
+            gets_new_id: True if the new process has a new id at the same
+                address.
         """
-        self._worker_models.pop(name).crash()
+        self._worker_models.pop(name).crash(self.now_ms)
+        if gets_new_id:
+            name = f'w{int(name[1:]) + VM_NUMBER_STEP}'
         self._schedule(downtime_ms, self.add_worker, name)
 
+    def _crash_by_task(self, model):
+        """Ends the process of a worker if one of its runs does so by now."""
+        if self._worker_models.get(model.name) is not model:
+            return
+        model.advance(self.now_ms)
+        crash_ms = model.find_crash_ms()
+        if crash_ms is not None and crash_ms <= self.now_ms:
+            self.crash_worker(
+                model.name, self.restart_ms, self.renames_restarted
+            )
+
+    def _is_other_worker_there(self, order):
+        """True if the VM of an order's worker runs a worker with another id.
+
+        The VM runs no worker with the id in the order.
+        """
+        return any(
+            _find_vm(name) == _find_vm(order.worker)
+            for name in self._worker_models
+        )
+
     def withdraw_worker(self, name):
         """Delivers a withdrawal of a worker; its process runs on.
 
@@ -399,7 +459,7 @@
             model.name,
             model.born_ms,
             next(self._announcement_numbers),
-            f'{model.name}:{self.port_by_worker.get(model.name, 1)}',
+            f'{_find_vm(model.name)}:{self.port_by_worker.get(model.name, 1)}',
             POOL,
             'dc',
             'draining' if model.name in self.draining_workers else 'ready',
@@ -458,15 +518,15 @@
         self._schedule(wait_ms, self._wait_for_end, token, order, until_ms)
 
     def _send_reply(self, token, order, reply):
-        is_lost = self.random.random() < self.faults.lost_reply_share
-        if (
-            reply is None
-            or is_lost
+        is_lost = (
+            self.random.random() < self.faults.lost_reply_share
             or order.worker in self.unreachable_workers
-        ):
-            self._schedule(
-                ORDER_TIMEOUT_MS, self._report_reply, token, order, None
-            )
+        )
+        if reply is None or is_lost:
+            timeout_ms = ORDER_TIMEOUT_MS
+            if self._refuses_connections and not is_lost:
+                timeout_ms = REFUSAL_DELAY_MS
+            self._schedule(timeout_ms, self._report_reply, token, order, None)
         else:
             self._schedule(
                 self.random.randint(1, 4),
@@ -500,6 +560,10 @@
             other_model.advance(now_ms)
         model = self._worker_models.get(order.worker)
         if model is None:
+            if self._is_other_worker_there(order):
+                return workflows.Reply(
+                    workflows.Verdict.OTHER_PROCESS, None, 0, [], []
+                )
             return None
         listed_runs, listed_ends = [], []
         if isinstance(order, workflows.StartRun):
@@ -511,6 +575,9 @@
                 order.token,
                 order.checkpoint,
             )
+            crash_ms = model.find_crash_ms()
+            if crash_ms is not None:
+                self._schedule(crash_ms - now_ms, self._crash_by_task, model)
         elif isinstance(order, workflows.StopRun):
             status_and_reason = model.stop_run(
                 now_ms, order.task, order.run, order.token
@@ -546,6 +613,11 @@
     return ['b', 'r2'] if int(worker[1:]) % 2 else ['a', 'r1']
 
 
+def _find_vm(worker):
+    """Returns the name of the VM of a worker, the id of its first worker."""
+    return f'w{int(worker[1:]) % VM_NUMBER_STEP}'
+
+
 def _make_document():
     queue = records.Queue(
         'queue', HOST, PREFIX, POOL, 0, MAX_FAILURES, 1.5, 250, 3000
