Test that a start order under way at a restart starts no second run

The leader had sent the first start order of a run when the worker announced its next process with the same id: the run was recorded as lost at once, the order reached the new process, and the task was started a second time.

--- a/tests/workflows/test_recovery.py
+++ b/tests/workflows/test_recovery.py
@@ -143,6 +143,19 @@
         self.assertEqual({}, world.ledger.running)
         self.assertEqual([], world.ledger.breaches)
 
+    def test_start_order_under_way_at_a_restart_starts_no_second_run(self):
+        """The order for the ended process reaches the next one."""
+        for lead_ms in range(40):
+            with self.subTest(lead_ms=lead_ms):
+                world = dispatch_world.World(4, workers=1)
+                world.run(500)
+                world.crash_worker('w0', 1000)
+                world.run(1000 - lead_ms)
+                world.submit('lasting', [LONG_RUNNING_STEP], [ENDLESS_SIZE])
+                world.run(10_000)
+                self.assertEqual(1, len(world.ledger.running))
+                self.assertEqual([], world.ledger.breaches)
+
     def test_late_withdrawal_loses_no_runs_of_the_next_process(self):
         world = dispatch_world.World(4, workers=1)
         world.run(500)
