Give up a task that crashes its workers when they start it

Cause: a run that is lost with its worker costs its task nothing; only ends that a worker reports as failed are counted. Class: a retry without a bound, where the failure takes the reporter with it. Change: the agreed state counts, for each task, the workers in a row whose process ended after they accepted a start and before they gave a sign of life half a second later by their own clock, and those of which this is only possible (the start has no reply, or an earlier leader placed it shortly before). After three of the first or five of both the workflow is failed, also if its tasks last. An end that a worker reports, or a loss after a sign of life, sets both to 0. A task with such a crash is started alone next time, on the worker with the fewest runs, which gets nothing else until the start has shown to be harmless; at most a fifth of the workers at a time. Why it works: a deadly task ends its worker at each start, so the count only rises; a harmless one that was started beside it is alone next time and resets its count. Cuts, drained workers and runs that worked before count nothing. A leader places nothing before its first tick, which tells the time of day.

--- a/fuchsiatrestle/state/_workflows.py
+++ b/fuchsiatrestle/state/_workflows.py
@@ -18,6 +18,9 @@
 # state and a resent submission does not start it again.
 ENDED_RETENTION_MS = 900_000
 MAX_IMAGE_PAIRS = 4096
+# A run was placed recently if less than this has passed from its placement to
+# the last recorded progress.  Later, a crash at its start would be recorded.
+RECENT_PLACEMENT_MS = 4000
 
 
 class _EndedWorkflow(records.Record, tag='e'):
@@ -126,6 +129,14 @@
         task = workflow.tasks.get(task_id) if workflow else None
         return task is not None and run_number in task.live_runs
 
+    def was_placed_recently(self, live_run):
+        """Returns True if a ``LiveRun`` was placed shortly before now.
+
+        Now is the time of the last recorded progress.
+        """
+        age_ms = self._progress_recorded_ms - live_run.placed_ms
+        return age_ms < RECENT_PLACEMENT_MS
+
     def query(self, query):
         """Answers ``LookUpPath``.
 
@@ -256,8 +267,15 @@
 
     def _record_lost_run(self, lost_run):
         workflow = self._workflows.get(lost_run.task.workflow_id)
-        if workflow is not None:
-            workflow.end_run(lost_run.task, lost_run.run, lost_run.checkpoint)
+        if workflow is None:
+            return
+        workflow.lose_run(
+            lost_run.task,
+            lost_run.run,
+            lost_run.checkpoint,
+            lost_run.start_outcome,
+        )
+        self._close_workflow_if_ended(workflow, self._progress_recorded_ms)
 
     def _place_run(self, placement):
         workflow = self._workflows.get(placement.task.workflow_id)
--- a/fuchsiatrestle/state/_workflows_model.py
+++ b/fuchsiatrestle/state/_workflows_model.py
@@ -2,6 +2,7 @@
 
 from fuchsiatrestle import invariants
 from fuchsiatrestle import records
+from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import workflows
 
 __all__ = ('OPEN', 'Task', 'Workflow', 'WorkflowRow')
@@ -12,6 +13,11 @@
 FAILED = 'failed'
 CANCELLED = 'cancelled'
 
+# A task is not started again, and its workflow fails, when so many workers in
+# a row have crashed when they started it, or may have crashed because of it.
+MAX_WORKER_CRASHES = 3
+MAX_POSSIBLE_WORKER_CRASHES = 5
+
 
 class _TaskRow(records.Record, tag='t'):
     """Stored form of a ``Task`` with its id."""
@@ -22,6 +28,8 @@
     done: bool
     checkpoint: str
     live: list[workflows.LiveRun]
+    worker_crashes: int = 0
+    possible_worker_crashes: int = 0
 
 
 class WorkflowRow(records.Record, tag='w'):
@@ -45,6 +53,10 @@
         checkpoint: latest progress that a run saved, or empty.
         live_runs: ``LiveRun`` by run number, for the runs that may be
             executing.
+        worker_crashes: number of workers that crashed when they started it,
+            since its last harmless run.
+        possible_worker_crashes: the same, with those that may have crashed
+            because of it.
     """
 
     __slots__ = (
@@ -53,6 +65,8 @@
         'is_done',
         'last_run_number',
         'live_runs',
+        'possible_worker_crashes',
+        'worker_crashes',
     )
 
     def __init__(
@@ -62,12 +76,35 @@
         is_done=False,
         checkpoint='',
         live_runs=(),
+        worker_crashes=0,
+        possible_worker_crashes=0,
     ):
         self.last_run_number = last_run_number
         self.failures = failures
         self.is_done = is_done
         self.checkpoint = checkpoint
         self.live_runs = {run.run: run for run in live_runs}
+        self.worker_crashes = worker_crashes
+        self.possible_worker_crashes = possible_worker_crashes
+
+    def record_start_outcome(self, start_outcome):
+        """Counts a lost run, one of ``commands.StartOutcome``."""
+        if start_outcome == commands.StartOutcome.SURVIVED:
+            self.worker_crashes = 0
+            self.possible_worker_crashes = 0
+        elif start_outcome == commands.StartOutcome.CRASHED:
+            self.worker_crashes += 1
+            self.possible_worker_crashes += 1
+        elif start_outcome == commands.StartOutcome.MAY_HAVE_CRASHED:
+            self.possible_worker_crashes += 1
+
+    @property
+    def crashes_workers(self):
+        """True if it is given up because it crashes its workers."""
+        return (
+            self.worker_crashes >= MAX_WORKER_CRASHES
+            or self.possible_worker_crashes >= MAX_POSSIBLE_WORKER_CRASHES
+        )
 
 
 class Workflow:
@@ -205,7 +242,7 @@
         task.live_runs[placement.run] = placement
 
     def end_run(self, task_id, run_number, checkpoint):
-        """Removes a run that has ended without completing its task.
+        """Removes a run that a worker reports as ended, but not as done.
 
         Args:
             task_id: id of the task; an unknown one is ignored.
@@ -216,6 +253,27 @@
         if task is None:
             return
         self._remove_run(task, run_number, checkpoint)
+        task.record_start_outcome(commands.StartOutcome.SURVIVED)
+
+    def lose_run(self, task_id, run_number, checkpoint, start_outcome):
+        """Removes a run that has ended without a report of its worker.
+
+        The workflow fails if the task is given up because it crashes its
+        workers, also if the task lasts.
+
+        Args:
+            task_id: id of the task; an unknown one is ignored.
+            run_number: number of the run; one that isn't live is ignored.
+            checkpoint: progress that the run saved, or empty.
+            start_outcome: one of ``commands.StartOutcome``.
+        """
+        task = self.tasks.get(task_id)
+        if task is None or run_number not in task.live_runs:
+            return
+        self._remove_run(task, run_number, checkpoint)
+        task.record_start_outcome(start_outcome)
+        if self.state == OPEN and not task.is_done and task.crashes_workers:
+            self.state = FAILED
 
     def finish_task(self, task_id, run_number):
         """Marks a task as done by a run.
@@ -251,6 +309,7 @@
         if task is None:
             return
         self._remove_run(task, run_number, checkpoint)
+        task.record_start_outcome(commands.StartOutcome.SURVIVED)
         task.failures += 1
         step = self.get_step(task_id)
         if task.is_done or step.lasts or self.state != OPEN:
@@ -299,6 +358,8 @@
                 task.is_done,
                 task.checkpoint,
                 list(task.live_runs.values()),
+                task.worker_crashes,
+                task.possible_worker_crashes,
             )
             for task_id, task in self.tasks.items()
         ]
@@ -323,6 +384,8 @@
                 task_row.done,
                 task_row.checkpoint,
                 task_row.live,
+                task_row.worker_crashes,
+                task_row.possible_worker_crashes,
             )
             if task_row.done:
                 workflow._unfinished_count_by_step[
--- a/fuchsiatrestle/state/commands/_workflows.py
+++ b/fuchsiatrestle/state/commands/_workflows.py
@@ -9,6 +9,7 @@
     'RecordProgress',
     'RunEnd',
     'RunLost',
+    'StartOutcome',
     'SubmitWorkflow',
 )
 
@@ -80,6 +81,16 @@
     checkpoint: str
 
 
+class StartOutcome:
+    """What became of a worker after it was ordered to start a run."""
+
+    UNKNOWN = ''
+    # Its process ended, perhaps before it had begun the run or long after it.
+    MAY_HAVE_CRASHED = 'may_have_crashed'
+    SURVIVED = 'survived'  # it was alive for a while with the run
+    CRASHED = 'crashed'  # its process ended without a sign of life after it
+
+
 class RunLost(records.Record, tag='lost'):
     """Run that certainly is not executing and cannot start any more.
 
@@ -88,12 +99,14 @@
         run: number of the run.
         checkpoint: latest known saved progress, or empty.
         reason: why this is certain, for logging.
+        start_outcome: one of ``StartOutcome``.
     """
 
     task: workflows.TaskId
     run: int
     checkpoint: str
     reason: str
+    start_outcome: str = StartOutcome.UNKNOWN
 
 
 class RecordProgress(records.Record, tag='progress'):
--- a/fuchsiatrestle/state/workflows.py
+++ b/fuchsiatrestle/state/workflows.py
@@ -143,12 +143,14 @@
         run: number of the run, from 1.
         worker: id of the worker.
         born_ms: start time of the worker's process, since the epoch.
+        placed_ms: time at the leader that placed it, since the epoch.
     """
 
     task: TaskId
     run: int
     worker: str
     born_ms: int
+    placed_ms: int = 0
 
 
 class WorkerRecord(records.Record, tag='worker'):
--- a/fuchsiatrestle/workflows/_announcing.py
+++ b/fuchsiatrestle/workflows/_announcing.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from fuchsiatrestle import logs
+from fuchsiatrestle.workflows import _crashes
 from fuchsiatrestle.workflows import _fleet
 from fuchsiatrestle.workflows import _runs
 
@@ -52,9 +53,7 @@
             # the count, and it gets no new tasks before the count is reset.
             worker.unanswered_orders = 0
         worker.last_announced_ms = self._dispatch_state.now_ms
-        worker.lease_clock.record_reading(
-            announcement.clock_ms, self._dispatch_state.now_ms
-        )
+        worker.record_clock(announcement.clock_ms, self._dispatch_state.now_ms)
         self._dispatch_state.placement_due = True
 
     def _update_worker(self, worker, announcement):
@@ -130,6 +129,10 @@
                 # A start order may still arrive at the new process.  The new
                 # process is therefore told to refuse the run before the run is
                 # recorded as lost.
+                run.earlier_start_outcome = _crashes.find_start_outcome(
+                    previous_worker, run, 'worker_reborn'
+                )
+                run.start_sent_ms = None
                 run.phase = _Phase.STOPPING
                 run.order_pending = False
                 run.stopped_ms = None
--- a/fuchsiatrestle/workflows/_answers.py
+++ b/fuchsiatrestle/workflows/_answers.py
@@ -73,9 +73,10 @@
         else:
             retry_delay_ms = 0
             worker.record_reply(self._dispatch_state.now_ms)
-            worker.lease_clock.record_reading(
-                reply.clock_ms, self._dispatch_state.now_ms
-            )
+            if reply.verdict != _Verdict.OTHER_PROCESS:
+                worker.record_clock(
+                    reply.clock_ms, self._dispatch_state.now_ms
+                )
         if 0 < reply.born_ms < worker.record.born_ms:
             return None
         if reply.born_ms > worker.record.born_ms:
@@ -121,7 +122,7 @@
     def _on_start_reply(self, worker, run, order, reply, retry_delay_ms):
         verdict = reply.verdict
         if verdict in (_Verdict.ACCEPTED, _Verdict.OUTDATED):
-            run.started_ms = self._dispatch_state.now_ms
+            run.record_start(self._dispatch_state.now_ms, reply.clock_ms)
             if run.phase == _Phase.STARTING:
                 run.phase = _Phase.RUNNING
         elif verdict == _Verdict.SILENT:
@@ -182,7 +183,7 @@
         listed_keys = set()
         for row in reply.listed_runs:
             listed_keys.add((row.task, row.run))
-            self._update_listed_run(worker, row)
+            self._update_listed_run(worker, row, reply.clock_ms)
         for row in reply.listed_ends:
             listed_keys.add((row.task, row.run))
             self._record_run_end(worker, row)
@@ -191,13 +192,13 @@
                 self._check_unlisted_run(worker, run)
         self._update_paces(worker)
 
-    def _update_listed_run(self, worker, listed_run):
+    def _update_listed_run(self, worker, listed_run, worker_clock_ms):
         run = worker.runs.get((listed_run.task, listed_run.run))
         if run is None:
             run = self._add_stray_run(worker, listed_run)
         if run.phase == _Phase.STARTING:
             run.phase = _Phase.RUNNING
-            run.started_ms = self._dispatch_state.now_ms
+            run.record_start(self._dispatch_state.now_ms, worker_clock_ms)
         run.checkpoint = listed_run.checkpoint or run.checkpoint
         run.progress_percent = listed_run.percent
         run.measurement = listed_run.measurement
--- a/fuchsiatrestle/workflows/_backlog.py
+++ b/fuchsiatrestle/workflows/_backlog.py
@@ -24,7 +24,7 @@
 
     The steps of a workflow are run once in each of its occurrences.  The
     interrupted tasks of a long-running step are in a group of their own,
-    unless the step is a gang.
+    unless the step is a gang.  So is each task that may have crashed a worker.
 
     Attributes:
         workflow: the ``Workflow``.
@@ -34,10 +34,12 @@
         step: the ``Step``.
         waiting_task_ids: ids of its waiting tasks.
         is_interrupted: True if the tasks are long-running and ran before.
+        is_suspected: True for a task that may have crashed its last worker.
     """
 
     __slots__ = (
         'is_interrupted',
+        'is_suspected',
         'occurrence',
         'step',
         'step_number',
@@ -52,6 +54,7 @@
         step_number,
         waiting_task_ids,
         is_interrupted=False,
+        is_suspected=False,
     ):
         self.workflow = workflow
         self.occurrence = occurrence
@@ -59,6 +62,7 @@
         self.step = workflow.spec.steps[step_number]
         self.waiting_task_ids = waiting_task_ids
         self.is_interrupted = is_interrupted
+        self.is_suspected = is_suspected
 
 
 class _CriticalPaths:
@@ -176,11 +180,34 @@
 
 
 def _make_groups(workflow, occurrence, step_number, waiting_task_ids):
-    """Yields a group of the interrupted tasks of a step and one of the others.
+    """Yields the groups of the waiting tasks of a step.
 
-    All waiting tasks of a gang count as interrupted if one of them does.
+    They are one group for each suspected task, one of the interrupted tasks
+    and one of the others.  All waiting tasks of a gang are in one group, which
+    counts as interrupted if one of them does.
     """
     step = workflow.spec.steps[step_number]
+    if not step.gang:
+        suspected_ids = [
+            task_id
+            for task_id in waiting_task_ids
+            if workflow.tasks[task_id].possible_worker_crashes
+        ]
+        for task_id in suspected_ids:
+            yield Group(
+                workflow,
+                occurrence,
+                step_number,
+                [task_id],
+                is_interrupted=step.lasts,
+                is_suspected=True,
+            )
+        if suspected_ids:
+            waiting_task_ids = [
+                task_id
+                for task_id in waiting_task_ids
+                if task_id not in suspected_ids
+            ]
     interrupted_ids = [
         task_id
         for task_id in waiting_task_ids
--- a/fuchsiatrestle/workflows/_book.py
+++ b/fuchsiatrestle/workflows/_book.py
@@ -5,6 +5,7 @@
 
 from fuchsiatrestle import logs
 from fuchsiatrestle.state import commands
+from fuchsiatrestle.workflows import _crashes
 from fuchsiatrestle.workflows import _fleet
 from fuchsiatrestle.workflows import _proposals
 from fuchsiatrestle.workflows import _runs
@@ -118,9 +119,14 @@
         """
         worker.remove_run(run.key)
         self.placement_due = True
+        start_outcome = _crashes.find_start_outcome(worker, run, reason)
         self.proposals.add_lost_run(
             commands.RunLost(
-                run.live_run.task, run.live_run.run, run.checkpoint, reason
+                run.live_run.task,
+                run.live_run.run,
+                run.checkpoint,
+                reason,
+                start_outcome,
             )
         )
         self.log_run(
@@ -130,6 +136,7 @@
             reason=reason,
             silent_ms=worker.silent_ms(self.now_ms),
             adopted=run.adopted,
+            start_outcome=start_outcome or 'unknown',
         )
 
     def stop_run(self, run, reason):
--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -5,12 +5,14 @@
 
 from fuchsiatrestle import core
 from fuchsiatrestle import logs
+from fuchsiatrestle import metrics
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import workflows
 from fuchsiatrestle.workflows import _announcing
 from fuchsiatrestle.workflows import _answers
 from fuchsiatrestle.workflows import _backlog
 from fuchsiatrestle.workflows import _book
+from fuchsiatrestle.workflows import _crashes
 from fuchsiatrestle.workflows import _events
 from fuchsiatrestle.workflows import _interference
 from fuchsiatrestle.workflows import _orders
@@ -26,6 +28,10 @@
 # Interval at which changed image pairs are added to the next proposal.
 IMAGE_PAIR_PROPOSAL_INTERVAL_MS = 1000
 
+GIVEN_UP_TASKS = metrics.declare(
+    'workflows.given_up', 'Tasks given up because they crash their workers.'
+)
+
 LOG = logs.get_logger(__name__)
 
 _Phase = _runs.Phase
@@ -51,6 +57,7 @@
         self._placer = placer or _placement.BestFit(self._interference_model)
         self._backlog = _backlog.Backlog(workflow_store)
         self._reservation_limits = _rounds.ReservationLimits()
+        self._trial_runs = _crashes.TrialRuns()
         self._wait_times = _waiting.WaitTimes()
         self._waiting_log = _waiting.WaitingLog(self._wait_times, now_ms)
         self._order_planner = _orders.OrderPlanner(self._state, timing)
@@ -90,7 +97,7 @@
         """Handles one event; see ``core.Core``."""
         self._state.now_ms = now_ms
         self._event_handlers[type(event)](event)
-        if self._state.placement_due and self._state.proposals.is_idle:
+        if self._may_place and self._state.placement_due:
             self._state.placement_due = False
             self._place_waiting_groups()
         self._effects += self._state.proposals.propose_items(self._wall_now())
@@ -98,6 +105,11 @@
         self._effects = []
         return effects
 
+    @property
+    def _may_place(self):
+        """False before the first tick, which tells the time of day."""
+        return self._last_tick_wall_ms > 0 and self._state.proposals.is_idle
+
     def _wall_now(self):
         """Returns the time since the epoch, counted on from the last tick."""
         return (
@@ -123,6 +135,13 @@
                 live_run, self._state.find_step(live_run.task), phase
             )
             run.adopted = True
+            run.adopted_soon = self._state.workflow_store.was_placed_recently(
+                live_run
+            )
+            if run.adopted_soon and worker.record.born_ms != live_run.born_ms:
+                run.earlier_start_outcome = (
+                    commands.StartOutcome.MAY_HAVE_CRASHED
+                )
             worker.add_run(run)
         LOG.info(
             'dispatch_started',
@@ -220,11 +239,33 @@
             changed_workflow_ids.add(live_run.task.workflow_id)
             self._start_agreed_run(live_run)
         self._refresh_workflows(changed_workflow_ids, 'closed')
+        for lost_run in command.lost:
+            self._log_given_up_task(lost_run.task)
         for name in {end.worker for end in command.ends}:
             worker = self._state.fleet.get(name)
             if worker is not None:
                 self._send_due_orders(worker)
 
+    def _log_given_up_task(self, task_id):
+        """Logs that a task is not started again as it crashes its workers."""
+        workflow = self._state.workflow_store.find_workflow(
+            task_id.workflow_id
+        )
+        task = workflow.tasks.get(task_id) if workflow else None
+        if task is None or not task.crashes_workers:
+            return
+        metrics.count(GIVEN_UP_TASKS)
+        LOG.warning(
+            'task_given_up',
+            extra={
+                'workflow': task_id.workflow_id,
+                'task': _runs.format_task_id(task_id),
+                'crashes': task.worker_crashes,
+                'possible': task.possible_worker_crashes,
+                'state': workflow.public_state,
+            },
+        )
+
     def _start_agreed_run(self, live_run):
         """Starts a run whose placement was agreed, if it is still wanted."""
         worker, run = self._state.find_worker_and_run(live_run)
@@ -277,7 +318,14 @@
             [group for group in ready_groups if group.step.lasts], now_ms
         )
         round_by_pool = {}
-        deferred_groups = self._place_ready_groups(ready_groups, round_by_pool)
+        self._place_suspected_groups(
+            [group for group in ready_groups if group.is_suspected],
+            round_by_pool,
+        )
+        deferred_groups = self._place_ready_groups(
+            [group for group in ready_groups if not group.is_suspected],
+            round_by_pool,
+        )
         self._place_deferred_groups(deferred_groups)
         self._reservation_limits.record_reservations(
             {
@@ -291,6 +339,44 @@
             round_by_pool.values(), self._state.fleet, now_ms
         )
 
+    def _place_suspected_groups(self, groups, round_by_pool):
+        """Starts tasks that may crash their workers, each one alone.
+
+        The worker of each such task gets no other task before the start has
+        shown to be harmless.  Where starts are not known to be harmless yet,
+        the worker is closed for others and the task waits.
+
+        Args:
+            groups: the groups, one for each suspected task.
+            round_by_pool: ``PlacementRound`` by name of the service; the
+                missing ones are added.
+        """
+        for group in groups:
+            queue = self._state.workflow_store.current_queue(group.workflow)
+            pool_round = self._find_pool_round(round_by_pool, queue.pool)
+            if not self._try_place_alone(group, pool_round):
+                pool_round.record_suspected_group(group)
+
+    def _try_place_alone(self, group, pool_round):
+        """Returns True if the task of a suspected group was placed."""
+        if not pool_round.may_close_worker:
+            return False
+        worker, start_count = _crashes.choose_trial_worker(
+            group,
+            pool_round.workers_for(group.step, ignores_reservations=True),
+            self._placer,
+            self._state.now_ms,
+        )
+        if worker is None:
+            return False
+        pool_round.close_worker(worker.name)
+        if start_count:
+            return False
+        run = self._place_task(group, group.waiting_task_ids[0], worker)
+        pool_round.record_placed_tasks(group.step, 1)
+        self._trial_runs.add(worker, run)
+        return True
+
     def _place_ready_groups(self, ready_groups, round_by_pool):
         """Places groups in their order; returns those that are deferred.
 
@@ -356,6 +442,10 @@
                 self._reservation_limits,
                 self._state.now_ms,
             )
+            for name in self._trial_runs.find_closed_workers(
+                self._state.now_ms
+            ):
+                round_by_pool[pool].close_worker(name)
         return round_by_pool[pool]
 
     def _place_or_record_waiting(
@@ -391,6 +481,7 @@
             task.last_run_number + 1,
             worker.name,
             worker.record.born_ms,
+            self._wall_now(),
         )
         run = _runs.Run(live_run, group.step, _Phase.PLACED)
         worker.add_run(run)
@@ -403,4 +494,6 @@
             cpu=group.step.cpu,
             free_cpu=worker.capacity.free_cpu,
             heard_ms=self._state.now_ms - worker.last_announced_ms,
+            alone=group.is_suspected,
         )
+        return run
--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -36,6 +36,7 @@
         announcement_sequence: number of its newest announcement.
         withdrawn_ms: when it announced that its process is ending, or None.
         lease_clock: ``LeaseClock`` of the worker.
+        newest_clock_ms: highest reading of its clock, None before the first.
         has_seen_token: True once it accepted a poll with the fencing token
             of this leader.
         poll_pending: True while a poll waits for its reply.
@@ -64,6 +65,7 @@
         'last_announced_ms',
         'last_replied_ms',
         'lease_clock',
+        'newest_clock_ms',
         'next_poll_ms',
         'pace_control',
         'paused_until_ms',
@@ -85,6 +87,7 @@
         self.announcement_sequence = -1
         self.withdrawn_ms = None
         self.lease_clock = lease_clock
+        self.newest_clock_ms = None
         self.has_seen_token = False
         self.poll_pending = False
         self.unanswered_orders = 0
@@ -167,6 +170,19 @@
         self.unanswered_orders = 0
         self.last_replied_ms = now_ms
 
+    def record_clock(self, worker_clock_ms, now_ms):
+        """Records a reading of the worker's clock that arrives now.
+
+        Args:
+            worker_clock_ms: the reading, None if there is none.
+            now_ms: monotonic time.
+        """
+        self.lease_clock.record_reading(worker_clock_ms, now_ms)
+        if worker_clock_ms is not None:
+            self.newest_clock_ms = max(
+                worker_clock_ms, self.newest_clock_ms or 0
+            )
+
     def silent_ms(self, now_ms):
         """Returns the time since its last reply to this leader, or None."""
         if self.last_replied_ms is None:
--- a/fuchsiatrestle/workflows/_orders.py
+++ b/fuchsiatrestle/workflows/_orders.py
@@ -39,6 +39,10 @@
             if order is not None:
                 run.order_pending = True
                 orders.append(order)
+                if run.start_sent_ms is None and isinstance(
+                    order, _events.StartRun
+                ):
+                    run.start_sent_ms = now_ms
         orders += self._make_poll_orders(worker, now_ms)
         return orders
 
--- a/fuchsiatrestle/workflows/_rounds.py
+++ b/fuchsiatrestle/workflows/_rounds.py
@@ -6,6 +6,7 @@
 among those that a group may use is in ``_placement``.
 """
 
+from fuchsiatrestle.workflows import _crashes
 from fuchsiatrestle.workflows import _placement
 
 __all__ = ('Availability', 'PlacementRound', 'ReservationLimits')
@@ -97,6 +98,8 @@
     Attributes:
         pool: name of the service.
         reserved_workers: set of the names of the reserved workers.
+        closed_worker_names: names of the workers on which a suspected task is
+            started alone.
         waiting_long_running_groups: the groups of long-running tasks that were
             not placed, or not whole.
     """
@@ -105,6 +108,8 @@
         self.pool = pool
         self.waiting_long_running_groups = []
         self._workers = workers
+        self._worker_count = len(workers)
+        self.closed_worker_names = set()
         self._reservation_limits = reservation_limits
         self._now_ms = now_ms
         self._usable_names = {worker.name for worker in workers}
@@ -139,6 +144,14 @@
         wanted_cpu = group.step.cpu * len(group.waiting_task_ids)
         return self._long_running_cpu + wanted_cpu > self._max_long_running_cpu
 
+    @property
+    def may_close_worker(self):
+        """True if one more suspected task may be started alone."""
+        max_closed_workers = max(
+            1, int(_crashes.MAX_TRIAL_WORKER_SHARE * self._worker_count)
+        )
+        return len(self.closed_worker_names) < max_closed_workers
+
     def must_yield_to_batch(self, priority):
         """True if a long-running group must make way for waiting batch tasks.
 
@@ -196,6 +209,14 @@
 
     # Results of the round
 
+    def close_worker(self, name):
+        """Keeps all groups that come later in the round off a worker."""
+        self.closed_worker_names.add(name)
+        self._usable_names.discard(name)
+        self._workers = [
+            worker for worker in self._workers if worker.name != name
+        ]
+
     def record_placed_tasks(self, step, task_count):
         """Counts the processor time of placed tasks of a long-running step.
 
@@ -232,6 +253,11 @@
         if len(self.reserved_workers) < self._max_reserved_workers:
             self._reserve_worker(group)
 
+    def record_suspected_group(self, group):
+        """Records a suspected group that was not placed."""
+        if group.step.lasts:
+            self.waiting_long_running_groups.append(group)
+
     def record_deferred_group(self, group):
         """Records a long-running group that made way for batch tasks."""
         self.waiting_long_running_groups.append(group)
--- a/fuchsiatrestle/workflows/_runs.py
+++ b/fuchsiatrestle/workflows/_runs.py
@@ -27,13 +27,19 @@
         step: its ``Step``, None if the workflow is not known.
         phase: one of ``Phase``.
         adopted: True if an earlier leader placed it.
+        adopted_soon: True if an earlier leader placed it shortly before this
+            one took over.
         start_uncertain: True if a start order may still arrive at the worker:
             the order got no reply, was pending when the run was to be
             stopped, or is not known to this leader.
+        start_sent_ms: when this leader first ordered its start, None before.
+        earlier_start_outcome: ``StartOutcome`` on a process of the worker that
+            has ended, if a later one has to refuse the run, or empty.
         order_pending: True while an order about the run waits for its reply.
         next_order_ms: earliest time of the next order about the run.
         started_ms: when its start was accepted or the worker first listed it
             as running, None until then.
+        started_clock_ms: worker's clock at that time, None if not known.
         stopped_ms: when its stop was accepted, None until then.
         checkpoint: newest saved progress that the worker listed, or empty.
         progress_percent: share of its work that is done, in percent, as
@@ -47,7 +53,9 @@
 
     __slots__ = (
         'adopted',
+        'adopted_soon',
         'checkpoint',
+        'earlier_start_outcome',
         'live_run',
         'measurement',
         'next_order_ms',
@@ -55,7 +63,9 @@
         'pace_percent',
         'phase',
         'progress_percent',
+        'start_sent_ms',
         'start_uncertain',
+        'started_clock_ms',
         'started_ms',
         'step',
         'stopped_ms',
@@ -67,10 +77,14 @@
         self.step = step
         self.phase = phase
         self.adopted = False
+        self.adopted_soon = False
         self.start_uncertain = False
         self.order_pending = False
         self.next_order_ms = 0
+        self.start_sent_ms = None
+        self.earlier_start_outcome = ''
         self.started_ms = None
+        self.started_clock_ms = None
         self.stopped_ms = None
         self.checkpoint = ''
         self.progress_percent = 0
@@ -78,6 +92,17 @@
         self.pace_percent = 100
         self.wanted_pace_percent = 100
 
+    def record_start(self, now_ms, worker_clock_ms):
+        """Records that the worker accepted its start or lists it as running.
+
+        Args:
+            now_ms: monotonic time.
+            worker_clock_ms: the worker's clock, None if not known.
+        """
+        self.started_ms = now_ms
+        if self.started_clock_ms is None:
+            self.started_clock_ms = worker_clock_ms
+
     @property
     def key(self):
         """Task id and run number."""
--- a/tests/state/test_workflows.py
+++ b/tests/state/test_workflows.py
@@ -63,6 +63,18 @@
         )
         self._apply_command(commands.RecordProgress(1, 10, ends=[run_end]))
 
+    def _lose_run(self, run, start_outcome, task=None):
+        lost_run = commands.RunLost(
+            task or _make_task_id(), run, '', 'lease_over', start_outcome
+        )
+        self._apply_command(commands.RecordProgress(1, 10, lost=[lost_run]))
+
+    def _crash_workers(self, runs):
+        """Places runs of the first task that crash their workers."""
+        for run in runs:
+            self._place_run(_make_task_id(), run)
+            self._lose_run(run, commands.StartOutcome.CRASHED)
+
     def _look_up(self, path):
         return self.machine.query(queries.LookUpPath(HOST, path))
 
@@ -216,6 +228,67 @@
         self._end_run(_make_task_id())
         self.assertEqual('completed', self._workflow_state())
 
+    # Crashes of workers
+
+    def test_task_is_not_started_on_a_fourth_worker_after_three_crashes(self):
+        for lasts in (False, True):
+            with self.subTest(lasts=lasts):
+                self.setUp()
+                self._submit_workflow(workflows.Step(1, lasts=lasts))
+                self._crash_workers((1, 2))
+                self.assertEqual('running', self._workflow_state())
+                self._crash_workers((3,))
+                self.assertEqual('failed', self._workflow_state())
+                self._place_run(_make_task_id(), 4)
+                self.assertEqual([], self.part.live_runs())
+
+    def test_task_that_may_have_crashed_five_workers_is_given_up(self):
+        self._submit_workflow(workflows.Step(1))
+        for run in range(1, 6):
+            self.assertNotEqual('failed', self._workflow_state())
+            self._place_run(_make_task_id(), run)
+            self._lose_run(run, commands.StartOutcome.MAY_HAVE_CRASHED)
+        self.assertEqual('failed', self._workflow_state())
+
+    def test_crash_recorded_twice_counts_once(self):
+        self._submit_workflow(workflows.Step(1))
+        self._crash_workers((1, 2))
+        self._lose_run(2, commands.StartOutcome.CRASHED)
+        self.assertEqual('running', self._workflow_state())
+
+    def test_crashes_before_a_harmless_run_do_not_count(self):
+        for name, survive in (
+            (
+                'lost',
+                lambda: self._lose_run(3, commands.StartOutcome.SURVIVED),
+            ),
+            ('stopped', lambda: self._end_run(_make_task_id(), 3, 'stopped')),
+            ('lapsed', lambda: self._end_run(_make_task_id(), 3, 'lapsed')),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                self._submit_workflow(workflows.Step(1))
+                self._crash_workers((1, 2))
+                self._place_run(_make_task_id(), 3)
+                survive()
+                self._crash_workers((4, 5))
+                self.assertEqual('running', self._workflow_state())
+
+    def test_loss_for_an_unknown_reason_does_not_fail_a_workflow(self):
+        self._submit_workflow(workflows.Step(1))
+        for run in range(1, 10):
+            self._place_run(_make_task_id(), run)
+            self._lose_run(run, commands.StartOutcome.UNKNOWN)
+        self.assertEqual('running', self._workflow_state())
+
+    def test_crashes_counted_before_a_snapshot_count_after_it(self):
+        self._submit_workflow(workflows.Step(1))
+        self._crash_workers((1, 2))
+        data = self.part.snapshot()
+        self.part.restore(data)
+        self._crash_workers((3,))
+        self.assertEqual('failed', self._workflow_state())
+
     # Documents
 
     def test_highest_version_stays(self):
