Read measurements of a worker whose capacity has shrunk to nothing

LIMIT lets a capacity shrink while the worker runs, also to no processor time. Cause: the processor time of best-effort tasks is learned as a share of the announced capacity, which was taken to be more than 0. Change: the share is of at least a thousandth of a core. Why it works: the model of interference caps the effect of a share at both ends, so a share above 1 counts as the largest.

--- a/fuchsiatrestle/workflows/_tails.py
+++ b/fuchsiatrestle/workflows/_tails.py
@@ -65,6 +65,8 @@
         """
         if self._window_start_ms is None:
             self._window_start_ms = now_ms
+        # A worker whose capacity has shrunk to nothing may still run tasks.
+        capacity_cpu = max(capacity_cpu, 1)
         cpu_share_by_image = collections.Counter()
         for run in best_effort_runs:
             cpu_share_by_image[run.step.image] += (
--- a/tests/workflows/test_shrinking_capacity.py
+++ b/tests/workflows/test_shrinking_capacity.py
@@ -226,6 +226,16 @@
         self.assertEqual('completed', world.workflow_state('batch'))
         self._check_no_breach(world)
 
+    def test_best_effort_run_on_worker_shrunk_to_nothing_runs_on(self):
+        world = self._start_world()
+        _submit_step(world, 'filling', work_ms=9000, fills=True)
+        world.run(1000)
+        world.set_capacity('w0', 0)
+        world.run(10_000)
+        self.assertEqual('completed', world.workflow_state('filling'))
+        self.assertEqual(1, world.ledger.starts)
+        self._check_no_breach(world)
+
     # Runs that are placed but not started
 
     def test_run_that_runs_on_shrunken_worker_is_not_stopped(self):
