Start no run that a worker's shrunken capacity has no room for

LIMIT: a start that is carried out later than the contact time and a beat after the shrinking must not bring a worker over its smaller capacity. Seen: on the model, a placement that is agreed after the shrinking, and a start that got no reply before it, are started long after the announcement. Cause: room was checked only when a task was placed. From then on its start was sent, and sent again, whatever the worker announced in the meantime. Change: before each start order the announced capacity is compared with what all runs of the worker reserve, those being stopped and the run itself included, for the resources that the run takes. A run without room is recorded as lost (worker_shrunk) if no start of it was sent; otherwise it is stopped first. Why it works: the task waits again and may run on another worker, and the run's reservation stays until the worker has confirmed that the run can't start.

--- a/fuchsiatrestle/workflows/_capacity.py
+++ b/fuchsiatrestle/workflows/_capacity.py
@@ -65,6 +65,20 @@
             if count
         }
 
+    def is_exceeded_for(self, step):
+        """True if the runs reserve more than there is of what a step needs.
+
+        Args:
+            step: the ``Step`` of one of the runs, None if it is not known.
+        """
+        if step is None:
+            return False
+        return (
+            (self.free_cpu < 0 < step.cpu and not step.fills)
+            or self.free_memory_mb < 0 < step.memory_mb
+            or self.free_accelerators < 0 < step.accelerators
+        )
+
     def reserve(self, run):
         """Reserves the capacity that a run needs."""
         self._adjust_reservation(run, 1)
--- a/fuchsiatrestle/workflows/_orders.py
+++ b/fuchsiatrestle/workflows/_orders.py
@@ -32,7 +32,7 @@
             ``PollWorker``.
         """
         orders = []
-        for run in worker.runs.values():
+        for run in list(worker.runs.values()):
             if run.order_pending or now_ms < run.next_order_ms:
                 continue
             order = self._make_run_order(worker, run, now_ms)
@@ -50,7 +50,9 @@
                 run.adopted and not worker.has_seen_token
             ):
                 return None
-            return self._make_start_order(worker, run, now_ms)
+            if not worker.capacity.is_exceeded_for(run.step):
+                return self._make_start_order(worker, run, now_ms)
+            self._abandon_start(worker, run, 'worker_shrunk')
         if run.phase == _Phase.STOPPING and run.stopped_ms is None:
             return _events.StopRun(
                 record.worker,
@@ -71,6 +73,22 @@
             )
         return None
 
+    def _abandon_start(self, worker, run, reason):
+        """Ends a run that must not start, so that its task runs elsewhere.
+
+        A run that may have started already is stopped.  Any other run is
+        recorded as lost.
+
+        Args:
+            worker: ``Worker`` of the run.
+            run: ``Run`` in phase ``STARTING``.
+            reason: why, for the log.
+        """
+        if run.start_uncertain or run.adopted:
+            self._dispatch_state.stop_run(run, reason)
+        else:
+            self._dispatch_state.record_lost_run(worker, run, reason)
+
     def _make_start_order(self, worker, run, now_ms):
         """Returns a ``StartRun``, None while the worker's clock is unknown."""
         lease_until_ms = worker.lease_clock.extend_lease(now_ms)
--- a/tests/workflows/test_shrinking_capacity.py
+++ b/tests/workflows/test_shrinking_capacity.py
@@ -238,6 +238,65 @@
 
     # Runs that are placed but not started
 
+    def _check_runs_after_growing(self, world, workflow_id):
+        world.run(1000)
+        self.assertEqual(0, self._running_count(world, workflow_id))
+        self._check_no_breach(world)
+        world.set_capacity('w0', WHOLE_CPU)
+        world.run(GROWN_ROOM_USE_MS)
+        self.assertEqual(1, self._running_count(world, workflow_id))
+        self._check_no_breach(world)
+
+    def test_placement_agreed_after_shrinking_is_not_started(self):
+        world = self._start_world()
+        world.added_agreement_ms = 6000
+        _submit_step(world, 'late', cpu=6000)
+        world.run(200)
+        world.added_agreement_ms = 0
+        world.set_capacity('w0', SMALL_CPU)
+        world.run(7000)
+        self._check_runs_after_growing(world, 'late')
+
+    def test_unanswered_start_is_not_repeated_after_shrinking(self):
+        world = self._start_world()
+        world.faults = ALL_ORDERS_LOST
+        _submit_step(world, 'lost', cpu=6000)
+        world.run(200)
+        world.set_capacity('w0', SMALL_CPU)
+        world.run(worker_model.SHRINK_DELAY_MS + 100)
+        world.faults = dispatch_world.Faults()
+        world.run(1000)
+        self._check_runs_after_growing(world, 'lost')
+
+    def test_unanswered_start_is_not_repeated_beside_other_runs(self):
+        world = self._start_world()
+        _submit_step(world, 'running', count=3, work_ms=60_000)
+        world.run(1000)
+        world.startless_workers.add('w0')
+        _submit_step(world, 'lost', cpu=4000)
+        world.run(200)
+        world.set_capacity('w0', 5000)
+        world.run(worker_model.SHRINK_DELAY_MS + 100)
+        world.startless_workers.clear()
+        world.run(1000)
+        self.assertEqual(3, self._running_count(world, 'running'))
+        self._check_runs_after_growing(world, 'lost')
+
+    def test_task_whose_worker_shrunk_before_its_start_runs_elsewhere(self):
+        world = self._start_world(workers=2)
+        world.draining_workers.add('w1')
+        world.run(2000)
+        world.faults = ALL_ORDERS_LOST
+        _submit_step(world, 'lost', cpu=6000)
+        world.run(200)
+        world.set_capacity('w0', SMALL_CPU)
+        world.draining_workers.clear()
+        world.run(worker_model.SHRINK_DELAY_MS + 100)
+        world.faults = dispatch_world.Faults()
+        world.run(3000)
+        self.assertEqual({'w1'}, set(world.ledger.running.values()))
+        self._check_no_breach(world)
+
     def test_run_that_runs_on_shrunken_worker_is_not_stopped(self):
         """The start was carried out, but its reply was lost."""
         world = self._start_world()
