Start runs only by a capacity that was announced lately to this leader

LIMIT: a start must not bring a worker over what it announces once the contact time and a beat are over. Seen: on the model, a worker shrinks while its announcements don't arrive. A start that got no reply is sent again as soon as the worker answers a poll, and a new leader starts the runs that it adopted by the capacity agreed before. Cause: only placements asked for an announcement of the last 4.5 s (three intervals); start orders did not. Change: a start order needs the same. A new leader waits for the worker's first announcement for as long; after that a run is stopped, so that its task runs elsewhere. Why it works: orders are made only by capacities that are at most 4.5 s old. The run is stopped and not recorded as lost, as a leader that has stood still can't know whether another one started the run. Cost: the start of an adopted run that no worker lists waits for the worker's next announcement, up to 1.5 s; a test asserts 3 s in all.

--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -5,7 +5,12 @@
 from fuchsiatrestle.workflows import _capacity
 from fuchsiatrestle.workflows import _clock
 
-__all__ = ('Fleet', 'Worker', 'record_from_announcement')
+__all__ = (
+    'Fleet',
+    'Worker',
+    'has_missed_announcements',
+    'record_from_announcement',
+)
 
 READY = 'ready'
 DRAINING = 'draining'
@@ -145,9 +150,8 @@
             return False
         if now_ms < self.paused_until_ms or self.unanswered_orders:
             return False
-        return (
-            now_ms - self.last_announced_ms
-            <= MAX_MISSED_ANNOUNCEMENTS * announce_ms
+        return not has_missed_announcements(
+            self.last_announced_ms, now_ms, announce_ms
         )
 
     @property
@@ -260,6 +264,17 @@
         )
 
 
+def has_missed_announcements(since_ms, now_ms, announce_ms):
+    """True if the announced capacity of a worker may be out of date.
+
+    Args:
+        since_ms: monotonic time of the worker's last announcement.
+        now_ms: monotonic time.
+        announce_ms: interval of the announcements.
+    """
+    return now_ms - since_ms > MAX_MISSED_ANNOUNCEMENTS * announce_ms
+
+
 def record_from_announcement(announcement):
     """Returns a new ``WorkerRecord`` with the values of an announcement."""
     return workflows.WorkerRecord(
--- a/fuchsiatrestle/workflows/_orders.py
+++ b/fuchsiatrestle/workflows/_orders.py
@@ -1,6 +1,7 @@
 """Decides which orders a worker gets next."""
 
 from fuchsiatrestle.workflows import _events
+from fuchsiatrestle.workflows import _fleet
 from fuchsiatrestle.workflows import _runs
 
 __all__ = ('OrderPlanner',)
@@ -19,6 +20,7 @@
     def __init__(self, dispatch_state, timing):
         self._dispatch_state = dispatch_state
         self._timing = timing
+        self._leading_since_ms = dispatch_state.now_ms
 
     def due_orders(self, worker, now_ms):
         """Returns the orders to send to a worker now and marks them pending.
@@ -50,9 +52,16 @@
                 run.adopted and not worker.has_seen_token
             ):
                 return None
-            if not worker.capacity.is_exceeded_for(run.step):
+            if self._has_missed_announcements(worker, now_ms):
+                # If this leader has stood still, another one may have started
+                # the run.
+                self._dispatch_state.stop_run(run, 'unannounced')
+            elif worker.last_announced_ms is None:
+                return None
+            elif worker.capacity.is_exceeded_for(run.step):
+                self._abandon_start(worker, run, 'worker_shrunk')
+            else:
                 return self._make_start_order(worker, run, now_ms)
-            self._abandon_start(worker, run, 'worker_shrunk')
         if run.phase == _Phase.STOPPING and run.stopped_ms is None:
             return _events.StopRun(
                 record.worker,
@@ -73,6 +82,14 @@
             )
         return None
 
+    def _has_missed_announcements(self, worker, now_ms):
+        last_announced_ms = worker.last_announced_ms
+        if last_announced_ms is None:
+            last_announced_ms = self._leading_since_ms
+        return _fleet.has_missed_announcements(
+            last_announced_ms, now_ms, self._timing.announce_ms
+        )
+
     def _abandon_start(self, worker, run, reason):
         """Ends a run that must not start, so that its task runs elsewhere.
 
--- a/tests/workflows/test_shrinking_capacity.py
+++ b/tests/workflows/test_shrinking_capacity.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import random
 import unittest
 from unittest import mock
 
@@ -13,6 +14,9 @@
 from tests.fakes import dispatch_world
 
 SEEDS = range(30)
+FAULTY_STEPS = 12
+FAULTY_STEP_MS = 2000
+CALM_MS = 60_000
 # Time after which a room that has grown must be in use: the next announcement,
 # an order that is sent again, and a placement round.
 GROWN_ROOM_USE_MS = 3000
@@ -311,6 +315,23 @@
         self.assertEqual(1, world.ledger.starts)
         self._check_no_breach(world)
 
+    def test_start_waits_for_announcement_of_worker_that_was_cut_off(self):
+        """The worker shrinks while cut off and answers before it announces."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                world = self._start_world(seed=seed)
+                world.faults = ALL_ORDERS_LOST
+                _submit_step(world, 'lost', cpu=6000)
+                world.run(200)
+                world.unannounced_workers.add('w0')
+                world.set_capacity('w0', SMALL_CPU)
+                world.run(worker_model.SHRINK_DELAY_MS + 100)
+                world.faults = dispatch_world.Faults()
+                world.run(1000)
+                world.unannounced_workers.clear()
+                world.run(2000)
+                self._check_runs_after_growing(world, 'lost')
+
     # Changes of leader
 
     def test_new_leader_places_nothing_by_the_old_capacity(self):
@@ -327,6 +348,26 @@
         self.assertEqual(2, self._running_count(world))
         self._check_no_breach(world)
 
+    def test_new_leader_starts_no_adopted_run_over_shrunken_capacity(self):
+        """The old leader knew that the worker had shrunk, or did not."""
+        for announced in (True, False):
+            for seed in SEEDS:
+                with self.subTest(seed=seed, announced=announced):
+                    world = self._start_world(seed=seed)
+                    world.faults = ALL_ORDERS_LOST
+                    _submit_step(world, 'adopted', cpu=6000)
+                    world.run(200)
+                    world.set_capacity('w0', SMALL_CPU)
+                    if not announced:
+                        world.unannounced_workers.add('w0')
+                    world.run(worker_model.SHRINK_DELAY_MS + 100)
+                    world.start_leader()
+                    world.faults = dispatch_world.Faults()
+                    world.run(1000)
+                    world.unannounced_workers.clear()
+                    world.run(2000)
+                    self._check_runs_after_growing(world, 'adopted')
+
     def test_adopted_run_starts_in_time_on_worker_with_room(self):
         for seed in SEEDS:
             with self.subTest(seed=seed):
@@ -340,6 +381,77 @@
                 self.assertEqual(1, self._running_count(world))
                 self._check_no_breach(world)
 
+    # Random runs
+
+    def _inject_change(self, world, random_source):
+        """Changes the capacity of a worker, or the leader, or a worker."""
+        worker = f'w{random_source.randrange(3)}'
+        change = random_source.choice(
+            ('shrink', 'shrink', 'grow', 'lead', 'cut', 'join', 'crash')
+        )
+        if change == 'shrink':
+            world.set_capacity(
+                worker,
+                random_source.choice((0, 1000, 3000, 5000)),
+                random_source.choice((500, 2000, 4000)),
+                random_source.randint(0, 2),
+            )
+        elif change == 'grow':
+            world.set_capacity(worker, WHOLE_CPU, accelerators=4)
+        elif change == 'lead':
+            world.start_leader()
+        elif change == 'cut':
+            world.unreachable_workers.add(worker)
+        elif change == 'join':
+            world.unreachable_workers.clear()
+        elif worker in world._worker_models:
+            world.crash_worker(worker, random_source.randint(200, 4000))
+
+    def _run_random_world(self, seed):
+        random_source = random.Random(f'shrinking/{seed}')
+        faults = dispatch_world.Faults(
+            lost_order_share=0.05,
+            lost_reply_share=0.05,
+            late_order_share=0.05,
+            max_delay_ms=worker_model.MIN_CONTACT_MS,
+        )
+        world = dispatch_world.World(seed, workers=3, faults=faults)
+        workflow_ids = []
+        for number in range(FAULTY_STEPS):
+            workflow_ids.append(f'{number:016x}')
+            _submit_step(
+                world,
+                workflow_ids[-1],
+                count=random_source.randint(1, 6),
+                cpu=random_source.choice((500, 1000, 3000)),
+                memory_mib=random_source.choice((10, 400, 900)),
+                work_ms=random_source.randint(300, 6000),
+                fills=random_source.random() < 0.25,
+                accelerators=random_source.choice((0, 0, 1)),
+            )
+            for _ in range(3):
+                self._inject_change(world, random_source)
+                world.run(FAULTY_STEP_MS // 3)
+        world.faults = dispatch_world.Faults()
+        world.unreachable_workers.clear()
+        for number in range(3):
+            world.set_capacity(f'w{number}', WHOLE_CPU, accelerators=4)
+        world.run(CALM_MS)
+        return world, workflow_ids
+
+    def test_random_changes_of_capacity_with_faults(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                world, workflow_ids = self._run_random_world(seed)
+                self._check_no_breach(world)
+                self.assertEqual(
+                    {'completed'},
+                    {
+                        world.workflow_state(workflow_id)
+                        for workflow_id in workflow_ids
+                    },
+                )
+
 
 if __name__ == '__main__':
     unittest.main()
