Don't take a start that the next process may get for lost with the ended one

Causes: the replies to a start and a poll show the new process. (1) If that of the poll arrives first, the run is recorded as lost while its start order still waits for its reply and is carried out by the new process. (2) A reply to a poll of the replaced process counts as the reply to the newest poll, so a run that started between the two polls seems not to be there. Change: a pending start counts as one that may still arrive, so the run is stopped before it is recorded as lost. A worker keeps its pending poll, in place of a flag and an address, and only the reply to this very poll is read. Why it works: a list of runs is compared only with what happened before its own poll was sent.

--- a/fuchsiatrestle/workflows/_announcing.py
+++ b/fuchsiatrestle/workflows/_announcing.py
@@ -122,7 +122,7 @@
                 # No start order was sent for the run.  Once the placement is
                 # agreed, the dispatcher records the run as lost.
                 worker.add_run(run)
-            elif run.start_uncertain or run.adopted:
+            elif run.start_uncertain or run.adopted or run.is_start_pending:
                 # A start order may still arrive at the new process.  The new
                 # process is therefore told to refuse the run before the run is
                 # recorded as lost.
--- a/fuchsiatrestle/workflows/_answers.py
+++ b/fuchsiatrestle/workflows/_answers.py
@@ -79,13 +79,12 @@
         if 0 < reply.born_ms < worker.record.born_ms:
             return None
         if reply.born_ms > worker.record.born_ms:
-            worker.poll_pending = False
             record = msgspec.structs.replace(
                 worker.record, born_ms=reply.born_ms, ends_noted=0
             )
             worker = self._announcement_handler.replace_worker(worker, record)
         elif reply.verdict == _Verdict.OTHER_PROCESS:
-            worker.poll_pending = False
+            worker.pending_poll = None
             worker.pause_placement(self._dispatch_state.now_ms)
             self._dispatch_state.record_all_runs_lost(
                 worker, 'other_worker_there'
@@ -106,8 +105,8 @@
             self._on_run_reply(
                 worker, order, silent_reply, _fleet.RETRY_MIN_MS
             )
-        elif worker.poll_address == order.address:
-            worker.poll_pending = False
+        elif order is worker.pending_poll:
+            worker.pending_poll = None
 
     def _on_run_reply(self, worker, order, reply, retry_delay_ms):
         run = worker.runs.get((order.task, order.run))
@@ -166,7 +165,10 @@
             )
 
     def _on_poll_reply(self, worker, order, reply, retry_delay_ms):
-        worker.poll_pending = False
+        if order is not worker.pending_poll:
+            # A later poll was sent; this one's lists may be out of date.
+            return
+        worker.pending_poll = None
         if reply.verdict != _Verdict.ACCEPTED:
             worker.next_poll_ms = self._dispatch_state.now_ms + (
                 retry_delay_ms or _fleet.RETRY_MAX_MS
--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -43,13 +43,12 @@
         lease_clock: ``LeaseClock`` of the worker.
         has_seen_token: True once it accepted a poll with the fencing token
             of this leader.
-        poll_pending: True while a poll waits for its reply.
+        pending_poll: the newest poll while it waits for its reply, or None.
         unanswered_orders: number of consecutive orders without a reply.
         last_replied_ms: time of its last reply to this leader, None before
             the first.
         paused_until_ms: time before which it gets no new tasks.
         next_poll_ms: earliest time of the next poll.
-        poll_address: address to which the newest poll was sent.
         poll_sent_ms: when the newest poll was sent.
         collected_end_number: number of the newest end of a run that was
             collected from it, to be proposed.
@@ -72,8 +71,7 @@
         'next_poll_ms',
         'pace_control',
         'paused_until_ms',
-        'poll_address',
-        'poll_pending',
+        'pending_poll',
         'poll_sent_ms',
         'record',
         'runs',
@@ -91,12 +89,11 @@
         self.withdrawn_ms = None
         self.lease_clock = lease_clock
         self.has_seen_token = False
-        self.poll_pending = False
+        self.pending_poll = None
         self.unanswered_orders = 0
         self.last_replied_ms = None
         self.paused_until_ms = 0
         self.next_poll_ms = 0
-        self.poll_address = ''
         self.poll_sent_ms = 0
         self.collected_end_number = record.ends_noted
         self.acknowledged_end_number = record.ends_noted
--- a/fuchsiatrestle/workflows/_orders.py
+++ b/fuchsiatrestle/workflows/_orders.py
@@ -130,7 +130,7 @@
     # Polls
 
     def _make_poll_orders(self, worker, now_ms):
-        if worker.poll_pending or now_ms < worker.next_poll_ms:
+        if worker.pending_poll is not None or now_ms < worker.next_poll_ms:
             return []
         recorded_end_number = self._dispatch_state.recorded_end_number(worker)
         has_dispatched_runs = any(
@@ -148,24 +148,21 @@
             # No poll yet: the worker would reply to it at once and list again
             # the run ends that were collected but are not agreed yet.
             return []
-        worker.poll_pending = True
-        worker.poll_address = worker.record.address
         worker.poll_sent_ms = now_ms
         lease_until_ms = None
         if has_dispatched_runs and not worker.unanswered_orders:
             # If each poll extended the lease while the worker does not reply,
             # the lease would never count as expired.
             lease_until_ms = worker.lease_clock.extend_lease(now_ms)
-        return [
-            _events.PollWorker(
-                worker.record.worker,
-                worker.record.address,
-                lease_until_ms,
-                self._dispatch_state.token,
-                recorded_end_number,
-                self._poll_wait_ms(worker, has_dispatched_runs),
-            )
-        ]
+        worker.pending_poll = _events.PollWorker(
+            worker.record.worker,
+            worker.record.address,
+            lease_until_ms,
+            self._dispatch_state.token,
+            recorded_end_number,
+            self._poll_wait_ms(worker, has_dispatched_runs),
+        )
+        return [worker.pending_poll]
 
     def _must_renew_lease(self, worker, now_ms):
         remaining_ms = worker.lease_clock.remaining_lease_ms(now_ms)
--- a/fuchsiatrestle/workflows/_runs.py
+++ b/fuchsiatrestle/workflows/_runs.py
@@ -88,6 +88,11 @@
         """True once its placement is agreed: the worker may know of it."""
         return self.phase != Phase.PLACED
 
+    @property
+    def is_start_pending(self):
+        """True while a start order waits for its reply."""
+        return self.phase == Phase.STARTING and self.order_pending
+
     @property
     def is_serving(self):
         """True if its tail latency has a target."""
--- a/tests/workflows/test_recovery.py
+++ b/tests/workflows/test_recovery.py
@@ -143,6 +143,24 @@
         self.assertEqual({}, world.ledger.running)
         self.assertEqual([], world.ledger.breaches)
 
+    def test_start_that_reaches_the_next_process_first_runs_only_once(self):
+        """The next process answers a poll before it answers the start."""
+        step = workflows.Step(8, cpu=1000, memory_mb=10, estimate_ms=3000)
+        size = worker_model.TaskProfile(1000, 10, 3000)
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                world = dispatch_world.World(seed, workers=2)
+                world.run(500)
+                world.unannounced_workers.add('w0')
+                world.crash_worker('w0', 500)
+                world.run(1500)
+                world.submit('batch', [step], [size])
+                world.run(2000)
+                world.unannounced_workers.clear()
+                world.run(20_000)
+                self.assertEqual([], world.ledger.breaches)
+                self.assertEqual('completed', world.workflow_state('batch'))
+
     def test_late_withdrawal_loses_no_runs_of_the_next_process(self):
         world = dispatch_world.World(4, workers=1)
         world.run(500)
