--- a/fuchsiatrestle/workflows/_crashes.py
+++ b/fuchsiatrestle/workflows/_crashes.py
@@ -47,8 +47,8 @@
     if worker.state != _fleet.READY:
         return commands.StartOutcome.UNKNOWN
     if run.started_ms is None:
-        was_ordered = run.start_sent_ms is not None or run.adopted_soon
-        if was_ordered and reason in _PROCESS_ENDED_REASONS:
+        may_have_started = run.start_uncertain or run.adopted_soon
+        if may_have_started and reason in _PROCESS_ENDED_REASONS:
             return commands.StartOutcome.MAY_HAVE_CRASHED
     elif run.start_sent_ms is not None and run.started_clock_ms is not None:
         if reason in (*_PROCESS_ENDED_REASONS, 'lease_over'):
--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -5,7 +5,12 @@
 from fuchsiatrestle.workflows import _capacity
 from fuchsiatrestle.workflows import _clock
 
-__all__ = ('Fleet', 'Worker', 'record_from_announcement')
+__all__ = (
+    'Fleet',
+    'Worker',
+    'has_missed_announcements',
+    'record_from_announcement',
+)
 
 READY = 'ready'
 DRAINING = 'draining'
@@ -39,13 +44,12 @@
         newest_clock_ms: highest reading of its clock, None before the first.
         has_seen_token: True once it accepted a poll with the fencing token
             of this leader.
-        poll_pending: True while a poll waits for its reply.
+        pending_poll: the newest poll while it waits for its reply, or None.
         unanswered_orders: number of consecutive orders without a reply.
         last_replied_ms: time of its last reply to this leader, None before
             the first.
         paused_until_ms: time before which it gets no new tasks.
         next_poll_ms: earliest time of the next poll.
-        poll_address: address to which the newest poll was sent.
         poll_sent_ms: when the newest poll was sent.
         collected_end_number: number of the newest end of a run that was
             collected from it, to be proposed.
@@ -69,8 +73,7 @@
         'next_poll_ms',
         'pace_control',
         'paused_until_ms',
-        'poll_address',
-        'poll_pending',
+        'pending_poll',
         'poll_sent_ms',
         'record',
         'runs',
@@ -89,12 +92,11 @@
         self.lease_clock = lease_clock
         self.newest_clock_ms = None
         self.has_seen_token = False
-        self.poll_pending = False
+        self.pending_poll = None
         self.unanswered_orders = 0
         self.last_replied_ms = None
         self.paused_until_ms = 0
         self.next_poll_ms = 0
-        self.poll_address = ''
         self.poll_sent_ms = 0
         self.collected_end_number = record.ends_noted
         self.acknowledged_end_number = record.ends_noted
@@ -148,9 +150,8 @@
             return False
         if now_ms < self.paused_until_ms or self.unanswered_orders:
             return False
-        return (
-            now_ms - self.last_announced_ms
-            <= MAX_MISSED_ANNOUNCEMENTS * announce_ms
+        return not has_missed_announcements(
+            self.last_announced_ms, now_ms, announce_ms
         )
 
     @property
@@ -276,6 +277,17 @@
         )
 
 
+def has_missed_announcements(since_ms, now_ms, announce_ms):
+    """True if the announced capacity of a worker may be out of date.
+
+    Args:
+        since_ms: monotonic time of the worker's last announcement.
+        now_ms: monotonic time.
+        announce_ms: interval of the announcements.
+    """
+    return now_ms - since_ms > MAX_MISSED_ANNOUNCEMENTS * announce_ms
+
+
 def record_from_announcement(announcement):
     """Returns a new ``WorkerRecord`` with the values of an announcement."""
     return workflows.WorkerRecord(
--- a/fuchsiatrestle/workflows/_orders.py
+++ b/fuchsiatrestle/workflows/_orders.py
@@ -1,6 +1,7 @@
 """Decides which orders a worker gets next."""
 
 from fuchsiatrestle.workflows import _events
+from fuchsiatrestle.workflows import _fleet
 from fuchsiatrestle.workflows import _runs
 
 __all__ = ('OrderPlanner',)
@@ -19,6 +20,7 @@
     def __init__(self, dispatch_state, timing):
         self._dispatch_state = dispatch_state
         self._timing = timing
+        self._leading_since_ms = dispatch_state.now_ms
 
     def due_orders(self, worker, now_ms):
         """Returns the orders to send to a worker now and marks them pending.
@@ -32,7 +34,7 @@
             ``PollWorker``.
         """
         orders = []
-        for run in worker.runs.values():
+        for run in list(worker.runs.values()):
             if run.order_pending or now_ms < run.next_order_ms:
                 continue
             order = self._make_run_order(worker, run, now_ms)
@@ -54,7 +56,16 @@
                 run.adopted and not worker.has_seen_token
             ):
                 return None
-            return self._make_start_order(worker, run, now_ms)
+            if self._has_missed_announcements(worker, now_ms):
+                # If this leader has stood still, another one may have started
+                # the run.
+                self._dispatch_state.stop_run(run, 'unannounced')
+            elif worker.last_announced_ms is None:
+                return None
+            elif worker.capacity.is_exceeded_for(run.step):
+                self._abandon_start(worker, run, 'worker_shrunk')
+            else:
+                return self._make_start_order(worker, run, now_ms)
         if run.phase == _Phase.STOPPING and run.stopped_ms is None:
             return _events.StopRun(
                 record.worker,
@@ -75,6 +86,30 @@
             )
         return None
 
+    def _has_missed_announcements(self, worker, now_ms):
+        last_announced_ms = worker.last_announced_ms
+        if last_announced_ms is None:
+            last_announced_ms = self._leading_since_ms
+        return _fleet.has_missed_announcements(
+            last_announced_ms, now_ms, self._timing.announce_ms
+        )
+
+    def _abandon_start(self, worker, run, reason):
+        """Ends a run that must not start, so that its task runs elsewhere.
+
+        A run that may have started already is stopped.  Any other run is
+        recorded as lost.
+
+        Args:
+            worker: ``Worker`` of the run.
+            run: ``Run`` in phase ``STARTING``.
+            reason: why, for the log.
+        """
+        if run.start_uncertain or run.adopted:
+            self._dispatch_state.stop_run(run, reason)
+        else:
+            self._dispatch_state.record_lost_run(worker, run, reason)
+
     def _make_start_order(self, worker, run, now_ms):
         """Returns a ``StartRun``, None while the worker's clock is unknown."""
         lease_until_ms = worker.lease_clock.extend_lease(now_ms)
@@ -99,7 +134,7 @@
     # Polls
 
     def _make_poll_orders(self, worker, now_ms):
-        if worker.poll_pending or now_ms < worker.next_poll_ms:
+        if worker.pending_poll is not None or now_ms < worker.next_poll_ms:
             return []
         recorded_end_number = self._dispatch_state.recorded_end_number(worker)
         has_dispatched_runs = any(
@@ -117,24 +152,21 @@
             # No poll yet: the worker would reply to it at once and list again
             # the run ends that were collected but are not agreed yet.
             return []
-        worker.poll_pending = True
-        worker.poll_address = worker.record.address
         worker.poll_sent_ms = now_ms
         lease_until_ms = None
         if has_dispatched_runs and not worker.unanswered_orders:
             # If each poll extended the lease while the worker does not reply,
             # the lease would never count as expired.
             lease_until_ms = worker.lease_clock.extend_lease(now_ms)
-        return [
-            _events.PollWorker(
-                worker.record.worker,
-                worker.record.address,
-                lease_until_ms,
-                self._dispatch_state.token,
-                recorded_end_number,
-                self._poll_wait_ms(worker, has_dispatched_runs),
-            )
-        ]
+        worker.pending_poll = _events.PollWorker(
+            worker.record.worker,
+            worker.record.address,
+            lease_until_ms,
+            self._dispatch_state.token,
+            recorded_end_number,
+            self._poll_wait_ms(worker, has_dispatched_runs),
+        )
+        return [worker.pending_poll]
 
     def _must_renew_lease(self, worker, now_ms):
         remaining_ms = worker.lease_clock.remaining_lease_ms(now_ms)
