Go on sending orders in a leadership transfer until a successor is asked

What callers could see: tasks of all workers stopped as their leases ran out. Orders were held for the whole of a leadership transfer. A leader whose disk lags starts one after the other, and while no voter has the whole log nobody is asked to lead, so nobody else can be elected. Change: the leadership counts as not confirmed from the moment at which a voter is told to start an election, for election_max_ms; also when a leader that is being removed tells one. Why it works: only that voter may win before the time that the others' answers grant.

--- a/fuchsiatrestle/agreement/_leader.py
+++ b/fuchsiatrestle/agreement/_leader.py
@@ -53,6 +53,8 @@
         self._noop_index = replica.log.last_index + 1
         # None while no leadership transfer is in progress.
         self._leadership_transfer_deadline_ms = None
+        # Time until which a voter that was told to start an election may win.
+        self._successor_asked_until_ms = 0
         self._membership_changer = _membership.MembershipChanger(replica, self)
 
     @property
@@ -91,10 +93,11 @@
         """Time before which no other replica can be elected, 0 if unknown.
 
         A voter ignores candidates for ``election_min_ms`` after it heard this
-        leader, except those of a leadership transfer.  A voter that restarts
-        within that time does not, as it forgets that it heard the leader.
+        leader, except one that the leader told to start an election.  A voter
+        that restarts within that time does not, as it forgets that it heard
+        the leader.
         """
-        if self.is_transferring_leadership:
+        if self._replica.now_ms < self._successor_asked_until_ms:
             return 0
         voters = self._replica.voters
         heard_ms = sorted(
@@ -452,6 +455,9 @@
                     replica.group, replica.term, replica.identity
                 )
                 replica.send(peer, message)
+                self._successor_asked_until_ms = (
+                    replica.now_ms + replica.cfg.election_max_ms
+                )
                 return
 
     def change_voters(self, event):
--- a/tests/agreement/test_confirmation.py
+++ b/tests/agreement/test_confirmation.py
@@ -63,6 +63,15 @@
         self.assertEqual('leader', self.replica.role.name)
         self.assertEqual(0, self.replica.leadership_confirmed_until_ms)
 
+    def test_a_leader_without_a_successor_to_ask_stays_confirmed(self):
+        """No voter has the whole log, so none is told to lead."""
+        self._cut_off_leader()
+        self.group.propose(self.leader)
+        self.group.transfer_leadership(self.leader)
+        self.assertGreater(
+            self.replica.leadership_confirmed_until_ms, self.group.now_ms
+        )
+
     def test_votes_do_not_confirm_a_new_leader(self):
         self._cut_off_leader()
         new_leader = self._run_until_elected()
