--- a/tests/workflows/test_deadly_tasks.py
+++ b/tests/workflows/test_deadly_tasks.py
@@ -417,5 +417,55 @@
     return world, deadly_ids, batch_ids, long_running_ids
 
 
+
+class IsolationTest(unittest.TestCase):
+    """Harmless tasks whose workers end or are cut off after their start."""
+
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    def test_lasting_tasks_of_a_crashed_worker_run_again_in_time(self):
+        world = dispatch_world.World(1, workers=4, refuses_connections=True)
+        world.run(2000)
+        for number in range(12):
+            _submit_job(world, f'lasting-{number}')
+        world.run(300)
+        for worker in set(world.ledger.running.values()):
+            world.crash_worker(worker, 3000, gets_new_id=True)
+        world.run(9000)
+        self.assertEqual(12, len(world.ledger.running))
+
+    def test_cuts_after_the_start_fail_no_job(self):
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                world = dispatch_world.World(seed, workers=6)
+                world.run(2000)
+                _submit_job(world, 'cut-off')
+                for _ in range(3):
+                    starts = world.ledger.starts
+                    while world.ledger.starts == starts:
+                        world.run(10)
+                    world.run(60)
+                    world.unreachable_workers |= set(
+                        world.ledger.running.values()
+                    )
+                world.run(12_000)
+                self.assertEqual({}, world.ledger.crash_ages_ms_by_task)
+                self.assertEqual('running', world.workflow_state('cut-off'))
+
+    def test_worker_that_restarts_before_a_trial_is_agreed_is_used_again(self):
+        world = dispatch_world.World(1, workers=1, refuses_connections=True)
+        world.renames_restarted = False
+        world.run(2000)
+        _submit_job(world, 'suspected')
+        world.run(200)
+        world.crash_worker('w0', 300)
+        world.run(311)
+        world.crash_worker('w0', 0)
+        world.run(30_000)
+        self.assertEqual(1, len(world.ledger.running))
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/workflows/test_recovery.py
+++ b/tests/workflows/test_recovery.py
@@ -5,6 +5,7 @@
 
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import workflows
+from fuchsiatrestle import workflows as dispatcher
 from standins import worker_model
 from tests.fakes import dispatch_world
 
@@ -201,5 +202,39 @@
         self.assertEqual([], world.ledger.breaches)
 
 
+    def test_worker_is_polled_after_a_reply_names_an_older_process(self):
+        world = dispatch_world.World(1, workers=0)
+        world.run(1000)
+        world.add_worker('w0')
+        world.run(2000)
+        world.submit_task('lasting', 500)
+        is_outdated = True
+        execute_order = world._execute_order
+
+        def execute_with_older_born(order):
+            reply = execute_order(order)
+            if is_outdated and isinstance(order, dispatcher.PollWorker):
+                reply = dispatcher.Reply(
+                    reply.verdict,
+                    reply.clock_ms,
+                    1,
+                    reply.listed_runs,
+                    reply.listed_ends,
+                )
+            return reply
+
+        world._execute_order = execute_with_older_born
+        world.run(2000)
+        is_outdated = False
+        polls = []
+        world._execute_order = lambda order: (
+            isinstance(order, dispatcher.PollWorker) and polls.append(order)
+        ) or execute_order(order)
+        world.run(20_000)
+        self.assertTrue(polls)
+        self.assertEqual([], world.ledger.breaches)
+        self.assertEqual(1, len(world.ledger.running))
+
+
 if __name__ == '__main__':
     unittest.main()
