Test a transfer that nobody can take, and crashes without start replies

A leader whose disk lags retries a transfer in the tick that abandons the last one, so no order leaves it for 10 s. A deadly task whose start replies are lost and whose workers stay away is started a third time after three crashes.

--- a/tests/agreement/test_confirmation.py
+++ b/tests/agreement/test_confirmation.py
@@ -113,6 +113,20 @@
                 )
                 self.assertGreaterEqual(self.group.now_ms, confirmed_until_ms)
 
+    def test_a_transfer_that_nobody_can_take_does_not_end_it_for_good(self):
+        for name in NAMES:
+            self.group.nodes[name].slow_disk = True
+        for _ in range(self.group.cfg.max_uncommitted_entries // 2 + 1):
+            self.group.propose(self.leader)
+        confirmed_count = 0
+        for _ in range(100):
+            self.group.run(100)
+            confirmed_count += (
+                self.replica.leadership_confirmed_until_ms > self.group.now_ms
+            )
+        self.assertEqual('leader', self.replica.role.name)
+        self.assertGreater(confirmed_count, 0)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/workflows/test_deadly_tasks.py
+++ b/tests/workflows/test_deadly_tasks.py
@@ -9,6 +9,7 @@
 import random
 import unittest
 
+from fuchsiatrestle import workflows as dispatcher
 from fuchsiatrestle.state import workflows
 from standins import worker_model
 from tests.fakes import dispatch_world
@@ -466,6 +467,20 @@
         world.run(30_000)
         self.assertEqual(1, len(world.ledger.running))
 
+    def test_lost_start_replies_of_workers_gone_for_good_are_counted(self):
+        world = dispatch_world.World(3, workers=14)
+        world.restart_ms = 10_000_000
+        world.run(2000)
+        send_reply = world._send_reply
+        world._send_reply = lambda token, order, reply: send_reply(
+            token,
+            order,
+            None if isinstance(order, dispatcher.StartRun) else reply,
+        )
+        _submit_job(world, 'deadly', deadly_index=0, crash_delay_ms=1)
+        world.run(CALM_MS)
+        self.assertEqual([], world.ledger.breaches)
+
 
 if __name__ == '__main__':
     unittest.main()
