Poll a worker again after an earlier process of it has answered a poll

Cause: a reply that names an older process than the known one was dropped before the wait for its order was ended, but after it had counted as a sign of life. So the worker was never polled again, nor did its lease ever count as over. Its clock was taken for that of the known process as well. Change: such a reply ends the wait for its order, as one from a former address does, and counts for nothing else; clocks are read only from the known process.

--- a/fuchsiatrestle/workflows/_answers.py
+++ b/fuchsiatrestle/workflows/_answers.py
@@ -66,19 +66,23 @@
         if worker is None:
             return None
         if worker.record.address != order.address:
-            self._end_order_to_former_address(worker, order)
+            self._end_order_to_former_process(worker, order)
             return worker
+        if 0 < reply.born_ms < worker.record.born_ms:
+            self._end_order_to_former_process(worker, order)
+            return None
         if reply.verdict == _Verdict.SILENT:
             retry_delay_ms = worker.record_timeout(self._dispatch_state.now_ms)
         else:
             retry_delay_ms = 0
             worker.record_reply(self._dispatch_state.now_ms)
-            if reply.verdict != _Verdict.OTHER_PROCESS:
+            if reply.verdict != _Verdict.OTHER_PROCESS and reply.born_ms in (
+                0,
+                worker.record.born_ms,
+            ):
                 worker.record_clock(
                     reply.clock_ms, self._dispatch_state.now_ms
                 )
-        if 0 < reply.born_ms < worker.record.born_ms:
-            return None
         if reply.born_ms > worker.record.born_ms:
             record = msgspec.structs.replace(
                 worker.record, born_ms=reply.born_ms, ends_noted=0
@@ -96,10 +100,11 @@
             self._on_run_reply(worker, order, reply, retry_delay_ms)
         return worker
 
-    def _end_order_to_former_address(self, worker, order):
-        """Ends the wait for an order to an address that the worker has left.
+    def _end_order_to_former_process(self, worker, order):
+        """Ends the wait for an order that the worker's process did not answer.
 
-        Whatever process answers there, its reply proves nothing.
+        It was sent to an address that the worker has left, or an earlier
+        process of the worker answered; such a reply proves nothing.
         """
         if not isinstance(order, _events.PollWorker):
             silent_reply = _events.Reply(_Verdict.SILENT, None, 0, [], [])
@@ -108,6 +113,9 @@
             )
         elif order is worker.pending_poll:
             worker.pending_poll = None
+            worker.next_poll_ms = (
+                self._dispatch_state.now_ms + _fleet.RETRY_MIN_MS
+            )
 
     def _on_run_reply(self, worker, order, reply, retry_delay_ms):
         run = worker.runs.get((order.task, order.run))
