Start suspected tasks alone without keeping others waiting for long

Change: a start counts as harmless after 0.3 s in place of 0.5 s, the worker is polled for it, half of the workers may be used in place of a fifth, and a task that lasts and has waited for 2 s starts like any other. A start alone ends with the process of its worker. A lease that is over counts as a possible crash only, as the worker may have been cut off, also if the start got no reply. Why it works: possible crashes fail a task from the fifth on, the last start that the rule allows; the wait of tasks that last has a bound of its own.

--- a/fuchsiatrestle/workflows/_crashes.py
+++ b/fuchsiatrestle/workflows/_crashes.py
@@ -13,20 +13,22 @@
 
 __all__ = (
     'MAX_TRIAL_WORKER_SHARE',
+    'SURVIVAL_MS',
     'TrialRuns',
     'choose_trial_worker',
     'find_start_outcome',
+    'has_survived',
 )
 
 # Time for which a worker has to run a task until it counts as harmless, by
 # the worker's clock.
-SURVIVAL_MS = 500
+SURVIVAL_MS = 300
 # Longest time for which a start that is not known to be harmless keeps other
 # starts off its worker.
 MAX_TRIAL_MS = 3000
 # Share of the workers on which suspected tasks may be started alone at a time;
 # one worker may be used in any case.
-MAX_TRIAL_WORKER_SHARE = 0.2
+MAX_TRIAL_WORKER_SHARE = 0.5
 
 # Reasons that prove that the process of a worker has ended.
 _PROCESS_ENDED_REASONS = ('other_worker_there', 'worker_reborn')
@@ -42,21 +44,31 @@
     """
     if run.earlier_start_outcome:
         return run.earlier_start_outcome
-    if _has_survived(worker, run):
+    if has_survived(worker, run):
         return commands.StartOutcome.SURVIVED
     if worker.state != _fleet.READY:
         return commands.StartOutcome.UNKNOWN
+    process_ended = reason in _PROCESS_ENDED_REASONS
+    if not process_ended and reason != 'lease_over':
+        return commands.StartOutcome.UNKNOWN
     if run.started_ms is None:
-        may_have_started = run.start_uncertain or run.adopted_soon
-        if may_have_started and reason in _PROCESS_ENDED_REASONS:
+        if run.start_uncertain or (run.adopted_soon and process_ended):
             return commands.StartOutcome.MAY_HAVE_CRASHED
     elif run.start_sent_ms is not None and run.started_clock_ms is not None:
-        if reason in (*_PROCESS_ENDED_REASONS, 'lease_over'):
+        if process_ended:
             return commands.StartOutcome.CRASHED
+        # The worker may have been cut off.
+        return commands.StartOutcome.MAY_HAVE_CRASHED
     return commands.StartOutcome.UNKNOWN
 
 
-def _has_survived(worker, run):
+def has_survived(worker, run):
+    """True if a worker has shown that a run there is harmless.
+
+    Args:
+        worker: the ``Worker``.
+        run: the ``Run`` on it.
+    """
     if run.started_clock_ms is None or worker.newest_clock_ms is None:
         return False
     return worker.newest_clock_ms - run.started_clock_ms >= SURVIVAL_MS
@@ -71,18 +83,23 @@
 
     def add(self, worker, run):
         """Adds a run that was placed on a worker to be started alone."""
+        run.starts_alone = True
         self._trials.append((worker, run))
 
-    def find_closed_workers(self, now_ms):
+    def find_closed_workers(self, fleet, now_ms):
         """Returns the names of the workers on which a trial goes on.
 
+        A trial ends with the process of its worker.
+
         Args:
+            fleet: the ``Fleet``.
             now_ms: monotonic time.
         """
         self._trials = [
             (worker, run)
             for worker, run in self._trials
-            if run.key in worker.runs
+            if fleet.get(worker.name) is worker
+            and run.key in worker.runs
             and _keeps_others_off(worker, run, now_ms)
         ]
         return {worker.name for worker, _ in self._trials}
@@ -129,6 +146,6 @@
     """True if a run is not started yet, or recently and may be harmful."""
     if run.phase == _runs.Phase.PLACED:
         return True
-    if run.start_sent_ms is None or _has_survived(worker, run):
+    if run.start_sent_ms is None or has_survived(worker, run):
         return False
     return now_ms - run.start_sent_ms < MAX_TRIAL_MS
--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -138,7 +138,9 @@
             run.adopted_soon = self._state.workflow_store.was_placed_recently(
                 live_run
             )
-            if run.adopted_soon and worker.record.born_ms != live_run.born_ms:
+            if worker.record.born_ms != live_run.born_ms:
+                # Had the run shown to be harmless, it would be recorded as
+                # lost already.
                 run.earlier_start_outcome = (
                     commands.StartOutcome.MAY_HAVE_CRASHED
                 )
@@ -318,12 +320,16 @@
             [group for group in ready_groups if group.step.lasts], now_ms
         )
         round_by_pool = {}
-        self._place_suspected_groups(
-            [group for group in ready_groups if group.is_suspected],
-            round_by_pool,
-        )
+        groups_to_start_alone = [
+            group for group in ready_groups if self._must_start_alone(group)
+        ]
+        self._place_suspected_groups(groups_to_start_alone, round_by_pool)
         deferred_groups = self._place_ready_groups(
-            [group for group in ready_groups if not group.is_suspected],
+            [
+                group
+                for group in ready_groups
+                if not self._must_start_alone(group)
+            ],
             round_by_pool,
         )
         self._place_deferred_groups(deferred_groups)
@@ -339,6 +345,10 @@
             round_by_pool.values(), self._state.fleet, now_ms
         )
 
+    def _must_start_alone(self, group):
+        """True for a suspected task, unless it lasts and is overdue."""
+        return group.is_suspected and not self._is_overdue(group)
+
     def _place_suspected_groups(self, groups, round_by_pool):
         """Starts tasks that may crash their workers, each one alone.
 
@@ -443,7 +453,7 @@
                 self._state.now_ms,
             )
             for name in self._trial_runs.find_closed_workers(
-                self._state.now_ms
+                self._state.fleet, self._state.now_ms
             ):
                 round_by_pool[pool].close_worker(name)
         return round_by_pool[pool]
--- a/fuchsiatrestle/workflows/_orders.py
+++ b/fuchsiatrestle/workflows/_orders.py
@@ -1,5 +1,6 @@
 """Decides which orders a worker gets next."""
 
+from fuchsiatrestle.workflows import _crashes
 from fuchsiatrestle.workflows import _events
 from fuchsiatrestle.workflows import _fleet
 from fuchsiatrestle.workflows import _runs
@@ -181,6 +182,11 @@
             return 0
         if any(run.phase == _Phase.STOPPING for run in worker.runs.values()):
             return self._timing.busy_poll_wait_ms
+        if any(
+            run.starts_alone and not _crashes.has_survived(worker, run)
+            for run in worker.runs.values()
+        ):
+            return _crashes.SURVIVAL_MS
         if worker.capacity.serving_cpu and worker.capacity.best_effort_cpu:
             return self._timing.busy_poll_wait_ms
         return self._timing.poll_wait_ms
--- a/fuchsiatrestle/workflows/_rounds.py
+++ b/fuchsiatrestle/workflows/_rounds.py
@@ -210,7 +210,14 @@
     # Results of the round
 
     def close_worker(self, name):
-        """Keeps all groups that come later in the round off a worker."""
+        """Keeps all groups that come later in the round off a worker.
+
+        Args:
+            name: name of the worker; one that the round may not use anyway is
+                ignored.
+        """
+        if name not in self._usable_names:
+            return
         self.closed_worker_names.add(name)
         self._usable_names.discard(name)
         self._workers = [
--- a/fuchsiatrestle/workflows/_runs.py
+++ b/fuchsiatrestle/workflows/_runs.py
@@ -32,6 +32,8 @@
         start_uncertain: True if a start order may still arrive at the worker:
             the order got no reply, was pending when the run was to be
             stopped, or is not known to this leader.
+        starts_alone: True if no other run may start on its worker before this
+            one has shown to be harmless.
         start_sent_ms: when this leader first ordered its start, None before.
         earlier_start_outcome: ``StartOutcome`` on a process of the worker that
             has ended, if a later one has to refuse the run, or empty.
@@ -64,6 +66,7 @@
         'phase',
         'progress_percent',
         'start_sent_ms',
+        'starts_alone',
         'start_uncertain',
         'started_clock_ms',
         'started_ms',
@@ -81,6 +84,7 @@
         self.start_uncertain = False
         self.order_pending = False
         self.next_order_ms = 0
+        self.starts_alone = False
         self.start_sent_ms = None
         self.earlier_start_outcome = ''
         self.started_ms = None
--- a/tests/workflows/test_deadly_tasks.py
+++ b/tests/workflows/test_deadly_tasks.py
@@ -9,8 +9,8 @@
 import random
 import unittest
 
-from fuchsiatrestle import workflows as dispatcher
 from fuchsiatrestle.state import workflows
+from fuchsiatrestle import workflows as dispatcher
 from standins import worker_model
 from tests.fakes import dispatch_world
 
@@ -418,7 +418,6 @@
     return world, deadly_ids, batch_ids, long_running_ids
 
 
-
 class IsolationTest(unittest.TestCase):
     """Harmless tasks whose workers end or are cut off after their start."""
 
--- a/tests/workflows/test_decisions.py
+++ b/tests/workflows/test_decisions.py
@@ -9,6 +9,7 @@
 from fuchsiatrestle.workflows import _interference
 from fuchsiatrestle.workflows import _pacing
 from fuchsiatrestle.workflows import _placement
+from fuchsiatrestle.workflows import _rounds
 from fuchsiatrestle.workflows import _runs
 from fuchsiatrestle.workflows import _tails
 
@@ -403,6 +404,29 @@
         self.assertEqual(100, self.best_effort_run.wanted_pace_percent)
 
 
+class ClosedWorkersTest(unittest.TestCase):
+    def test_workers_of_other_services_leave_room_for_a_start_alone(self):
+        pool_round = _rounds.PlacementRound(
+            'pool',
+            [_make_worker(f'w{number}') for number in range(5)],
+            _rounds.ReservationLimits(),
+            0,
+        )
+        for name in ('other', 'another'):
+            pool_round.close_worker(name)
+        self.assertTrue(pool_round.may_close_worker)
+        for name in ('w1', 'w2'):
+            pool_round.close_worker(name)
+        self.assertFalse(pool_round.may_close_worker)
+        open_names = [
+            worker.name
+            for worker in pool_round.workers_for(
+                _make_step(), ignores_reservations=True
+            )
+        ]
+        self.assertEqual(['w0', 'w3', 'w4'], open_names)
+
+
 class LeaseClockTest(unittest.TestCase):
     def test_lease_is_over_only_on_the_slowest_clock(self):
         clock = _clock.LeaseClock(5000)
--- a/tests/workflows/test_recovery.py
+++ b/tests/workflows/test_recovery.py
@@ -201,7 +201,6 @@
         self.assertNotIn(worker, world.ledger.running.values())
         self.assertEqual([], world.ledger.breaches)
 
-
     def test_worker_is_polled_after_a_reply_names_an_older_process(self):
         world = dispatch_world.World(1, workers=0)
         world.run(1000)
@@ -228,8 +227,9 @@
         is_outdated = False
         polls = []
         world._execute_order = lambda order: (
-            isinstance(order, dispatcher.PollWorker) and polls.append(order)
-        ) or execute_order(order)
+            (isinstance(order, dispatcher.PollWorker) and polls.append(order))
+            or execute_order(order)
+        )
         world.run(20_000)
         self.assertTrue(polls)
         self.assertEqual([], world.ledger.breaches)
