--- a/fuchsiatrestle/workflows/_settings.py
+++ b/fuchsiatrestle/workflows/_settings.py
@@ -9,9 +9,10 @@
     A poll is a ``PollWorker`` order.
 
     Attributes:
-        lease_ms: lease that a worker gets with each poll.  It has to outlast
-            a change of leader; a worker that no leader can reach keeps its
-            tasks until the lease ends.
+        lease_ms: lease that a worker gets with each poll, the same at all
+            control replicas: a new leader waits for such leases of earlier
+            ones.  It has to outlast a change of leader; a worker that no
+            leader can reach keeps its tasks until the lease ends.
         longest_lease_ms: longest duration of a lease that a worker accepts.
         poll_wait_ms: longest time for which a worker without an end to list
             delays its reply to a poll.
