--- a/tests/workflows/test_shrinking_capacity.py
+++ b/tests/workflows/test_shrinking_capacity.py
@@ -407,13 +407,13 @@
         elif worker in world._worker_models:
             world.crash_worker(worker, random_source.randint(200, 4000))
 
-    def _run_random_world(self, seed):
+    def _run_random_world(self, seed, **delays):
         random_source = random.Random(f'shrinking/{seed}')
         faults = dispatch_world.Faults(
             lost_order_share=0.05,
             lost_reply_share=0.05,
             late_order_share=0.05,
-            max_delay_ms=worker_model.MIN_CONTACT_MS,
+            **delays,
         )
         world = dispatch_world.World(seed, workers=3, faults=faults)
         workflow_ids = []
@@ -452,6 +452,12 @@
                     },
                 )
 
+    def test_start_on_its_way_does_not_exceed_a_capacity_that_shrank(self):
+        world, _ = self._run_random_world(
+            247, max_delay_ms=worker_model.MIN_CONTACT_MS
+        )
+        self._check_no_breach(world)
+
 
 if __name__ == '__main__':
     unittest.main()
