Park a batch job that crashes the workers that start it

Change: the event that ends an attempt carries what the start did to the worker; three certain crashes in a row, or five with possible ones, park the job as crashes_workers. The count is shared with the tasks of workflows.

--- a/fuchsiatrestle/scheduling/_attempts.py
+++ b/fuchsiatrestle/scheduling/_attempts.py
@@ -9,6 +9,7 @@
 """
 
 from fuchsiatrestle import messages
+from fuchsiatrestle.scheduling import _start_outcomes
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import jobs as states
 
@@ -35,6 +36,7 @@
         self._lease_tracker = lease_tracker
         self._policy = policy
         self._never_ordered_attempts = set()
+        self._start_tracker = _start_outcomes.StartTracker()
         self._checkpoint_recorded_ms_by_job = {}
 
     # Start orders
@@ -51,6 +53,7 @@
         """Discards what is kept about an attempt that has ended."""
         self._checkpoint_recorded_ms_by_job.pop(job_id, None)
         self._never_ordered_attempts.discard((job_id, attempt))
+        self._start_tracker.forget_attempt(job_id, attempt)
 
     def record_lost_attempt(self, job, detail):
         """Proposes the end of an attempt that its worker can't report.
@@ -68,9 +71,9 @@
             self._never_ordered_attempts.discard(attempt_key)
             self._record_event(job, 'refused', 'never ordered')
         elif detail == 'lease ran out':
-            self._record_event(job, 'expired', detail)
+            self._record_loss(job, 'expired', detail, process_ended=False)
         else:
-            self._record_event(job, 'stopped', detail)
+            self._record_loss(job, 'stopped', detail, process_ended=True)
 
     def end_never_ordered_attempts(self, worker):
         """Proposes the end of attempts that were never ordered to start."""
@@ -152,6 +155,7 @@
         if self._outbox.is_ending(job_id, attempt_report.attempt):
             return _make_order('stop', job_id, attempt_report.attempt)
         self._never_ordered_attempts.discard((job_id, attempt_report.attempt))
+        self._start_tracker.record_running(job, now_ms)
         if not job.started:
             self._record_event(job, 'started')
         self._record_checkpoint(job, attempt_report, now_ms)
@@ -194,6 +198,7 @@
                 max(attempt_report.checkpoint, 0),
                 attempt_report.used,
                 attempt_report.detail,
+                commands.StartOutcome.SURVIVED,
             )
         )
 
@@ -224,6 +229,7 @@
             return None
         if job.state == states.PLACED and not job.cancelled:
             self._never_ordered_attempts.discard(attempt_key)
+            self._start_tracker.record_order(job)
             return self._make_start_order(job)
         if attempt_key in self._never_ordered_attempts:
             self.record_lost_attempt(job, 'never ordered')
@@ -243,6 +249,20 @@
             job.checkpoint_attempt,
         )
 
+    def _record_loss(self, job, kind, detail, *, process_ended):
+        start_outcome = self._start_tracker.find_start_outcome(
+            job, process_ended
+        )
+        self._outbox.record_event(
+            commands.AttemptEvent(
+                job.spec.job_id,
+                job.attempt,
+                kind,
+                detail=detail,
+                start_outcome=start_outcome,
+            )
+        )
+
     def _record_event(self, job, kind, detail='', checkpoint=0):
         self._outbox.record_event(
             commands.AttemptEvent(
--- a/fuchsiatrestle/state/_jobs_attempts.py
+++ b/fuchsiatrestle/state/_jobs_attempts.py
@@ -22,6 +22,7 @@
 # Reasons for which a job is parked, as operators see them.
 REASON_UNKNOWN = 'unknown'
 REASON_FAILS_EVERYWHERE = 'fails_everywhere'
+REASON_CRASHES_WORKERS = 'crashes_workers'
 
 
 class AttemptEventHandler:
@@ -161,6 +162,7 @@
 
     def _apply_failed(self, job, event):
         job.may_have_run = True
+        job.record_start_outcome(event.start_outcome)
         self._release_reservation(job, 'failed', event)
         if job.cancelled:
             self._store.end_job(job, model.CANCELLED, 'cancelled')
@@ -195,6 +197,7 @@
     def _end_uncertain_attempt(self, job, history_kind, event):
         """Ends an attempt that may have run but reported no result."""
         job.may_have_run = True
+        job.record_start_outcome(event.start_outcome)
         self._release_reservation(job, history_kind, event)
         self._requeue_or_end(job)
 
@@ -202,7 +205,8 @@
         """Queues, parks or cancels a job whose attempt ended without result.
 
         A job that is not idempotent and may have run is never queued again;
-        it is parked for an operator to decide.
+        it is parked for an operator to decide.  So is one that crashes the
+        workers that start it.
         """
         if job.cancelled:
             reason = 'cancelled'
@@ -212,6 +216,9 @@
         elif job.may_have_run and not job.spec.idempotent:
             job.reason = REASON_UNKNOWN
             self._store.set_state(job, model.PARKED)
+        elif job.crashes_workers:
+            job.reason = REASON_CRASHES_WORKERS
+            self._store.set_state(job, model.PARKED)
         else:
             self._store.set_state(job, model.QUEUED)
 
--- a/fuchsiatrestle/state/_jobs_model.py
+++ b/fuchsiatrestle/state/_jobs_model.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from fuchsiatrestle import messages
+from fuchsiatrestle.state import _crash_counts
 from fuchsiatrestle.state import commands
 
 __all__ = (
@@ -99,7 +100,7 @@
         return text
 
 
-class Job(msgspec.Struct, array_like=True):
+class Job(_crash_counts.CrashCounts, msgspec.Struct, array_like=True):
     """A job that has not ended.
 
     Attributes:
@@ -121,6 +122,8 @@
             first.
         reason: why it is parked, else empty.
         history: latest attempt events, oldest first.
+        worker_crashes: see ``CrashCounts``.
+        possible_worker_crashes: see ``CrashCounts``.
     """
 
     spec: commands.JobSpec
@@ -139,6 +142,8 @@
     failed_on: list[str] = []
     reason: str = ''
     history: list[HistoryLine] = []
+    worker_crashes: int = 0
+    possible_worker_crashes: int = 0
 
     @property
     def is_live(self):
--- a/fuchsiatrestle/state/_jobs_submit.py
+++ b/fuchsiatrestle/state/_jobs_submit.py
@@ -215,6 +215,7 @@
             )
         job.reason = ''
         job.failed_on = []
+        job.reset_crash_counts()
         self._store.set_state(job, model.QUEUED)
         return outcomes.JobOutcome(job_id, model.QUEUED)
 
--- a/fuchsiatrestle/state/_workflows_model.py
+++ b/fuchsiatrestle/state/_workflows_model.py
@@ -2,6 +2,7 @@
 
 from fuchsiatrestle import invariants
 from fuchsiatrestle import records
+from fuchsiatrestle.state import _crash_counts
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import workflows
 
@@ -13,11 +14,6 @@
 FAILED = 'failed'
 CANCELLED = 'cancelled'
 
-# A task is not started again, and its workflow fails, when so many workers in
-# a row have crashed when they started it, or may have crashed because of it.
-MAX_WORKER_CRASHES = 3
-MAX_POSSIBLE_WORKER_CRASHES = 5
-
 
 class _TaskRow(records.Record, tag='t'):
     """Stored form of a ``Task`` with its id."""
@@ -43,7 +39,7 @@
     tasks: list[_TaskRow]
 
 
-class Task:
+class Task(_crash_counts.CrashCounts):
     """State of one task of a workflow.
 
     Attributes:
@@ -87,25 +83,6 @@
         self.worker_crashes = worker_crashes
         self.possible_worker_crashes = possible_worker_crashes
 
-    def record_start_outcome(self, start_outcome):
-        """Counts a lost run, one of ``commands.StartOutcome``."""
-        if start_outcome == commands.StartOutcome.SURVIVED:
-            self.worker_crashes = 0
-            self.possible_worker_crashes = 0
-        elif start_outcome == commands.StartOutcome.CRASHED:
-            self.worker_crashes += 1
-            self.possible_worker_crashes += 1
-        elif start_outcome == commands.StartOutcome.MAY_HAVE_CRASHED:
-            self.possible_worker_crashes += 1
-
-    @property
-    def crashes_workers(self):
-        """True if it is given up because it crashes its workers."""
-        return (
-            self.worker_crashes >= MAX_WORKER_CRASHES
-            or self.possible_worker_crashes >= MAX_POSSIBLE_WORKER_CRASHES
-        )
-
 
 class Workflow:
     """State of one submitted workflow.
--- a/fuchsiatrestle/state/commands/__init__.py
+++ b/fuchsiatrestle/state/commands/__init__.py
@@ -7,16 +7,19 @@
 from fuchsiatrestle.state.commands import _claims
 from fuchsiatrestle.state.commands import _config
 from fuchsiatrestle.state.commands import _jobs
+from fuchsiatrestle.state.commands import _starts
 from fuchsiatrestle.state.commands import _workflows
 from fuchsiatrestle.state.commands._claims import *
 from fuchsiatrestle.state.commands._config import *
 from fuchsiatrestle.state.commands._jobs import *
+from fuchsiatrestle.state.commands._starts import *
 from fuchsiatrestle.state.commands._workflows import *
 
 __all__ = (
     _claims.__all__
     + _config.__all__
     + _jobs.__all__
+    + _starts.__all__
     + _workflows.__all__
     + ('CODEC', 'RECORD_CLASSES')
 )
--- a/fuchsiatrestle/state/commands/_jobs.py
+++ b/fuchsiatrestle/state/commands/_jobs.py
@@ -2,6 +2,7 @@
 
 from fuchsiatrestle import messages
 from fuchsiatrestle import records
+from fuchsiatrestle.state.commands import _starts
 
 __all__ = (
     'AttemptEvent',
@@ -127,6 +128,7 @@
         checkpoint: number of the checkpoint, 0 if not applicable.
         used: greatest resource usage observed, None if unknown.
         detail: explanation for people.
+        start_outcome: one of ``StartOutcome``, for the end of an attempt.
     """
 
     job_id: str
@@ -135,6 +137,7 @@
     checkpoint: int = 0
     used: messages.Resources | None = None
     detail: str = ''
+    start_outcome: str = _starts.StartOutcome.UNKNOWN
 
 
 class RecordAttempts(records.Record, tag='events'):
--- a/fuchsiatrestle/state/commands/_workflows.py
+++ b/fuchsiatrestle/state/commands/_workflows.py
@@ -1,6 +1,7 @@
 """Commands about workflows, their runs and the configuration document."""
 
 from fuchsiatrestle import records
+from fuchsiatrestle.state.commands import _starts
 from fuchsiatrestle.state import workflows
 
 __all__ = (
@@ -9,7 +10,6 @@
     'RecordProgress',
     'RunEnd',
     'RunLost',
-    'StartOutcome',
     'SubmitWorkflow',
 )
 
@@ -81,16 +81,6 @@
     checkpoint: str
 
 
-class StartOutcome:
-    """What became of a worker after it was ordered to start a run."""
-
-    UNKNOWN = ''
-    # Its process ended, perhaps before it had begun the run or long after it.
-    MAY_HAVE_CRASHED = 'may_have_crashed'
-    SURVIVED = 'survived'  # it was alive for a while with the run
-    CRASHED = 'crashed'  # its process ended without a sign of life after it
-
-
 class RunLost(records.Record, tag='lost'):
     """Run that certainly is not executing and cannot start any more.
 
@@ -106,7 +96,7 @@
     run: int
     checkpoint: str
     reason: str
-    start_outcome: str = StartOutcome.UNKNOWN
+    start_outcome: str = _starts.StartOutcome.UNKNOWN
 
 
 class RecordProgress(records.Record, tag='progress'):
