Count the crash of a suspected task that a new leader did not start

Change: a lost run of a task that may have crashed a worker before counts as possible whenever it was placed, unless it is known to be harmless.

--- a/fuchsiatrestle/state/_workflows.py
+++ b/fuchsiatrestle/state/_workflows.py
@@ -137,6 +137,16 @@
         age_ms = self._progress_recorded_ms - live_run.placed_ms
         return age_ms < RECENT_PLACEMENT_MS
 
+    def is_suspected(self, task_id):
+        """Returns True if a task may have crashed the worker of its last run.
+
+        Args:
+            task_id: id of the task.
+        """
+        workflow = self.find_workflow(task_id.workflow_id)
+        task = workflow.tasks.get(task_id) if workflow else None
+        return task is not None and task.possible_worker_crashes > 0
+
     def query(self, query):
         """Answers ``LookUpPath``.
 
--- a/fuchsiatrestle/workflows/_crashes.py
+++ b/fuchsiatrestle/workflows/_crashes.py
@@ -52,7 +52,11 @@
     if not process_ended and reason != 'lease_over':
         return commands.StartOutcome.UNKNOWN
     if run.started_ms is None:
-        if run.start_uncertain or (run.adopted_soon and process_ended):
+        if (
+            run.start_uncertain
+            or run.adopted_suspected
+            or (run.adopted_soon and process_ended)
+        ):
             return commands.StartOutcome.MAY_HAVE_CRASHED
     elif run.start_sent_ms is not None and run.started_clock_ms is not None:
         if process_ended:
--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -138,6 +138,9 @@
             run.adopted_soon = self._state.workflow_store.was_placed_recently(
                 live_run
             )
+            run.adopted_suspected = self._state.workflow_store.is_suspected(
+                live_run.task
+            )
             if worker.record.born_ms != live_run.born_ms:
                 # Had the run shown to be harmless, it would be recorded as
                 # lost already.
--- a/fuchsiatrestle/workflows/_runs.py
+++ b/fuchsiatrestle/workflows/_runs.py
@@ -27,6 +27,8 @@
         step: its ``Step``, None if the workflow is not known.
         phase: one of ``Phase``.
         adopted: True if an earlier leader placed it.
+        adopted_suspected: True if an earlier leader placed it although its
+            task may have crashed another worker.
         adopted_soon: True if an earlier leader placed it shortly before this
             one took over.
         start_uncertain: True if a start order may still arrive at the worker:
@@ -56,6 +58,7 @@
     __slots__ = (
         'adopted',
         'adopted_soon',
+        'adopted_suspected',
         'checkpoint',
         'earlier_start_outcome',
         'live_run',
@@ -81,6 +84,7 @@
         self.phase = phase
         self.adopted = False
         self.adopted_soon = False
+        self.adopted_suspected = False
         self.start_uncertain = False
         self.order_pending = False
         self.next_order_ms = 0
--- a/tests/workflows/test_deadly_tasks.py
+++ b/tests/workflows/test_deadly_tasks.py
@@ -26,6 +26,8 @@
 MAX_EARLY_FAULTS = 2
 FAULT_SEEDS = range(40)
 MIX_SEEDS = range(30)
+# Runs in which the leader changes after a late start or twice in a row.
+CHANGED_LEADER_SEEDS = (49, 57, 76)
 FAULTY_MS = 25_000
 # Time after the random faults within which deadly jobs fail, and harmless ones
 # are completed.
@@ -379,6 +381,11 @@
             with self.subTest(seed=seed):
                 self._check_jobs(*_run_with_faults(seed, deadly_count=2))
 
+    def test_new_leader_counts_the_crash_of_a_start_it_did_not_see(self):
+        for seed in CHANGED_LEADER_SEEDS:
+            with self.subTest(seed=seed):
+                self._check_jobs(*_run_with_faults(seed, deadly_count=2))
+
 
 def _run_with_faults(seed, deadly_count):
     """Runs jobs with random faults, then without.
