Hold a start while the announcement of its worker is overdue

Cause: a start was ordered by an announcement up to three intervals old. Change: the start waits for the next announcement, and is sent with it.

--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -73,9 +73,7 @@
         self._effects = []
         self._event_handlers = {
             _events.Tick: self._on_tick,
-            _events.WorkerAnnounced: (
-                self._announcement_handler.on_worker_announced
-            ),
+            _events.WorkerAnnounced: self._on_worker_announced,
             _events.WorkerWithdrawn: (
                 self._announcement_handler.on_worker_withdrawn
             ),
@@ -158,7 +156,13 @@
             },
         )
 
-    # Replies of workers
+    # Announcements and replies of workers
+
+    def _on_worker_announced(self, event):
+        self._announcement_handler.on_worker_announced(event)
+        worker = self._state.fleet.get(event.announcement.worker)
+        if worker is not None:
+            self._send_due_orders(worker)
 
     def _on_reply_received(self, event):
         worker = self._reply_handler.handle_reply(event)
--- a/fuchsiatrestle/workflows/_orders.py
+++ b/fuchsiatrestle/workflows/_orders.py
@@ -65,6 +65,10 @@
                 return None
             elif worker.capacity.is_exceeded_for(run.step):
                 self._abandon_start(worker, run, 'worker_shrunk')
+            elif now_ms - worker.last_announced_ms > self._timing.announce_ms:
+                # The order may be carried out late; by then a worker that
+                # has shrunk since its last announcement might be exceeded.
+                return None
             else:
                 return self._make_start_order(worker, run, now_ms)
         if run.phase == _Phase.STOPPING and run.stopped_ms is None:
