--- a/tests/agreement/cluster.py
+++ b/tests/agreement/cluster.py
@@ -187,6 +187,21 @@
         self.kill(name)
         node.files = fake_files.FakeFiles(self.rng)
 
+    def add_node(self, name):
+        """Adds a node with an empty disk and starts its process."""
+        self.node_names.append(name)
+        self.nodes[name] = Node(name, self.rng)
+        self.start(name)
+
+    def remove_node(self, name):
+        """Removes a node for good, with its process and its disk."""
+        node = self.nodes[name]
+        if node.folder is not None:
+            self.lost_identities.add(node.folder.state.identity)
+        self.kill(name)
+        del self.nodes[name]
+        self.node_names.remove(name)
+
     # Events
 
     def step(self, name, event):
