Replace control replicas that are gone for good by newcomers of other names

On the platform the name is the link address, so each replacement at another address left one dead voter more, until the quorum was gone. Change: newcomers are agreed with the voter set. A voter that is silent for 1.5 s is removed for one that joined at about that time; without a newcomer it is kept, or removed after 10 s if the group is better off. A stopping replica leaves at once if a newcomer is there. A replaced identity is told so, empties its folder and joins with a new one; it gets no vote. A replica on an empty folder that came later never founds a group.

--- a/fuchsiatrestle/agreement/_dispatch.py
+++ b/fuchsiatrestle/agreement/_dispatch.py
@@ -28,6 +28,7 @@
             _events.ReadRequest: self._on_read_request,
             _events.ChangeVoters: self._on_change_voters,
             _events.TransferLeadership: self._on_transfer_leadership,
+            _events.PrepareStop: self._on_prepare_stop,
         }
         self._message_handlers = {
             messages.AppendRequest: self._on_append_request,
@@ -70,27 +71,40 @@
     def _on_transfer_leadership(self, event):
         self._replica.role.transfer_leadership()
 
+    def _on_prepare_stop(self, event):
+        self._replica.role.prepare_stop()
+
     # Hellos and founding of the group
 
     def _bootstrap_group(self):
         """Sends due hellos, and founds the group once ``Founding`` allows it.
 
-        A replica that is a member, or was removed, does neither.
+        A replica that counts itself as a member, or was removed, founds
+        nothing.  It sends hellos only while it knows of no leader, to learn
+        whether the group goes on without it.
         """
         replica = self._replica
         voters = replica.voters
-        if replica.identity in voters.members + voters.removed:
+        is_joined = replica.identity in voters.members + voters.removed
+        if is_joined and replica.leader_identity:
             return
-        for process_name in replica.founding.take_hello_receivers(
-            replica.now_ms
-        ):
-            hello = replica.founding.build_hello(replica.group, joined=False)
-            replica.emit(_events.SendToPeer(process_name, hello))
-        if not replica.group:
+        self._send_hellos(is_joined)
+        if not replica.group and not is_joined:
             identities = replica.founding.find_founding_members(replica.now_ms)
             if identities:
                 replica.found_group(identities)
 
+    def _send_hellos(self, is_joined):
+        """Sends hellos to the initial members and the known voters."""
+        replica = self._replica
+        receivers = replica.founding.take_hello_receivers(
+            replica.now_ms,
+            map(_voters.process_name_of, replica.voters.voters),
+        )
+        hello = replica.founding.build_hello(replica.group, is_joined)
+        for process_name in receivers:
+            replica.emit(_events.SendToPeer(process_name, hello))
+
     def _on_hello(self, event):
         """Records a hello and answers a sender that has not joined a group.
 
@@ -102,6 +116,8 @@
         replica = self._replica
         if message.cell != replica.cell:
             return
+        if self._tell_removed_member(message.sender):
+            return
         process_name = _voters.process_name_of(message.sender)
         replica.founding.record_hello(process_name, message, replica.now_ms)
         if not message.joined and replica.voters.voters:
@@ -133,10 +149,32 @@
         elif not self._accepts_group(message.group):
             return
         elif isinstance(message, messages.VoteRequest):
-            self._on_vote_request(message)
+            if not self._tell_removed_member(message.candidate):
+                self._on_vote_request(message)
+        elif isinstance(message, messages.MemberRemoved):
+            self._replica.on_removed(message)
+        elif isinstance(message, messages.StopNotice):
+            self._replica.role.on_stop_notice(message)
         else:
             self._on_peer_message(message)
 
+    def _tell_removed_member(self, identity):
+        """Tells a removed member so, once its removal is committed.
+
+        Returns:
+            True if the sender of a message is such a member.
+        """
+        replica = self._replica
+        voters = replica.voters
+        if not replica.voters_committed or identity not in voters.removed:
+            return False
+        may_rejoin = identity in voters.replaced
+        replica.send(
+            identity,
+            messages.MemberRemoved(replica.group, identity, may_rejoin),
+        )
+        return True
+
     def _accepts_group(self, group):
         """Returns True if messages of a group are to be handled.
 
--- a/fuchsiatrestle/agreement/_events.py
+++ b/fuchsiatrestle/agreement/_events.py
@@ -11,8 +11,10 @@
     'ChangeVoters',
     'CompactLog',
     'HardState',
+    'IdentityReplaced',
     'MessageReceived',
     'PersistChanges',
+    'PrepareStop',
     'ProposalAppended',
     'ProposeCommands',
     'ReadReady',
@@ -113,7 +115,17 @@
 
 
 class TransferLeadership(core.Value):
-    """Requests a leadership transfer, for a planned stop."""
+    """Requests a leadership transfer."""
+
+    __slots__ = ()
+
+
+class PrepareStop(core.Value):
+    """Requests that this replica gives up its leadership to be stopped.
+
+    If a newcomer takes its place, it also leaves the group, as a follower
+    does.
+    """
 
     __slots__ = ()
 
@@ -125,8 +137,9 @@
 
     Attributes:
         token: returned by the answer.
-        change: ``add`` (as a learner), ``promote`` (a learner to a voter) or
-            ``remove``.
+        change: ``add`` (as a learner), ``promote`` (a learner to a voter),
+            ``remove``, or ``replace`` (a removal after which the process may
+            join again with a new identity).
         member: identity of the member.
     """
 
@@ -217,6 +230,16 @@
     __slots__ = ('token', 'reason', 'leader')
 
 
+class IdentityReplaced(core.Value):
+    """Reports that the group goes on without the identity of this replica.
+
+    It never counts again.  The process may join with a new identity once its
+    data folder is retired, see ``DataFolder.retire``.
+    """
+
+    __slots__ = ()
+
+
 class ReadReady(core.Value):
     """Reports that a read may be answered once an index is applied.
 
--- a/fuchsiatrestle/agreement/_folder.py
+++ b/fuchsiatrestle/agreement/_folder.py
@@ -59,7 +59,7 @@
         self.state = None
 
     @classmethod
-    def open(cls, path, name, identity_nonce, files=None):
+    def open(cls, path, name, identity_nonce, files=None, may_found=True):
         """Opens a data folder and recovers its state.
 
         An empty folder is initialized with a new identity.  A torn last
@@ -71,6 +71,8 @@
             identity_nonce: random number for the new identity, used only if
                 the folder holds none.
             files: ``Files`` to work through, ``OsFiles`` if None.
+            may_found: True if the replica may take part in founding a group;
+                used only with a new identity, and kept with it.
 
         Returns:
             The open folder with its ``state``.
@@ -86,7 +88,7 @@
             folder._lock_handle = folder._files.lock(
                 folder._path_of(LOCK_FILE_NAME)
             )
-            folder._recover(name, identity_nonce)
+            folder._recover(name, identity_nonce, may_found)
         return folder
 
     @property
@@ -195,6 +197,35 @@
                 segment.max_index = 0
             self._remove_covered_segments(snapshot.last_index)
 
+    def retire(self):
+        """Removes all data, so that the next opening draws a new identity.
+
+        A marker file is made durable first.  A crash after that leaves a
+        folder whose data the next opening removes.
+
+        Raises:
+            errors.StorageFailed: a write failed now or earlier.
+        """
+        with self._latch_failure('retire'):
+            handle = self._files.open_append(
+                self._path_of(_recovery.RETIRED_FILE_NAME)
+            )
+            self._files.sync(handle)
+            self._files.close(handle)
+            self._files.sync_folder(self.path)
+            self._remove_retired_data()
+            self._has_failed = True
+
+    def _remove_retired_data(self):
+        """Removes all data files, then the marker of a retired folder."""
+        kept_names = (LOCK_FILE_NAME, _recovery.RETIRED_FILE_NAME)
+        for file_name in self._files.list_file_names(self.path):
+            if file_name not in kept_names:
+                self._files.remove(self._path_of(file_name))
+        self._files.sync_folder(self.path)
+        self._files.remove(self._path_of(_recovery.RETIRED_FILE_NAME))
+        self._files.sync_folder(self.path)
+
     # Steps of recovery and writing
 
     @contextlib.contextmanager
@@ -228,7 +259,11 @@
     def _path_of(self, file_name):
         return os.path.join(self.path, file_name)
 
-    def _recover(self, name, identity_nonce):
+    def _recover(self, name, identity_nonce, may_found):
+        if _recovery.RETIRED_FILE_NAME in self._files.list_file_names(
+            self.path
+        ):
+            self._remove_retired_data()
         self._remove_temporary_files()
         recovered = _recovery.Recovery(self._files, self.path)
         self._segments = recovered.segments
@@ -245,7 +280,8 @@
             )
             self._files.truncate(*recovered.torn_segment)
         if not recovered.identity:
-            self._initialize(_voters.make_identity(name, identity_nonce))
+            identity = _voters.make_identity(name, identity_nonce)
+            self._initialize(_stored.Identity(identity, may_found))
             recovered = _recovery.Recovery(self._files, self.path)
         else:
             self._open_last_segment()
@@ -256,14 +292,12 @@
             if file_name.endswith(TEMPORARY_SUFFIX):
                 self._files.remove(self._path_of(file_name))
 
-    def _initialize(self, identity):
+    def _initialize(self, identity_record):
         if not self._segments:
             self._start_segment()
         else:
             self._open_last_segment()
-        self._replace_file(
-            _recovery.IDENTITY_FILE_NAME, _stored.Identity(identity)
-        )
+        self._replace_file(_recovery.IDENTITY_FILE_NAME, identity_record)
 
     def _open_last_segment(self):
         file_name = _recovery.segment_file_name(self._segments[-1].number)
--- a/fuchsiatrestle/agreement/_founding.py
+++ b/fuchsiatrestle/agreement/_founding.py
@@ -27,18 +27,22 @@
         initial_names: process names of all initial members; a replica that is
             not one of them joins an existing group and never founds one.
         hello_ms: interval between two hellos, in milliseconds.
+        may_found: False for a replica that came after the group was founded.
 
     Attributes:
         initial_names: process names of the initial members.
     """
 
-    def __init__(self, cell, identity, name, initial_names, hello_ms):
+    def __init__(
+        self, cell, identity, name, initial_names, hello_ms, may_found=True
+    ):
         self._cell = cell
         self._identity = identity
         self._name = name
         self.initial_names = frozenset(initial_names)
         self._other_initial_names = sorted(set(initial_names) - {name})
         self._hello_ms = hello_ms
+        self._may_found = may_found
         self._next_hello_ms = 0
         # Newest hello and the time of its arrival, by process name.
         self._last_hello_by_name = {}
@@ -46,8 +50,10 @@
     @property
     def is_founder(self):
         """True for the initial member with the lowest name."""
-        return self._name in self.initial_names and all(
-            self._name < other for other in self._other_initial_names
+        return (
+            self._may_found
+            and self._name in self.initial_names
+            and all(self._name < other for other in self._other_initial_names)
         )
 
     def build_hello(self, group, joined):
@@ -59,16 +65,22 @@
         """
         return messages.Hello(self._cell, group, self._identity, joined)
 
-    def take_hello_receivers(self, now_ms):
+    def take_hello_receivers(self, now_ms, voter_names=()):
         """Returns the process names to send a hello to now.
 
-        The list is empty until ``hello_ms`` have passed since the last call
-        that returned names.
+        These are the other initial members and voters.  The list is empty
+        until ``hello_ms`` have passed since the last call that returned names.
+
+        Args:
+            now_ms: monotonic time, in milliseconds.
+            voter_names: process names of the known voters.
         """
         if now_ms < self._next_hello_ms:
             return []
         self._next_hello_ms = now_ms + self._hello_ms
-        return self._other_initial_names
+        return sorted(
+            {*self._other_initial_names, *voter_names} - {self._name}
+        )
 
     def record_hello(self, name, message, now_ms):
         """Records a ``Hello`` as the newest one of its sender.
--- a/fuchsiatrestle/agreement/_leader.py
+++ b/fuchsiatrestle/agreement/_leader.py
@@ -126,11 +126,31 @@
         """
         if identity == self._replica.identity:
             return True
+        if identity not in self.progress_by_identity:
+            return False
+        return self.get_silent_ms(identity) < self._replica.cfg.election_min_ms
+
+    def get_silent_ms(self, identity):
+        """Returns for how long a tracked member has answered no round.
+
+        The time counts from the newest round that it answered, or from when
+        this leader began to track it.
+        """
+        if identity == self._replica.identity:
+            return 0
+        progress = self.progress_by_identity[identity]
+        return self._replica.now_ms - progress.last_acked_round_sent_ms
+
+    def is_caught_up(self, identity):
+        """Returns True if a member is alive and lacks few committed entries.
+
+        The limit is ``max_promote_lag_entries``.
+        """
         progress = self.progress_by_identity.get(identity)
-        if progress is None:
+        if progress is None or not self.is_alive(identity):
             return False
-        silent_ms = self._replica.now_ms - progress.last_acked_round_sent_ms
-        return silent_ms < self._replica.cfg.election_min_ms
+        lag_entries = self._replica.commit_index - progress.match_index
+        return lag_entries <= self._replica.cfg.max_promote_lag_entries
 
     def has_replicated(self, identity, index):
         """Returns True if a member has the log up to an index on disk."""
@@ -460,6 +480,21 @@
                 )
                 return
 
+    def prepare_stop(self):
+        """Gives up the leadership before a planned stop.
+
+        A leader whose place a newcomer takes also leaves the group.
+        """
+        if not self._membership_changer.remove_stopping_voter(
+            self._replica.identity
+        ):
+            self.transfer_leadership()
+
+    def on_stop_notice(self, message):
+        """Removes a voter that is about to stop if a newcomer replaces it."""
+        if message.identity in self._replica.voters.voters:
+            self._membership_changer.remove_stopping_voter(message.identity)
+
     def change_voters(self, event):
         """Appends a membership change or rejects it."""
         reason = self._membership_changer.propose_change(
--- a/fuchsiatrestle/agreement/_membership.py
+++ b/fuchsiatrestle/agreement/_membership.py
@@ -1,5 +1,6 @@
 """Membership changes, proposed by the leader one at a time."""
 
+from fuchsiatrestle.agreement import _replacement
 from fuchsiatrestle.agreement import _voters
 from fuchsiatrestle import logs
 
@@ -19,7 +20,8 @@
     Each change adds, promotes or removes a single member.  The leader also
     makes changes by itself: it admits replicas that ask to join, promotes
     learners that caught up, and removes a member that is not alive if a
-    replica with another identity of the same process name takes its place.
+    replica with another identity of the same process name takes its place, or
+    as ``VoterReplacement`` decides.
 
     Args:
         replica: the leading ``Replica``.
@@ -31,13 +33,17 @@
         self._leader = leader
         # (identity, time of the last hello) by process name.
         self._newcomers_by_name = {}
+        self._replacement = _replacement.VoterReplacement(replica, leader)
 
-    def propose_change(self, change, member):
+    def propose_change(self, change, member, newcomer=''):
         """Appends a membership change, unless it has to be rejected.
 
         Args:
-            change: ``add``, ``promote`` or ``remove``.
+            change: ``add``, ``promote``, ``remove``, ``replace`` to remove a
+                member that may join again with a new identity, or ``settle``
+                for a newcomer that replaces nobody any more.
             member: identity of the member.
+            newcomer: identity of a newcomer that takes its place, if any.
 
         Returns:
             The reason of ``RequestRejected``, an empty string on success.
@@ -46,6 +52,8 @@
         if rejection_reason:
             return rejection_reason
         voters = self._make_changed_voters(change, member)
+        if newcomer:
+            voters = voters.without_newcomer(newcomer)
         self._replica.append_as_leader('voters', _voters.encode_voters(voters))
         LOG.info('voters_changing', extra={'change': change, 'member': member})
         self._leader.track_members()
@@ -58,6 +66,10 @@
             return voters.with_learner(member)
         if change == 'promote':
             return voters.with_promoted_learner(member)
+        if change == 'replace':
+            return voters.without_replaced_member(member)
+        if change == 'settle':
+            return voters.without_newcomer(member)
         return voters.without_member(member)
 
     def _find_rejection_reason(self, change, member):
@@ -72,6 +84,8 @@
             'add': self._find_reason_against_adding,
             'promote': self._find_reason_against_promoting,
             'remove': self._find_reason_against_removing,
+            'replace': self._find_reason_against_removing,
+            'settle': self._find_reason_against_settling,
         }
         return reason_finders[change](member)
 
@@ -83,7 +97,7 @@
     def _find_reason_against_promoting(self, member):
         if member not in self._replica.voters.learners:
             return 'unknown_member'
-        if not self.is_caught_up(member):
+        if not self._leader.is_caught_up(member):
             return 'not_caught_up'
         return ''
 
@@ -98,16 +112,9 @@
             return 'no_quorum'
         return ''
 
-    def is_caught_up(self, member):
-        """Returns True if a member is alive and lacks few committed entries.
-
-        The limit is ``max_promote_lag_entries``.
-        """
-        progress = self._leader.progress_by_identity.get(member)
-        if progress is None or not self._leader.is_alive(member):
-            return False
-        lag_entries = self._replica.commit_index - progress.match_index
-        return lag_entries <= self._replica.cfg.max_promote_lag_entries
+    def _find_reason_against_settling(self, member):
+        is_newcomer = member in self._replica.voters.newcomers
+        return '' if is_newcomer else 'unknown_member'
 
     # Effects of committed changes
 
@@ -141,8 +148,49 @@
             or not self._replica.cfg.auto_admit
         ):
             return
-        if not self._promote_learners():
-            self._admit_newcomers()
+        self._replacement.update_newcomers()
+        for make_change in (
+            self._remove_gone_member,
+            self._promote_learners,
+            self._admit_newcomers,
+            self._settle_newcomer,
+        ):
+            if make_change():
+                return
+
+    def _remove_gone_member(self):
+        """Removes a member that is gone for good.
+
+        Returns:
+            True if a change was appended.
+        """
+        if not self._replica.cfg.auto_admit_unlisted:
+            return False
+        voter, newcomer = self._replacement.find_gone_voter()
+        if voter:
+            return not self.propose_change('replace', voter, newcomer)
+        for learner in self._replica.voters.learners:
+            silent_ms = self._leader.get_silent_ms(learner)
+            if silent_ms >= self._replica.cfg.lost_voter_ms:
+                return not self.propose_change('replace', learner)
+        return False
+
+    def remove_stopping_voter(self, voter):
+        """Removes a voter before its planned stop if a newcomer replaces it.
+
+        Args:
+            voter: identity of the voter, which may be this leader.
+
+        Returns:
+            True if the change was appended.
+        """
+        if not self._replica.cfg.auto_admit_unlisted:
+            return False
+        self._replacement.update_newcomers()
+        newcomer = self._replacement.find_newcomer_for(voter)
+        if not newcomer:
+            return False
+        return not self.propose_change('replace', voter, newcomer)
 
     def _stop_tracking_removed_members(self):
         """Stops replicating to removed members that need no more entries.
@@ -198,15 +246,19 @@
         Returns:
             True if a change was appended.
         """
+        must_wait = (
+            self._replica.cfg.auto_admit_unlisted
+            and self._replacement.must_wait()
+        )
         for learner in self._replica.voters.learners:
-            if not self.is_caught_up(learner):
+            if not self._leader.is_caught_up(learner):
                 continue
             namesake = self._find_namesake(
                 self._replica.voters.voters, learner
             )
             if namesake and not self._leader.is_alive(namesake):
                 return not self.propose_change('remove', namesake)
-            if not namesake:
+            if not namesake and not must_wait:
                 return not self.propose_change('promote', learner)
         return False
 
@@ -217,6 +269,9 @@
         ``auto_admit_unlisted`` is set.  A learner of the same process name is
         removed first if it is not alive; while it is alive, the newcomer
         waits.
+
+        Returns:
+            True if a change was appended.
         """
         replica = self._replica
         for identity in self.find_joining_identities():
@@ -233,7 +288,17 @@
                 ('remove', namesake) if namesake else ('add', identity)
             )
             if not self.propose_change(*next_change):
-                return
+                return True
+        return False
+
+    def _settle_newcomer(self):
+        """Ends the time in which a newcomer may replace a silent voter.
+
+        Returns:
+            True if a change was appended.
+        """
+        newcomer = self._replacement.find_settled_newcomer()
+        return bool(newcomer) and not self.propose_change('settle', newcomer)
 
     @staticmethod
     def _find_namesake(members, identity):
--- a/fuchsiatrestle/agreement/_recovery.py
+++ b/fuchsiatrestle/agreement/_recovery.py
@@ -11,6 +11,7 @@
 
 __all__ = (
     'IDENTITY_FILE_NAME',
+    'RETIRED_FILE_NAME',
     'Recovery',
     'SNAPSHOT_FILE_NAME',
     'Segment',
@@ -19,6 +20,8 @@
 
 IDENTITY_FILE_NAME = 'identity'
 SNAPSHOT_FILE_NAME = 'snapshot'
+# Marks a folder whose data does not count any more.
+RETIRED_FILE_NAME = 'retired'
 
 _SEGMENT_PATTERN = re.compile(r'log-(\d{8})')
 
@@ -65,6 +68,7 @@
 
     Attributes:
         identity: identity of the folder, empty if it is not initialized.
+        may_found: True if the replica may take part in founding a group.
         hard_state: the last ``HardState``.
         snapshot: the ``Snapshot`` or None.
         reset_seq: sequence number of the first frame whose entries count;
@@ -86,6 +90,8 @@
         self._files = files
         self._path = path
         self._file_names = files.list_file_names(path)
+        if RETIRED_FILE_NAME in self._file_names:
+            self._file_names = []
         self.hard_state = _events.HardState(0, '', '')
         self.segments = []
         self.torn_segment = None
@@ -125,6 +131,7 @@
             IDENTITY_FILE_NAME, _stored.Identity
         )
         self.identity = stored.identity if stored else ''
+        self.may_found = stored.may_found if stored else True
 
     def _read_snapshot(self):
         stored = self._read_single_frame_file(
@@ -253,5 +260,9 @@
             entry for entry in self._entries if entry.index > base_index
         ]
         return _stored.FolderState(
-            self.identity, self.hard_state, entries, self.snapshot
+            self.identity,
+            self.hard_state,
+            entries,
+            self.snapshot,
+            self.may_found,
         )
--- a/fuchsiatrestle/agreement/_replica.py
+++ b/fuchsiatrestle/agreement/_replica.py
@@ -66,6 +66,7 @@
         self._random = random.Random(f'{seed}/{state.identity}')
         # Effects of the step that is being handled.
         self._effects = []
+        self._has_reported_replacement = False
         # The last ``RoleChanged`` emitted.
         self._last_role_changed = None
         self._recover(state)
@@ -75,6 +76,7 @@
             _voters.process_name_of(self.identity),
             initial_names,
             self.cfg.hello_ms,
+            state.may_found,
         )
         self.role = _follower.Follower(self, heard_leader=False)
         self._dispatcher = _dispatch.Dispatcher(self)
@@ -287,6 +289,20 @@
             self.group = group
             self._stage_hard_state()
 
+    def on_removed(self, message):
+        """Handles that the group has removed an identity, perhaps this one.
+
+        Args:
+            message: a ``messages.MemberRemoved``.
+        """
+        if (
+            message.identity == self.identity
+            and message.may_rejoin
+            and not self._has_reported_replacement
+        ):
+            self._has_reported_replacement = True
+            self.emit(_events.IdentityReplaced())
+
     def vote_for(self, candidate):
         """Gives the only vote of the current term to a candidate."""
         invariants.require(
--- a/fuchsiatrestle/agreement/_role.py
+++ b/fuchsiatrestle/agreement/_role.py
@@ -90,6 +90,9 @@
     def on_hello(self, message):
         """Handles the hello of a replica that is not a member."""
 
+    def on_stop_notice(self, message):
+        """Handles that a follower is about to stop."""
+
     # Requests of the local process
 
     def propose(self, proposals):
@@ -108,6 +111,9 @@
     def transfer_leadership(self):
         """Starts a leadership transfer; does nothing unless leading."""
 
+    def prepare_stop(self):
+        """Gives up the leadership, or tells the leader of the stop."""
+
     def _reject(self, token, reason):
         leader = self._replica.leader_name
         self._replica.emit(_events.RequestRejected(token, reason, leader))
--- a/fuchsiatrestle/agreement/_settings.py
+++ b/fuchsiatrestle/agreement/_settings.py
@@ -33,7 +33,13 @@
             members by itself and removes members of the same name that are
             not alive.
         auto_admit_unlisted: True if ``auto_admit`` applies to all other names
-            as well.
+            as well; members that are gone are then removed, too.
+        replaced_voter_ms: time for which a voter has to be silent before a
+            newcomer takes its place, in milliseconds.
+        lost_voter_ms: the same without a newcomer, if the group is better off
+            without the voter; also for learners.
+        tolerated_losses: number of voters whose loss at the same time the
+            group has to bear, 0 if not known.
     """
 
     __slots__ = (
@@ -43,6 +49,7 @@
         'election_min_ms',
         'heartbeat_ms',
         'hello_ms',
+        'lost_voter_ms',
         'max_append_bytes',
         'max_append_entries',
         'max_inflight_appends',
@@ -52,7 +59,9 @@
         'max_uncommitted_bytes',
         'max_uncommitted_entries',
         'max_waiting_reads',
+        'replaced_voter_ms',
         'snapshot_chunk_bytes',
+        'tolerated_losses',
     )
 
     def __init__(
@@ -74,6 +83,9 @@
         max_promote_lag_entries=0,
         auto_admit=True,
         auto_admit_unlisted=False,
+        replaced_voter_ms=1500,
+        lost_voter_ms=10_000,
+        tolerated_losses=0,
     ):
         self.heartbeat_ms = heartbeat_ms
         self.election_min_ms = election_min_ms
@@ -91,3 +103,6 @@
         self.max_promote_lag_entries = max_promote_lag_entries
         self.auto_admit = auto_admit
         self.auto_admit_unlisted = auto_admit_unlisted
+        self.replaced_voter_ms = replaced_voter_ms
+        self.lost_voter_ms = lost_voter_ms
+        self.tolerated_losses = tolerated_losses
--- a/fuchsiatrestle/agreement/_stored.py
+++ b/fuchsiatrestle/agreement/_stored.py
@@ -58,9 +58,15 @@
 
 
 class Identity(records.Record, tag='id'):
-    """Identity of the folder, written last when it is initialized."""
+    """Identity of the folder, written last when it is initialized.
+
+    Attributes:
+        identity: the identity.
+        may_found: True if the replica may take part in founding a group.
+    """
 
     identity: str
+    may_found: bool = True
 
 
 class StoredSnapshot(records.Record, tag='sn'):
@@ -87,12 +93,22 @@
         hard_state: the last ``HardState``.
         entries: entries that follow the snapshot.
         snapshot: the ``Snapshot`` or None.
+        may_found: True if the replica may take part in founding a group.
     """
 
-    __slots__ = ('entries', 'hard_state', 'identity', 'snapshot')
-
-    def __init__(self, identity, hard_state, entries, snapshot):
+    __slots__ = (
+        'entries',
+        'hard_state',
+        'identity',
+        'may_found',
+        'snapshot',
+    )
+
+    def __init__(
+        self, identity, hard_state, entries, snapshot, may_found=True
+    ):
         self.identity = identity
         self.hard_state = hard_state
         self.entries = entries
         self.snapshot = snapshot
+        self.may_found = may_found
--- a/fuchsiatrestle/agreement/_voters.py
+++ b/fuchsiatrestle/agreement/_voters.py
@@ -1,5 +1,7 @@
 """Identities of members, voter sets and their history in the log."""
 
+import msgspec
+
 from fuchsiatrestle import records
 
 __all__ = (
@@ -43,12 +45,18 @@
         learners: identities that receive the log but do not vote.
         removed: the last ``MAX_REMOVED_IDENTITIES`` removed identities, oldest
             first; these are not admitted again.
+        replaced: those of them that the group has removed by itself because
+            they were silent; their processes may join with a new identity.
+        newcomers: members that joined lately under a new name, and that no
+            voter which fell silent was removed for.
     """
 
     group: str
     voters: list[str]
     learners: list[str] = []
     removed: list[str] = []
+    replaced: list[str] = []
+    newcomers: list[str] = []
 
     @property
     def members(self):
@@ -61,27 +69,51 @@
         return len(self.voters) // 2 + 1
 
     def with_learner(self, identity):
-        """Returns a copy with one more learner."""
-        return Voters(
-            self.group, self.voters, self.learners + [identity], self.removed
+        """Returns a copy with one more learner.
+
+        It is a newcomer unless it takes the place of its namesake.
+        """
+        newcomers = self.newcomers
+        if process_name_of(identity) not in map(process_name_of, self.members):
+            newcomers = newcomers + [identity]
+        return self._replace(
+            learners=self.learners + [identity], newcomers=newcomers
         )
 
     def with_promoted_learner(self, identity):
         """Returns a copy with one learner promoted to voter."""
-        learners = [member for member in self.learners if member != identity]
-        return Voters(
-            self.group, self.voters + [identity], learners, self.removed
+        return self._replace(
+            voters=self.voters + [identity],
+            learners=_without(self.learners, identity),
         )
 
     def without_member(self, identity):
         """Returns a copy without one member, which is listed as removed."""
-        return Voters(
-            self.group,
-            [member for member in self.voters if member != identity],
-            [member for member in self.learners if member != identity],
-            (self.removed + [identity])[-MAX_REMOVED_IDENTITIES:],
+        removed = (self.removed + [identity])[-MAX_REMOVED_IDENTITIES:]
+        return self._replace(
+            voters=_without(self.voters, identity),
+            learners=_without(self.learners, identity),
+            removed=removed,
+            replaced=[member for member in self.replaced if member in removed],
+            newcomers=_without(self.newcomers, identity),
         )
 
+    def without_replaced_member(self, identity):
+        """Returns a copy without a silent member that may join again."""
+        voters = self.without_member(identity)
+        return voters._replace(replaced=voters.replaced + [identity])
+
+    def without_newcomer(self, identity):
+        """Returns a copy in which a member is no newcomer any more."""
+        return self._replace(newcomers=_without(self.newcomers, identity))
+
+    def _replace(self, **fields):
+        return msgspec.structs.replace(self, **fields)
+
+
+def _without(identities, identity):
+    return [other for other in identities if other != identity]
+
 
 class Snapshot(records.Record, tag='S'):
     """State of the state machine after applying ``last_index``.
--- a/fuchsiatrestle/control/_daemon.py
+++ b/fuchsiatrestle/control/_daemon.py
@@ -60,6 +60,8 @@
     messages.Hello,
     messages.InstallReply,
     messages.InstallRequest,
+    messages.MemberRemoved,
+    messages.StopNotice,
     messages.TimeoutNow,
     messages.VoteReply,
     messages.VoteRequest,
@@ -156,7 +158,11 @@
         nonce = int.from_bytes(os.urandom(8), 'big')
         try:
             return agreement.DataFolder.open(
-                path, self._name, nonce, self._files
+                path,
+                self._name,
+                nonce,
+                self._files,
+                self._cfg.get('control', 'may_found'),
             )
         except errors.StorageFailed as exc:
             raise daemon.make_setting_error(
@@ -205,6 +211,9 @@
             election_min_ms=self._cfg.get('timing', 'election_min_ms'),
             election_max_ms=self._cfg.get('timing', 'election_max_ms'),
             auto_admit_unlisted=self._open_membership,
+            replaced_voter_ms=self._cfg.get('timing', 'replaced_voter_ms'),
+            lost_voter_ms=self._cfg.get('timing', 'lost_voter_ms'),
+            tolerated_losses=self._cfg.get('control', 'tolerated_losses'),
         )
 
     def _make_worker_timing(self):
@@ -236,6 +245,8 @@
 
         Raises:
             errors.StorageFailed: the data folder failed.
+            errors.IdentityReplaced: the group goes on without the identity of
+                this replica.
         """
         try:
             async with curio.TaskGroup(wait=any) as tasks:
@@ -246,7 +257,10 @@
                 await tasks.spawn(self._tick_replica)
                 await tasks.spawn(self._tick_state)
                 await tasks.spawn(self._stop_gracefully, stop_requested)
-            if tasks.exception:
+            if tasks.exception and not (
+                stop_requested.is_set()
+                and isinstance(tasks.exception, errors.IdentityReplaced)
+            ):
                 raise tasks.exception
         finally:
             if self._driver is not None:
@@ -331,8 +345,8 @@
 
     async def _stop_gracefully(self, stop_requested):
         await stop_requested.wait()
+        self._replica_task.inbox.put(agreement.PrepareStop())
         if self._replica_task.role == 'leader':
-            self._replica_task.inbox.put(agreement.TransferLeadership())
             async with curio.ignore_after(LEADERSHIP_TRANSFER_TIMEOUT_S):
                 while self._replica_task.role == 'leader':
                     await curio.sleep(REPLICA_TICK_INTERVAL_S)
--- a/fuchsiatrestle/control/_events.py
+++ b/fuchsiatrestle/control/_events.py
@@ -15,6 +15,7 @@
     'MemberStatus',
     'OrderWorker',
     'ReplicaStatus',
+    'RetireFolder',
     'SaveSnapshot',
     'SendToPeer',
     'SendToReplica',
@@ -134,6 +135,15 @@
     __slots__ = ('snapshot',)
 
 
+class RetireFolder(core.Value):
+    """Empty the data folder, whose identity the group has removed.
+
+    It is answered by ``DataFolderFailed`` with ``errors.IdentityReplaced``.
+    """
+
+    __slots__ = ()
+
+
 class SnapshotSaved(core.Value):
     """The ``agreement.Snapshot`` is durable."""
 
--- a/fuchsiatrestle/control/_replica_task.py
+++ b/fuchsiatrestle/control/_replica_task.py
@@ -133,6 +133,11 @@
             self._link.send(effect.peer, effect.message)
         elif isinstance(effect, agreement.PersistChanges):
             self._storage.put(effect)
+        elif isinstance(effect, agreement.IdentityReplaced):
+            LOG.warning(
+                'identity_replaced', extra={'identity': self._replica.identity}
+            )
+            self._storage.put(_events.RetireFolder())
         elif isinstance(effect, agreement.RestoreSnapshot):
             self._storage.put(effect)
             await self._state_inbox.put(effect)
--- a/fuchsiatrestle/control/_settings.py
+++ b/fuchsiatrestle/control/_settings.py
@@ -20,6 +20,12 @@
         # If on, replicas that ``peers`` does not list may join, and the name
         # of each replica is its link address.
         settings.BoolOption('open_membership', False),
+        # Off for a replica that came after the group was founded.  Read only
+        # when the data folder is empty.
+        settings.BoolOption('may_found', True),
+        # Number of voters whose loss at the same time the group has to bear;
+        # 0 if not known.  Used with ``open_membership`` only.
+        settings.IntOption('tolerated_losses', 0, min_value=0, max_value=10),
     ),
     # See ``workflows.Timing``.
     settings.Section(
@@ -40,6 +46,13 @@
         settings.IntOption(
             'election_max_ms', 1200, min_value=60, max_value=3000
         ),
+        # Used with ``open_membership`` only.
+        settings.IntOption(
+            'replaced_voter_ms', 1500, min_value=100, max_value=60000
+        ),
+        settings.IntOption(
+            'lost_voter_ms', 10000, min_value=500, max_value=3600000
+        ),
     ),
     tls.SECTION,
 )
--- a/fuchsiatrestle/control/_storage.py
+++ b/fuchsiatrestle/control/_storage.py
@@ -57,8 +57,8 @@
         """Queues an effect for the storage thread.
 
         Args:
-            effect: a ``PersistChanges``, ``RestoreSnapshot`` or
-                ``SaveSnapshot``.
+            effect: a ``PersistChanges``, ``RestoreSnapshot``,
+                ``SaveSnapshot`` or ``RetireFolder``.
         """
         self._pending_effects.put(effect)
 
@@ -108,6 +108,13 @@
                 writes = []
                 self._folder.save_snapshot(effect.snapshot)
                 self._report_event(_events.SnapshotSaved(effect.snapshot))
+            elif isinstance(effect, _events.RetireFolder):
+                self._folder.retire()
+                raise errors.IdentityReplaced(
+                    f'{self._folder.path}: the group has replaced this '
+                    'replica, which may join again',
+                    step='retire',
+                )
             else:
                 writes.append(effect)
         self._sync_writes(writes)
--- a/fuchsiatrestle/daemon.py
+++ b/fuchsiatrestle/daemon.py
@@ -18,6 +18,8 @@
 ``settings.INVALID_SETTINGS_EXIT_STATUS`` (2) for a command line or settings
 that can not be used, such as an address that can not be bound,
 ``DATA_EXIT_STATUS`` if the data folder fails or is damaged,
+``REPLACED_EXIT_STATUS`` if the agreement group has replaced this replica,
+which joins again when it is started the next time,
 ``invariants.DAEMON_EXIT_STATUS`` if an invariant does not hold, and
 ``FAULT_EXIT_STATUS`` after an unexpected exception.
 """
@@ -44,6 +46,7 @@
     'DATA_EXIT_STATUS',
     'Daemon',
     'Program',
+    'REPLACED_EXIT_STATUS',
     'epoch_ms',
     'make_setting_error',
     'monotonic_ms',
@@ -53,6 +56,8 @@
 
 # EX_IOERR of sysexits.h: input/output error.
 DATA_EXIT_STATUS = 74
+# EX_TEMPFAIL of sysexits.h: the next start may succeed.
+REPLACED_EXIT_STATUS = 75
 FAULT_EXIT_STATUS = 1
 
 COMMON_SECTIONS = (
@@ -249,6 +254,9 @@
     except errors.InvariantBreach as exc:
         LOG.error('stopped_by_breach', extra={'error': str(exc)})
         return invariants.DAEMON_EXIT_STATUS
+    except errors.IdentityReplaced as exc:
+        LOG.warning('stopped_to_rejoin', extra={'error': str(exc)})
+        return REPLACED_EXIT_STATUS
     except (errors.StorageFailed, errors.DataDamaged) as exc:
         LOG.error('stopped_by_storage', extra={'error': str(exc)})
         return DATA_EXIT_STATUS
--- a/fuchsiatrestle/errors.py
+++ b/fuchsiatrestle/errors.py
@@ -10,6 +10,7 @@
     'DataDamaged',
     'Error',
     'Failure',
+    'IdentityReplaced',
     'InvariantBreach',
     'PeerUnavailable',
     'SettingsInvalid',
@@ -58,6 +59,14 @@
     """
 
 
+class IdentityReplaced(Error):
+    """The agreement group goes on without the identity of this replica.
+
+    Its data folder is empty again; the process joins with a new identity when
+    it is started the next time.
+    """
+
+
 class PeerUnavailable(Error):
     """Another process could not be reached or did not answer in time."""
 
--- a/fuchsiatrestle/messages/_agreement.py
+++ b/fuchsiatrestle/messages/_agreement.py
@@ -9,6 +9,8 @@
     'Hello',
     'InstallReply',
     'InstallRequest',
+    'MemberRemoved',
+    'StopNotice',
     'TimeoutNow',
     'VoteReply',
     'VoteRequest',
@@ -210,8 +212,36 @@
     joined: bool
 
 
+class MemberRemoved(records.Record, tag='ar'):
+    """Tells a replica that the group has removed its identity.
+
+    Attributes:
+        group: identity of the agreement group.
+        identity: the removed identity, which is never admitted again.
+        may_rejoin: True if the process may join with a new identity.
+    """
+
+    group: str
+    identity: str
+    may_rejoin: bool
+
+
+class StopNotice(records.Record, tag='as'):
+    """Tells the leader that a follower is about to stop as planned.
+
+    Attributes:
+        group: identity of the agreement group.
+        identity: identity of the follower.
+    """
+
+    group: str
+    identity: str
+
+
 RECORD_CLASSES = (
     Hello,
+    StopNotice,
+    MemberRemoved,
     VoteRequest,
     VoteReply,
     AppendRequest,
--- a/fuchsiatrestle/platform/_settings.py
+++ b/fuchsiatrestle/platform/_settings.py
@@ -40,6 +40,9 @@
         *_COMMON_OPTIONS,
         settings.AddressOption('control'),
         settings.FolderOption('data_folder'),
+        # See the options of the same names of the control daemon.
+        settings.BoolOption('may_found', True),
+        settings.IntOption('tolerated_losses', 0, min_value=0, max_value=10),
     ),
     *(
         section
@@ -87,6 +90,8 @@
         'peers': make_control_addresses(cfg),
         'data_centre': cfg.get('platform', 'data_centre'),
         'open_membership': True,
+        'may_found': cfg.get('platform', 'may_found'),
+        'tolerated_losses': cfg.get('platform', 'tolerated_losses'),
     }
     value_by_option.update(
         {('control', key): value for key, value in control_values.items()}
--- a/tests/agreement/cluster.py
+++ b/tests/agreement/cluster.py
@@ -49,6 +49,7 @@
         folder: open ``DataFolder``, None while the process is down.
         replica: ``Replica``, None while the process is down.
         frozen: True while the process is stopped but not ended.
+        stopping: True once the process was told to stop for good.
         slow_disk: True while ``Cluster.run`` and ``Cluster.settle`` make
             none of this node's writes durable.
         state: state of the simulated state machine.
@@ -68,6 +69,7 @@
         self.folder = None
         self.replica = None
         self.frozen = False
+        self.stopping = False
         self.slow_disk = False
         self.state = b''
         self.applied_index = 0
@@ -113,6 +115,8 @@
             last one.
         change_count: number of membership changes requested so far.
         lost_identities: identities whose disk was replaced.
+        may_found: False once the replicas on empty disks come after the group
+            was founded.
         nodes: ``Node`` by name.
     """
 
@@ -133,6 +137,7 @@
         self.proposal_count = 0
         self.change_count = 0
         self.lost_identities = set()
+        self.may_found = True
         self.nodes = {name: Node(name, self.rng) for name in names}
         for name in names:
             self.start(name)
@@ -145,7 +150,7 @@
         nonce = self.rng.getrandbits(64)
         try:
             node.folder = agreement.DataFolder.open(
-                '/data', name, nonce, node.files
+                '/data', name, nonce, node.files, self.may_found
             )
         except errors.StorageFailed:
             return False
@@ -209,8 +214,11 @@
         node = self.nodes[name]
         if not node.is_running:
             return
-        for effect in node.replica.step(event, self.now_ms):
+        replica = node.replica
+        for effect in replica.step(event, self.now_ms):
             self._carry_out(node, effect)
+            if node.replica is not replica:
+                return
         self._check_node(node)
 
     def tick(self, name):
@@ -354,6 +362,18 @@
     def _on_persistchanges(self, node, effect):
         node.storage_queue.append(effect)
 
+    def _on_identityreplaced(self, node, effect):
+        """Starts the process again on the retired folder."""
+        try:
+            node.folder.retire()
+        except (fake_files.Crash, errors.StorageFailed):
+            self.kill(node.name)
+            return
+        self.lost_identities.add(node.replica.identity)
+        self.kill(node.name)
+        if not node.stopping:
+            self.start(node.name)
+
     def _on_restoresnapshot(self, node, effect):
         node.storage_queue.append(effect)
         self._load_state(node, effect.snapshot)
@@ -553,9 +573,10 @@
 
         No replacement is expected if the new identity was itself removed.
         """
-        identity = self.nodes[
-            agreement.process_name_of(voter)
-        ].replica.identity
+        node = self.nodes.get(agreement.process_name_of(voter))
+        if node is None:
+            return False
+        identity = node.replica.identity
         removed = self.nodes[self.leader].replica.voters.removed
         return identity == voter or identity in removed
 
--- a/tests/agreement/mutations.py
+++ b/tests/agreement/mutations.py
@@ -340,7 +340,7 @@
     ),
     'learner promoted without the log': Mutation(
         'unready_learner_is_not_promoted',
-        _membership.MembershipChanger,
+        _leader.Leader,
         'is_caught_up',
         _return_true,
     ),
--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -29,6 +29,8 @@
         'bounds.max_hold_ms': '6000',
         'heartbeat_ms': '1500',
         'data_dir': folder,
+        'bootstrap': 'false',
+        'fault_tolerance.machines': '1',
     }
 
 
@@ -81,6 +83,8 @@
         self.assertTrue(cfg.get('control', 'open_membership'))
         self.assertEqual(6000, cfg.get('workers', 'longest_lease_ms'))
         self.assertEqual(150, cfg.get('timing', 'heartbeat_ms'))
+        self.assertFalse(cfg.get('control', 'may_found'))
+        self.assertEqual(1, cfg.get('control', 'tolerated_losses'))
 
     def test_control_keeps_a_quorum_after_the_losses_to_be_borne(self):
         role_table = self.deploy['roles']['control']
