Tell callers of control which replicas there are

Cause: an entry knew the seeds of its start and the leaders that refusals named. After replacements in turn all of these may be gone, and it kept dialling them. Change: a control replica sends the list of members to each process that opens a stream to it, and again when the members change. Older lists, which a removed replica may send, are ignored; removed replicas are not dialled any more; the seeds are dialled again once no member is reached.

--- a/fuchsiatrestle/control/_daemon.py
+++ b/fuchsiatrestle/control/_daemon.py
@@ -45,10 +45,11 @@
     messages.WithdrawWorker,
 )
 
-# Answers to calls that this process made through its ``ControlClient``.
-_ANSWER_MESSAGES = (
+# Messages for the ``ControlClient`` of this process, most of them answers.
+_CLIENT_MESSAGES = (
     messages.CommandOutcome,
     messages.ControlRefused,
+    messages.MemberList,
     messages.MembersView,
     messages.Noted,
     messages.QueryAnswer,
@@ -108,6 +109,8 @@
         # events are put without this check; what the replica task adds is
         # bounded by its limit on uncommitted entries instead.
         self._state_inbox = curio.Queue()
+        # The newest committed ``messages.MemberList``.
+        self._member_list = None
         self._check_name_in_peers()
         self._link = link.Link(
             self._name,
@@ -228,10 +231,28 @@
             }
         )
 
-    def _connect_members(self, names):
-        """Has the link keep a stream to each named member of the group."""
+    def _connect_members(self, index, names):
+        """Has the link keep a stream to each named member of the group.
+
+        Streams to replicas that are no members any more are given up, and
+        the processes that call this replica are told, once this is committed.
+
+        Args:
+            index: log index of the change, None while it is not committed.
+            names: names of all members.
+        """
         for name in names:
             self.client.add_replica(name)
+        if index is None or not names or not self._open_membership:
+            return
+        self._member_list = messages.MemberList(index, names)
+        self.client.update_members(index, names)
+        for peer in self.client.connected_peers.difference(names):
+            self._link.send(peer, self._member_list)
+
+    def _send_member_list(self, peer):
+        if self._member_list is not None:
+            self._link.send(peer, self._member_list)
 
     # Work
 
@@ -272,9 +293,11 @@
         while True:
             event = await self._link.receive()
             if isinstance(event, link.ReceivedMessage):
-                if not isinstance(event.message, _ANSWER_MESSAGES):
+                if not isinstance(event.message, _CLIENT_MESSAGES):
                     await self._route_message(event.peer, event.message)
                     continue
+            elif isinstance(event, link.PeerUp):
+                self._send_member_list(event.peer)
             await self.client.handle_event(event)
 
     async def _route_message(self, peer, message):
--- a/fuchsiatrestle/control/_replica_task.py
+++ b/fuchsiatrestle/control/_replica_task.py
@@ -42,8 +42,9 @@
         replica: the ``agreement.Replica``.
         link: the ``link.Link`` to the other replicas.
         state_inbox: queue of the state task.
-        connect_members: called with the names of all members when the members
-            or their roles change.
+        connect_members: called when the members or their roles change, with
+            the log index of the change, None while it is not committed, and
+            the names of all members.
 
     Attributes:
         inbox: ``inbox.Inbox`` of the events of this task.
@@ -118,7 +119,8 @@
         if members_changed:
             members = replica.voters.members
             self._connect_members(
-                [agreement.process_name_of(member) for member in members]
+                replica.voters_index if replica.voters_committed else None,
+                [agreement.process_name_of(member) for member in members],
             )
         self._last_voter_state = voter_state
         read_confirmed = any(
--- a/fuchsiatrestle/messages/_control.py
+++ b/fuchsiatrestle/messages/_control.py
@@ -11,6 +11,7 @@
     'ConfigLease',
     'ControlRefused',
     'MemberView',
+    'MemberList',
     'MembersView',
     'OrderBatch',
     'ProposeCommand',
@@ -284,7 +285,23 @@
     members: list[MemberView]
 
 
+class MemberList(records.Record, tag='cn'):
+    """Tells a process that calls control which replicas there are.
+
+    A replica sends it when a stream to the process is opened, and again when
+    the members change.
+
+    Attributes:
+        index: log index from which these are the members.
+        names: names of the members.
+    """
+
+    index: int
+    names: list[str]
+
+
 RECORD_CLASSES = (
+    MemberList,
     ProposeCommand,
     CommandOutcome,
     AskQuery,
--- a/fuchsiatrestle/net/control_client.py
+++ b/fuchsiatrestle/net/control_client.py
@@ -149,7 +149,10 @@
 
     def __init__(self, process_link, replica_addresses, resolve_address=None):
         self._link = process_link
+        self._initial_addresses = dict(replica_addresses)
         self._replica_addresses = dict(replica_addresses)
+        # Log index of the newest list of members that was received.
+        self._members_index = 0
         self._resolve_address = resolve_address
         self._replica_names = sorted(replica_addresses)
         self._target_replica = self._replica_names[0]
@@ -173,6 +176,11 @@
         """Name of the control replica that the next attempt is sent to."""
         return self._target_replica
 
+    @property
+    def connected_peers(self):
+        """Set of the names of all peers with a stream."""
+        return frozenset(self._connected_peers)
+
     @property
     def is_connected(self):
         """True while at least one control replica counts as reachable."""
@@ -203,6 +211,39 @@
             self._unreachable_replicas.add(name)
         self._link.connect(name, self._replica_addresses[name])
 
+    def update_members(self, index, names):
+        """Replaces the known control replicas by the members of the group.
+
+        Older lists than the newest are ignored, as they may come from a
+        replica that was removed.  Does nothing if the client was created
+        without ``resolve_address``.
+
+        Args:
+            index: log index from which these are the members.
+            names: names of the members.
+        """
+        if self._resolve_address is None or index < self._members_index:
+            return
+        self._members_index = index
+        for name in names:
+            self.add_replica(name)
+        for name in set(self._replica_addresses) - {*names, self._link.name}:
+            self._remove_replica(name)
+
+    def _remove_replica(self, name):
+        del self._replica_addresses[name]
+        self._unreachable_replicas.discard(name)
+        self._replica_names = sorted(self._replica_addresses)
+        if self._target_replica == name:
+            self._target_replica = self._replica_names[0]
+        self._link.disconnect(name)
+        LOG.info('control_removed', extra={'peer': name})
+
+    def _add_initial_replicas(self):
+        """Adds the replicas in the settings, as no other can be reached."""
+        for name in self._initial_addresses:
+            self.add_replica(name)
+
     async def handle_event(self, event):
         """Processes an event that ``Link.receive`` returned.
 
@@ -217,16 +258,24 @@
             True if the event was the answer to a call of this client.
         """
         if isinstance(event, link.ReceivedMessage):
+            if isinstance(event.message, messages.MemberList):
+                self._handle_member_list(event)
+                return False
             return await self._handle_answer(event)
         if isinstance(event, link.PeerUp):
             self._connected_peers.add(event.peer)
         else:
             self._connected_peers.discard(event.peer)
+            await self._fail_attempts(event.peer)
         if event.peer in self._replica_addresses:
-            await self._update_reachability(event)
+            self._update_reachability(event)
         return False
 
-    async def _update_reachability(self, event):
+    def _handle_member_list(self, event):
+        if event.peer in self._replica_addresses and event.message.names:
+            self.update_members(event.message.index, event.message.names)
+
+    def _update_reachability(self, event):
         """Records that a stream to a replica was opened or lost."""
         if isinstance(event, link.PeerUp):
             self._unreachable_replicas.discard(event.peer)
@@ -234,7 +283,8 @@
         else:
             self._unreachable_replicas.add(event.peer)
             self._log_reachability('control_lost', event.peer)
-            await self._fail_attempts(event.peer)
+            if not self.is_connected and self._resolve_address is not None:
+                self._add_initial_replicas()
 
     def _log_reachability(self, log_event, peer):
         LOG.info(
--- a/tests/net/test_control_client.py
+++ b/tests/net/test_control_client.py
@@ -29,9 +29,15 @@
         self._script = list(script)
         self.client = None
         self.sent_messages = []
+        self.connected_peers = set()
 
     def connect(self, peer, address):
-        """Does nothing."""
+        """Records the peer."""
+        self.connected_peers.add(peer)
+
+    def disconnect(self, peer):
+        """Forgets the peer."""
+        self.connected_peers.discard(peer)
 
     def send(self, peer, message):
         """Records the message, to be answered by ``answer_messages``."""
@@ -139,6 +145,58 @@
         self.assertEqual('timeout', failure.reason)
         self.assertIsNone(failure.executed)
 
+    # Members of the group
+
+    def _make_client(self, replicas):
+        fake_link = _FakeLink([])
+        client = control_client.ControlClient(fake_link, replicas, str.upper)
+        client.connect()
+        for name in replicas:
+            curio.run(client.handle_event, link.PeerUp(name))
+        return fake_link, client
+
+    def _receive(self, client, peer, message):
+        event = link.ReceivedMessage(peer, 1, message)
+        self.assertFalse(curio.run(client.handle_event, event))
+
+    def test_uses_the_members_that_a_replica_names(self):
+        fake_link, client = self._make_client({'c1': 'C1', 'c2': 'C2'})
+        self._receive(client, 'c2', messages.MemberList(7, ['c2', 'c3']))
+        self.assertEqual({'c2', 'c3'}, fake_link.connected_peers)
+        self.assertEqual('c2', client.target_replica)
+
+    def test_older_list_of_a_removed_replica_brings_nobody_back(self):
+        fake_link, client = self._make_client({'c1': 'C1', 'c2': 'C2'})
+        self._receive(client, 'c2', messages.MemberList(7, ['c2', 'c3']))
+        self._receive(client, 'c2', messages.MemberList(6, ['c1', 'c2']))
+        self._receive(client, 'c9', messages.MemberList(9, ['c9']))
+        self.assertEqual({'c2', 'c3'}, fake_link.connected_peers)
+
+    def test_dials_the_seeds_again_once_no_member_is_reached(self):
+        fake_link, client = self._make_client({'c1': 'C1', 'c2': 'C2'})
+        self._receive(client, 'c2', messages.MemberList(7, ['c2']))
+        curio.run(client.handle_event, link.PeerDown('c2'))
+        self.assertEqual({'c1', 'c2'}, fake_link.connected_peers)
+
+    def test_call_to_a_replica_that_is_removed_goes_to_another_at_once(self):
+        async def propose():
+            fake_link = _FakeLink(['lose', 'accept'])
+            fake_link.client = client = control_client.ControlClient(
+                fake_link, {'c1': 'C1', 'c2': 'C2'}, str.upper
+            )
+            for name in ('c1', 'c2'):
+                await client.handle_event(link.PeerUp(name))
+            task = await curio.spawn(fake_link.answer_messages)
+            call = await curio.spawn(client.propose, COMMAND, 900)
+            await curio.sleep(0.01)
+            client.update_members(7, ['c2'])
+            await client.handle_event(link.PeerDown('c1'))
+            outcome = await call.join()
+            await task.cancel()
+            return outcome
+
+        self.assertIsInstance(curio.run(propose), result.Success)
+
     def test_ignores_an_answer_to_an_earlier_process(self):
         fake_link = _FakeLink([])
         client = control_client.ControlClient(fake_link, {'c1': None})
