Replace each control daemon in turn in a test with processes

Change: a test replaces three daemons under load, kills everything and restarts with the newest seeds only. The platform's soak records a daemon that ends by itself, and keeps the end of each log with a breach.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -187,6 +187,10 @@
         ]
         self._heartbeat_tasks = []
 
+    def set_control_addresses(self, control_addresses):
+        """Changes the daemons to which heartbeats are sent from now on."""
+        self._control_addresses[:] = control_addresses
+
     async def start(self):
         """Starts the HTTP servers and the heartbeats."""
         for worker in self._workers:
--- a/tests/platform/_deployment.py
+++ b/tests/platform/_deployment.py
@@ -53,6 +53,8 @@
 link = {host}:{link}
 control = {host}:{control}
 data_folder = {folder}
+may_found = {may_found}
+tolerated_losses = 1
 
 [workers]
 announce_ms = 500
@@ -115,6 +117,7 @@
             _ports.find_free_ports(5)
         )
         self._folder = folder
+        self._may_found = 'yes'
         self._ports = {
             'link': link_port,
             'control': control_port,
@@ -152,20 +155,29 @@
             )
         )
 
-    def address(self, host):
-        """Returns the control address of the daemon on a host."""
-        return settings.Address(host, self._ports['control'])
-
-    def _create_program(self, role, host, settings_template):
+    def _write_settings(self, host, settings_template):
+        """Writes the settings of a program; returns the path of the file."""
         folder = os.path.join(self._folder, f'{host}.data')
         os.makedirs(folder, exist_ok=True)
         path = os.path.join(self._folder, f'{host}.ini')
         with open(path, 'w', encoding='utf-8') as stream:
             stream.write(
                 settings_template.format(
-                    seeds=self._seeds, host=host, folder=folder, **self._ports
+                    seeds=self._seeds,
+                    host=host,
+                    folder=folder,
+                    may_found=self._may_found,
+                    **self._ports,
                 )
             )
+        return path
+
+    def address(self, host):
+        """Returns the control address of the daemon on a host."""
+        return settings.Address(host, self._ports['control'])
+
+    def _create_program(self, role, host, settings_template):
+        path = self._write_settings(host, settings_template)
         return _processes.Process(
             host,
             'fuchsiatrestle.platform',
@@ -173,6 +185,34 @@
             self._folder,
         )
 
+    def replace_control(self, gone_host, host):
+        """Starts a control daemon that takes the place of one that is gone.
+
+        Its settings name the daemons of today as seeds.
+
+        Args:
+            gone_host: host of the daemon, whose process does not run.
+            host: host of the new daemon, with an empty data folder.
+        """
+        self.hosts[self.hosts.index(gone_host)] = host
+        del self.controls[gone_host]
+        self._may_found = 'no'
+        self.update_seeds()
+        self.controls[host] = self._create_program(
+            'control', host, _CONTROL_SETTINGS
+        )
+        self.fleet.set_control_addresses(
+            [self.address(other) for other in self.hosts]
+        )
+        self.controls[host].start()
+
+    def update_seeds(self):
+        """Writes all settings with the daemons of today as seeds."""
+        self._seeds = ','.join(str(self.address(host)) for host in self.hosts)
+        for host in self.controls:
+            self._write_settings(host, _CONTROL_SETTINGS)
+        self._write_settings('127.0.8.1', _ENTRY_SETTINGS)
+
     async def start(self):
         """Starts processes and workers; returns when the entry is ready."""
         for process in (*self.controls.values(), self.entry):
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -33,6 +33,8 @@
 JOBS_END_TIMEOUT_S = 90.0
 STOP_TIMEOUT_S = 30.0
 NOT_RUN_STATUSES = (429, 503)
+# Last lines of each log that are kept with a breach.
+KEPT_LOG_LINES = 40
 
 
 class _Job:
@@ -101,6 +103,7 @@
                 self._record_breach(f'planned stops ended with {statuses}')
         except (AssertionError, errors.Error, OSError) as exc:
             self._record_breach(f'{type(exc).__name__}: {exc}')
+            self._record_logs()
         finally:
             self._kill_all()
         self.breaches += self._deployment.fleet.ledger.breaches
@@ -143,6 +146,8 @@
         return True
 
     async def _check_outcome(self):
+        for process in self._deployment.controls.values():
+            self._check_runs(process)
         for job in self._jobs.values():
             if job.never_ran and job.name in self._started_job_names:
                 self._record_breach(f'{job.name} ran though always refused')
@@ -172,6 +177,25 @@
             if process.running:
                 process.kill()
 
+    def _check_runs(self, process):
+        """Records a breach if a process has ended by itself; restarts it."""
+        if not process.running:
+            self._record_breach(
+                f'{process.name} ended by itself with {process.exit_status}'
+            )
+            self._record_logs()
+            process.start()
+
+    def _record_logs(self):
+        """Adds the end of each log, as the folder of a CI run is not kept."""
+        for process in (
+            *self._deployment.controls.values(),
+            self._deployment.entry,
+        ):
+            with open(process.log_path, encoding='utf-8') as log:
+                lines = log.readlines()[-KEPT_LOG_LINES:]
+            self.breaches += [f'{process.name}: {line[:-1]}' for line in lines]
+
     def _record_breach(self, breach):
         self.breaches.append(f'{time.strftime("%H:%M:%S")} {breach}')
 
@@ -283,6 +307,7 @@
     async def _disturb_process(self, rng, process):
         """Kills, freezes or stops a process, then resumes or restarts it."""
         fault = rng.choice(('kill', 'freeze', 'stop'))
+        self._check_runs(process)
         self._record_fault(fault, process.name)
         if fault == 'kill':
             await curio.run_in_thread(process.kill)
@@ -349,7 +374,7 @@
         soak = run_seed(seed, options.seconds)
         failed_runs += bool(soak.breaches)
         print(f'seed {seed}: {len(soak.faults)} faults', flush=True)
-        for breach in soak.breaches[:5]:
+        for breach in soak.breaches:
             print(f'    {breach}', flush=True)
     print(f'{options.runs} runs, {failed_runs} with a breach')
     return 1 if failed_runs else 0
