--- a/fuchsiatrestle/agreement/_leader.py
+++ b/fuchsiatrestle/agreement/_leader.py
@@ -164,6 +164,12 @@
         """Returns True if a quorum of the given ``Voters`` is alive."""
         return self._count_live_voters(voters) >= voters.quorum_size
 
+    @property
+    def bearable_losses(self):
+        """Number of voters that may be lost now without losing the quorum."""
+        voters = self._replica.voters
+        return self._count_live_voters(voters) - voters.quorum_size
+
     def has_active_leader(self):
         """Returns True, as a leader with a quorum ignores other candidates."""
         return True
--- a/fuchsiatrestle/agreement/_replica.py
+++ b/fuchsiatrestle/agreement/_replica.py
@@ -147,6 +147,11 @@
         """Identities that asked to join, empty unless leading."""
         return self.role.joining_identities
 
+    @property
+    def bearable_losses(self):
+        """Number of voters that may be lost now, 0 unless leading."""
+        return self.role.bearable_losses
+
     @property
     def leadership_confirmed_until_ms(self):
         """Time before which no other replica can be elected, 0 if unknown.
--- a/fuchsiatrestle/agreement/_role.py
+++ b/fuchsiatrestle/agreement/_role.py
@@ -23,11 +23,14 @@
             a leader.
         joining_identities: identities that asked to join and may be added;
             empty but for a leader.
+        bearable_losses: number of voters that may be lost now; 0 but for a
+            leader.
     """
 
     name = ''
     progress_by_identity = types.MappingProxyType({})
     joining_identities = ()
+    bearable_losses = 0
 
     def __init__(self, replica):
         self._replica = replica
--- a/fuchsiatrestle/control/_events.py
+++ b/fuchsiatrestle/control/_events.py
@@ -73,10 +73,17 @@
 
     ``commit_index`` is the last committed log index, ``members`` a list of
     ``MemberStatus``, ``joining_identities`` the identities of replicas that
-    asked to join and are no members yet.
+    asked to join and are no members yet, ``bearable_losses`` the number of
+    voters that may be lost now without losing the quorum.
     """
 
-    __slots__ = ('term', 'commit_index', 'members', 'joining_identities')
+    __slots__ = (
+        'term',
+        'commit_index',
+        'members',
+        'joining_identities',
+        'bearable_losses',
+    )
 
 
 class DataFolderFailed(core.Value):
--- a/fuchsiatrestle/control/_leader.py
+++ b/fuchsiatrestle/control/_leader.py
@@ -374,6 +374,7 @@
             self.term,
             status.commit_index if status else 0,
             members,
+            status.bearable_losses if status else 0,
         )
 
     def find_member_identity(self, message):
--- a/fuchsiatrestle/control/_replica_task.py
+++ b/fuchsiatrestle/control/_replica_task.py
@@ -19,6 +19,10 @@
     'agreement.uncommitted', 'Log entries not yet known to be committed.'
 )
 IS_LEADER = metrics.declare('agreement.leads', '1 while this replica leads.')
+BEARABLE_LOSSES = metrics.declare(
+    'agreement.bearable_losses',
+    'Voters that may be lost now, as the leader sees it; 0 elsewhere.',
+)
 ROLE_CHANGES = metrics.declare(
     'agreement.role_changed', 'Changes of role or leader seen here.'
 )
@@ -166,6 +170,7 @@
         metrics.gauge(TERM, replica.term)
         metrics.gauge(COMMIT_INDEX, replica.commit_index)
         metrics.gauge(IS_LEADER, int(self.role == 'leader'))
+        metrics.gauge(BEARABLE_LOSSES, replica.bearable_losses)
         metrics.gauge(
             UNCOMMITTED_ENTRIES, replica.log.last_index - replica.commit_index
         )
@@ -177,6 +182,7 @@
                 for identity in replica.voters.members
             ],
             list(replica.joining_identities),
+            replica.bearable_losses,
         )
         await self._state_inbox.put(status)
 
--- a/fuchsiatrestle/ctl/_view_commands.py
+++ b/fuchsiatrestle/ctl/_view_commands.py
@@ -152,6 +152,8 @@
         """Prints the leader, then one row for each control replica."""
         leader_text = f'leader {json_body["leader"]}, term {json_body["term"]}'
         output.print_line(f'{leader_text}, committed {json_body["commit"]}')
+        losses = json_body['bearable_losses']
+        output.print_line(f'voters that may be lost now: {losses}')
         output.print_table(cls.COLUMNS, json_body['members'])
 
 
--- a/fuchsiatrestle/messages/_control.py
+++ b/fuchsiatrestle/messages/_control.py
@@ -276,6 +276,8 @@
         term: term of the leader.
         commit: highest committed log index.
         members: the control replicas.
+        bearable_losses: number of voters that may be lost now without losing
+            the quorum.
     """
 
     call_id: int
@@ -283,6 +285,7 @@
     term: int
     commit: int
     members: list[MemberView]
+    bearable_losses: int = 0
 
 
 class MemberList(records.Record, tag='cn'):
