Take over new seeds without a restart

Cause: a newcomer asked only the seeds of its start to join. Change: on SIGHUP the platform's programs, and control with open_membership, take over the seeds; a newcomer asks them, and an entry dials them while it reaches no member.

--- a/fuchsiatrestle/agreement/_dispatch.py
+++ b/fuchsiatrestle/agreement/_dispatch.py
@@ -29,6 +29,7 @@
             _events.ChangeVoters: self._on_change_voters,
             _events.TransferLeadership: self._on_transfer_leadership,
             _events.PrepareStop: self._on_prepare_stop,
+            _events.SetInitialMembers: self._on_set_initial_members,
         }
         self._message_handlers = {
             messages.AppendRequest: self._on_append_request,
@@ -74,6 +75,9 @@
     def _on_prepare_stop(self, event):
         self._replica.role.prepare_stop()
 
+    def _on_set_initial_members(self, event):
+        self._replica.founding.set_initial_names(event.names)
+
     # Hellos and founding of the group
 
     def _bootstrap_group(self):
--- a/fuchsiatrestle/agreement/_events.py
+++ b/fuchsiatrestle/agreement/_events.py
@@ -23,6 +23,7 @@
     'RestoreSnapshot',
     'RoleChanged',
     'SendToPeer',
+    'SetInitialMembers',
     'Tick',
     'TransferLeadership',
     'WritesSynced',
@@ -130,6 +131,19 @@
     __slots__ = ()
 
 
+class SetInitialMembers(core.Value):
+    """Replaces the initial members by those that the settings name now.
+
+    A replica that is no member asks them to join; a group that is founded
+    keeps its members.
+
+    Attributes:
+        names: process names.
+    """
+
+    __slots__ = ('names',)
+
+
 class ChangeVoters(core.Value):
     """Requests a membership change.
 
--- a/fuchsiatrestle/agreement/_founding.py
+++ b/fuchsiatrestle/agreement/_founding.py
@@ -39,14 +39,18 @@
         self._cell = cell
         self._identity = identity
         self._name = name
-        self.initial_names = frozenset(initial_names)
-        self._other_initial_names = sorted(set(initial_names) - {name})
+        self.set_initial_names(initial_names)
         self._hello_ms = hello_ms
         self._may_found = may_found
         self._next_hello_ms = 0
         # Newest hello and the time of its arrival, by process name.
         self._last_hello_by_name = {}
 
+    def set_initial_names(self, initial_names):
+        """Replaces the process names of the initial members."""
+        self.initial_names = frozenset(initial_names)
+        self._other_initial_names = sorted(self.initial_names - {self._name})
+
     @property
     def is_founder(self):
         """True for the initial member with the lowest name."""
--- a/fuchsiatrestle/control/_daemon.py
+++ b/fuchsiatrestle/control/_daemon.py
@@ -109,6 +109,8 @@
         # events are put without this check; what the replica task adds is
         # bounded by its limit on uncommitted entries instead.
         self._state_inbox = curio.Queue()
+        # None until ``start``.
+        self._replica_task = None
         # The newest committed ``messages.MemberList``.
         self._member_list = None
         self._check_name_in_peers()
@@ -133,6 +135,23 @@
                 self._cfg, 'control', 'name', 'not listed in peers'
             )
 
+    def reload(self, cfg):
+        """Takes over ``peers`` if the membership is open."""
+        if self._open_membership:
+            self.set_initial_replicas(cfg.get('control', 'peers'))
+
+    def set_initial_replicas(self, replica_addresses):
+        """Replaces the replicas to which a newcomer turns to join.
+
+        Args:
+            replica_addresses: ``settings.Address`` of each, by name.
+        """
+        self.client.set_initial_replicas(replica_addresses)
+        if self._replica_task is not None:
+            self._replica_task.inbox.put(
+                agreement.SetInitialMembers(list(replica_addresses))
+            )
+
     # Start
 
     async def start(self):
--- a/fuchsiatrestle/daemon.py
+++ b/fuchsiatrestle/daemon.py
@@ -11,8 +11,9 @@
 ``create_daemon``, is called with the checked ``settings.Settings`` and returns
 a ``Daemon``, whose ``serve`` runs in curio until SIGTERM or SIGINT arrives.
 
-On SIGHUP the settings file is read again and its log level is applied; the
-other settings stay as they were at the start.
+On SIGHUP the settings file is read again.  Its log level and what
+``Daemon.reload`` takes over are applied; the other settings stay as they were
+at the start.
 
 Exit status: 0 after a graceful stop,
 ``settings.INVALID_SETTINGS_EXIT_STATUS`` (2) for a command line or settings
@@ -98,6 +99,13 @@
             stop_requested: ``curio.Event`` set by SIGTERM or SIGINT.
         """
 
+    def reload(self, cfg):
+        """Applies settings that may change while the daemon runs.
+
+        Args:
+            cfg: checked ``settings.Settings``.
+        """
+
 
 class Program:
     """Description of a daemon for ``run``.
@@ -191,8 +199,8 @@
     await stop_requested.set()
 
 
-def _reload_settings(program):
-    """Reads the settings file again and applies its log level.
+def _reload_settings(program, daemon):
+    """Reads the settings file again and applies what may change.
 
     The other settings are checked only; they can not change in a running
     process.  A file that can not be used changes nothing.
@@ -203,6 +211,7 @@
         LOG.error('reload_refused', extra={'error': exc.reason})
         return
     logs.set_level(cfg.get('log', 'level'))
+    daemon.reload(cfg)
     LOG.info('reloaded', extra={'level': cfg.get('log', 'level')})
 
 
@@ -243,10 +252,11 @@
 def _run_until_stopped(program, cfg):
     """Runs the daemon of a program; returns the exit status."""
     try:
+        daemon = program.create_daemon(cfg)
         curio.run(
             _run_daemon,
-            program.create_daemon(cfg),
-            functools.partial(_reload_settings, program),
+            daemon,
+            functools.partial(_reload_settings, program, daemon),
             cfg.get('metrics', 'listen'),
         )
     except errors.SettingsInvalid as exc:
--- a/fuchsiatrestle/net/control_client.py
+++ b/fuchsiatrestle/net/control_client.py
@@ -230,6 +230,18 @@
         for name in set(self._replica_addresses) - {*names, self._link.name}:
             self._remove_replica(name)
 
+    def set_initial_replicas(self, replica_addresses):
+        """Replaces the control replicas that the settings name.
+
+        They are dialled now if no member of the group can be reached.
+
+        Args:
+            replica_addresses: ``settings.Address`` of each, by name.
+        """
+        self._initial_addresses = dict(replica_addresses)
+        if not self._members_index or not self.is_connected:
+            self._add_initial_replicas()
+
     def _remove_replica(self, name):
         del self._replica_addresses[name]
         self._unreachable_replicas.discard(name)
--- a/fuchsiatrestle/platform/_programs.py
+++ b/fuchsiatrestle/platform/_programs.py
@@ -55,6 +55,12 @@
         """Returns True while the load balancer should send callers here."""
         return not self._is_draining and self._client.is_connected
 
+    def reload(self, cfg):
+        """Takes over the control daemons that the settings name."""
+        self._client.set_initial_replicas(
+            _settings.make_control_addresses(cfg)
+        )
+
     async def start(self):
         """Starts the link and the listeners."""
         await self._link.start()
@@ -119,6 +125,12 @@
             http.Limits(body_bytes=MAX_BODY_BYTES),
         )
 
+    def reload(self, cfg):
+        """Takes over the control daemons that the settings name."""
+        self._control_daemon.set_initial_replicas(
+            _settings.make_control_addresses(cfg)
+        )
+
     async def start(self):
         """Starts the replica, then the listener."""
         await self._control_daemon.start()
--- a/tests/agreement/replacement_runs.py
+++ b/tests/agreement/replacement_runs.py
@@ -182,6 +182,10 @@
         self.group.initial_names = self._rng.sample(
             names, min(SEED_COUNT, len(names))
         )
+        for name in self.group.node_names:
+            self.group.step(
+                name, agreement.SetInitialMembers(self.group.initial_names)
+            )
 
     def _end_later(self, action, name):
         self._schedule(self._rng.randint(*OUTAGE_RANGE_MS), action, name)
--- a/tests/agreement/test_replacement.py
+++ b/tests/agreement/test_replacement.py
@@ -226,6 +226,16 @@
         for node in group.nodes.values():
             self.assertEqual(founded, node.replica.group)
 
+    def test_newcomer_whose_seeds_are_gone_joins_once_it_has_new_ones(self):
+        group = self._start_group(['c1', 'c2', 'c3'])
+        group.initial_names = ['c8', 'c9', 'c4']
+        group.add_node('c4')
+        group.run(CATCH_UP_MS)
+        self.assertNotIn('c4', self._voter_names(group))
+        group.step('c4', agreement.SetInitialMembers(['c2', 'c4']))
+        group.run(CATCH_UP_MS)
+        self.assertIn('c4', self._voter_names(group))
+
     # Random runs
 
     def test_random_replacements_with_other_faults(self):
--- a/tests/net/test_control_client.py
+++ b/tests/net/test_control_client.py
@@ -178,6 +178,11 @@
         curio.run(client.handle_event, link.PeerDown('c2'))
         self.assertEqual({'c1', 'c2'}, fake_link.connected_peers)
 
+    def test_dials_new_seeds_while_it_knows_no_member(self):
+        fake_link, client = self._make_client({'c1': 'C1'})
+        client.set_initial_replicas({'c5': 'C5'})
+        self.assertEqual({'c1', 'c5'}, fake_link.connected_peers)
+
     def test_call_to_a_replica_that_is_removed_goes_to_another_at_once(self):
         async def propose():
             fake_link = _FakeLink(['lose', 'accept'])
--- a/tests/platform/_deployment.py
+++ b/tests/platform/_deployment.py
@@ -3,6 +3,7 @@
 import json
 import os
 import shutil
+import signal
 
 import curio
 
@@ -185,19 +186,18 @@
             self._folder,
         )
 
-    def replace_control(self, gone_host, host):
+    def replace_control(self, gone_host, host, seed_hosts):
         """Starts a control daemon that takes the place of one that is gone.
 
-        Its settings name the daemons of today as seeds.
-
         Args:
             gone_host: host of the daemon, whose process does not run.
             host: host of the new daemon, with an empty data folder.
+            seed_hosts: hosts that its settings name as seeds.
         """
         self.hosts[self.hosts.index(gone_host)] = host
         del self.controls[gone_host]
         self._may_found = 'no'
-        self.update_seeds()
+        self._seeds = ','.join(str(self.address(seed)) for seed in seed_hosts)
         self.controls[host] = self._create_program(
             'control', host, _CONTROL_SETTINGS
         )
@@ -206,6 +206,19 @@
         )
         self.controls[host].start()
 
+    async def wait_until_started(self, host):
+        """Waits until a control daemon has logged that it serves."""
+
+        async def has_started():
+            return self.controls[host].has_started()
+
+        await self.wait_until(has_started, f'the start of {host}')
+
+    def reload_all(self):
+        """Sends SIGHUP to all programs, which read their settings again."""
+        for process in (*self.controls.values(), self.entry):
+            os.kill(process.pid, signal.SIGHUP)
+
     def update_seeds(self):
         """Writes all settings with the daemons of today as seeds."""
         self._seeds = ','.join(str(self.address(host)) for host in self.hosts)
--- a/tests/platform/test_process_replacement.py
+++ b/tests/platform/test_process_replacement.py
@@ -68,7 +68,12 @@
             gone_host = deployment.find_leader() or deployment.hosts[0]
             await curio.run_in_thread(deployment.controls[gone_host].kill)
             await curio.sleep(SUCCESSOR_DELAY_S)
-            deployment.replace_control(gone_host, f'127.0.7.{number}')
+            host = f'127.0.7.{number}'
+            deployment.replace_control(gone_host, host, [gone_host])
+            await deployment.wait_until_started(host)
+            # Until now its seeds name a daemon that is gone.
+            deployment.update_seeds()
+            deployment.reload_all()
             await curio.sleep(CATCH_UP_S)
         await caller.cancel()
         self._kill_all()
