--- a/fuchsiatrestle/agreement/_follower.py
+++ b/fuchsiatrestle/agreement/_follower.py
@@ -14,7 +14,7 @@
     Args:
         replica: the ``Replica`` that follows.
         heard_leader: True if the replica became a follower on a message of
-            the leader.
+            the leader, or may have heard one before it was restarted.
     """
 
     name = 'follower'
--- a/fuchsiatrestle/agreement/_leader.py
+++ b/fuchsiatrestle/agreement/_leader.py
@@ -93,9 +93,8 @@
         """Time before which no other replica can be elected, 0 if unknown.
 
         A voter ignores candidates for ``election_min_ms`` after it heard this
-        leader, except one that the leader told to start an election.  A voter
-        that restarts within that time does not, as it forgets that it heard
-        the leader.
+        leader, and as long after a restart, except one that the leader told to
+        start an election.
         """
         if self._replica.now_ms < self._successor_asked_until_ms:
             return 0
--- a/fuchsiatrestle/agreement/_replica.py
+++ b/fuchsiatrestle/agreement/_replica.py
@@ -78,7 +78,9 @@
             self.cfg.hello_ms,
             state.may_found,
         )
-        self.role = _follower.Follower(self, heard_leader=False)
+        # Before the restart it may have answered a leader, which therefore
+        # counts on this voter to ignore candidates.
+        self.role = _follower.Follower(self, heard_leader=bool(self.group))
         self._dispatcher = _dispatch.Dispatcher(self)
 
     def _recover(self, state):
--- a/tests/agreement/test_confirmation.py
+++ b/tests/agreement/test_confirmation.py
@@ -113,6 +113,28 @@
                 )
                 self.assertGreaterEqual(self.group.now_ms, confirmed_until_ms)
 
+    def test_restarted_voter_elects_no_other_leader_before_it_ends(self):
+        """One follower hears only the other one, which restarts."""
+        for seed in range(1, 31):
+            with self.subTest(seed=seed):
+                self._make_group(seed)
+                restarted, candidate = self._follower_names()
+                for link in (
+                    (self.leader, candidate),
+                    (candidate, self.leader),
+                ):
+                    self.group.cut_links.add(link)
+                self.group.run(2 * self.group.cfg.election_max_ms)
+                self.assertEqual(self.leader, self.group.leader)
+                confirmed_until_ms = self.replica.leadership_confirmed_until_ms
+                self.group.freeze(self.leader)
+                self.group.kill(restarted)
+                self.group.start(restarted)
+                self.assertTrue(
+                    self.group.run_until(lambda: self.group.leader, 20_000)
+                )
+                self.assertGreaterEqual(self.group.now_ms, confirmed_until_ms)
+
     def test_a_transfer_that_nobody_can_take_does_not_end_it_for_good(self):
         for name in NAMES:
             self.group.nodes[name].slow_disk = True
