Drop appends with malformed entries

Change: entries are checked before anything changes; a malformed append is dropped, counted and logged.

--- a/fuchsiatrestle/agreement/_dispatch.py
+++ b/fuchsiatrestle/agreement/_dispatch.py
@@ -1,11 +1,20 @@
 """Routes events and messages to the current role of a replica."""
 
 from fuchsiatrestle.agreement import _events
+from fuchsiatrestle.agreement import _validation
 from fuchsiatrestle.agreement import _voters
+from fuchsiatrestle import logs
 from fuchsiatrestle import messages
+from fuchsiatrestle import metrics
 
 __all__ = ('Dispatcher',)
 
+MALFORMED_APPENDS = metrics.declare(
+    'refused.append_malformed', 'Appends dropped because of their entries.'
+)
+
+LOG = logs.get_logger(__name__)
+
 
 class Dispatcher:
     """Handles events that all roles treat alike and passes on the others.
@@ -234,6 +243,18 @@
         return True
 
     def _on_append_request(self, message):
+        fault = _validation.find_append_fault(message)
+        if fault:
+            metrics.count(MALFORMED_APPENDS)
+            LOG.error(
+                'append_malformed',
+                extra={
+                    'leader': message.leader,
+                    'term': message.term,
+                    'fault': fault,
+                },
+            )
+            return
         self._replica.role.on_append_request(message)
 
     def _on_install_request(self, message):
