--- a/fuchsiatrestle/logs.py
+++ b/fuchsiatrestle/logs.py
@@ -14,7 +14,6 @@
 import re
 import sys
 import threading
-import time
 
 from pythonjsonlogger import core as json_core
 from pythonjsonlogger import json as json_logger
@@ -31,10 +30,6 @@
 # Lines that may wait for the writer; further ones are dropped.
 MAX_WAITING_LINES = 10_000
 FLUSH_TIMEOUT_S = 1.0
-# Shortest time between two writes; the lines in between are written together,
-# as each write costs a system call and a wake-up of the thread.
-WRITE_INTERVAL_S = 0.05
-MAX_WRITE_LINES = 1000
 
 LEVELS = ('debug', 'info', 'warning', 'error')
 
@@ -153,45 +148,25 @@
     def run(self):
         """Writes queued lines until the process ends."""
         while True:
-            lines, written_callbacks = self._take_items()
-            if lines:
-                self._write_lines(lines)
-            for callback in written_callbacks:
-                callback()
-            if not written_callbacks:
-                time.sleep(WRITE_INTERVAL_S)
-
-    def _take_items(self):
-        """Waits for an item; returns the queued lines and functions."""
-        lines = []
-        written_callbacks = []
-        item = self._items.get()
-        while True:
-            if callable(item):
-                written_callbacks.append(item)
-            else:
-                lines.append(item)
-            if len(lines) >= MAX_WRITE_LINES:
-                break
-            try:
-                item = self._items.get_nowait()
-            except queue.Empty:
-                break
-        return lines, written_callbacks
-
-    def _write_lines(self, lines):
+            self._write_item(self._items.get())
+
+    def _write_item(self, item):
+        if callable(item):
+            item()
+            return
         dropped_count, self._dropped_count = self._dropped_count, 0
         if dropped_count:
-            lines.insert(
-                0, f'level=WARNING event=lines_dropped count={dropped_count}'
+            item = (
+                f'level=WARNING event=lines_dropped count={dropped_count}\n'
+                f'{item}'
             )
         try:
-            self._stream.write('\n'.join(lines) + '\n')
+            self._stream.write(item + '\n')
             self._stream.flush()
         except (OSError, ValueError):
-            # The stream is closed or has no reader any more.  The lines are
+            # The stream is closed or has no reader any more.  The line is
             # dropped; the process goes on.
-            self._dropped_count += len(lines)
+            self._dropped_count += 1
 
 
 class _QueueHandler(logging.Handler):
