Follow the members of the replica task in the tests of orders

Cause: tests.control.test_orders waited for ever: its stand-in of a replica lacked voters_index and bearable_losses since, and its callback took one argument. Change: the stand-in has both, the callback takes the index. Result: tests.control.test_orders 6 passed.

--- a/tests/control/test_orders.py
+++ b/tests/control/test_orders.py
@@ -42,7 +42,9 @@
         self.cfg = agreement.ReplicaConfig(election_min_ms=ELECTION_MIN_MS)
         self.voters = agreement.Voters('', [])
         self.voters_committed = True
+        self.voters_index = 0
         self.joining_identities = ()
+        self.bearable_losses = 0
         self.commit_index = 0
         self.log = mock.Mock(last_index=0)
         self.role = mock.Mock()
@@ -93,7 +95,7 @@
 
         async def run_all():
             self.replica_task = _replica_task.ReplicaTask(
-                self.replica, None, curio.Queue(), lambda names: None
+                self.replica, None, curio.Queue(), lambda index, names: None
             )
             self.order_task = _orders.OrderTask(
                 self.replica_task.leadership, self.driver
