--- a/tests/agreement/test_replacement.py
+++ b/tests/agreement/test_replacement.py
@@ -18,6 +18,10 @@
 FAILED_SEEDS = (33, 104, 115, 253)
 
 
+# The leader that admits a newcomer is cut off before the entry is committed.
+ROLLED_BACK_SEED = 200026
+
+
 class ReplacementTest(unittest.TestCase):
     def _start_group(self, names, initial_count=3, tolerated_losses=1):
         group = cluster.Cluster(
@@ -243,6 +247,9 @@
             with self.subTest(seed=seed):
                 replacement_runs.ReplacementRun(seed).run()
 
+    def test_newcomer_whose_admission_was_rolled_back_joins(self):
+        replacement_runs.ReplacementRun(ROLLED_BACK_SEED).run()
+
     def test_random_runs_find_each_missing_mechanism(self):
         for owner, attribute, replacement in (
             (
