--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -72,6 +72,7 @@
     Attributes:
         breaches: texts with the time and what was wrong.
         faults: texts with the time, the fault and its target.
+        log_lines: the end of each log at the time of a breach.
     """
 
     def __init__(self, seed, folder, seconds):
@@ -85,6 +86,7 @@
         self._sent_version = 1
         self.breaches = []
         self.faults = []
+        self.log_lines = []
 
     # Phases
 
@@ -194,7 +196,9 @@
         ):
             with open(process.log_path, encoding='utf-8') as log:
                 lines = log.readlines()[-KEPT_LOG_LINES:]
-            self.breaches += [f'{process.name}: {line[:-1]}' for line in lines]
+            self.log_lines += [
+                f'{process.name}: {line[:-1]}' for line in lines
+            ]
 
     def _record_breach(self, breach):
         self.breaches.append(f'{time.strftime("%H:%M:%S")} {breach}')
@@ -374,7 +378,7 @@
         soak = run_seed(seed, options.seconds)
         failed_runs += bool(soak.breaches)
         print(f'seed {seed}: {len(soak.faults)} faults', flush=True)
-        for breach in soak.breaches:
+        for breach in soak.breaches + soak.log_lines:
             print(f'    {breach}', flush=True)
     print(f'{options.runs} runs, {failed_runs} with a breach')
     return 1 if failed_runs else 0
--- a/tests/platform/test_process_soak.py
+++ b/tests/platform/test_process_soak.py
@@ -39,7 +39,9 @@
 
     def _check_seed(self, seed):
         finished_soak = soak.run_seed(seed, SECONDS)
-        self.assertEqual([], finished_soak.breaches)
+        self.assertEqual(
+            [], finished_soak.breaches, '\n'.join(finished_soak.log_lines)
+        )
         self.assertTrue(finished_soak.faults)
 
     def test_short_run(self):
