--- a/tests/agreement/test_replacement.py
+++ b/tests/agreement/test_replacement.py
@@ -14,7 +14,8 @@
 # Longer than a voter has to be silent for a newcomer to take its place.
 PAUSE_MS = 5000
 RANDOM_SEEDS = range(24)
-# Seeds that failed before the newcomers were part of the agreed voter set.
+# Seeds that failed before newcomers were agreed, the first one before a
+# follower told the leader of its planned stop.
 FAILED_SEEDS = (33, 104, 115, 253)
 
 
