--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,46 +1,55 @@
-"""An idle minion crashes and starts again under its id."""
+"""More than 500 tasks end on a minion while it is cut off."""
 
 import asyncio
 import pathlib
-import random
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 import rig as case_rig  # noqa: E402
 
-CRASHES = 25
-DOWN_S = 0.5
-WORK_S = 1.0
-LATEST_JOB_S = 0.05
-
-
-async def _run_job(rig):
-    job_id = case_rig.make_job_id()
-    if await rig.submit(job_id, WORK_S) // 100 != 2:
-        raise case_rig.NotRun('a job was not accepted')
-    await rig.wait_for_state(job_id, ('completed',), 15.0)
-    await asyncio.sleep(0.5)
+JOBS = 25
+TASKS = 36  # the widest step of the site's traffic
+CPU = 32
+MEM_MB = 120
+WORK_S = 8.0
+CUT_S = 4.0
 
 
 async def _play(rig):
     await asyncio.sleep(1.0)
-    await _run_job(rig)
+    job_ids = [case_rig.make_job_id() for _ in range(JOBS)]
+    for job_id in job_ids:
+        status = await rig.submit(
+            job_id, WORK_S, count=TASKS, cpu=CPU, mem_mb=MEM_MB
+        )
+        if status // 100 != 2:
+            raise case_rig.NotRun('a job was not accepted')
+    while len(rig.runs) < JOBS * TASKS:
+        await asyncio.sleep(0.05)
+    first_end_s = rig.runs[0].started_s + WORK_S
+    await asyncio.sleep(first_end_s - time.monotonic() - 0.2)
     minion = rig.runs[0].minion
-    for _ in range(CRASHES):
-        await asyncio.sleep(random.uniform(0.0, case_rig.HEARTBEAT_S))
-        if case_rig.has_trouble():
-            minion.crash()
-            await asyncio.sleep(DOWN_S)
-            await minion.start()
-        await asyncio.sleep(random.uniform(0.0, LATEST_JOB_S))
-        await _run_job(rig)
-        if rig.find_doubles():
-            break
-    doubles = rig.find_doubles()
-    for first, second in doubles:
+    if case_rig.has_trouble():
+        rig.cut_off(minion)
+        await asyncio.sleep(CUT_S)
+        rig.heal(minion)
+    for job_id in job_ids:
+        await rig.wait_for_state(job_id, ('completed', 'failed'), 60.0)
+    await asyncio.sleep(3.0)
+    again = [
+        (first, second)
+        for first, second in rig.find_starts_after_done()
+        if first.minion is minion
+    ]
+    for first, second in again[:20]:
         rig.record('TWICE', first=first.describe(), second=second.describe())
-    return case_rig.BROKEN if doubles else case_rig.HELD
+    rig.record('runs', tasks=JOBS * TASKS, runs=len(rig.runs))
+    rig.record('started_again_after_done', count=len(again))
+    return case_rig.BROKEN if again else case_rig.HELD
 
 
-case_rig.run_case(pathlib.Path(__file__).parent, _play, minion_count=8)
+case_rig.run_case(
+    pathlib.Path(__file__).parent, _play, minion_count=9, behind_proxies=True
+)
--- a/review/rig.py
+++ b/review/rig.py
@@ -30,7 +30,6 @@
 MAX_HOLD_MS = 6000
 STOP_S = 0.2
 CHECKPOINT_S = 1.0
-GANG_WAIT_S = 3.0
 MAX_ENDS = 500
 HOST = 'nony24.example'
 PREFIX = '/lohu930/'
@@ -194,12 +193,8 @@
 class Run:
     """A run of a task on a minion.
 
-    The task_spec is ``work SECONDS``, for a member of a gang ``work SECONDS
-    gang MEMBERS``, with ``saves`` at its end for a checkpointing task.
-
-    Attributes:
-        working_since_s: when it began to work, None while it waits for the
-            other members of its gang.
+    The task_spec is ``work SECONDS``, or ``work SECONDS saves`` for a task
+    that checkpoints.
     """
 
     def __init__(self, minion, order):
@@ -209,10 +204,8 @@
         self.number = order['run_id']
         self.started_s = time.monotonic()
         self.work_s = float(words[1])
-        self.member_count = int(words[3]) if 'gang' in words else 1
         self.saves = 'saves' in words
         self.carried = order.get('checkpoint', '')
-        self.working_since_s = None if 'gang' in words else self.started_s
         self.ended_s = None
         self.how = ''
         self.end_number = None
@@ -226,23 +219,16 @@
             for lapse_s in self.minion.lapses_s
         )
 
-    @property
-    def gang(self):
-        """Key that is equal for the members of one run of a gang."""
-        return self.task.rpartition('.')[0], self.number
-
     @property
     def progress_s(self):
         """Time that it has worked, with what its checkpoint has saved."""
         saved_s = int(self.carried[:8], 16) if self.carried else 0
-        if self.working_since_s is None:
-            return saved_s
         now_s = time.monotonic() if self.is_running else self.ended_s
-        return saved_s + now_s - self.working_since_s
+        return saved_s + now_s - self.started_s
 
     @property
     def checkpoint(self):
-        """The newest value; the members of a gang have the same ones."""
+        """The newest value that it has saved, or empty."""
         saved = int(self.progress_s / CHECKPOINT_S)
         if not saved or not self.saves:
             return ''
@@ -536,11 +522,6 @@
                     self._finish(run, 'lapsed')
                 elif run.progress_s >= run.work_s:
                     self._finish(run, 'done')
-                elif (
-                    run.working_since_s is None
-                    and now_s - run.started_s >= GANG_WAIT_S
-                ):
-                    self._finish(run, 'alone')
 
     def _finish(self, run, how, listed=True):
         if not run.is_running:
@@ -557,7 +538,6 @@
             run.end_number = self._end_count
             self._ends.append(run)
             self._end_listed.set()
-        self.rig.end_gang(run)
 
 
 # The deployment
@@ -670,26 +650,6 @@
         self.runs.append(run)
         carried = run.carried or 'none'
         self.record('start', run=run.describe(), checkpoint=carried)
-        if run.member_count == 1:
-            return
-        members = [
-            member
-            for member in self.runs
-            if member.gang == run.gang and member.is_running
-        ]
-        values = {member.carried for member in members}
-        if len(members) == run.member_count > 1 and len(values) == 1:
-            for member in members:
-                member.working_since_s = run.started_s
-
-    def end_gang(self, ended):
-        """Ends the other members of a gang that was at work."""
-        if ended.member_count == 1 or ended.working_since_s is None:
-            return
-        how = 'done' if ended.how == 'done' else 'broken'
-        for member in self.runs:
-            if member.gang == ended.gang and member.is_running:
-                member.minion._finish(member, how)
 
     def find_doubles(self):
         """Returns pairs of runs of one task at work at the same time."""
@@ -921,8 +881,6 @@
             **step_fields,
         }
         spec = f'work {work_s}'
-        if step.get('gang'):
-            spec += f' gang {step["count"]}'
         if step.get('checkpointing'):
             spec += ' saves'
         job = {'task_spec': spec, 'steps': [step]}
