--- a/review/rig.py
+++ b/review/rig.py
@@ -35,6 +35,7 @@
 PREFIX = '/lohu930/'
 SERVICE = 'huvo11a'
 START_LIMIT_S = 25.0
+METRICS_PORT = 9100  # as in the templates of the settings
 PROGRAM_ENVIRONMENT = ('PATH', 'HOME', 'LANG')
 
 
@@ -75,6 +76,7 @@
     def __init__(self, address):
         self._address = address
         self._streams = None
+        self._lock = asyncio.Lock()
 
     async def call(self, method, path, body=None, timeout_s=1.0, headers=()):
         """Makes a call; returns status and JSON value, 0 for no answer."""
@@ -87,6 +89,10 @@
             return 0, None
 
     async def _call(self, method, path, body, headers):
+        async with self._lock:
+            return await self._exchange(method, path, body, headers)
+
+    async def _exchange(self, method, path, body, headers):
         if self._streams is None:
             self._streams = await asyncio.open_connection(*self._address)
         reader, writer = self._streams
@@ -560,7 +566,7 @@
         self._deploy = tomllib.loads(
             (ROOT / 'deploy' / 'system.toml').read_text()
         )
-        self._network = f'127.{random.randint(20, 250)}'
+        self._network = find_free_network()
         self._ports = find_free_ports(6)
         self._processes = {}
         self._version = 0
@@ -922,15 +928,30 @@
     return f'{random.getrandbits(64):016x}'
 
 
+def find_free_network():
+    """Returns the first two numbers of loopback addresses that are free.
+
+    The templates name a fixed port for metrics, so the addresses have to
+    differ from those of other deployments on the machine.
+    """
+    while True:
+        network = f'127.{random.randint(20, 250)}'
+        with socket.socket() as probe:
+            with contextlib.suppress(OSError):
+                probe.bind((f'{network}.1.1', METRICS_PORT))
+                return network
+
+
 def find_free_ports(count):
     """Returns free ports below the range of outgoing connections."""
     ports = []
     while len(ports) < count:
-        port = random.randint(12000, 31000)
+        port = random.randrange(12000, 31000, 10)
         with socket.socket() as probe:
             with contextlib.suppress(OSError):
                 probe.bind(('', port))
-                ports.append(port)
+                if port not in ports:
+                    ports.append(port)
     return ports
 
 
@@ -968,6 +989,7 @@
             status = await play(rig)
         except Exception as exc:
             rig.record('not_run', reason=repr(exc))
+            print(f'not run: {exc!r}', file=sys.stderr)
         finally:
             await rig.stop()
             verdict = {HELD: 'held', BROKEN: 'BROKEN', NOT_RUN: 'not run'}
