End the runs of a leaving worker by its word or its lease, not after 500 ms

Cause: a withdrawal was taken for the end of the process 500 ms after it had arrived. The worker ends on the acknowledgement or some seconds later, and the acknowledgement may be lost. Evidence: the second starts come 0.53 s after the withdrawal whatever the worker does, with 5 s of its lease left.

Change: a withdrawal proves nothing. The worker's runs are stopped, their ends and checkpoints listed and agreed, and then the withdrawal is acknowledged, after 600 ms at the latest; else they end with the lease, which is not extended any more. A withdrawal that names its process counts for that one only. workflows/_run_ends.py is the place that decides what proves an end.

--- a/fuchsiatrestle/control/_leader.py
+++ b/fuchsiatrestle/control/_leader.py
@@ -110,6 +110,8 @@
         # For each owner of claims without a lease, a pair (entry,
         # incarnation): time at which a check first found it without one.
         self._unleased_since_ms_by_owner = {}
+        # Calls that wait for ``AcknowledgeWithdrawal``, by id of the worker.
+        self._withdrawal_calls = {}
 
     def update_replica_status(self, status):
         """Replaces the ``ReplicaStatus`` that status queries are answered by.
@@ -282,13 +284,18 @@
 
     def _handle_announcement(self, call, now_ms):
         message = call.message
-        if isinstance(message, messages.AnnounceWorker):
-            event = workflows.WorkerAnnounced(message.announcement)
-        else:
-            event = workflows.WorkerWithdrawn(message.worker)
-        answer = messages.Noted(message.call_id, self._name)
-        answers = [_events.SendToPeer(call.peer, answer)]
-        return self._step_dispatcher(event, now_ms) + answers
+        if isinstance(message, messages.WithdrawWorker):
+            calls = self._withdrawal_calls.setdefault(message.worker, [])
+            calls.append(call)
+            event = workflows.WorkerWithdrawn(message.worker, message.born_ms)
+            return self._step_dispatcher(event, now_ms)
+        event = workflows.WorkerAnnounced(message.announcement)
+        effects = self._step_dispatcher(event, now_ms)
+        return [*effects, self._make_noted_answer(call)]
+
+    def _make_noted_answer(self, call):
+        answer = messages.Noted(call.message.call_id, self._name)
+        return _events.SendToPeer(call.peer, answer)
 
     def _step_dispatcher(self, event, now_ms):
         """Passes an event to the dispatcher; returns its effects."""
@@ -297,6 +304,9 @@
             if isinstance(effect, workflows.Propose):
                 command = effect.command
                 effects.append(LeaderProposal(command, command.token))
+            elif isinstance(effect, workflows.AcknowledgeWithdrawal):
+                calls = self._withdrawal_calls.pop(effect.worker, [])
+                effects += [self._make_noted_answer(call) for call in calls]
             else:
                 effects.append(_events.OrderWorker(effect))
         return effects
--- a/fuchsiatrestle/messages/_announcements.py
+++ b/fuchsiatrestle/messages/_announcements.py
@@ -59,15 +59,21 @@
 
 
 class WithdrawWorker(records.Record, tag='wd'):
-    """Tells the leader that a worker has left; answered by ``Noted``.
+    """Tells the leader that a worker is leaving; answered by ``Noted``.
+
+    The worker ends its process on the answer, so the answer waits for a short
+    time until the runs of the worker have ended.
 
     Attributes:
         call_id: chosen by the sender, returned by the answer.
         worker: id of the worker.
+        born_ms: start of the worker's process since the epoch, 0 if the
+            worker did not say.
     """
 
     call_id: int
     worker: str
+    born_ms: int = 0
 
 
 class Noted(records.Record, tag='wn'):
--- a/fuchsiatrestle/platform/_operators.py
+++ b/fuchsiatrestle/platform/_operators.py
@@ -26,6 +26,9 @@
 BAD_HEARTBEAT = metrics.declare(
     'refused.bad_heartbeat', 'Heartbeats that name no usable worker (400).'
 )
+BAD_WITHDRAWAL = metrics.declare(
+    'refused.bad_withdrawal', 'Withdrawals that can not be read (400).'
+)
 BAD_DOCUMENT = metrics.declare(
     'refused.bad_document', 'Configurations that are not valid (400).'
 )
@@ -64,7 +67,7 @@
             if action == 'heartbeat':
                 return await self._announce_worker(worker, request.body)
             if action == 'deregister':
-                return await self._withdraw_worker(worker)
+                return await self._withdraw_worker(worker, request.body)
         return http.make_reason_response(404, 'unknown_path')
 
     # Configuration
@@ -138,8 +141,14 @@
         address = settings.Address(address.host, self._port)
         return http.make_json_response(200, {'heartbeat_addr': str(address)})
 
-    async def _withdraw_worker(self, worker):
-        message = messages.WithdrawWorker(0, worker)
+    async def _withdraw_worker(self, worker, body):
+        try:
+            born_ms = _workers.decode_withdrawal(worker, body)
+        except _documents.BodyInvalid as exc:
+            metrics.count(BAD_WITHDRAWAL)
+            LOG.warning('withdrawal_refused', extra={'error': str(exc)})
+            return http.make_reason_response(400, 'bad_withdrawal', str(exc))
+        message = messages.WithdrawWorker(0, worker, born_ms)
         call_result = await self._client.call(message, CALL_BUDGET_MS)
         if not pipeline.is_successful(call_result):
             return _make_leader_away_response(worker, call_result.failure())
--- a/fuchsiatrestle/platform/_workers.py
+++ b/fuchsiatrestle/platform/_workers.py
@@ -17,6 +17,7 @@
 __all__ = (
     'decode_announcement',
     'decode_reply',
+    'decode_withdrawal',
     'encode_order',
     'make_silent_reply',
 )
@@ -69,6 +70,13 @@
     machine: str = ''
 
 
+class _Withdrawal(msgspec.Struct):
+    """Body of a worker's last call; workers may also send none."""
+
+    # Start of the worker's process, in milliseconds since the epoch.
+    born: int = 0
+
+
 class _RunningRow(msgspec.Struct, array_like=True):
     """A run on the worker; see ``workflows.ListedRun``."""
 
@@ -100,6 +108,7 @@
 
 
 _HEARTBEAT_DECODER = msgspec.json.Decoder(_Heartbeat)
+_WITHDRAWAL_DECODER = msgspec.json.Decoder(_Withdrawal)
 _ANSWER_DECODER = msgspec.json.Decoder(_Answer)
 
 
@@ -145,6 +154,23 @@
     )
 
 
+def decode_withdrawal(worker, body):
+    """Returns the start of the process that leaves, 0 if it is not told.
+
+    Args:
+        worker: id of the worker, for the error.
+        body: body of the call, which may be empty.
+
+    Raises:
+        BodyInvalid: it is malformed.
+    """
+    if not body:
+        return 0
+    return _documents.decode_body(
+        _WITHDRAWAL_DECODER, body, 'decode_withdrawal', worker
+    ).born
+
+
 # Orders
 
 
--- a/fuchsiatrestle/workflows/_announcing.py
+++ b/fuchsiatrestle/workflows/_announcing.py
@@ -7,7 +7,11 @@
 from fuchsiatrestle.workflows import _fleet
 from fuchsiatrestle.workflows import _runs
 
-__all__ = ('AnnouncementHandler',)
+__all__ = ('AnnouncementHandler', 'may_end_process')
+
+# Longest wait of a withdrawal for its acknowledgement.  The worker takes a
+# call as failed after a second, of which the daemon on the way needs a part.
+MAX_WITHDRAWAL_WAIT_MS = 600
 
 LOG = logs.get_logger(__name__)
 
@@ -140,24 +144,61 @@
         return worker
 
     def on_worker_withdrawn(self, event):
-        """Records that a worker is ending its process.
+        """Stops the runs of a worker that will end its process.
 
-        A withdrawal does not name the process.  One that drains before it ends
-        has said so; if the current process has not, the withdrawal is a late
-        one of an earlier process and is ignored.
+        The worker is to list their ends, with their newest checkpoints, before
+        it is told that it may end.  A withdrawal that does not name the
+        process is taken as one of the current process only if that process
+        drains, as all do before they withdraw; any other is ignored.
 
         Args:
             event: ``WorkerWithdrawn``.
         """
         worker = self._dispatch_state.fleet.get(event.worker)
-        if worker is None:
+        if worker is None or worker.withdrawn_ms is not None:
             return
-        if worker.state != _fleet.DRAINING:
+        if not _is_of_current_process(event, worker):
             LOG.warning(
                 'withdrawal_ignored',
-                extra={'worker': worker.name, 'state': worker.state},
+                extra={
+                    'worker': worker.name,
+                    'state': worker.state,
+                    'born_ms': event.born_ms,
+                },
             )
             return
-        LOG.info('worker_withdrawn', extra={'worker': worker.name})
-        worker.state = 'withdrawn'
+        LOG.info(
+            'worker_withdrawn',
+            extra={'worker': worker.name, 'runs': len(worker.runs)},
+        )
+        worker.state = _fleet.WITHDRAWN
         worker.withdrawn_ms = self._dispatch_state.now_ms
+        for run in worker.runs.values():
+            if run.is_dispatched:
+                self._dispatch_state.stop_run(run, 'worker_leaves')
+
+
+def _is_of_current_process(withdrawal, worker):
+    if withdrawal.born_ms:
+        return withdrawal.born_ms == worker.record.born_ms
+    return worker.state == _fleet.DRAINING
+
+
+def may_end_process(worker, now_ms):
+    """True if a withdrawn worker is to be told that it may end its process.
+
+    That is once it has listed the ends of all its runs and was told that these
+    ends are agreed, but after ``MAX_WITHDRAWAL_WAIT_MS`` in any case.
+
+    Args:
+        worker: the ``Worker``, None if it is not known.
+        now_ms: monotonic time.
+    """
+    if worker is None or worker.withdrawn_ms is None:
+        return True
+    if now_ms - worker.withdrawn_ms >= MAX_WITHDRAWAL_WAIT_MS:
+        return True
+    has_run = any(run.is_dispatched for run in worker.runs.values())
+    return not has_run and (
+        worker.acknowledged_end_number >= worker.collected_end_number
+    )
--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -18,13 +18,12 @@
 from fuchsiatrestle.workflows import _orders
 from fuchsiatrestle.workflows import _placement
 from fuchsiatrestle.workflows import _rounds
+from fuchsiatrestle.workflows import _run_ends
 from fuchsiatrestle.workflows import _runs
 from fuchsiatrestle.workflows import _waiting
 
 __all__ = ('Dispatcher',)
 
-# A worker ends its process within this time after it has withdrawn.
-WITHDRAWN_EXIT_MS = 500
 # Interval at which changed image pairs are added to the next proposal.
 IMAGE_PAIR_PROPOSAL_INTERVAL_MS = 1000
 
@@ -68,15 +67,15 @@
             self._state, self._announcement_handler, self._interference_model
         )
         self._image_pairs_proposed_ms = now_ms
+        # Ids of the workers whose withdrawals are not acknowledged yet.
+        self._withdrawn_workers = []
         self._last_tick_wall_ms = 0
         self._last_tick_ms = now_ms
         self._effects = []
         self._event_handlers = {
             _events.Tick: self._on_tick,
             _events.WorkerAnnounced: self._on_worker_announced,
-            _events.WorkerWithdrawn: (
-                self._announcement_handler.on_worker_withdrawn
-            ),
+            _events.WorkerWithdrawn: self._on_worker_withdrawn,
             _events.ReplyReceived: self._on_reply_received,
             _events.CommandApplied: self._on_command_applied,
             _events.ProposalRejected: self._on_proposal_rejected,
@@ -98,6 +97,7 @@
         if self._may_place and self._state.placement_due:
             self._state.placement_due = False
             self._place_waiting_groups()
+        self._acknowledge_withdrawals()
         self._effects += self._state.proposals.propose_items(self._wall_now())
         effects = self._effects
         self._effects = []
@@ -164,6 +164,32 @@
         if worker is not None:
             self._send_due_orders(worker)
 
+    def _on_worker_withdrawn(self, event):
+        self._announcement_handler.on_worker_withdrawn(event)
+        if event.worker not in self._withdrawn_workers:
+            self._withdrawn_workers.append(event.worker)
+        worker = self._state.fleet.get(event.worker)
+        if worker is not None:
+            self._send_due_orders(worker)
+
+    def _acknowledge_withdrawals(self):
+        now_ms = self._state.now_ms
+        for name in list(self._withdrawn_workers):
+            worker = self._state.fleet.get(name)
+            if not _announcing.may_end_process(worker, now_ms):
+                continue
+            self._withdrawn_workers.remove(name)
+            self._effects.append(_events.AcknowledgeWithdrawal(name))
+            if worker is not None and worker.withdrawn_ms is not None:
+                LOG.info(
+                    'withdrawal_acknowledged',
+                    extra={
+                        'worker': name,
+                        'waited_ms': now_ms - worker.withdrawn_ms,
+                        'runs': len(worker.runs),
+                    },
+                )
+
     def _on_reply_received(self, event):
         worker = self._reply_handler.handle_reply(event)
         if worker is not None:
@@ -198,22 +224,12 @@
             self._state.proposals.add_image_pair(pair)
 
     def _check_lost_worker(self, worker):
-        """Records the runs of a worker as lost once none can be executing.
-
-        None can be executing ``WITHDRAWN_EXIT_MS`` after the worker withdrew,
-        or if the worker does not reply and its lease has surely expired.
-        """
+        """Records the runs of a worker as lost once none can be executing."""
         if not worker.runs:
             return
-        withdrawn_ms = worker.withdrawn_ms
-        if withdrawn_ms is not None:
-            if self._state.now_ms - withdrawn_ms >= WITHDRAWN_EXIT_MS:
-                self._state.record_all_runs_lost(worker, 'worker_left')
-        elif (
-            worker.unanswered_orders
-            and worker.lease_clock.has_surely_expired(self._state.now_ms)
-        ):
-            self._state.record_all_runs_lost(worker, 'lease_over')
+        proof = _run_ends.find_proof_by_lease(worker, self._state.now_ms)
+        if proof is not None:
+            self._state.record_all_runs_lost(worker, proof)
 
     def _send_due_orders(self, worker):
         self._effects += self._order_planner.due_orders(
@@ -290,6 +306,9 @@
             # start order was sent yet, so the run is certainly not executing.
             self._state.record_lost_run(worker, run, 'worker_reborn')
             return
+        if worker.withdrawn_ms is not None:
+            self._state.record_lost_run(worker, run, 'worker_leaves')
+            return
         run.phase = _Phase.STARTING
         self._send_due_orders(worker)
 
--- a/fuchsiatrestle/workflows/_events.py
+++ b/fuchsiatrestle/workflows/_events.py
@@ -3,6 +3,7 @@
 from fuchsiatrestle import core
 
 __all__ = (
+    'AcknowledgeWithdrawal',
     'CommandApplied',
     'ListedEnd',
     'ListedRun',
@@ -164,9 +165,13 @@
 
 
 class WorkerWithdrawn(core.Value):
-    """The worker with this id has announced that its process is ending."""
+    """A worker has announced that its process will end.
 
-    __slots__ = ('worker',)
+    ``worker`` is its id.  ``born_ms`` is the start of its process since the
+    epoch, 0 if it did not say.
+    """
+
+    __slots__ = ('worker', 'born_ms')
 
 
 class ReplyReceived(core.Value):
@@ -194,3 +199,9 @@
     """Proposes a ``commands.RecordProgress`` to be agreed."""
 
     __slots__ = ('command',)
+
+
+class AcknowledgeWithdrawal(core.Value):
+    """Tells the worker with this id that it may end its process."""
+
+    __slots__ = ('worker',)
--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -14,6 +14,7 @@
 
 READY = 'ready'
 DRAINING = 'draining'
+WITHDRAWN = 'withdrawn'  # its process will end
 # A worker gets no new tasks once its last announcement is older than this many
 # announcement intervals.
 MAX_MISSED_ANNOUNCEMENTS = 3
@@ -39,7 +40,8 @@
         last_announced_ms: time of its last announcement to this leader, None
             before the first.
         announcement_sequence: number of its newest announcement.
-        withdrawn_ms: when it announced that its process is ending, or None.
+        withdrawn_ms: when it first announced that its process will end, or
+            None.
         lease_clock: ``LeaseClock`` of the worker.
         newest_clock_ms: highest reading of its clock, None before the first.
         has_seen_token: True once it accepted a poll with the fencing token
--- a/fuchsiatrestle/workflows/_orders.py
+++ b/fuchsiatrestle/workflows/_orders.py
@@ -159,9 +159,7 @@
             return []
         worker.poll_sent_ms = now_ms
         lease_until_ms = None
-        if has_dispatched_runs and not worker.unanswered_orders:
-            # If each poll extended the lease while the worker does not reply,
-            # the lease would never count as expired.
+        if has_dispatched_runs and self._may_extend_lease(worker):
             lease_until_ms = worker.lease_clock.extend_lease(now_ms)
         worker.pending_poll = _events.PollWorker(
             worker.record.worker,
@@ -173,7 +171,19 @@
         )
         return [worker.pending_poll]
 
+    @staticmethod
+    def _may_extend_lease(worker):
+        """False if the lease of a worker is to run out.
+
+        If each poll extended the lease of a worker that does not reply, the
+        lease would never count as expired.  The runs of one that leaves are
+        to end.
+        """
+        return not worker.unanswered_orders and worker.withdrawn_ms is None
+
     def _must_renew_lease(self, worker, now_ms):
+        if not self._may_extend_lease(worker):
+            return False
         remaining_ms = worker.lease_clock.remaining_lease_ms(now_ms)
         return remaining_ms < self._timing.lease_ms / 2
 
--- a/tests/fakes/dispatch_world.py
+++ b/tests/fakes/dispatch_world.py
@@ -137,6 +137,10 @@
         profiles_by_workflow: list of ``worker_model.TaskProfile`` by workflow
             id, one for each step.
         unreachable_workers: names of workers without any connection.
+        deaf_workers: names of workers that nothing reaches; what they send
+            arrives.
+        voiceless_workers: names of workers of which nothing arrives; what is
+            sent to them reaches them.
         draining_workers: names of workers that announce themselves as
             draining.
         unannounced_workers: names of workers whose announcements are lost.
@@ -172,6 +176,8 @@
         self.workflow_store = self.machine.workflows
         self.profiles_by_workflow = {}
         self.unreachable_workers = set()
+        self.deaf_workers = set()
+        self.voiceless_workers = set()
         self.draining_workers = set()
         self.unannounced_workers = set()
         self.startless_workers = set()
@@ -186,6 +192,8 @@
         self._capacity_by_worker = {}
         self._timing = timing or workflows.Timing()
         self._worker_models = {}
+        # Processes that have withdrawn and are not acknowledged, by name.
+        self._leaving_models = {}
         self._announcement_numbers = itertools.count(1)
         self._scheduled_calls = []
         self._call_numbers = itertools.count()
@@ -315,6 +323,8 @@
                     self._leader_token,
                     effect.command,
                 )
+            elif isinstance(effect, workflows.AcknowledgeWithdrawal):
+                self._acknowledge_withdrawal(effect.worker)
             else:
                 self._send_order(effect)
 
@@ -489,19 +499,53 @@
             for name in self._worker_models
         )
 
-    def withdraw_worker(self, name):
+    def withdraw_worker(self, name, born_ms=0):
         """Delivers a withdrawal of a worker; its process runs on.
 
         Args:
             name: name of the worker.
+            born_ms: start of the process that it names, 0 for none.
         """
-        self._step_dispatcher(workflows.WorkerWithdrawn(name))
+        self._step_dispatcher(workflows.WorkerWithdrawn(name, born_ms))
+
+    def leave(self, name, patience_ms=3000):
+        """Lets a worker withdraw, and end once that is acknowledged.
+
+        Nothing is acknowledged to a worker that nothing reaches; it ends after
+        a while.
+
+        Args:
+            name: name of the worker.
+            patience_ms: time after which it ends without acknowledgement.
+        """
+        model = self._worker_models[name]
+        self._leaving_models[name] = model
+        self._schedule(patience_ms, self._end_process, model)
+        if name not in self.unreachable_workers | self.voiceless_workers:
+            self._step_dispatcher(
+                workflows.WorkerWithdrawn(name, model.born_ms)
+            )
+
+    def _acknowledge_withdrawal(self, name):
+        model = self._leaving_models.pop(name, None)
+        if model is None or name in self.unreachable_workers:
+            return
+        if name not in self.deaf_workers:
+            self._schedule(self.random.randint(1, 4), self._end_process, model)
+
+    def _end_process(self, model):
+        if self._worker_models.get(model.name) is model:
+            self._worker_models.pop(model.name).crash(self.now_ms)
 
     def _announce(self, model):
         if self._worker_models.get(model.name) is not model:
             return
         self._schedule(ANNOUNCE_INTERVAL_MS, self._announce, model)
-        if model.name in self.unreachable_workers | self.unannounced_workers:
+        if (
+            model.name in self.unreachable_workers
+            or model.name in self.unannounced_workers
+            or model.name in self.voiceless_workers
+        ):
             return
         announcement = messages.WorkerAnnouncement(
             model.name,
@@ -530,6 +574,7 @@
         token = self._leader_token
         if (
             order.worker in self.unreachable_workers
+            or order.worker in self.deaf_workers
             or draw < self.faults.lost_order_share
             or (
                 isinstance(order, workflows.StartRun)
@@ -574,6 +619,7 @@
         is_lost = (
             self.random.random() < self.faults.lost_reply_share
             or order.worker in self.unreachable_workers
+            or order.worker in self.voiceless_workers
         )
         if reply is None or is_lost:
             timeout_ms = ORDER_TIMEOUT_MS
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -54,6 +54,19 @@
         )
         self.assertEqual(482113, announcement.clock_ms)
 
+    def test_withdrawal_names_the_process_or_none(self):
+        for body, born_ms in ((b'', 0), (b'{}', 0), (b'{"born":17}', 17)):
+            with self.subTest(body=body):
+                self.assertEqual(
+                    born_ms, _workers.decode_withdrawal('i-1', body)
+                )
+
+    def test_malformed_withdrawals_are_refused(self):
+        for body in (b'{', b'[]', b'{"born":"x"}', b'\xff'):
+            with self.subTest(body=body):
+                with self.assertRaises(_documents.BodyInvalid):
+                    _workers.decode_withdrawal('i-1', body)
+
     def test_malformed_heartbeats_are_refused(self):
         invalid_changes = (
             {'state': 'asleep'},
