Decide an order when it can be sent, not when a queue is behind it

Cause: the driver kept orders waiting for one of three slots of their worker, in the order in which they were made; a cancel did not take them back, and its stops waited behind them.

Change: the dispatcher lets three orders about runs wait for a worker's reply and makes the next one, by what holds then, when one is answered: stops first, then paces, then starts. The driver sends at once.

Tasks whose start was not sent leave a silent worker after 1 s instead of 6 s.

--- a/fuchsiatrestle/platform/_driver.py
+++ b/fuchsiatrestle/platform/_driver.py
@@ -13,9 +13,6 @@
 
 __all__ = ('HttpDriver',)
 
-# Largest number of orders that one worker is sent at a time.  ``PollWorker``
-# is not counted, as it asks the worker to delay its answer.
-MAX_PARALLEL_ORDERS = 3
 CALL_TIMEOUT_S = 1.0  # without the delay that a ``PollWorker`` asks for
 
 SENT_ORDERS = metrics.declare('workers.orders', 'Orders sent to workers.')
@@ -29,28 +26,16 @@
 LOG = logs.get_logger(__name__)
 
 
-class _WorkerChannel:
-    """HTTP client for one worker address, with a limit on its orders.
+class HttpDriver(workflows.Driver):
+    """Sends each order at once, in a task of its own.
 
-    Attributes:
-        client: the ``http.Client``, which keeps its connections.
-        order_slots: semaphore that limits the orders sent at a time.
+    No order waits here, as it could be sent when it is not wanted any more;
+    the dispatcher limits how many wait for a worker.  See
+    ``workflows.Driver``.
     """
 
-    __slots__ = ('client', 'order_slots')
-
-    def __init__(self, address):
-        self.client = http.Client(
-            settings.Address.parse(address), CALL_TIMEOUT_S
-        )
-        self.order_slots = curio.Semaphore(MAX_PARALLEL_ORDERS)
-
-
-class HttpDriver(workflows.Driver):
-    """Sends each order in a task of its own; see ``workflows.Driver``."""
-
     def __init__(self):
-        self._channels_by_address = {}
+        self._clients_by_address = {}
         self._report_reply = None
 
     async def start(self, report_reply):
@@ -63,32 +48,32 @@
 
     async def stop(self):
         """Closes the idle connections to all workers."""
-        for channel in self._channels_by_address.values():
-            channel.client.close()
+        for client in self._clients_by_address.values():
+            client.close()
 
     async def _send_and_report(self, order):
         metrics.count(SENT_ORDERS)
-        channel = self._get_or_create_channel(order)
-        if isinstance(order, workflows.PollWorker):
-            timeout_s = CALL_TIMEOUT_S + order.wait_ms / 1000
-            reply = await self._call_worker(channel, order, timeout_s)
-        else:
-            async with channel.order_slots:
-                started_s = time.monotonic()
-                reply = await self._call_worker(channel, order, CALL_TIMEOUT_S)
-                elapsed_ms = (time.monotonic() - started_s) * 1000
-                metrics.timing(ORDER_TIME, elapsed_ms)
+        client = self._get_or_create_client(order)
+        timeout_s = CALL_TIMEOUT_S
+        is_poll = isinstance(order, workflows.PollWorker)
+        if is_poll:
+            timeout_s += order.wait_ms / 1000
+        started_s = time.monotonic()
+        reply = await self._call_worker(client, order, timeout_s)
+        if not is_poll:
+            elapsed_ms = (time.monotonic() - started_s) * 1000
+            metrics.timing(ORDER_TIME, elapsed_ms)
         await self._report_reply(workflows.ReplyReceived(order, reply))
 
-    def _get_or_create_channel(self, order):
-        channel = self._channels_by_address.get(order.address)
-        if channel is None:
-            channel = self._channels_by_address[order.address] = (
-                _WorkerChannel(order.address)
-            )
-        return channel
+    def _get_or_create_client(self, order):
+        client = self._clients_by_address.get(order.address)
+        if client is None:
+            address = settings.Address.parse(order.address)
+            client = http.Client(address, CALL_TIMEOUT_S)
+            self._clients_by_address[order.address] = client
+        return client
 
-    async def _call_worker(self, channel, order, timeout_s):
+    async def _call_worker(self, client, order, timeout_s):
         """Sends an order and returns the ``workflows.Reply`` of the worker.
 
         Without an answer within ``timeout_s`` the verdict of the reply is
@@ -100,7 +85,7 @@
             (b'fuchsiatrestle-target-instance', order.worker.encode()),
         )
         try:
-            response = await channel.client.call(
+            response = await client.call(
                 'POST', path, body, headers, timeout_s
             )
         except http.HttpError as exc:
--- a/fuchsiatrestle/state/_workflows.py
+++ b/fuchsiatrestle/state/_workflows.py
@@ -19,8 +19,9 @@
 ENDED_RETENTION_MS = 900_000
 MAX_IMAGE_PAIRS = 4096
 # A run was placed recently if less than this has passed from its placement to
-# the last recorded progress.  Later, a crash at its start would be recorded.
-RECENT_PLACEMENT_MS = 4000
+# the last recorded progress.  Later, a crash at its start would be recorded,
+# as the lease of the worker would be over.
+RECENT_PLACEMENT_MS = 7000
 
 
 class _EndedWorkflow(records.Record, tag='e'):
--- a/fuchsiatrestle/workflows/_announcing.py
+++ b/fuchsiatrestle/workflows/_announcing.py
@@ -175,9 +175,9 @@
         )
         worker.state = _fleet.WITHDRAWN
         worker.withdrawn_ms = self._dispatch_state.now_ms
-        for run in worker.runs.values():
+        for run in list(worker.runs.values()):
             if run.is_dispatched:
-                self._dispatch_state.stop_run(run, 'worker_leaves')
+                self._dispatch_state.end_run(worker, run, 'worker_leaves')
 
 
 def _prepare_for_next_process(previous_worker, run, record):
--- a/fuchsiatrestle/workflows/_book.py
+++ b/fuchsiatrestle/workflows/_book.py
@@ -8,6 +8,7 @@
 from fuchsiatrestle.workflows import _crashes
 from fuchsiatrestle.workflows import _fleet
 from fuchsiatrestle.workflows import _proposals
+from fuchsiatrestle.workflows import _run_ends
 from fuchsiatrestle.workflows import _runs
 
 __all__ = ('DispatchState',)
@@ -128,6 +129,20 @@
             start_outcome=start_outcome or 'unknown',
         )
 
+    def end_run(self, worker, run, reason):
+        """Ends a run: records it as lost if it has not started, or stops it.
+
+        Args:
+            worker: ``Worker`` of the run.
+            run: ``Run`` whose placement is agreed.
+            reason: why, for the log.
+        """
+        proof = _run_ends.find_proof_of_no_start(run)
+        if proof is None:
+            self.stop_run(run, reason)
+        else:
+            self.record_lost_run(worker, run, proof, reason)
+
     def stop_run(self, run, reason):
         """Marks a run to be stopped, unless it is being stopped already.
 
--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -334,7 +334,7 @@
         worker, run = self._state.find_worker_and_run(live_run)
         if run is None or run.phase == _Phase.PLACED:
             return
-        self._state.stop_run(run, reason)
+        self._state.end_run(worker, run, reason)
         self._send_due_orders(worker)
 
     def _on_proposal_rejected(self, event):
--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -4,6 +4,7 @@
 from fuchsiatrestle.state import workflows
 from fuchsiatrestle.workflows import _capacity
 from fuchsiatrestle.workflows import _clock
+from fuchsiatrestle.workflows import _events
 
 __all__ = (
     'Fleet',
@@ -144,6 +145,14 @@
 
     # Orders
 
+    @property
+    def awaited_run_order_count(self):
+        """Number of the orders about runs that wait for a reply."""
+        return sum(
+            not isinstance(order, _events.PollWorker)
+            for order in self.awaited_orders
+        )
+
     def end_wait(self, order):
         """Ends the wait for the reply to an order.
 
--- a/fuchsiatrestle/workflows/_orders.py
+++ b/fuchsiatrestle/workflows/_orders.py
@@ -9,6 +9,16 @@
 __all__ = ('OrderPlanner',)
 
 _Phase = _runs.Phase
+# Largest number of orders about runs that may wait for a worker's reply.
+# Polls are not counted, as they ask the worker to delay its reply.
+MAX_AWAITED_RUN_ORDERS = 3
+# Stops free capacity and paces protect the tasks that serve; starts come last.
+_RANK_BY_PHASE = {
+    _Phase.STOPPING: 0,
+    _Phase.RUNNING: 1,
+    _Phase.STARTING: 2,
+    _Phase.PLACED: 3,
+}
 
 
 class OrderPlanner:
@@ -32,25 +42,66 @@
             now_ms: monotonic time.
 
         Returns:
-            A list of ``Order``, at most one for each run and one
-            ``PollWorker``.
+            A list of ``Order``, at most ``MAX_AWAITED_RUN_ORDERS`` about runs
+            and one ``PollWorker``.
         """
+        orders = self._make_run_orders(worker, now_ms)
+        orders += self._make_poll_orders(worker, now_ms)
+        worker.awaited_orders += orders
+        return orders
+
+    def _make_run_orders(self, worker, now_ms):
+        """Returns the most urgent orders, as many as the worker may get now.
+
+        The others are made, or not, when the worker has answered earlier ones:
+        an order that waited to be sent could be sent when it is not wanted any
+        more.
+        """
+        self._end_futile_starts(worker)
+        free_slots = MAX_AWAITED_RUN_ORDERS - worker.awaited_run_order_count
         orders = []
-        for run in list(worker.runs.values()):
+        if free_slots <= 0:
+            return orders
+        for run in sorted(worker.runs.values(), key=_order_rank):
+            if len(orders) == free_slots:
+                break
             if run.pending_order is not None or now_ms < run.next_order_ms:
                 continue
             order = self._make_run_order(worker, run, now_ms)
-            if order is not None:
-                run.pending_order = order
-                orders.append(order)
-                if run.start_sent_ms is None and isinstance(
-                    order, _events.StartRun
-                ):
-                    run.start_sent_ms = now_ms
-        orders += self._make_poll_orders(worker, now_ms)
-        worker.awaited_orders += orders
+            if order is None:
+                continue
+            run.pending_order = order
+            orders.append(order)
+            if run.start_sent_ms is None and isinstance(
+                order, _events.StartRun
+            ):
+                run.start_sent_ms = now_ms
         return orders
 
+    def _end_futile_starts(self, worker):
+        """Ends the starts that the worker should not get any more.
+
+        A worker that does not answer keeps no task waiting to which no start
+        order was sent.
+        """
+        reason = ''
+        if worker.unanswered_orders:
+            reason = 'worker_silent'
+        if worker.state != _fleet.READY:
+            reason = 'worker_drains'
+        if not reason:
+            return
+        for run in list(worker.runs.values()):
+            if run.phase != _Phase.STARTING:
+                continue
+            proof = _run_ends.find_proof_of_no_start(run)
+            if proof == _run_ends.Proof.NEVER_SENT:
+                self._dispatch_state.record_lost_run(
+                    worker, run, proof, reason
+                )
+            elif worker.state != _fleet.READY and run.pending_order is None:
+                self._dispatch_state.end_run(worker, run, reason)
+
     def _make_run_order(self, worker, run, now_ms):
         """Returns the order that is due for a run, or None."""
         record = worker.record
@@ -66,7 +117,7 @@
             elif worker.last_announced_ms is None:
                 return None
             elif worker.capacity.is_exceeded_for(run.step):
-                self._abandon_start(worker, run, 'worker_shrunk')
+                self._dispatch_state.end_run(worker, run, 'worker_shrunk')
             elif now_ms - worker.last_announced_ms > self._timing.announce_ms:
                 # The order may be carried out late; by then a worker that
                 # has shrunk since its last announcement might be exceeded.
@@ -101,24 +152,6 @@
             last_announced_ms, now_ms, self._timing.announce_ms
         )
 
-    def _abandon_start(self, worker, run, reason):
-        """Ends a run that must not start, so that its task runs elsewhere.
-
-        A run that may have started already is stopped.  Any other run is
-        recorded as lost.
-
-        Args:
-            worker: ``Worker`` of the run.
-            run: ``Run`` in phase ``STARTING``.
-            reason: why, for the log.
-        """
-        if _run_ends.may_still_start(run):
-            self._dispatch_state.stop_run(run, reason)
-        else:
-            self._dispatch_state.record_lost_run(
-                worker, run, _run_ends.Proof.NEVER_SENT, reason
-            )
-
     def _make_start_order(self, worker, run, now_ms):
         """Returns a ``StartRun``, None while the worker's clock is unknown."""
         lease_until_ms = worker.lease_clock.extend_lease(now_ms)
@@ -208,3 +241,7 @@
         if worker.capacity.serving_cpu and worker.capacity.best_effort_cpu:
             return self._timing.busy_poll_wait_ms
         return self._timing.poll_wait_ms
+
+
+def _order_rank(run):
+    return _RANK_BY_PHASE[run.phase]
--- a/fuchsiatrestle/workflows/_run_ends.py
+++ b/fuchsiatrestle/workflows/_run_ends.py
@@ -6,11 +6,14 @@
 must not be started again.
 """
 
+from fuchsiatrestle.workflows import _runs
+
 __all__ = (
     'Proof',
     'find_proof_by_lease',
     'find_proof_by_list',
     'find_proof_by_restart',
+    'find_proof_of_no_start',
     'may_still_start',
 )
 
@@ -44,6 +47,19 @@
     return run.start_uncertain or run.adopted or run.is_start_pending
 
 
+def find_proof_of_no_start(run):
+    """Returns the ``Proof`` that a run has not started and will not, or None.
+
+    Args:
+        run: the ``Run``, whose placement is agreed.
+    """
+    if run.phase != _runs.Phase.STARTING or may_still_start(run):
+        return None
+    if run.start_sent_ms is None:
+        return Proof.NEVER_SENT
+    return Proof.REFUSED
+
+
 def find_proof_by_list(worker, run, reply):
     """Returns the ``Proof`` by a list that lacks a run and its end, or None.
 
--- a/tests/workflows/test_run_ends.py
+++ b/tests/workflows/test_run_ends.py
@@ -23,6 +23,7 @@
 )
 LEASE_OVER = _run_ends.Proof.LEASE_OVER
 DRAIN_MS = 2000
+MAX_AWAITED_STARTS = 3
 LEASE_MS = 6000
 # Time for a placement, its agreement and the start.
 START_MS = 500
@@ -209,5 +210,84 @@
         self.assertIsNone(_run_ends.find_proof_by_lease(worker, run, 90_000))
 
 
+class WaitingOrdersTest(_EndsTest):
+    """An order is made when it is sent, so none waits beyond its reason."""
+
+    def setUp(self):
+        super().setUp()
+        self.world = dispatch_world.World(4, workers=1, cpu_milli=32_000)
+        self.world.run(1000)
+        self.orders = []
+        send_order = self.world._send_order
+
+        def record_order(order):
+            self.orders.append(order)
+            send_order(order)
+
+        self.world._send_order = record_order
+
+    def _submit(self, count):
+        step = workflows.Step(
+            count, cpu=1000, memory_mb=100, estimate_ms=20_000
+        )
+        profile = worker_model.TaskProfile(1000, 100, 20_000)
+        self.world.submit('w', [step], [profile])
+
+    def _sent(self, order_type):
+        return [
+            order for order in self.orders if isinstance(order, order_type)
+        ]
+
+    def test_no_start_of_a_cancelled_workflow_waits_for_a_silent_worker(self):
+        """Starts that waited for the worker were sent after the cancel."""
+        self.world.deaf_workers.add('w0')
+        self._submit(24)
+        self.world.run(300)
+        sent_count = len(self._sent(dispatcher.StartRun))
+        self.assertLessEqual(sent_count, MAX_AWAITED_STARTS)
+        self.world.cancel('w')
+        self.world.run(4200)
+        self.world.deaf_workers.clear()
+        self.world.run(2 * LEASE_MS)
+        self.assertEqual(sent_count, len(self._sent(dispatcher.StartRun)))
+        self.assertEqual(0, self.world.ledger.starts)
+        self.assertEqual([], self.world.workflow_store.live_runs())
+
+    def test_tasks_whose_start_was_not_sent_leave_a_silent_worker(self):
+        """They waited for its answer or the end of its lease."""
+        self.world.deaf_workers.add('w0')
+        self._submit(8)
+        self.world.run(300)
+        self.world.add_worker('w1')
+        self.world.run(2 * START_MS)
+        sent_count = len(self._sent(dispatcher.StartRun))
+        self.assertEqual(8, sent_count)
+        self.assertEqual(5, len(self.world.ledger.running))
+
+    def test_start_that_got_no_answer_is_not_resent_to_a_draining_worker(self):
+        """Such starts were sent again without a look at its state."""
+        self.world.startless_workers.add('w0')
+        self._submit(2)
+        self.world.run(600)
+        self.world.draining_workers.add('w0')
+        self.world.run(2000)
+        self.world.startless_workers.clear()
+        self.world.run(2000)
+        self.assertEqual(0, self.world.ledger.starts)
+        self.world.add_worker('w1')
+        self.world.run(2000)
+        self.assertEqual(
+            ['w1', 'w1'], list(self.world.ledger.running.values())
+        )
+
+    def test_stop_goes_before_waiting_starts(self):
+        self._submit(24)
+        self.world.run(4)
+        self.world.cancel('w')
+        self.world.run(1000)
+        self.assertEqual({}, self.world.ledger.running)
+        self.assertLess(self.world.ledger.starts, 24)
+
+
 if __name__ == '__main__':
     unittest.main()
