Conclude nothing from what a list lacks that may be cut

Cause: a worker lists 500 ends at a time; runs beyond them were recorded as lost, not_there, and their tasks started elsewhere.

Change: a reply says whether its list may be cut. Only a whole list of the worker's present process proves that a run is over; the next poll brings the rest.

--- a/fuchsiatrestle/platform/_workers.py
+++ b/fuchsiatrestle/platform/_workers.py
@@ -25,6 +25,9 @@
 WORKER_STATES = ('ready', 'draining')
 RUN_END_KINDS = ('done', 'failed', 'stopped', 'lapsed', 'broken', 'alone')
 
+# A worker lists so many ends of runs at a time.
+MAX_LISTED_ENDS = 500
+
 LOG = logs.get_logger(__name__)
 
 # Verdict by the ``reason`` of an answer with status 409.
@@ -262,13 +265,18 @@
             answer.reason, workflows.Verdict.INVALID
         )
     return workflows.Reply(
-        verdict, answer.clock_ms, answer.born, listed_runs, listed_ends
+        verdict,
+        answer.clock_ms,
+        answer.born,
+        listed_runs,
+        listed_ends,
+        len(listed_ends) < MAX_LISTED_ENDS,
     )
 
 
 def make_silent_reply():
     """Returns the ``workflows.Reply`` that stands for no answer in time."""
-    return workflows.Reply(workflows.Verdict.SILENT, None, 0, [], [])
+    return workflows.Reply(workflows.Verdict.SILENT, None, 0, [], [], False)
 
 
 def _decode_running_row(row):
--- a/fuchsiatrestle/workflows/_answers.py
+++ b/fuchsiatrestle/workflows/_answers.py
@@ -120,7 +120,9 @@
         process of the worker answered; such a reply proves nothing.
         """
         if not isinstance(order, _events.PollWorker):
-            silent_reply = _events.Reply(_Verdict.SILENT, None, 0, [], [])
+            silent_reply = _events.Reply(
+                _Verdict.SILENT, None, 0, [], [], False
+            )
             self._on_run_reply(
                 worker, order, silent_reply, _fleet.RETRY_MIN_MS
             )
@@ -213,11 +215,26 @@
         for row in reply.listed_ends:
             listed_keys.add((row.task, row.run))
             self._record_run_end(worker, row)
-        for run in list(worker.runs.values()):
-            if run.key not in listed_keys:
-                self._check_unlisted_run(worker, run, reply)
+        if _run_ends.is_whole_list(worker, reply):
+            for run in list(worker.runs.values()):
+                if run.key not in listed_keys:
+                    self._check_unlisted_run(worker, run, reply)
+        else:
+            self._log_partial_list(worker, reply)
         self._update_paces(worker)
 
+    def _log_partial_list(self, worker, reply):
+        """Logs a list that proves nothing about the runs that it lacks."""
+        LOG.info(
+            'partial_list',
+            extra={
+                'worker': worker.name,
+                'ends': len(reply.listed_ends),
+                'born_ms': reply.born_ms,
+                'known_born_ms': worker.record.born_ms,
+            },
+        )
+
     def _update_listed_run(self, worker, listed_run, worker_clock_ms):
         run = worker.runs.get((listed_run.task, listed_run.run))
         if run is None:
--- a/fuchsiatrestle/workflows/_events.py
+++ b/fuchsiatrestle/workflows/_events.py
@@ -137,7 +137,8 @@
     None.  ``born_ms`` is the start of the worker's process since the epoch, 0
     if the reply does not tell.  ``listed_runs`` and ``listed_ends`` are
     lists of ``ListedRun`` and ``ListedEnd``, empty unless the order was a
-    ``PollWorker``.
+    ``PollWorker``.  ``is_complete`` is False if the worker may have more of
+    them.
     """
 
     __slots__ = (
@@ -146,6 +147,7 @@
         'born_ms',
         'listed_runs',
         'listed_ends',
+        'is_complete',
     )
 
 
--- a/fuchsiatrestle/workflows/_run_ends.py
+++ b/fuchsiatrestle/workflows/_run_ends.py
@@ -14,6 +14,7 @@
     'find_proof_by_list',
     'find_proof_by_restart',
     'find_proof_of_no_start',
+    'is_whole_list',
     'may_still_start',
 )
 
@@ -63,14 +64,14 @@
 def find_proof_by_list(worker, run, reply):
     """Returns the ``Proof`` by a list that lacks a run and its end, or None.
 
-    The list has to be of the process that the worker is known by.
+    A list cut at the worker's limit, or of another process, proves nothing.
 
     Args:
         worker: the ``Worker``.
         run: the ``Run``.
         reply: ``Reply`` to the newest poll of the worker.
     """
-    if reply.born_ms != worker.record.born_ms:
+    if not is_whole_list(worker, reply):
         return None
     polled_ms = worker.poll_sent_ms
     if run.stopped_ms is not None and run.stopped_ms < polled_ms:
@@ -82,6 +83,16 @@
     return None
 
 
+def is_whole_list(worker, reply):
+    """True if a reply lists all runs and ends of a worker's present process.
+
+    Args:
+        worker: the ``Worker``.
+        reply: ``Reply`` to a poll.
+    """
+    return reply.is_complete and reply.born_ms == worker.record.born_ms
+
+
 def find_proof_by_restart(run):
     """Returns the ``Proof`` by a later process of the worker, or None.
 
--- a/tests/fakes/dispatch_world.py
+++ b/tests/fakes/dispatch_world.py
@@ -43,6 +43,7 @@
 # even, so that all of them have the same labels.
 VM_NUMBER_STEP = 1000
 MEMORY_MIB = 32768
+MAX_LISTED_ENDS = 500
 
 _VERDICTS_BY_REASON = {
     'fence': workflows.Verdict.FENCED,
@@ -154,6 +155,7 @@
         renames_restarted: True if it then has a new id at the same address.
         first_announcement_ms: time from the start of a worker's process to
             its first announcement.
+        max_listed_ends: number of ends that a worker lists at a time.
         ledger: ``worker_model.RunLedger``, which lists breaches of the rules.
         workflow_store: the part of the replicated state with the workflows.
     """
@@ -189,6 +191,7 @@
         self.restart_ms = RESTART_MS
         self.renames_restarted = True
         self.first_announcement_ms = 0
+        self.max_listed_ends = MAX_LISTED_ENDS
         self._refuses_connections = refuses_connections
         self._cpu_milli = cpu_milli
         # Arguments of the last ``set_capacity`` of a worker, by its name.
@@ -446,6 +449,10 @@
         else:
             self._announce(model)
 
+    def add_worker_later(self, name, delay_ms):
+        """Starts the process of a worker after a while."""
+        self._schedule(delay_ms, self.add_worker, name)
+
     def worker_names(self):
         """Returns the ids of the workers whose processes run, sorted."""
         return sorted(self._worker_models)
@@ -649,7 +656,7 @@
         if token != self._leader_token:
             return
         reply = reply or workflows.Reply(
-            workflows.Verdict.SILENT, None, 0, [], []
+            workflows.Verdict.SILENT, None, 0, [], [], False
         )
         self._step_dispatcher(workflows.ReplyReceived(order, reply))
 
@@ -671,7 +678,7 @@
         if model is None:
             if self._is_other_worker_there(order):
                 return workflows.Reply(
-                    workflows.Verdict.OTHER_PROCESS, None, 0, [], []
+                    workflows.Verdict.OTHER_PROCESS, None, 0, [], [], False
                 )
             return None
         listed_runs, listed_ends = [], []
@@ -700,7 +707,8 @@
                 for row in model.list_running_runs(now_ms)
             ]
             listed_ends = [
-                workflows.ListedEnd(*end) for end in model.unacknowledged_ends
+                workflows.ListedEnd(*end)
+                for end in model.unacknowledged_ends[: self.max_listed_ends]
             ]
         else:
             status_and_reason = (200, '')
@@ -711,6 +719,7 @@
             model.born_ms if is_poll else 0,
             listed_runs,
             listed_ends,
+            len(listed_ends) < self.max_listed_ends,
         )
 
 
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -41,6 +41,19 @@
     )
 
 
+class ListTest(unittest.TestCase):
+    def test_list_at_the_limit_is_not_complete(self):
+        """The rest was taken for runs that are not there."""
+        for count, is_complete in ((0, True), (499, True), (500, False)):
+            with self.subTest(count=count):
+                ends = [
+                    [number, TASK_NAME, number, 'done', '']
+                    for number in range(1, count + 1)
+                ]
+                reply = _decode_reply(200, {'born': 17, 'ended': ends})
+                self.assertEqual(is_complete, reply.is_complete)
+
+
 class AnnouncementTest(unittest.TestCase):
     def test_decoded(self):
         announcement = _workers.decode_announcement(
--- a/tests/workflows/test_recovery.py
+++ b/tests/workflows/test_recovery.py
@@ -219,6 +219,7 @@
                     1,
                     reply.listed_runs,
                     reply.listed_ends,
+                    reply.is_complete,
                 )
             return reply
 
--- a/tests/workflows/test_run_ends.py
+++ b/tests/workflows/test_run_ends.py
@@ -159,7 +159,7 @@
         (first_start, *_) = sent_orders
         self.assertEqual(2, world.ledger.starts)
         reply = dispatcher.Reply(
-            dispatcher.Verdict.OTHER_PROCESS, None, 0, [], []
+            dispatcher.Verdict.OTHER_PROCESS, None, 0, [], [], False
         )
         world.deliver_reply(first_start, reply)
         world.run(3000)
@@ -167,6 +167,27 @@
         self.assertEqual(2, world.ledger.starts)
 
 
+class ListTest(_EndsTest):
+    """A worker lists a limited number of ends at a time."""
+
+    def test_runs_beyond_the_limit_of_a_list_are_not_lost(self):
+        """Tasks that were done were started again."""
+        world = dispatch_world.World(4, workers=1)
+        world.max_listed_ends = 2
+        step = workflows.Step(8, cpu=1000, memory_mb=10, estimate_ms=3000)
+        profile = worker_model.TaskProfile(1000, 10, 3000)
+        world.submit('w', [step], [profile])
+        world.run(1000)
+        world.add_worker('w1')
+        world.unreachable_workers.add('w0')
+        world.run(4000)
+        world.unreachable_workers.clear()
+        world.run(6000)
+        self.assertEqual('completed', world.workflow_state('w'))
+        self.assertEqual(8, world.ledger.starts)
+        self.assertEqual([], world.ledger.breaches)
+
+
 class LeaseProofTest(unittest.TestCase):
     """Orders for an earlier process may have given the next one a lease."""
 
