Tell a worker once which ends it may forget, and draw hidden ends at random

Found by random runs that draw what they could not: lists cut at their limit, a restart between two announcements, a leave whose acknowledgement is lost, a cancel behind waiting orders, cuts in one direction, and two of these at once.

Cause: each poll repeated the number of the last agreed end, and a process that had just followed the known one forgot ends of its own, which nobody had read. The tasks were started again although they were done.

Change: the number is sent once, right after a list of that process; all other polls send 0. The model has three slots of orders a worker and breaks UNASKED if a start leaves them over 3 s after the cancel.

--- a/fuchsiatrestle/workflows/_answers.py
+++ b/fuchsiatrestle/workflows/_answers.py
@@ -202,9 +202,7 @@
             )
             return
         worker.next_poll_ms = self._dispatch_state.now_ms
-        worker.acknowledged_end_number = max(
-            worker.acknowledged_end_number, order.ends_noted
-        )
+        _update_acknowledged_end(worker, order, reply)
         if not worker.has_seen_token:
             worker.has_seen_token = True
             worker.lease_clock.record_fencing(self._dispatch_state.now_ms)
@@ -345,3 +343,22 @@
             running_runs, worker.record.cpu, self._dispatch_state.now_ms
         ):
             self._dispatch_state.stop_run(run, 'disturbs')
+
+
+def _update_acknowledged_end(worker, order, reply):
+    """Records up to which end a worker has forgotten its ends.
+
+    Args:
+        worker: the ``Worker``.
+        order: the ``PollWorker`` that it accepted.
+        reply: its ``Reply``.
+    """
+    worker.acknowledged_end_number = max(
+        worker.acknowledged_end_number, order.ends_noted
+    )
+    if reply.listed_ends:
+        first_listed = min(end.number for end in reply.listed_ends)
+        # An earlier leader may not have told the worker to forget it.
+        worker.acknowledged_end_number = min(
+            worker.acknowledged_end_number, first_listed - 1
+        )
--- a/fuchsiatrestle/workflows/_events.py
+++ b/fuchsiatrestle/workflows/_events.py
@@ -92,7 +92,8 @@
     The worker lists its running runs and the ends of its ended runs.  It
     replies as soon as it has an end to list, and after ``wait_ms`` at the
     latest.  It may forget its ends up to the number ``ends_noted``, as these
-    are agreed: committed to the replicated log.
+    are agreed: committed to the replicated log.  It is 0 if there is nothing
+    new to forget.
     """
 
     __slots__ = (
--- a/fuchsiatrestle/workflows/_orders.py
+++ b/fuchsiatrestle/workflows/_orders.py
@@ -203,11 +203,24 @@
             worker.record.address,
             lease_until_ms,
             self._dispatch_state.token,
-            recorded_end_number,
+            self._find_end_to_forget(worker, recorded_end_number),
             self._poll_wait_ms(worker, has_dispatched_runs),
         )
         return [worker.pending_poll]
 
+    @staticmethod
+    def _find_end_to_forget(worker, recorded_end_number):
+        """Returns up to which end the worker may forget its ends, 0 for none.
+
+        A process that has just followed the known one would forget ends of its
+        own.  So the number is sent once, right after a list of the process.
+        """
+        if not worker.has_seen_token or worker.unanswered_orders:
+            return 0
+        if recorded_end_number <= worker.acknowledged_end_number:
+            return 0
+        return recorded_end_number
+
     @staticmethod
     def _may_extend_lease(worker):
         """False if the lease of a worker is to run out.
--- a/tests/fakes/dispatch_world.py
+++ b/tests/fakes/dispatch_world.py
@@ -6,6 +6,7 @@
 tasks crash their workers, see ``worker_model.TaskProfile.crash_delay_ms``.
 """
 
+import collections
 import copy
 import heapq
 import itertools
@@ -35,6 +36,10 @@
 ANNOUNCE_INTERVAL_MS = 1500
 ORDER_TIMEOUT_MS = 1000
 MAX_FAILURES = 3
+# Number of orders that a worker is sent at a time.
+ORDER_SLOTS = 3
+# Longest time from a cancel to the last start of the workflow's tasks.
+MAX_CANCEL_MS = 3000
 # Time after which a connection to a VM without a process is refused.
 REFUSAL_DELAY_MS = 3
 # Time until the process of a crashed worker is started again.
@@ -84,6 +89,21 @@
         self.max_delay_ms = max_delay_ms
 
 
+class _Slots:
+    """Orders of a leader to a worker.
+
+    Attributes:
+        used: number of orders that wait for a reply.
+        waiting: orders that wait to be sent.
+    """
+
+    __slots__ = ('used', 'waiting')
+
+    def __init__(self):
+        self.used = 0
+        self.waiting = collections.deque()
+
+
 class FrozenLeader:
     """A replaced leader whose process is frozen, with its own state.
 
@@ -197,6 +217,9 @@
         # Arguments of the last ``set_capacity`` of a worker, by its name.
         self._capacity_by_worker = {}
         self._timing = timing or workflows.Timing()
+        # ``_Slots`` by token of the leader and name of the worker.
+        self._slots_by_worker = collections.defaultdict(_Slots)
+        self._cancelled_ms_by_workflow = {}
         self._worker_models = {}
         # Processes that have withdrawn and are not acknowledged, by name.
         self._leaving_models = {}
@@ -379,6 +402,7 @@
 
     def cancel(self, workflow_id):
         """Cancels a workflow."""
+        self._cancelled_ms_by_workflow[workflow_id] = self.now_ms
         self.apply_agreed(
             commands.CancelWorkflow(
                 HOST, PREFIX + workflow_id, START_WALL_MS + self.now_ms
@@ -450,8 +474,12 @@
             self._announce(model)
 
     def add_worker_later(self, name, delay_ms):
-        """Starts the process of a worker after a while."""
-        self._schedule(delay_ms, self.add_worker, name)
+        """Starts the process of a worker after a while, unless it runs."""
+        self._schedule(delay_ms, self._add_missing_worker, name)
+
+    def _add_missing_worker(self, name):
+        if name not in self._worker_models:
+            self.add_worker(name)
 
     def worker_names(self):
         """Returns the ids of the workers whose processes run, sorted."""
@@ -584,6 +612,38 @@
     # Orders
 
     def _send_order(self, order):
+        """Sends an order, once fewer than ``ORDER_SLOTS`` wait for a reply.
+
+        Polls do not count.
+        """
+        if isinstance(order, workflows.PollWorker):
+            self._transmit_order(order)
+            return
+        slots = self._slots_by_worker[order.token, order.worker]
+        slots.waiting.append(order)
+        self._fill_slots(slots)
+
+    def _fill_slots(self, slots):
+        while slots.waiting and slots.used < ORDER_SLOTS:
+            order = slots.waiting.popleft()
+            slots.used += 1
+            if isinstance(order, workflows.StartRun):
+                self._check_still_wanted(order)
+            self._transmit_order(order)
+
+    def _check_still_wanted(self, start_order):
+        workflow_id = start_order.task.workflow_id
+        cancelled_ms = self._cancelled_ms_by_workflow.get(workflow_id)
+        if (
+            cancelled_ms is not None
+            and self.now_ms - cancelled_ms > MAX_CANCEL_MS
+        ):
+            self.ledger.breaches.append(
+                f'{self.now_ms}: start of {start_order.task} is sent, which '
+                f'was cancelled at {cancelled_ms}'
+            )
+
+    def _transmit_order(self, order):
         timeout_ms = ORDER_TIMEOUT_MS
         if isinstance(order, workflows.PollWorker):
             timeout_ms += order.wait_ms
@@ -653,6 +713,10 @@
             )
 
     def _report_reply(self, token, order, reply):
+        if not isinstance(order, workflows.PollWorker):
+            slots = self._slots_by_worker[order.token, order.worker]
+            slots.used -= 1
+            self._fill_slots(slots)
         if token != self._leader_token:
             return
         reply = reply or workflows.Reply(
--- a/tests/workflows/test_random_runs.py
+++ b/tests/workflows/test_random_runs.py
@@ -16,6 +16,7 @@
 from tests.fakes import dispatch_world
 
 SEEDS = range(40)
+PROOF_SEEDS = (*range(60), 94)
 FAULTY_MS = 20_000
 CALM_MS = 90_000
 
@@ -75,6 +76,111 @@
         world.wake_leader(frozen_leader)
 
 
+def _cut_one_way(world, random_source):
+    worker = random_source.choice(world.worker_names() or ['w0'])
+    cut_workers = random_source.choice(
+        (world.deaf_workers, world.voiceless_workers)
+    )
+    cut_workers.add(worker)
+    return worker
+
+
+def _restart_unnoticed(world, random_source):
+    """Restarts a worker between two of its announcements."""
+    worker = random_source.choice(world.worker_names() or ['w0'])
+    world.first_announcement_ms = random_source.randint(0, 1500)
+    if worker in world.worker_names():
+        world.crash_worker(worker, random_source.randint(5, 500))
+    return worker
+
+
+def _leave(world, random_source):
+    """Lets a worker drain and leave, at times without an acknowledgement."""
+    worker = random_source.choice(world.worker_names() or ['w0'])
+    if worker not in world.worker_names():
+        return worker
+    world.draining_workers.add(worker)
+    world.run(random_source.randint(0, 2000))
+    if random_source.random() < 0.5:
+        world.deaf_workers.add(worker)
+    if worker in world.worker_names():
+        world.leave(worker, random_source.randint(0, 6000))
+        world.add_worker_later(f'w{int(worker[1:]) + 1000}', 4000)
+    return worker
+
+
+def _silence_behind_cancel(world, random_source):
+    """Cancels a wide workflow whose starts a worker does not answer."""
+    worker = random_source.choice(world.worker_names() or ['w0'])
+    world.startless_workers.add(worker)
+    workflow_id = f'wide-{world.now_ms}'
+    step = workflows.Step(12, cpu=500, memory_mb=10, estimate_ms=5000)
+    world.submit(
+        workflow_id, [step], [worker_model.TaskProfile(500, 10, 5000)]
+    )
+    world.run(random_source.randint(20, 400))
+    world.cancel(workflow_id)
+    return worker
+
+
+def _rejoin(world, random_source):
+    for cut_workers in (
+        world.deaf_workers,
+        world.voiceless_workers,
+        world.startless_workers,
+        world.unreachable_workers,
+        world.draining_workers,
+    ):
+        cut_workers.clear()
+
+
+def _crash(world, random_source):
+    worker = random_source.choice(world.worker_names() or ['w0'])
+    if worker in world.worker_names():
+        world.crash_worker(worker, random_source.randint(200, 4000))
+
+
+def _change_leader(world, random_source):
+    world.start_leader()
+
+
+PROOF_FAULTS = (
+    _cut_one_way,
+    _restart_unnoticed,
+    _leave,
+    _silence_behind_cancel,
+    _rejoin,
+    _crash,
+    _change_leader,
+)
+
+
+def _run_proof_faults(seed):
+    """Draws one fault, or two at once, of those that hide ends of runs."""
+    random_source = random.Random(f'proof/{seed}')
+    world = dispatch_world.World(
+        seed, faults=dispatch_world.Faults(0.01, 0.02, 0.02)
+    )
+    world.max_listed_ends = random_source.choice((1, 2, 3, 500))
+    workflow_ids = []
+    for number in range(14):
+        workflow_ids.append(
+            _submit_random_workflow(world, random_source, number)
+        )
+        faults = random_source.sample(
+            PROOF_FAULTS, random_source.choice((1, 1, 2))
+        )
+        for inject in faults:
+            inject(world, random_source)
+        world.run(random_source.randint(50, 3000))
+        if random_source.random() < 0.4:
+            _rejoin(world, random_source)
+    world.faults = dispatch_world.Faults()
+    _rejoin(world, random_source)
+    world.run(CALM_MS)
+    return world, workflow_ids
+
+
 def _run_world(seed, faults):
     random_source = random.Random(f'load/{seed}')
     world = dispatch_world.World(seed, faults=faults)
@@ -99,8 +205,10 @@
         self.addCleanup(logging.disable, logging.NOTSET)
 
     def _check_run(self, seed, faults):
+        self._check_world(seed, *_run_world(seed, faults))
+
+    def _check_world(self, seed, world, workflow_ids):
         with self.subTest(seed=seed):
-            world, workflow_ids = _run_world(seed, faults)
             self.assertEqual([], world.ledger.breaches)
             state_by_workflow = {
                 workflow_id: world.workflow_state(workflow_id)
@@ -140,6 +248,11 @@
             )
             self._check_run(seed, faults)
 
+    def test_with_faults_that_hide_the_ends_of_runs(self):
+        """Each proof of an end is missing in some of these runs."""
+        for seed in PROOF_SEEDS:
+            self._check_world(seed, *_run_proof_faults(seed))
+
     def test_with_orders_carried_out_late(self):
         for seed in SEEDS:
             faults = dispatch_world.Faults(
--- a/tests/workflows/test_run_ends.py
+++ b/tests/workflows/test_run_ends.py
@@ -167,6 +167,37 @@
         self.assertEqual(2, world.ledger.starts)
 
 
+class ForgottenEndTest(_EndsTest):
+    """A worker forgets the ends that it is told are agreed."""
+
+    def test_new_process_does_not_forget_ends_that_were_not_read(self):
+        """It was told the number of an end of the process before it."""
+        world = dispatch_world.World(4, workers=1)
+        step = workflows.Step(4, cpu=1000, memory_mb=10, estimate_ms=300)
+        profile = worker_model.TaskProfile(1000, 10, 300)
+        world.submit('first', [step], [profile])
+        world.run(2000)
+        world.first_announcement_ms = 1400
+        world.crash_worker('w0', 50)
+        world.run(100)
+        send_order = world._send_order
+        world._send_order = lambda order: (
+            (
+                isinstance(order, dispatcher.PollWorker)
+                and world.now_ms < 2800
+                and world.voiceless_workers.add('w0')
+            )
+            or send_order(order)
+        )
+        world.submit('second', [step], [profile])
+        world.run(700)
+        world.voiceless_workers.clear()
+        world.run(LEASE_MS)
+        self.assertEqual('completed', world.workflow_state('second'))
+        self.assertEqual([], world.ledger.breaches)
+        self.assertEqual(8, world.ledger.starts)
+
+
 class ListTest(_EndsTest):
     """A worker lists a limited number of ends at a time."""
 
@@ -188,6 +219,49 @@
         self.assertEqual([], world.ledger.breaches)
 
 
+class ListProofTest(unittest.TestCase):
+    """What a list lacks is over only if nothing else can explain that."""
+
+    def setUp(self):
+        record = workflows.WorkerRecord(
+            'w0', 5, 'w0:1', 'pool', 'dc', 8000, 8000, 0, ['a', 'r1']
+        )
+        fleet = _fleet.Fleet(dispatcher.Timing())
+        self.worker = fleet.add_worker(record, 0)
+        self.worker.poll_sent_ms = 100
+        live_run = workflows.LiveRun(
+            workflows.TaskId('w', 0, 0, 0), 1, 'w0', 5
+        )
+        self.run = _runs.Run(live_run, LASTING_STEP, _runs.Phase.RUNNING)
+        self.run.started_ms = 50
+
+    def _find_proof(self, born_ms=5, is_complete=True):
+        reply = dispatcher.Reply(
+            dispatcher.Verdict.ACCEPTED, 1, born_ms, [], [], is_complete
+        )
+        return _run_ends.find_proof_by_list(self.worker, self.run, reply)
+
+    def test_whole_list_after_the_start_is_a_proof(self):
+        self.assertEqual(_run_ends.Proof.NOT_THERE, self._find_proof())
+
+    def test_list_of_another_or_no_named_process_is_no_proof(self):
+        for born_ms in (0, 4, 6):
+            self.assertIsNone(self._find_proof(born_ms=born_ms))
+
+    def test_cut_list_is_no_proof(self):
+        self.assertIsNone(self._find_proof(is_complete=False))
+
+    def test_list_polled_before_the_start_was_accepted_is_no_proof(self):
+        self.run.started_ms = 100
+        self.assertIsNone(self._find_proof())
+
+    def test_run_that_may_start_again_has_to_be_refused_first(self):
+        self.run.start_uncertain = True
+        self.assertIsNone(self._find_proof())
+        self.run.stopped_ms = 90
+        self.assertEqual(_run_ends.Proof.STOPPED_UNSTARTED, self._find_proof())
+
+
 class LeaseProofTest(unittest.TestCase):
     """Orders for an earlier process may have given the next one a lease."""
 
