Give draining workers short leases, and let those go that take no orders

Change: a poll gives a draining worker a lease of 2.5 s, which outlasts two polls; its tasks have to move soon. A withdrawal is acknowledged at once if the worker leaves orders unanswered.

With the whole lease put back the test of the vanished worker fails. Random runs of test_random_runs, test_deadly_tasks and test_recovery pass.

--- a/fuchsiatrestle/workflows/_announcing.py
+++ b/fuchsiatrestle/workflows/_announcing.py
@@ -219,7 +219,8 @@
     """True if a withdrawn worker is to be told that it may end its process.
 
     That is once it has listed the ends of all its runs and was told that these
-    ends are agreed, but after ``MAX_WITHDRAWAL_WAIT_MS`` in any case.
+    ends are agreed, or takes no orders any more, but after
+    ``MAX_WITHDRAWAL_WAIT_MS`` in any case.
 
     Args:
         worker: the ``Worker``, None if it is not known.
@@ -227,6 +228,8 @@
     """
     if worker is None or worker.withdrawn_ms is None:
         return True
+    if worker.unanswered_orders:
+        return True
     if now_ms - worker.withdrawn_ms >= MAX_WITHDRAWAL_WAIT_MS:
         return True
     has_run = any(run.is_dispatched for run in worker.runs.values())
--- a/fuchsiatrestle/workflows/_clock.py
+++ b/fuchsiatrestle/workflows/_clock.py
@@ -94,18 +94,23 @@
             self._clock_reading_ms = worker_clock_ms
             self._reading_received_ms = now_ms
 
-    def extend_lease(self, now_ms):
+    def extend_lease(self, now_ms, duration_ms=None):
         """Records a lease that starts now and returns its end.
 
         The end is a time on the worker's clock.  While no reading of that
         clock is known, nothing is recorded and None is returned.
+
+        Args:
+            now_ms: monotonic time.
+            duration_ms: a shorter duration than that of all other leases, or
+                None.
         """
+        if duration_ms is None:
+            duration_ms = self._lease_ms
         if self._clock_reading_ms is None:
             return None
         elapsed_ms = now_ms - self._reading_received_ms
-        lease_until_ms = int(
-            self._clock_reading_ms + elapsed_ms + self._lease_ms
-        )
+        lease_until_ms = int(self._clock_reading_ms + elapsed_ms + duration_ms)
         self._lease_end_worker_clock_ms = max(
             self._lease_end_worker_clock_ms or 0, lease_until_ms
         )
--- a/fuchsiatrestle/workflows/_orders.py
+++ b/fuchsiatrestle/workflows/_orders.py
@@ -12,6 +12,9 @@
 # Largest number of orders about runs that may wait for a worker's reply.
 # Polls are not counted, as they ask the worker to delay its reply.
 MAX_AWAITED_RUN_ORDERS = 3
+# Lease of a worker that drains.  It may end without a word, and its tasks can
+# start elsewhere when the lease is over; it outlasts two polls.
+DRAINING_LEASE_MS = 2500
 # Stops free capacity and paces protect the tasks that serve; starts come last.
 _RANK_BY_PHASE = {
     _Phase.STOPPING: 0,
@@ -197,7 +200,9 @@
         worker.poll_sent_ms = now_ms
         lease_until_ms = None
         if has_dispatched_runs and self._may_extend_lease(worker):
-            lease_until_ms = worker.lease_clock.extend_lease(now_ms)
+            lease_until_ms = worker.lease_clock.extend_lease(
+                now_ms, self._lease_ms(worker)
+            )
         worker.pending_poll = _events.PollWorker(
             worker.record.worker,
             worker.record.address,
@@ -235,7 +240,13 @@
         if not self._may_extend_lease(worker):
             return False
         remaining_ms = worker.lease_clock.remaining_lease_ms(now_ms)
-        return remaining_ms < self._timing.lease_ms / 2
+        return remaining_ms < self._lease_ms(worker) / 2
+
+    def _lease_ms(self, worker):
+        """Returns the duration of the lease that a poll gives."""
+        if worker.state == _fleet.DRAINING:
+            return min(DRAINING_LEASE_MS, self._timing.lease_ms)
+        return self._timing.lease_ms
 
     def _poll_wait_ms(self, worker, has_dispatched_runs):
         if (
--- a/tests/workflows/test_run_ends.py
+++ b/tests/workflows/test_run_ends.py
@@ -25,6 +25,7 @@
 DRAIN_MS = 2000
 MAX_AWAITED_STARTS = 3
 LEASE_MS = 6000
+DRAINING_LEASE_MS = 2500
 # Time for a placement, its agreement and the start.
 START_MS = 500
 
@@ -71,6 +72,19 @@
         self.assertEqual([], world.ledger.breaches)
         self._assert_runs_elsewhere(world, worker)
 
+    def test_run_of_a_drained_worker_that_vanishes_waits_for_a_short_lease(
+        self,
+    ):
+        """It waited for a whole lease, as the worker takes no stop."""
+        world, worker = self._drain_worker_with_run(
+            LASTING_STEP, ENDLESS_PROFILE
+        )
+        world.run(DRAIN_MS)
+        world.leave(worker, patience_ms=0)
+        world.run(DRAINING_LEASE_MS + 2 * START_MS)
+        self.assertEqual([], world.ledger.breaches)
+        self._assert_runs_elsewhere(world, worker)
+
     def test_acknowledged_worker_has_stopped_and_saved_its_run(self):
         """No lease has to run out when a worker leaves as planned."""
         world, worker = self._drain_worker_with_run(
