Keep the lease of a start under way through two restarts

Cause: at a second restart of its worker, the end of the lease that a start under way names was computed anew from the process in between, whose clock shows less; the run could count as over too early. Found by reading the diff.

Change: the later of both ends counts.

Measured: without it test_start_under_way_keeps_its_lease_through_two_restarts fails (5995 or so instead of 20000), with it the module passes.

--- a/fuchsiatrestle/workflows/_announcing.py
+++ b/fuchsiatrestle/workflows/_announcing.py
@@ -197,10 +197,11 @@
     run.next_order_ms = 0
     if _run_ends.may_still_start(run):
         # The next process has to refuse the start before the run is over.
-        run.earlier_lease_end_ms = (
+        run.earlier_lease_end_ms = max(
+            run.earlier_lease_end_ms or 0,
             previous_worker.lease_clock.latest_lease_end_ms(
                 record.born_ms - previous_worker.record.born_ms
-            )
+            ),
         )
         run.start_uncertain = True
         run.start_sent_ms = None
--- a/tests/workflows/test_run_ends.py
+++ b/tests/workflows/test_run_ends.py
@@ -7,6 +7,7 @@
 
 from fuchsiatrestle.state import workflows
 from fuchsiatrestle import workflows as dispatcher
+from fuchsiatrestle.workflows import _announcing
 from fuchsiatrestle.workflows import _fleet
 from fuchsiatrestle.workflows import _run_ends
 from fuchsiatrestle.workflows import _runs
@@ -313,6 +314,15 @@
                     proof, _run_ends.find_proof_by_lease(worker, run, now_ms)
                 )
 
+    def test_start_under_way_keeps_its_lease_through_two_restarts(self):
+        """The clock of the process in between shows less."""
+        worker, run = self._make_worker_and_run()
+        run.start_uncertain = True
+        run.earlier_lease_end_ms = 20_000
+        record = msgspec.structs.replace(worker.record, born_ms=10)
+        _announcing._prepare_for_next_process(worker, run, record)
+        self.assertEqual(20_000, run.earlier_lease_end_ms)
+
     def test_worker_that_answers_has_no_lease_that_is_over(self):
         worker, run = self._make_worker_and_run()
         worker.unanswered_orders = 0
