Log what every waiting group waits for, best-effort and batch ones too

Only long-running groups were logged while they waited, so a log could not tell whether a best-effort group lacks room, is barred by the interference estimate or waits for a trial. group_waits now names the kind, and counts the usable workers with room that each obstacle bars. No decision changes.

--- a/fuchsiatrestle/workflows/_backlog.py
+++ b/fuchsiatrestle/workflows/_backlog.py
@@ -64,6 +64,17 @@
         self.is_interrupted = is_interrupted
         self.is_suspected = is_suspected
 
+    @property
+    def key(self):
+        """Value that is equal for the group of the same tasks at any time."""
+        return (
+            self.workflow.workflow_id,
+            self.occurrence,
+            self.step_number,
+            self.is_interrupted,
+            self.waiting_task_ids[0] if self.is_suspected else None,
+        )
+
 
 class _CriticalPaths:
     """Longest paths through a workflow's steps, by estimated run times.
--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -58,7 +58,9 @@
         self._reservation_limits = _rounds.ReservationLimits()
         self._trial_runs = _crashes.TrialRuns()
         self._wait_times = _waiting.WaitTimes()
-        self._waiting_log = _waiting.WaitingLog(self._wait_times, now_ms)
+        self._waiting_log = _waiting.WaitingLog(
+            self._wait_times, self._placer, now_ms
+        )
         self._order_planner = _orders.OrderPlanner(self._state, timing)
         self._announcement_handler = _announcing.AnnouncementHandler(
             self._state
@@ -351,9 +353,7 @@
     def _place_waiting_groups(self):
         now_ms = self._state.now_ms
         ready_groups = self._backlog.ready_groups(self._wall_now())
-        self._wait_times.update_waiting_groups(
-            [group for group in ready_groups if group.step.lasts], now_ms
-        )
+        self._wait_times.update_waiting_groups(ready_groups, now_ms)
         round_by_pool = {}
         groups_to_start_alone = [
             group for group in ready_groups if self._must_start_alone(group)
@@ -530,6 +530,7 @@
         )
         run = _runs.Run(live_run, group.step, _Phase.PLACED)
         worker.add_run(run)
+        self._wait_times.record_placed_task(group, self._state.now_ms)
         self._state.proposals.add_placed_run(live_run)
         self._state.log_run(
             'run_placed',
--- a/fuchsiatrestle/workflows/_placement.py
+++ b/fuchsiatrestle/workflows/_placement.py
@@ -10,7 +10,15 @@
 
 from fuchsiatrestle.workflows import _interference
 
-__all__ = ('BestFit', 'FirstFit', 'Placer', 'has_room', 'meets_constraints')
+__all__ = (
+    'BEST_EFFORT_OBSTACLES',
+    'BestFit',
+    'FirstFit',
+    'Obstacle',
+    'Placer',
+    'has_room',
+    'meets_constraints',
+)
 
 # Share of the processor time reserved by serving tasks that best-effort tasks
 # may use; the rest covers the load peaks of the serving tasks.
@@ -29,6 +37,19 @@
 MIXED_IMAGES_COST = 2
 
 
+class Obstacle:
+    """Why a worker is not used for a task."""
+
+    NO_ROOM = 'no_room'  # it lacks the capacity or the label
+    # The three below bar best-effort images only.
+    CPU_IN_USE = 'cpu_in_use'  # other tasks use the processor time
+    HEAVY = 'heavy'  # the image disturbs the serving tasks there
+    TRIAL = 'trial'  # the image or another one is being tried there
+
+
+BEST_EFFORT_OBSTACLES = (Obstacle.CPU_IN_USE, Obstacle.HEAVY, Obstacle.TRIAL)
+
+
 class Placer(abc.ABC):
     """Chooses workers for the waiting tasks of a group."""
 
@@ -81,6 +102,16 @@
             yield from sorted(racks.values(), key=len, reverse=True)
         yield workers
 
+    def find_obstacle(self, step, task_id, worker):
+        """Returns the ``Obstacle`` to a task on a worker, None if it fits.
+
+        Args:
+            step: the ``Step``.
+            task_id: id of any of its tasks.
+            worker: a ``Worker``.
+        """
+        return None if has_room(step, task_id, worker) else Obstacle.NO_ROOM
+
     @abc.abstractmethod
     def score_worker(self, step, worker, allocations):
         """Returns a sort key that is lowest for the best worker.
@@ -141,23 +172,41 @@
         )
         return is_far_from_data, colocation_cost, remaining_cpu
 
+    def find_obstacle(self, step, task_id, worker):
+        """Tells also what bars a worker to a best-effort step."""
+        obstacle = super().find_obstacle(step, task_id, worker)
+        if obstacle is not None or not step.fills:
+            return obstacle
+        return self._find_best_effort_obstacle(
+            step, worker, _RoundAllocations(step)
+        )
+
+    def _find_best_effort_obstacle(self, step, worker, allocations):
+        """Returns what bars a worker to a best-effort step, or None."""
+        if self._unused_cpu(worker, allocations) < step.cpu:
+            return Obstacle.CPU_IN_USE
+        severity = self._interference_model.worst_severity(
+            worker.serving_images, step.image
+        )
+        if severity == _interference.Severity.HEAVY:
+            return Obstacle.HEAVY
+        if severity == _interference.Severity.UNKNOWN:
+            if not self._may_try_image(step, worker, allocations):
+                return Obstacle.TRIAL
+        return None
+
     def _score_best_effort(self, step, worker, allocations, is_far_from_data):
         """Returns the sort key of a worker for a best-effort task.
 
         It is None if the worker must not be used.
         """
-        unused_cpu = self._unused_cpu(worker, allocations)
-        if unused_cpu < step.cpu:
+        if self._find_best_effort_obstacle(step, worker, allocations):
             return None
+        unused_cpu = self._unused_cpu(worker, allocations)
         serving_images = worker.serving_images
         severity = self._interference_model.worst_severity(
             serving_images, step.image
         )
-        if severity == _interference.Severity.HEAVY:
-            return None
-        if severity == _interference.Severity.UNKNOWN:
-            if not self._may_try_image(step, worker, allocations):
-                return None
         light_image_count = self._interference_model.count_images_light_beside(
             serving_images
         )
--- a/fuchsiatrestle/workflows/_rounds.py
+++ b/fuchsiatrestle/workflows/_rounds.py
@@ -100,13 +100,12 @@
         reserved_workers: set of the names of the reserved workers.
         closed_worker_names: names of the workers on which a suspected task is
             started alone.
-        waiting_long_running_groups: the groups of long-running tasks that were
-            not placed, or not whole.
+        waiting_groups: the groups that were not placed, or not whole.
     """
 
     def __init__(self, pool, workers, reservation_limits, now_ms):
         self.pool = pool
-        self.waiting_long_running_groups = []
+        self.waiting_groups = []
         self._workers = workers
         self._worker_count = len(workers)
         self.closed_worker_names = set()
@@ -243,8 +242,7 @@
             ignores_reservations: True if it may use reserved workers.
         """
         step = group.step
-        if step.lasts:
-            self.waiting_long_running_groups.append(group)
+        self.waiting_groups.append(group)
         if (
             not step.gang
             and not step.most_per_worker
@@ -262,12 +260,11 @@
 
     def record_suspected_group(self, group):
         """Records a suspected group that was not placed."""
-        if group.step.lasts:
-            self.waiting_long_running_groups.append(group)
+        self.waiting_groups.append(group)
 
     def record_deferred_group(self, group):
         """Records a long-running group that made way for batch tasks."""
-        self.waiting_long_running_groups.append(group)
+        self.waiting_groups.append(group)
 
     def _record_waiting_batch_priority(self, priority):
         if self._waiting_batch_priority is not None:
--- a/fuchsiatrestle/workflows/_runs.py
+++ b/fuchsiatrestle/workflows/_runs.py
@@ -1,6 +1,9 @@
 """A run of a task, as the leader knows it."""
 
-__all__ = ('Phase', 'Run', 'format_task_id', 'step_kind')
+__all__ = ('STEP_KINDS', 'Phase', 'Run', 'format_task_id', 'step_kind')
+
+# Kinds of steps, as log lines name them.
+STEP_KINDS = ('best_effort', 'batch', 'long_running')
 
 
 class Phase:
--- a/fuchsiatrestle/workflows/_waiting.py
+++ b/fuchsiatrestle/workflows/_waiting.py
@@ -1,13 +1,16 @@
-"""Decides when long-running tasks have waited too long, and logs why.
+"""Measures for how long groups have waited, and logs why they wait.
 
-A long-running task has to start within seconds if a worker has room for it.
-The log lines show whether the workers with room were reserved for other
-groups, accepted no placements, or did not exist.
+A task has to start within seconds if a worker has room for it.  The log lines
+show whether the workers with room were reserved for other groups, accepted no
+placements, were barred to a best-effort image, or did not exist.
 """
 
+import collections
+
 from fuchsiatrestle import logs
 from fuchsiatrestle.workflows import _placement
 from fuchsiatrestle.workflows import _rounds
+from fuchsiatrestle.workflows import _runs
 
 __all__ = ('WaitTimes', 'WaitingLog')
 
@@ -19,39 +22,67 @@
 REPORT_INTERVAL_MS = 1000
 # Groups that have waited for less are not reported.
 MIN_REPORTED_WAIT_MS = 3000
-# Largest number of groups in a report; those that waited longest come first.
+# Largest number of groups of each kind in a report; those that waited longest
+# come first.
 MAX_REPORTED_GROUPS = 10
 
 LOG = logs.get_logger(__name__)
 
 
 class WaitTimes:
-    """Measures for how long the tasks of long-running groups have waited."""
+    """Measures for how long groups have waited.
+
+    Long-running tasks are measured one by one.  Any other group has waited
+    since one of its tasks was placed last.
+    """
 
     def __init__(self):
         # By task id.
         self._waiting_since_ms_by_task = {}
+        # By the key of the group.
+        self._waiting_since_ms_by_group = {}
 
     def update_waiting_groups(self, groups, now_ms):
-        """Records which tasks wait now; the wait of all others has ended.
+        """Records which groups wait now; the wait of all others has ended.
 
         Args:
-            groups: list of the ``Group`` of long-running steps.
+            groups: list of all ``Group`` that may start now.
             now_ms: monotonic time.
         """
         self._waiting_since_ms_by_task = {
             task_id: self._waiting_since_ms_by_task.get(task_id, now_ms)
             for group in groups
+            if group.step.lasts
             for task_id in group.waiting_task_ids
         }
+        self._waiting_since_ms_by_group = {
+            group.key: self._waiting_since_ms_by_group.get(group.key, now_ms)
+            for group in groups
+            if not group.step.lasts
+        }
 
-    def longest_wait_ms(self, group, now_ms):
-        """Returns the wait of the task of a group that has waited longest.
+    def record_placed_task(self, group, now_ms):
+        """Starts the wait of a group anew, as one of its tasks was placed.
 
         Args:
             group: the ``Group``.
             now_ms: monotonic time.
         """
+        if not group.step.lasts:
+            self._waiting_since_ms_by_group[group.key] = now_ms
+
+    def longest_wait_ms(self, group, now_ms):
+        """Returns for how long a group has waited.
+
+        Args:
+            group: the ``Group``; the wait of a long-running one is that of its
+                task that has waited longest.
+            now_ms: monotonic time.
+        """
+        if not group.step.lasts:
+            return now_ms - self._waiting_since_ms_by_group.get(
+                group.key, now_ms
+            )
         waiting_since_ms = min(
             self._waiting_since_ms_by_task.get(task_id, now_ms)
             for task_id in group.waiting_task_ids
@@ -71,15 +102,17 @@
 
 
 class WaitingLog:
-    """Reports the long-running groups that have waited longest.
+    """Reports the groups that have waited longest.
 
     Args:
         wait_times: ``WaitTimes``.
+        placer: ``Placer``, which tells why a worker is not used.
         now_ms: monotonic time.
     """
 
-    def __init__(self, wait_times, now_ms):
+    def __init__(self, wait_times, placer, now_ms):
         self._wait_times = wait_times
+        self._placer = placer
         self._next_report_ms = now_ms + REPORT_INTERVAL_MS
 
     def report_if_due(self, rounds, workers, now_ms):
@@ -103,7 +136,11 @@
             if worker.record.pool == pool_round.pool
             and worker.withdrawn_ms is None
         ]
-        waits_and_groups = self._find_long_waits(pool_round, now_ms)
+        for kind in _runs.STEP_KINDS:
+            self._report_kind(kind, pool_round, pool_workers, now_ms)
+
+    def _report_kind(self, kind, pool_round, pool_workers, now_ms):
+        waits_and_groups = self._find_long_waits(kind, pool_round, now_ms)
         for wait_ms, group in waits_and_groups[:MAX_REPORTED_GROUPS]:
             room_counts = _count_workers_with_room(
                 group, pool_round, pool_workers
@@ -111,6 +148,7 @@
             LOG.info(
                 'group_waits',
                 extra={
+                    'kind': kind,
                     'workflow': group.workflow.workflow_id,
                     'step': f'{group.occurrence}.{group.step_number}',
                     'waiting': len(group.waiting_task_ids),
@@ -118,17 +156,37 @@
                     'waited_ms': wait_ms,
                     'cpu': group.step.cpu,
                     **room_counts,
+                    **self._count_obstacles(group, pool_round, pool_workers),
+                    'suspected': group.is_suspected,
                     'reserved': len(pool_round.reserved_workers),
                     'long_running_share': pool_round.long_running_share,
                     'groups': len(waits_and_groups),
                 },
             )
 
-    def _find_long_waits(self, pool_round, now_ms):
+    def _count_obstacles(self, group, pool_round, workers):
+        """Returns how many usable workers with room each obstacle bars.
+
+        The keys of the dict are those of the log line.
+        """
+        task_id = group.waiting_task_ids[0]
+        obstacles = collections.Counter(
+            self._placer.find_obstacle(group.step, task_id, worker)
+            for worker in workers
+            if pool_round.find_availability(worker)
+            != _rounds.Availability.UNUSABLE
+        )
+        return {
+            f'barred_{obstacle}': obstacles[obstacle]
+            for obstacle in _placement.BEST_EFFORT_OBSTACLES
+        }
+
+    def _find_long_waits(self, kind, pool_round, now_ms):
         """Returns (wait in ms, ``Group``) pairs, the longest wait first."""
         waits_and_groups = [
             (self._wait_times.longest_wait_ms(group, now_ms), group)
-            for group in pool_round.waiting_long_running_groups
+            for group in pool_round.waiting_groups
+            if _runs.step_kind(group.step) == kind
         ]
         return sorted(
             (
