--- a/standins/worker_model.py
+++ b/standins/worker_model.py
@@ -4,10 +4,15 @@
 in the product shows.  Time is an argument: tests pass virtual time and a
 server passes real time.  ``RunLedger`` observes all workers and records every
 breach of a guarantee.
+
+Best-effort tasks raise the tail latency of serving tasks beside them in
+proportion to the share of the worker's processors that they use.
 """
 
 import collections
 
+from standins import tail_model
+
 __all__ = ('RunLedger', 'TaskProfile', 'WorkerModel')
 
 STOP_DELAY_MS = 150
@@ -43,16 +48,28 @@
             that task crash their workers; by default, all tasks of a profile
             with a ``crash_delay_ms`` do.
         accelerators: number of accelerators.
+        image: image of the task.
+        tail_target_ms: target of the tail latency of a serving task, 0 for
+            any other task.
+        calm_tail_ms: tail latency of a serving task without best-effort tasks
+            beside it.
+        tail_slope_by_image: for a serving task, by how much its tail latency
+            rises per share of the worker's processors that best-effort tasks
+            of an image use, as a multiple of ``calm_tail_ms``.
     """
 
     __slots__ = (
         'accelerators',
+        'calm_tail_ms',
         'cpu_milli',
         'crash_delay_ms',
         'crashes_worker',
         'fills',
+        'image',
         'memory_mib',
         'run_fails',
+        'tail_slope_by_image',
+        'tail_target_ms',
         'work_ms',
         'writes_checkpoints',
     )
@@ -68,7 +85,15 @@
         crash_delay_ms=None,
         crashes_worker=None,
         accelerators=0,
+        image='',
+        tail_target_ms=0,
+        calm_tail_ms=0,
+        tail_slope_by_image=None,
     ):
+        self.image = image
+        self.tail_target_ms = tail_target_ms
+        self.calm_tail_ms = calm_tail_ms
+        self.tail_slope_by_image = tail_slope_by_image or {}
         self.cpu_milli = cpu_milli
         self.memory_mib = memory_mib
         self.work_ms = work_ms
@@ -218,6 +243,19 @@
         elif outcome == 'failed':
             self.acknowledged_failure_counts[task] += 1
 
+    def record_harm(self, now_ms, worker, image):
+        """Records a breach for best-effort runs that disturb for too long.
+
+        Args:
+            now_ms: time.
+            worker: name of the worker.
+            image: image of the serving task whose tail latency is over its
+                target.
+        """
+        self._record_breach(
+            now_ms, f'best-effort runs on {worker} disturb {image}'
+        )
+
     def record_overload(self, now_ms, worker, resource):
         """Records a breach for a worker whose runs exceed its capacity."""
         self._record_breach(now_ms, f'runs on {worker} exceed its {resource}')
@@ -243,6 +281,7 @@
         last_checkpoint: latest checkpoint, ``TASK@PROGRESS_MS``, or empty.
         initial_progress_ms: progress at the start, from the checkpoint resumed
             from.
+        pace_percent: share of its processors that it may use.
         stop_ms: when an ordered stop takes effect, None without an order.
         finish_ms: when its work is done, None for a task without an end.
         crash_ms: when it crashes the worker, None for a harmless task.
@@ -253,29 +292,51 @@
         'finish_ms',
         'initial_progress_ms',
         'last_checkpoint',
+        'pace_percent',
         'started_ms',
         'stop_ms',
         'task_profile',
+        '_paced_since_ms',
+        '_progress_at_pace_ms',
     )
 
     def __init__(self, task, task_profile, started_ms, checkpoint):
         self.task_profile = task_profile
+        self.pace_percent = 100
         self.started_ms = started_ms
         self.last_checkpoint = checkpoint
         self.initial_progress_ms = (
             int(checkpoint.rpartition('@')[2]) if checkpoint else 0
         )
+        # Progress when its pace was set last, and the time of that.
+        self._progress_at_pace_ms = self.initial_progress_ms
+        self._paced_since_ms = started_ms
         self.stop_ms = None
-        self.finish_ms = None
-        if task_profile.work_ms is not None:
-            self.finish_ms = started_ms + max(
-                0, task_profile.work_ms - self.initial_progress_ms
-            )
+        self.finish_ms = self._find_finish_ms()
         self.crash_ms = None
         crash_delay_ms = task_profile.find_crash_delay_ms(task)
         if crash_delay_ms is not None:
             self.crash_ms = started_ms + crash_delay_ms
 
+    def find_progress_ms(self, now_ms):
+        """Returns how much of its work is done, in ms at full pace."""
+        paced_ms = now_ms - self._paced_since_ms
+        return self._progress_at_pace_ms + paced_ms * self.pace_percent / 100
+
+    def set_pace(self, now_ms, percent):
+        """Sets the share of its processors that it may use, in percent."""
+        self._progress_at_pace_ms = self.find_progress_ms(now_ms)
+        self._paced_since_ms = now_ms
+        self.pace_percent = percent
+        self.finish_ms = self._find_finish_ms()
+
+    def _find_finish_ms(self):
+        work_ms = self.task_profile.work_ms
+        if work_ms is None or not self.pace_percent:
+            return None
+        left_ms = max(0, work_ms - self._progress_at_pace_ms)
+        return self._paced_since_ms + left_ms * 100 / self.pace_percent
+
 
 class WorkerModel:
     """One incarnation of a worker.
@@ -327,6 +388,7 @@
         self._lease_end_clock_ms = 0
         self._last_end_number = 0
         self._highest_run = {}
+        self._tails = tail_model.TailModel(name, ledger)
 
     def clock_ms(self, now_ms):
         """Returns the time on the worker's clock, in milliseconds."""
@@ -382,6 +444,7 @@
         self._extend_lease(now_ms, lease_until_ms)
         new_run = _Run(task, self._find_profile(task), now_ms, checkpoint)
         self.running_runs[task, run] = new_run
+        self._update_tails(now_ms)
         self._ledger.record_start(now_ms, self.name, task, run, checkpoint)
         self._check_capacity(now_ms, new_run.task_profile)
         return 200, ''
@@ -402,6 +465,21 @@
         self._highest_run[task] = max(run, self._highest_run.get(task, 0))
         return 200, ''
 
+    def set_pace(self, now_ms, task, run, percent, fencing_token):
+        """Sets the share of its processors that a run may use.
+
+        Refuses an outdated fencing token as ``start_run`` does.
+        """
+        self.advance(now_ms)
+        if fencing_token < self._fencing_token:
+            return 409, 'fence'
+        self._fencing_token = fencing_token
+        run_state = self.running_runs.get((task, run))
+        if run_state is not None:
+            run_state.set_pace(now_ms, percent)
+            self._update_tails(now_ms)
+        return 200, ''
+
     def poll(
         self, now_ms, fencing_token, last_read_number, lease_until_ms=None
     ):
@@ -439,27 +517,49 @@
         """Returns a list with a row for each running run.
 
         A row is [task, run, last checkpoint, progress in percent, figure].
-        The figure is a measurement, such as the tail latency of a serving
-        task; the model measures nothing and always reports 0.
+        The figure is the tail latency in milliseconds of a serving task, and
+        the processors in use by any other, in thousandths of a core.
         """
         rows = []
         for (task, run), run_state in self.running_runs.items():
             percent = 100
             if run_state.task_profile.work_ms is not None:
-                done_work_ms = (
-                    now_ms
-                    - run_state.started_ms
-                    + run_state.initial_progress_ms
-                )
                 percent = min(
                     99,
                     100
-                    * done_work_ms
+                    * int(run_state.find_progress_ms(now_ms))
                     // max(1, run_state.task_profile.work_ms),
                 )
-            rows.append([task, run, run_state.last_checkpoint, percent, 0])
+            rows.append(
+                [
+                    task,
+                    run,
+                    run_state.last_checkpoint,
+                    percent,
+                    self._find_figure(run_state, now_ms),
+                ]
+            )
         return rows
 
+    def _find_figure(self, run_state, now_ms):
+        task_profile = run_state.task_profile
+        if task_profile.tail_target_ms:
+            return int(self._tails.mean_tail_ms(task_profile, now_ms))
+        return task_profile.cpu_milli * run_state.pace_percent // 100
+
+    def _update_tails(self, now_ms):
+        """Tells the tail latencies which runs share the worker from now on."""
+        self._tails.update_load(
+            now_ms,
+            [
+                (
+                    run_state.task_profile,
+                    run_state.pace_percent / 100 / max(1, self.cpu_milli),
+                )
+                for run_state in self.running_runs.values()
+            ],
+        )
+
     # Time
 
     def advance(self, now_ms):
@@ -488,7 +588,8 @@
                 task, run_state, min(now_ms, end_ms or now_ms)
             )
             if end_ms is not None and end_ms <= now_ms:
-                self._end_run(task, run, outcome)
+                self._end_run(task, run, outcome, end_ms)
+        self._tails.check_targets(now_ms)
 
     def find_next_event_ms(self):
         """Returns the earliest time at which a run can end, None without runs.
@@ -529,7 +630,7 @@
             )
         self.running_runs = {}
 
-    def _end_run(self, task, run, outcome):
+    def _end_run(self, task, run, outcome, end_ms):
         run_state = self.running_runs.pop((task, run))
         if outcome == 'lapsed':
             run_state.stop_ms = None
@@ -547,13 +648,12 @@
         if outcome == 'failed':
             self._ledger.failed_run_counts[task] += 1
         self._ledger.record_end(task, run, outcome)
+        self._update_tails(end_ms)
 
     def _update_checkpoint(self, task, run_state, now_ms):
         if not run_state.task_profile.writes_checkpoints:
             return
-        progress_ms = run_state.initial_progress_ms + int(
-            now_ms - run_state.started_ms
-        )
+        progress_ms = int(run_state.find_progress_ms(now_ms))
         checkpoint_ms = progress_ms - progress_ms % CHECKPOINT_INTERVAL_MS
         if checkpoint_ms > run_state.initial_progress_ms:
             run_state.last_checkpoint = f'{task}@{checkpoint_ms}'
--- a/tests/fakes/dispatch_world.py
+++ b/tests/fakes/dispatch_world.py
@@ -775,7 +775,9 @@
                 for end in model.unacknowledged_ends[: self.max_listed_ends]
             ]
         else:
-            status_and_reason = (200, '')
+            status_and_reason = model.set_pace(
+                now_ms, order.task, order.run, order.percent, order.token
+            )
         is_poll = isinstance(order, workflows.PollWorker)
         return workflows.Reply(
             _VERDICTS_BY_REASON[status_and_reason[1]],
