Order the paces of adopted best-effort runs anew after a change of leader

What callers saw: a best-effort task that an earlier leader had halted stays halted for good after a change of leader; its job is never done (LOST, or half done).

Cause: the pace of a run is known to the leader that ordered it alone. The next one takes it that all adopted runs have their full pace and, as it wants just that, sends no order.

Change: the pace of an adopted best-effort run is unknown, so the wanted one is ordered. Where the agreed pairs say that its image disturbs, its pace is limited, as only such a run can be there for long.

Measured: test_run_that_an_earlier_leader_halted_goes_on failed before (running in place of completed after 60 s) and passes; the 16 tests of its module and of test_recovery pass.

--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -124,7 +124,11 @@
     def _adopt_agreed_runs(self):
         for record in self._state.workflow_store.worker_records.values():
             self._state.fleet.adopt_worker(record, self._state.now_ms)
-        for live_run in self._state.workflow_store.live_runs():
+        # Best-effort runs come last: what they may disturb is known by then.
+        live_runs = sorted(
+            self._state.workflow_store.live_runs(), key=self._is_best_effort
+        )
+        for live_run in live_runs:
             worker = self._state.fleet.get(live_run.worker)
             phase = _Phase.STARTING
             if worker.record.born_ms != live_run.born_ms:
@@ -150,6 +154,8 @@
                 run.earlier_start_outcome = (
                     commands.StartOutcome.MAY_HAVE_CRASHED
                 )
+            if run.is_best_effort:
+                self._adopt_pace(run, worker)
             worker.add_run(run)
         LOG.info(
             'dispatch_started',
@@ -161,6 +167,22 @@
             },
         )
 
+    def _is_best_effort(self, live_run):
+        step = self._state.find_step(live_run.task)
+        return step is not None and step.fills
+
+    def _adopt_pace(self, run, worker):
+        """Has the pace of a best-effort run ordered anew.
+
+        An earlier leader may have halted it.
+        """
+        run.pace_percent = None
+        severity = self._interference_model.worst_severity(
+            worker.serving_images, run.step.image
+        )
+        if severity == _interference.Severity.HEAVY:
+            run.limit_pace()
+
     # Announcements and replies of workers
 
     def _on_worker_announced(self, event):
--- a/tests/workflows/test_best_effort_waits.py
+++ b/tests/workflows/test_best_effort_waits.py
@@ -9,6 +9,7 @@
 import unittest
 
 from fuchsiatrestle.state import workflows
+from standins import tail_model
 from standins import worker_model
 from tests.fakes import dispatch_world
 
@@ -29,6 +30,8 @@
 LIGHT_SLOPE = 0.5
 # One task keeps the tail between calm and disturbed, so nothing is learned.
 UNCLEAR_SLOPE = 6.4
+# One task raises the tail just so far that it is halted.
+HALTING_SLOPE = 8.8
 HEAVY_SLOPE = 30
 
 
@@ -159,6 +162,23 @@
         idle_times.run(30_000)
         self._check(world, idle_times)
 
+    def test_run_that_an_earlier_leader_halted_goes_on(self):
+        world = _make_world(1, workers=1)
+        _submit_serving(world, 's', {'f': HALTING_SLOPE})
+        world.run(3000)
+        _submit_best_effort(world, 'halted', 'f', count=1)
+        world.run_until(lambda: 0 in world.paces('w0'), 5000)
+        # The tail is calm again, and the run not resumed yet.
+        world.run(tail_model.MEASURED_MS + 50)
+        self.assertIn(0, world.paces('w0'))
+        world.start_leader()
+        idle_times = _IdleTimes(world)
+        idle_times.run(60_000)
+        self._check(world, idle_times)
+        self.assertEqual(
+            'completed', world.workflow_state('best-effort-halted')
+        )
+
 
 def _run_random_world(seed):
     """Plays serving and best-effort images with random interference.
