Let overdue tasks use reserved room while the service has much room

Cause: a reservation holds for MAX_RESERVATION_MS, whatever room there is.

Change: while under half of the processor time is reserved, a group that has waited for 2 s ignores reservations, as interrupted and overdue long-running ones do already.

Measured: the new test of test_placing failed before (queued after 3 s) and passes; its module passes, 9 tests.

--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -475,7 +475,9 @@
                 queue,
                 pool_round,
                 ignores_reservations=(
-                    group.is_interrupted or self._is_overdue(group)
+                    group.is_interrupted
+                    or self._is_overdue(group)
+                    or self._may_use_reserved_room(group, pool_round)
                 ),
             )
         return deferred_groups
@@ -503,6 +505,16 @@
             group, self._state.now_ms
         )
 
+    def _may_use_reserved_room(self, group, pool_round):
+        """True for an overdue group while the service has much room.
+
+        The room on few workers is short then; reserving it for tasks that do
+        not fit must not keep those waiting that do.
+        """
+        return pool_round.is_mostly_free and self._wait_times.is_overdue(
+            group, self._state.now_ms
+        )
+
     def _place_overdue_best_effort_groups(self, pool_round):
         """Places best-effort tasks that are kept off every worker for long.
 
--- a/fuchsiatrestle/workflows/_rounds.py
+++ b/fuchsiatrestle/workflows/_rounds.py
@@ -17,6 +17,9 @@
 # Share of the workers that may be reserved for tasks that do not fit yet.  One
 # more worker than this may be reserved, so that a small fleet can reserve one.
 MAX_RESERVED_WORKER_SHARE = 0.2
+# A service has much room while less than this share of the processor time of a
+# round's workers is reserved by tasks.
+MOSTLY_FREE_CPU_SHARE = 0.5
 # Longest time for which rounds may reserve a worker without a break, and the
 # length of the break: groups that fit get their turn in it.
 MAX_RESERVATION_MS = 30_000
@@ -80,10 +83,10 @@
     never find enough room on one worker.  So the round reserves a worker for
     a group that does not fit, and groups that come later in the round do not
     use that worker.  Best-effort tasks, which reserve no processor time, may
-    still be placed on it.  So may the groups that ignore reservations, the
-    interrupted ones and, within the share of the long-running tasks, the
-    overdue ones: they can not wait for as long as the rounds may reserve the
-    worker again and again.
+    still be placed on it.  So may the groups that ignore reservations: the
+    interrupted ones, the overdue ones within the share of the long-running
+    tasks, and any overdue one while the service has much room.  They can not
+    wait for as long as the rounds may reserve the worker again and again.
 
     Free capacity only shrinks within a round.  So if a task found no worker,
     later steps that need at least as much as its step are not tried, unless
@@ -124,6 +127,9 @@
         self._max_long_running_cpu = (
             MAX_LONG_RUNNING_CPU_SHARE * self._total_cpu
         )
+        self._reserved_cpu = self._total_cpu - sum(
+            worker.capacity.free_cpu for worker in workers
+        )
         self._long_running_cpu = sum(
             worker.capacity.long_running_cpu for worker in workers
         )
@@ -143,6 +149,11 @@
         wanted_cpu = group.step.cpu * len(group.waiting_task_ids)
         return self._long_running_cpu + wanted_cpu > self._max_long_running_cpu
 
+    @property
+    def is_mostly_free(self):
+        """True if much of the processor time was free before the round."""
+        return self._reserved_cpu < MOSTLY_FREE_CPU_SHARE * self._total_cpu
+
     @property
     def may_close_worker(self):
         """True if one more suspected task may be started alone."""
--- a/tests/workflows/test_placing.py
+++ b/tests/workflows/test_placing.py
@@ -11,6 +11,8 @@
 from standins import worker_model
 from tests.fakes import dispatch_world
 
+# Longest wait of a task with room while less than half of it is reserved.
+MAX_WAIT_MS = 3000
 LARGE = workflows.Step(1, cpu=7500, memory_mb=1000, lasts=True)
 
 
@@ -156,6 +158,20 @@
         self.assertEqual('completed', world.workflow_state('fits'))
         self.assertEqual([], world.ledger.breaches)
 
+    def test_reserved_room_is_not_kept_from_a_task_on_a_mostly_free_fleet(
+        self,
+    ):
+        world = dispatch_world.World(3, workers=1)
+        world.submit_task('slow', 3600, 10_000_000)
+        world.run(500)
+        world.submit_task('larger-than-free', 5000, 60_000)
+        world.run(500)
+        world.submit_task(
+            'fits', 1000, 400, prefix=dispatch_world.LOW_PRIORITY_PREFIX
+        )
+        world.run(MAX_WAIT_MS)
+        self.assertNotEqual('queued', world.workflow_state('fits'))
+
     def test_interrupted_long_running_tasks_do_not_wait_behind_batch(self):
         """Batch tasks that fit into each gap do not take all of them."""
         world = dispatch_world.World(13, workers=4)
