Log what runs wait for on workers that say nothing new of them

Cause: no log line told of a run that stays on a worker or process of which no list comes any more, of a start or stop that is not carried out, or of a poll whose reply was never reported. worker_silent is logged once, at the first order without a reply; a worker that refuses polls left no line at all.

Change: runs_wait, at most one line a second for a worker, once no list has come for 3 s, or a start or stop takes as long. It names what is waited for and since when. No decision changes.

--- a/fuchsiatrestle/workflows/_answers.py
+++ b/fuchsiatrestle/workflows/_answers.py
@@ -128,6 +128,7 @@
             )
         elif order is worker.pending_poll:
             worker.pending_poll = None
+            worker.poll_outcome = _fleet.FORMER_PROCESS
             worker.next_poll_ms = (
                 self._dispatch_state.now_ms + _fleet.RETRY_MIN_MS
             )
@@ -196,12 +197,14 @@
             # A later poll was sent; this one's lists may be out of date.
             return
         worker.pending_poll = None
+        worker.poll_outcome = reply.verdict
         if reply.verdict != _Verdict.ACCEPTED:
             worker.next_poll_ms = self._dispatch_state.now_ms + (
                 retry_delay_ms or _fleet.RETRY_MAX_MS
             )
             return
         worker.next_poll_ms = self._dispatch_state.now_ms
+        worker.listed_ms = self._dispatch_state.now_ms
         _update_acknowledged_end(worker, order, reply)
         if not worker.has_seen_token:
             worker.has_seen_token = True
--- a/fuchsiatrestle/workflows/_clock.py
+++ b/fuchsiatrestle/workflows/_clock.py
@@ -48,6 +48,11 @@
         self._earlier_process_until_ms = None
         self._longest_lease_ms = lease_ms
 
+    @property
+    def is_clock_known(self):
+        """True once a reading of the worker's clock has arrived."""
+        return self._clock_reading_ms is not None
+
     def latest_lease_end_ms(self, clock_ms):
         """Returns the latest end of a lease that an order can name.
 
--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -16,6 +16,9 @@
 READY = 'ready'
 DRAINING = 'draining'
 WITHDRAWN = 'withdrawn'  # its process will end
+# Outcome of a poll that an earlier process of the worker answered, or one at
+# an address that the worker has left.
+FORMER_PROCESS = 'former_process'
 # A worker gets no new tasks once its last announcement is older than this many
 # announcement intervals.
 MAX_MISSED_ANNOUNCEMENTS = 3
@@ -55,6 +58,9 @@
         paused_until_ms: time before which it gets no new tasks.
         next_poll_ms: earliest time of the next poll.
         poll_sent_ms: when the newest poll was sent.
+        poll_outcome: ``Verdict`` of its newest reply to a poll, or
+            ``FORMER_PROCESS``; empty before the first.
+        listed_ms: when it listed its runs last, None before the first time.
         collected_end_number: number of the newest end of a run that was
             collected from it, to be proposed.
         acknowledged_end_number: number of the newest end of a run that it was
@@ -73,11 +79,13 @@
         'last_announced_ms',
         'last_replied_ms',
         'lease_clock',
+        'listed_ms',
         'newest_clock_ms',
         'next_poll_ms',
         'pace_control',
         'paused_until_ms',
         'pending_poll',
+        'poll_outcome',
         'poll_sent_ms',
         'record',
         'runs',
@@ -104,6 +112,8 @@
         self.paused_until_ms = 0
         self.next_poll_ms = 0
         self.poll_sent_ms = 0
+        self.poll_outcome = ''
+        self.listed_ms = None
         self.collected_end_number = record.ends_noted
         self.acknowledged_end_number = record.ends_noted
         self.runs = {}
--- a/fuchsiatrestle/workflows/_orders.py
+++ b/fuchsiatrestle/workflows/_orders.py
@@ -5,6 +5,7 @@
 from fuchsiatrestle.workflows import _fleet
 from fuchsiatrestle.workflows import _run_ends
 from fuchsiatrestle.workflows import _runs
+from fuchsiatrestle.workflows import _stalls
 
 __all__ = ('OrderPlanner',)
 
@@ -36,6 +37,7 @@
         self._dispatch_state = dispatch_state
         self._timing = timing
         self._leading_since_ms = dispatch_state.now_ms
+        self._stall_log = _stalls.StallLog(dispatch_state, timing)
 
     def due_orders(self, worker, now_ms):
         """Returns the orders to send to a worker now and marks them pending.
@@ -48,6 +50,7 @@
             A list of ``Order``, at most ``MAX_AWAITED_RUN_ORDERS`` about runs
             and one ``PollWorker``.
         """
+        self._stall_log.report_if_due(worker, now_ms)
         orders = self._make_run_orders(worker, now_ms)
         orders += self._make_poll_orders(worker, now_ms)
         worker.awaited_orders += orders
