Log orders that are held until the leadership is confirmed

Cause: orders wait for the confirmation for as long as the term is led; only a counter told of it, and only where it was read.

Change: orders_held, at most once a second, with the count, the term and since when. No order is sent earlier, later or dropped for it.

Measured: with the call removed the new test of control.test_orders fails, with it all seven pass.

--- a/fuchsiatrestle/control/_orders.py
+++ b/fuchsiatrestle/control/_orders.py
@@ -12,6 +12,9 @@
 
 # Interval at which held orders are checked while there are any.
 HELD_CHECK_INTERVAL_S = 0.02
+# Shortest time between two reports of held orders, and from the first of them
+# to the first report.
+REPORT_INTERVAL_MS = 1000
 
 HELD_ORDERS = metrics.declare(
     'orders.held', 'Orders held until the leadership was confirmed.'
@@ -41,6 +44,10 @@
         # Orders that wait, oldest first.
         self._held_orders = collections.deque()
         self._orders_are_held = curio.Event()
+        # Time from which orders have been held without a break, and of the
+        # next report of them.
+        self._held_since_ms = 0
+        self._next_report_ms = 0
 
     async def send(self, order):
         """Sends an order at once if possible, otherwise holds it."""
@@ -48,6 +55,9 @@
             await self._driver.send(order)
             return
         metrics.count(HELD_ORDERS)
+        if not self._held_orders:
+            self._held_since_ms = daemon.monotonic_ms()
+            self._next_report_ms = self._held_since_ms + REPORT_INTERVAL_MS
         self._held_orders.append(order)
         await self._orders_are_held.set()
 
@@ -63,6 +73,7 @@
                 await curio.sleep(HELD_CHECK_INTERVAL_S)
                 self._drop_outdated_orders()
                 await self._send_confirmed_orders()
+                self._report_held_orders_if_due()
 
     def _drop_outdated_orders(self):
         held_orders = self._held_orders
@@ -74,6 +85,21 @@
             metrics.count(DROPPED_ORDERS, dropped_count)
             LOG.info('orders_dropped', extra={'count': dropped_count})
 
+    def _report_held_orders_if_due(self):
+        """Logs, at most once a second, that orders wait to be sent."""
+        now_ms = daemon.monotonic_ms()
+        if not self._held_orders or now_ms < self._next_report_ms:
+            return
+        self._next_report_ms = now_ms + REPORT_INTERVAL_MS
+        LOG.warning(
+            'orders_held',
+            extra={
+                'count': len(self._held_orders),
+                'token': self._held_orders[0].token,
+                'waited_ms': now_ms - self._held_since_ms,
+            },
+        )
+
     async def _send_confirmed_orders(self):
         # An order leaves the queue only after it was sent, so that no later
         # one overtakes it.
--- a/tests/control/test_orders.py
+++ b/tests/control/test_orders.py
@@ -151,6 +151,25 @@
 
         self._run(scenario)
 
+    def test_held_orders_are_reported_once_a_second(self):
+        async def scenario():
+            await self._lead_and_sleep()
+            with self.assertLogs(_orders.__name__, 'INFO') as logged:
+                for worker in ('w1', 'w2'):
+                    await self.order_task.send(_make_order(worker))
+                for _ in range(2):
+                    self.now_ms += _orders.REPORT_INTERVAL_MS
+                    await curio.sleep(3 * _orders.HELD_CHECK_INTERVAL_S)
+            self.assertEqual(
+                [('orders_held', 2, 1000), ('orders_held', 2, 2000)],
+                [
+                    (record.msg, record.count, record.waited_ms)
+                    for record in logged.records
+                ],
+            )
+
+        self._run(scenario)
+
     def test_a_leader_that_slept_and_was_replaced_drops_its_orders(self):
         async def scenario():
             dropped_before = _count_dropped()
