Log proposals that stay pending and announcements that are ignored

Cause: while a proposal is pending nothing is placed, and group_waits is not logged either; a leader whose quorum answers but stores nothing left no line. A worker whose process names an older start or sequence than the known one gets no tasks for as long as it does so, without a line.

Change: proposal_pending, at most once a second, and announcement_ignored, at most once a second for a worker. No decision changes.

A proposal agreed after 0.5 s leaves no line.

--- a/fuchsiatrestle/workflows/_announcing.py
+++ b/fuchsiatrestle/workflows/_announcing.py
@@ -7,6 +7,7 @@
 from fuchsiatrestle.workflows import _fleet
 from fuchsiatrestle.workflows import _run_ends
 from fuchsiatrestle.workflows import _runs
+from fuchsiatrestle.workflows import _stalls
 
 __all__ = ('AnnouncementHandler', 'may_end_process')
 
@@ -32,6 +33,7 @@
 
     def __init__(self, dispatch_state):
         self._dispatch_state = dispatch_state
+        self._report_timer = _stalls.ReportTimer()
 
     def on_worker_announced(self, event):
         """Updates or adds a worker; ignores outdated announcements.
@@ -50,8 +52,10 @@
                 worker, _fleet.record_from_announcement(announcement)
             )
         elif announcement.born_ms < worker.record.born_ms:
+            self._log_ignored_announcement(worker, announcement)
             return
         elif announcement.sequence <= worker.announcement_sequence:
+            self._log_ignored_announcement(worker, announcement)
             return
         elif worker.withdrawn_ms is not None:
             return
@@ -65,6 +69,27 @@
         worker.record_clock(announcement.clock_ms, self._dispatch_state.now_ms)
         self._dispatch_state.placement_due = True
 
+    def _log_ignored_announcement(self, worker, announcement):
+        """Logs an outdated announcement, at most once a second a worker."""
+        now_ms = self._dispatch_state.now_ms
+        if not self._report_timer.start_interval_if_due(worker.name, now_ms):
+            return
+        heard_ms = None
+        if worker.last_announced_ms is not None:
+            heard_ms = now_ms - worker.last_announced_ms
+        LOG.info(
+            'announcement_ignored',
+            extra={
+                'worker': worker.name,
+                'born_ms': announcement.born_ms,
+                'known_born_ms': worker.record.born_ms,
+                'sequence': announcement.sequence,
+                'known_sequence': worker.announcement_sequence,
+                'heard_ms': heard_ms,
+                'runs': len(worker.runs),
+            },
+        )
+
     def _update_worker(self, worker, announcement):
         if worker.state != announcement.state:
             LOG.info(
--- a/fuchsiatrestle/workflows/_proposals.py
+++ b/fuchsiatrestle/workflows/_proposals.py
@@ -5,11 +5,19 @@
 proposal by itself; it is added to the next proposal that is made.
 """
 
+from fuchsiatrestle import logs
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.workflows import _events
 
 __all__ = ('ProposalBuffer',)
 
+# Shortest time between two reports of a pending proposal, and from the
+# proposal to the first one.  Until it is agreed no group is placed, and the
+# wait of none is reported.
+REPORT_INTERVAL_MS = 1000
+
+LOG = logs.get_logger(__name__)
+
 
 class ProposalBuffer:
     """Collects workers, ends, lost, placed and moved runs to be agreed."""
@@ -17,6 +25,7 @@
     def __init__(self):
         self._last_proposal_token = 0
         self._pending_command = None
+        self._last_report_wall_ms = 0
         self._worker_records = []
         self._run_ends = []
         self._lost_runs = []
@@ -67,7 +76,10 @@
         Returns:
             A list with one ``Propose``, or an empty list.
         """
-        if not self.is_idle or not self._has_items:
+        if not self.is_idle:
+            self._report_pending_if_due(wall_ms)
+            return []
+        if not self._has_items:
             return []
         self._last_proposal_token += 1
         command = commands.RecordProgress(
@@ -82,6 +94,7 @@
             self._survived_runs,
         )
         self._pending_command = command
+        self._last_report_wall_ms = wall_ms
         self._worker_records = []
         self._run_ends = []
         self._lost_runs = []
@@ -91,6 +104,27 @@
         self._image_pairs = {}
         return [_events.Propose(command)]
 
+    def _report_pending_if_due(self, wall_ms):
+        """Logs a proposal that is pending, at most once a second.
+
+        Args:
+            wall_ms: time since the epoch; it may have been set back.
+        """
+        if abs(wall_ms - self._last_report_wall_ms) < REPORT_INTERVAL_MS:
+            return
+        self._last_report_wall_ms = wall_ms
+        command = self._pending_command
+        LOG.warning(
+            'proposal_pending',
+            extra={
+                'proposal': command.token,
+                'waited_ms': wall_ms - command.now_ms,
+                'placed': len(command.placed),
+                'ends': len(command.ends),
+                'lost': len(command.lost),
+            },
+        )
+
     @property
     def _has_items(self):
         return bool(
--- a/tests/workflows/test_stalls.py
+++ b/tests/workflows/test_stalls.py
@@ -8,7 +8,9 @@
 
 from fuchsiatrestle.state import workflows
 from fuchsiatrestle import workflows as dispatcher
+from fuchsiatrestle.workflows import _announcing
 from fuchsiatrestle.workflows import _book
+from fuchsiatrestle.workflows import _proposals
 from fuchsiatrestle.workflows import _stalls
 from standins import worker_model
 from tests.fakes import dispatch_world
@@ -205,5 +207,56 @@
         self.assertGreaterEqual(len(reports), 5)
 
 
+class PendingProposalLogTest(unittest.TestCase):
+    """Nothing is placed, and no wait of a group logged, meanwhile."""
+
+    def _submit_to_world(self, agreement_ms):
+        world = dispatch_world.World(4, workers=1)
+        world.run(2000)
+        world.added_agreement_ms = agreement_ms
+        world.submit('w', [LASTING_STEP], [ENDLESS_PROFILE])
+        return world
+
+    def test_proposal_that_is_not_agreed_is_reported_once_a_second(self):
+        world = self._submit_to_world(agreement_ms=10 * LONG_WAIT_MS)
+        with self.assertLogs(_proposals.LOG) as logs:
+            world.run(5000)
+        reports = logs.records
+        self.assertEqual(
+            ['proposal_pending'] * 5, [report.msg for report in reports]
+        )
+        self.assertEqual(1, reports[-1].placed)
+        self.assertGreaterEqual(reports[-1].waited_ms, 5000)
+
+    def test_proposal_that_is_agreed_soon_is_not_reported(self):
+        world = self._submit_to_world(agreement_ms=500)
+        with self.assertNoLogs(_proposals.LOG):
+            world.run(5000)
+
+
+class IgnoredAnnouncementLogTest(unittest.TestCase):
+    def test_announcement_with_an_older_start_is_reported(self):
+        """Nothing told of a worker that got no tasks for this cause."""
+        world = dispatch_world.World(4, workers=1)
+        world.run(2000)
+        newest = world.last_announcement_by_worker['w0']
+        older = msgspec.structs.replace(
+            newest, born_ms=newest.born_ms - 1, sequence=newest.sequence + 1
+        )
+        with self.assertLogs(_announcing.LOG) as logs:
+            for _ in range(3):
+                world.deliver_announcement(older)
+            world.run(_stalls.REPORT_INTERVAL_MS)
+            world.deliver_announcement(older)
+        reports = [
+            record
+            for record in logs.records
+            if record.msg == 'announcement_ignored'
+        ]
+        self.assertEqual(2, len(reports))
+        self.assertEqual(older.born_ms, reports[0].born_ms)
+        self.assertEqual(newest.born_ms, reports[0].known_born_ms)
+
+
 if __name__ == '__main__':
     unittest.main()
