Show five waits of accepted tasks that have no bound

Cause: the waits between being due and running were listed from the code; these have neither a bound nor, before, a log line.

--- /dev/null
+++ b/tests/workflows/test_unbounded_waits.py
@@ -0,0 +1,180 @@
+"""Tests that a task with room elsewhere does not wait without an end.
+
+The bounds are those that follow from a proof: leases that are surely over, or
+a start that was never sent.
+"""
+
+import errno
+import logging
+import unittest
+from unittest import mock
+
+import curio
+import msgspec
+
+from fuchsiatrestle.platform import _driver
+from fuchsiatrestle.state import workflows
+from fuchsiatrestle import workflows as dispatcher
+from standins import worker_model
+from tests.fakes import dispatch_world
+
+LASTING_STEP = workflows.Step(1, cpu=1000, memory_mb=100, lasts=True)
+ENDLESS_PROFILE = worker_model.TaskProfile(1000, 100, None)
+SILENT_REPLY = dispatcher.Reply(
+    dispatcher.Verdict.SILENT, None, 0, [], [], False
+)
+# Twice the longest lease, and a clock that is 2% slow.
+LONG_WAIT_MS = 12_500
+
+
+class UnboundedWaitTest(unittest.TestCase):
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        self.world = dispatch_world.World(4, workers=1)
+        self.world.run(2000)
+
+    def _submit(self):
+        self.world.submit('w', [LASTING_STEP], [ENDLESS_PROFILE])
+
+    def _replace_replies(self, replace_reply):
+        """Replaces the replies of ``w0``, each of which may be None."""
+        report_reply = self.world._report_reply
+
+        def report_replaced_reply(token, order, reply):
+            if order.worker == 'w0':
+                reply = replace_reply(order, reply)
+            report_reply(token, order, reply)
+
+        self.world._report_reply = report_replaced_reply
+
+    def _replace_announcements(self, **fields):
+        """Replaces fields of the announcements of ``w0``."""
+        deliver_announcement = self.world.deliver_announcement
+
+        def deliver_replaced_announcement(announcement):
+            if announcement.worker == 'w0':
+                announcement = msgspec.structs.replace(announcement, **fields)
+            deliver_announcement(announcement)
+
+        self.world.deliver_announcement = deliver_replaced_announcement
+
+    def _replace_reply_fields(self, **fields):
+        """Replaces fields of the replies of ``w0`` to polls."""
+
+        def replace_fields(order, reply):
+            if reply is None or not isinstance(order, dispatcher.PollWorker):
+                return reply
+            return dispatcher.Reply(
+                *(
+                    fields.get(name, getattr(reply, name))
+                    for name in dispatcher.Reply.__slots__
+                )
+            )
+
+        self._replace_replies(replace_fields)
+
+    def _check_runs_on(self, worker):
+        self.assertEqual([], self.world.ledger.breaches)
+        self.assertEqual([worker], list(self.world.ledger.running.values()))
+
+    def test_run_on_a_process_heard_once_is_over_with_its_leases(self):
+        """Its answer to a poll has told its clock, too."""
+        self.world.voiceless_workers.add('w0')
+        self._submit()
+        self.world.run(300)
+        self.world.first_announcement_ms = 100 * LONG_WAIT_MS
+        self.world.crash_worker('w0', 200)
+        self.world.voiceless_workers.clear()
+        self._replace_replies(self._cut_off_once_answered)
+        self.world.run(3000)
+        self.assertIn('w0', self.world.unreachable_workers)
+        self.world.first_announcement_ms = 0
+        self.world.add_worker('w1')
+        self.world.run(LONG_WAIT_MS)
+        self._check_runs_on('w1')
+
+    def _cut_off_once_answered(self, order, reply):
+        if reply is not None and isinstance(order, dispatcher.PollWorker):
+            self.world.unreachable_workers.add('w0')
+        return reply
+
+    def test_run_on_a_worker_that_refuses_polls_is_over_with_its_leases(self):
+        """A poll that was refused has given no lease."""
+        self._submit()
+        self.world.run(1000)
+        self._check_runs_on('w0')
+        self._refuse_polls(dispatcher.Verdict.UNHEALTHY)
+        self.world.add_worker('w1')
+        self.world.run(LONG_WAIT_MS)
+        self._check_runs_on('w1')
+
+    def _refuse_polls(self, verdict):
+        execute_order = self.world._execute_order
+
+        def execute_or_refuse(order):
+            if order.worker != 'w0' or not isinstance(
+                order, dispatcher.PollWorker
+            ):
+                return execute_order(order)
+            model = self.world._worker_models['w0']
+            model.advance(self.world.now_ms)
+            return dispatcher.Reply(
+                verdict,
+                model.clock_ms(self.world.now_ms),
+                model.born_ms,
+                [],
+                [],
+                False,
+            )
+
+        self.world._execute_order = execute_or_refuse
+
+    def test_task_leaves_a_worker_that_never_tells_its_clock(self):
+        """No start was sent, as no lease can be named."""
+        self._replace_announcements(clock_ms=None)
+        self._replace_reply_fields(clock_ms=None)
+        self.world.crash_worker('w0', 200)
+        self.world.run(4000)
+        self._submit()
+        self.world.run(1000)
+        self.world.add_worker('w1')
+        self.world.run(LONG_WAIT_MS)
+        self._check_runs_on('w1')
+
+    def test_process_whose_clock_was_set_back_gets_tasks(self):
+        """It names an earlier start than the process before it."""
+        self.world.crash_worker('w0', 200)
+        self.world.run(4000)
+        self._replace_announcements(born_ms=1)
+        self._replace_reply_fields(born_ms=1)
+        self.world.crash_worker('w0', 200)
+        self.world.run(4000)
+        self._submit()
+        self.world.run(LONG_WAIT_MS)
+        self._check_runs_on('w0')
+
+
+class DriverReplyTest(unittest.TestCase):
+    def test_order_without_a_free_descriptor_is_reported_as_silent(self):
+        """A worker whose poll is never reported is never polled again."""
+        replies = []
+
+        async def append_reply(event):
+            replies.append(event.reply)
+
+        async def send_order():
+            driver = _driver.HttpDriver()
+            await driver.start(append_reply)
+            order = dispatcher.PollWorker('w0', '127.0.0.1:1', None, 1, 0, 0)
+            await driver.send(order)
+            await curio.sleep(0.1)
+
+        error = OSError(errno.EMFILE, 'Too many open files')
+        with mock.patch.object(curio.socket, 'socket', side_effect=error):
+            curio.run(send_order)
+        self.assertEqual([SILENT_REPLY], replies)
+
+
+if __name__ == '__main__':
+    unittest.main()
