Show a start repeated without end and a reservation longer than the rule

A start that is never answered is sent again for as long as its worker answers polls. A worker reserved for a task that does not fit is kept from a batch task for 30 s, while the rule LOST allows 3 s where there is room twice over and under half is in use.

--- a/tests/workflows/test_unbounded_waits.py
+++ b/tests/workflows/test_unbounded_waits.py
@@ -1,7 +1,7 @@
 """Tests that a task with room elsewhere does not wait without an end.
 
-The bounds are those that follow from a proof: leases that are surely over, or
-a start that was never sent.
+The bounds are those that follow from a proof, as that all leases are surely
+over or that a start was never sent, or from the rules of the platform.
 """
 
 import errno
@@ -23,6 +23,9 @@
 SILENT_REPLY = dispatcher.Reply(
     dispatcher.Verdict.SILENT, None, 0, [], [], False
 )
+# Longest wait by the rule LOST for a task with room for it twice over, while
+# under half of the capacity of the service is in use.
+RULE_WAIT_MS = 3000
 # Twice the longest lease, and a clock that is 2% slow.
 LONG_WAIT_MS = 12_500
 
@@ -142,6 +145,15 @@
         self.world.run(LONG_WAIT_MS)
         self._check_runs_on('w1')
 
+    def test_task_leaves_a_worker_that_no_start_reaches(self):
+        """A stop, accepted, and a whole list prove that it has not started."""
+        self.world.startless_workers.add('w0')
+        self._submit()
+        self.world.run(300)
+        self.world.add_worker('w1')
+        self.world.run(LONG_WAIT_MS)
+        self._check_runs_on('w1')
+
     def test_process_whose_clock_was_set_back_gets_tasks(self):
         """It names an earlier start than the process before it."""
         self.world.crash_worker('w0', 200)
@@ -155,6 +167,25 @@
         self._check_runs_on('w0')
 
 
+class ReservedWorkerTest(unittest.TestCase):
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    def test_batch_task_is_not_kept_off_a_reserved_worker_half_in_use(self):
+        """The rule: room twice over, and under half in use, for 3 s."""
+        world = dispatch_world.World(3, workers=1)
+        world.submit_task('slow', 3600, 10_000_000)
+        world.run(500)
+        world.submit_task('larger-than-free', 5000, 60_000)
+        world.run(500)
+        world.submit_task(
+            'fits', 1000, 400, prefix=dispatch_world.LOW_PRIORITY_PREFIX
+        )
+        world.run(RULE_WAIT_MS)
+        self.assertNotEqual('queued', world.workflow_state('fits'))
+
+
 class DriverReplyTest(unittest.TestCase):
     def test_order_without_a_free_descriptor_is_reported_as_silent(self):
         """A worker whose poll is never reported is never polled again."""
