Show that an end listed after a later one keeps its run live without end

Cause: an end counts only if its number is above the newest collected one, so in a list that does not ascend the lower ends are dropped after their runs were removed; no worker has these runs then, and the agreed state keeps them.

--- a/tests/workflows/test_unbounded_waits.py
+++ b/tests/workflows/test_unbounded_waits.py
@@ -154,6 +154,27 @@
         self.world.run(LONG_WAIT_MS)
         self._check_runs_on('w1')
 
+    def test_end_listed_after_a_later_one_counts(self):
+        """Such an end was dropped, and its run stayed live."""
+        self._replace_replies(self._reverse_ends)
+        step = workflows.Step(4, cpu=1000, memory_mb=10, estimate_ms=300)
+        profile = worker_model.TaskProfile(1000, 10, 300)
+        self.world.submit('w', [step], [profile])
+        self.world.run(LONG_WAIT_MS)
+        self.assertEqual([], self.world.ledger.breaches)
+        self.assertEqual('completed', self.world.workflow_state('w'))
+
+    @staticmethod
+    def _reverse_ends(order, reply):
+        return reply and dispatcher.Reply(
+            reply.verdict,
+            reply.clock_ms,
+            reply.born_ms,
+            reply.listed_runs,
+            reply.listed_ends[::-1],
+            reply.is_complete,
+        )
+
     def test_process_whose_clock_was_set_back_gets_tasks(self):
         """It names an earlier start than the process before it."""
         self.world.crash_worker('w0', 200)
