Show that a task waits for ever on a worker whose next process answered once

Cause: a run that a new leader has adopted may still be started by an order of an earlier leader, so at a restart of its worker it goes over to the next process until the lease that such an order names is over on that process's clock. If all that is heard of the process is the one answer that shows it, its clock is not known: `replace_worker` drops the reading of that answer. `LeaseClock.has_passed` then is False for ever, the run stays live, and its task waits, whatever room there is.

Change: a failing test, no logic. Its bound is the age of the ended process, which the lease in such an order outlives by its length, and twice the stated 9 s.

--- a/tests/workflows/test_leader_changes.py
+++ b/tests/workflows/test_leader_changes.py
@@ -62,6 +62,32 @@
                 world.run(MAX_WAIT_MS)
                 self._check_runs_elsewhere(world, worker)
 
+    def test_task_of_worker_whose_next_process_answers_once_runs_again(self):
+        """Nothing but that answer tells of the next process."""
+        for longest_lease_ms in LONGEST_LEASES_MS:
+            with self.subTest(longest_lease_ms=longest_lease_ms):
+                world, worker = self._start_world(longest_lease_ms)
+                world.start_leader()
+                world.run(1000)
+                ended_process_age_ms = world.now_ms
+                world.unannounced_workers.add(worker)
+                self._cut_off_after_answer(world, worker, world.now_ms)
+                world.crash_worker(worker, 300)
+                world.run(ended_process_age_ms + 2 * MAX_WAIT_MS)
+                self.assertIn(worker, world.unreachable_workers)
+                self._check_runs_elsewhere(world, worker)
+
+    def _cut_off_after_answer(self, world, worker, born_after_ms):
+        """Cuts off a worker once a process born later has answered."""
+        report_reply = world._report_reply
+
+        def report_and_cut_off(token, order, reply):
+            if reply is not None and reply.born_ms > born_after_ms:
+                world.unreachable_workers.add(worker)
+            report_reply(token, order, reply)
+
+        world._report_reply = report_and_cut_off
+
 
 if __name__ == '__main__':
     unittest.main()
