Show that a worker which announces itself but gets no orders fails jobs

Cause: a start order without an answer counts as a possible crash when the lease is over, even if the same process has announced itself since. Without runs the worker is used again at its next announcement, so a task that finds room only there loses such a run each 6 to 9 s. After the fifth its job is shown as failed, without a run that has failed or started.

Change: a failing test, no logic.

The other 14 tests of the module pass.

--- a/tests/workflows/test_deadly_tasks.py
+++ b/tests/workflows/test_deadly_tasks.py
@@ -461,6 +461,22 @@
                 self.assertEqual({}, world.ledger.crash_ages_ms_by_task)
                 self.assertEqual('running', world.workflow_state('cut-off'))
 
+    def test_worker_that_announces_itself_but_gets_no_orders_fails_no_job(
+        self,
+    ):
+        """A start order that never arrives is not taken for a crash."""
+        for work_ms in (None, 2000):
+            with self.subTest(work_ms=work_ms):
+                world = dispatch_world.World(1, workers=1)
+                world.run(2000)
+                world.deaf_workers.add('w0')
+                _submit_job(world, 'unstarted', work_ms=work_ms)
+                world.run(90_000)
+                self.assertEqual(0, world.ledger.starts)
+                world.deaf_workers.clear()
+                world.run(9000)
+                self.assertEqual(1, world.ledger.starts)
+
     def test_worker_that_restarts_before_a_trial_is_agreed_is_used_again(self):
         world = dispatch_world.World(1, workers=1, refuses_connections=True)
         world.renames_restarted = False
