Show that a task waits for as long as its worker's ended process was up

Cause: a run that a new leader has adopted goes over to the next process of its worker until the lease in a start order of an earlier leader is over. That end is a time on the clock of the ended process, the clock of the next one starts anew: the wait is the age of the ended process and a lease. It is not cut short when the next process has accepted a poll of this leader, refuses the orders of earlier ones from then on, and lists no such run, unless it also answers a stop and one more poll, which takes 0.5 to 1 s.

Change: a failing test, no logic. Its bound is the longest lease and the stated 9 s.

--- a/tests/workflows/test_leader_changes.py
+++ b/tests/workflows/test_leader_changes.py
@@ -71,19 +71,38 @@
                 world.run(1000)
                 ended_process_age_ms = world.now_ms
                 world.unannounced_workers.add(worker)
-                self._cut_off_after_answer(world, worker, world.now_ms)
+                self._cut_off_after_polls(world, worker, 1)
                 world.crash_worker(worker, 300)
                 world.run(ended_process_age_ms + 2 * MAX_WAIT_MS)
                 self.assertIn(worker, world.unreachable_workers)
                 self._check_runs_elsewhere(world, worker)
 
-    def _cut_off_after_answer(self, world, worker, born_after_ms):
-        """Cuts off a worker once a process born later has answered."""
+    def test_task_that_the_next_process_does_not_list_runs_again_in_time(self):
+        """The process refuses the starts of earlier leaders, then vanishes."""
+        for longest_lease_ms in LONGEST_LEASES_MS:
+            with self.subTest(longest_lease_ms=longest_lease_ms):
+                world, worker = self._start_world(longest_lease_ms)
+                world.run(60_000)
+                world.start_leader()
+                world.run(1000)
+                world.unannounced_workers.add(worker)
+                self._cut_off_after_polls(world, worker, 2)
+                world.crash_worker(worker, 300)
+                world.run(300 + longest_lease_ms + MAX_WAIT_MS)
+                self.assertIn(worker, world.unreachable_workers)
+                self._check_runs_elsewhere(world, worker)
+
+    def _cut_off_after_polls(self, world, worker, poll_count):
+        """Cuts off a worker once its next process has answered some polls."""
+        next_process_after_ms = world.now_ms
+        answers = []
         report_reply = world._report_reply
 
         def report_and_cut_off(token, order, reply):
-            if reply is not None and reply.born_ms > born_after_ms:
-                world.unreachable_workers.add(worker)
+            if reply is not None and reply.born_ms > next_process_after_ms:
+                answers.append(reply)
+                if len(answers) == poll_count:
+                    world.unreachable_workers.add(worker)
             report_reply(token, order, reply)
 
         world._report_reply = report_and_cut_off
