Show that refused orders keep runs alive that have lapsed

Cause: a worker that answers each order with a refusal (429 or 503, an unhealthy minion; also `fence`, 400) counts as one that replies, so its lease never counts as over. The refused polls extend no lease there and list nothing: its runs lapse, stay live for the leader, and their tasks wait.

Change: a failing test, no logic. Its bound is a lease and the stated 9 s.

--- a/tests/workflows/test_recovery.py
+++ b/tests/workflows/test_recovery.py
@@ -13,6 +13,10 @@
 STEP_SIZE = worker_model.TaskProfile(1000, 100, 500)
 LONG_RUNNING_STEP = workflows.Step(1, cpu=1000, memory_mb=100, lasts=True)
 ENDLESS_SIZE = worker_model.TaskProfile(1000, 100, None)
+LEASE_MS = 6000
+# A long-running task runs again within this time after its last run if a
+# worker has room for it.
+MAX_WAIT_MS = 9000
 
 
 class RecoveryTest(unittest.TestCase):
@@ -236,6 +240,24 @@
         self.assertEqual([], world.ledger.breaches)
         self.assertEqual(1, len(world.ledger.running))
 
+    def test_tasks_of_a_worker_that_refuses_all_orders_run_elsewhere(self):
+        """Its refusals kept runs alive that had lapsed there."""
+        world = dispatch_world.World(1, workers=2)
+        world.submit('lasting', [LONG_RUNNING_STEP], [ENDLESS_SIZE])
+        world.run(2000)
+        (worker,) = world.ledger.running.values()
+        execute_order = world._execute_order
+        refusal = dispatcher.Reply(
+            dispatcher.Verdict.UNHEALTHY, None, 0, [], [], False
+        )
+        world._execute_order = lambda order: (
+            refusal if order.worker == worker else execute_order(order)
+        )
+        world.run(LEASE_MS + MAX_WAIT_MS)
+        self.assertEqual(1, len(world.ledger.running))
+        self.assertNotIn(worker, world.ledger.running.values())
+        self.assertEqual([], world.ledger.breaches)
+
 
 if __name__ == '__main__':
     unittest.main()
