Show that a task goes round the workers that get no orders while others have room

Cause: a worker without runs counts as usable again at its next announcement, though all orders to it stay without an answer. A task whose start on it was not answered is suspected, and started alone where the fewest runs are: on the next worker of that kind, as those have lost all theirs. Two such workers suffice for the task to change between them, 6.1 s each, until it is given up. A group that is placed each time is not in `group_waits`; only `run_placed` and `run_lost` show it.

Change: a failing test, no logic. Its bound is a lease and the stated 9 s.

--- a/tests/workflows/test_deadly_tasks.py
+++ b/tests/workflows/test_deadly_tasks.py
@@ -24,6 +24,10 @@
 # Greatest number of early crashes and cuts of a harmless task, to which the
 # random faults keep.  With three of them nothing tells it from a deadly one.
 MAX_EARLY_FAULTS = 2
+LEASE_MS = 6000
+# A long-running task runs again within this time after its last run if a
+# worker has room for it.
+MAX_WAIT_MS = 9000
 FAULT_SEEDS = range(40)
 MIX_SEEDS = range(30)
 # Runs in which the leader changes after a late start or twice in a row.
@@ -477,6 +481,27 @@
                 world.run(9000)
                 self.assertEqual(1, world.ledger.starts)
 
+    def test_task_leaves_the_workers_that_get_no_orders_for_one_with_room(
+        self,
+    ):
+        """It was tried in turn on those, as they have the fewest runs."""
+        world = dispatch_world.World(1, workers=4)
+        silent_workers, busy_workers = {'w0', 'w1'}, {'w2', 'w3'}
+        world.draining_workers |= silent_workers
+        world.run(2000)
+        for number in range(4):
+            _submit_job(world, f'running-{number}')
+        world.run(1000)
+        world.deaf_workers |= silent_workers
+        world.draining_workers = set(busy_workers)
+        world.run(2000)
+        _submit_job(world, 'waiting')
+        world.run(1000)
+        world.draining_workers.clear()
+        world.run(LEASE_MS + MAX_WAIT_MS)
+        self.assertEqual(5, len(world.ledger.running))
+        self.assertEqual([], world.ledger.breaches)
+
     def test_worker_that_restarts_before_a_trial_is_agreed_is_used_again(self):
         world = dispatch_world.World(1, workers=1, refuses_connections=True)
         world.renames_restarted = False
