Advance all simulated workers only before a start

Cause: each poll of the simulated world, every 20 ms and worker, advanced the runs of all workers, which only the ledger's checks of a start need.

Change: only a start order advances the other workers.

--- a/tests/fakes/dispatch_world.py
+++ b/tests/fakes/dispatch_world.py
@@ -734,10 +734,11 @@
 
     def _execute_order(self, order):
         now_ms = self.now_ms
-        for other_model in self._worker_models.values():
+        if isinstance(order, workflows.StartRun):
             # Runs that have ended on other workers by now must not count as
             # running in the ledger.
-            other_model.advance(now_ms)
+            for other_model in self._worker_models.values():
+                other_model.advance(now_ms)
         model = self._worker_models.get(order.worker)
         if model is None:
             if self._is_other_worker_there(order):
