--- a/tests/fakes/dispatch_world.py
+++ b/tests/fakes/dispatch_world.py
@@ -166,6 +166,14 @@
             draining.
         unannounced_workers: names of workers whose announcements are lost.
         startless_workers: names of workers that no start order reaches.
+        last_word_workers: names of workers that become unreachable once they
+            have answered a poll.
+        last_fault_ms: time of the last fault: a lost or late order, a lost
+            reply, a rejected proposal, a start or an end of a process, or a
+            change of leader.
+        led_since_ms: time of the start of the leader.
+        last_reply_ms_by_worker: time of the last reply that a worker has sent
+            and that was not lost, by its name.
         last_announcement_by_worker: newest announcement that each worker has
             sent, by its name.
         added_agreement_ms: time by which proposals are agreed later.
@@ -205,6 +213,10 @@
         self.draining_workers = set()
         self.unannounced_workers = set()
         self.startless_workers = set()
+        self.last_word_workers = set()
+        self.last_fault_ms = 0
+        self.led_since_ms = 0
+        self.last_reply_ms_by_worker = {}
         self.last_announcement_by_worker = {}
         self.added_agreement_ms = 0
         self.port_by_worker = {}
@@ -228,6 +240,8 @@
         self._call_numbers = itertools.count()
         self._leader_token = 0
         self._dispatcher = None
+        # Events that wait for a leader that stands still, else None.
+        self._waiting_events = None
         self._pending_commands = []
         self._agreed_commands = []
         self.apply_agreed(commands.PutDocument(_make_document(), b''))
@@ -260,6 +274,10 @@
         self._step_dispatcher(workflows.Tick(START_WALL_MS + self.now_ms))
         self._schedule(TICK_INTERVAL_MS, self._tick)
 
+    def record_fault(self, duration_ms=0):
+        """Records a fault that starts now."""
+        self.last_fault_ms = max(self.last_fault_ms, self.now_ms + duration_ms)
+
     # Agreement
 
     def start_leader(self):
@@ -272,6 +290,9 @@
             if self.random.random() < 0.5:
                 self.apply_agreed(command)
         self._pending_commands = []
+        self.record_fault()
+        self.led_since_ms = self.now_ms
+        self._waiting_events = None
         self._leader_token += 1
         self._dispatcher = workflows.Dispatcher(
             self.workflow_store,
@@ -289,6 +310,24 @@
         self.workflow_store = self.machine.workflows
         self.start_leader()
 
+    def stall_leader(self, duration_ms):
+        """Lets the leader stand still; it then gets all events at once.
+
+        It stays the leader unless another one is started meanwhile.
+        """
+        self._waiting_events = []
+        self.record_fault(duration_ms)
+        self._schedule(duration_ms, self._end_stall, self._leader_token)
+
+    def _end_stall(self, token):
+        self.record_fault()
+        if token != self._leader_token or self._waiting_events is None:
+            return
+        events = self._waiting_events
+        self._waiting_events = None
+        for event in events:
+            self._step_dispatcher(event)
+
     def freeze_leader(self):
         """Starts a new leader; returns the old one as a ``FrozenLeader``.
 
@@ -310,6 +349,7 @@
         Returns:
             The number of orders that it sent.
         """
+        self.record_fault()
         orders = frozen_leader.wake(START_WALL_MS + self.now_ms, self.now_ms)
         for order in orders:
             self._schedule(
@@ -334,13 +374,20 @@
             or command not in self._pending_commands
         ):
             return
+        if self._waiting_events is not None:
+            self._schedule(50, self._settle_proposal, token, command)
+            return
         self._pending_commands.remove(command)
         if self.faults.lost_order_share and self.random.random() < 0.02:
+            self.record_fault()
             self._step_dispatcher(workflows.ProposalRejected(command.token))
             return
         self.apply_agreed(command)
 
     def _step_dispatcher(self, event):
+        if self._waiting_events is not None:
+            self._waiting_events.append(event)
+            return
         for effect in self._dispatcher.step(event, self.now_ms):
             if isinstance(effect, workflows.Propose):
                 self._pending_commands.append(effect.command)
@@ -468,6 +515,7 @@
             accelerators,
         )
         self._worker_models[name] = model
+        self.record_fault()
         if self.first_announcement_ms:
             self._schedule(self.first_announcement_ms, self._announce, model)
         else:
@@ -519,6 +567,7 @@
                 address.
         """
         self._worker_models.pop(name).crash(self.now_ms)
+        self.record_fault()
         if gets_new_id:
             name = f'w{int(name[1:]) + VM_NUMBER_STEP}'
         self._schedule(downtime_ms, self.add_worker, name)
@@ -581,6 +630,7 @@
     def _end_process(self, model):
         if self._worker_models.get(model.name) is model:
             self._worker_models.pop(model.name).crash(self.now_ms)
+            self.record_fault()
 
     def _announce(self, model):
         if self._worker_models.get(model.name) is not model:
@@ -658,10 +708,13 @@
                 and order.worker in self.startless_workers
             )
         ):
+            if draw < self.faults.lost_order_share:
+                self.record_fault()
             self._schedule(timeout_ms, self._report_reply, token, order, None)
             return
         draw -= self.faults.lost_order_share
         if draw < self.faults.late_order_share:
+            self.record_fault()
             delay_ms = self.random.randint(2000, self.faults.max_delay_ms)
             model = self._worker_models.get(order.worker)
             self._schedule(delay_ms, self._execute_late_order, model, order)
@@ -693,8 +746,11 @@
         self._schedule(wait_ms, self._wait_for_end, token, order, until_ms)
 
     def _send_reply(self, token, order, reply):
+        is_random_loss = self.random.random() < self.faults.lost_reply_share
+        if is_random_loss:
+            self.record_fault()
         is_lost = (
-            self.random.random() < self.faults.lost_reply_share
+            is_random_loss
             or order.worker in self.unreachable_workers
             or order.worker in self.voiceless_workers
         )
@@ -704,6 +760,7 @@
                 timeout_ms = REFUSAL_DELAY_MS
             self._schedule(timeout_ms, self._report_reply, token, order, None)
         else:
+            self.last_reply_ms_by_worker[order.worker] = self.now_ms
             self._schedule(
                 self.random.randint(1, 4),
                 self._report_reply,
@@ -711,6 +768,15 @@
                 order,
                 reply,
             )
+            self._end_last_word(order)
+
+    def _end_last_word(self, order):
+        if order.worker in self.last_word_workers and isinstance(
+            order, workflows.PollWorker
+        ):
+            self.last_word_workers.discard(order.worker)
+            self.unreachable_workers.add(order.worker)
+            self.record_fault()
 
     def _report_reply(self, token, order, reply):
         if not isinstance(order, workflows.PollWorker):
@@ -730,6 +796,7 @@
             model is not None
             and self._worker_models.get(order.worker) is model
         ):
+            self.record_fault()
             self._execute_order(order)
 
     def _execute_order(self, order):
