--- a/tests/workflows/test_waiting_bounds.py
+++ b/tests/workflows/test_waiting_bounds.py
@@ -607,6 +607,59 @@
     def test_no_task_waits_beyond_its_bound_while_workers_have_room(self):
         self._check_seeds(LOSSES)
 
+    def test_no_task_waits_beyond_its_bound_whatever_faults_come(self):
+        self._check_seeds(ALL_LOSSES)
+
+
+class StuckRunTest(unittest.TestCase):
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    def _start_world(self):
+        """Returns a world whose second leader has adopted a lasting task.
+
+        Returns:
+            The world, its observer and the worker that runs the task.
+        """
+        world = dispatch_world.World(4, workers=4)
+        observer = WaitObserver(world)
+        world.submit_task('lasting', 1000)
+        observer.run(20_000)
+        world.start_leader()
+        observer.run(2000)
+        (worker,) = world.ledger.running.values()
+        return world, observer, worker
+
+    def _check_runs(self, world, observer, count):
+        observer.run(CALM_MS)
+        self.assertEqual([], observer.waits)
+        self.assertEqual(count, len(world.ledger.running))
+        self.assertEqual([], world.ledger.breaches)
+
+    def test_adopted_task_runs_again_if_next_process_answers_only_once(self):
+        world, observer, worker = self._start_world()
+        world.first_announcement_ms = 60_000
+        world.last_word_workers.add(worker)
+        world.crash_worker(worker, 300)
+        self._check_runs(world, observer, 1)
+
+    def test_adopted_task_runs_again_if_next_process_is_heard_but_deaf(self):
+        world, observer, worker = self._start_world()
+        world.deaf_workers.add(worker)
+        world.crash_worker(worker, 300)
+        self._check_runs(world, observer, 1)
+
+    def test_tasks_do_not_wait_for_worker_that_answers_all_but_starts(self):
+        world = dispatch_world.World(4, workers=4)
+        observer = WaitObserver(world)
+        observer.run(5000)
+        world.startless_workers.add('w0')
+        world.record_fault()
+        for number in range(4):
+            world.submit_task(f'lasting-{number}', 1000)
+        self._check_runs(world, observer, 4)
+
 
 def _main(losses_name, first_seed, count):
     losses = {'all': ALL_LOSSES, 'some': LOSSES}
