Keep the clock that the first answer of a process tells

What callers saw: a task of a lost worker waits for ever, whatever room there is. Cause: if the answer to a poll is all that is heard of a worker's next process, the reading of the clock in it was dropped. A run that may still start there is over only once its lease has passed on that clock, so it never was. Evidence: the cut of a worker whose next process answers one poll. Change: the reading is recorded for the new process. The wait is the uptime of the ended process and a lease then, by the same proof as before. The simulated world ends the runs of a process that another one of its name replaces; it had kept both at work. Measured: test_run_on_a_process_heard_once_is_over_with_its_leases failed before and passes.

--- a/fuchsiatrestle/workflows/_answers.py
+++ b/fuchsiatrestle/workflows/_answers.py
@@ -95,6 +95,7 @@
                 worker.record, born_ms=reply.born_ms, ends_noted=0
             )
             worker = self._announcement_handler.replace_worker(worker, record)
+            worker.record_clock(reply.clock_ms, self._dispatch_state.now_ms)
         elif reply.verdict == _Verdict.OTHER_PROCESS:
             worker.pending_poll = None
             worker.pause_placement(self._dispatch_state.now_ms)
--- a/tests/fakes/dispatch_world.py
+++ b/tests/fakes/dispatch_world.py
@@ -531,6 +531,9 @@
             self.random.uniform(0.98, 1.0),
             accelerators,
         )
+        earlier_model = self._worker_models.get(name)
+        if earlier_model is not None:
+            earlier_model.crash(self.now_ms)
         self._worker_models[name] = model
         self.record_fault()
         if self.first_announcement_ms:
