Count the ends of a list in whatever order it names them

What callers saw: a task whose run has ended is never started again, nor its job completed. Cause: an end with a lower number than one that the same list names before it was dropped as counted already, and its run was kept by no worker. Evidence: a list in reverse order. Whether workers list so is not known. Change: a list is read in the order of its numbers. Measured: test_end_listed_after_a_later_one_counts failed before and passes.

--- a/fuchsiatrestle/workflows/_answers.py
+++ b/fuchsiatrestle/workflows/_answers.py
@@ -214,7 +214,7 @@
         for row in reply.listed_runs:
             listed_keys.add((row.task, row.run))
             self._update_listed_run(worker, row, reply.clock_ms)
-        for row in reply.listed_ends:
+        for row in sorted(reply.listed_ends, key=lambda end: end.number):
             listed_keys.add((row.task, row.run))
             self._record_run_end(worker, row)
         if _run_ends.is_whole_list(worker, reply):
