Place no task on a worker whose clock is not known

What callers saw: a task is placed and never started, there or elsewhere. Cause: a start names the end of the lease by the worker's clock, so none can be sent to a worker that has not told it, and the run stays placed. Change: such a worker accepts no placements. Measured: test_task_leaves_a_worker_that_never_tells_its_clock failed before and passes.

--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -188,6 +188,8 @@
         """
         if self.state != READY or self.last_announced_ms is None:
             return False
+        if not self.lease_clock.is_clock_known:
+            return False
         if now_ms < self.paused_until_ms or self.unanswered_orders:
             return False
         return not has_missed_announcements(
