Report an order without an answer if no socket can be made for it

What callers saw: the tasks of a worker that is cut off wait for ever. Cause: an OSError at the making of a socket (no free descriptor) ended the driver's task for the order; its reply was never reported, the worker was not polled again and did not count as silent. Every other failure of a connection is an HttpError. Change: this one is, too, for all callers of the client. Measured: test_order_without_a_free_descriptor_is_reported_as_silent failed before and passes, with the tests of net.test_http.

--- a/fuchsiatrestle/net/_http_client.py
+++ b/fuchsiatrestle/net/_http_client.py
@@ -83,10 +83,14 @@
 
         Raises:
             HttpError: the server refused the connection, is unreachable or
-                did not accept it within ``timeout_s``.
+                did not accept it within ``timeout_s``, or no socket could be
+                made.
         """
         family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
-        sock = curio.socket.socket(family, socket.SOCK_STREAM)
+        try:
+            sock = curio.socket.socket(family, socket.SOCK_STREAM)
+        except OSError as exc:
+            raise _make_connect_error(exc, address) from exc
         try:
             async with curio.timeout_after(timeout_s):
                 await sock.connect((address.host, address.port))
@@ -96,8 +100,7 @@
             raise _make_error('connect_timeout', 'connect', address) from exc
         except OSError as exc:
             sock._socket.close()
-            error_name = errno.errorcode.get(exc.errno, 'connect_failed')
-            raise _make_error(error_name.lower(), 'connect', address) from exc
+            raise _make_connect_error(exc, address) from exc
         except curio.CancelledError:
             sock._socket.close()
             raise
@@ -258,6 +261,12 @@
             raise _make_error('connection_reset', step, self.peer) from exc
 
 
+def _make_connect_error(exc, address):
+    """Returns the ``HttpError`` for an ``OSError`` of a connection attempt."""
+    error_name = errno.errorcode.get(exc.errno, 'connect_failed')
+    return _make_error(error_name.lower(), 'connect', address)
+
+
 def _make_error(reason, step, peer):
     return _http_messages.HttpError(reason, step=step, peer=str(peer))
 
