Give no leases to a worker that refuses polls

What callers saw: the tasks of a worker that answers each order with a refusal (429, 503, 400) wait for ever, though they have lapsed there. Cause: a refused poll counted as an answer, so the worker was in touch and each further poll counted as a lease; the lease never was over. Evidence: a worker that refuses polls, or all orders; two tests. Change: after a refused poll a worker gets no leases, starts or new tasks until it accepts one. Its runs are over by their leases, the proof that stood before. A poll refused for its token says that a newer leader may give leases, so it changes nothing. Measured: test_run_on_a_worker_that_refuses_polls_is_over_with_its_leases and test_tasks_of_a_worker_that_refuses_all_orders_run_elsewhere failed before and pass.

--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -252,7 +252,7 @@
 
     def _check_lost_worker(self, worker):
         """Records the runs of a worker as lost that its lease has ended."""
-        if not worker.unanswered_orders:
+        if not worker.is_out_of_touch:
             return
         for run in list(worker.runs.values()):
             if run.phase == _Phase.PLACED:
--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -190,7 +190,7 @@
             return False
         if not self.lease_clock.is_clock_known:
             return False
-        if now_ms < self.paused_until_ms or self.unanswered_orders:
+        if now_ms < self.paused_until_ms or self.is_out_of_touch:
             return False
         return not has_missed_announcements(
             self.last_announced_ms, now_ms, announce_ms
@@ -218,6 +218,17 @@
         self.unanswered_orders = 0
         self.last_replied_ms = now_ms
 
+    @property
+    def is_out_of_touch(self):
+        """True if it does not answer orders, or refused the newest poll.
+
+        It gets no leases then, so that its runs are over at a known time.
+        """
+        return bool(self.unanswered_orders) or self.poll_outcome in (
+            _events.Verdict.UNHEALTHY,
+            _events.Verdict.INVALID,
+        )
+
     def record_clock(self, worker_clock_ms, now_ms):
         """Records a reading of the worker's clock that arrives now.
 
--- a/fuchsiatrestle/workflows/_orders.py
+++ b/fuchsiatrestle/workflows/_orders.py
@@ -91,7 +91,7 @@
         order was sent.
         """
         reason = ''
-        if worker.unanswered_orders:
+        if worker.is_out_of_touch:
             reason = 'worker_silent'
         if worker.state != _fleet.READY:
             reason = 'worker_drains'
@@ -112,7 +112,7 @@
         """Returns the order that is due for a run, or None."""
         record = worker.record
         if run.phase == _Phase.STARTING and run.started_ms is None:
-            if worker.unanswered_orders or (
+            if worker.is_out_of_touch or (
                 run.adopted and not worker.has_seen_token
             ):
                 return None
@@ -233,11 +233,11 @@
     def _may_extend_lease(worker):
         """False if the lease of a worker is to run out.
 
-        If each poll extended the lease of a worker that does not reply, the
-        lease would never count as expired.  The runs of one that leaves are
+        If each poll extended the lease of a worker that does not reply, or
+        refuses the polls, the lease would never count as expired.  The runs of one that leaves are
         to end.
         """
-        return not worker.unanswered_orders and worker.withdrawn_ms is None
+        return not worker.is_out_of_touch and worker.withdrawn_ms is None
 
     def _must_renew_lease(self, worker, now_ms):
         if not self._may_extend_lease(worker):
--- a/fuchsiatrestle/workflows/_run_ends.py
+++ b/fuchsiatrestle/workflows/_run_ends.py
@@ -112,8 +112,8 @@
 def find_proof_by_lease(worker, run, now_ms):
     """Returns the ``Proof`` by the lease of a worker, or None.
 
-    The lease of a worker that replies is extended, so only the lease of a
-    worker that does not can be over.  The announcement that its process will
+    The lease of a worker that accepts polls is extended, so only the lease of
+    one that does not can be over.  The announcement that its process will
     end is no proof: the process may run on until it is acknowledged.
 
     A start order for an earlier process may reach the present one at any time
@@ -125,7 +125,7 @@
         now_ms: monotonic time.
     """
     lease_clock = worker.lease_clock
-    if not worker.unanswered_orders:
+    if not worker.is_out_of_touch:
         return None
     if not lease_clock.has_surely_expired(now_ms):
         return None
