Take a task from a worker that no start order reaches

What callers saw: a task stays assigned for ever to a worker that answers polls but gets no starts; or it goes back and forth between workers that announce themselves and get no orders, while others have room. Cause: a start without an answer was sent again without a bound; and nothing kept such a worker from being the best choice for the next try. Change: a start that is unanswered for 3 s is stopped. The accepted stop and a whole list that lacks the run prove that it has not started, as before. Workers that starts have not reached come last among those that fit, until one accepts a start; they are not excluded, as they may be all there is. A trial that paused them for 10 s and more kept tasks waiting on a service of one worker, by test_unanswered_start_is_not_repeated_after_shrinking, and was given up.

--- a/fuchsiatrestle/workflows/_answers.py
+++ b/fuchsiatrestle/workflows/_answers.py
@@ -147,6 +147,7 @@
     def _on_start_reply(self, worker, run, order, reply, retry_delay_ms):
         verdict = reply.verdict
         if verdict in (_Verdict.ACCEPTED, _Verdict.OUTDATED):
+            worker.failed_start_count = 0
             run.record_start(self._dispatch_state.now_ms, reply.clock_ms)
             if run.phase == _Phase.STARTING:
                 run.phase = _Phase.RUNNING
--- a/fuchsiatrestle/workflows/_book.py
+++ b/fuchsiatrestle/workflows/_book.py
@@ -108,6 +108,8 @@
         """
         worker.remove_run(run.key)
         self.placement_due = True
+        if proof == _run_ends.Proof.LEASE_OVER and run.has_unanswered_start:
+            worker.failed_start_count += 1
         start_outcome = _crashes.find_start_outcome(worker, run, proof)
         self.proposals.add_lost_run(
             commands.RunLost(
--- a/fuchsiatrestle/workflows/_crashes.py
+++ b/fuchsiatrestle/workflows/_crashes.py
@@ -123,8 +123,8 @@
 def choose_trial_worker(group, workers, placer, now_ms):
     """Chooses the worker on which a suspected task is started next.
 
-    Those with the fewest starts that are not known to be harmless come first,
-    then those with the fewest runs to lose.
+    Those that start orders reach come first, then those with the fewest starts
+    that are not known to be harmless, then those with the fewest runs to lose.
 
     Args:
         group: ``Group`` of the task.
@@ -139,12 +139,17 @@
     task_id = group.waiting_task_ids[0]
     ranked_workers = sorted(
         (
-            (_count_recent_starts(worker, now_ms), len(worker.runs), position)
+            (
+                worker.failed_start_count,
+                _count_recent_starts(worker, now_ms),
+                len(worker.runs),
+                position,
+            )
             for position, worker in enumerate(workers)
             if _placement.has_room(group.step, task_id, worker)
         )
     )
-    for start_count, _, position in ranked_workers:
+    for _, start_count, _, position in ranked_workers:
         worker = workers[position]
         if placer.choose_workers(group, [worker]):
             return worker, start_count
--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -53,6 +53,9 @@
         awaited_orders: all orders to this process that wait for a reply.
         pending_poll: the newest poll while it waits for its reply, or None.
         unanswered_orders: number of consecutive orders without a reply.
+        failed_start_count: number of consecutive runs whose start orders have
+            not reached it.  It may answer polls, or announce itself, but get
+            no starts; tasks are placed on workers with fewer of them first.
         last_replied_ms: time of its last reply to this leader, None before
             the first.
         paused_until_ms: time before which it gets no new tasks.
@@ -75,6 +78,7 @@
         'acknowledged_end_number',
         'capacity',
         'collected_end_number',
+        'failed_start_count',
         'has_seen_token',
         'last_announced_ms',
         'last_replied_ms',
@@ -108,6 +112,7 @@
         self.awaited_orders = []
         self.pending_poll = None
         self.unanswered_orders = 0
+        self.failed_start_count = 0
         self.last_replied_ms = None
         self.paused_until_ms = 0
         self.next_poll_ms = 0
--- a/fuchsiatrestle/workflows/_orders.py
+++ b/fuchsiatrestle/workflows/_orders.py
@@ -16,6 +16,9 @@
 # Lease of a worker that drains.  It may end without a word, and its tasks can
 # start elsewhere when the lease is over; it outlasts two polls.
 DRAINING_LEASE_MS = 2500
+# Longest time for which a start is sent again to a worker that answers polls
+# but not the start; it is stopped then, so that its task runs elsewhere.
+MAX_START_MS = 3000
 # Stops free capacity and paces protect the tasks that serve; starts come last.
 _RANK_BY_PHASE = {
     _Phase.STOPPING: 0,
@@ -122,6 +125,9 @@
                 self._dispatch_state.stop_run(run, 'unannounced')
             elif worker.last_announced_ms is None:
                 return None
+            elif self._is_start_overdue(run, now_ms):
+                worker.failed_start_count += 1
+                self._dispatch_state.stop_run(run, 'start_unanswered')
             elif worker.capacity.is_exceeded_for(run.step):
                 self._dispatch_state.end_run(worker, run, 'worker_shrunk')
             elif now_ms - worker.last_announced_ms > self._timing.announce_ms:
@@ -150,6 +156,14 @@
             )
         return None
 
+    @staticmethod
+    def _is_start_overdue(run, now_ms):
+        return (
+            run.start_uncertain
+            and run.start_sent_ms is not None
+            and now_ms - run.start_sent_ms >= MAX_START_MS
+        )
+
     def _has_missed_announcements(self, worker, now_ms):
         last_announced_ms = worker.last_announced_ms
         if last_announced_ms is None:
@@ -234,8 +248,8 @@
         """False if the lease of a worker is to run out.
 
         If each poll extended the lease of a worker that does not reply, or
-        refuses the polls, the lease would never count as expired.  The runs of one that leaves are
-        to end.
+        refuses the polls, the lease would never count as expired.  The runs of
+        one that leaves are to end.
         """
         return not worker.is_out_of_touch and worker.withdrawn_ms is None
 
--- a/fuchsiatrestle/workflows/_placement.py
+++ b/fuchsiatrestle/workflows/_placement.py
@@ -344,7 +344,10 @@
             group.step, group.waiting_task_ids[0], worker, self._allocations
         ):
             return None
-        return self._placer.score_worker(group.step, worker, self._allocations)
+        score = self._placer.score_worker(
+            group.step, worker, self._allocations
+        )
+        return None if score is None else (worker.failed_start_count, score)
 
 
 class _RoundAllocations:
--- a/fuchsiatrestle/workflows/_runs.py
+++ b/fuchsiatrestle/workflows/_runs.py
@@ -163,6 +163,11 @@
         """True while a start order waits for its reply."""
         return self.phase == Phase.STARTING and self.pending_order is not None
 
+    @property
+    def has_unanswered_start(self):
+        """True if this leader ordered its start and got no answer."""
+        return self.start_sent_ms is not None and self.started_ms is None
+
     @property
     def is_serving(self):
         """True if its tail latency has a target."""
