Take no crash from a worker that announces itself after a start

What callers saw: a job is shown as failed, without a run that has failed or started. Cause: a start without an answer counts as a possible crash once the lease is over; five of these give a task up. A worker that is heard but gets no orders loses such a run every 6 s to 9 s. Change: if the same process has announced itself 3 s after the start was sent or later, it was cut off and has not crashed; the start counts for nothing.

--- a/fuchsiatrestle/workflows/_crashes.py
+++ b/fuchsiatrestle/workflows/_crashes.py
@@ -24,6 +24,9 @@
 # Time for which a worker has to run a task until it counts as harmless, by
 # the worker's clock.
 SURVIVAL_MS = 300
+# A process that announces itself this long after a start was sent to it has not
+# crashed under the start.
+MIN_HEARD_MS = 3000
 # Longest time for which a start that is not known to be harmless keeps other
 # starts off its worker.
 MAX_TRIAL_MS = 3000
@@ -53,6 +56,8 @@
     if worker.state != _fleet.READY:
         return commands.StartOutcome.UNKNOWN
     process_ended = proof in _PROCESS_ENDED_PROOFS
+    if not process_ended and _was_heard_after_start(worker, run):
+        return commands.StartOutcome.UNKNOWN
     if not process_ended and proof != _run_ends.Proof.LEASE_OVER:
         return commands.StartOutcome.UNKNOWN
     if run.started_ms is None:
@@ -77,6 +82,16 @@
     return commands.StartOutcome.MAY_HAVE_CRASHED
 
 
+def _was_heard_after_start(worker, run):
+    """True if the process announced itself well after the start was sent.
+
+    It was cut off from the orders then, and has not crashed.
+    """
+    if run.start_sent_ms is None or worker.last_announced_ms is None:
+        return False
+    return worker.last_announced_ms - run.start_sent_ms >= MIN_HEARD_MS
+
+
 def has_survived(worker, run):
     """True if a worker has shown that a run there is harmless.
 
