Test that new tasks do not start on a worker known as deaf, red

Cause: the announcement of a worker without runs resets its count of orders without a reply.

Seeds by hand may also cancel workflows, let workers drain and shrink, and list few ends (wide).

--- a/tests/workflows/test_waiting_bounds.py
+++ b/tests/workflows/test_waiting_bounds.py
@@ -2,7 +2,7 @@
 
 The workers' ledger tells which tasks are at work, not the dispatcher.  The
 workers in touch always have room.  More seeds by hand:
-``python -m tests.workflows.test_waiting_bounds all|some FIRST COUNT``.
+``python -m tests.workflows.test_waiting_bounds all|some|wide FIRST COUNT``.
 """
 
 import collections
@@ -132,7 +132,12 @@
                     self._lease_end_ms_by_task.get(task, 0),
                     self._lease_end_ms(state),
                 )
-                if is_half_free and _has_room_twice(step, free_cpu):
+                allowed_cpu = {
+                    name: cpu
+                    for name, cpu in free_cpu.items()
+                    if world.ledger.may_run_on(name, task)
+                }
+                if is_half_free and _has_room_twice(step, allowed_cpu):
                     self._room_since_ms.setdefault(task, world.now_ms)
                     self._check_wait(task, state, step)
                 else:
@@ -269,6 +274,8 @@
                 causes.append('live run without a run')
                 continue
             cause = f'{run.phase} run'
+            if live_run.worker in self._world.deaf_workers:
+                cause += ' on a deaf worker'
             if run.earlier_lease_end_ms is not None:
                 cause += ' with a lease of an earlier process'
             if worker.lease_clock._clock_reading_ms is None:
@@ -312,12 +319,7 @@
 
 
 def _has_room_twice(step, free_cpu):
-    rooms = sum(
-        max(0, cpu) // step.cpu
-        for name, cpu in free_cpu.items()
-        if not step.label or step.label in dispatch_world.worker_labels(name)
-    )
-    return rooms >= 2
+    return sum(max(0, cpu) // step.cpu for cpu in free_cpu.values()) >= 2
 
 
 def _submit_lasting(world, source, number):
@@ -497,6 +499,53 @@
     world.added_agreement_ms = 0
 
 
+def _submit_spread(world, source, number):
+    """Submits lasting tasks of which a worker runs two at most."""
+    step = workflows.Step(
+        3, cpu=500, memory_mb=10, lasts=True, most_per_worker=2
+    )
+    profile = worker_model.TaskProfile(500, 10, None)
+    world.submit(
+        f'spread-{number}',
+        [step],
+        [profile],
+        source.choice(
+            (dispatch_world.PREFIX, dispatch_world.LOW_PRIORITY_PREFIX)
+        ),
+    )
+
+
+def _cancel(world, source, number):
+    workflow_ids = [
+        workflow_id
+        for workflow_id in world.workflow_store.open_workflows
+        if not workflow_id.startswith('spread-')
+    ]
+    if workflow_ids:
+        world.cancel(source.choice(sorted(workflow_ids)))
+
+
+def _drain(observer, world, source):
+    """Lets a worker drain for a while."""
+    name = _pick_worker(world, source)
+    world.draining_workers.add(name)
+    observer.run(source.choice((500, 2000, 6000)))
+    world.draining_workers.discard(name)
+    world.record_fault()
+
+
+def _shrink(observer, world, source):
+    """Halves the capacity of a worker for a while."""
+    name = _pick_worker(world, source)
+    world.set_capacity(name, 4000)
+    observer.run(source.choice((500, 3000, 6000)))
+    world.set_capacity(name, 8000)
+    world.record_fault()
+
+
+WIDE_SUBMISSIONS = (*SUBMISSIONS, _submit_spread, _cancel)
+WIDE_FAULTS = (_drain, _shrink)
+
 LOSSES = (
     _cut,
     _cut,
@@ -536,10 +585,11 @@
         world.run(100)
 
 
-def _run_episode(observer, world, source, number, losses):
+def _run_episode(observer, world, source, number, losses, is_wide):
     """Draws a few faults, then waits in calm."""
     for _ in range(source.randint(1, 3)):
-        source.choice(SUBMISSIONS)(world, source, f'{number}-{world.now_ms}')
+        submit = source.choice(WIDE_SUBMISSIONS if is_wide else SUBMISSIONS)
+        submit(world, source, f'{number}-{world.now_ms}')
         observer.run(source.choice((10, 500, 2000)))
     world.faults = source.choice(
         (
@@ -550,7 +600,10 @@
         )
     )
     for _ in range(source.randint(1, 4)):
-        inject = source.choice(source.choice((losses, LEADER_FAULTS)))
+        faults = (losses, LEADER_FAULTS)
+        if is_wide:
+            faults += (WIDE_FAULTS,)
+        inject = source.choice(source.choice(faults))
         if inject in losses and _count_lost(world) >= MAX_CUT_WORKERS:
             inject = source.choice(LEADER_FAULTS)
         inject(observer, world, source)
@@ -561,12 +614,14 @@
     observer.run(CALM_MS)
 
 
-def run_seed(seed, losses):
+def run_seed(seed, losses, is_wide=False):
     """Runs a world with the faults that a seed draws.
 
     Args:
         seed: the seed.
         losses: the losses of workers to draw from.
+        is_wide: True if workflows are cancelled, workers drain and shrink and
+            list few ends at a time, too.
 
     Returns:
         The ``World`` and the ``WaitObserver``.
@@ -577,6 +632,8 @@
         workers=WORKER_COUNT,
         refuses_connections=source.random() < 0.5,
     )
+    if is_wide:
+        world.max_listed_ends = source.choice((1, 2, 3, 500))
     observer = WaitObserver(world)
     observer.run(1000)
     for number in range(4):
@@ -586,7 +643,7 @@
         _submit_best_effort(world, source, f'first-{number}')
     observer.run(source.choice((200, 3000)))
     for number in range(EPISODES):
-        _run_episode(observer, world, source, number, losses)
+        _run_episode(observer, world, source, number, losses, is_wide)
         _rejoin(world)
         observer.run(1000)
     return world, observer
@@ -650,6 +707,17 @@
         world.crash_worker(worker, 300)
         self._check_runs(world, observer, 1)
 
+    def test_new_tasks_are_not_started_on_worker_that_is_known_as_deaf(self):
+        world, observer, worker = self._start_world()
+        world.deaf_workers.add(worker)
+        world.record_fault()
+        observer.run(CALM_MS)
+        self.assertNotIn(worker, world.ledger.running.values())
+        step = workflows.Step(4, cpu=500, memory_mb=10, fills=True, image='x')
+        profile = worker_model.TaskProfile(500, 10, 60_000, fills=True)
+        world.submit('fills', [step], [profile])
+        self._check_runs(world, observer, 5)
+
     def test_tasks_do_not_wait_for_worker_that_answers_all_but_starts(self):
         world = dispatch_world.World(4, workers=4)
         observer = WaitObserver(world)
@@ -661,14 +729,18 @@
         self._check_runs(world, observer, 4)
 
 
-def _main(losses_name, first_seed, count):
-    losses = {'all': ALL_LOSSES, 'some': LOSSES}
+def _main(draws, first_seed, count):
+    losses, is_wide = {
+        'all': (ALL_LOSSES, False),
+        'some': (LOSSES, False),
+        'wide': (LOSSES, True),
+    }[draws]
     logging.disable(logging.CRITICAL)
     failed_seeds = []
     checked_counts = collections.Counter()
     cause_counts = collections.Counter()
     for seed in range(int(first_seed), int(first_seed) + int(count)):
-        world, observer = run_seed(seed, losses[losses_name])
+        world, observer = run_seed(seed, losses, is_wide)
         checked_counts.update(observer.checked_counts)
         cause_counts.update(
             (wait.rule, wait.kind, wait.cause) for wait in observer.waits
