Probe a worker that is heard but answers no orders before using it again

What callers saw: a lasting task whose worker was cut off is placed on one worker after the other that announces itself and that no order reaches, 6 s each, while others have room; new best-effort tasks wait there, too, as the emptiest workers are taken first; after five tries a job was given up. Cause: a worker without runs gets no polls, so its announcement reset the count of its unanswered orders, although an announcement shows the way from the worker and not the way to it. Change: an announcement resets nothing. A worker that is heard but has not answered is polled, without a lease, once a second; its answer ends the state.

--- a/fuchsiatrestle/workflows/_announcing.py
+++ b/fuchsiatrestle/workflows/_announcing.py
@@ -61,11 +61,6 @@
             return
         self._update_worker(worker, announcement)
         worker.announcement_sequence = announcement.sequence
-        if not worker.runs:
-            # A worker without runs may get no order whose reply would reset
-            # the count, and it gets no new tasks before the count is reset.
-            worker.unanswered_orders = 0
-            worker.poll_outcome = ''
         worker.last_announced_ms = self._dispatch_state.now_ms
         worker.record_clock(announcement.clock_ms, self._dispatch_state.now_ms)
         self._dispatch_state.placement_due = True
--- a/fuchsiatrestle/workflows/_orders.py
+++ b/fuchsiatrestle/workflows/_orders.py
@@ -205,6 +205,7 @@
         if (
             not has_dispatched_runs
             and recorded_end_number <= worker.acknowledged_end_number
+            and not self._must_probe(worker, now_ms)
         ):
             return []
         if (
@@ -230,6 +231,16 @@
         )
         return [worker.pending_poll]
 
+    def _must_probe(self, worker, now_ms):
+        """True for a worker that is heard, but has not answered orders.
+
+        It gets no new tasks before it has answered one, and may have no runs
+        that it would be polled for.
+        """
+        if not worker.is_out_of_touch or worker.last_announced_ms is None:
+            return False
+        return not self._has_missed_announcements(worker, now_ms)
+
     @staticmethod
     def _find_end_to_forget(worker, recorded_end_number):
         """Returns up to which end the worker may forget its ends, 0 for none.
