Test that a run whose stop the next process took does not stay, red

Cause: the next process of a worker announces itself, takes the stop of an adopted run and is cut off before it lists its runs. The run then waits until the lease in orders for the earlier process is over on the new clock.

By hand, the cause of a wait names workers that answer no starts.

--- a/tests/workflows/test_waiting_bounds.py
+++ b/tests/workflows/test_waiting_bounds.py
@@ -276,6 +276,8 @@
             cause = f'{run.phase} run'
             if live_run.worker in self._world.deaf_workers:
                 cause += ' on a deaf worker'
+            if live_run.worker in self._world.startless_workers:
+                cause += ' on a worker that answers no starts'
             if run.earlier_lease_end_ms is not None:
                 cause += ' with a lease of an earlier process'
             if worker.lease_clock._clock_reading_ms is None:
@@ -755,6 +757,14 @@
         world.crash_worker(worker, 300)
         self._check_runs(world, observer, 1)
 
+    def test_adopted_task_runs_again_if_next_process_has_taken_its_stop(self):
+        world, observer, worker = self._start_world()
+        world.crash_worker(worker, 300)
+        observer.run(310)
+        world.unreachable_workers.add(worker)
+        world.record_fault()
+        self._check_runs(world, observer, 1)
+
     def test_lasting_task_does_not_go_from_one_deaf_worker_to_the_next(self):
         world, observer, worker = self._start_world()
         world.deaf_workers |= {worker, 'w0', 'w1'}
