--- a/tests/workflows/test_waiting_bounds.py
+++ b/tests/workflows/test_waiting_bounds.py
@@ -16,6 +16,22 @@
 from tests.fakes import dispatch_world
 
 SEEDS = range(16)
+# Draws and seeds that failed when run by hand.
+FAILED_SEEDS = (
+    ('some', 374),
+    ('some', 382),
+    ('some', 393),
+    ('wide', 0),
+    ('wide', 75),
+    ('wide', 332),
+    ('busy', 1),
+    ('busy', 9),
+    ('busy', 29),
+    ('all', 275),
+)
+# In these a lease begins shortly after the last fault: a start on a worker
+# that was just cut off, or trials of suspected tasks after a new leader.
+LATE_LEASE_SEEDS = (('wide', 130), ('all', 156))
 WORKER_COUNT = 8
 MAX_CUT_WORKERS = 3
 EPISODES = 3
@@ -703,19 +719,25 @@
         logging.disable(logging.CRITICAL)
         self.addCleanup(logging.disable, logging.NOTSET)
 
-    def _check_seeds(self, draws):
-        for seed in SEEDS:
-            with self.subTest(seed=seed):
-                world, observer = run_seed(seed, draws)
+    def _check_seeds(self, draws_and_seeds):
+        for draws_name, seed in draws_and_seeds:
+            with self.subTest(draws=draws_name, seed=seed):
+                world, observer = run_seed(seed, DRAWS_BY_NAME[draws_name])
                 self.assertEqual([], observer.waits)
                 self.assertEqual([], world.ledger.breaches)
                 self.assertEqual([], _find_given_up(world))
 
     def test_no_task_waits_beyond_its_bound_while_workers_have_room(self):
-        self._check_seeds(DRAWS_BY_NAME['some'])
+        self._check_seeds(('some', seed) for seed in SEEDS)
 
     def test_no_task_waits_beyond_its_bound_whatever_faults_come(self):
-        self._check_seeds(DRAWS_BY_NAME['all'])
+        self._check_seeds(('all', seed) for seed in SEEDS)
+
+    def test_no_task_waits_beyond_its_bound_in_seeds_that_failed(self):
+        self._check_seeds(FAILED_SEEDS)
+
+    def test_no_task_waits_for_lease_that_begins_after_the_last_fault(self):
+        self._check_seeds(LATE_LEASE_SEEDS)
 
 
 class StuckRunTest(unittest.TestCase):
