Let a run that the next process of its worker has stopped end with its lease

What callers saw: a task waits for the uptime of an ended process and a lease, 73 s of 64 s up, though the next process has taken its stop. Cause: a start order for the earlier process can reach the next one until its lease has passed on the next one's clock; that was waited for even after the next process had accepted the stop, from which on it refuses the start. Evidence: two tests in which the process is cut off after that. Change: that wait holds only until the stop is accepted; the lease of the process itself has to be over in any case.

--- a/fuchsiatrestle/workflows/_run_ends.py
+++ b/fuchsiatrestle/workflows/_run_ends.py
@@ -117,7 +117,8 @@
     end is no proof: the process may run on until it is acknowledged.
 
     A start order for an earlier process may reach the present one at any time
-    until the lease that the order names has ended on the present one's clock.
+    until the lease that the order names has ended on the present one's clock,
+    unless the present one has accepted the stop of the run and refuses it.
 
     Args:
         worker: the ``Worker``.
@@ -129,7 +130,10 @@
         return None
     if not lease_clock.has_surely_expired(now_ms):
         return None
-    if run.earlier_lease_end_ms is not None and not lease_clock.has_passed(
+    may_start_late = (
+        run.earlier_lease_end_ms is not None and run.stopped_ms is None
+    )
+    if may_start_late and not lease_clock.has_passed(
         run.earlier_lease_end_ms, now_ms
     ):
         return None
