Show that slow answers keep all upstreams of a service excluded for good

Callers see refusals (queue_full, deadline_in_queue) although every upstream is ready and idle.

Cause: an upstream on probation whose answer is an outlier is excluded again, for up to 10 s, and its answer is not counted. The median against which answers are judged is then never corrected if all upstreams are on probation, and nothing bounds how many of them are excluded at once.

No logic changes.

Measured on: each upstream lost three connections before its first answer; then a request each 100 ms for 40 s, answered after 100 ms.

--- a/tests/routing/test_core.py
+++ b/tests/routing/test_core.py
@@ -94,6 +94,29 @@
     }
 
 
+def _serve_requests(driver, numbers, latency_ms):
+    """Sends a request each 100 ms and answers each after its latency.
+
+    Returns:
+        The number of answered requests.
+    """
+    dispatched_ms = {}
+    answered_count = 0
+    for number in numbers:
+        effects = driver.send_request(number, idempotent=False)
+        effects += driver.pass_time(100)
+        for request_id in _dispatched_addresses(effects):
+            dispatched_ms[request_id] = driver.now_ms
+        for request_id, begun_ms in list(dispatched_ms.items()):
+            if driver.now_ms - begun_ms >= latency_ms:
+                del dispatched_ms[request_id]
+                answered_count += 1
+                effects = driver.end_attempt(request_id, reusable=True)
+                for other_id in _dispatched_addresses(effects):
+                    dispatched_ms[other_id] = driver.now_ms
+    return answered_count
+
+
 class AdmissionTest(unittest.TestCase):
     def test_refuses_without_lease_and_for_unknown_services(self):
         driver = _Driver()
@@ -252,6 +275,24 @@
             sum(FIRST_ADDRESS in addresses for addresses in probed_addresses),
         )
 
+    def test_upstreams_that_all_answer_slowly_are_not_all_excluded(self):
+        for upstream_count in (1, 2, 4):
+            with self.subTest(upstream_count=upstream_count):
+                driver = _Driver(
+                    tuple(
+                        f'127.0.0.1:{9001 + n}' for n in range(upstream_count)
+                    ),
+                    slots=8,
+                )
+                for number in range(3 * upstream_count):
+                    driver.send_request(number, idempotent=False)
+                for number in range(3 * upstream_count):
+                    driver.end_attempt(number, 'connection_lost')
+                statuses = driver.core.upstream_statuses(driver.now_ms)
+                self.assertEqual({'shunned'}, {s.state for s in statuses})
+                answered_count = _serve_requests(driver, range(100, 500), 100)
+                self.assertGreaterEqual(answered_count, 390)
+
     def test_a_silent_connection_closes_the_idle_ones(self):
         driver = _Driver(slots=2)
         driver.send_request(1)
