Exclude slow upstreams after probation only while enough others serve

Callers saw refusals (queue_full, deadline_in_queue) without end from a service whose upstreams were all ready and idle.

Cause: record_answer excluded an upstream on probation for each slow answer, whatever the number of excluded ones, and dropped the answer. So the median latency, the belief that excludes, could be corrected only by answers that the belief does not let count. exclude_outliers has had a bound on this from the start: one in three ready upstreams.

Change: the same bound holds in record_answer. Beyond it the answer ends the probation and its latency counts, so that the median follows. No request starts that the slots, loans, suspensions or epochs would not let start.

Evidence: test_upstreams_that_all_answer_slowly_are_not_all_excluded failed before (8, 16 and 32 of 400 answered with one, two and four upstreams) and passes; the tests of routing pass (22).

--- a/fuchsiatrestle/routing/_group.py
+++ b/fuchsiatrestle/routing/_group.py
@@ -120,26 +120,34 @@
         Upstreams excluded for any reason count towards the number that may
         be excluded at once.
         """
-        ready_upstreams = [
-            upstream for upstream in self.upstreams if upstream.is_ready
-        ]
-        allowed_exclusions = (
-            len(ready_upstreams) // READY_UPSTREAMS_PER_EXCLUSION
-        )
-        allowed_exclusions -= sum(
-            upstream.health.is_excluded(now_ms) for upstream in ready_upstreams
+        allowed_exclusions = self._count_allowed_exclusions(
+            self.upstreams, now_ms
         )
-        for upstream in ready_upstreams:
+        for upstream in self.upstreams:
             if allowed_exclusions <= 0:
                 return
             is_comparable = (
-                upstream.latency.has_enough_samples
+                upstream.is_ready
+                and upstream.latency.has_enough_samples
                 and not upstream.health.is_on_probation
             )
             if is_comparable and self.is_outlier(upstream.latency.mean_ms):
                 upstream.health.exclude(now_ms, 'slow')
                 allowed_exclusions -= 1
 
+    def _count_allowed_exclusions(self, excludable_upstreams, now_ms):
+        """Counts the ready upstreams that may be excluded as outliers now.
+
+        Args:
+            excludable_upstreams: the upstreams whose exclusions count.
+            now_ms: current time.
+        """
+        ready_count = sum(upstream.is_ready for upstream in self.upstreams)
+        return ready_count // READY_UPSTREAMS_PER_EXCLUSION - sum(
+            upstream.is_ready and upstream.health.is_excluded(now_ms)
+            for upstream in excludable_upstreams
+        )
+
     def is_outlier(self, latency_ms):
         """Tells whether a latency is far above the median of the service."""
         return (
@@ -162,8 +170,9 @@
         """Updates health and latency of an upstream after a whole answer.
 
         An upstream on probation is excluded again if the answer is an outlier
-        (see ``is_outlier``); otherwise its probation ends and its latency
-        estimate starts anew with this answer.
+        (see ``is_outlier``) and not too many others are excluded; otherwise
+        its probation ends and its latency estimate starts anew with this
+        answer, so that the median follows if all upstreams became slower.
 
         Args:
             upstream: the ``Upstream`` that answered.
@@ -171,7 +180,15 @@
             now_ms: current time.
         """
         health = upstream.health
-        if health.is_on_probation and self.is_outlier(latency_ms):
+        if (
+            health.is_on_probation
+            and self.is_outlier(latency_ms)
+            and self._count_allowed_exclusions(
+                [other for other in self.upstreams if other is not upstream],
+                now_ms,
+            )
+            > 0
+        ):
             health.exclude(now_ms, 'slow')
             return
         if health.is_on_probation:
