Show that barred workers hide the ones where a batch job could run

Callers see jobs wait beside empty workers.

Cause: a round scores only the first 24 workers with room (8 with a long queue), most free processor time first. Workers that the interference estimate bars get no work, so they keep most room, and stay the only ones that are scored. Only the exemption after 60 s ends the wait, for one job of the shape, and it places that job on a barred worker.

No logic changes.

--- a/tests/scheduling/test_starvation.py
+++ b/tests/scheduling/test_starvation.py
@@ -1,10 +1,12 @@
 """Tests that no reservation or search bound makes a job wait without end."""
 
 import unittest
+from unittest import mock
 
 from fuchsiatrestle import messages
 from fuchsiatrestle import scheduling
 from fuchsiatrestle.scheduling import _holds
+from fuchsiatrestle.scheduling import _interference
 from fuchsiatrestle.state import commands
 from tests.scheduling import _cell
 
@@ -274,6 +276,34 @@
         self.assertIsNotNone(_find_start_ms(cell, 'large'))
 
 
+class TailLimitTest(unittest.TestCase):
+    """Workers barred by the tail latency limit hide none that is not."""
+
+    def test_job_starts_beside_many_workers_barred_by_the_estimate(self):
+        for barred_count in (40, 400):
+            with self.subTest(barred_count=barred_count):
+                cell = _cell.Cell(barred_count + 8)
+                for number in range(barred_count):
+                    options = cell.agents[f'w{number}'].options
+                    options.capacity = messages.Resources(8000, 16_000, 1)
+                    options.service = 'quotes'
+                cell.advance(2000)
+                with mock.patch.object(
+                    _interference.InterferenceModel,
+                    'coefficient',
+                    return_value=1.0,
+                ):
+                    cell.submit(
+                        *(_make_endless_spec(f'j{n}', 1000) for n in range(8))
+                    )
+                    cell.advance(10_000)
+                workers = {line.worker for line in cell.ledger}
+                self.assertEqual(8, len(cell.ledger))
+                self.assertFalse(
+                    workers & {f'w{n}' for n in range(barred_count)}
+                )
+
+
 class UrgentBurstTest(unittest.TestCase):
     """Urgent jobs that arrive together do not wait for one another."""
 
