Look for a worker behind those that the tail limit rules out

Callers saw batch jobs wait beside empty workers, and one job of a shape a minute go to a worker that the estimate rules out.

Cause: only the 24 workers with most room (8 with a long queue) are scored. Workers that are ruled out get nothing, keep most room and stay the only ones that are scored. Nothing but the exemption after 60 s ended this.

Change: if all first candidates are ruled out, up to 128 workers behind them are scored too; if none of these will do either, the next search for the shape goes on behind them, so that each search gets further until all have been scored.

Evidence: test_job_starts_beside_many_workers_barred_by_the_estimate failed (0 of 8 jobs started in 10 s with 40 and with 400 barred workers) and passes. All tests of scheduling pass (48). The cost of a round was not measured.

--- a/fuchsiatrestle/scheduling/_dispatch.py
+++ b/fuchsiatrestle/scheduling/_dispatch.py
@@ -41,6 +41,9 @@
 # the speed of a round then counts more than the quality of each choice.
 LONG_QUEUE_JOBS = 1_000
 LONG_QUEUE_CANDIDATES = 8
+# If the tail latency limit rules out all candidates for a job, up to this many
+# workers behind them are scored; the next search for its shape goes on there.
+MAX_FURTHER_CANDIDATES = 128
 
 
 class Dispatcher:
@@ -84,6 +87,9 @@
         self._pending_placements = {}
         self._waiting_reasons = {}
         self._tail_wait_since_ms_by_shape = {}
+        # Number of workers behind the first candidates that the next search
+        # for a shape passes over.
+        self._passed_count_by_shape = {}
         self._worker_holds = _holds.WorkerHolds(jobs_part, fleet)
         # Shapes and teams for which earlier rounds of this walk found nothing,
         # urgent jobs apart.
@@ -326,28 +332,64 @@
             held_worker_name, now_ms
         ):
             return held_worker_name
-        candidate_names = self._iter_candidates(job.spec, need, now_ms)
-        excluded_names = set(job.failed_on)
-        excluded_names.add(
-            self._evictions.worker_to_avoid(job.spec.job_id, now_ms)
-        )
-        usable_names = (
-            worker_name
-            for worker_name in candidate_names
-            if worker_name not in excluded_names
-        )
+        usable_names = self._iter_usable(job, need, now_ms)
         max_candidates = self._policy.max_candidates
         if len(self._queue) > LONG_QUEUE_JOBS:
             max_candidates = min(max_candidates, LONG_QUEUE_CANDIDATES)
         candidate_names = list(itertools.islice(usable_names, max_candidates))
         if not candidate_names:
             return None
-        worker_name = self._placement_rule.pick_worker(
-            job, need, candidate_names
+        return (
+            self._placement_rule.pick_worker(job, need, candidate_names)
+            or self._pick_further_worker(
+                job, need, usable_names, max_candidates
+            )
+            or self._pick_above_tail_limit(job, need, candidate_names, now_ms)
         )
-        return worker_name or self._pick_above_tail_limit(
-            job, need, candidate_names, now_ms
+
+    def _iter_usable(self, job, need, now_ms):
+        """Yields the candidates that neither failed nor evicted the job."""
+        excluded_names = set(job.failed_on)
+        excluded_names.add(
+            self._evictions.worker_to_avoid(job.spec.job_id, now_ms)
         )
+        for name in self._iter_candidates(job.spec, need, now_ms):
+            if name not in excluded_names:
+                yield name
+
+    def _pick_further_worker(self, job, need, usable_names, max_candidates):
+        """Picks a worker behind the first candidates, if all are ruled out.
+
+        The first candidates have most room.  Workers that are ruled out get
+        nothing, keep their room and so would hide the others for good.
+
+        Args:
+            job: the job to place.
+            need: (cpu_milli, memory_mib, accelerators) to reserve.
+            usable_names: iterator of the workers behind the first candidates.
+            max_candidates: most workers scored at a time.
+
+        Returns:
+            The name of a worker, or None.
+        """
+        shape = self._queue.shape_of(job.spec.job_id)
+        passed_count = self._passed_count_by_shape.pop(shape, 0)
+        end_count = passed_count + MAX_FURTHER_CANDIDATES
+        further_names = itertools.islice(usable_names, passed_count, end_count)
+        while names := list(itertools.islice(further_names, max_candidates)):
+            worker_name = self._placement_rule.pick_worker(job, need, names)
+            if worker_name is not None:
+                self._remember_passed_count(shape, passed_count)
+                return worker_name
+            passed_count += len(names)
+        if passed_count == end_count:
+            self._remember_passed_count(shape, passed_count)
+        return None
+
+    def _remember_passed_count(self, shape, passed_count):
+        if len(self._passed_count_by_shape) >= MAX_REMEMBERED_SHAPES:
+            self._passed_count_by_shape.clear()
+        self._passed_count_by_shape[shape] = passed_count
 
     def _can_use_held_worker(self, worker_name, now_ms):
         worker = self._jobs_part.workers[worker_name]
