Show three waits of batch jobs that only acting could end

Callers see jobs wait beside workers with room.

Cause, as seen in a cell of one or four workers: - an evicted job avoids its worker for 60 s; jobs of its shape are passed over with it, though they may go there; - a job that may not probe a quarantined worker hides those of its shape that may, so that the worker gets no probe; - if only urgent or billed jobs wait, nothing may probe, and the quarantine rests for good on what a probe alone could correct.

No logic changes.

The tests see 10 s, 100 s and 700 s.

--- a/tests/scheduling/test_starvation.py
+++ b/tests/scheduling/test_starvation.py
@@ -363,6 +363,26 @@
         self.assertEqual('queued', cell.job_state('large'))
 
 
+class AvoidedWorkerTest(unittest.TestCase):
+    """A worker that an evicted job avoids stays open to other jobs."""
+
+    def test_job_starts_where_an_evicted_job_of_its_shape_may_not(self):
+        cell = _cell.Cell(1)
+        cell.advance(1000)
+        cell.submit(
+            _make_endless_spec('endless', 2000),
+            _cell.make_spec('evicted', 2000, command='sleep 100000000'),
+        )
+        cell.advance(1000)
+        cell.submit(
+            _cell.make_spec('now', 2000, urgent=True),
+            _cell.make_spec('alike', 2000),
+        )
+        cell.advance(10_000)
+        self.assertEqual('queued', cell.job_state('evicted'))
+        self.assertEqual('done', cell.job_state('alike'))
+
+
 class ProbeTest(unittest.TestCase):
     """A worker in quarantine gets probes until it is released."""
 
@@ -382,6 +402,16 @@
         cell.agents['w1'].options.mode = ''
         return cell
 
+    def _make_cell_with_quarantined_worker_only(self):
+        """Returns a cell without jobs whose only ``w1`` was repaired."""
+        cell = self._make_cell_with_quarantine()
+        cell.advance(60_000)
+        for name in ('w0', 'w2', 'w3'):
+            del cell.agents[name]
+        cell.advance(70_000)
+        self.assertEqual('quarantined', self._find_state(cell))
+        return cell
+
     def _find_state(self, cell):
         views = cell.scheduler.list_workers(cell.now_ms).workers
         return {view.worker: view.state for view in views}['w1']
@@ -434,6 +464,35 @@
         self._run_jobs(cell, 100)
         self.assertEqual('ready', self._find_state(cell))
 
+    def test_probe_is_found_behind_an_unsuitable_job_of_its_shape(self):
+        cell = self._make_cell_with_quarantine()
+        cell.submit(
+            *(_make_endless_spec(f'e{n}', 4000) for n in range(3)),
+            *(
+                _cell.make_spec(f'billed{n}', idempotent=False)
+                for n in range(20)
+            ),
+            *(_cell.make_spec(f'probe{n}') for n in range(20)),
+        )
+        cell.advance(100_000)
+        self.assertEqual('ready', self._find_state(cell))
+
+    def test_only_worker_is_probed_by_an_urgent_job_if_no_other_waits(self):
+        cell = self._make_cell_with_quarantined_worker_only()
+        cell.submit(*(_cell.make_spec(f'u{n}', urgent=True) for n in range(9)))
+        cell.advance(100_000)
+        self.assertEqual('ready', self._find_state(cell))
+        self.assertEqual('done', cell.job_state('u8'))
+
+    def test_only_worker_is_probed_by_a_billed_job_if_no_other_waits(self):
+        cell = self._make_cell_with_quarantined_worker_only()
+        cell.submit(
+            *(_cell.make_spec(f'b{n}', idempotent=False) for n in range(9))
+        )
+        cell.advance(700_000)
+        self.assertEqual('ready', self._find_state(cell))
+        self.assertEqual('done', cell.job_state('b8'))
+
     def test_probe_is_found_behind_many_unsuitable_shapes(self):
         """Jobs that can't be probes do not hide one that can."""
         cell = self._make_cell_with_quarantine()
