Keep a worker that an evicted job avoids open to the jobs like it

Callers saw jobs wait up to a minute beside a free worker after each eviction of an older job of the same class and size.

Cause: jobs of one shape are taken to be able to go to the same workers, and one that finds no worker blocks its shape for the round. The worker that an evicted job avoids for 60 s was not part of the shape, so the evicted job, the oldest, blocked all others from the only worker with room.

Change: the avoided worker is part of the shape; the job gets its plain shape back when the time is over. waiting_reason names the worker; it used to blame the tail latency.

Evidence: test_job_starts_where_an_evicted_job_of_its_shape_may_not failed before and passes. Tests of scheduling without processes pass (48). A large job that is evicted may wait up to 60 s longer for a hold, as the wait counts by shape (read, not run).

--- a/fuchsiatrestle/scheduling/_agreed.py
+++ b/fuchsiatrestle/scheduling/_agreed.py
@@ -160,7 +160,7 @@
             self._remove_reservation(job_id, open_or_ended_job.attempt, now_ms)
         if open_or_ended_job is not None and open_or_ended_job.worker:
             assembly.fleet.refresh_worker(open_or_ended_job.worker, now_ms)
-        assembly.dispatcher.refresh_job(job_id)
+        assembly.dispatcher.refresh_job(job_id, now_ms)
         if job is None or job.state != states.QUEUED:
             assembly.preemptor.forget_job(job_id)
         elif job.failed_on:
--- a/fuchsiatrestle/scheduling/_dispatch.py
+++ b/fuchsiatrestle/scheduling/_dispatch.py
@@ -107,12 +107,14 @@
 
     # Queue
 
-    def refresh_job(self, job_id):
+    def refresh_job(self, job_id, now_ms):
         """Queues or removes a job according to its replicated state."""
         job = self._jobs_part.jobs.get(job_id)
         is_queued = job is not None and job.state == states.QUEUED
         if is_queued and job_id not in self._pending_placements:
-            self._queue.add(job)
+            self._queue.add(
+                job, self._evictions.worker_to_avoid(job_id, now_ms)
+            )
             self._round_requested = True
         else:
             self._queue.discard(job_id)
@@ -164,6 +166,9 @@
         self._next_retry_round_ms = now_ms + RETRY_INTERVAL_MS
         if len(self._waiting_reasons) > MAX_REMEMBERED_SHAPES:
             self._waiting_reasons.clear()
+        for job_id in self._evictions.pop_ended_avoidances(now_ms):
+            if job_id in self._queue:
+                self._queue.add(self._jobs_part.jobs[job_id])
         self._worker_holds.release_expired(self._queue.shapes, now_ms)
         blocked_shapes_and_teams = set(self._missed_urgent)
         is_among_urgent_jobs = True
@@ -469,6 +474,8 @@
             )
         elif shape.failed_on:
             reason = 'every worker with room failed it before'
+        elif shape.avoided_worker:
+            reason = f'was evicted from {shape.avoided_worker} just now'
         else:
             reason = (
                 'would raise the tail latency of a service too far '
--- a/fuchsiatrestle/scheduling/_evictions.py
+++ b/fuchsiatrestle/scheduling/_evictions.py
@@ -131,6 +131,19 @@
         )
         return worker_name if now_ms < avoid_until_ms else ''
 
+    def pop_ended_avoidances(self, now_ms):
+        """Returns the jobs that avoid no worker any more, and forgets them."""
+        job_ids = []
+        while self._avoided_worker_by_job:
+            job_id, (_, avoid_until_ms) = next(
+                iter(self._avoided_worker_by_job.items())
+            )
+            if now_ms < avoid_until_ms:
+                break
+            del self._avoided_worker_by_job[job_id]
+            job_ids.append(job_id)
+        return job_ids
+
     def _track_eviction(self, job, now_ms, patience_ms):
         if patience_ms is None:
             patience_ms = self._policy.evict_patience_ms
--- a/fuchsiatrestle/scheduling/_queue.py
+++ b/fuchsiatrestle/scheduling/_queue.py
@@ -3,9 +3,9 @@
 The queue offers jobs by level: urgent jobs first, then by priority from 0 to
 9.  Within a level the team with the smallest ``dominant_share`` comes first;
 within a team the earliest deadline, then the order of submission.  Jobs of one
-shape (class, declared size, data centre, workers where the job failed) can go
-to the same workers.  They are kept together, so that a shape which fits
-nowhere is passed over as a whole.
+shape (class, declared size, data centre, workers where the job failed, worker
+that it avoids) can go to the same workers.  They are kept together, so that a
+shape which fits nowhere is passed over as a whole.
 """
 
 import collections
@@ -31,13 +31,19 @@
     size: messages.Resources
     data_centre: str
     failed_on: tuple
+    avoided_worker: str
 
     @classmethod
-    def of_job(cls, job):
+    def of_job(cls, job, avoided_worker):
         """Returns the shape of a job."""
         spec = job.spec
-        failed_on = tuple(job.failed_on)
-        return cls(spec.job_class, spec.size, spec.data_centre, failed_on)
+        return cls(
+            spec.job_class,
+            spec.size,
+            spec.data_centre,
+            tuple(job.failed_on),
+            avoided_worker,
+        )
 
 
 class _QueueEntry(typing.NamedTuple):
@@ -171,10 +177,16 @@
                 shape, order_keys
             )
 
-    def add(self, job):
-        """Adds a job; one that is queued already gets a new position."""
+    def add(self, job, avoided_worker=''):
+        """Adds a job; one that is queued already gets a new position.
+
+        Args:
+            job: the job.
+            avoided_worker: name of a worker that it may not go to for a time,
+                empty if there is none.
+        """
         self.discard(job.spec.job_id)
-        entry = self._add_entry(job)
+        entry = self._add_entry(job, avoided_worker)
         team_queues = self._team_queues_by_level.setdefault(entry.level, {})
         if entry.team not in team_queues:
             team_queues[entry.team] = _TeamQueue()
@@ -197,9 +209,9 @@
             if not team_queues:
                 del self._team_queues_by_level[entry.level]
 
-    def _add_entry(self, job):
+    def _add_entry(self, job, avoided_worker=''):
         spec = job.spec
-        shape = Shape.of_job(job)
+        shape = Shape.of_job(job, avoided_worker)
         # All queued jobs of a shape share one ``Shape`` object.
         shape_count = self._shape_counts.setdefault(shape, [shape, 0])
         shape_count[1] += 1
