Find the probe behind a job of its shape that may not probe

Callers saw fewer workers than there are: a repaired worker stayed in quarantine while jobs that could have shown its repair waited.

Cause: the search for a probe offers the first job of a shape and passes over the shape if that job is urgent or billed, so the jobs behind it are never looked at while it waits.

Change: whether a job may probe is part of its shape.

--- a/fuchsiatrestle/scheduling/_dispatch.py
+++ b/fuchsiatrestle/scheduling/_dispatch.py
@@ -286,8 +286,7 @@
         spec = job.spec
         need = (size.cpu_milli, size.memory_mib, size.accelerators)
         return (
-            spec.idempotent
-            and not spec.urgent
+            self._queue.shape_of(spec.job_id).is_probe
             and worker_name not in job.failed_on
             and spec.data_centre in ('', self._fleet.rack_of(worker_name)[0])
             and _capacity.covers(free, need)
--- a/fuchsiatrestle/scheduling/_queue.py
+++ b/fuchsiatrestle/scheduling/_queue.py
@@ -4,8 +4,8 @@
 9.  Within a level the team with the smallest ``dominant_share`` comes first;
 within a team the earliest deadline, then the order of submission.  Jobs of one
 shape (class, declared size, data centre, workers where the job failed, worker
-that it avoids) can go to the same workers.  They are kept together, so that a
-shape which fits nowhere is passed over as a whole.
+that it avoids, whether it may probe) can go to the same workers.  They are
+kept together, so that a shape which fits nowhere is passed over as a whole.
 """
 
 import collections
@@ -25,13 +25,23 @@
 
 
 class Shape(typing.NamedTuple):
-    """Properties of a job that decide which workers it can go to."""
+    """Properties of a job that decide which workers it can go to.
+
+    Attributes:
+        job_class: class of the job.
+        size: its declared size.
+        data_centre: data centre that it is bound to, or empty.
+        failed_on: names of the workers where it failed.
+        avoided_worker: name of the worker that it avoids, or empty.
+        is_probe: True if it may probe any quarantined worker.
+    """
 
     job_class: str
     size: messages.Resources
     data_centre: str
     failed_on: tuple
     avoided_worker: str
+    is_probe: bool
 
     @classmethod
     def of_job(cls, job, avoided_worker):
@@ -43,6 +53,7 @@
             spec.data_centre,
             tuple(job.failed_on),
             avoided_worker,
+            spec.idempotent and not spec.urgent,
         )
 
 
