Show that a team at its quota keeps the probe of another team away

Cause: the search for a probe passes over a whole shape if its first job is of a team at its quota, also for the jobs of other teams.

No logic changes.

Measured: a repaired worker is in quarantine after 100 s although 20 jobs that could probe it wait.

--- a/tests/scheduling/test_starvation.py
+++ b/tests/scheduling/test_starvation.py
@@ -477,6 +477,21 @@
         cell.advance(100_000)
         self.assertEqual('ready', self._find_state(cell))
 
+    def test_probe_is_found_behind_a_job_of_its_shape_above_quota(self):
+        cell = self._make_cell_with_quarantine()
+        cell.quotas['full'] = messages.Resources(4000, 8000, 0)
+        cell.quotas['team'] = messages.Resources(99_000, 99_000, 0)
+        cell.submit(_make_endless_spec('full', 4000, team='full'))
+        cell.advance(2000)
+        cell.submit(*(_make_endless_spec(f'e{n}', 4000) for n in range(2)))
+        cell.advance(2000)
+        cell.submit(
+            _cell.make_spec('above', team='full', priority=1),
+            *(_cell.make_spec(f'probe{n}') for n in range(20)),
+        )
+        cell.advance(100_000)
+        self.assertEqual('ready', self._find_state(cell))
+
     def test_only_worker_is_probed_by_an_urgent_job_if_no_other_waits(self):
         cell = self._make_cell_with_quarantined_worker_only()
         cell.submit(*(_cell.make_spec(f'u{n}', urgent=True) for n in range(9)))
