Find the probe of another team behind a job above its team's quota

Callers saw a repaired worker stay in quarantine although jobs waited that could have shown its repair.

Cause: the search for a probe passed over a shape for all teams if its first job was of a team at its quota.

Change: then only that team's jobs of the shape are passed over.

--- a/fuchsiatrestle/scheduling/_dispatch.py
+++ b/fuchsiatrestle/scheduling/_dispatch.py
@@ -271,26 +271,29 @@
         )
         for number, job_id in enumerate(candidate_ids, 1):
             job = self._jobs_part.jobs[job_id]
+            team, shape = job.spec.team, self._queue.shape_of(job_id)
             size = self._size_rule.reservation_size(job.spec)
-            if self._is_suitable_probe(job, worker_name, size, free):
+            need = (size.cpu_milli, size.memory_mib, size.accelerators)
+            if not self._is_suitable_probe(job, worker_name, need, free):
+                blocked_shapes.add(shape)
+            elif self._team_shares.exceeded_dimension(team, need):
+                blocked_shapes.add((team, shape))
+            else:
                 self._propose_placement(job, worker_name, size, now_ms)
                 return job_id
-            blocked_shapes.add(self._queue.shape_of(job_id))
             if number == MAX_PROBE_CANDIDATES:
                 info.unsuitable_probe_shapes = blocked_shapes
                 break
         return None
 
-    def _is_suitable_probe(self, job, worker_name, size, free):
-        """True if a job may be placed on a quarantined worker as a probe."""
+    def _is_suitable_probe(self, job, worker_name, need, free):
+        """True if jobs of a job's shape may probe a quarantined worker."""
         spec = job.spec
-        need = (size.cpu_milli, size.memory_mib, size.accelerators)
         return (
             self._queue.shape_of(spec.job_id).is_probe
             and worker_name not in job.failed_on
             and spec.data_centre in ('', self._fleet.rack_of(worker_name)[0])
             and _capacity.covers(free, need)
-            and not self._team_shares.exceeded_dimension(spec.team, need)
         )
 
     @property
