Let urgent and billed jobs probe a worker if no other accepts work

Callers saw jobs wait without end in a cell, or a data centre, whose workers are all in quarantine, also after their repair.

Cause: a quarantine ends only by probes, and only ordinary idempotent jobs could be probes. If none of these is queued nothing re-examines the quarantine, and urgent and billed jobs wait for what only they could start.

A probe is an ordinary placement; leases and proofs that an earlier attempt is over stay as they are.

A billed job that fails on a worker that is still bad ends as failed, as on any worker; the alternative here is that it waits for ever.

--- a/fuchsiatrestle/scheduling/_dispatch.py
+++ b/fuchsiatrestle/scheduling/_dispatch.py
@@ -253,11 +253,17 @@
             return False
         return self._round_requested or now_ms >= self._next_retry_round_ms
 
-    def place_probe(self, worker_name, now_ms):
+    def place_probe(self, worker_name, now_ms, *, long_due):
         """Proposes to place one queued job on a quarantined worker.
 
         Only idempotent jobs that are not urgent are used, because the
-        attempt may well fail.
+        attempt may well fail.  If no other worker accepts a job, it could wait
+        for ever; then it is used if it is idempotent or the probe is long due.
+
+        Args:
+            worker_name: the worker.
+            now_ms: monotonic time in milliseconds.
+            long_due: True if no probe was found for a long time.
 
         Returns:
             The id of the job, or None if no queued job is suitable.
@@ -274,7 +280,13 @@
             team, shape = job.spec.team, self._queue.shape_of(job_id)
             size = self._size_rule.reservation_size(job.spec)
             need = (size.cpu_milli, size.memory_mib, size.accelerators)
-            if not self._is_suitable_probe(job, worker_name, need, free):
+            may_probe = shape.is_probe or (
+                (job.spec.idempotent or long_due)
+                and not self._fleet.has_accepting(job.spec.data_centre, now_ms)
+            )
+            if not may_probe or not self._is_suitable_probe(
+                job, worker_name, need, free
+            ):
                 blocked_shapes.add(shape)
             elif self._team_shares.exceeded_dimension(team, need):
                 blocked_shapes.add((team, shape))
@@ -287,11 +299,10 @@
         return None
 
     def _is_suitable_probe(self, job, worker_name, need, free):
-        """True if jobs of a job's shape may probe a quarantined worker."""
+        """True if jobs of a job's shape can go to a quarantined worker."""
         spec = job.spec
         return (
-            self._queue.shape_of(spec.job_id).is_probe
-            and worker_name not in job.failed_on
+            worker_name not in job.failed_on
             and spec.data_centre in ('', self._fleet.rack_of(worker_name)[0])
             and _capacity.covers(free, need)
         )
--- a/fuchsiatrestle/scheduling/_fleet.py
+++ b/fuchsiatrestle/scheduling/_fleet.py
@@ -335,6 +335,13 @@
             if data_centre in ('', index_data_centre):
                 yield from index.iter_workers()
 
+    def has_accepting(self, data_centre, now_ms):
+        """True if any worker accepts work now, held ones included."""
+        return (
+            next(self.iter_accepting(data_centre), None) is not None
+            or next(self.iter_held(data_centre, now_ms), None) is not None
+        )
+
     def fits_when_empty(self, name, need):
         """True if a need would fit on a worker if no attempt ran there."""
         return _capacity.covers(self.capacity_when_empty(name), need)
--- a/fuchsiatrestle/scheduling/_quarantine.py
+++ b/fuchsiatrestle/scheduling/_quarantine.py
@@ -7,7 +7,8 @@
 distinct jobs (see ``QUARANTINE_WEIGHT``).
 
 A worker in quarantine gets one attempt at a time as a probe, and is released
-after ``PROBES_TO_RELEASE`` probes in a row have succeeded.
+after ``PROBES_TO_RELEASE`` probes in a row have succeeded.  A probe is long
+due if none was found within ``MAX_PROBE_DELAY_MS``.
 """
 
 import collections
@@ -167,6 +168,11 @@
             if record.probe_job_id is None and now_ms >= record.next_probe_ms
         ]
 
+    def is_probe_long_due(self, worker_name, now_ms):
+        """True if a probe of a worker is due since ``MAX_PROBE_DELAY_MS``."""
+        record = self._quarantined_records[worker_name]
+        return now_ms >= record.next_probe_ms + MAX_PROBE_DELAY_MS
+
     def begin_probe(self, worker_name, job_id):
         """Records the job whose attempt probes a quarantined worker."""
         self._record_by_worker[worker_name].probe_job_id = job_id
--- a/fuchsiatrestle/scheduling/_scheduler.py
+++ b/fuchsiatrestle/scheduling/_scheduler.py
@@ -233,7 +233,13 @@
             return
         if not assembly.fleet.accepts_probe(worker, info, now_ms):
             return
-        job_id = assembly.dispatcher.place_probe(worker_name, now_ms)
+        job_id = assembly.dispatcher.place_probe(
+            worker_name,
+            now_ms,
+            long_due=assembly.quarantine.is_probe_long_due(
+                worker_name, now_ms
+            ),
+        )
         if job_id is not None:
             assembly.quarantine.begin_probe(worker_name, job_id)
 
