Show that a learned size keeps a job waiting in an empty cell

Callers see a job wait without end ("no worker has room") that fits as declared.

Cause: a learned size is limited to the capacity of the largest worker, but services use a part of each. If what was learned leaves them no room, no job of the class starts, and only an ended job of the class could correct the size.

No logic changes.

--- a/tests/scheduling/test_starvation.py
+++ b/tests/scheduling/test_starvation.py
@@ -276,6 +276,22 @@
         self.assertIsNotNone(_find_start_ms(cell, 'large'))
 
 
+class LearnedSizeTest(unittest.TestCase):
+    """A learned size that no worker has room for keeps no job waiting."""
+
+    def test_job_starts_though_its_learned_size_leaves_services_no_room(self):
+        cell = _cell.Cell(2, service='quotes')
+        cell.advance(5000)
+        size_rule = cell.scheduler._assembly.size_rule
+        for _ in range(8):
+            size_rule.record_peak(
+                _cell.make_spec('earlier'), messages.Resources(4000, 7000, 0)
+            )
+        cell.submit(_cell.make_spec('declared-fits'))
+        cell.advance(_holds.WAIT_BEFORE_HOLD_MS)
+        self.assertEqual('done', cell.job_state('declared-fits'))
+
+
 class TailLimitTest(unittest.TestCase):
     """Workers barred by the tail latency limit hide none that is not."""
 
