Limit a learned size to what a worker beside its services can offer

Callers saw jobs of a class wait without end in an empty cell.

Cause: a learned size is limited to the capacity of the largest worker on which the declared size fits, so that such a job can still be placed. Services use a part of the worker, so a job that learned the whole worker fitted nowhere, and what was learned changes only when jobs of the class end.

Change: the fleet indexes what would be free on each worker if no attempt ran; a learned size that fits on none of these is cut to the one with most processor time on which the declared size fits, never below the declared size.

--- a/fuchsiatrestle/scheduling/_dispatch.py
+++ b/fuchsiatrestle/scheduling/_dispatch.py
@@ -129,9 +129,16 @@
 
     def reservation_for(self, job):
         """Returns a job's need: (cpu_milli, memory_mib, accelerators)."""
-        size = self._size_rule.reservation_size(job.spec)
+        size = self._reservation_size(job.spec)
         return size.cpu_milli, size.memory_mib, size.accelerators
 
+    def _reservation_size(self, spec):
+        """Returns the size to reserve, as learned where that can fit."""
+        size = self._size_rule.reservation_size(spec)
+        if size == spec.size:
+            return size
+        return self._fleet.limit_size(size, spec.size, spec.data_centre)
+
     def request_round(self):
         """Asks for a round, because capacity may have become free."""
         self._round_requested = True
@@ -278,7 +285,7 @@
         for number, job_id in enumerate(candidate_ids, 1):
             job = self._jobs_part.jobs[job_id]
             team, shape = job.spec.team, self._queue.shape_of(job_id)
-            size = self._size_rule.reservation_size(job.spec)
+            size = self._reservation_size(job.spec)
             need = (size.cpu_milli, size.memory_mib, size.accelerators)
             may_probe = shape.is_probe or (
                 (job.spec.idempotent or long_due)
@@ -321,7 +328,7 @@
         """
         spec = job.spec
         shape = self._queue.shape_of(spec.job_id)
-        size = self._size_rule.reservation_size(spec)
+        size = self._reservation_size(spec)
         need = (size.cpu_milli, size.memory_mib, size.accelerators)
         dimension = self._team_shares.exceeded_dimension(spec.team, need)
         if dimension:
--- a/fuchsiatrestle/scheduling/_fleet.py
+++ b/fuchsiatrestle/scheduling/_fleet.py
@@ -2,6 +2,7 @@
 
 import collections
 
+from fuchsiatrestle import messages
 from fuchsiatrestle.scheduling import _capacity
 from fuchsiatrestle.scheduling import _peaks
 
@@ -115,6 +116,8 @@
         # reports.
         self._reporting_workers = collections.OrderedDict()
         self._index_by_data_centre = {}
+        # Index of what would be free if no attempts ran, by data centre.
+        self._empty_index_by_data_centre = {}
         self._has_capacity_grown = False
         self._paused_until_ms_by_worker = collections.OrderedDict()
         # Names of the held workers, as keys, in the order of their holds.
@@ -142,6 +145,7 @@
         self._reporting_workers[info.name] = None
         self._reporting_workers.move_to_end(info.name)
         self.refresh_worker(info.name, now_ms)
+        self._refresh_empty_index(info, now_ms)
         return info
 
     def is_silent(self, info, now_ms):
@@ -178,6 +182,7 @@
                 break
             del self._reporting_workers[name]
             self.refresh_worker(name, now_ms)
+            self._refresh_empty_index(self._info_by_worker[name], now_ms)
             silent_workers.append(name)
         while self._paused_until_ms_by_worker:
             name, until_ms = next(
@@ -202,7 +207,10 @@
         self._info_by_worker.pop(name, None)
         self._reporting_workers.pop(name, None)
         self._paused_until_ms_by_worker.pop(name, None)
-        for index in self._index_by_data_centre.values():
+        for index in (
+            *self._index_by_data_centre.values(),
+            *self._empty_index_by_data_centre.values(),
+        ):
             index.remove_worker(name)
 
     # Capacity
@@ -232,6 +240,18 @@
         )
         index.set_free(name, free)
 
+    def _refresh_empty_index(self, info, now_ms):
+        worker = self._jobs_part.workers.get(info.name)
+        if worker is None:
+            return
+        index = self._empty_index_by_data_centre.setdefault(
+            worker.spec.data_centre, _capacity.FreeCapacityIndex()
+        )
+        if self.accepts_despite_hold(worker, info, now_ms):
+            index.set_free(info.name, self.capacity_when_empty(info.name))
+        else:
+            index.remove_worker(info.name)
+
     def pop_capacity_growth(self):
         """Tells if any worker's free capacity grew since the last call."""
         has_capacity_grown, self._has_capacity_grown = (
@@ -346,6 +366,36 @@
         """True if a need would fit on a worker if no attempt ran there."""
         return _capacity.covers(self.capacity_when_empty(name), need)
 
+    def limit_size(self, size, declared_size, data_centre):
+        """Limits a size to what a worker has room for if no attempt runs.
+
+        Args:
+            size: the ``messages.Resources`` to limit.
+            declared_size: the size that is never gone below.
+            data_centre: name of the data centre to search, empty for all.
+
+        Returns:
+            The size if it fits on a worker, or if the declared size fits on
+            none; else its part that fits where the declared size does.
+        """
+        indexes = [
+            index
+            for name, index in sorted(self._empty_index_by_data_centre.items())
+            if data_centre in ('', name)
+        ]
+        if any(_find_fitting(index, size) for index in indexes):
+            return size
+        for index in indexes:
+            name = _find_fitting(index, declared_size)
+            if name is not None:
+                cpu_milli, memory_mib, _ = index.free_capacity(name)
+                return messages.Resources(
+                    min(size.cpu_milli, cpu_milli),
+                    min(size.memory_mib, memory_mib),
+                    size.accelerators,
+                )
+        return size
+
     def fits(self, name, need):
         """True if a need fits into a worker's free capacity."""
         return _capacity.covers(self.free_capacity(name), need)
@@ -408,3 +458,8 @@
                 _capacity.FreeCapacityIndex()
             )
         return index
+
+
+def _find_fitting(index, size):
+    need = (size.cpu_milli, size.memory_mib, size.accelerators)
+    return next(index.iter_fitting(need), None)
