Show that one too large batch keeps all ends of claims from being recorded

Callers see claim_held (409) for resends of keyed requests that have ended.

Cause: an entry collects up to 256 ends of claims, each with an answer of up to 8 KiB and its header fields, in one command. Control refuses commands over 1 MiB as bad_request. The entry proposes the same batch again each 0.2 s, the ends behind it wait, and the claims stay held while the entry keeps its lease. No log line or counter of this package tells.

No logic changes.

--- a/tests/entry/test_claims.py
+++ b/tests/entry/test_claims.py
@@ -4,11 +4,18 @@
 from unittest import mock
 
 import curio
+from returns import result
 
+from fuchsiatrestle.control import _service
+from fuchsiatrestle.entry import _claims
+from fuchsiatrestle.entry import _exchange
+from fuchsiatrestle.net import control_client
 from fuchsiatrestle.net import http
+from fuchsiatrestle import routing
 from fuchsiatrestle.routing import _admission
 from fuchsiatrestle import settings
 from fuchsiatrestle.state import commands
+from fuchsiatrestle.state import outcomes
 from tests.fakes import entry_world
 from tests.fakes import ports
 
@@ -34,6 +41,28 @@
         return await self._client.propose(command, timeout_ms)
 
 
+class _LimitedClient:
+    """Control client that refuses too large commands, as control does.
+
+    Attributes:
+        recorded_keys: keys of the claims whose end was recorded.
+    """
+
+    def __init__(self):
+        self.recorded_keys = []
+
+    async def propose(self, command, timeout_ms=1000):
+        """Accepts a command unless it is larger than control takes."""
+        if len(commands.CODEC.encode(command)) > _service.MAX_COMMAND_BYTES:
+            return result.Failure(
+                control_client.CallFailure(
+                    'bad_request', step='propose', peer='c1', executed=False
+                )
+            )
+        self.recorded_keys += [claim.key for claim in command.claims]
+        return result.Success(outcomes.Done())
+
+
 class _TwoEntries:
     """Two entries with one upstream; the first one finishes claims late."""
 
@@ -130,5 +159,25 @@
         _run_scenario(scenario)
 
 
+class FinishTest(unittest.TestCase):
+    def test_ends_with_large_answers_are_recorded(self):
+        keys = [f'k{number}' for number in range(_claims.MAX_BATCH_ITEMS)]
+        client = _LimitedClient()
+
+        async def main():
+            batcher = _claims.ClaimBatcher('e1', 1, client)
+            for key in keys:
+                answer = bytes(_exchange.MAX_STORED_BODY_BYTES)
+                await batcher.queue_finish(
+                    routing.FinishClaim('quotes', key, 'done', 200, answer)
+                )
+            sender = await curio.spawn(batcher.send_finishes_forever)
+            await batcher.flush_finishes()
+            await sender.cancel()
+
+        curio.run(main)
+        self.assertEqual(keys, client.recorded_keys)
+
+
 if __name__ == '__main__':
     unittest.main()
