Record the ends of claims in batches that control takes

Callers saw claim_held (409) without end for resends of keyed requests that had long been answered, while the entry that ran them went on serving.

Cause: batches of claims and ends were bounded by number only. A full batch of ends with answers over 4 KiB is above the 1 MiB that control takes; it was refused and proposed again for ever, and nothing behind it was recorded. Such batches come together while control answers no call, as in a change of leader.

A log line finishes_not_recorded gives reason, size and number of waiting ends.

--- a/fuchsiatrestle/entry/_claims.py
+++ b/fuchsiatrestle/entry/_claims.py
@@ -21,6 +21,10 @@
 # Time for which claims or finishes are collected before a batch is sent.
 BATCH_DELAY_S = 0.005
 MAX_BATCH_ITEMS = 256
+# Limit on the keys, fingerprints and answers of a batch.  Control refuses
+# commands over 1 MiB; the other fields of a full batch take far less than half
+# of that.
+MAX_BATCH_BYTES = 512 * 1024
 # Maximum number of queued claims, and likewise of queued finishes.
 MAX_QUEUED_ITEMS = 4096
 # Time for which the requests of a batch wait for its outcome.
@@ -262,6 +266,14 @@
             )
             if isinstance(propose_result, result.Success):
                 return
+            LOG.warning(
+                'finishes_not_recorded',
+                extra={
+                    'reason': propose_result.failure().reason,
+                    'count': len(batch),
+                    'waiting': len(self._queued_finishes),
+                },
+            )
             await curio.sleep(RESEND_PAUSE_S)
 
     async def flush_finishes(self):
@@ -275,6 +287,21 @@
 
 
 def _take_batch(queue):
-    """Removes and returns up to ``MAX_BATCH_ITEMS`` items of a deque."""
-    batch_size = min(len(queue), MAX_BATCH_ITEMS)
-    return [queue.popleft() for _ in range(batch_size)]
+    """Removes and returns the first items of a deque, at least one.
+
+    They are up to ``MAX_BATCH_ITEMS`` with up to ``MAX_BATCH_BYTES``.
+    """
+    batch = [queue.popleft()]
+    batch_bytes = _count_bytes(batch[0])
+    while queue and len(batch) < MAX_BATCH_ITEMS:
+        batch_bytes += _count_bytes(queue[0])
+        if batch_bytes > MAX_BATCH_BYTES:
+            break
+        batch.append(queue.popleft())
+    return batch
+
+
+def _count_bytes(item):
+    """Returns the size of the variable fields of a claim or finish."""
+    is_claim = isinstance(item, routing.AskClaim)
+    return len(item.key) + len(item.fingerprint if is_claim else item.answer)
