Show that the same worker is held for a large job again and again in vain

Callers see a large job wait without end, and workers idle for it.

Cause: the hold takes the first worker on which the shape would fit if empty, in the order of the capacity index, and that order does not change because a hold of 10 minutes was in vain.

No logic changes.

Small jobs keep w1, which has an accelerator and so comes last, from getting empty by itself.

--- a/tests/scheduling/test_starvation.py
+++ b/tests/scheduling/test_starvation.py
@@ -109,6 +109,27 @@
             cell.advance(1000)
         self.assertIsNotNone(_find_start_ms(cell, 'large'))
 
+    def test_hold_in_vain_is_followed_by_one_of_another_worker(self):
+        cell = _cell.Cell(2)
+        cell.agents['w0'].options.capacity = messages.Resources(4000, 8000, 0)
+        cell.advance(1000)
+        cell.submit(_make_endless_spec('endless', 1000))
+        cell.advance(1000)
+        self.assertEqual('w0', cell.ledger[0].worker)
+        for second in range(3 * _holds.MAX_HOLD_MS // 1000):
+            cell.submit(
+                *(
+                    _cell.make_spec(
+                        f's{second}-{n}', priority=0, command='sleep 3000'
+                    )
+                    for n in range(3)
+                )
+            )
+            if second == 20:
+                cell.submit(_cell.make_spec('large', 4000))
+            cell.advance(1000, step_ms=1000)
+        self.assertEqual('done', cell.job_state('large'))
+
 
 class RoundTest(unittest.TestCase):
     """Jobs that find no room do not hide those behind them from a round."""
