Hold each other worker before one that was held in vain

Callers saw a large job wait without end while a worker idled for it.

Cause: the hold always took the first worker, in the order of the capacity index, on which the shape would fit if empty. If a job that lasts keeps that worker from getting empty, the hold ends in vain after 10 minutes and the next one, a minute later, takes the same worker.

Change: the workers held in vain for a shape are remembered until the shape is placed or no longer waits; others are held first, and once all were, it starts anew. The bound is one hold and its pause, 11 minutes, for each worker on which the shape would fit; it was none.

Evidence: test_hold_in_vain_is_followed_by_one_of_another_worker failed before (30 min) and passes. Tests of scheduling without processes pass (54).

--- a/fuchsiatrestle/scheduling/_holds.py
+++ b/fuchsiatrestle/scheduling/_holds.py
@@ -5,7 +5,8 @@
 held for the shape: the worker gets no other placement but of urgent jobs, so
 that its free capacity grows as attempts end.  At most one worker in
 ``WORKERS_PER_HOLD`` is held at a time, but at least one may be, and each for
-up to ``MAX_HOLD_MS``.  A worker is open to all jobs for ``MIN_HOLD_GAP_MS``
+up to ``MAX_HOLD_MS``.  If that was in vain, each other worker is held before
+the same one is again.  A worker is open to all jobs for ``MIN_HOLD_GAP_MS``
 between two holds, so that no job that fits waits for more than one hold.
 """
 
@@ -52,6 +53,8 @@
         self._waiting_since_ms_by_shape = {}
         self._hold_by_shape = {}
         self._gap_end_ms_by_worker = {}
+        # Names of the workers held for the longest time in vain, by shape.
+        self._vain_workers_by_shape = {}
 
     def __len__(self):
         return len(self._hold_by_shape)
@@ -95,6 +98,7 @@
 
     def release_shape(self, job_shape, now_ms):
         """Ends the hold and the waiting time of a shape, if any."""
+        self._vain_workers_by_shape.pop(job_shape, None)
         self._waiting_since_ms_by_shape.pop(job_shape, None)
         self._end_hold(job_shape, now_ms)
 
@@ -110,11 +114,21 @@
             now_ms: monotonic time in milliseconds.
         """
         for job_shape, hold in list(self._hold_by_shape.items()):
-            if job_shape not in shapes or now_ms >= hold.until_ms:
+            if job_shape not in shapes:
                 self.release_shape(job_shape, now_ms)
+            elif now_ms >= hold.until_ms:
+                self._waiting_since_ms_by_shape.pop(job_shape, None)
+                self._record_vain_hold(job_shape, hold.worker_name)
+                self._end_hold(job_shape, now_ms)
             elif not self._is_usable(hold.worker_name, now_ms):
                 self._end_hold(job_shape, now_ms)
 
+    def _record_vain_hold(self, job_shape, worker_name):
+        if len(self._vain_workers_by_shape) > MAX_WAITING_SHAPES:
+            self._vain_workers_by_shape.clear()
+        vain_workers = self._vain_workers_by_shape.setdefault(job_shape, set())
+        vain_workers.add(worker_name)
+
     def _end_hold(self, job_shape, now_ms):
         hold = self._hold_by_shape.pop(job_shape, None)
         if hold is not None:
@@ -141,11 +155,18 @@
             for name, gap_end_ms in self._gap_end_ms_by_worker.items()
             if gap_end_ms > now_ms
         }
+        vain_workers = self._vain_workers_by_shape.get(job_shape, ())
+        vain_name = None
         for name in self._fleet.iter_accepting(job_shape.data_centre):
             if (
-                name not in job_shape.failed_on
-                and name not in self._gap_end_ms_by_worker
-                and self._fleet.fits_when_empty(name, need)
+                name in job_shape.failed_on
+                or name in self._gap_end_ms_by_worker
+                or not self._fleet.fits_when_empty(name, need)
             ):
+                continue
+            if name not in vain_workers:
                 return name
-        return None
+            vain_name = vain_name or name
+        if vain_name is not None:
+            del self._vain_workers_by_shape[job_shape]
+        return vain_name
