Show that many waiting shapes start each other's waits anew

Callers see jobs wait without end if more than 4096 shapes wait at once.

Cause: the times since which shapes wait, for a hold and for the exemption from the tail limit, are all dropped when there are more than 4096, also if these shapes still wait. No wait then gets 60 s old.

No logic changes.

--- a/tests/scheduling/test_starvation.py
+++ b/tests/scheduling/test_starvation.py
@@ -5,6 +5,7 @@
 
 from fuchsiatrestle import messages
 from fuchsiatrestle import scheduling
+from fuchsiatrestle.scheduling import _dispatch
 from fuchsiatrestle.scheduling import _holds
 from fuchsiatrestle.scheduling import _interference
 from fuchsiatrestle.state import commands
@@ -200,6 +201,49 @@
         self.assertIsNotNone(_find_start_ms(cell, 'now'))
 
 
+class ManyShapesTest(unittest.TestCase):
+    """More shapes than are remembered start no wait of theirs anew."""
+
+    @mock.patch.object(_holds, 'MAX_WAITING_SHAPES', 8)
+    def test_worker_is_held_although_too_many_shapes_wait_for_one(self):
+        cell = _cell.Cell(1)
+        cell.advance(1000)
+        for second in range(240):
+            cell.submit(
+                *(
+                    _cell.make_spec(
+                        f's{second}-{n}', priority=0, command='sleep 3000'
+                    )
+                    for n in range(4)
+                )
+            )
+            if second == 5:
+                cell.submit(
+                    *(
+                        _cell.make_spec(f'large-{n}', 4000 - n, priority=1)
+                        for n in range(20)
+                    )
+                )
+            cell.advance(1000, step_ms=1000)
+        large_jobs = [
+            line for line in cell.ledger if line.job_id.startswith('large')
+        ]
+        self.assertTrue(large_jobs)
+
+    @mock.patch.object(_dispatch, 'MAX_REMEMBERED_SHAPES', 8)
+    def test_tail_limit_ends_although_it_holds_back_too_many_shapes(self):
+        cell = _cell.Cell(1, service='quotes')
+        cell.advance(2000)
+        with mock.patch.object(
+            _interference.InterferenceModel, 'coefficient', return_value=1.0
+        ):
+            cell.submit(
+                *(_cell.make_spec(f'j{n}', 1000 + n) for n in range(20))
+            )
+            cell.advance(2 * cell.policy.tail_patience_ms)
+        self.assertTrue(cell.ledger)
+
+
 class SearchTest(unittest.TestCase):
     """Searches for a worker to clear find the one that can be cleared."""
 
