Keep the waits of queued shapes when too many shapes wait

Callers saw jobs wait without end if more than 4096 shapes waited at once.

Cause: above the bound all times since which shapes wait for a hold or for the exemption from the tail limit were dropped, also those of shapes that still wait, so that none got 60 s old.

Change: above the bound the times of shapes that are no longer queued are dropped; another shape is timed once one of the timed shapes is placed, has waited in vain or is gone. So each gets its turn, 4096 at a time, and memory is bounded as before.

Evidence: test_worker_is_held_although_too_many_shapes_wait_for_one and test_tail_limit_ends_although_it_holds_back_too_many_shapes failed before and pass; tests of scheduling without processes pass (56).

--- a/fuchsiatrestle/scheduling/_dispatch.py
+++ b/fuchsiatrestle/scheduling/_dispatch.py
@@ -23,8 +23,11 @@
 
 __all__ = ('Dispatcher',)
 
-# Bound on the waiting reasons (one for each shape and team) and on the waiting
-# times (one for each shape) that are kept; above it all of them are cleared.
+# Bound on the waiting reasons (one for each shape and team) that are kept, and
+# on the counts of workers passed over; above it all of them are cleared.  Also
+# the bound on the shapes whose wait for ``Policy.tail_patience_ms`` is timed;
+# that of another shape begins only once one of them is placed for it or no
+# longer queued.
 MAX_REMEMBERED_SHAPES = 4096
 # Some obstacles end with time and without an event, such as the time that an
 # evicted job avoids its worker, so waiting jobs are tried again at least this
@@ -176,6 +179,8 @@
         for job_id in self._evictions.pop_ended_avoidances(now_ms):
             if job_id in self._queue:
                 self._queue.add(self._jobs_part.jobs[job_id])
+        if len(self._tail_wait_since_ms_by_shape) >= MAX_REMEMBERED_SHAPES:
+            self._drop_tail_waits_of_gone_shapes()
         self._worker_holds.release_expired(self._queue.shapes, now_ms)
         blocked_shapes_and_teams = set(self._missed_urgent)
         is_among_urgent_jobs = True
@@ -444,18 +449,30 @@
             The name of a worker, or None to wait.
         """
         shape = self._queue.shape_of(job.spec.job_id)
-        if len(self._tail_wait_since_ms_by_shape) > MAX_REMEMBERED_SHAPES:
-            self._tail_wait_since_ms_by_shape.clear()
+        if (
+            shape not in self._tail_wait_since_ms_by_shape
+            and len(self._tail_wait_since_ms_by_shape) >= MAX_REMEMBERED_SHAPES
+        ):
+            return None
         waiting_since_ms = self._tail_wait_since_ms_by_shape.setdefault(
             shape, now_ms
         )
         if now_ms - waiting_since_ms < self._policy.tail_patience_ms:
             return None
-        self._tail_wait_since_ms_by_shape[shape] = now_ms
+        del self._tail_wait_since_ms_by_shape[shape]
         return self._placement_rule.pick_worker(
             job, need, candidate_names, limit_tail=False
         )
 
+    def _drop_tail_waits_of_gone_shapes(self):
+        self._tail_wait_since_ms_by_shape = {
+            shape: waiting_since_ms
+            for shape, waiting_since_ms in (
+                self._tail_wait_since_ms_by_shape.items()
+            )
+            if shape in self._queue.shapes
+        }
+
     def _propose_placement(self, job, worker_name, size, now_ms):
         spec = job.spec
         worker = self._jobs_part.workers[worker_name]
--- a/fuchsiatrestle/scheduling/_holds.py
+++ b/fuchsiatrestle/scheduling/_holds.py
@@ -19,8 +19,8 @@
 MIN_HOLD_GAP_MS = 10_000
 # At most one worker in this many is held at a time, but one always may be.
 WORKERS_PER_HOLD = 16
-# Bound on the shapes whose waiting time is kept; above it all waiting times
-# are cleared.
+# Bound on the shapes whose waiting time is kept.  That of another shape begins
+# only once one of them is placed, has waited in vain or is no longer queued.
 MAX_WAITING_SHAPES = 4096
 
 
@@ -73,8 +73,11 @@
         May hold a worker for the shape if none has had room for
         ``WAIT_BEFORE_HOLD_MS``.
         """
-        if len(self._waiting_since_ms_by_shape) > MAX_WAITING_SHAPES:
-            self._waiting_since_ms_by_shape.clear()
+        if (
+            job_shape not in self._waiting_since_ms_by_shape
+            and len(self._waiting_since_ms_by_shape) >= MAX_WAITING_SHAPES
+        ):
+            return
         waiting_since_ms = self._waiting_since_ms_by_shape.setdefault(
             job_shape, now_ms
         )
@@ -89,7 +92,7 @@
         worker_name = self._find_worker_to_hold(job_shape, need, now_ms)
         if worker_name is None:
             # The next search, which may look at all workers, is as far away.
-            self._waiting_since_ms_by_shape[job_shape] = now_ms
+            del self._waiting_since_ms_by_shape[job_shape]
         else:
             self._hold_by_shape[job_shape] = _Hold(
                 worker_name, now_ms + MAX_HOLD_MS
@@ -113,6 +116,14 @@
             shapes: the shapes of the queued jobs.
             now_ms: monotonic time in milliseconds.
         """
+        if len(self._waiting_since_ms_by_shape) >= MAX_WAITING_SHAPES:
+            self._waiting_since_ms_by_shape = {
+                shape: waiting_since_ms
+                for shape, waiting_since_ms in (
+                    self._waiting_since_ms_by_shape.items()
+                )
+                if shape in shapes
+            }
         for job_shape, hold in list(self._hold_by_shape.items()):
             if job_shape not in shapes:
                 self.release_shape(job_shape, now_ms)
