Show that a job waits for workers that it may not go to

Callers see a job queued without end that no operator is told of.

Cause: a job isn't tried again on a worker where it failed, and is parked as fails_everywhere once no other is left. Workers in another data centre, or too small for it, count as left.

No logic changes.

Measured: bound to a data centre, or in need of an accelerator, that one of three workers has, the job is queued 20 s after it failed there.

--- a/tests/scheduling/test_starvation.py
+++ b/tests/scheduling/test_starvation.py
@@ -201,6 +201,26 @@
         self.assertIsNotNone(_find_start_ms(cell, 'now'))
 
 
+class FailedJobTest(unittest.TestCase):
+    """A job that failed wherever it may go is parked and doesn't wait."""
+
+    def test_job_is_parked_though_workers_that_it_may_not_go_to_are_left(self):
+        for fields in ({'data_centre': 'dc1'}, {'accelerators': 1}):
+            with self.subTest(**fields):
+                cell = _cell.Cell(3)
+                for name in ('w1', 'w2'):
+                    options = cell.agents[name].options
+                    options.data_centre = 'dc2'
+                    options.capacity = messages.Resources(4000, 8000, 0)
+                cell.advance(2000)
+                cell.submit(
+                    _cell.make_spec('bound', command='fail 100', **fields)
+                )
+                cell.advance(20_000)
+                self.assertEqual(1, len(cell.ledger))
+                self.assertEqual('parked', cell.job_state('bound'))
+
+
 class ManyShapesTest(unittest.TestCase):
     """More shapes than are remembered start no wait of theirs anew."""
 
