Park a job that failed on all workers that it may go to

Cause: the exclusion of a worker where a job failed is agreed and has no end, and the check that parks such a job counted workers in other data centres, or too small for it, as left.

Change: only workers in the data centre of the job that are as large as it declares count as left. An operator then sees fails_everywhere and may resolve the job as queued.

--- a/fuchsiatrestle/scheduling/_agreed.py
+++ b/fuchsiatrestle/scheduling/_agreed.py
@@ -230,7 +230,8 @@
     def park_if_no_worker_left(self, job, now_ms):
         """Parks a queued job that has failed on every usable worker.
 
-        A worker is usable if it is neither in quarantine nor lost.  In a cell
+        A worker is usable if it is neither in quarantine nor lost, is in the
+        data centre that the job is bound to, and is large enough.  In a cell
         with more than ``SMALL_CELL_WORKERS`` workers nothing is done, because
         there a job fails on ``Policy.failed_workers`` distinct workers first
         and is parked for that.
@@ -240,8 +241,10 @@
             return
         remaining_workers = [
             name
-            for name in registered_workers
+            for name, worker in registered_workers.items()
             if name not in job.failed_on
+            and job.spec.data_centre in ('', worker.spec.data_centre)
+            and _covers(worker.spec.capacity, job.spec.size)
             and not self._assembly.quarantine.is_quarantined(name)
             and not self._assembly.fleet.is_lost(name, now_ms)
         ]
@@ -262,3 +265,12 @@
         assembly = self._assembly
         assembly.dispatcher.remove_job(job.spec.job_id)
         assembly.outbox.add_parking(job.spec.job_id, REASON_FAILS_EVERYWHERE)
+
+
+def _covers(capacity, size):
+    """True if a capacity is at least as large as a size in each dimension."""
+    return (
+        capacity.cpu_milli >= size.cpu_milli
+        and capacity.memory_mib >= size.memory_mib
+        and capacity.accelerators >= size.accelerators
+    )
