Show that a large cell parks no job that fails on too few workers

Cause: with more than 64 workers a job is parked only once it failed on three. If it may go to fewer, by data centre or size, it is queued for good.

--- a/tests/scheduling/test_starvation.py
+++ b/tests/scheduling/test_starvation.py
@@ -220,6 +220,16 @@
                 self.assertEqual(1, len(cell.ledger))
                 self.assertEqual('parked', cell.job_state('bound'))
 
+    def test_job_is_parked_in_a_large_cell_with_one_worker_for_it(self):
+        cell = _cell.Cell(70)
+        cell.agents['w0'].options.data_centre = 'dc2'
+        cell.advance(2000)
+        cell.submit(
+            _cell.make_spec('bound', command='fail 100', data_centre='dc2')
+        )
+        cell.advance(20_000)
+        self.assertEqual('parked', cell.job_state('bound'))
+
 
 class ManyShapesTest(unittest.TestCase):
     """More shapes than are remembered start no wait of theirs anew."""
