Show that an entry without slots of its own is lent none of the idle ones

Callers of one entry see every request refused (deadline_in_queue) beside an idle upstream, if a service has fewer slots than there are entries.

Cause: slots are owned by rank; an entry beyond their number owns none and lives on loans. Each other entry keeps two free slots for itself, and owns at most that many, so it never lends, without a bound in time.

No logic changes.

--- a/tests/routing/test_scenarios.py
+++ b/tests/routing/test_scenarios.py
@@ -114,3 +114,16 @@
 
     def test_a_loan_that_comes_after_its_term_is_not_used(self):
         run_late_loan()
+
+
+class LendingTest(unittest.TestCase):
+    def test_an_entry_that_owns_no_slot_is_lent_one_that_is_idle(self):
+        world = routing_world.World(7, entries=3, upstreams=1)
+        world.upstreams[ADDRESS].slots = 2
+        world.upstreams[ADDRESS].service_ms = lambda: 20
+        world.run_until(SETTLED_MS)
+        _send_requests(world, list(world.entries), SETTLED_MS + 20000, 1000)
+        world.run_until(SETTLED_MS + 22000)
+        for first_number in range(3):
+            results = [r.result for r in world.requests[first_number::3]]
+            self.assertGreaterEqual(results.count('answered'), 10)
