--- a/fuchsiatrestle/scheduling/_dispatch.py
+++ b/fuchsiatrestle/scheduling/_dispatch.py
@@ -23,8 +23,11 @@
 
 __all__ = ('Dispatcher',)
 
-# Bound on the waiting reasons (one for each shape and team) and on the waiting
-# times (one for each shape) that are kept; above it all of them are cleared.
+# Bound on the waiting reasons (one for each shape and team) that are kept, and
+# on the counts of workers passed over; above it all of them are cleared.  Also
+# the bound on the shapes whose wait for ``Policy.tail_patience_ms`` is timed;
+# that of another shape begins only once one of them is placed for it or no
+# longer queued.
 MAX_REMEMBERED_SHAPES = 4096
 # Some obstacles end with time and without an event, such as the time that an
 # evicted job avoids its worker, so waiting jobs are tried again at least this
@@ -41,6 +44,9 @@
 # the speed of a round then counts more than the quality of each choice.
 LONG_QUEUE_JOBS = 1_000
 LONG_QUEUE_CANDIDATES = 8
+# If the tail latency limit rules out all candidates for a job, up to this many
+# workers behind them are scored; the next search for its shape goes on there.
+MAX_FURTHER_CANDIDATES = 128
 
 
 class Dispatcher:
@@ -84,6 +90,9 @@
         self._pending_placements = {}
         self._waiting_reasons = {}
         self._tail_wait_since_ms_by_shape = {}
+        # Number of workers behind the first candidates that the next search
+        # for a shape passes over.
+        self._passed_count_by_shape = {}
         self._worker_holds = _holds.WorkerHolds(jobs_part, fleet)
         # Shapes and teams for which earlier rounds of this walk found nothing,
         # urgent jobs apart.
@@ -101,12 +110,14 @@
 
     # Queue
 
-    def refresh_job(self, job_id):
+    def refresh_job(self, job_id, now_ms):
         """Queues or removes a job according to its replicated state."""
         job = self._jobs_part.jobs.get(job_id)
         is_queued = job is not None and job.state == states.QUEUED
         if is_queued and job_id not in self._pending_placements:
-            self._queue.add(job)
+            self._queue.add(
+                job, self._evictions.worker_to_avoid(job_id, now_ms)
+            )
             self._round_requested = True
         else:
             self._queue.discard(job_id)
@@ -121,9 +132,16 @@
 
     def reservation_for(self, job):
         """Returns a job's need: (cpu_milli, memory_mib, accelerators)."""
-        size = self._size_rule.reservation_size(job.spec)
+        size = self._reservation_size(job.spec)
         return size.cpu_milli, size.memory_mib, size.accelerators
 
+    def _reservation_size(self, spec):
+        """Returns the size to reserve, as learned where that can fit."""
+        size = self._size_rule.reservation_size(spec)
+        if size == spec.size:
+            return size
+        return self._fleet.limit_size(size, spec.size, spec.data_centre)
+
     def request_round(self):
         """Asks for a round, because capacity may have become free."""
         self._round_requested = True
@@ -158,6 +176,11 @@
         self._next_retry_round_ms = now_ms + RETRY_INTERVAL_MS
         if len(self._waiting_reasons) > MAX_REMEMBERED_SHAPES:
             self._waiting_reasons.clear()
+        for job_id in self._evictions.pop_ended_avoidances(now_ms):
+            if job_id in self._queue:
+                self._queue.add(self._jobs_part.jobs[job_id])
+        if len(self._tail_wait_since_ms_by_shape) >= MAX_REMEMBERED_SHAPES:
+            self._drop_tail_waits_of_gone_shapes()
         self._worker_holds.release_expired(self._queue.shapes, now_ms)
         blocked_shapes_and_teams = set(self._missed_urgent)
         is_among_urgent_jobs = True
@@ -242,11 +265,17 @@
             return False
         return self._round_requested or now_ms >= self._next_retry_round_ms
 
-    def place_probe(self, worker_name, now_ms):
+    def place_probe(self, worker_name, now_ms, *, long_due):
         """Proposes to place one queued job on a quarantined worker.
 
         Only idempotent jobs that are not urgent are used, because the
-        attempt may well fail.
+        attempt may well fail.  If no other worker accepts a job, it could wait
+        for ever; then it is used if it is idempotent or the probe is long due.
+
+        Args:
+            worker_name: the worker.
+            now_ms: monotonic time in milliseconds.
+            long_due: True if no probe was found for a long time.
 
         Returns:
             The id of the job, or None if no queued job is suitable.
@@ -260,27 +289,34 @@
         )
         for number, job_id in enumerate(candidate_ids, 1):
             job = self._jobs_part.jobs[job_id]
-            size = self._size_rule.reservation_size(job.spec)
-            if self._is_suitable_probe(job, worker_name, size, free):
+            team, shape = job.spec.team, self._queue.shape_of(job_id)
+            size = self._reservation_size(job.spec)
+            need = (size.cpu_milli, size.memory_mib, size.accelerators)
+            may_probe = shape.is_probe or (
+                (job.spec.idempotent or long_due)
+                and not self._fleet.has_accepting(job.spec.data_centre, now_ms)
+            )
+            if not may_probe or not self._is_suitable_probe(
+                job, worker_name, need, free
+            ):
+                blocked_shapes.add(shape)
+            elif self._team_shares.exceeded_dimension(team, need):
+                blocked_shapes.add((team, shape))
+            else:
                 self._propose_placement(job, worker_name, size, now_ms)
                 return job_id
-            blocked_shapes.add(self._queue.shape_of(job_id))
             if number == MAX_PROBE_CANDIDATES:
                 info.unsuitable_probe_shapes = blocked_shapes
                 break
         return None
 
-    def _is_suitable_probe(self, job, worker_name, size, free):
-        """True if a job may be placed on a quarantined worker as a probe."""
+    def _is_suitable_probe(self, job, worker_name, need, free):
+        """True if jobs of a job's shape can go to a quarantined worker."""
         spec = job.spec
-        need = (size.cpu_milli, size.memory_mib, size.accelerators)
         return (
-            spec.idempotent
-            and not spec.urgent
-            and worker_name not in job.failed_on
+            worker_name not in job.failed_on
             and spec.data_centre in ('', self._fleet.rack_of(worker_name)[0])
             and _capacity.covers(free, need)
-            and not self._team_shares.exceeded_dimension(spec.team, need)
         )
 
     @property
@@ -297,7 +333,7 @@
         """
         spec = job.spec
         shape = self._queue.shape_of(spec.job_id)
-        size = self._size_rule.reservation_size(spec)
+        size = self._reservation_size(spec)
         need = (size.cpu_milli, size.memory_mib, size.accelerators)
         dimension = self._team_shares.exceeded_dimension(spec.team, need)
         if dimension:
@@ -326,28 +362,64 @@
             held_worker_name, now_ms
         ):
             return held_worker_name
-        candidate_names = self._iter_candidates(job.spec, need, now_ms)
-        excluded_names = set(job.failed_on)
-        excluded_names.add(
-            self._evictions.worker_to_avoid(job.spec.job_id, now_ms)
-        )
-        usable_names = (
-            worker_name
-            for worker_name in candidate_names
-            if worker_name not in excluded_names
-        )
+        usable_names = self._iter_usable(job, need, now_ms)
         max_candidates = self._policy.max_candidates
         if len(self._queue) > LONG_QUEUE_JOBS:
             max_candidates = min(max_candidates, LONG_QUEUE_CANDIDATES)
         candidate_names = list(itertools.islice(usable_names, max_candidates))
         if not candidate_names:
             return None
-        worker_name = self._placement_rule.pick_worker(
-            job, need, candidate_names
+        return (
+            self._placement_rule.pick_worker(job, need, candidate_names)
+            or self._pick_further_worker(
+                job, need, usable_names, max_candidates
+            )
+            or self._pick_above_tail_limit(job, need, candidate_names, now_ms)
         )
-        return worker_name or self._pick_above_tail_limit(
-            job, need, candidate_names, now_ms
+
+    def _iter_usable(self, job, need, now_ms):
+        """Yields the candidates that neither failed nor evicted the job."""
+        excluded_names = set(job.failed_on)
+        excluded_names.add(
+            self._evictions.worker_to_avoid(job.spec.job_id, now_ms)
         )
+        for name in self._iter_candidates(job.spec, need, now_ms):
+            if name not in excluded_names:
+                yield name
+
+    def _pick_further_worker(self, job, need, usable_names, max_candidates):
+        """Picks a worker behind the first candidates, if all are ruled out.
+
+        The first candidates have most room.  Workers that are ruled out get
+        nothing, keep their room and so would hide the others for good.
+
+        Args:
+            job: the job to place.
+            need: (cpu_milli, memory_mib, accelerators) to reserve.
+            usable_names: iterator of the workers behind the first candidates.
+            max_candidates: most workers scored at a time.
+
+        Returns:
+            The name of a worker, or None.
+        """
+        shape = self._queue.shape_of(job.spec.job_id)
+        passed_count = self._passed_count_by_shape.pop(shape, 0)
+        end_count = passed_count + MAX_FURTHER_CANDIDATES
+        further_names = itertools.islice(usable_names, passed_count, end_count)
+        while names := list(itertools.islice(further_names, max_candidates)):
+            worker_name = self._placement_rule.pick_worker(job, need, names)
+            if worker_name is not None:
+                self._remember_passed_count(shape, passed_count)
+                return worker_name
+            passed_count += len(names)
+        if passed_count == end_count:
+            self._remember_passed_count(shape, passed_count)
+        return None
+
+    def _remember_passed_count(self, shape, passed_count):
+        if len(self._passed_count_by_shape) >= MAX_REMEMBERED_SHAPES:
+            self._passed_count_by_shape.clear()
+        self._passed_count_by_shape[shape] = passed_count
 
     def _can_use_held_worker(self, worker_name, now_ms):
         worker = self._jobs_part.workers[worker_name]
@@ -377,18 +449,30 @@
             The name of a worker, or None to wait.
         """
         shape = self._queue.shape_of(job.spec.job_id)
-        if len(self._tail_wait_since_ms_by_shape) > MAX_REMEMBERED_SHAPES:
-            self._tail_wait_since_ms_by_shape.clear()
+        if (
+            shape not in self._tail_wait_since_ms_by_shape
+            and len(self._tail_wait_since_ms_by_shape) >= MAX_REMEMBERED_SHAPES
+        ):
+            return None
         waiting_since_ms = self._tail_wait_since_ms_by_shape.setdefault(
             shape, now_ms
         )
         if now_ms - waiting_since_ms < self._policy.tail_patience_ms:
             return None
-        self._tail_wait_since_ms_by_shape[shape] = now_ms
+        del self._tail_wait_since_ms_by_shape[shape]
         return self._placement_rule.pick_worker(
             job, need, candidate_names, limit_tail=False
         )
 
+    def _drop_tail_waits_of_gone_shapes(self):
+        self._tail_wait_since_ms_by_shape = {
+            shape: waiting_since_ms
+            for shape, waiting_since_ms in (
+                self._tail_wait_since_ms_by_shape.items()
+            )
+            if shape in self._queue.shapes
+        }
+
     def _propose_placement(self, job, worker_name, size, now_ms):
         spec = job.spec
         worker = self._jobs_part.workers[worker_name]
@@ -427,6 +511,8 @@
             )
         elif shape.failed_on:
             reason = 'every worker with room failed it before'
+        elif shape.avoided_worker:
+            reason = f'was evicted from {shape.avoided_worker} just now'
         else:
             reason = (
                 'would raise the tail latency of a service too far '
--- a/tests/scheduling/test_starvation.py
+++ b/tests/scheduling/test_starvation.py
@@ -1,10 +1,13 @@
 """Tests that no reservation or search bound makes a job wait without end."""
 
 import unittest
+from unittest import mock
 
 from fuchsiatrestle import messages
 from fuchsiatrestle import scheduling
+from fuchsiatrestle.scheduling import _dispatch
 from fuchsiatrestle.scheduling import _holds
+from fuchsiatrestle.scheduling import _interference
 from fuchsiatrestle.state import commands
 from tests.scheduling import _cell
 
@@ -107,6 +110,27 @@
             cell.advance(1000)
         self.assertIsNotNone(_find_start_ms(cell, 'large'))
 
+    def test_hold_in_vain_is_followed_by_one_of_another_worker(self):
+        cell = _cell.Cell(2)
+        cell.agents['w0'].options.capacity = messages.Resources(4000, 8000, 0)
+        cell.advance(1000)
+        cell.submit(_make_endless_spec('endless', 1000))
+        cell.advance(1000)
+        self.assertEqual('w0', cell.ledger[0].worker)
+        for second in range(3 * _holds.MAX_HOLD_MS // 1000):
+            cell.submit(
+                *(
+                    _cell.make_spec(
+                        f's{second}-{n}', priority=0, command='sleep 3000'
+                    )
+                    for n in range(3)
+                )
+            )
+            if second == 20:
+                cell.submit(_cell.make_spec('large', 4000))
+            cell.advance(1000, step_ms=1000)
+        self.assertEqual('done', cell.job_state('large'))
+
 
 class RoundTest(unittest.TestCase):
     """Jobs that find no room do not hide those behind them from a round."""
@@ -177,6 +201,79 @@
         self.assertIsNotNone(_find_start_ms(cell, 'now'))
 
 
+class FailedJobTest(unittest.TestCase):
+    """A job that failed wherever it may go is parked and doesn't wait."""
+
+    def test_job_is_parked_though_workers_that_it_may_not_go_to_are_left(self):
+        for fields in ({'data_centre': 'dc1'}, {'accelerators': 1}):
+            with self.subTest(**fields):
+                cell = _cell.Cell(3)
+                for name in ('w1', 'w2'):
+                    options = cell.agents[name].options
+                    options.data_centre = 'dc2'
+                    options.capacity = messages.Resources(4000, 8000, 0)
+                cell.advance(2000)
+                cell.submit(
+                    _cell.make_spec('bound', command='fail 100', **fields)
+                )
+                cell.advance(20_000)
+                self.assertEqual(1, len(cell.ledger))
+                self.assertEqual('parked', cell.job_state('bound'))
+
+    def test_job_is_parked_in_a_large_cell_with_one_worker_for_it(self):
+        cell = _cell.Cell(70)
+        cell.agents['w0'].options.data_centre = 'dc2'
+        cell.advance(2000)
+        cell.submit(
+            _cell.make_spec('bound', command='fail 100', data_centre='dc2')
+        )
+        cell.advance(20_000)
+        self.assertEqual('parked', cell.job_state('bound'))
+
+
+class ManyShapesTest(unittest.TestCase):
+    """More shapes than are remembered start no wait of theirs anew."""
+
+    @mock.patch.object(_holds, 'MAX_WAITING_SHAPES', 8)
+    def test_worker_is_held_although_too_many_shapes_wait_for_one(self):
+        cell = _cell.Cell(1)
+        cell.advance(1000)
+        for second in range(240):
+            cell.submit(
+                *(
+                    _cell.make_spec(
+                        f's{second}-{n}', priority=0, command='sleep 3000'
+                    )
+                    for n in range(4)
+                )
+            )
+            if second == 5:
+                cell.submit(
+                    *(
+                        _cell.make_spec(f'large-{n}', 4000 - n, priority=1)
+                        for n in range(20)
+                    )
+                )
+            cell.advance(1000, step_ms=1000)
+        large_jobs = [
+            line for line in cell.ledger if line.job_id.startswith('large')
+        ]
+        self.assertTrue(large_jobs)
+
+    @mock.patch.object(_dispatch, 'MAX_REMEMBERED_SHAPES', 8)
+    def test_tail_limit_ends_although_it_holds_back_too_many_shapes(self):
+        cell = _cell.Cell(1, service='quotes')
+        cell.advance(2000)
+        with mock.patch.object(
+            _interference.InterferenceModel, 'coefficient', return_value=1.0
+        ):
+            cell.submit(
+                *(_cell.make_spec(f'j{n}', 1000 + n) for n in range(20))
+            )
+            cell.advance(2 * cell.policy.tail_patience_ms)
+        self.assertTrue(cell.ledger)
+
+
 class SearchTest(unittest.TestCase):
     """Searches for a worker to clear find the one that can be cleared."""
 
@@ -274,6 +371,50 @@
         self.assertIsNotNone(_find_start_ms(cell, 'large'))
 
 
+class LearnedSizeTest(unittest.TestCase):
+    """A learned size that no worker has room for keeps no job waiting."""
+
+    def test_job_starts_though_its_learned_size_leaves_services_no_room(self):
+        cell = _cell.Cell(2, service='quotes')
+        cell.advance(5000)
+        size_rule = cell.scheduler._assembly.size_rule
+        for _ in range(8):
+            size_rule.record_peak(
+                _cell.make_spec('earlier'), messages.Resources(4000, 7000, 0)
+            )
+        cell.submit(_cell.make_spec('declared-fits'))
+        cell.advance(_holds.WAIT_BEFORE_HOLD_MS)
+        self.assertEqual('done', cell.job_state('declared-fits'))
+
+
+class TailLimitTest(unittest.TestCase):
+    """Workers barred by the tail latency limit hide none that is not."""
+
+    def test_job_starts_beside_many_workers_barred_by_the_estimate(self):
+        for barred_count in (40, 400):
+            with self.subTest(barred_count=barred_count):
+                cell = _cell.Cell(barred_count + 8)
+                for number in range(barred_count):
+                    options = cell.agents[f'w{number}'].options
+                    options.capacity = messages.Resources(8000, 16_000, 1)
+                    options.service = 'quotes'
+                cell.advance(2000)
+                with mock.patch.object(
+                    _interference.InterferenceModel,
+                    'coefficient',
+                    return_value=1.0,
+                ):
+                    cell.submit(
+                        *(_make_endless_spec(f'j{n}', 1000) for n in range(8))
+                    )
+                    cell.advance(10_000)
+                workers = {line.worker for line in cell.ledger}
+                self.assertEqual(8, len(cell.ledger))
+                self.assertFalse(
+                    workers & {f'w{n}' for n in range(barred_count)}
+                )
+
+
 class UrgentBurstTest(unittest.TestCase):
     """Urgent jobs that arrive together do not wait for one another."""
 
@@ -333,6 +474,26 @@
         self.assertEqual('queued', cell.job_state('large'))
 
 
+class AvoidedWorkerTest(unittest.TestCase):
+    """A worker that an evicted job avoids stays open to other jobs."""
+
+    def test_job_starts_where_an_evicted_job_of_its_shape_may_not(self):
+        cell = _cell.Cell(1)
+        cell.advance(1000)
+        cell.submit(
+            _make_endless_spec('endless', 2000),
+            _cell.make_spec('evicted', 2000, command='sleep 100000000'),
+        )
+        cell.advance(1000)
+        cell.submit(
+            _cell.make_spec('now', 2000, urgent=True),
+            _cell.make_spec('alike', 2000),
+        )
+        cell.advance(10_000)
+        self.assertEqual('queued', cell.job_state('evicted'))
+        self.assertEqual('done', cell.job_state('alike'))
+
+
 class ProbeTest(unittest.TestCase):
     """A worker in quarantine gets probes until it is released."""
 
@@ -352,6 +513,16 @@
         cell.agents['w1'].options.mode = ''
         return cell
 
+    def _make_cell_with_quarantined_worker_only(self):
+        """Returns a cell without jobs whose only ``w1`` was repaired."""
+        cell = self._make_cell_with_quarantine()
+        cell.advance(60_000)
+        for name in ('w0', 'w2', 'w3'):
+            del cell.agents[name]
+        cell.advance(70_000)
+        self.assertEqual('quarantined', self._find_state(cell))
+        return cell
+
     def _find_state(self, cell):
         views = cell.scheduler.list_workers(cell.now_ms).workers
         return {view.worker: view.state for view in views}['w1']
@@ -404,6 +575,50 @@
         self._run_jobs(cell, 100)
         self.assertEqual('ready', self._find_state(cell))
 
+    def test_probe_is_found_behind_an_unsuitable_job_of_its_shape(self):
+        cell = self._make_cell_with_quarantine()
+        cell.submit(
+            *(_make_endless_spec(f'e{n}', 4000) for n in range(3)),
+            *(
+                _cell.make_spec(f'billed{n}', idempotent=False)
+                for n in range(20)
+            ),
+            *(_cell.make_spec(f'probe{n}') for n in range(20)),
+        )
+        cell.advance(100_000)
+        self.assertEqual('ready', self._find_state(cell))
+
+    def test_probe_is_found_behind_a_job_of_its_shape_above_quota(self):
+        cell = self._make_cell_with_quarantine()
+        cell.quotas['full'] = messages.Resources(4000, 8000, 0)
+        cell.quotas['team'] = messages.Resources(99_000, 99_000, 0)
+        cell.submit(_make_endless_spec('full', 4000, team='full'))
+        cell.advance(2000)
+        cell.submit(*(_make_endless_spec(f'e{n}', 4000) for n in range(2)))
+        cell.advance(2000)
+        cell.submit(
+            _cell.make_spec('above', team='full', priority=1),
+            *(_cell.make_spec(f'probe{n}') for n in range(20)),
+        )
+        cell.advance(100_000)
+        self.assertEqual('ready', self._find_state(cell))
+
+    def test_only_worker_is_probed_by_an_urgent_job_if_no_other_waits(self):
+        cell = self._make_cell_with_quarantined_worker_only()
+        cell.submit(*(_cell.make_spec(f'u{n}', urgent=True) for n in range(9)))
+        cell.advance(100_000)
+        self.assertEqual('ready', self._find_state(cell))
+        self.assertEqual('done', cell.job_state('u8'))
+
+    def test_only_worker_is_probed_by_a_billed_job_if_no_other_waits(self):
+        cell = self._make_cell_with_quarantined_worker_only()
+        cell.submit(
+            *(_cell.make_spec(f'b{n}', idempotent=False) for n in range(9))
+        )
+        cell.advance(700_000)
+        self.assertEqual('ready', self._find_state(cell))
+        self.assertEqual('done', cell.job_state('b8'))
+
     def test_probe_is_found_behind_many_unsuitable_shapes(self):
         """Jobs that can't be probes do not hide one that can."""
         cell = self._make_cell_with_quarantine()
