--- a/fuchsiatrestle/workflows/_crashes.py
+++ b/fuchsiatrestle/workflows/_crashes.py
@@ -24,8 +24,8 @@
 # Time for which a worker has to run a task until it counts as harmless, by
 # the worker's clock.
 SURVIVAL_MS = 300
-# A process that announces itself this long after a start was sent to it has not
-# crashed under the start.
+# A process that announces itself so long after a start was sent to it has not
+# crashed under that start.
 MIN_HEARD_MS = 3000
 # Longest time for which a start that is not known to be harmless keeps other
 # starts off its worker.
