Do not let the tasks of a step wait for a slow one of it

What callers saw: a job goes on with one best-effort task at a few percent of its pace, while its others wait beside room. Cause: only a step without any run got a task with a limited pace. Change: a further one is placed so when 5 s have passed since the last, where no other best-effort task uses the processor time. Measured: test_tasks_of_a_step_do_not_wait_for_a_slow_one failed before (1 of 4 run after 24 s) and passes, with the 36 others of its modules.

--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -54,8 +54,13 @@
         )
         self._interference_model = _interference.InterferenceModel()
         self._placer = placer or _placement.BestFit(self._interference_model)
-        self._limited_placer = _placement.LeastDisturbance(
-            self._interference_model
+        # For best-effort tasks that ``_placer`` keeps waiting: for those of a
+        # step without runs, and for others.
+        self._first_task_placer = _placement.LeastDisturbance(
+            self._interference_model, shares_cpu=True
+        )
+        self._further_task_placer = _placement.LeastDisturbance(
+            self._interference_model, shares_cpu=False
         )
         self._backlog = _backlog.Backlog(workflow_store)
         self._reservation_limits = _rounds.ReservationLimits()
@@ -433,11 +438,11 @@
         """Returns True if the task of a suspected group was placed."""
         if not pool_round.may_close_worker:
             return False
-        limits_pace = self._may_limit_pace(group)
+        limited_placer = self._find_limited_placer(group)
         worker, start_count = _crashes.choose_trial_worker(
             group,
             pool_round.workers_for(group.step, ignores_reservations=True),
-            self._limited_placer if limits_pace else self._placer,
+            limited_placer or self._placer,
             self._state.now_ms,
         )
         if worker is None:
@@ -446,7 +451,10 @@
         if start_count:
             return False
         run = self._place_task(
-            group, group.waiting_task_ids[0], worker, limits_pace=limits_pace
+            group,
+            group.waiting_task_ids[0],
+            worker,
+            limits_pace=limited_placer is not None,
         )
         pool_round.record_placed_tasks(group.step, 1)
         self._trial_runs.add(worker, run)
@@ -519,34 +527,40 @@
         """Places best-effort tasks that are kept off every worker for long.
 
         An estimate of their interference is examined again only by running
-        them, so it must not keep all tasks of a step waiting.  One task of
-        such a step, or all of a gang, is placed with a limited pace.
+        them, so it must not keep tasks waiting without a bound.  One task of
+        a group, or all of a gang, is placed with a limited pace.
 
         Args:
             pool_round: the ``PlacementRound``, after all groups were tried.
         """
         for group in pool_round.waiting_groups:
-            if group.is_suspected or not self._may_limit_pace(group):
+            if group.is_suspected:
+                continue
+            placer = self._find_limited_placer(group)
+            if placer is None:
                 continue
             if not group.step.gang:
                 group = group.first_task_alone()
             workers = pool_round.workers_for(
                 group.step, ignores_reservations=True
             )
-            for task_id, worker in self._limited_placer.choose_workers(
-                group, workers
-            ):
+            for task_id, worker in placer.choose_workers(group, workers):
                 self._place_task(group, task_id, worker, limits_pace=True)
 
-    def _may_limit_pace(self, group):
-        """True for an overdue best-effort group of a step without runs."""
+    def _find_limited_placer(self, group):
+        """Returns the ``Placer`` of an overdue best-effort group, or None."""
+        now_ms = self._state.now_ms
         if not group.step.fills:
-            return False
-        if not self._wait_times.is_overdue(group, self._state.now_ms):
-            return False
-        return not group.workflow.has_live_run(
+            return None
+        if not self._wait_times.is_overdue(group, now_ms):
+            return None
+        if not group.workflow.has_live_run(
             group.occurrence, group.step_number
-        )
+        ):
+            return self._first_task_placer
+        if self._wait_times.is_overdue_beside_runs(group, now_ms):
+            return self._further_task_placer
+        return None
 
     def _find_pool_round(self, round_by_pool, pool):
         """Returns the round for a service's workers; creates it if missing.
--- a/fuchsiatrestle/workflows/_placement.py
+++ b/fuchsiatrestle/workflows/_placement.py
@@ -272,16 +272,24 @@
 class LeastDisturbance(BestFit):
     """Puts a best-effort task where it is likely to disturb the least.
 
-    It is for tasks that ``BestFit`` keeps off every worker.  The pace of their
-    runs is limited, so the tasks may share processor time that other
-    best-effort runs use, as long as no serving or batch task has reserved it.
+    It is for tasks that ``BestFit`` keeps off every worker, and whose pace is
+    limited therefore.
 
     Args:
         interference_model: the ``InterferenceModel``.
+        shares_cpu: True if tasks may share processor time that other
+            best-effort runs use, as long as no other task has reserved it.
     """
 
+    def __init__(self, interference_model, *, shares_cpu):
+        super().__init__(interference_model)
+        self._shares_cpu = shares_cpu
+
     def _score_best_effort(self, step, worker, allocations, is_far_from_data):
-        if worker.capacity.free_cpu < step.cpu:
+        usable_cpu = worker.capacity.free_cpu
+        if not self._shares_cpu:
+            usable_cpu = self._unused_cpu(worker, allocations)
+        if usable_cpu < step.cpu:
             return None
         limited_run_count = allocations.task_count(worker) + sum(
             run.is_pace_limited for run in worker.runs.values()
--- a/fuchsiatrestle/workflows/_waiting.py
+++ b/fuchsiatrestle/workflows/_waiting.py
@@ -19,6 +19,9 @@
 # reserved workers.  A best-effort one may be placed where it may disturb
 # serving tasks, if nothing else of its step runs.
 OVERDUE_WAIT_MS = 2000
+# Wait from which a best-effort task may be placed so beside other runs of its
+# step.  It is longer, as each such start may disturb for a moment.
+OVERDUE_BESIDE_RUNS_MS = 5000
 # Shortest time between two reports.
 REPORT_INTERVAL_MS = 1000
 # Groups that have waited for less are not reported.
@@ -99,6 +102,15 @@
         """
         return self.longest_wait_ms(group, now_ms) >= OVERDUE_WAIT_MS
 
+    def is_overdue_beside_runs(self, group, now_ms):
+        """True if a group has waited too long though others of its step run.
+
+        Args:
+            group: the ``Group``.
+            now_ms: monotonic time.
+        """
+        return self.longest_wait_ms(group, now_ms) >= OVERDUE_BESIDE_RUNS_MS
+
 
 class WaitingLog:
     """Reports the groups that have waited longest.
--- a/tests/workflows/test_best_effort_waits.py
+++ b/tests/workflows/test_best_effort_waits.py
@@ -16,6 +16,8 @@
 # A workflow whose task is due and has room must not be without a run for
 # longer than this.
 MAX_WAIT_MS = 3000
+# The same for each further task of a workflow that has a run.
+MAX_TASK_WAIT_MS = 6000
 # Calm time from which on the bound holds: workers are polled, leases of cut
 # workers are over on the slowest clock, and their runs are placed again.
 SETTLE_MS = 7000
@@ -33,6 +35,7 @@
 # One task raises the tail just so far that it is halted.
 HALTING_SLOPE = 8.8
 HEAVY_SLOPE = 30
+VERY_HEAVY_SLOPE = 100
 
 
 class _IdleTimes:
@@ -151,6 +154,23 @@
                 'completed', world.workflow_state(f'best-effort-{number}')
             )
 
+    def test_tasks_of_a_step_do_not_wait_for_a_slow_one(self):
+        world = _make_world(1, workers=4)
+        _submit_serving(world, 's', {'f': VERY_HEAVY_SLOPE}, count=4)
+        world.run(3000)
+        _submit_best_effort(world, 'warm-up', 'f', count=1, work_ms=500)
+        world.run(5000)
+        _submit_best_effort(world, 'slow', 'f', count=4, work_ms=60_000)
+        idle_times = _IdleTimes(world)
+        idle_times.run(4 * MAX_TASK_WAIT_MS)
+        self._check(world, idle_times)
+        running_tasks = [
+            task
+            for task, _ in world.ledger.running
+            if task.workflow_id == 'best-effort-slow'
+        ]
+        self.assertEqual(4, len(running_tasks))
+
     def test_image_is_not_kept_waiting_by_the_trial_of_another(self):
         world = _make_world(1, workers=1)
         _submit_serving(world, 's', {'f': UNCLEAR_SLOPE, 'g': LIGHT_SLOPE})
