--- a/fuchsiatrestle/workflows/_answers.py
+++ b/fuchsiatrestle/workflows/_answers.py
@@ -99,6 +99,9 @@
         elif reply.verdict == _Verdict.OTHER_PROCESS:
             worker.pending_poll = None
             worker.pause_placement(self._dispatch_state.now_ms)
+            worker.next_poll_ms = (
+                self._dispatch_state.now_ms + _fleet.RETRY_MAX_MS
+            )
             self._record_replaced_worker(worker)
         elif isinstance(order, _events.PollWorker):
             self._on_poll_reply(worker, order, reply, retry_delay_ms)
@@ -243,6 +246,7 @@
         if run is None:
             run = self._add_stray_run(worker, listed_run)
         if run.phase == _Phase.STARTING:
+            worker.failed_start_count = 0
             run.phase = _Phase.RUNNING
         run.record_listing(self._dispatch_state.now_ms, worker_clock_ms)
         if run.live_run.born_ms != worker.record.born_ms:
@@ -348,6 +352,8 @@
             running_runs, worker.record.cpu, self._dispatch_state.now_ms
         ):
             self._dispatch_state.stop_run(run, 'disturbs')
+        for run in worker.pace_control.find_unlimited_runs(running_runs):
+            worker.lift_pace_limit(run)
 
 
 def _update_acknowledged_end(worker, order, reply):
--- a/fuchsiatrestle/workflows/_book.py
+++ b/fuchsiatrestle/workflows/_book.py
@@ -109,7 +109,7 @@
         worker.remove_run(run.key)
         self.placement_due = True
         if proof == _run_ends.Proof.LEASE_OVER and run.has_unanswered_start:
-            worker.failed_start_count += 1
+            worker.record_failed_start(self.now_ms)
         start_outcome = _crashes.find_start_outcome(worker, run, proof)
         self.proposals.add_lost_run(
             commands.RunLost(
--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -24,6 +24,9 @@
 
 __all__ = ('Dispatcher',)
 
+# Shortest time between two rounds that look for workers on which best-effort
+# tasks may run at a limited pace; such a round is costly while many wait.
+LIMITED_ROUND_INTERVAL_MS = 500
 # Interval at which changed image pairs are added to the next proposal.
 IMAGE_PAIR_PROPOSAL_INTERVAL_MS = 1000
 
@@ -77,6 +80,7 @@
             self._state, self._announcement_handler, self._interference_model
         )
         self._image_pairs_proposed_ms = now_ms
+        self._next_limited_round_ms = now_ms
         # Ids of the workers whose withdrawals are not acknowledged yet.
         self._withdrawn_workers = []
         self._last_tick_wall_ms = 0
@@ -235,6 +239,7 @@
         self._state.placement_due = True
         self._propose_image_pairs()
         for worker in self._state.fleet:
+            worker.forget_failed_starts(self._state.now_ms)
             self._check_lost_worker(worker)
             self._send_due_orders(worker)
 
@@ -398,8 +403,11 @@
             round_by_pool,
         )
         self._place_deferred_groups(deferred_groups)
-        for pool_round in round_by_pool.values():
-            self._place_overdue_best_effort_groups(pool_round)
+        if now_ms >= self._next_limited_round_ms:
+            self._next_limited_round_ms = now_ms + LIMITED_ROUND_INTERVAL_MS
+            for pool_round in round_by_pool.values():
+                self._stop_limited_runs_for_others(pool_round)
+                self._place_overdue_best_effort_groups(pool_round)
         self._reservation_limits.record_reservations(
             {
                 name
@@ -539,14 +547,55 @@
             placer = self._find_limited_placer(group)
             if placer is None:
                 continue
-            if not group.step.gang:
-                group = group.first_task_alone()
             workers = pool_round.workers_for(
                 group.step, ignores_reservations=True
             )
+            if not pool_round.is_mostly_free and self._placer.suits_any(
+                group, workers
+            ):
+                # Such a worker is busy with best-effort tasks that go first.
+                continue
+            if not group.step.gang:
+                group = group.first_task_alone()
             for task_id, worker in placer.choose_workers(group, workers):
                 self._place_task(group, task_id, worker, limits_pace=True)
 
+    def _stop_limited_runs_for_others(self, pool_round):
+        """Stops runs with a limited pace whose memory other tasks wait for.
+
+        Such runs may take long, and tasks of other kinds go before them.
+
+        Args:
+            pool_round: the ``PlacementRound``, after all groups were tried.
+        """
+        for group in pool_round.waiting_groups:
+            if group.step.fills or not self._wait_times.is_overdue(
+                group, self._state.now_ms
+            ):
+                continue
+            for worker in pool_round.workers_for(
+                group.step, ignores_reservations=True
+            ):
+                if self._stop_limited_runs_for(group, worker):
+                    break
+
+    def _stop_limited_runs_for(self, group, worker):
+        """Returns True if it stops runs with whose memory a group fits."""
+        limited_runs = [
+            run
+            for run in worker.runs.values()
+            if run.is_pace_limited and run.phase == _Phase.RUNNING
+        ]
+        limited_memory_mb = sum(run.step.memory_mb for run in limited_runs)
+        if not limited_runs or not _placement.has_room(
+            group.step, group.waiting_task_ids[0], worker, limited_memory_mb
+        ):
+            return False
+        for run in limited_runs:
+            self._state.stop_run(run, 'memory_needed')
+        self._send_due_orders(worker)
+        return True
+
     def _find_limited_placer(self, group):
         """Returns the ``Placer`` of an overdue best-effort group, or None."""
         now_ms = self._state.now_ms
--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -27,6 +27,8 @@
 # no longer than the maximum.
 RETRY_MIN_MS = 100
 RETRY_MAX_MS = 1000
+# Time after which it no longer counts that starts have not reached a worker.
+FAILED_START_MEMORY_MS = 30_000
 # Time without new tasks for a worker that refused or did not answer an order.
 PLACEMENT_PAUSE_MS = 1500
 
@@ -56,6 +58,7 @@
         failed_start_count: number of consecutive runs whose start orders have
             not reached it.  It may answer polls, or announce itself, but get
             no starts; tasks are placed on workers with fewer of them first.
+        failed_start_ms: time of the last one, 0 before the first.
         last_replied_ms: time of its last reply to this leader, None before
             the first.
         paused_until_ms: time before which it gets no new tasks.
@@ -79,6 +82,7 @@
         'capacity',
         'collected_end_number',
         'failed_start_count',
+        'failed_start_ms',
         'has_seen_token',
         'last_announced_ms',
         'last_replied_ms',
@@ -113,6 +117,7 @@
         self.pending_poll = None
         self.unanswered_orders = 0
         self.failed_start_count = 0
+        self.failed_start_ms = 0
         self.last_replied_ms = None
         self.paused_until_ms = 0
         self.next_poll_ms = 0
@@ -151,6 +156,12 @@
             self.capacity.release(run)
         return run
 
+    def lift_pace_limit(self, run):
+        """Counts a run with a limited pace as any other best-effort run."""
+        self.capacity.release(run)
+        run.is_pace_limited = False
+        self.capacity.reserve(run)
+
     def update_record(self, record):
         """Replaces the record by one that the same process has announced."""
         self.record = record
@@ -218,6 +229,16 @@
         """True unless its serving tasks were disturbed when last measured."""
         return self.pace_control is None or self.pace_control.is_tail_calm
 
+    def record_failed_start(self, now_ms):
+        """Counts a run whose start orders have not reached the worker."""
+        self.failed_start_count += 1
+        self.failed_start_ms = now_ms
+
+    def forget_failed_starts(self, now_ms):
+        """Forgets failed starts after a while, as the way may be mended."""
+        if now_ms - self.failed_start_ms >= FAILED_START_MEMORY_MS:
+            self.failed_start_count = 0
+
     def record_reply(self, now_ms):
         """Resets the count of orders without a reply."""
         self.unanswered_orders = 0
@@ -230,6 +251,7 @@
         It gets no leases then, so that its runs are over at a known time.
         """
         return bool(self.unanswered_orders) or self.poll_outcome in (
+            _events.Verdict.SILENT,
             _events.Verdict.UNHEALTHY,
             _events.Verdict.INVALID,
         )
--- a/fuchsiatrestle/workflows/_interference.py
+++ b/fuchsiatrestle/workflows/_interference.py
@@ -191,16 +191,18 @@
         Args:
             serving_images: images of the serving tasks on a worker.
             best_effort_image: the image that may disturb them.
+
+        Returns:
+            The probability, 0 if there are no serving images.
         """
-        probabilities = [
-            estimate.heavy_probability
-            for estimate in (
-                self._estimates.get(serving_image, {}).get(best_effort_image)
-                for serving_image in serving_images
+        probabilities = []
+        for serving_image in serving_images:
+            estimates = self._estimates.get(serving_image, {})
+            estimate = estimates.get(best_effort_image)
+            probabilities.append(
+                estimate.heavy_probability if estimate else HEAVY_PRIOR
             )
-            if estimate is not None
-        ]
-        return max(probabilities, default=HEAVY_PRIOR)
+        return max(probabilities, default=0.0)
 
     def worst_severity(self, serving_images, best_effort_image):
         """Returns the worst ``Severity`` of an image beside serving images."""
--- a/fuchsiatrestle/workflows/_orders.py
+++ b/fuchsiatrestle/workflows/_orders.py
@@ -125,8 +125,8 @@
                 self._dispatch_state.stop_run(run, 'unannounced')
             elif worker.last_announced_ms is None:
                 return None
-            elif self._is_start_overdue(run, now_ms):
-                worker.failed_start_count += 1
+            elif self._is_start_overdue(worker, run):
+                worker.record_failed_start(now_ms)
                 self._dispatch_state.stop_run(run, 'start_unanswered')
             elif worker.capacity.is_exceeded_for(run.step):
                 self._dispatch_state.end_run(worker, run, 'worker_shrunk')
@@ -157,12 +157,13 @@
         return None
 
     @staticmethod
-    def _is_start_overdue(run, now_ms):
-        return (
-            run.start_uncertain
-            and run.start_sent_ms is not None
-            and now_ms - run.start_sent_ms >= MAX_START_MS
-        )
+    def _is_start_overdue(worker, run):
+        """True if a list of the worker lacks a start of long ago."""
+        if not run.start_uncertain or run.start_sent_ms is None:
+            return False
+        if worker.listed_ms is None:
+            return False
+        return worker.listed_ms - run.start_sent_ms >= MAX_START_MS
 
     def _has_missed_announcements(self, worker, now_ms):
         last_announced_ms = worker.last_announced_ms
@@ -232,12 +233,15 @@
         return [worker.pending_poll]
 
     def _must_probe(self, worker, now_ms):
-        """True for a worker that is heard, but has not answered orders.
+        """True for a worker that gets no new tasks before it answers a poll.
 
-        It gets no new tasks before it has answered one, and may have no runs
-        that it would be polled for.
+        It is heard, but has not answered orders or told its clock, and may
+        have no runs that it would be polled for.
         """
-        if not worker.is_out_of_touch or worker.last_announced_ms is None:
+        is_usable = (
+            not worker.is_out_of_touch and worker.lease_clock.is_clock_known
+        )
+        if is_usable or worker.last_announced_ms is None:
             return False
         return not self._has_missed_announcements(worker, now_ms)
 
@@ -280,7 +284,7 @@
         if (
             not has_dispatched_runs
             or not worker.has_seen_token
-            or worker.unanswered_orders
+            or worker.is_out_of_touch
         ):
             return 0
         if any(run.phase == _Phase.STOPPING for run in worker.runs.values()):
@@ -290,7 +294,7 @@
             for run in worker.runs.values()
         ):
             return _crashes.SURVIVAL_MS
-        if worker.capacity.serving_cpu and worker.capacity.best_effort_cpu:
+        if worker.capacity.serving_cpu and worker.best_effort_images:
             return self._timing.busy_poll_wait_ms
         return self._timing.poll_wait_ms
 
--- a/fuchsiatrestle/workflows/_pacing.py
+++ b/fuchsiatrestle/workflows/_pacing.py
@@ -106,6 +106,23 @@
         self._set_paces(best_effort_runs, serving_images, now_ms)
         return self._runs_to_move(best_effort_runs, serving_images, now_ms)
 
+    def find_unlimited_runs(self, running_runs):
+        """Returns the runs with a limited pace that need none any more.
+
+        Args:
+            running_runs: list of the running ``Run`` values of the worker.
+        """
+        serving_images = {
+            run.step.image for run in running_runs if run.is_serving
+        }
+        return [
+            run
+            for run in running_runs
+            if run.is_pace_limited
+            and run.pace_percent == FULL_PACE_PERCENT
+            and self._severity(serving_images, run) == _Severity.LIGHT
+        ]
+
     def _update_pace_limits(self, best_effort_runs, now_ms):
         limited_images = {
             run.step.image for run in best_effort_runs if run.is_pace_limited
@@ -198,12 +215,18 @@
         ]
         for run in runs_to_move:
             run.wanted_pace_percent = HALTED_PACE_PERCENT
+        # A run that the worker has not halted yet disturbs without an end.
         return [
             run
             for run in best_effort_runs
             if run.wanted_pace_percent == HALTED_PACE_PERCENT
-            and run.pace_percent == HALTED_PACE_PERCENT
-            and (is_move_due or run in runs_to_move)
+            and (
+                is_move_due
+                or (
+                    run in runs_to_move
+                    and run.pace_percent == HALTED_PACE_PERCENT
+                )
+            )
         ]
 
     def _severity(self, serving_images, run):
--- a/fuchsiatrestle/workflows/_placement.py
+++ b/fuchsiatrestle/workflows/_placement.py
@@ -103,6 +103,16 @@
             yield from sorted(racks.values(), key=len, reverse=True)
         yield workers
 
+    def suits_any(self, group, workers):
+        """True if a worker with room is known to suit a best-effort group.
+
+        Args:
+            group: the ``Group``.
+            workers: the workers.
+        """
+        task_id = group.waiting_task_ids[0]
+        return any(has_room(group.step, task_id, worker) for worker in workers)
+
     def find_obstacle(self, step, task_id, worker):
         """Returns the ``Obstacle`` to a task on a worker, None if it fits.
 
@@ -182,6 +192,21 @@
             step, worker, _RoundAllocations(step)
         )
 
+    def suits_any(self, group, workers):
+        """True if an image is known to disturb nothing on a worker with room.
+
+        The processor time that best-effort tasks use there does not count.
+        """
+        task_id = group.waiting_task_ids[0]
+        return any(
+            self._interference_model.worst_severity(
+                worker.serving_images, group.step.image
+            )
+            == _interference.Severity.LIGHT
+            and has_room(group.step, task_id, worker)
+            for worker in workers
+        )
+
     def _find_best_effort_obstacle(self, step, worker, allocations):
         """Returns what bars a worker to a best-effort step, or None."""
         if self._unused_cpu(worker, allocations) < step.cpu:
@@ -391,7 +416,7 @@
         return self.task_count(worker) * self._step.accelerators
 
 
-def _is_task_allowed(step, task_id, worker, allocations):
+def _is_task_allowed(step, task_id, worker, allocations, freed_memory_mb=0):
     """True if a worker has the capacity and the labels for one more task."""
     capacity = worker.capacity
     if (
@@ -400,7 +425,7 @@
     ):
         return False
     if (
-        capacity.free_memory_mb
+        capacity.free_memory_mb + freed_memory_mb
         < step.memory_mb + allocations.allocated_memory_mb(worker)
     ):
         return False
@@ -414,15 +439,19 @@
     )
 
 
-def has_room(step, task_id, worker):
+def has_room(step, task_id, worker, freed_memory_mb=0):
     """True if a worker has the capacity and the labels for a task.
 
     Args:
         step: the ``Step``.
         task_id: id of any of its tasks.
         worker: the ``Worker``.
+        freed_memory_mb: memory that counts as free beside what is free, in
+            MiB.
     """
-    return _is_task_allowed(step, task_id, worker, _RoundAllocations(step))
+    return _is_task_allowed(
+        step, task_id, worker, _RoundAllocations(step), freed_memory_mb
+    )
 
 
 def meets_constraints(step, task_id, worker, added_task_count=0):
