--- a/fuchsiatrestle/workflows/_pacing.py
+++ b/fuchsiatrestle/workflows/_pacing.py
@@ -34,6 +34,8 @@
 # Once runs on a worker have been halted for this long, all halted runs there
 # are stopped, so that their tasks can run on other workers.
 MAX_HALT_MS = 2500
+# A run that its worker has not halted after this long is stopped.
+MAX_HALT_ORDER_MS = 1500
 
 _Severity = _interference.Severity
 
@@ -177,7 +179,7 @@
         for image in disturbing_images:
             self._pace_limits[image].lower(now_ms)
         for run in runs:
-            run.wanted_pace_percent = HALTED_PACE_PERCENT
+            run.want_halt(now_ms)
         if self._runs_halted_since_ms is None:
             self._runs_halted_since_ms = now_ms
 
@@ -214,18 +216,13 @@
             and self._severity(serving_images, run) == _Severity.HEAVY
         ]
         for run in runs_to_move:
-            run.wanted_pace_percent = HALTED_PACE_PERCENT
-        # A run that the worker has not halted yet disturbs without an end.
+            run.want_halt(now_ms)
         return [
             run
             for run in best_effort_runs
             if run.wanted_pace_percent == HALTED_PACE_PERCENT
-            and (
-                is_move_due
-                or (
-                    run in runs_to_move
-                    and run.pace_percent == HALTED_PACE_PERCENT
-                )
+            and _must_move(
+                run, now_ms, is_due=is_move_due or run in runs_to_move
             )
         ]
 
@@ -233,3 +230,16 @@
         return self._interference_model.worst_severity(
             serving_images, run.step.image
         )
+
+
+def _must_move(run, now_ms, *, is_due):
+    """True if a run that is to be halted has to be stopped instead.
+
+    Args:
+        run: the ``Run``.
+        now_ms: monotonic time.
+        is_due: True if it is to be moved once it is halted.
+    """
+    if run.pace_percent == HALTED_PACE_PERCENT:
+        return is_due
+    return now_ms - run.halt_wanted_ms >= MAX_HALT_ORDER_MS
--- a/fuchsiatrestle/workflows/_runs.py
+++ b/fuchsiatrestle/workflows/_runs.py
@@ -66,6 +66,7 @@
         pace_percent: pace that the worker accepted last, None if that is not
             known to this leader.
         wanted_pace_percent: pace that the run should have.
+        halt_wanted_ms: when it was last decided to halt the run, 0 before.
         is_pace_limited: True for a best-effort run that was placed although it
             may disturb the serving tasks on its worker.
     """
@@ -77,6 +78,7 @@
         'checkpoint',
         'earlier_lease_end_ms',
         'earlier_start_outcome',
+        'halt_wanted_ms',
         'is_listed',
         'is_pace_limited',
         'live_run',
@@ -121,6 +123,7 @@
         self.measurement = None
         self.pace_percent = 100
         self.wanted_pace_percent = 100
+        self.halt_wanted_ms = 0
         self.is_pace_limited = False
 
     def record_start(self, now_ms, worker_clock_ms):
@@ -173,6 +176,16 @@
         """True if its tail latency has a target."""
         return self.step is not None and self.step.tail_target_ms > 0
 
+    def want_halt(self, now_ms):
+        """Decides that the run is halted.
+
+        Args:
+            now_ms: monotonic time.
+        """
+        if self.wanted_pace_percent:
+            self.wanted_pace_percent = 0
+            self.halt_wanted_ms = now_ms
+
     def limit_pace(self):
         """Limits its pace from its start on."""
         self.is_pace_limited = True
