Show that a replica which lost its disk and its seeds is never admitted again

Cause: a replica without voters says hello to its seeds only. If all of them are gone or have no voters either, nobody tells the leader of it, though the leader's heartbeats to its earlier identity reach it and name the leader. The group stays one voter short, and further losses that are borne each by itself, seconds apart, cost the quorum for good: no leader is left and no task runs.

Change: a failing test, no logic. The bounds are those of the tests beside it.

--- a/tests/agreement/test_replacement.py
+++ b/tests/agreement/test_replacement.py
@@ -251,6 +251,20 @@
     def test_newcomer_whose_admission_was_rolled_back_joins(self):
         replacement_runs.ReplacementRun(ROLLED_BACK_SEED).run()
 
+    def test_replica_that_lost_its_disk_and_its_seeds_joins_again(self):
+        """The leader's heartbeats reach it, so it can ask the leader."""
+        group = self._start_group(['c1', 'c2', 'c3'])
+        group.remove_node('c1')
+        group.run(SUCCESSOR_DELAY_MS)
+        self._add_node(group, 'c4')
+        group.run(CATCH_UP_MS)
+        group.kill('c2')
+        group.replace_disk('c2')
+        group.initial_names = ['c1', 'c2']
+        group.start('c2')
+        group.run(CATCH_UP_MS)
+        self._check_bears_losses(group, 1)
+
     def test_random_runs_find_each_missing_mechanism(self):
         for owner, attribute, replacement in (
             (
