Let a replica without a group ask the leader that it hears of to join

A control VM with an empty disk whose initial members are all gone is not admitted again; the group stays one voter short, and later losses that it should bear leave it without a leader (a way to the users' record that is possible, not shown). Cause: hellos went to the initial members and known voters only, although the heartbeats of the leader to the earlier identity name it. Change: hellos go to the known leader, too.

--- a/fuchsiatrestle/agreement/_dispatch.py
+++ b/fuchsiatrestle/agreement/_dispatch.py
@@ -108,11 +108,17 @@
                 replica.found_group(identities)
 
     def _send_hellos(self, is_joined):
-        """Sends hellos to the initial members and the known voters."""
+        """Sends hellos to the initial members, known voters and the leader.
+
+        A replica with an empty disk may have initial members that are all
+        gone, and learns of the leader by its messages alone.
+        """
         replica = self._replica
+        names = set(map(_voters.process_name_of, replica.voters.voters))
+        if replica.leader_name:
+            names.add(replica.leader_name)
         receivers = replica.founding.take_hello_receivers(
-            replica.now_ms,
-            map(_voters.process_name_of, replica.voters.voters),
+            replica.now_ms, names
         )
         hello = replica.founding.build_hello(replica.group, is_joined)
         for process_name in receivers:
--- a/fuchsiatrestle/agreement/_founding.py
+++ b/fuchsiatrestle/agreement/_founding.py
@@ -69,21 +69,23 @@
         """
         return messages.Hello(self._cell, group, self._identity, joined)
 
-    def take_hello_receivers(self, now_ms, voter_names=()):
+    def take_hello_receivers(self, now_ms, known_names=()):
         """Returns the process names to send a hello to now.
 
-        These are the other initial members and voters.  The list is empty
-        until ``hello_ms`` have passed since the last call that returned names.
+        These are the other initial members and the given replicas.  The list
+        is empty until ``hello_ms`` have passed since the last call that
+        returned names.
 
         Args:
             now_ms: monotonic time, in milliseconds.
-            voter_names: process names of the known voters.
+            known_names: process names of the replicas known to belong to the
+                group.
         """
         if now_ms < self._next_hello_ms:
             return []
         self._next_hello_ms = now_ms + self._hello_ms
         return sorted(
-            {*self._other_initial_names, *voter_names} - {self._name}
+            {*self._other_initial_names, *known_names} - {self._name}
         )
 
     def record_hello(self, name, message, now_ms):
