Count the age of an announcement from when it was sent, not read

Cause: the age was counted from the time of reading. After a freeze only direct announcements were discarded, for a fixed 300 ms; forwarded ones never were.

Change: each announcement has the earliest time at which an entry may have received it. A batch echoes the time of the last batch that its sender got, so it was sent after that; batches go to each entry every 200 ms at least. For direct ones it is the kernel's time of the last data (TCP_INFO). The detection of freezes is gone. Ages now include the time since the echo, so an announcement is usable for 2800 ms instead of 2500 ms, within the bound of 3 s as before.

--- a/fuchsiatrestle/entry/_platform.py
+++ b/fuchsiatrestle/entry/_platform.py
@@ -80,7 +80,9 @@
             metrics.count(REFUSED_BAD_ANNOUNCEMENT)
             return http.make_reason_response(400, 'bad_announcement', str(exc))
         metrics.count(ANNOUNCEMENTS_RECEIVED)
-        await self._router.step(routing.AnnouncementHeard(announcement))
+        await self._router.step(
+            routing.AnnouncementHeard(announcement, request.received_ms)
+        )
         return http.make_json_response(200, {'taken': True})
 
     async def _handle_report(self, request):
--- a/fuchsiatrestle/messages/_routing.py
+++ b/fuchsiatrestle/messages/_routing.py
@@ -27,7 +27,8 @@
         state: ``ready`` or ``leaving``.
         slots: number of requests that it can process at the same time.
         connections: number of connections it accepts.
-        age_ms: time since an entry received it from the upstream itself.
+        age_ms: longest time for which an entry may have had it from the
+            upstream itself.
         data_centre: data centre that it runs in.
     """
 
@@ -45,13 +46,20 @@
 class AnnouncementBatch(records.Record, tag='ra'):
     """Announcements that an entry forwards to another entry.
 
+    A batch without announcements is sent for its times alone.
+
     Attributes:
         entry: name of the sending entry.
         items: the announcements.
+        sent_ms: time of the sender's clock; 0 from a build without echoes.
+        echoed_ms: ``sent_ms`` of the batch that the sender received last from
+            the entry to which it sends this one, 0 if none.
     """
 
     entry: str
     items: list[Announcement]
+    sent_ms: int = 0
+    echoed_ms: int = 0
 
 
 class SlotDemand(records.Record, tag='rd'):
--- a/fuchsiatrestle/net/_http_connection.py
+++ b/fuchsiatrestle/net/_http_connection.py
@@ -15,6 +15,7 @@
 __all__ = ('ClientDisconnected', 'Connection', 'DeadlineExceeded')
 
 RECEIVE_CHUNK_BYTES = 65536
+NS_PER_MS = 10**6
 # Time for which input is still read after an error response was sent.
 DRAIN_TIMEOUT_S = 0.1
 
@@ -54,6 +55,10 @@
 
 # SO_LINGER on with a timeout of 0: close() sends a reset.
 _RESET_ON_CLOSE_OPTION = struct.pack('ii', 1, 0)
+# Size of the first fields of Linux's ``struct tcp_info``, and the offset of
+# tcpi_last_data_recv, the milliseconds since the last data was received.
+_TCP_INFO_BYTES = 60
+_LAST_DATA_RECV_OFFSET = 52
 # Reason and counter of each status that h11 suggests for invalid requests.
 _REFUSALS_BY_STATUS = {
     400: ('malformed_request', MALFORMED_REQUEST),
@@ -320,8 +325,27 @@
             head.target.decode('ascii'),
             headers,
             body,
+            self._read_receipt_ms(),
         )
 
+    def _read_receipt_ms(self):
+        """Returns the time at which the kernel received the last data.
+
+        A pause of this process between the two readings makes it earlier.
+
+        Returns:
+            Monotonic time in whole milliseconds; 0 if it is unknown.
+        """
+        now_ms = time.monotonic_ns() // NS_PER_MS
+        try:
+            tcp_info = self._sock._socket.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES
+            )
+        except OSError:
+            return 0
+        (age_ms,) = struct.unpack_from('I', tcp_info, _LAST_DATA_RECV_OFFSET)
+        return now_ms - age_ms
+
     async def _receive_body(self):
         """Returns the whole body, None if the connection ends before that.
 
--- a/fuchsiatrestle/net/_http_messages.py
+++ b/fuchsiatrestle/net/_http_messages.py
@@ -87,15 +87,19 @@
         target: request target as sent, text.
         headers: ``(name, value)`` pairs of bytes, names in lower case.
         body: the body, bytes.
+        received_ms: monotonic time in whole milliseconds at which this host
+            received the end of the request, which may be long before this
+            process reads it; 0 if unknown.
     """
 
-    __slots__ = ('body', 'headers', 'method', 'target')
+    __slots__ = ('body', 'headers', 'method', 'received_ms', 'target')
 
-    def __init__(self, method, target, headers=(), body=b''):
+    def __init__(self, method, target, headers=(), body=b'', received_ms=0):
         self.method = method
         self.target = target
         self.headers = headers
         self.body = body
+        self.received_ms = received_ms
 
     @property
     def path(self):
--- a/fuchsiatrestle/routing/_announcements.py
+++ b/fuchsiatrestle/routing/_announcements.py
@@ -13,8 +13,9 @@
 READY = 'ready'
 LEAVING = 'leaving'
 # An upstream announces itself each second.  One announcement may be lost, and
-# the next may be half a second late.
-MAX_USABLE_AGE_MS = 2500
+# the next may be half a second late.  The age of a forwarded announcement is
+# counted from the echo, which is up to 0.3 s before it was sent.
+MAX_USABLE_AGE_MS = 2800
 FORGET_UPSTREAM_AFTER_MS = 60000
 MAX_UPSTREAMS = 4096
 
@@ -24,8 +25,8 @@
 
     Attributes:
         announcement: the ``messages.Announcement``.
-        received_ms: time at which this or another entry received it from the
-            upstream itself.
+        received_ms: earliest time at which this or another entry may have
+            received it from the upstream itself.
     """
 
     __slots__ = ('announcement', 'received_ms')
@@ -58,12 +59,17 @@
     def __len__(self):
         return len(self._newest_by_address)
 
-    def add(self, announcement, now_ms, is_from_upstream=False):
+    def add(self, announcement, received_ms, is_from_upstream=False):
         """Stores an announcement if it is newer than the stored one.
 
+        The stored one was sent before it, so the time of receipt never
+        decreases.  If it is the stored one itself, the later of the two times
+        of receipt is kept.
+
         Args:
             announcement: the ``messages.Announcement``.
-            now_ms: current time.
+            received_ms: earliest time at which this or another entry may have
+                received it from the upstream itself.
             is_from_upstream: True if the upstream sent it to this entry
                 itself; it is then forwarded to the other entries.
 
@@ -74,13 +80,16 @@
         address = announcement.address
         row = self._newest_by_address.get(address)
         if row is not None:
-            if _order_key(announcement) <= _order_key(row.announcement):
+            received_ms = max(received_ms, row.received_ms)
+            if _order_key(announcement) < _order_key(row.announcement):
+                return False
+            if _order_key(announcement) == _order_key(row.announcement):
+                row.received_ms = received_ms
                 return False
             if _has_announced_leaving(row.announcement, announcement):
                 return False
         elif len(self._newest_by_address) >= MAX_UPSTREAMS:
             return False
-        received_ms = now_ms - max(0, announcement.age_ms)
         self._newest_by_address[address] = _TableRow(announcement, received_ms)
         if is_from_upstream:
             self._unforwarded_addresses[address] = True
@@ -98,7 +107,7 @@
         return now_ms - row.received_ms < MAX_USABLE_AGE_MS
 
     def age_ms(self, address, now_ms):
-        """Returns the age of the newest announcement of an address.
+        """Returns the largest possible age of the newest announcement.
 
         Raises:
             KeyError: the address is unknown.
--- a/fuchsiatrestle/routing/_continuity.py
+++ b/fuchsiatrestle/routing/_continuity.py
@@ -41,8 +41,8 @@
         """Records an announcement.
 
         Args:
-            received_ms: time at which this or another entry received it from
-                the upstream itself.
+            received_ms: earliest time at which this or another entry may have
+                received it from the upstream itself.
         """
         last_announcement_ms = self._last_announcement_ms
         if (
--- a/fuchsiatrestle/routing/_core.py
+++ b/fuchsiatrestle/routing/_core.py
@@ -107,8 +107,6 @@
         self._is_stopping = True
 
     def _handle_tick_passed(self, event, now_ms, effects):
-        self._detect_freeze(now_ms)
-        self._last_tick_ms = now_ms
         if self._membership.has_past_epochs:
             self._membership.drop_old_epochs(now_ms)
             self._update_shares(now_ms, effects)
--- a/fuchsiatrestle/routing/_events.py
+++ b/fuchsiatrestle/routing/_events.py
@@ -124,9 +124,12 @@
 
     Attributes:
         announcement: the message.
+        received_ms: time at which this host received it, which may be long
+            before this process reads it.
     """
 
     announcement: messages.Announcement
+    received_ms: int
 
 
 class PeerSent(records.Record):
--- a/fuchsiatrestle/routing/_peers.py
+++ b/fuchsiatrestle/routing/_peers.py
@@ -10,12 +10,8 @@
 # Interval at which the full table, all recent announcements, is sent to one of
 # the other entries, in turn.
 FULL_TABLE_INTERVAL_MS = 250
-# A time longer than this since the last tick shows that the process was
-# frozen.  Announcements that waited in its sockets don't show that their
-# senders are still alive, so those read within DISCARD_AFTER_FREEZE_MS after
-# the freeze are discarded.
-FREEZE_TICK_GAP_MS = 1000
-DISCARD_AFTER_FREEZE_MS = 300
+# Longest time between two batches to the same entry.
+BATCH_INTERVAL_MS = 200
 # An upstream whose announcement has a sequence number up to this has only just
 # started.
 MAX_SEQ_OF_NEW_PROCESS = 2
@@ -27,21 +23,27 @@
     # Announcements
 
     def _handle_announcement_heard(self, event, now_ms, effects):
-        self._detect_freeze(now_ms)
-        if now_ms < self._discard_announcements_until_ms:
-            return
         self._process_announcement(
-            event.announcement, now_ms, effects, is_from_upstream=True
+            event.announcement,
+            event.received_ms,
+            now_ms,
+            effects,
+            is_from_upstream=True,
         )
 
     def _process_announcement(
-        self, announcement, now_ms, effects, is_from_upstream=False
+        self,
+        announcement,
+        received_ms,
+        now_ms,
+        effects,
+        is_from_upstream=False,
     ):
         """Updates or adds an upstream if its announcement is newer."""
         address = announcement.address
         previous_announcement = self._announcement_table.get(address)
         if not self._announcement_table.add(
-            announcement, now_ms, is_from_upstream
+            announcement, received_ms, is_from_upstream
         ):
             return
         upstream = self._upstreams.get(address)
@@ -58,7 +60,9 @@
             # doesn't know of: they were sent by an earlier process of this
             # entry, or before the upstream was forgotten.
             upstream.suspend(now_ms)
-        self._update_upstream(upstream, announcement, now_ms, effects)
+        self._update_upstream(
+            upstream, announcement, received_ms, now_ms, effects
+        )
         self._update_readiness(upstream, now_ms)
         if not upstream.is_ready:
             self._close_connections(
@@ -74,14 +78,16 @@
         group.upstreams.append(upstream)
         return upstream
 
-    def _update_upstream(self, upstream, announcement, now_ms, effects):
+    def _update_upstream(
+        self, upstream, announcement, received_ms, now_ms, effects
+    ):
         """Applies a new announcement to an upstream and its share."""
         if upstream.incarnation != announcement.incarnation:
             upstream.reset_for_process(announcement.incarnation)
             self._close_connections(
                 upstream.remove_idle_connections(), effects
             )
-        upstream.continuity.record_announcement(now_ms - announcement.age_ms)
+        upstream.continuity.record_announcement(received_ms)
         upstream.resume_if_requests_ended(
             self._groups[upstream.service].cfg.deadline_ms
         )
@@ -101,10 +107,7 @@
     def _handle_peer_sent(self, event, now_ms, effects):
         message = event.message
         if isinstance(message, messages.AnnouncementBatch):
-            # Upstreams may still send their announcements to an entry that
-            # is no longer a member, so its batches are accepted.
-            for announcement in message.items:
-                self._process_announcement(announcement, now_ms, effects)
+            self._handle_batch(event.peer, message, now_ms, effects)
         elif event.peer not in self._cfg.members:
             return
         elif isinstance(message, messages.SlotDemand):
@@ -117,6 +120,34 @@
                 group = self._groups[upstream.service]
                 self._serve_queue(group, now_ms, effects)
 
+    def _handle_batch(self, peer, batch, now_ms, effects):
+        """Handles the announcements of a batch and keeps its time to echo it.
+
+        Upstreams may still send their announcements to an entry that is no
+        longer a member, so its batches are accepted and answered with an echo.
+        """
+        self._echo_ms_by_peer[peer] = batch.sent_ms
+        sent_after_ms = self._find_earliest_sending(batch, now_ms)
+        for announcement in batch.items:
+            received_ms = sent_after_ms - max(0, announcement.age_ms)
+            self._process_announcement(
+                announcement, received_ms, now_ms, effects
+            )
+        if batch.items and peer not in self._cfg.members:
+            self._send_batch(peer, [], now_ms, effects)
+
+    def _find_earliest_sending(self, batch, now_ms):
+        """Returns the earliest time at which a batch may have been sent.
+
+        It was sent after the batch of this entry that it echoes, and after
+        this process was started.
+        """
+        if not batch.sent_ms:
+            return now_ms
+        if self._started_ms <= batch.echoed_ms <= now_ms:
+            return batch.echoed_ms
+        return self._started_ms
+
     def _handle_slot_demand(self, demand, now_ms, effects):
         """Lends idle slots to another entry.
 
@@ -148,18 +179,12 @@
 
     # Upkeep
 
-    def _detect_freeze(self, now_ms):
-        """Starts discarding announcements if this process was frozen."""
-        if now_ms - self._last_tick_ms > FREEZE_TICK_GAP_MS:
-            self._discard_announcements_until_ms = (
-                now_ms + DISCARD_AFTER_FREEZE_MS
-            )
-            self._last_tick_ms = now_ms
-
     def _forward_announcements(self, now_ms, effects):
         """Sends new announcements to all entries, all recent ones to one.
 
-        The full table of recent announcements, sent to one entry in turn every
+        A batch is sent at least every ``BATCH_INTERVAL_MS``, as its echo shows
+        the other entry how old the batch may be.  The full table of recent
+        announcements, sent to one entry in turn every
         ``FULL_TABLE_INTERVAL_MS``, makes up for lost messages and informs an
         entry that has only just started.
         """
@@ -167,17 +192,25 @@
         if not peers:
             return
         announcements = self._announcement_table.pop_unforwarded(now_ms)
-        if announcements:
-            batch = messages.AnnouncementBatch(self._entry, announcements)
-            effects.extend(_effects.SendToPeer(peer, batch) for peer in peers)
+        if announcements or now_ms - self._batch_sent_ms >= BATCH_INTERVAL_MS:
+            self._batch_sent_ms = now_ms
+            for peer in peers:
+                self._send_batch(peer, announcements, now_ms, effects)
         if now_ms - self._full_table_sent_ms >= FULL_TABLE_INTERVAL_MS:
             self._full_table_sent_ms = now_ms
             self._sent_full_table_count += 1
             peer = peers[self._sent_full_table_count % len(peers)]
-            batch = messages.AnnouncementBatch(
-                self._entry, self._announcement_table.list_recent(now_ms)
-            )
-            effects.append(_effects.SendToPeer(peer, batch))
+            announcements = self._announcement_table.list_recent(now_ms)
+            self._send_batch(peer, announcements, now_ms, effects)
+
+    def _send_batch(self, peer, announcements, now_ms, effects):
+        batch = messages.AnnouncementBatch(
+            self._entry,
+            announcements,
+            now_ms,
+            self._echo_ms_by_peer.get(peer, 0),
+        )
+        effects.append(_effects.SendToPeer(peer, batch))
 
     def _drop_unheard_upstreams(self, now_ms, effects):
         for address in self._announcement_table.drop_old_announcements(now_ms):
--- a/fuchsiatrestle/routing/_state.py
+++ b/fuchsiatrestle/routing/_state.py
@@ -21,7 +21,7 @@
             old to be usable, or ``shunned`` while it is excluded.
         allotted_slots: slots that this entry may use.
         used_slots: slots that this entry uses.
-        age_ms: age of the announcement.
+        age_ms: largest possible age of the announcement.
     """
 
     __slots__ = (
@@ -71,8 +71,10 @@
         self._requests = {}
         self._last_connection_id = 0
         self._is_stopping = False
-        self._last_tick_ms = now_ms
-        self._discard_announcements_until_ms = 0
+        self._started_ms = now_ms
+        # ``sent_ms`` of the last batch received, by name of the entry.
+        self._echo_ms_by_peer = {}
+        self._batch_sent_ms = now_ms
         self._full_table_sent_ms = now_ms
         self._sent_full_table_count = 0
 
--- a/tests/net/test_http.py
+++ b/tests/net/test_http.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server with the HTTP client and with raw sockets."""
 
 import socket
+import time
 import unittest
 
 import curio
@@ -13,15 +14,20 @@
     head_bytes=2048, body_bytes=4096, head_s=0.3, body_s=0.3, idle_s=5.0
 )
 
+# Time for which a request waits in the socket before it is read.
+UNREAD_S = 0.5
+
 
 class _TestHandler(http.Handler):
     """Echoes method and body size; some paths wait, raise or cut the body."""
 
     def __init__(self):
         self.cancelled_calls = 0
+        self.last_request = None
         self.release_event = curio.Event()
 
     async def handle(self, request):
+        self.last_request = request
         if request.path == '/wait':
             try:
                 await self.release_event.wait()
@@ -112,6 +118,23 @@
 
         self._run(scenario)
 
+    def test_time_of_receipt_is_not_that_of_reading(self):
+        async def scenario(server, handler, address):
+            with socket.create_connection(
+                (address.host, address.port)
+            ) as sock:
+                sock.sendall(b'GET /wait HTTP/1.1\r\nhost: a\r\n\r\n')
+                sent_ms = time.monotonic_ns() // 1000000
+                # Blocks the server, too.
+                time.sleep(UNREAD_S)
+                while handler.last_request is None:
+                    await curio.sleep(0.01)
+                waited_ms = handler.last_request.received_ms - sent_ms
+                await handler.release_event.set()
+            self.assertLess(abs(waited_ms), UNREAD_S * 1000 / 2)
+
+        self._run(scenario)
+
     def test_refuses_invalid_requests_and_serves_others(self):
         async def scenario(server, handler, address):
             client = http.Client(address)
--- a/tests/routing/test_mechanisms.py
+++ b/tests/routing/test_mechanisms.py
@@ -140,6 +140,27 @@
     )
 
 
+def _count_age_from_reading():
+    """Counts the age of an announcement from the time when it is read."""
+    original = _core.Core._process_announcement
+
+    def process_announcement(
+        self, announcement, received_ms, now_ms, effects, **kwargs
+    ):
+        original(
+            self,
+            announcement,
+            now_ms - announcement.age_ms,
+            now_ms,
+            effects,
+            **kwargs,
+        )
+
+    return mock.patch.object(
+        _core.Core, '_process_announcement', process_announcement
+    )
+
+
 def _forget_written_attempts():
     """Refuses a request as not run although an attempt was written."""
     original = _core.Core._refuse
@@ -174,6 +195,11 @@
         1,
         LEAVING_GETS_NOTHING,
     ),
+    'age of an announcement that waited for its reader': (
+        _count_age_from_reading,
+        test_scenarios.run_leaving_beside_freeze,
+        LEAVING_GETS_NOTHING,
+    ),
     'outcome of a written request': (
         _forget_written_attempts,
         1,
