--- a/fuchsiatrestle/workflows/_backlog.py
+++ b/fuchsiatrestle/workflows/_backlog.py
@@ -77,7 +77,11 @@
 
     @property
     def key(self):
-        """Value that is equal for the group of the same tasks at any time."""
+        """Value by which the group of a step is found again in later rounds.
+
+        It tells the interrupted tasks of a step from the others, and each
+        suspected task from all others.
+        """
         return (
             self.workflow.workflow_id,
             self.occurrence,
--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -262,7 +262,7 @@
 
     def _check_lost_worker(self, worker):
         """Records the runs of a worker as lost that its lease has ended."""
-        if not worker.is_out_of_touch:
+        if not worker.is_unresponsive:
             return
         for run in list(worker.runs.values()):
             if run.phase == _Phase.PLACED:
@@ -422,7 +422,7 @@
 
     def _must_start_alone(self, group):
         """True for a suspected task, unless it lasts and is overdue."""
-        return group.is_suspected and not self._is_overdue(group)
+        return group.is_suspected and not self._is_overdue_long_running(group)
 
     def _place_suspected_groups(self, groups, round_by_pool):
         """Starts tasks that may crash their workers, each one alone.
@@ -492,7 +492,7 @@
                 pool_round,
                 ignores_reservations=(
                     group.is_interrupted
-                    or self._is_overdue(group)
+                    or self._is_overdue_long_running(group)
                     or self._may_use_reserved_room(group, pool_round)
                 ),
             )
@@ -506,16 +506,16 @@
         and not on reserved workers.
         """
         for group, queue, pool_round in deferred_groups:
-            if self._is_overdue(group) or not pool_round.must_yield_to_batch(
-                queue.priority
-            ):
+            if self._is_overdue_long_running(
+                group
+            ) or not pool_round.must_yield_to_batch(queue.priority):
                 self._place_or_record_waiting(
                     group, queue, pool_round, ignores_reservations=False
                 )
             else:
                 pool_round.record_deferred_group(group)
 
-    def _is_overdue(self, group):
+    def _is_overdue_long_running(self, group):
         """True for a long-running group that has waited too long."""
         return group.step.lasts and self._wait_times.is_overdue(
             group, self._state.now_ms
--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -206,7 +206,7 @@
             return False
         if not self.lease_clock.is_clock_known:
             return False
-        if now_ms < self.paused_until_ms or self.is_out_of_touch:
+        if now_ms < self.paused_until_ms or self.is_unresponsive:
             return False
         return not has_missed_announcements(
             self.last_announced_ms, now_ms, announce_ms
@@ -245,7 +245,7 @@
         self.last_replied_ms = now_ms
 
     @property
-    def is_out_of_touch(self):
+    def is_unresponsive(self):
         """True if it does not answer orders, or refused the newest poll.
 
         It gets no leases then, so that its runs are over at a known time.
--- a/fuchsiatrestle/workflows/_orders.py
+++ b/fuchsiatrestle/workflows/_orders.py
@@ -94,7 +94,9 @@
         order was sent.
         """
         reason = ''
-        if worker.is_out_of_touch:
+        if worker.is_unresponsive:
+            reason = 'polls_refused'
+        if worker.unanswered_orders:
             reason = 'worker_silent'
         if worker.state != _fleet.READY:
             reason = 'worker_drains'
@@ -115,7 +117,7 @@
         """Returns the order that is due for a run, or None."""
         record = worker.record
         if run.phase == _Phase.STARTING and run.started_ms is None:
-            if worker.is_out_of_touch or (
+            if worker.is_unresponsive or (
                 run.adopted and not worker.has_seen_token
             ):
                 return None
@@ -239,7 +241,7 @@
         have no runs that it would be polled for.
         """
         is_usable = (
-            not worker.is_out_of_touch and worker.lease_clock.is_clock_known
+            not worker.is_unresponsive and worker.lease_clock.is_clock_known
         )
         if is_usable or worker.last_announced_ms is None:
             return False
@@ -266,7 +268,7 @@
         refuses the polls, the lease would never count as expired.  The runs of
         one that leaves are to end.
         """
-        return not worker.is_out_of_touch and worker.withdrawn_ms is None
+        return not worker.is_unresponsive and worker.withdrawn_ms is None
 
     def _must_renew_lease(self, worker, now_ms):
         if not self._may_extend_lease(worker):
@@ -284,7 +286,7 @@
         if (
             not has_dispatched_runs
             or not worker.has_seen_token
-            or worker.is_out_of_touch
+            or worker.is_unresponsive
         ):
             return 0
         if any(run.phase == _Phase.STOPPING for run in worker.runs.values()):
--- a/fuchsiatrestle/workflows/_run_ends.py
+++ b/fuchsiatrestle/workflows/_run_ends.py
@@ -126,7 +126,7 @@
         now_ms: monotonic time.
     """
     lease_clock = worker.lease_clock
-    if not worker.is_out_of_touch:
+    if not worker.is_unresponsive:
         return None
     if not lease_clock.has_surely_expired(now_ms):
         return None
