--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -15,6 +15,7 @@
 from fuchsiatrestle.workflows import _crashes
 from fuchsiatrestle.workflows import _events
 from fuchsiatrestle.workflows import _interference
+from fuchsiatrestle.workflows import _limited_runs
 from fuchsiatrestle.workflows import _orders
 from fuchsiatrestle.workflows import _placement
 from fuchsiatrestle.workflows import _rounds
@@ -24,9 +25,6 @@
 
 __all__ = ('Dispatcher',)
 
-# Shortest time between two rounds that look for workers on which best-effort
-# tasks may run at a limited pace; such a round is costly while many wait.
-LIMITED_ROUND_INTERVAL_MS = 500
 # Interval at which changed image pairs are added to the next proposal.
 IMAGE_PAIR_PROPOSAL_INTERVAL_MS = 1000
 
@@ -57,18 +55,13 @@
         )
         self._interference_model = _interference.InterferenceModel()
         self._placer = placer or _placement.BestFit(self._interference_model)
-        # For best-effort tasks that ``_placer`` keeps waiting: for those of a
-        # step without runs, and for others.
-        self._first_task_placer = _placement.LeastDisturbance(
-            self._interference_model, shares_cpu=True
-        )
-        self._further_task_placer = _placement.LeastDisturbance(
-            self._interference_model, shares_cpu=False
-        )
         self._backlog = _backlog.Backlog(workflow_store)
         self._reservation_limits = _rounds.ReservationLimits()
         self._trial_runs = _crashes.TrialRuns()
         self._wait_times = _waiting.WaitTimes()
+        self._limited_runs = _limited_runs.LimitedRunPlanner(
+            self._state, self._interference_model, self._wait_times
+        )
         self._waiting_log = _waiting.WaitingLog(
             self._wait_times, self._placer, now_ms
         )
@@ -80,7 +73,6 @@
             self._state, self._announcement_handler, self._interference_model
         )
         self._image_pairs_proposed_ms = now_ms
-        self._next_limited_round_ms = now_ms
         # Ids of the workers whose withdrawals are not acknowledged yet.
         self._withdrawn_workers = []
         self._last_tick_wall_ms = 0
@@ -403,11 +395,7 @@
             round_by_pool,
         )
         self._place_deferred_groups(deferred_groups)
-        if now_ms >= self._next_limited_round_ms:
-            self._next_limited_round_ms = now_ms + LIMITED_ROUND_INTERVAL_MS
-            for pool_round in round_by_pool.values():
-                self._stop_limited_runs_for_others(pool_round)
-                self._place_overdue_best_effort_groups(pool_round)
+        self._place_limited_runs(round_by_pool.values())
         self._reservation_limits.record_reservations(
             {
                 name
@@ -446,7 +434,7 @@
         """Returns True if the task of a suspected group was placed."""
         if not pool_round.may_close_worker:
             return False
-        limited_placer = self._find_limited_placer(group)
+        limited_placer = self._limited_runs.find_placer(group)
         worker, start_count = _crashes.choose_trial_worker(
             group,
             pool_round.workers_for(group.step, ignores_reservations=True),
@@ -531,86 +519,23 @@
             group, self._state.now_ms
         )
 
-    def _place_overdue_best_effort_groups(self, pool_round):
-        """Places best-effort tasks that are kept off every worker for long.
-
-        An estimate of their interference is examined again only by running
-        them, so it must not keep tasks waiting without a bound.  One task of
-        a group, or all of a gang, is placed with a limited pace.
+    def _place_limited_runs(self, rounds):
+        """Places overdue best-effort tasks at a limited pace.
 
         Args:
-            pool_round: the ``PlacementRound``, after all groups were tried.
+            rounds: the ``PlacementRound`` of each service, after all groups
+                were tried.
         """
-        for group in pool_round.waiting_groups:
-            if group.is_suspected:
-                continue
-            placer = self._find_limited_placer(group)
-            if placer is None:
-                continue
-            workers = pool_round.workers_for(
-                group.step, ignores_reservations=True
-            )
-            if not pool_round.is_mostly_free and self._placer.suits_any(
-                group, workers
+        if not self._limited_runs.start_round_if_due():
+            return
+        for pool_round in rounds:
+            for worker in self._limited_runs.stop_runs_for_others(pool_round):
+                self._send_due_orders(worker)
+            for group, task_id, worker in self._limited_runs.choose_workers(
+                pool_round
             ):
-                # Such a worker is busy with best-effort tasks that go first.
-                continue
-            if not group.step.gang:
-                group = group.first_task_alone()
-            for task_id, worker in placer.choose_workers(group, workers):
                 self._place_task(group, task_id, worker, limits_pace=True)
 
-    def _stop_limited_runs_for_others(self, pool_round):
-        """Stops runs with a limited pace whose memory other tasks wait for.
-
-        Such runs may take long, and tasks of other kinds go before them.
-
-        Args:
-            pool_round: the ``PlacementRound``, after all groups were tried.
-        """
-        for group in pool_round.waiting_groups:
-            if group.step.fills or not self._wait_times.is_overdue(
-                group, self._state.now_ms
-            ):
-                continue
-            for worker in pool_round.workers_for(
-                group.step, ignores_reservations=True
-            ):
-                if self._stop_limited_runs_for(group, worker):
-                    break
-
-    def _stop_limited_runs_for(self, group, worker):
-        """Returns True if it stops runs with whose memory a group fits."""
-        limited_runs = [
-            run
-            for run in worker.runs.values()
-            if run.is_pace_limited and run.phase == _Phase.RUNNING
-        ]
-        limited_memory_mb = sum(run.step.memory_mb for run in limited_runs)
-        if not limited_runs or not _placement.has_room(
-            group.step, group.waiting_task_ids[0], worker, limited_memory_mb
-        ):
-            return False
-        for run in limited_runs:
-            self._state.stop_run(run, 'memory_needed')
-        self._send_due_orders(worker)
-        return True
-
-    def _find_limited_placer(self, group):
-        """Returns the ``Placer`` of an overdue best-effort group, or None."""
-        now_ms = self._state.now_ms
-        if not group.step.fills:
-            return None
-        if not self._wait_times.is_overdue(group, now_ms):
-            return None
-        if not group.workflow.has_live_run(
-            group.occurrence, group.step_number
-        ):
-            return self._first_task_placer
-        if self._wait_times.is_overdue_beside_runs(group, now_ms):
-            return self._further_task_placer
-        return None
-
     def _find_pool_round(self, round_by_pool, pool):
         """Returns the round for a service's workers; creates it if missing.
 
--- /dev/null
+++ b/fuchsiatrestle/workflows/_limited_runs.py
@@ -0,0 +1,149 @@
+"""Decides which best-effort tasks run at a limited pace, and on which workers.
+
+Whether an image disturbs serving tasks is estimated from its runs beside them.
+An estimate that keeps an image off every worker is examined again only by
+running the image, so it must not keep its tasks waiting without a bound.
+"""
+
+from fuchsiatrestle.workflows import _interference
+from fuchsiatrestle.workflows import _placement
+from fuchsiatrestle.workflows import _runs
+
+__all__ = ('LimitedRunPlanner',)
+
+# Shortest time between two rounds; a round is costly while many groups wait.
+ROUND_INTERVAL_MS = 500
+
+
+class LimitedRunPlanner:
+    """Finds workers for best-effort tasks that are kept off every worker.
+
+    Args:
+        dispatch_state: ``DispatchState``.
+        interference_model: the ``InterferenceModel``.
+        wait_times: ``WaitTimes`` of the waiting groups.
+    """
+
+    def __init__(self, dispatch_state, interference_model, wait_times):
+        self._dispatch_state = dispatch_state
+        self._interference_model = interference_model
+        self._wait_times = wait_times
+        self._next_round_ms = dispatch_state.now_ms
+        # For tasks of a step without runs, and for others.
+        self._first_task_placer = _placement.LeastDisturbance(
+            interference_model, shares_cpu=True
+        )
+        self._further_task_placer = _placement.LeastDisturbance(
+            interference_model, shares_cpu=False
+        )
+
+    def start_round_if_due(self):
+        """Returns True if a round is due, and starts the next interval."""
+        now_ms = self._dispatch_state.now_ms
+        if now_ms < self._next_round_ms:
+            return False
+        self._next_round_ms = now_ms + ROUND_INTERVAL_MS
+        return True
+
+    def find_placer(self, group):
+        """Returns the ``Placer`` of an overdue best-effort group, or None.
+
+        Args:
+            group: the ``Group``.
+        """
+        now_ms = self._dispatch_state.now_ms
+        if not group.step.fills:
+            return None
+        if not self._wait_times.is_overdue(group, now_ms):
+            return None
+        if not group.workflow.has_live_run(
+            group.occurrence, group.step_number
+        ):
+            return self._first_task_placer
+        if self._wait_times.is_overdue_beside_runs(group, now_ms):
+            return self._further_task_placer
+        return None
+
+    def choose_workers(self, pool_round):
+        """Yields workers for overdue groups, one task of each or a whole gang.
+
+        Each task has to be placed before the next one is asked for.
+
+        Args:
+            pool_round: the ``PlacementRound``, after all groups were tried.
+
+        Yields:
+            The ``Group``, the task id and the ``Worker``.
+        """
+        for group in pool_round.waiting_groups:
+            placer = None if group.is_suspected else self.find_placer(group)
+            if placer is None:
+                continue
+            workers = pool_round.workers_for(
+                group.step, ignores_reservations=True
+            )
+            if not pool_round.is_mostly_free and self._suits_any(
+                group, workers
+            ):
+                # Such a worker is busy with best-effort tasks that go first.
+                continue
+            if not group.step.gang:
+                group = group.first_task_alone()
+            for task_id, worker in placer.choose_workers(group, workers):
+                yield group, task_id, worker
+
+    def _suits_any(self, group, workers):
+        """True if an image is known to disturb nothing on a worker with room.
+
+        The processor time that best-effort tasks use there does not count.
+        """
+        task_id = group.waiting_task_ids[0]
+        return any(
+            self._interference_model.worst_severity(
+                worker.serving_images, group.step.image
+            )
+            == _interference.Severity.LIGHT
+            and _placement.has_room(group.step, task_id, worker)
+            for worker in workers
+        )
+
+    def stop_runs_for_others(self, pool_round):
+        """Stops runs with a limited pace whose memory other tasks wait for.
+
+        Such runs may take long, and tasks of other kinds go before them.
+
+        Args:
+            pool_round: the ``PlacementRound``, after all groups were tried.
+
+        Returns:
+            A list of the ``Worker`` values with stopped runs.
+        """
+        stopping_workers = []
+        for group in pool_round.waiting_groups:
+            if group.step.fills or not self._wait_times.is_overdue(
+                group, self._dispatch_state.now_ms
+            ):
+                continue
+            for worker in pool_round.workers_for(
+                group.step, ignores_reservations=True
+            ):
+                if self._stop_runs_for(group, worker):
+                    stopping_workers.append(worker)
+                    break
+        return stopping_workers
+
+    def _stop_runs_for(self, group, worker):
+        """Returns True if it stops runs with whose memory a group fits."""
+        limited_runs = [
+            run
+            for run in worker.runs.values()
+            if run.is_pace_limited and run.phase == _runs.Phase.RUNNING
+        ]
+        memory_mb = sum(run.step.memory_mb for run in limited_runs)
+        if not limited_runs or not _placement.has_room(
+            group.step, group.waiting_task_ids[0], worker, memory_mb
+        ):
+            return False
+        for run in limited_runs:
+            self._dispatch_state.stop_run(run, 'memory_needed')
+        return True
--- a/fuchsiatrestle/workflows/_placement.py
+++ b/fuchsiatrestle/workflows/_placement.py
@@ -103,16 +103,6 @@
             yield from sorted(racks.values(), key=len, reverse=True)
         yield workers
 
-    def suits_any(self, group, workers):
-        """True if a worker with room is known to suit a best-effort group.
-
-        Args:
-            group: the ``Group``.
-            workers: the workers.
-        """
-        task_id = group.waiting_task_ids[0]
-        return any(has_room(group.step, task_id, worker) for worker in workers)
-
     def find_obstacle(self, step, task_id, worker):
         """Returns the ``Obstacle`` to a task on a worker, None if it fits.
 
@@ -192,21 +182,6 @@
             step, worker, _RoundAllocations(step)
         )
 
-    def suits_any(self, group, workers):
-        """True if an image is known to disturb nothing on a worker with room.
-
-        The processor time that best-effort tasks use there does not count.
-        """
-        task_id = group.waiting_task_ids[0]
-        return any(
-            self._interference_model.worst_severity(
-                worker.serving_images, group.step.image
-            )
-            == _interference.Severity.LIGHT
-            and has_room(group.step, task_id, worker)
-            for worker in workers
-        )
-
     def _find_best_effort_obstacle(self, step, worker, allocations):
         """Returns what bars a worker to a best-effort step, or None."""
         if self._unused_cpu(worker, allocations) < step.cpu:
