Close the asyncio loop of a link, and make it no sooner than it runs

Cause: the loop of a link that was not started is never closed; at the end of the process Python closes it after its sockets or before, by the order of its garbage, which moves with any change of the code. Change: the loop is made at the start and closed at the stop.

--- a/fuchsiatrestle/net/_grpc_thread.py
+++ b/fuchsiatrestle/net/_grpc_thread.py
@@ -17,7 +17,11 @@
     """An asyncio event loop that runs in a thread of its own."""
 
     def __init__(self):
-        self._loop = asyncio.new_event_loop()
+        # Made at the start, as a loop that is not closed can print an error
+        # when the process ends.
+        self._loop = None
+        # Functions, each with its arguments, to be called after the start.
+        self._early_calls = []
         self._thread = threading.Thread(
             target=self._run_loop, name='grpc', daemon=True
         )
@@ -28,16 +32,25 @@
 
     def start(self):
         """Starts the thread, which runs the loop until ``stop``."""
+        self._loop = asyncio.new_event_loop()
+        for callback, args in self._early_calls:
+            self._loop.call_soon_threadsafe(callback, *args)
+        self._early_calls = []
         self._thread.start()
 
     def schedule_call(self, callback, *args):
         """Schedules a function call on the loop, from any thread.
 
+        Before ``start`` it is called once the loop runs, and only from the
+        thread that starts it.
+
         Args:
             callback: function to call.
             *args: its arguments.
         """
-        if not self._loop.is_closed():
+        if self._loop is None:
+            self._early_calls.append((callback, args))
+        elif not self._loop.is_closed():
             self._loop.call_soon_threadsafe(callback, *args)
 
     def schedule_coroutine(self, coro):
@@ -53,8 +66,12 @@
 
         The wait lasts ``JOIN_TIMEOUT_S`` at most.
         """
+        if self._loop is None:
+            return
         self.schedule_call(self._cancel_tasks)
         self._thread.join(JOIN_TIMEOUT_S)
+        if not self._thread.is_alive():
+            self._loop.close()
 
     def _cancel_tasks(self):
         tasks = asyncio.all_tasks(self._loop)
