Give a workflow of which nothing runs a turn before those in time

Groups are placed by lateness, priority and slack, and new groups that go before a late one kept coming and took each gap; only below half of the reserved processor time was that made up for.

Long-running tasks that ran before or are overdue still go first.

--- a/fuchsiatrestle/state/_workflows_model.py
+++ b/fuchsiatrestle/state/_workflows_model.py
@@ -180,6 +180,11 @@
             for task_id in self.task_ids(occurrence, step_number)
         )
 
+    @property
+    def is_running(self):
+        """True if a run of any of its tasks may be executing."""
+        return any(task.live_runs for task in self.tasks.values())
+
     def may_place(self, placement):
         """Returns True if a run may be placed now.
 
--- a/fuchsiatrestle/workflows/_backlog.py
+++ b/fuchsiatrestle/workflows/_backlog.py
@@ -75,6 +75,19 @@
             self.is_suspected,
         )
 
+    def without_first_task(self):
+        """Returns a ``Group`` of the other waiting tasks, None if none."""
+        if len(self.waiting_task_ids) < 2:
+            return None
+        return Group(
+            self.workflow,
+            self.occurrence,
+            self.step_number,
+            self.waiting_task_ids[1:],
+            self.is_interrupted,
+            self.is_suspected,
+        )
+
     @property
     def key(self):
         """Value by which the group of a step is found again in later rounds.
--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -21,6 +21,7 @@
 from fuchsiatrestle.workflows import _rounds
 from fuchsiatrestle.workflows import _run_ends
 from fuchsiatrestle.workflows import _runs
+from fuchsiatrestle.workflows import _turns
 from fuchsiatrestle.workflows import _waiting
 
 __all__ = ('Dispatcher',)
@@ -59,6 +60,7 @@
         self._reservation_limits = _rounds.ReservationLimits()
         self._trial_runs = _crashes.TrialRuns()
         self._wait_times = _waiting.WaitTimes()
+        self._turns = _turns.TurnPlanner(self._wait_times)
         self._limited_runs = _limited_runs.LimitedRunPlanner(
             self._state, self._interference_model, self._wait_times
         )
@@ -386,14 +388,28 @@
             group for group in ready_groups if self._must_start_alone(group)
         ]
         self._place_suspected_groups(groups_to_start_alone, round_by_pool)
+        other_groups = [
+            group
+            for group in ready_groups
+            if not self._must_start_alone(group)
+        ]
+        urgent_groups = [
+            group for group in other_groups if self._precedes_turns(group)
+        ]
         deferred_groups = self._place_ready_groups(
+            urgent_groups, round_by_pool
+        )
+        other_groups = self._place_turns(
             [
                 group
-                for group in ready_groups
-                if not self._must_start_alone(group)
+                for group in other_groups
+                if not self._precedes_turns(group)
             ],
             round_by_pool,
         )
+        deferred_groups += self._place_ready_groups(
+            other_groups, round_by_pool
+        )
         self._place_deferred_groups(deferred_groups)
         self._place_limited_runs(round_by_pool.values())
         self._reservation_limits.record_reservations(
@@ -408,6 +424,43 @@
             round_by_pool.values(), self._state.fleet, now_ms
         )
 
+    def _precedes_turns(self, group):
+        """True for long-running tasks that ran before or are overdue."""
+        return group.is_interrupted or self._is_overdue_long_running(group)
+
+    def _place_turns(self, groups, round_by_pool):
+        """Places one task, or a whole gang, of each group that has a turn.
+
+        Args:
+            groups: the groups, in the order of placement.
+            round_by_pool: ``PlacementRound`` by name of the service; the
+                missing ones are added.
+
+        Returns:
+            The groups that are left, in the order of placement.  A group whose
+            turn found no worker is not tried again in this round.
+        """
+        remainders = {}
+        for group in self._turns.find_turns(groups, self._state.now_ms):
+            queue = self._state.workflow_store.current_queue(group.workflow)
+            pool_round = self._find_pool_round(round_by_pool, queue.pool)
+            turn_group = group if group.step.gang else group.first_task_alone()
+            remainders[id(group)] = None
+            is_placed = self._place_or_record_waiting(
+                turn_group,
+                queue,
+                pool_round,
+                ignores_reservations=self._may_use_reserved_room(
+                    group, pool_round
+                ),
+            )
+            if is_placed and not group.step.gang:
+                remainders[id(group)] = group.without_first_task()
+        remaining_groups = (
+            remainders.get(id(group), group) for group in groups
+        )
+        return [group for group in remaining_groups if group is not None]
+
     def _must_start_alone(self, group):
         """True for a suspected task, unless it lasts and is overdue."""
         return group.is_suspected and not self._is_overdue_long_running(group)
@@ -562,6 +615,7 @@
     def _place_or_record_waiting(
         self, group, queue, pool_round, *, ignores_reservations
     ):
+        """Places the tasks that fit; returns True if all were placed."""
         placed_count = 0
         if pool_round.may_fit(
             group.step, ignores_reservations=ignores_reservations
@@ -571,12 +625,14 @@
             )
             placed_count = self._place_group(group, workers)
             pool_round.record_placed_tasks(group.step, placed_count)
-        if placed_count < len(group.waiting_task_ids):
-            pool_round.record_waiting_group(
-                group,
-                queue.priority,
-                ignores_reservations=ignores_reservations,
-            )
+        if placed_count == len(group.waiting_task_ids):
+            return True
+        pool_round.record_waiting_group(
+            group,
+            queue.priority,
+            ignores_reservations=ignores_reservations,
+        )
+        return False
 
     def _place_group(self, group, workers):
         """Places the tasks that fit and returns their number."""
