Keep in the agreed state since when a step and a task are idle

Change: Workflow.idle_since_ms and task_idle_since_ms tell since when a step or task could run and nothing of it was executing: the submission or due time, the end of the steps before it, or the agreed end of its last live run. A loss with the new RunLost.never_ran moves no date. Nothing uses the dates yet. has_live_run looks up the same count of live runs instead of going through all tasks.

--- a/fuchsiatrestle/state/_workflows.py
+++ b/fuchsiatrestle/state/_workflows.py
@@ -266,8 +266,9 @@
         workflow = self._workflows.get(run_end.task.workflow_id)
         if workflow is None or run_end.task not in workflow.tasks:
             return
+        now_ms = self._progress_recorded_ms
         if run_end.how == 'done':
-            workflow.finish_task(run_end.task, run_end.run)
+            workflow.finish_task(run_end.task, run_end.run, now_ms)
         elif run_end.how == 'failed':
             queue = self.current_queue(workflow)
             workflow.fail_run(
@@ -275,21 +276,19 @@
                 run_end.run,
                 run_end.checkpoint,
                 queue.max_failures,
+                now_ms,
             )
         else:
-            workflow.end_run(run_end.task, run_end.run, run_end.checkpoint)
-        self._close_workflow_if_ended(workflow, self._progress_recorded_ms)
+            workflow.end_run(
+                run_end.task, run_end.run, run_end.checkpoint, now_ms
+            )
+        self._close_workflow_if_ended(workflow, now_ms)
 
     def _record_lost_run(self, lost_run):
         workflow = self._workflows.get(lost_run.task.workflow_id)
         if workflow is None:
             return
-        workflow.lose_run(
-            lost_run.task,
-            lost_run.run,
-            lost_run.checkpoint,
-            lost_run.start_outcome,
-        )
+        workflow.lose_run(lost_run, self._progress_recorded_ms)
         self._close_workflow_if_ended(workflow, self._progress_recorded_ms)
 
     def _place_run(self, placement):
--- a/fuchsiatrestle/state/_workflows_model.py
+++ b/fuchsiatrestle/state/_workflows_model.py
@@ -16,7 +16,10 @@
 
 
 class _TaskRow(records.Record, tag='t'):
-    """Stored form of a ``Task`` with its id."""
+    """Stored form of a ``Task`` with its id.
+
+    In old rows ``last_run_end_ms`` is 0, also after a run.
+    """
 
     task: workflows.TaskId
     last_run: int
@@ -26,10 +29,24 @@
     live: list[workflows.LiveRun]
     worker_crashes: int = 0
     possible_worker_crashes: int = 0
+    last_run_end_ms: int = 0
 
 
 class WorkflowRow(records.Record, tag='w'):
-    """Stored form of a ``Workflow``."""
+    """Stored form of a ``Workflow``.
+
+    Attributes:
+        workflow_id: see ``Workflow``.
+        queue: see ``Workflow``.
+        spec: see ``Workflow``.
+        submitted_ms: see ``Workflow``.
+        state: see ``Workflow``.
+        tasks: the tasks.
+        ready_ms: for each step of the first occurrence, then of the next ones,
+            the time since which it may be started; 0 for a step that may not
+            be.  Empty in old rows; the ready steps then count from the
+            submission.
+    """
 
     workflow_id: str
     queue: workflows.Queue
@@ -37,6 +54,7 @@
     submitted_ms: int
     state: str
     tasks: list[_TaskRow]
+    ready_ms: list[int] = []
 
 
 class Task(_crash_counts.CrashCounts):
@@ -53,12 +71,15 @@
             since its last harmless run.
         possible_worker_crashes: the same, with those that may have crashed
             because of it.
+        last_run_end_ms: agreed time at which it last had a live run, without
+            the runs that certainly never ran; 0 if there was none.
     """
 
     __slots__ = (
         'checkpoint',
         'failures',
         'is_done',
+        'last_run_end_ms',
         'last_run_number',
         'live_runs',
         'possible_worker_crashes',
@@ -74,6 +95,7 @@
         live_runs=(),
         worker_crashes=0,
         possible_worker_crashes=0,
+        last_run_end_ms=0,
     ):
         self.last_run_number = last_run_number
         self.failures = failures
@@ -82,6 +104,7 @@
         self.live_runs = {run.run: run for run in live_runs}
         self.worker_crashes = worker_crashes
         self.possible_worker_crashes = possible_worker_crashes
+        self.last_run_end_ms = last_run_end_ms
 
 
 class Workflow:
@@ -98,6 +121,9 @@
     """
 
     __slots__ = (
+        '_last_run_end_ms_by_step',
+        '_live_run_count_by_step',
+        '_ready_ms_by_step',
         '_task_ids_by_step',
         '_unfinished_count_by_step',
         'queue',
@@ -115,11 +141,17 @@
         self.submitted_ms = submitted_ms
         self.state = OPEN
         self.tasks = {}
+        # These have (occurrence, step number) as their keys.
         self._unfinished_count_by_step = {}
         self._task_ids_by_step = {}
+        self._live_run_count_by_step = {}
+        self._last_run_end_ms_by_step = {}
+        # Has no entry for a step that may not be started yet.
+        self._ready_ms_by_step = {}
         for occurrence in self.occurrences:
             for step_number, step in enumerate(spec.steps):
                 self._add_tasks(occurrence, step_number, step.count)
+        self._set_ready_times(())
 
     def _add_tasks(self, occurrence, step_number, task_count):
         task_ids = tuple(
@@ -128,8 +160,28 @@
         )
         self._unfinished_count_by_step[occurrence, step_number] = task_count
         self._task_ids_by_step[occurrence, step_number] = task_ids
+        self._live_run_count_by_step[occurrence, step_number] = 0
+        self._last_run_end_ms_by_step[occurrence, step_number] = 0
         self.tasks.update({task_id: Task() for task_id in task_ids})
 
+    def _set_ready_times(self, ready_times_ms):
+        """Sets since when each step that is ready may be started.
+
+        Args:
+            ready_times_ms: the known times, see ``WorkflowRow``; may be empty.
+                No step is ready before its submission and its due time.
+        """
+        known_ms_by_step = dict(
+            zip(self._unfinished_count_by_step, ready_times_ms)
+        )
+        for occurrence, step_number in self._unfinished_count_by_step:
+            if self.is_step_ready(occurrence, step_number):
+                self._ready_ms_by_step[occurrence, step_number] = max(
+                    self.submitted_ms,
+                    self.spec.due_ms(occurrence),
+                    known_ms_by_step.get((occurrence, step_number), 0),
+                )
+
     # Queries
 
     @property
@@ -175,10 +227,57 @@
 
     def has_live_run(self, occurrence, step_number):
         """Returns True if a run of a step may be executing."""
-        return any(
-            self.tasks[task_id].live_runs
-            for task_id in self.task_ids(occurrence, step_number)
+        return self._live_run_count_by_step[occurrence, step_number] > 0
+
+    def idle_since_ms(self, occurrence, step_number):
+        """Returns since when a step could run and nothing of it was executing.
+
+        That is the latest of these times: the submission, the due time of the
+        occurrence, the end of the steps that it depends on, and the end of
+        its last live run.  A run that certainly never ran does not count.
+        All replicas give the same time.
+
+        Args:
+            occurrence: number of the occurrence.
+            step_number: number of the step.
+
+        Returns:
+            Milliseconds since the epoch.  The time of a due occurrence may
+            still come.  None if a run of the step may be executing, if a step
+            that it depends on is not done, or if the step is done.
+        """
+        step_key = occurrence, step_number
+        if self._live_run_count_by_step[step_key]:
+            return None
+        if self._unfinished_count_by_step[step_key] == 0:
+            return None
+        ready_ms = self._ready_ms_by_step.get(step_key)
+        if ready_ms is None:
+            return None
+        return max(ready_ms, self._last_run_end_ms_by_step[step_key])
+
+    def task_idle_since_ms(self, task_id):
+        """Returns since when a task could run and no run of it was executing.
+
+        It is the time of ``idle_since_ms`` for one task instead of a step.
+
+        Args:
+            task_id: id of a task of the workflow.
+
+        Returns:
+            Milliseconds since the epoch.  None if a run of the task may be
+            executing, if a step that it depends on is not done, or if the
+            task is done.
+        """
+        task = self.tasks[task_id]
+        if task.live_runs or task.is_done:
+            return None
+        ready_ms = self._ready_ms_by_step.get(
+            (task_id.occurrence, task_id.step)
         )
+        if ready_ms is None:
+            return None
+        return max(ready_ms, task.last_run_end_ms)
 
     def may_place(self, placement):
         """Returns True if a run may be placed now.
@@ -224,6 +323,9 @@
         task = self.tasks[placement.task]
         task.last_run_number = placement.run
         task.live_runs[placement.run] = placement
+        self._live_run_count_by_step[
+            placement.task.occurrence, placement.task.step
+        ] += 1
 
     def move_run(self, live_run):
         """Replaces a live run by the one with its present process.
@@ -245,58 +347,67 @@
         if task is not None and live_run.run in task.live_runs:
             task.record_start_outcome(commands.StartOutcome.SURVIVED)
 
-    def end_run(self, task_id, run_number, checkpoint):
+    def end_run(self, task_id, run_number, checkpoint, now_ms):
         """Removes a run that a worker reports as ended, but not as done.
 
         Args:
             task_id: id of the task; an unknown one is ignored.
             run_number: number of the run.
             checkpoint: progress that the run saved, or empty.
+            now_ms: agreed time of the end.
         """
         task = self.tasks.get(task_id)
         if task is None:
             return
-        self._remove_run(task, run_number, checkpoint)
+        self._remove_run(task_id, run_number, checkpoint, now_ms)
         task.record_start_outcome(commands.StartOutcome.SURVIVED)
 
-    def lose_run(self, task_id, run_number, checkpoint, start_outcome):
+    def lose_run(self, lost_run, now_ms):
         """Removes a run that has ended without a report of its worker.
 
         The workflow fails if the task is given up because it crashes its
         workers, also if the task lasts.
 
         Args:
-            task_id: id of the task; an unknown one is ignored.
-            run_number: number of the run; one that isn't live is ignored.
-            checkpoint: progress that the run saved, or empty.
-            start_outcome: one of ``commands.StartOutcome``.
+            lost_run: the ``RunLost``; one that isn't live is ignored.
+            now_ms: agreed time of the loss.
         """
-        task = self.tasks.get(task_id)
-        if task is None or run_number not in task.live_runs:
+        task = self.tasks.get(lost_run.task)
+        if task is None or lost_run.run not in task.live_runs:
             return
-        self._remove_run(task, run_number, checkpoint)
-        task.record_start_outcome(start_outcome)
+        self._remove_run(
+            lost_run.task,
+            lost_run.run,
+            lost_run.checkpoint,
+            None if lost_run.never_ran else now_ms,
+        )
+        task.record_start_outcome(lost_run.start_outcome)
         if self.state == OPEN and not task.is_done and task.crashes_workers:
             self.state = FAILED
 
-    def finish_task(self, task_id, run_number):
+    def finish_task(self, task_id, run_number, now_ms):
         """Marks a task as done by a run.
 
         If the step is a gang, the tasks of all its members are marked.  The
         workflow is completed when all its tasks are done.
+
+        Args:
+            task_id: id of the task.
+            run_number: number of the run.
+            now_ms: agreed time of the end.
         """
         step = self.get_step(task_id)
         member_ids = [task_id]
         if step.gang:
             member_ids = self.task_ids(task_id.occurrence, task_id.step)
         for member_id in member_ids:
-            self._finish_member_task(member_id, run_number)
+            self._finish_member_task(member_id, run_number, now_ms)
         if self.state == OPEN and not any(
             self._unfinished_count_by_step.values()
         ):
             self.state = COMPLETED
 
-    def fail_run(self, task_id, run_number, checkpoint, max_failures):
+    def fail_run(self, task_id, run_number, checkpoint, max_failures, now_ms):
         """Removes a failed run and counts its failure.
 
         The workflow fails when the task, or all members of its gang together,
@@ -308,11 +419,12 @@
             run_number: number of the run.
             checkpoint: progress that the run saved, or empty.
             max_failures: number of failures that make the workflow fail.
+            now_ms: agreed time of the end.
         """
         task = self.tasks.get(task_id)
         if task is None:
             return
-        self._remove_run(task, run_number, checkpoint)
+        self._remove_run(task_id, run_number, checkpoint, now_ms)
         task.record_start_outcome(commands.StartOutcome.SURVIVED)
         task.failures += 1
         step = self.get_step(task_id)
@@ -332,23 +444,57 @@
         member_ids = self.task_ids(task_id.occurrence, task_id.step)
         return sum(self.tasks[member_id].failures for member_id in member_ids)
 
-    def _finish_member_task(self, task_id, run_number):
+    def _finish_member_task(self, task_id, run_number, now_ms):
         task = self.tasks.get(task_id)
         if task is None:
             return
-        self._remove_run(task, run_number, '')
-        if not task.is_done:
-            task.is_done = True
-            self._unfinished_count_by_step[
-                task_id.occurrence, task_id.step
-            ] -= 1
-
-    @staticmethod
-    def _remove_run(task, run_number, checkpoint):
-        """Removes a live run; stores the checkpoint of the latest run only."""
-        task.live_runs.pop(run_number, None)
+        self._remove_run(task_id, run_number, '', now_ms)
+        if task.is_done:
+            return
+        task.is_done = True
+        step_key = task_id.occurrence, task_id.step
+        self._unfinished_count_by_step[step_key] -= 1
+        if self._unfinished_count_by_step[step_key] == 0:
+            self._record_ready_steps(*step_key, now_ms)
+
+    def _record_ready_steps(self, occurrence, done_step_number, now_ms):
+        """Records which steps may be started as an earlier step is done.
+
+        Args:
+            occurrence: number of the occurrence.
+            done_step_number: number of the earlier step.
+            now_ms: agreed time.
+        """
+        for step_number, step in enumerate(self.spec.steps):
+            if done_step_number in step.after and self.is_step_ready(
+                occurrence, step_number
+            ):
+                self._ready_ms_by_step[occurrence, step_number] = max(
+                    self.submitted_ms, self.spec.due_ms(occurrence), now_ms
+                )
+
+    def _remove_run(self, task_id, run_number, checkpoint, ended_ms):
+        """Removes a live run; stores the checkpoint of the latest run only.
+
+        Args:
+            task_id: id of a task of the workflow.
+            run_number: number of the run, which may not be live any more.
+            checkpoint: progress that the run saved, or empty.
+            ended_ms: agreed time of its end, None if it certainly never ran.
+        """
+        task = self.tasks[task_id]
+        live_run = task.live_runs.pop(run_number, None)
         if checkpoint and run_number == task.last_run_number:
             task.checkpoint = checkpoint
+        if live_run is None:
+            return
+        step_key = task_id.occurrence, task_id.step
+        self._live_run_count_by_step[step_key] -= 1
+        if ended_ms is not None:
+            task.last_run_end_ms = max(task.last_run_end_ms, ended_ms)
+            self._last_run_end_ms_by_step[step_key] = max(
+                self._last_run_end_ms_by_step[step_key], ended_ms
+            )
 
     # Snapshots
 
@@ -364,6 +510,7 @@
                 list(task.live_runs.values()),
                 task.worker_crashes,
                 task.possible_worker_crashes,
+                task.last_run_end_ms,
             )
             for task_id, task in self.tasks.items()
         ]
@@ -374,6 +521,10 @@
             self.submitted_ms,
             self.state,
             tasks,
+            [
+                self._ready_ms_by_step.get(step_key, 0)
+                for step_key in self._unfinished_count_by_step
+            ],
         )
 
     @classmethod
@@ -382,17 +533,25 @@
         workflow = cls(row.workflow_id, row.queue, row.spec, row.submitted_ms)
         workflow.state = row.state
         for task_row in row.tasks:
-            workflow.tasks[task_row.task] = Task(
-                task_row.last_run,
-                task_row.failures,
-                task_row.done,
-                task_row.checkpoint,
-                task_row.live,
-                task_row.worker_crashes,
-                task_row.possible_worker_crashes,
-            )
-            if task_row.done:
-                workflow._unfinished_count_by_step[
-                    task_row.task.occurrence, task_row.task.step
-                ] -= 1
+            workflow._restore_task(task_row)
+        workflow._set_ready_times(row.ready_ms)
         return workflow
+
+    def _restore_task(self, row):
+        self.tasks[row.task] = Task(
+            row.last_run,
+            row.failures,
+            row.done,
+            row.checkpoint,
+            row.live,
+            row.worker_crashes,
+            row.possible_worker_crashes,
+            row.last_run_end_ms,
+        )
+        step_key = row.task.occurrence, row.task.step
+        if row.done:
+            self._unfinished_count_by_step[step_key] -= 1
+        self._live_run_count_by_step[step_key] += len(row.live)
+        self._last_run_end_ms_by_step[step_key] = max(
+            self._last_run_end_ms_by_step[step_key], row.last_run_end_ms
+        )
--- a/fuchsiatrestle/state/commands/_workflows.py
+++ b/fuchsiatrestle/state/commands/_workflows.py
@@ -90,6 +90,7 @@
         checkpoint: latest known saved progress, or empty.
         reason: why this is certain, for logging.
         start_outcome: one of ``StartOutcome``.
+        never_ran: True if it is certain that the run has not executed at all.
     """
 
     task: workflows.TaskId
@@ -97,6 +98,7 @@
     checkpoint: str
     reason: str
     start_outcome: str = _starts.StartOutcome.UNKNOWN
+    never_ran: bool = False
 
 
 class RecordProgress(records.Record, tag='progress'):
