Say of a lost run whether it certainly never ran

Change: DispatchState.record_lost_run sets RunLost.never_ran for the proofs NEVER_SENT and REFUSED, see _run_ends.proves_never_ran. Measured: test_run_ends.NeverRanTest: the tests of unsent and of refused starts fail before (the date moves by 1016 ms for unsent ones), pass after; the one of a lease that ends passes both ways.

--- a/fuchsiatrestle/workflows/_book.py
+++ b/fuchsiatrestle/workflows/_book.py
@@ -118,6 +118,7 @@
                 run.checkpoint,
                 proof,
                 start_outcome,
+                _run_ends.proves_never_ran(proof),
             )
         )
         self.log_run(
--- a/fuchsiatrestle/workflows/_run_ends.py
+++ b/fuchsiatrestle/workflows/_run_ends.py
@@ -16,6 +16,7 @@
     'find_proof_of_no_start',
     'is_whole_list',
     'may_still_start',
+    'proves_never_ran',
 )
 
 
@@ -39,6 +40,19 @@
     LEASE_OVER = 'lease_over'
 
 
+# Proofs that a run has not executed at all.
+_NEVER_RAN_PROOFS = (Proof.NEVER_SENT, Proof.REFUSED)
+
+
+def proves_never_ran(proof):
+    """True if a proof shows that the run has not executed at all.
+
+    Args:
+        proof: the ``Proof`` that the run is over.
+    """
+    return proof in _NEVER_RAN_PROOFS
+
+
 def may_still_start(run):
     """True if a start order may still reach the worker.
 
--- a/tests/workflows/test_run_ends.py
+++ b/tests/workflows/test_run_ends.py
@@ -408,5 +408,84 @@
         self.assertLess(self.world.ledger.starts, 24)
 
 
+class NeverRanTest(_EndsTest):
+    """What a loss tells about since when nothing of a step is executing."""
+
+    def setUp(self):
+        super().setUp()
+        self.world = dispatch_world.World(4, workers=1, cpu_milli=32_000)
+        self.world.run(1000)
+        self.submitted_ms = dispatch_world.START_WALL_MS + self.world.now_ms
+
+    def _submit(self, count=1):
+        step = workflows.Step(
+            count, cpu=1000, memory_mb=100, estimate_ms=20_000
+        )
+        profile = worker_model.TaskProfile(1000, 100, 20_000)
+        self.world.submit('w', [step], [profile])
+
+    def _find_task_dates(self):
+        """Returns the date of each task that ran, or was to run, before."""
+        workflow = self.world.workflow_store.find_workflow('w')
+        return [
+            workflow.task_idle_since_ms(task_id)
+            for task_id, task in workflow.tasks.items()
+            if task.last_run_number
+        ]
+
+    def test_unsent_starts_do_not_end_the_wait_of_a_task(self):
+        self.world.deaf_workers.add('w0')
+        self._submit(8)
+        self.world.run(1500)
+        dates = self._find_task_dates()
+        self.assertEqual(
+            [None] * MAX_AWAITED_STARTS
+            + [self.submitted_ms] * (8 - MAX_AWAITED_STARTS),
+            dates,
+        )
+
+    def test_refused_starts_do_not_end_the_wait_of_a_step(self):
+        send_order = self.world._send_order
+        refused_orders = []
+
+        def refuse_start(order):
+            if not isinstance(order, dispatcher.StartRun):
+                send_order(order)
+                return
+            refused_orders.append(order)
+            reply = dispatcher.Reply(
+                dispatcher.Verdict.NO_ROOM, None, 0, [], [], False
+            )
+            self.world._schedule(2, self.world.deliver_reply, order, reply)
+
+        self.world._send_order = refuse_start
+        self._submit()
+        workflow = self.world.workflow_store.find_workflow('w')
+        for refused_count in range(1, 4):
+            self.world.run_until(
+                lambda: (
+                    len(refused_orders) >= refused_count
+                    and not workflow.has_live_run(0, 0)
+                ),
+                20_000,
+            )
+            self.assertEqual(self.submitted_ms, workflow.idle_since_ms(0, 0))
+        self.assertEqual([self.submitted_ms], self._find_task_dates())
+
+    def test_loss_by_the_end_of_a_lease_ends_the_wait_of_a_step(self):
+        """The run may have executed until then."""
+        self._submit()
+        self.world.run(START_MS)
+        self.assertEqual([None], self._find_task_dates())
+        self.world.unreachable_workers.add('w0')
+        workflow = self.world.workflow_store.find_workflow('w')
+        self.world.run_until(
+            lambda: not workflow.has_live_run(0, 0), 3 * LEASE_MS
+        )
+        self.assertGreater(
+            workflow.idle_since_ms(0, 0), self.submitted_ms + LEASE_MS / 2
+        )
+
+
 if __name__ == '__main__':
     unittest.main()
