--- a/tests/state/test_idle_times.py
+++ b/tests/state/test_idle_times.py
@@ -68,7 +68,10 @@
     fields[WORKFLOWS_POSITION] = [
         [
             *row[:TASKS_POSITION],
-            [task_row[:OLD_TASK_ROW_LENGTH] for task_row in row[6]],
+            [
+                task_row[:OLD_TASK_ROW_LENGTH]
+                for task_row in row[TASKS_POSITION]
+            ],
         ]
         for row in fields[WORKFLOWS_POSITION]
     ]
