Date waits by what is agreed, not by the election of a leader

A wait now counts from the agreed time since which nothing of the step, or no run of a long-running task, is live; a run that certainly never ran does not move it. It still counts from the first round that saw it, too, as the time of day may have been set back.

test_wait_goes_on_under_the_next_leader failed before: a wait of 0 ms in place of 5,000.

--- a/fuchsiatrestle/state/_workflows_model.py
+++ b/fuchsiatrestle/state/_workflows_model.py
@@ -282,7 +282,7 @@
     @property
     def is_running(self):
         """True if a run of any of its tasks may be executing."""
-        return any(task.live_runs for task in self.tasks.values())
+        return any(self._live_run_count_by_step.values())
 
     def may_place(self, placement):
         """Returns True if a run may be placed now.
--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -381,8 +381,9 @@
 
     def _place_waiting_groups(self):
         now_ms = self._state.now_ms
-        ready_groups = self._backlog.ready_groups(self._wall_now())
-        self._wait_times.update_waiting_groups(ready_groups, now_ms)
+        wall_ms = self._wall_now()
+        ready_groups = self._backlog.ready_groups(wall_ms)
+        self._wait_times.update_waiting_groups(ready_groups, now_ms, wall_ms)
         round_by_pool = {}
         groups_to_start_alone = [
             group for group in ready_groups if self._must_start_alone(group)
@@ -462,8 +463,14 @@
         return [group for group in remaining_groups if group is not None]
 
     def _must_start_alone(self, group):
-        """True for a suspected task, unless it lasts and is overdue."""
-        return group.is_suspected and not self._is_overdue_long_running(group)
+        """True for a suspected task, unless it lasts and was tried enough."""
+        if not group.is_suspected:
+            return False
+        return not group.step.lasts or (
+            not self._wait_times.has_been_tried_enough(
+                group, self._state.now_ms
+            )
+        )
 
     def _place_suspected_groups(self, groups, round_by_pool):
         """Starts tasks that may crash their workers, each one alone.
--- a/fuchsiatrestle/workflows/_waiting.py
+++ b/fuchsiatrestle/workflows/_waiting.py
@@ -37,30 +37,52 @@
     """Measures for how long groups have waited.
 
     Long-running tasks are measured one by one.  Any other group has waited
-    since one of its tasks was placed last.
+    since one of its tasks was placed last.  While nothing of its step, or no
+    run of the long-running task, is live, the wait counts from the agreed
+    time of that, so it goes on across changes of leader.  It also counts from
+    the first round that saw it so, as the time of day may have been set back.
     """
 
     def __init__(self):
-        # By task id.
+        # By task id; the first of them as seen by this leader alone.
+        self._seen_since_ms_by_task = {}
         self._waiting_since_ms_by_task = {}
         # By the key of the group.
         self._waiting_since_ms_by_group = {}
 
-    def update_waiting_groups(self, groups, now_ms):
+    def update_waiting_groups(self, groups, now_ms, wall_ms):
         """Records which groups wait now; the wait of all others has ended.
 
         Args:
             groups: list of all ``Group`` that may start now.
             now_ms: monotonic time.
+            wall_ms: time since the epoch.
         """
+        epoch_ms = wall_ms - now_ms
+        self._seen_since_ms_by_task = {
+            task_id: self._seen_since_ms_by_task.get(task_id, now_ms)
+            for group in groups
+            if group.step.lasts
+            for task_id in group.waiting_task_ids
+        }
         self._waiting_since_ms_by_task = {
-            task_id: self._waiting_since_ms_by_task.get(task_id, now_ms)
+            task_id: _find_start(
+                self._seen_since_ms_by_task[task_id],
+                group.workflow.task_idle_since_ms(task_id),
+                epoch_ms,
+            )
             for group in groups
             if group.step.lasts
             for task_id in group.waiting_task_ids
         }
         self._waiting_since_ms_by_group = {
-            group.key: self._waiting_since_ms_by_group.get(group.key, now_ms)
+            group.key: _find_start(
+                self._waiting_since_ms_by_group.get(group.key, now_ms),
+                group.workflow.idle_since_ms(
+                    group.occurrence, group.step_number
+                ),
+                epoch_ms,
+            )
             for group in groups
             if not group.step.lasts
         }
@@ -102,6 +124,22 @@
         """
         return self.longest_wait_ms(group, now_ms) >= OVERDUE_WAIT_MS
 
+    def has_been_tried_enough(self, group, now_ms):
+        """True if this leader has tried to place a task for too long.
+
+        An earlier leader may have ordered starts whose outcomes this one has
+        yet to learn.
+
+        Args:
+            group: the ``Group`` of a long-running task.
+            now_ms: monotonic time.
+        """
+        return any(
+            now_ms - self._seen_since_ms_by_task.get(task_id, now_ms)
+            >= OVERDUE_WAIT_MS
+            for task_id in group.waiting_task_ids
+        )
+
     def is_overdue_beside_runs(self, group, now_ms):
         """True if a group has waited too long though others of its step run.
 
@@ -112,6 +150,20 @@
         return self.longest_wait_ms(group, now_ms) >= OVERDUE_BESIDE_RUNS_MS
 
 
+def _find_start(measured_ms, idle_since_ms, epoch_ms):
+    """Returns since when something waits, as monotonic time.
+
+    Args:
+        measured_ms: the monotonic time from which this leader has measured.
+        idle_since_ms: agreed time since the epoch from which nothing of it is
+            live, None if a run is.
+        epoch_ms: the epoch, as monotonic time of this leader, negated.
+    """
+    if idle_since_ms is None:
+        return measured_ms
+    return min(measured_ms, idle_since_ms - epoch_ms)
+
+
 class WaitingLog:
     """Reports the groups that have waited longest.
 
--- a/tests/workflows/test_waiting.py
+++ b/tests/workflows/test_waiting.py
@@ -1,12 +1,46 @@
-"""Tests the log lines about long-running groups that wait."""
+"""Tests how waits are measured, and the log lines about them."""
 
 import unittest
 
+from fuchsiatrestle.workflows import _backlog
 from fuchsiatrestle.workflows import _book
 from fuchsiatrestle.workflows import _waiting
 from tests.fakes import dispatch_world
 
 
+class WaitTimesTest(unittest.TestCase):
+    WAIT_MS = 5000
+
+    def _make_group(self):
+        """Returns the group of a workflow that waits."""
+        world = dispatch_world.World(3, workers=0)
+        world.submit_task('waits', 1000, 400)
+        workflow = world.workflow_store.find_workflow('waits')
+        return _backlog.Group(workflow, 0, 0, list(workflow.tasks))
+
+    def test_wait_goes_on_under_the_next_leader(self):
+        group = self._make_group()
+        now_ms = 700  # of another clock than the earlier leader's
+        for _ in range(2):
+            wait_times = _waiting.WaitTimes()
+            wall_ms = group.workflow.submitted_ms + self.WAIT_MS
+            wait_times.update_waiting_groups([group], now_ms, wall_ms)
+            self.assertEqual(
+                self.WAIT_MS, wait_times.longest_wait_ms(group, now_ms)
+            )
+
+    def test_wait_counts_though_the_time_of_day_was_set_back(self):
+        group = self._make_group()
+        wait_times = _waiting.WaitTimes()
+        wall_ms = group.workflow.submitted_ms - 60_000
+        for now_ms in (1000, 1000 + self.WAIT_MS):
+            wait_times.update_waiting_groups([group], now_ms, wall_ms + now_ms)
+        self.assertEqual(
+            self.WAIT_MS,
+            wait_times.longest_wait_ms(group, 1000 + self.WAIT_MS),
+        )
+
+
 class WaitingLogTest(unittest.TestCase):
     def _record_last_report(self, world):
         """Returns the last report while the workflow ``waits`` waits."""
