Agree when each newcomer joined, so that a pause costs no voter

After every change of leader an old newcomer looked new, and a voter that was only paused was removed for it. Members beyond the seeds counted as newcomers at the founding.

Change: the voter set carries the age of each newcomer, committed again every 2 s while there is one; each replica keeps the joining times on its own clock, also for voter sets that may come back by a truncation. A hello says whether its sender may take part in founding; such a replica, never removed before, is no newcomer. A promotion waits for a silent voter only if a newcomer may replace it. Records and hellos of the old build are read as before.

--- a/fuchsiatrestle/agreement/_founding.py
+++ b/fuchsiatrestle/agreement/_founding.py
@@ -67,7 +67,9 @@
             group: agreement group joined, empty for none.
             joined: True if this replica holds the group's voter set.
         """
-        return messages.Hello(self._cell, group, self._identity, joined)
+        return messages.Hello(
+            self._cell, group, self._identity, joined, self._may_found
+        )
 
     def take_hello_receivers(self, now_ms, known_names=()):
         """Returns the process names to send a hello to now.
--- a/fuchsiatrestle/agreement/_leader.py
+++ b/fuchsiatrestle/agreement/_leader.py
@@ -525,4 +525,6 @@
 
     def on_hello(self, message):
         """Records the identity of a replica that asks to join."""
-        self._membership_changer.record_newcomer(message.sender)
+        self._membership_changer.record_newcomer(
+            message.sender, message.may_found
+        )
--- a/fuchsiatrestle/agreement/_membership.py
+++ b/fuchsiatrestle/agreement/_membership.py
@@ -33,6 +33,8 @@
         self._leader = leader
         # (identity, time of the last hello) by process name.
         self._newcomers_by_name = {}
+        # Those identities that may take part in founding a group.
+        self._founding_identities = set()
         self._replacement = _replacement.VoterReplacement(replica, leader)
 
     def propose_change(self, change, member, newcomer=''):
@@ -40,8 +42,9 @@
 
         Args:
             change: ``add``, ``promote``, ``remove``, ``replace`` to remove a
-                member that may join again with a new identity, or ``settle``
-                for a newcomer that replaces nobody any more.
+                member that may join again with a new identity, ``settle``
+                for a newcomer that replaces nobody any more, or ``age`` to
+                commit for how long a newcomer has been one.
             member: identity of the member.
             newcomer: identity of a newcomer that takes its place, if any.
 
@@ -54,6 +57,9 @@
         voters = self._make_changed_voters(change, member)
         if newcomer:
             voters = voters.without_newcomer(newcomer)
+        voters = voters.with_newcomer_ages(
+            self._replica.joined_ms_by_newcomer, self._replica.now_ms
+        )
         self._replica.append_as_leader('voters', _voters.encode_voters(voters))
         LOG.info('voters_changing', extra={'change': change, 'member': member})
         self._leader.track_members()
@@ -63,13 +69,16 @@
     def _make_changed_voters(self, change, member):
         voters = self._replica.voters
         if change == 'add':
-            return voters.with_learner(member)
+            may_found = member in self._founding_identities
+            return voters.with_learner(member, may_found)
         if change == 'promote':
             return voters.with_promoted_learner(member)
         if change == 'replace':
             return voters.without_replaced_member(member)
         if change == 'settle':
             return voters.without_newcomer(member)
+        if change == 'age':
+            return voters
         return voters.without_member(member)
 
     def _find_rejection_reason(self, change, member):
@@ -86,6 +95,7 @@
             'remove': self._find_reason_against_removing,
             'replace': self._find_reason_against_removing,
             'settle': self._find_reason_against_settling,
+            'age': self._find_reason_against_settling,
         }
         return reason_finders[change](member)
 
@@ -148,12 +158,12 @@
             or not self._replica.cfg.auto_admit
         ):
             return
-        self._replacement.update_newcomers()
         for make_change in (
             self._remove_gone_member,
             self._promote_learners,
             self._admit_newcomers,
             self._settle_newcomer,
+            self._age_newcomer,
         ):
             if make_change():
                 return
@@ -186,7 +196,6 @@
         """
         if not self._replica.cfg.auto_admit_unlisted:
             return False
-        self._replacement.update_newcomers()
         newcomer = self._replacement.find_newcomer_for(voter)
         if not newcomer:
             return False
@@ -210,17 +219,26 @@
 
     # Admission of new identities
 
-    def record_newcomer(self, identity):
+    def record_newcomer(self, identity, may_found=False):
         """Records the hello of a replica that is not a member.
 
         Only the newest identity of each process name is kept.
+
+        Args:
+            identity: identity of the replica.
+            may_found: True if it may take part in founding a group.
         """
         name = _voters.process_name_of(identity)
         if (
-            name in self._newcomers_by_name
-            or len(self._newcomers_by_name) < MAX_NEWCOMERS
+            name not in self._newcomers_by_name
+            and len(self._newcomers_by_name) >= MAX_NEWCOMERS
         ):
-            self._newcomers_by_name[name] = (identity, self._replica.now_ms)
+            return
+        older_identity, _ = self._newcomers_by_name.get(name, ('', 0))
+        self._founding_identities.discard(older_identity)
+        if may_found:
+            self._founding_identities.add(identity)
+        self._newcomers_by_name[name] = (identity, self._replica.now_ms)
 
     def find_joining_identities(self):
         """Returns the identities that asked to join and may be added.
@@ -300,6 +318,15 @@
         newcomer = self._replacement.find_settled_newcomer()
         return bool(newcomer) and not self.propose_change('settle', newcomer)
 
+    def _age_newcomer(self):
+        """Commits the ages of the newcomers if the committed ones are old.
+
+        Returns:
+            True if a change was appended.
+        """
+        newcomer = self._replacement.find_newcomer_to_age()
+        return bool(newcomer) and not self.propose_change('age', newcomer)
+
     @staticmethod
     def _find_namesake(members, identity):
         """Returns another identity of the same process name, or ''."""
--- a/fuchsiatrestle/agreement/_replacement.py
+++ b/fuchsiatrestle/agreement/_replacement.py
@@ -11,6 +11,9 @@
 # A planned replacement starts the new VM first; a voter that falls silent
 # within this time after a newcomer has joined counts as replaced by it.
 REPLACEMENT_LEAD_MS = 10_000
+# A replica that restarts knows the ages of newcomers from its log alone; they
+# are then too low by this time at most, and by the time it was down.
+AGE_INTERVAL_MS = 2_000
 
 
 class VoterReplacement:
@@ -24,19 +27,6 @@
     def __init__(self, replica, leader):
         self._replica = replica
         self._leader = leader
-        # Time at which each newcomer has joined, by identity; for those that
-        # an earlier leader has admitted, the time of the election.
-        self._joined_ms_by_newcomer = {}
-
-    def update_newcomers(self):
-        """Follows the newcomers in the voter set in force."""
-        newcomers = self._replica.voters.newcomers
-        self._joined_ms_by_newcomer = {
-            newcomer: self._joined_ms_by_newcomer.get(
-                newcomer, self._replica.now_ms
-            )
-            for newcomer in newcomers
-        }
 
     def find_settled_newcomer(self):
         """Returns a newcomer that joined too long ago, or ''.
@@ -49,23 +39,36 @@
             - REPLACEMENT_LEAD_MS
             - self._replica.cfg.replaced_voter_ms
         )
-        for newcomer, joined_ms in self._joined_ms_by_newcomer.items():
+        for newcomer, joined_ms in self._replica.joined_ms_by_newcomer.items():
             if joined_ms < settled_ms:
                 return newcomer
         return ''
 
+    def find_newcomer_to_age(self):
+        """Returns a newcomer whose age in the voter set is too low, or ''."""
+        ages_ms = self._replica.voters.newcomer_ages_ms
+        for newcomer, joined_ms in self._replica.joined_ms_by_newcomer.items():
+            age_ms = self._replica.now_ms - joined_ms
+            if age_ms >= ages_ms.get(newcomer, 0) + AGE_INTERVAL_MS:
+                return newcomer
+        return ''
+
     def must_wait(self):
         """Returns True if a promotion waits for a silent voter.
 
         Removing a voter that is gone before the promotion keeps the quorum
         independent of the newcomer.  The wait ends when the voter answers, is
-        removed, or stays silent although it may not be removed.
+        removed, or stays silent although it may not be removed; there is none
+        for a voter that no newcomer may replace.
         """
-        return any(
+        return any(map(self._may_be_removed_soon, self._replica.voters.voters))
+
+    def _may_be_removed_soon(self, voter):
+        silent_ms = self._leader.get_silent_ms(voter)
+        return (
             not self._leader.is_alive(voter)
-            and self._leader.get_silent_ms(voter)
-            < self._replica.cfg.replaced_voter_ms
-            for voter in self._replica.voters.voters
+            and silent_ms < self._replica.cfg.replaced_voter_ms
+            and bool(self._find_newcomer(self._replica.now_ms - silent_ms))
         )
 
     def find_gone_voter(self):
@@ -106,7 +109,7 @@
         Args:
             silent_since_ms: time since which the voter is silent.
         """
-        for newcomer, joined_ms in self._joined_ms_by_newcomer.items():
+        for newcomer, joined_ms in self._replica.joined_ms_by_newcomer.items():
             if joined_ms < silent_since_ms - REPLACEMENT_LEAD_MS:
                 continue
             if self._leader.is_caught_up(newcomer):
--- a/fuchsiatrestle/agreement/_replica.py
+++ b/fuchsiatrestle/agreement/_replica.py
@@ -95,7 +95,7 @@
         else:
             self.log = _log.Log(snapshot.last_index, snapshot.last_term, [])
             self._voter_history = _voters.VoterHistory(
-                snapshot.last_index, snapshot.voters
+                snapshot.last_index, snapshot.voters, self.now_ms
             )
         self.commit_index = self.log.base_index
         for entry in state.entries:
@@ -109,6 +109,18 @@
         """The ``Voters`` in force."""
         return self._voter_history.current_voters
 
+    @property
+    def joined_ms_by_newcomer(self):
+        """Time at which each newcomer in force has joined, by identity.
+
+        The time is on the clock of ``now_ms`` and not before the true one.
+        """
+        joined_ms_by_newcomer = self._voter_history.joined_ms_by_newcomer
+        return {
+            newcomer: joined_ms_by_newcomer[newcomer]
+            for newcomer in self.voters.newcomers
+        }
+
     @property
     def voters_index(self):
         """Index of the log entry that holds the voter set in force."""
@@ -335,7 +347,7 @@
     def _append_in_memory(self, entry):
         self.log.append(entry)
         if entry.kind == 'voters':
-            self._voter_history.append(entry)
+            self._voter_history.append(entry, self.now_ms)
 
     def append_as_leader(self, kind, data):
         """Appends a new entry of the current term and returns it."""
@@ -375,7 +387,9 @@
             commit=self.commit_index,
         )
         self.log.reset(snapshot.last_index, snapshot.last_term)
-        self._voter_history.reset(snapshot.last_index, snapshot.voters)
+        self._voter_history.reset(
+            snapshot.last_index, snapshot.voters, self.now_ms
+        )
         self.snapshot = snapshot
         self.commit_index = snapshot.last_index
         self.write_queue.stage_snapshot(snapshot)
--- a/fuchsiatrestle/agreement/_voters.py
+++ b/fuchsiatrestle/agreement/_voters.py
@@ -49,6 +49,9 @@
             they were silent; their processes may join with a new identity.
         newcomers: members that joined lately under a new name, and that no
             voter which fell silent was removed for.
+        newcomer_ages_ms: time since each of them has joined, as of the
+            appending of the entry, by identity; it never exceeds the true
+            time.
     """
 
     group: str
@@ -57,6 +60,7 @@
     removed: list[str] = []
     replaced: list[str] = []
     newcomers: list[str] = []
+    newcomer_ages_ms: dict[str, int] = {}
 
     @property
     def members(self):
@@ -68,13 +72,22 @@
         """Smallest number of voters that is a majority."""
         return len(self.voters) // 2 + 1
 
-    def with_learner(self, identity):
+    def with_learner(self, identity, may_found=False):
         """Returns a copy with one more learner.
 
-        It is a newcomer unless it takes the place of its namesake.
+        It is a newcomer unless it takes the place of its namesake, or is one
+        of the replicas that the group was founded with and never lost.
+
+        Args:
+            identity: identity of the learner.
+            may_found: True if it may take part in founding a group.
         """
+        name = process_name_of(identity)
         newcomers = self.newcomers
-        if process_name_of(identity) not in map(process_name_of, self.members):
+        is_founding = may_found and name not in map(
+            process_name_of, self.removed
+        )
+        if not is_founding and name not in map(process_name_of, self.members):
             newcomers = newcomers + [identity]
         return self._replace(
             learners=self.learners + [identity], newcomers=newcomers
@@ -107,6 +120,21 @@
         """Returns a copy in which a member is no newcomer any more."""
         return self._replace(newcomers=_without(self.newcomers, identity))
 
+    def with_newcomer_ages(self, joined_ms_by_newcomer, now_ms):
+        """Returns a copy with the ages of the newcomers.
+
+        Args:
+            joined_ms_by_newcomer: time at which each newcomer has joined, by
+                identity; one that is missing joins now.
+            now_ms: current time, on the same clock.
+        """
+        return self._replace(
+            newcomer_ages_ms={
+                newcomer: now_ms - joined_ms_by_newcomer.get(newcomer, now_ms)
+                for newcomer in self.newcomers
+            }
+        )
+
     def _replace(self, **fields):
         return msgspec.structs.replace(self, **fields)
 
@@ -153,13 +181,21 @@
     Args:
         index: index from which the first voter set is in force.
         voters: the first ``Voters``, an empty set if None.
+        now_ms: current time, in milliseconds.
+
+    Attributes:
+        joined_ms_by_newcomer: time at which each newcomer of these voter sets
+            has joined, by identity; on the clock of ``now_ms``, and not
+            before the true time.
     """
 
-    __slots__ = ('_indexed_voter_sets',)
+    __slots__ = ('_indexed_voter_sets', 'joined_ms_by_newcomer')
 
-    def __init__(self, index=0, voters=None):
+    def __init__(self, index=0, voters=None, now_ms=0):
         # (index, ``Voters``) pairs, oldest first.
         self._indexed_voter_sets = [(index, voters or Voters('', []))]
+        self.joined_ms_by_newcomer = {}
+        self._record_newcomers(now_ms)
 
     @property
     def current_voters(self):
@@ -190,11 +226,41 @@
         ]
         return [self.voters_at(index)] + later_sets
 
-    def append(self, entry):
-        """Puts the voter set of an appended ``voters`` entry in force."""
+    def append(self, entry, now_ms):
+        """Puts the voter set of an appended ``voters`` entry in force.
+
+        Args:
+            entry: the entry.
+            now_ms: current time, in milliseconds.
+        """
         self._indexed_voter_sets.append(
             (entry.index, decode_voters(entry.data))
         )
+        self._record_newcomers(now_ms)
+
+    def _record_newcomers(self, now_ms):
+        """Records when the newcomers of the voter set in force have joined.
+
+        The others of the history stay known, as their voter sets may be in
+        force again after a truncation.
+        """
+        known_ms = self.joined_ms_by_newcomer
+        ages_ms = self.current_voters.newcomer_ages_ms
+        for newcomer in self.current_voters.newcomers:
+            joined_ms = now_ms - ages_ms.get(newcomer, 0)
+            known_ms[newcomer] = min(
+                known_ms.get(newcomer, joined_ms), joined_ms
+            )
+        self._forget_newcomers()
+
+    def _forget_newcomers(self):
+        newcomers = {
+            newcomer
+            for _, voters in self._indexed_voter_sets
+            for newcomer in voters.newcomers
+        }
+        for newcomer in set(self.joined_ms_by_newcomer) - newcomers:
+            del self.joined_ms_by_newcomer[newcomer]
 
     def truncate(self, first_dropped_index):
         """Rolls back the voter sets of the entries from an index on."""
@@ -214,6 +280,13 @@
             ]
             self._indexed_voter_sets = [base_pair] + later_pairs
 
-    def reset(self, index, voters):
-        """Replaces the history by the voter set of a snapshot."""
+    def reset(self, index, voters, now_ms):
+        """Replaces the history by the voter set of a snapshot.
+
+        Args:
+            index: index of the snapshot.
+            voters: its ``Voters``.
+            now_ms: current time, in milliseconds.
+        """
         self._indexed_voter_sets = [(index, voters)]
+        self._record_newcomers(now_ms)
--- a/fuchsiatrestle/messages/_agreement.py
+++ b/fuchsiatrestle/messages/_agreement.py
@@ -204,12 +204,15 @@
         sender: identity of the sender.
         joined: True if the sender has the group's voter set; False asks the
             receiver for help to join.
+        may_found: True if the sender may take part in founding a group; it
+            then came with the group and replaces nobody.
     """
 
     cell: str
     group: str
     sender: str
     joined: bool
+    may_found: bool = False
 
 
 class MemberRemoved(records.Record, tag='ar'):
