Let a newcomer that leads take the place of a gone voter

A newcomer that was elected could stand for no voter, and a voter that was gone stayed for 10 s or for good. A leader that stops also got no newcomer if it was the first one itself.

Change: the leader counts as caught up; a newcomer is never matched with itself, but the next one may be.

--- a/fuchsiatrestle/agreement/_leader.py
+++ b/fuchsiatrestle/agreement/_leader.py
@@ -143,8 +143,10 @@
     def is_caught_up(self, identity):
         """Returns True if a member is alive and lacks few committed entries.
 
-        The limit is ``max_promote_lag_entries``.
+        The limit is ``max_promote_lag_entries``; this leader lacks none.
         """
+        if identity == self._replica.identity:
+            return True
         progress = self.progress_by_identity.get(identity)
         if progress is None or not self.is_alive(identity):
             return False
--- a/fuchsiatrestle/agreement/_replacement.py
+++ b/fuchsiatrestle/agreement/_replacement.py
@@ -68,7 +68,9 @@
         return (
             not self._leader.is_alive(voter)
             and silent_ms < self._replica.cfg.replaced_voter_ms
-            and bool(self._find_newcomer(self._replica.now_ms - silent_ms))
+            and bool(
+                self._find_newcomer(voter, self._replica.now_ms - silent_ms)
+            )
         )
 
     def find_gone_voter(self):
@@ -84,7 +86,9 @@
             silent_ms = self._leader.get_silent_ms(voter)
             if silent_ms < self._replica.cfg.replaced_voter_ms:
                 break
-            newcomer = self._find_newcomer(self._replica.now_ms - silent_ms)
+            newcomer = self._find_newcomer(
+                voter, self._replica.now_ms - silent_ms
+            )
             is_lost = silent_ms >= self._replica.cfg.lost_voter_ms
             if not newcomer and not (is_lost and self._is_dispensable(voter)):
                 continue
@@ -98,21 +102,21 @@
         Args:
             voter: identity of the voter.
         """
-        newcomer = self._find_newcomer(self._replica.now_ms)
-        if newcomer == voter or not self._has_live_quorum_without(voter):
+        if not self._has_live_quorum_without(voter):
             return ''
-        return newcomer
+        return self._find_newcomer(voter, self._replica.now_ms)
 
-    def _find_newcomer(self, silent_since_ms):
+    def _find_newcomer(self, voter, silent_since_ms):
         """Returns a newcomer that may take the place of a voter, or ''.
 
         Args:
+            voter: identity of the voter.
             silent_since_ms: time since which the voter is silent.
         """
         for newcomer, joined_ms in self._replica.joined_ms_by_newcomer.items():
             if joined_ms < silent_since_ms - REPLACEMENT_LEAD_MS:
                 continue
-            if self._leader.is_caught_up(newcomer):
+            if newcomer != voter and self._leader.is_caught_up(newcomer):
                 return newcomer
         return ''
 
--- a/tests/agreement/test_replacement.py
+++ b/tests/agreement/test_replacement.py
@@ -6,6 +6,7 @@
 from fuchsiatrestle import agreement
 from fuchsiatrestle.agreement import _dispatch
 from fuchsiatrestle.agreement import _replacement
+from fuchsiatrestle import messages
 from tests.agreement import cluster
 from tests.agreement import replacement_runs
 
@@ -24,10 +25,10 @@
 
 
 class ReplacementTest(unittest.TestCase):
-    def _start_group(self, names, initial_count=3, tolerated_losses=1):
+    def _start_group(self, names, initial_count=3, tolerated_losses=1, seed=1):
         group = cluster.Cluster(
             names,
-            1,
+            seed,
             replacement_runs.make_config(tolerated_losses),
             names[:initial_count],
         )
@@ -110,6 +111,26 @@
             self._check_bears_losses(group, 2)
         group.require_recovered()
 
+    def test_newcomer_that_leads_takes_the_place_of_a_gone_voter(self):
+        for seed in range(10):
+            group = self._start_group(['c1', 'c2', 'c3'], seed=seed)
+            gone = next(
+                name for name in group.node_names if name != group.leader
+            )
+            self._add_node(group, 'c4')
+            group.run(SUCCESSOR_DELAY_MS)
+            leader = group.nodes[group.leader].replica
+            request = messages.TimeoutNow(
+                leader.group, leader.term, leader.identity
+            )
+            group.step('c4', agreement.MessageReceived('', request))
+            group.run(200)
+            self.assertEqual('c4', group.leader)
+            group.remove_node(gone)
+            group.run(CATCH_UP_MS)
+            with self.subTest(seed=seed):
+                self.assertNotIn(gone, self._voter_names(group))
+
     # Replicas that are not gone
 
     def test_paused_or_cut_off_voter_is_kept(self):
