--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -670,12 +670,15 @@
         if limits_pace:
             run.limit_pace()
         worker.add_run(run)
+        waited_ms = self._wait_times.longest_wait_ms(group, self._state.now_ms)
         self._wait_times.record_placed_task(group, self._state.now_ms)
         self._state.proposals.add_placed_run(live_run)
         self._state.log_run(
             'run_placed',
             run,
             waiting=len(group.waiting_task_ids),
+            waited_ms=waited_ms,
+            idle=not group.workflow.is_running,
             kind=_runs.step_kind(group.step),
             cpu=group.step.cpu,
             free_cpu=worker.capacity.free_cpu,
--- a/fuchsiatrestle/workflows/_rounds.py
+++ b/fuchsiatrestle/workflows/_rounds.py
@@ -214,6 +214,11 @@
         """Share of the processor time that long-running tasks reserve."""
         return round(self._long_running_cpu / max(self._total_cpu, 1), 3)
 
+    @property
+    def reserved_share(self):
+        """Share of the processor time that was reserved before the round."""
+        return round(self._reserved_cpu / max(self._total_cpu, 1), 3)
+
     def find_availability(self, worker):
         """Returns the ``Availability`` of a worker."""
         if worker.name in self.reserved_workers:
