Ask to join while one's own admission is not known to be committed

Change: a hello says that its sender has joined only once the voter set in force is known to be committed; leaders pass over members that ask.

--- a/fuchsiatrestle/agreement/_dispatch.py
+++ b/fuchsiatrestle/agreement/_dispatch.py
@@ -94,14 +94,15 @@
 
         A replica that counts itself as a member, or was removed, founds
         nothing.  It sends hellos only while it knows of no leader, to learn
-        whether the group goes on without it.
+        whether the group goes on without it; they ask to join as long as its
+        membership is not known to be committed.
         """
         replica = self._replica
         voters = replica.voters
         is_joined = replica.identity in voters.members + voters.removed
         if is_joined and replica.leader_identity:
             return
-        self._send_hellos(is_joined)
+        self._send_hellos(is_joined and replica.voters_committed)
         if not replica.group and not is_joined:
             identities = replica.founding.find_founding_members(replica.now_ms)
             if identities:
--- a/tests/agreement/test_replacement.py
+++ b/tests/agreement/test_replacement.py
@@ -272,6 +272,25 @@
     def test_newcomer_whose_admission_was_rolled_back_joins(self):
         replacement_runs.ReplacementRun(ROLLED_BACK_SEED).run()
 
+    def test_newcomer_that_alone_holds_its_admission_joins(self):
+        for seed in range(10):
+            group = self._start_group(['c1', 'c2', 'c3'], seed=seed)
+            leader = group.leader
+            for name in group.node_names:
+                if name != leader:
+                    group.cut_links |= {(name, leader), (leader, name)}
+            group.initial_names = [leader]
+            group.add_node('c4')
+            replica = group.nodes['c4'].replica
+            group.run_until(lambda: replica.voters.learners, 1000)
+            self.assertFalse(replica.voters_committed)
+            group.cut_links |= {('c4', leader), (leader, 'c4')}
+            group.run(3000)
+            group.cut_links.clear()
+            group.run(CATCH_UP_MS)
+            with self.subTest(seed=seed):
+                self.assertIn('c4', self._voter_names(group))
+
     def test_replica_that_lost_its_disk_and_its_seeds_joins_again(self):
         """The leader's heartbeats reach it, so it can ask the leader."""
         group = self._start_group(['c1', 'c2', 'c3'])
