Remember planned stops until a newcomer takes the place

The notice was lost while no leader was known (after a loss of power), when the replica that stops led itself a little later, or when the newcomer came after it. The voter then counted until it was silent for 1.5 s under a new leader, and the next loss took the quorum.

Change: the notice goes to all voters, each remembers it for 3 s, and who leads removes the voter as soon as a newcomer is caught up, itself included. Replicas of the old build ignore notices as followers.

--- a/fuchsiatrestle/agreement/_follower.py
+++ b/fuchsiatrestle/agreement/_follower.py
@@ -69,13 +69,6 @@
                 is_prevote=False, is_leadership_transfer=True
             )
 
-    def prepare_stop(self):
-        """Tells the leader that this replica is about to stop."""
-        replica = self._replica
-        if replica.leader_identity:
-            notice = messages.StopNotice(replica.group, replica.identity)
-            replica.send(replica.leader_identity, notice)
-
     # Appends
 
     def on_append_request(self, request):
--- a/fuchsiatrestle/agreement/_leader.py
+++ b/fuchsiatrestle/agreement/_leader.py
@@ -492,15 +492,14 @@
 
         A leader whose place a newcomer takes also leaves the group.
         """
-        if not self._membership_changer.remove_stopping_voter(
-            self._replica.identity
-        ):
+        self._replica.announce_stop()
+        if not self._membership_changer.remove_stopping_voter():
             self.transfer_leadership()
 
     def on_stop_notice(self, message):
         """Removes a voter that is about to stop if a newcomer replaces it."""
-        if message.identity in self._replica.voters.voters:
-            self._membership_changer.remove_stopping_voter(message.identity)
+        super().on_stop_notice(message)
+        self._membership_changer.remove_stopping_voter()
 
     def change_voters(self, event):
         """Appends a membership change or rejects it."""
--- a/fuchsiatrestle/agreement/_membership.py
+++ b/fuchsiatrestle/agreement/_membership.py
@@ -159,6 +159,7 @@
         ):
             return
         for make_change in (
+            self.remove_stopping_voter,
             self._remove_gone_member,
             self._promote_learners,
             self._admit_newcomers,
@@ -185,21 +186,25 @@
                 return not self.propose_change('replace', learner)
         return False
 
-    def remove_stopping_voter(self, voter):
+    def remove_stopping_voter(self):
         """Removes a voter before its planned stop if a newcomer replaces it.
 
-        Args:
-            voter: identity of the voter, which may be this leader.
+        The voter may be this leader.
 
         Returns:
             True if the change was appended.
         """
         if not self._replica.cfg.auto_admit_unlisted:
             return False
-        newcomer = self._replacement.find_newcomer_for(voter)
-        if not newcomer:
-            return False
-        return not self.propose_change('replace', voter, newcomer)
+        for voter in self._replica.voters.voters:
+            if not self._replica.is_stopping(voter):
+                continue
+            newcomer = self._replacement.find_newcomer_for(voter)
+            if newcomer and not self.propose_change(
+                'replace', voter, newcomer
+            ):
+                return True
+        return False
 
     def _stop_tracking_removed_members(self):
         """Stops replicating to removed members that need no more entries.
--- a/fuchsiatrestle/agreement/_replica.py
+++ b/fuchsiatrestle/agreement/_replica.py
@@ -18,6 +18,10 @@
 
 __all__ = ('Replica',)
 
+# A replica that told of its stop counts as stopping for this many times
+# ``replaced_voter_ms``; then its silence shows that it is gone.
+STOP_VALID_INTERVALS = 2
+
 
 class Replica(core.Core):
     """Runs the Raft algorithm with pre-vote and membership changes.
@@ -67,6 +71,8 @@
         # Effects of the step that is being handled.
         self._effects = []
         self._has_reported_replacement = False
+        # Time of the last notice of each voter that is about to stop.
+        self._stop_ms_by_identity = {}
         # The last ``RoleChanged`` emitted.
         self._last_role_changed = None
         self._recover(state)
@@ -308,6 +314,35 @@
             self.group = group
             self._stage_hard_state()
 
+    def announce_stop(self):
+        """Tells the other voters that this replica is about to stop.
+
+        All are told, as the one that leads may not be known or may change.
+        """
+        self.record_stop(self.identity)
+        notice = messages.StopNotice(self.group, self.identity)
+        for voter in self.voters.voters:
+            if voter != self.identity:
+                self.send(voter, notice)
+
+    def record_stop(self, identity):
+        """Records that a voter is about to stop."""
+        self._stop_ms_by_identity = {
+            voter: stop_ms
+            for voter, stop_ms in self._stop_ms_by_identity.items()
+            if self.is_stopping(voter)
+        }
+        if identity in self.voters.voters:
+            self._stop_ms_by_identity[identity] = self.now_ms
+
+    def is_stopping(self, identity):
+        """Returns True if a voter has lately told that it is about to stop."""
+        stop_ms = self._stop_ms_by_identity.get(identity)
+        if stop_ms is None:
+            return False
+        valid_ms = STOP_VALID_INTERVALS * self.cfg.replaced_voter_ms
+        return self.now_ms - stop_ms < valid_ms
+
     def on_removed(self, message):
         """Handles that the group has removed an identity, perhaps this one.
 
--- a/fuchsiatrestle/agreement/_role.py
+++ b/fuchsiatrestle/agreement/_role.py
@@ -94,7 +94,8 @@
         """Handles the hello of a replica that is not a member."""
 
     def on_stop_notice(self, message):
-        """Handles that a follower is about to stop."""
+        """Records that another replica is about to stop."""
+        self._replica.record_stop(message.identity)
 
     # Requests of the local process
 
@@ -115,7 +116,8 @@
         """Starts a leadership transfer; does nothing unless leading."""
 
     def prepare_stop(self):
-        """Gives up the leadership, or tells the leader of the stop."""
+        """Tells the other voters that this replica is about to stop."""
+        self._replica.announce_stop()
 
     def _reject(self, token, reason):
         leader = self._replica.leader_name
--- a/tests/agreement/test_replacement.py
+++ b/tests/agreement/test_replacement.py
@@ -22,6 +22,8 @@
 
 # The leader that admits a newcomer is cut off before the entry is committed.
 ROLLED_BACK_SEED = 200026
+# A voter stops as planned while no leader is known, after a loss of power.
+STOPPING_SEEDS = (910269, 910586, 911001)
 
 
 class ReplacementTest(unittest.TestCase):
@@ -111,6 +113,38 @@
             self._check_bears_losses(group, 2)
         group.require_recovered()
 
+    def test_voter_that_stops_while_no_leader_is_known_is_replaced(self):
+        for seed in range(10):
+            group = self._start_group(['c1', 'c2', 'c3'], seed=seed)
+            names = group.node_names[:]
+            for name in names:
+                group.kill(name)
+            self._add_node(group, 'c4')
+            group.run(500)
+            for name in names:
+                group.start(name)
+            group.step('c2', agreement.PrepareStop())
+            group.run(300)
+            group.remove_node('c2')
+            group.run_until(lambda: group.leader, 3_000)
+            group.run(800)
+            with self.subTest(seed=seed):
+                self.assertEqual({'c1', 'c3', 'c4'}, self._voter_names(group))
+
+    def test_stop_is_remembered_until_its_newcomer_is_caught_up(self):
+        for seed in range(10):
+            group = self._start_group(['c1', 'c2', 'c3'], seed=seed)
+            gone = next(
+                name for name in group.node_names if name != group.leader
+            )
+            group.step(gone, agreement.PrepareStop())
+            group.run(100)
+            group.remove_node(gone)
+            self._add_node(group, 'c4')
+            group.run(700)
+            with self.subTest(seed=seed):
+                self.assertNotIn(gone, self._voter_names(group))
+
     def test_newcomer_that_leads_takes_the_place_of_a_gone_voter(self):
         for seed in range(10):
             group = self._start_group(['c1', 'c2', 'c3'], seed=seed)
@@ -272,6 +306,11 @@
     def test_newcomer_whose_admission_was_rolled_back_joins(self):
         replacement_runs.ReplacementRun(ROLLED_BACK_SEED).run()
 
+    def test_random_planned_stops_without_a_leader(self):
+        for seed in STOPPING_SEEDS:
+            with self.subTest(seed=seed):
+                replacement_runs.ReplacementRun(seed).run()
+
     def test_newcomer_that_alone_holds_its_admission_joins(self):
         for seed in range(10):
             group = self._start_group(['c1', 'c2', 'c3'], seed=seed)
