End a replaced replica as planned, without a crashed task

Cause: the state task ended by the exception that says that the group has replaced the replica, which the kernel logs as "Task Crash".

Change: the task returns, and `serve` raises what ends the process with its status (75) once all tasks have ended.

--- a/fuchsiatrestle/control/_daemon.py
+++ b/fuchsiatrestle/control/_daemon.py
@@ -113,6 +113,8 @@
         self._replica_task = None
         # The newest committed ``messages.MemberList``.
         self._member_list = None
+        # ``errors.IdentityReplaced`` once the group has replaced the replica.
+        self._replacement_error = None
         self._check_name_in_peers()
         self._link = link.Link(
             self._name,
@@ -297,11 +299,10 @@
                 await tasks.spawn(self._tick_replica)
                 await tasks.spawn(self._tick_state)
                 await tasks.spawn(self._stop_gracefully, stop_requested)
-            if tasks.exception and not (
-                stop_requested.is_set()
-                and isinstance(tasks.exception, errors.IdentityReplaced)
-            ):
+            if tasks.exception:
                 raise tasks.exception
+            if self._replacement_error and not stop_requested.is_set():
+                raise self._replacement_error
         finally:
             if self._driver is not None:
                 await self._driver.stop()
@@ -337,6 +338,8 @@
     async def _run_state_task(self):
         """Passes events to the service and carries out its effects.
 
+        Returns once the group has replaced this replica.
+
         Raises:
             errors.Error: the data folder failed.
         """
@@ -348,6 +351,9 @@
                 # Gives the link time to send the refusals before the process
                 # ends.
                 await curio.sleep(SEND_DRAIN_S)
+                if isinstance(event.error, errors.IdentityReplaced):
+                    self._replacement_error = event.error
+                    return
                 raise event.error
 
     async def _carry_out_effect(self, effect):
--- a/tests/control/test_storage.py
+++ b/tests/control/test_storage.py
@@ -13,6 +13,7 @@
 
 from fuchsiatrestle import agreement
 from fuchsiatrestle.control import _daemon
+from fuchsiatrestle.control import _events
 from fuchsiatrestle.control import _settings
 from fuchsiatrestle import daemon
 from fuchsiatrestle import errors
@@ -102,6 +103,19 @@
         await restarted_task.cancel()
         await entry.stop()
 
+    def test_replaced_replica_ends_without_a_crashed_task(self):
+        async def run_until_replaced():
+            control_daemon = _daemon.ControlDaemon(self.cfg)
+            await control_daemon.start()
+            control_daemon._storage.put(_events.RetireFolder())
+            await control_daemon.serve(curio.Event())
+
+        with (
+            self.assertNoLogs('curio'),
+            self.assertRaises(errors.IdentityReplaced),
+        ):
+            curio.run(curio.timeout_after, 30, run_until_replaced)
+
     async def _start_control(self, files):
         control_daemon = _daemon.ControlDaemon(self.cfg, files)
         await control_daemon.start()
