Have idle best-effort workflows share processor time at a tenth of the pace

A best-effort task of an idle workflow now gets no turn before others. It shares processor time at a tenth of its pace on a worker whose serving tasks its image does not disturb; after 5 s it claims the next that gets free there. It may go to any such worker, also where long-running tasks reserve it all.

test_cpu_sharing is new; the bounds of test_idle_workflows hold.

--- a/fuchsiatrestle/workflows/_answers.py
+++ b/fuchsiatrestle/workflows/_answers.py
@@ -348,6 +348,7 @@
             worker.pace_control = _pacing.PaceControl(
                 self._interference_model, worker.name
             )
+        worker.update_cpu_sharing(self._dispatch_state.now_ms)
         for run in worker.pace_control.decide_paces(
             running_runs, worker.record.cpu, self._dispatch_state.now_ms
         ):
--- a/fuchsiatrestle/workflows/_capacity.py
+++ b/fuchsiatrestle/workflows/_capacity.py
@@ -4,6 +4,10 @@
 
 __all__ = ('Capacity',)
 
+# Share of the processor time reserved by serving tasks that best-effort tasks
+# may use; the rest covers the load peaks of the serving tasks.
+SERVING_UNUSED_CPU_SHARE = 0.5
+
 
 class Capacity:
     """Free and reserved capacity of a worker.
@@ -19,7 +23,8 @@
         free_memory_mb: memory not reserved, in MiB.
         free_accelerators: accelerators not reserved.
         best_effort_cpu: processor time that best-effort runs could use, in
-            thousandths of a core; those whose pace is limited do not count.
+            thousandths of a core; those whose pace is limited do not count,
+            nor those that share it and do not claim it yet.
         long_running_cpu: processor time reserved by long-running runs, in
             thousandths of a core.
         serving_run_count_by_image: number of serving runs by image; a run is
@@ -57,6 +62,19 @@
         """
         return self._run_count_by_step[_step_key(task_id)]
 
+    @property
+    def best_effort_limit(self):
+        """Processor time, in thousandths of a core, for best-effort runs."""
+        return self.free_cpu + SERVING_UNUSED_CPU_SHARE * self.serving_cpu
+
+    @property
+    def unused_cpu(self):
+        """Processor time that one more best-effort run could use.
+
+        It is in thousandths of a core, and below 0 while some claim theirs.
+        """
+        return self.best_effort_limit - self.best_effort_cpu
+
     def serving_images(self):
         """Returns the set of images of the serving runs."""
         return {
@@ -99,7 +117,7 @@
             self.serving_run_count_by_image[step.image] += sign
             self.serving_cpu += sign * step.cpu
         if step.fills:
-            if not run.is_pace_limited:
+            if run.takes_cpu:
                 self.best_effort_cpu += sign * step.cpu
             return
         self.free_cpu -= sign * step.cpu
--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -602,7 +602,11 @@
                 limits_pace,
             ) in self._limited_runs.choose_workers(pool_round):
                 self._place_task(
-                    group, task_id, worker, limits_pace=limits_pace
+                    group,
+                    task_id,
+                    worker,
+                    limits_pace=limits_pace,
+                    shares_cpu=not limits_pace,
                 )
 
     def _find_pool_round(self, round_by_pool, pool):
@@ -657,7 +661,9 @@
             self._place_task(group, task_id, worker)
         return len(assignments)
 
-    def _place_task(self, group, task_id, worker, *, limits_pace=False):
+    def _place_task(
+        self, group, task_id, worker, *, limits_pace=False, shares_cpu=False
+    ):
         task = group.workflow.tasks[task_id]
         live_run = workflows.LiveRun(
             task_id,
@@ -669,6 +675,8 @@
         run = _runs.Run(live_run, group.step, _Phase.PLACED)
         if limits_pace:
             run.limit_pace()
+        if shares_cpu:
+            run.share_cpu()
         worker.add_run(run)
         waited_ms = self._wait_times.longest_wait_ms(group, self._state.now_ms)
         self._wait_times.record_placed_task(group, self._state.now_ms)
@@ -685,5 +693,6 @@
             heard_ms=self._state.now_ms - worker.last_announced_ms,
             alone=group.is_suspected,
             pace_limited=limits_pace,
+            shares_cpu=shares_cpu,
         )
         return run
--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -165,6 +165,20 @@
         run.is_pace_limited = False
         self.capacity.reserve(run)
 
+    def update_cpu_sharing(self, now_ms):
+        """Gives runs that share processor time their own, the oldest first.
+
+        Args:
+            now_ms: monotonic time.
+        """
+        for run in [run for run in self.runs.values() if run.shares_cpu]:
+            self.capacity.release(run)
+            if self.capacity.unused_cpu >= run.step.cpu:
+                run.end_cpu_sharing()
+            elif self.capacity.best_effort_limit >= run.step.cpu:
+                run.claims_cpu = run.claims_cpu or run.is_claim_due(now_ms)
+            self.capacity.reserve(run)
+
     def update_record(self, record):
         """Replaces the record by one that the same process has announced."""
         self.record = record
--- a/fuchsiatrestle/workflows/_pacing.py
+++ b/fuchsiatrestle/workflows/_pacing.py
@@ -12,6 +12,7 @@
 
 from fuchsiatrestle.workflows import _interference
 from fuchsiatrestle.workflows import _pace_limits
+from fuchsiatrestle.workflows import _runs
 from fuchsiatrestle.workflows import _tails
 
 __all__ = ('PaceControl',)
@@ -174,6 +175,8 @@
 
     def _find_full_pace(self, run, serving_images):
         """Returns the pace of a run while the tail is calm, in percent."""
+        if run.shares_cpu:
+            return _runs.SHARED_PACE_PERCENT
         if (
             not run.is_pace_limited
             or self._severity(serving_images, run) == _Severity.LIGHT
--- a/fuchsiatrestle/workflows/_placement.py
+++ b/fuchsiatrestle/workflows/_placement.py
@@ -22,9 +22,6 @@
     'meets_constraints',
 )
 
-# Share of the processor time reserved by serving tasks that best-effort tasks
-# may use; the rest covers the load peaks of the serving tasks.
-SERVING_UNUSED_CPU_SHARE = 0.5
 # While it is not known whether a best-effort image disturbs the serving tasks
 # on a worker, one more task of the image is put there only if the tasks of the
 # image there could use less than this share of the worker's processor time.
@@ -261,13 +258,7 @@
     @staticmethod
     def _unused_cpu(worker, allocations):
         """Returns the processor time that a best-effort task could use."""
-        capacity = worker.capacity
-        return (
-            capacity.free_cpu
-            + SERVING_UNUSED_CPU_SHARE * capacity.serving_cpu
-            - capacity.best_effort_cpu
-            - allocations.allocated_cpu(worker)
-        )
+        return worker.capacity.unused_cpu - allocations.allocated_cpu(worker)
 
 
 class LeastDisturbance(BestFit):
@@ -279,7 +270,7 @@
     Args:
         interference_model: the ``InterferenceModel``.
         shares_cpu: True if tasks may share processor time that other
-            best-effort runs use, as long as no other task has reserved it.
+            best-effort runs use.
     """
 
     def __init__(self, interference_model, *, shares_cpu):
@@ -287,7 +278,7 @@
         self._shares_cpu = shares_cpu
 
     def _score_best_effort(self, step, worker, allocations, is_far_from_data):
-        usable_cpu = worker.capacity.free_cpu
+        usable_cpu = worker.capacity.best_effort_limit
         if not self._shares_cpu:
             usable_cpu = self._unused_cpu(worker, allocations)
         if usable_cpu < step.cpu:
@@ -311,7 +302,8 @@
     """Puts a best-effort task where its image disturbs no serving task.
 
     It may share the processor time there with other best-effort runs; the
-    worker on which these use the least is preferred.
+    workers that have enough of it for the task are preferred, and the one on
+    which other runs use the least.
     """
 
     def _score_best_effort(self, step, worker, allocations, is_far_from_data):
@@ -320,10 +312,12 @@
         )
         if severity != _interference.Severity.LIGHT:
             return None
-        unused_cpu = self._unused_cpu(worker, allocations)
-        if unused_cpu + worker.capacity.best_effort_cpu < step.cpu:
-            return None
-        return not worker.is_tail_calm, is_far_from_data, -unused_cpu
+        return (
+            worker.capacity.best_effort_limit < step.cpu,
+            not worker.is_tail_calm,
+            is_far_from_data,
+            -self._unused_cpu(worker, allocations),
+        )
 
 
 class _WorkerRanking:
--- a/fuchsiatrestle/workflows/_runs.py
+++ b/fuchsiatrestle/workflows/_runs.py
@@ -7,6 +7,11 @@
 # Kinds of steps, as log lines name them.
 STEP_KINDS = ('best_effort', 'batch', 'long_running')
 
+# Pace of a run while other runs use the processor time that it needs.
+SHARED_PACE_PERCENT = 10
+# Time from which on the next processor time that gets free is left to it.
+MAX_SHARED_MS = 5000
+
 
 class Phase:
     """Phase of a run, from its placement to its end."""
@@ -69,6 +74,10 @@
         halt_wanted_ms: when it was last decided to halt the run, 0 before.
         is_pace_limited: True for a best-effort run that was placed although it
             may disturb the serving tasks on its worker.
+        shares_cpu: True for a best-effort run that was placed although other
+            best-effort runs use the processor time that it needs.
+        claims_cpu: True once no other best-effort run may be placed in the
+            processor time that a run which shares it needs.
     """
 
     __slots__ = (
@@ -76,6 +85,7 @@
         'adopted_soon',
         'adopted_suspected',
         'checkpoint',
+        'claims_cpu',
         'earlier_lease_end_ms',
         'earlier_start_outcome',
         'halt_wanted_ms',
@@ -88,6 +98,7 @@
         'pending_order',
         'phase',
         'progress_percent',
+        'shares_cpu',
         'start_sent_ms',
         'starts_alone',
         'start_uncertain',
@@ -125,6 +136,8 @@
         self.wanted_pace_percent = 100
         self.halt_wanted_ms = 0
         self.is_pace_limited = False
+        self.shares_cpu = False
+        self.claims_cpu = False
 
     def record_start(self, now_ms, worker_clock_ms):
         """Records that the worker accepted its start or lists it as running.
@@ -191,6 +204,35 @@
         self.is_pace_limited = True
         self.wanted_pace_percent = _pace_limits.INITIAL_PERCENT
 
+    def share_cpu(self):
+        """Limits its pace until no other run uses its processor time."""
+        self.shares_cpu = True
+        self.wanted_pace_percent = SHARED_PACE_PERCENT
+
+    def end_cpu_sharing(self):
+        """Lets it run at its full pace, unless it is halted."""
+        self.shares_cpu = False
+        self.claims_cpu = False
+        if self.wanted_pace_percent:
+            self.wanted_pace_percent = _pace_limits.MAX_PERCENT
+
+    def is_claim_due(self, now_ms):
+        """True if it has shared processor time for long enough.
+
+        Args:
+            now_ms: monotonic time.
+        """
+        if self.started_ms is None:
+            return False
+        return now_ms - self.started_ms >= MAX_SHARED_MS
+
+    @property
+    def takes_cpu(self):
+        """True if a best-effort run counts for the time that others leave."""
+        if self.is_pace_limited:
+            return False
+        return not self.shares_cpu or self.claims_cpu
+
     @property
     def is_best_effort(self):
         """True if it uses only processor time that others leave."""
--- a/fuchsiatrestle/workflows/_turns.py
+++ b/fuchsiatrestle/workflows/_turns.py
@@ -5,13 +5,14 @@
 of which nothing has run for a while gets a turn: one of its tasks is placed
 before the groups that are in time, whatever is reserved.  The workflow that
 has waited longest comes first.
+
+Best-effort tasks need no turn, as they reserve no processor time: they share
+it, see ``_limited_runs``.
 """
 
 __all__ = ('TurnPlanner',)
 
-# Wait from which a workflow of which nothing runs gets a turn.  It is shorter
-# than the wait from which tasks share processor time, so that a task first
-# has the chance to get a worker that has some left.
+# Wait from which a workflow of which nothing runs gets a turn.
 TURN_WAIT_MS = 1000
 
 
@@ -28,8 +29,8 @@
     def find_turns(self, groups, now_ms):
         """Returns the groups that get a turn, the longest wait first.
 
-        Long-running tasks have their own rules, and suspected ones are
-        started alone.
+        Long-running and best-effort tasks have their own rules, and suspected
+        ones are started alone.
 
         Args:
             groups: list of ``Group``.
@@ -37,7 +38,7 @@
         """
         waits_and_groups = []
         for group in groups:
-            if group.step.lasts or group.is_suspected:
+            if group.step.lasts or group.step.fills or group.is_suspected:
                 continue
             wait_ms = self._wait_times.longest_wait_ms(group, now_ms)
             if wait_ms >= TURN_WAIT_MS and not group.workflow.is_running:
