Stop an evicted attempt though leaders change often

Cause: the time for a checkpoint, 5 s, began anew with each leader, as the agreed state does not say when the eviction began. Leaders that change every 2 s never stopped an attempt that writes no checkpoint, and the urgent job that it was to make room for never started.

Change: a leader that finds an eviction of an earlier one waits for urgent_patience_ms (400 ms) only. It may lose the work since the last checkpoint once a change of leader.

Measured: tests.scheduling.test_leader_changes, virtual time, leaders of 2 s: the urgent job had not started after 10 s before, starts after; with one leader of 10 s it started before, too. tests scheduling: 59 passed, no new red.

--- a/fuchsiatrestle/scheduling/_evictions.py
+++ b/fuchsiatrestle/scheduling/_evictions.py
@@ -97,9 +97,11 @@
         eviction = self._eviction_by_job.get(job.spec.job_id)
         if eviction is None or eviction.attempt != job.attempt:
             # An earlier leader began this eviction, at a time that is not
-            # recorded, so the attempt gets the full time for a checkpoint
-            # again.
-            eviction = self._track_eviction(job, now_ms, None)
+            # recorded.  If each leader waited for the full time again, a
+            # series of leaders would never stop the attempt.
+            eviction = self._track_eviction(
+                job, now_ms, self._policy.urgent_patience_ms
+            )
         if checkpoint > eviction.initial_checkpoint:
             return True
         return now_ms >= eviction.stop_deadline_ms
--- a/fuchsiatrestle/scheduling/_policy.py
+++ b/fuchsiatrestle/scheduling/_policy.py
@@ -25,7 +25,8 @@
         evict_patience_ms: longest wait for a checkpoint before an evicted
             attempt is stopped.
         urgent_patience_ms: longest wait for a checkpoint of an attempt that is
-            evicted to make room for an urgent job.
+            evicted to make room for an urgent job, or whose eviction an
+            earlier leader began.
         refusal_pause_ms: a worker that refused a start gets no new attempt
             for this long.
         failed_workers: a job that failed on this many distinct workers that
--- /dev/null
+++ b/tests/scheduling/test_leader_changes.py
@@ -0,0 +1,38 @@
+"""Tests that a series of leaders keeps no bound from being reached."""
+
+import unittest
+from unittest import mock
+
+from standins import _worker_agent
+from tests.scheduling import _cell
+
+# Time for which each of the leaders leads.
+LEADER_MS = 2_000
+
+
+def _advance_with_changes(cell, duration_ms):
+    """Advances a cell whose leader changes again and again."""
+    for _ in range(duration_ms // LEADER_MS):
+        cell.elect()
+        cell.advance(LEADER_MS)
+
+
+class EvictionTest(unittest.TestCase):
+    # Guards against a wait for a checkpoint that begins with each leader.
+    @mock.patch.object(_worker_agent.WorkerAgent, '_force_checkpoint')
+    def test_attempt_without_checkpoints_ends_though_leaders_change(self, _):
+        cell = _cell.Cell(1, checkpoint_ms=100_000_000)
+        cell.advance(1000)
+        cell.submit(
+            _cell.make_spec('evictable', 4000, command='sleep 100000000')
+        )
+        cell.advance(2000)
+        cell.submit(_cell.make_spec('now', 4000, urgent=True))
+        cell.advance(200, step_ms=100)
+        self.assertEqual('evicting', cell.job_state('evictable'))
+        _advance_with_changes(cell, 2 * cell.policy.evict_patience_ms)
+        self.assertIn('now', [line.job_id for line in cell.ledger])
+
+
+if __name__ == '__main__':
+    unittest.main()
