Park a job that failed wherever it may go in a large cell, too

Cause: in a cell of more than 64 workers nobody checked whether a job that has failed can still go to another worker, as that would look at all workers in each round. A job bound to one worker was queued for good after it failed there.

Change: the check remembers for each such job a worker that it can still go to, and searches all workers only once that one is not usable any more. The limit on the size of the cell is gone.

--- a/fuchsiatrestle/scheduling/_agreed.py
+++ b/fuchsiatrestle/scheduling/_agreed.py
@@ -11,9 +11,6 @@
 __all__ = ('AgreedChangeHandler',)
 
 REASON_FAILS_EVERYWHERE = 'fails_everywhere'
-# In a cell with up to this many workers, each worker is checked for whether a
-# failed job can still go to it.
-SMALL_CELL_WORKERS = 64
 
 
 class AgreedChangeHandler:
@@ -26,6 +23,9 @@
     def __init__(self, assembly):
         self._assembly = assembly
         self._proposed_spec_by_worker = {}
+        # For each failed job that waits, a worker that it could still go to
+        # when the workers were last searched.
+        self._remaining_worker_by_job = {}
         self._command_handlers = {
             commands.SubmitJobs: self._on_jobs_submitted,
             commands.PlaceAttempts: self._on_attempts_placed,
@@ -163,6 +163,7 @@
         assembly.dispatcher.refresh_job(job_id, now_ms)
         if job is None or job.state != states.QUEUED:
             assembly.preemptor.forget_job(job_id)
+            self._remaining_worker_by_job.pop(job_id, None)
         elif job.failed_on:
             self._park_if_failure_limit_reached(job)
 
@@ -231,25 +232,32 @@
         """Parks a queued job that has failed on every usable worker.
 
         A worker is usable if it is neither in quarantine nor lost, is in the
-        data centre that the job is bound to, and is large enough.  In a cell
-        with more than ``SMALL_CELL_WORKERS`` workers nothing is done, because
-        there a job fails on ``Policy.failed_workers`` distinct workers first
-        and is parked for that.
+        data centre that the job is bound to, and is large enough.  All workers
+        are searched only once the one found before is not usable any more.
         """
-        registered_workers = self._assembly.jobs_part.workers
-        if not job.failed_on or len(registered_workers) > SMALL_CELL_WORKERS:
+        if not job.failed_on:
             return
-        remaining_workers = [
-            name
-            for name, worker in registered_workers.items()
-            if name not in job.failed_on
+        job_id = job.spec.job_id
+        remaining_worker = self._remaining_worker_by_job.get(job_id)
+        if self._may_go_to(job, remaining_worker, now_ms):
+            return
+        for name in self._assembly.jobs_part.workers:
+            if self._may_go_to(job, name, now_ms):
+                self._remaining_worker_by_job[job_id] = name
+                return
+        self._park_job(job)
+
+    def _may_go_to(self, job, worker_name, now_ms):
+        """True if a worker is usable and the job has not failed on it."""
+        worker = self._assembly.jobs_part.workers.get(worker_name)
+        return (
+            worker is not None
+            and worker_name not in job.failed_on
             and job.spec.data_centre in ('', worker.spec.data_centre)
             and _covers(worker.spec.capacity, job.spec.size)
-            and not self._assembly.quarantine.is_quarantined(name)
-            and not self._assembly.fleet.is_lost(name, now_ms)
-        ]
-        if not remaining_workers:
-            self._park_job(job)
+            and not self._assembly.quarantine.is_quarantined(worker_name)
+            and not self._assembly.fleet.is_lost(worker_name, now_ms)
+        )
 
     def _park_if_failure_limit_reached(self, job):
         assembly = self._assembly
