Lend an idle slot to an entry that owns none

Cause: a lender keeps two free slots for itself, so with fewer slots than entries an entry that owns none was never lent one, and refused each of its requests beside idle slots.

Change: a demand says whether its sender has no slot of the service (new last field, False by default); then the lender, if no request waits there, keeps none. An entry that owns no slot keeps no spare one when it is idle.

--- a/fuchsiatrestle/messages/_routing.py
+++ b/fuchsiatrestle/messages/_routing.py
@@ -71,6 +71,8 @@
         wanted: number of slots that the receiver is asked to lend.
         seq: number of the demand, returned as ``demand_seq`` of ``LendSlots``.
         members: digest of the entries in the asking entry's configuration.
+        lacks_slots: True if the asking entry has no slot of the service, used
+            or free.
     """
 
     entry: str
@@ -78,6 +80,7 @@
     wanted: int
     seq: int
     members: int = 0
+    lacks_slots: bool = False
 
 
 class LendSlots(records.Record, tag='rl'):
--- a/fuchsiatrestle/routing/_admission.py
+++ b/fuchsiatrestle/routing/_admission.py
@@ -282,7 +282,11 @@
         )
         if missing_slots > 0:
             self._lending.demand_slots(
-                group.name, missing_slots, now_ms, effects
+                group.name,
+                missing_slots,
+                now_ms,
+                effects,
+                lacks_slots=not group.count_allotted_slots(now_ms),
             )
 
     def _refuse_expired_requests(self, group, now_ms, effects):
--- a/fuchsiatrestle/routing/_core.py
+++ b/fuchsiatrestle/routing/_core.py
@@ -138,7 +138,8 @@
 
         Borrowed slots are returned before the term of their loan is over only
         if no request waits, and at most as many as there are free slots beyond
-        the spare ones (see ``USED_SLOTS_PER_SPARE_SLOT``).
+        the spare ones (see ``USED_SLOTS_PER_SPARE_SLOT``).  An entry that owns
+        no slot keeps no spare one, which may be the only one of its lender.
         """
         group.update_median_latency()
         group.exclude_outliers(now_ms)
@@ -147,6 +148,8 @@
         spare_slots = (
             1 + group.used_slots // _admission.USED_SLOTS_PER_SPARE_SLOT
         )
+        if not any(upstream.owned_slots for upstream in group.upstreams):
+            spare_slots = 0
         unneeded_slots = group.count_free_slots(now_ms) - spare_slots
         if group.queue:
             unneeded_slots = 0
--- a/fuchsiatrestle/routing/_group.py
+++ b/fuchsiatrestle/routing/_group.py
@@ -73,6 +73,13 @@
         ]
         return untried_upstreams or free_upstreams
 
+    def count_allotted_slots(self, now_ms):
+        """Counts the slots, used or free, that this entry may use."""
+        return sum(
+            max(0, upstream.count_allotted_slots(now_ms))
+            for upstream in self.upstreams
+        )
+
     def count_usable_slots(self, now_ms):
         """Counts the slots, in use or free, open to requests of this entry."""
         return sum(
--- a/fuchsiatrestle/routing/_lending.py
+++ b/fuchsiatrestle/routing/_lending.py
@@ -30,7 +30,8 @@
 # forgotten.
 MAX_REMEMBERED_DEMANDS = 128
 # A lender keeps this many of its free slots for its own requests, or one for
-# each USED_SLOTS_PER_RESERVED_SLOT slots that it uses if that is more.
+# each USED_SLOTS_PER_RESERVED_SLOT slots that it uses if that is more.  It
+# keeps none from an entry that has no slot, which could otherwise serve none.
 MIN_RESERVED_SLOTS = 2
 USED_SLOTS_PER_RESERVED_SLOT = 4
 # Loan numbers start at the incarnation shifted left by so many bits, so that a
@@ -131,7 +132,9 @@
 
     # Borrowing
 
-    def demand_slots(self, service, slot_count, now_ms, effects):
+    def demand_slots(
+        self, service, slot_count, now_ms, effects, *, lacks_slots=False
+    ):
         """Asks all other entries for slots of a service.
 
         Nothing is sent within ``DEMAND_INTERVAL_MS`` of the last demand for
@@ -143,6 +146,7 @@
                 and rounded up.
             now_ms: current time.
             effects: list to which the messages are added.
+            lacks_slots: True if this entry has no slot of the service.
         """
         last_demand_sent_ms = self._demand_sent_ms_by_service.get(
             service, -DEMAND_INTERVAL_MS
@@ -168,6 +172,7 @@
             slots_per_peer,
             self._last_demand_seq,
             self._members_digest,
+            lacks_slots,
         )
         effects.extend(
             _effects.SendToPeer(peer, message) for peer in self._peers
@@ -307,6 +312,8 @@
         reserved_slots = max(
             MIN_RESERVED_SLOTS, used_slots // USED_SLOTS_PER_RESERVED_SLOT
         )
+        if demand.lacks_slots:
+            reserved_slots = 0
         slots_to_lend = min(
             demand.wanted, MAX_DEMANDED_SLOTS, free_slots - reserved_slots
         )
--- a/tests/routing/test_scenarios.py
+++ b/tests/routing/test_scenarios.py
@@ -173,13 +173,26 @@
 
 
 class LendingTest(unittest.TestCase):
-    def test_an_entry_that_owns_no_slot_is_lent_one_that_is_idle(self):
+    def _run_with_two_slots(self, interval_ms):
+        """Returns the results at each of three entries, of 20 s of calls."""
         world = routing_world.World(7, entries=3, upstreams=1)
         world.upstreams[ADDRESS].slots = 2
         world.upstreams[ADDRESS].service_ms = lambda: 20
         world.run_until(SETTLED_MS)
-        _send_requests(world, list(world.entries), SETTLED_MS + 20000, 1000)
+        _send_requests(
+            world, list(world.entries), SETTLED_MS + 20000, interval_ms
+        )
         world.run_until(SETTLED_MS + 22000)
-        for first_number in range(3):
-            results = [r.result for r in world.requests[first_number::3]]
+        return [
+            [r.result for r in world.requests[first_number::3]]
+            for first_number in range(3)
+        ]
+
+    def test_an_entry_that_owns_no_slot_is_lent_one_that_is_idle(self):
+        for results in self._run_with_two_slots(1000):
             self.assertGreaterEqual(results.count('answered'), 10)
+
+    # Guards against a lender that waits for its only slot to come back.
+    def test_an_entry_that_owns_no_slot_keeps_none_that_it_does_not_use(self):
+        for results in self._run_with_two_slots(100):
+            self.assertGreaterEqual(results.count('answered'), 190)
