Hold a worker for a large job though leaders change often

Cause: the 60 s without room after which one worker is held for a shape began anew with each leader. With leaders of 30 s a job that needs a whole worker never started beside small jobs that keep coming.

Change: for a shape whose first job never had an attempt the wait counts from the submission, which is agreed, by the time of day of the tick; but each leader waits for at least 10 s (MIN_HOLD_GAP_MS), so leaders of less than that still hold none. The wait of a job that had an attempt still begins with the leader.

--- a/fuchsiatrestle/scheduling/_dispatch.py
+++ b/fuchsiatrestle/scheduling/_dispatch.py
@@ -94,6 +94,8 @@
         # for a shape passes over.
         self._passed_count_by_shape = {}
         self._worker_holds = _holds.WorkerHolds(jobs_part, fleet)
+        # Time since the epoch at monotonic time 0, None while it isn't known.
+        self._wall_offset_ms = None
         # Shapes and teams for which earlier rounds of this walk found nothing,
         # urgent jobs apart.
         self._missed_urgent = set()
@@ -163,6 +165,16 @@
 
     # Rounds
 
+    def record_wall_time(self, wall_ms, now_ms):
+        """Records the first reading of the time of day in this term.
+
+        Args:
+            wall_ms: milliseconds since the epoch, 0 if unknown.
+            now_ms: monotonic time in milliseconds.
+        """
+        if wall_ms and self._wall_offset_ms is None:
+            self._wall_offset_ms = wall_ms - now_ms
+
     def run_round(self, now_ms):
         """Runs a round if one is due, and proposes the placements found.
 
@@ -348,7 +360,7 @@
         worker_name = self._pick_worker(job, need, now_ms)
         if worker_name is None:
             blocked_shapes_and_teams.add(shape)
-            self._record_waiting_reason(shape, need, spec, now_ms)
+            self._record_waiting_reason(shape, need, job, now_ms)
             return False
         self._worker_holds.release_shape(shape, now_ms)
         self._propose_placement(job, worker_name, size, now_ms)
@@ -501,10 +513,13 @@
 
     # Reasons why jobs wait
 
-    def _record_waiting_reason(self, shape, need, spec, now_ms):
+    def _record_waiting_reason(self, shape, need, job, now_ms):
+        spec = job.spec
         dimension = self._fleet.insufficient_dimension(need, spec.data_centre)
         if dimension:
-            self._worker_holds.record_shortage(shape, need, now_ms)
+            self._worker_holds.record_shortage(
+                shape, need, now_ms, self._find_unplaced_ms(job, now_ms)
+            )
             reason = (
                 f'no worker has room for {_describe_need(need)}, '
                 f'short of {dimension}'
@@ -520,6 +535,20 @@
             )
         self._waiting_reasons[shape, spec.team] = reason
 
+    def _find_unplaced_ms(self, job, now_ms):
+        """Returns for how long a job has waited for its first attempt.
+
+        It is 0 for a job that had an attempt or names no time of submission,
+        and None while the time of day isn't known.  The time of submission is
+        agreed, so it counts on through changes of leader.
+        """
+        if self._wall_offset_ms is None:
+            return None
+        submitted_ms = job.spec.submitted_ms
+        if job.attempt or not submitted_ms:
+            return 0
+        return max(0, self._wall_offset_ms + now_ms - submitted_ms)
+
     def waiting_reason(self, job):
         """Returns one line that says why a queued job waits, or empty."""
         job_id = job.spec.job_id
--- a/fuchsiatrestle/scheduling/_holds.py
+++ b/fuchsiatrestle/scheduling/_holds.py
@@ -8,6 +8,10 @@
 up to ``MAX_HOLD_MS``.  If that was in vain, each other worker is held before
 the same one is again.  A worker is open to all jobs for ``MIN_HOLD_GAP_MS``
 between two holds, so that no job that fits waits for more than one hold.
+
+A new leader does not know the waits and holds of earlier ones.  For a shape
+whose first job has never been placed, it counts the wait from the submission,
+but it holds no worker for it within ``MIN_HOLD_GAP_MS`` of its first shortage.
 """
 
 __all__ = ('WorkerHolds',)
@@ -51,6 +55,9 @@
         self._jobs_part = jobs_part
         self._fleet = fleet
         self._waiting_since_ms_by_shape = {}
+        # Shapes whose wait has begun under this leader, at most
+        # ``MAX_WAITING_SHAPES``; no earlier wait counts for them again.
+        self._timed_shapes = set()
         self._hold_by_shape = {}
         self._gap_end_ms_by_worker = {}
         # Names of the workers held for the longest time in vain, by shape.
@@ -67,20 +74,29 @@
         fits = self._fleet.fits(hold.worker_name, need)
         return hold.worker_name if fits else None
 
-    def record_shortage(self, job_shape, need, now_ms):
+    def record_shortage(self, job_shape, need, now_ms, unplaced_ms=None):
         """Records that no worker has room for a shape.
 
         May hold a worker for the shape if none has had room for
         ``WAIT_BEFORE_HOLD_MS``.
+
+        Args:
+            job_shape: the shape.
+            need: required (cpu_milli, memory_mib, accelerators).
+            now_ms: monotonic time in milliseconds.
+            unplaced_ms: time since the submission of its first job, 0 if that
+                has had an attempt, None if not known yet.
         """
         if (
             job_shape not in self._waiting_since_ms_by_shape
             and len(self._waiting_since_ms_by_shape) >= MAX_WAITING_SHAPES
         ):
             return
-        waiting_since_ms = self._waiting_since_ms_by_shape.setdefault(
-            job_shape, now_ms
+        waiting_since_ms = min(
+            self._waiting_since_ms_by_shape.get(job_shape, now_ms),
+            now_ms - self._find_earlier_wait_ms(job_shape, unplaced_ms),
         )
+        self._waiting_since_ms_by_shape[job_shape] = waiting_since_ms
         if (
             job_shape in self._hold_by_shape
             or now_ms - waiting_since_ms < WAIT_BEFORE_HOLD_MS
@@ -99,6 +115,17 @@
             )
             self._fleet.set_held(worker_name, True, now_ms)
 
+    def _find_earlier_wait_ms(self, job_shape, unplaced_ms):
+        """Returns how much of a shape's wait under earlier leaders counts."""
+        if (
+            unplaced_ms is None
+            or job_shape in self._timed_shapes
+            or len(self._timed_shapes) >= MAX_WAITING_SHAPES
+        ):
+            return 0
+        self._timed_shapes.add(job_shape)
+        return min(unplaced_ms, WAIT_BEFORE_HOLD_MS - MIN_HOLD_GAP_MS)
+
     def release_shape(self, job_shape, now_ms):
         """Ends the hold and the waiting time of a shape, if any."""
         self._vain_workers_by_shape.pop(job_shape, None)
--- a/fuchsiatrestle/scheduling/_scheduler.py
+++ b/fuchsiatrestle/scheduling/_scheduler.py
@@ -182,6 +182,7 @@
 
     def _on_tick(self, event, now_ms):
         assembly = self._assembly
+        assembly.dispatcher.record_wall_time(event.wall_ms, now_ms)
         for name in assembly.fleet.update_availability(now_ms):
             worker = self._jobs_part.workers.get(name)
             if worker is not None:
--- a/fuchsiatrestle/scheduling/_values.py
+++ b/fuchsiatrestle/scheduling/_values.py
@@ -67,8 +67,8 @@
     """Time has passed; sent every ``Policy.tick_ms`` or more often.
 
     Attributes:
-        wall_ms: wall-clock milliseconds since the epoch, for deadlines only;
-            0 if unknown.
+        wall_ms: wall-clock milliseconds since the epoch, to tell for how long
+            jobs have waited under earlier leaders; 0 if unknown.
     """
 
     __slots__ = ('wall_ms',)
--- a/tests/scheduling/_cell.py
+++ b/tests/scheduling/_cell.py
@@ -135,7 +135,7 @@
         end_ms = self.now_ms + duration_ms
         while self.now_ms < end_ms:
             self.now_ms += step_ms
-            self.step(scheduling.Tick())
+            self.step(scheduling.Tick(self.now_ms))
             self.agree()
             for name, agent in self.agents.items():
                 if name not in silent_workers:
--- a/tests/scheduling/test_leader_changes.py
+++ b/tests/scheduling/test_leader_changes.py
@@ -3,6 +3,7 @@
 import unittest
 from unittest import mock
 
+from fuchsiatrestle.scheduling import _holds
 from standins import _worker_agent
 from tests.scheduling import _cell
 
@@ -34,5 +35,31 @@
         self.assertIn('now', [line.job_id for line in cell.ledger])
 
 
+class HoldTest(unittest.TestCase):
+    # Guards against a wait for room that begins with each leader.
+    def test_worker_is_held_for_a_large_job_though_leaders_change(self):
+        cell = _cell.Cell(1)
+        cell.advance(1000)
+        for second in range(2 * _holds.WAIT_BEFORE_HOLD_MS // 1000):
+            if second % 30 == 0:
+                cell.elect()
+            cell.submit(
+                *(
+                    _cell.make_spec(
+                        f's{second}-{n}', priority=0, command='sleep 3000'
+                    )
+                    for n in range(4)
+                )
+            )
+            if second == 5:
+                cell.submit(
+                    _cell.make_spec(
+                        'large', 4000, priority=1, submitted_ms=cell.now_ms
+                    )
+                )
+            cell.advance(1000, step_ms=1000)
+        self.assertIn('large', [line.job_id for line in cell.ledger])
+
+
 if __name__ == '__main__':
     unittest.main()
