Give tasks to a process whose clock was set back

Cause: a process of a worker that names an earlier start than the one before it was ignored without end, as its announcements look like late ones of an earlier process.

Change: such an announcement has the worker polled. If the answer to a poll that was sent after the later start was known names the same earlier start, from the same address, the process is the present one and replaces the known one. The worker's record keeps the later start (new last field ended_born_ms, 0 by default), so that late announcements of the ended process are ignored, also by the next leader. The uptime of the ended process, which bounds the lease in late starts, is then taken from its clock, not from the two starts.

--- a/fuchsiatrestle/state/workflows.py
+++ b/fuchsiatrestle/state/workflows.py
@@ -169,6 +169,9 @@
         labels: its kind and its rack.
         ends_noted: number of the last ``RunEnd`` of this worker that was
             recorded.
+        ended_born_ms: latest start time that an ended process of the worker
+            has named, if it was followed by one that names an earlier start,
+            else 0.
     """
 
     worker: str
@@ -181,6 +184,7 @@
     accelerators: int
     labels: list[str]
     ends_noted: int = 0
+    ended_born_ms: int = 0
 
 
 # Records of the configuration document
--- a/fuchsiatrestle/workflows/_announcing.py
+++ b/fuchsiatrestle/workflows/_announcing.py
@@ -19,6 +19,9 @@
 # that ends again and again mostly does so within this time.
 RESTART_PAUSE_MS = 2500
 
+# Assumed for an ended process if neither its start nor its clock is of use.
+MAX_UPTIME_MS = 1_000_000_000_000
+
 LOG = logs.get_logger(__name__)
 
 _Phase = _runs.Phase
@@ -47,11 +50,15 @@
             worker = self._add_worker(
                 _fleet.record_from_announcement(announcement)
             )
-        elif announcement.born_ms > worker.record.born_ms:
+        elif worker.is_of_later_process(announcement.born_ms):
             worker = self.replace_worker(
                 worker, _fleet.record_from_announcement(announcement)
             )
-        elif announcement.born_ms < worker.record.born_ms:
+        elif announcement.born_ms != worker.record.born_ms:
+            if announcement.born_ms < worker.record.born_ms:
+                worker.earlier_record = _fleet.record_from_announcement(
+                    announcement
+                )
             self._log_ignored_announcement(worker, announcement)
             return
         elif announcement.sequence <= worker.announcement_sequence:
@@ -60,6 +67,7 @@
         elif worker.withdrawn_ms is not None:
             return
         self._update_worker(worker, announcement)
+        worker.earlier_record = None
         worker.announcement_sequence = announcement.sequence
         worker.last_announced_ms = self._dispatch_state.now_ms
         worker.record_clock(announcement.clock_ms, self._dispatch_state.now_ms)
@@ -101,6 +109,7 @@
         record = msgspec.structs.replace(
             _fleet.record_from_announcement(announcement),
             ends_noted=worker.record.ends_noted,
+            ended_born_ms=worker.record.ended_born_ms,
         )
         if record != worker.record:
             worker.update_record(record)
@@ -153,6 +162,9 @@
             worker.pause_placement(
                 self._dispatch_state.now_ms, RESTART_PAUSE_MS
             )
+        max_uptime_ms = _find_max_uptime_ms(
+            previous_worker, record, self._dispatch_state.now_ms
+        )
         for run in list(previous_worker.runs.values()):
             proof = _run_ends.find_proof_by_restart(run)
             if run.phase == _Phase.PLACED:
@@ -162,10 +174,36 @@
                     previous_worker, run, proof, 'worker_reborn'
                 )
             else:
-                _prepare_for_next_process(previous_worker, run, record)
+                _prepare_for_next_process(
+                    previous_worker, run, record, max_uptime_ms
+                )
                 worker.add_run(run)
         return worker
 
+    def replace_by_earlier_start(self, previous_worker):
+        """Replaces a worker by a process that names an earlier start.
+
+        The clock of its VM was set back before it started.  Its announcement
+        alone proves nothing, as one of an ended process may come late.
+
+        Args:
+            previous_worker: ``Worker``, whose address has answered an order
+                with the start time in its ``earlier_record``.
+
+        Returns:
+            The ``Worker`` of the present process.
+        """
+        ended_born_ms = max(
+            previous_worker.record.born_ms,
+            previous_worker.record.ended_born_ms,
+        )
+        return self.replace_worker(
+            previous_worker,
+            msgspec.structs.replace(
+                previous_worker.earlier_record, ended_born_ms=ended_born_ms
+            ),
+        )
+
     def on_worker_withdrawn(self, event):
         """Stops the runs of a worker that will end its process.
 
@@ -201,14 +239,34 @@
                 self._dispatch_state.end_run(worker, run, 'worker_leaves')
 
 
-def _prepare_for_next_process(previous_worker, run, record):
+def _find_max_uptime_ms(previous_worker, record, now_ms):
+    """Returns the longest time for which an ended process can have run.
+
+    Args:
+        previous_worker: ``Worker`` of the ended process.
+        record: ``WorkerRecord`` of the next process.
+        now_ms: monotonic time.
+    """
+    if record.born_ms > previous_worker.record.born_ms:
+        return record.born_ms - previous_worker.record.born_ms
+    max_clock_ms = previous_worker.lease_clock.max_clock_ms(now_ms)
+    return MAX_UPTIME_MS if max_clock_ms is None else round(max_clock_ms)
+
+
+def _prepare_for_next_process(
+    previous_worker, run, record, max_uptime_ms=None
+):
     """Prepares a run that the next process of a worker may execute.
 
     Args:
         previous_worker: ``Worker`` of the ended process.
         run: the ``Run``.
         record: ``WorkerRecord`` of the next process.
+        max_uptime_ms: longest time for which the ended process can have run,
+            None for the time between the two starts.
     """
+    if max_uptime_ms is None:
+        max_uptime_ms = record.born_ms - previous_worker.record.born_ms
     run.earlier_start_outcome = _crashes.find_start_outcome(
         previous_worker, run, _run_ends.Proof.WORKER_REBORN
     )
@@ -220,9 +278,7 @@
         # The next process has to refuse the start before the run is over.
         run.earlier_lease_end_ms = max(
             run.earlier_lease_end_ms or 0,
-            previous_worker.lease_clock.latest_lease_end_ms(
-                record.born_ms - previous_worker.record.born_ms
-            ),
+            previous_worker.lease_clock.latest_lease_end_ms(max_uptime_ms),
         )
         run.start_uncertain = True
         run.start_sent_ms = None
--- a/fuchsiatrestle/workflows/_answers.py
+++ b/fuchsiatrestle/workflows/_answers.py
@@ -67,14 +67,22 @@
         worker = self._dispatch_state.fleet.get(order.worker)
         if worker is None:
             return None
-        if not worker.end_wait(order) and (
-            reply.born_ms <= worker.record.born_ms
+        if not worker.end_wait(order) and not worker.is_of_later_process(
+            reply.born_ms
         ):
             # The order was sent to an earlier process.
             return None
         if worker.record.address != order.address:
             self._end_order_to_former_process(worker, order)
             return worker
+        if _names_announced_start(worker, reply):
+            worker = self._announcement_handler.replace_by_earlier_start(
+                worker
+            )
+            worker.record_clock(reply.clock_ms, self._dispatch_state.now_ms)
+            return worker
+        if isinstance(order, _events.PollWorker):
+            worker.earlier_record = None
         if 0 < reply.born_ms < worker.record.born_ms:
             self._end_order_to_former_process(worker, order)
             return None
@@ -356,6 +364,22 @@
             worker.lift_pace_limit(run)
 
 
+def _names_announced_start(worker, reply):
+    """True if a reply names an earlier start that was announced, too.
+
+    The process at the address is then one whose clock was set back.
+
+    Args:
+        worker: the ``Worker``, which was awaiting the ``Reply``.
+        reply: the ``Reply``.
+    """
+    return (
+        worker.earlier_record is not None
+        and reply.born_ms == worker.earlier_record.born_ms
+        and worker.earlier_record.address == worker.record.address
+    )
+
+
 def _update_acknowledged_end(worker, order, reply):
     """Records up to which end a worker has forgotten its ends.
 
--- a/fuchsiatrestle/workflows/_clock.py
+++ b/fuchsiatrestle/workflows/_clock.py
@@ -53,6 +53,16 @@
         """True once a reading of the worker's clock has arrived."""
         return self._clock_reading_ms is not None
 
+    def max_clock_ms(self, now_ms):
+        """Returns the most that the worker's clock can show now, or None.
+
+        None is returned while no reading of the clock is known.
+        """
+        if self._clock_reading_ms is None:
+            return None
+        elapsed_ms = now_ms - self._reading_received_ms
+        return self._clock_reading_ms + elapsed_ms / MIN_CLOCK_RATE
+
     def latest_lease_end_ms(self, clock_ms):
         """Returns the latest end of a lease that an order can name.
 
--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -45,6 +45,8 @@
         state: ``ready``, ``draining`` or ``withdrawn``.
         last_announced_ms: time of its last announcement to this leader, None
             before the first.
+        earlier_record: ``WorkerRecord`` from an announcement that names an
+            earlier start and came after the last one of this process, or None.
         announcement_sequence: number of its newest announcement.
         withdrawn_ms: when it first announced that its process will end, or
             None.
@@ -81,6 +83,7 @@
         'acknowledged_end_number',
         'capacity',
         'collected_end_number',
+        'earlier_record',
         'failed_start_count',
         'failed_start_ms',
         'has_seen_token',
@@ -108,6 +111,7 @@
         self.record = record
         self.state = READY
         self.last_announced_ms = None
+        self.earlier_record = None
         self.announcement_sequence = -1
         self.withdrawn_ms = None
         self.lease_clock = lease_clock
@@ -135,6 +139,10 @@
         """Id of the worker."""
         return self.record.worker
 
+    def is_of_later_process(self, born_ms):
+        """True if a start time is later than those of all known processes."""
+        return born_ms > max(self.record.born_ms, self.record.ended_born_ms)
+
     # Runs
 
     def add_run(self, run):
--- a/fuchsiatrestle/workflows/_orders.py
+++ b/fuchsiatrestle/workflows/_orders.py
@@ -238,8 +238,11 @@
         """True for a worker that gets no new tasks before it answers a poll.
 
         It is heard, but has not answered orders or told its clock, and may
-        have no runs that it would be polled for.
+        have no runs that it would be polled for.  Or an earlier start than
+        that of its process was announced, and its reply tells which one runs.
         """
+        if worker.earlier_record is not None:
+            return True
         is_usable = (
             not worker.is_unresponsive and worker.lease_clock.is_clock_known
         )
--- a/tests/workflows/test_unbounded_waits.py
+++ b/tests/workflows/test_unbounded_waits.py
@@ -172,18 +172,68 @@
             reply.is_complete,
         )
 
-    def test_process_whose_clock_was_set_back_gets_tasks(self):
-        """It names an earlier start than the process before it."""
+    def _start_process_with_clock_set_back(self):
+        """Starts one that names an earlier start than the one before it."""
         self.world.crash_worker('w0', 200)
         self.world.run(4000)
         self._replace_announcements(born_ms=1)
         self._replace_reply_fields(born_ms=1)
         self.world.crash_worker('w0', 200)
         self.world.run(4000)
+
+    def test_process_whose_clock_was_set_back_gets_tasks(self):
+        """It names an earlier start than the process before it."""
+        self._start_process_with_clock_set_back()
         self._submit()
         self.world.run(LONG_WAIT_MS)
         self._check_runs_on('w0')
 
+    # Guards against a start anew beside a run, by a late announcement.
+    def test_run_goes_on_if_an_ended_process_with_a_later_start_is_heard(self):
+        deliver_announcement = self.world.deliver_announcement
+        self._start_process_with_clock_set_back()
+        self._submit()
+        self.world.run(LONG_WAIT_MS)
+        self._check_runs_on('w0')
+        ended_born_ms = self.world._dispatcher._state.fleet.get(
+            'w0'
+        ).record.ended_born_ms
+        self.assertGreater(ended_born_ms, 1)
+        self.world.add_worker('w1')
+        for changes_leader in (False, True):
+            if changes_leader:
+                self.world.start_leader()
+                self.world.run(3000)
+            deliver_announcement(
+                msgspec.structs.replace(
+                    self.world.last_announcement_by_worker['w0'],
+                    born_ms=ended_born_ms,
+                    sequence=10_000,
+                )
+            )
+            self.world.run(LONG_WAIT_MS)
+            self._check_runs_on('w0')
+            self.assertEqual(1, self.world.ledger.starts)
+
+    # Guards against a run that is taken for over while it goes on.
+    def test_late_announcement_of_an_earlier_process_replaces_none(self):
+        self.world.crash_worker('w0', 200)
+        self.world.run(4000)
+        self._submit()
+        self.world.run(2000)
+        self.world.add_worker('w1')
+        for number in range(20):
+            self.world.deliver_announcement(
+                msgspec.structs.replace(
+                    self.world.last_announcement_by_worker['w0'],
+                    born_ms=1,
+                    sequence=10_000 + number,
+                )
+            )
+            self.world.run(500)
+        self._check_runs_on('w0')
+        self.assertEqual(1, self.world.ledger.starts)
+
 
 class DriverReplyTest(unittest.TestCase):
     def test_order_without_a_free_descriptor_is_reported_as_silent(self):
