Show that a series of leaders never ends runs of a silent worker

Cause: each leader assumes that its predecessor gave a full lease right before it began, in the dispatcher (LeaseClock, from Fleet.adopt_worker) and in the batch scheduler (LeaseTracker). Nothing that is agreed tells for how long a worker has had no lease, so the wait begins anew with each leader.

A shorter wait by a clock of one leader alone could start a task twice.

--- a/tests/scheduling/test_leader_changes.py
+++ b/tests/scheduling/test_leader_changes.py
@@ -11,11 +11,11 @@
 LEADER_MS = 2_000
 
 
-def _advance_with_changes(cell, duration_ms):
+def _advance_with_changes(cell, duration_ms, silent_workers=()):
     """Advances a cell whose leader changes again and again."""
     for _ in range(duration_ms // LEADER_MS):
         cell.elect()
-        cell.advance(LEADER_MS)
+        cell.advance(LEADER_MS, silent_workers=silent_workers)
 
 
 class EvictionTest(unittest.TestCase):
@@ -61,5 +61,17 @@
         self.assertIn('large', [line.job_id for line in cell.ledger])
 
 
+class LeaseTest(unittest.TestCase):
+    # Guards against a lease that each leader assumes to begin with it.
+    def test_job_on_a_silent_worker_runs_elsewhere_though_leaders_change(self):
+        cell = _cell.Cell(2)
+        cell.advance(1000)
+        cell.submit(_cell.make_spec('job', command='sleep 100000000'))
+        cell.advance(2000)
+        lease_ms = cell.policy.lease_ms + cell.policy.lease_margin_ms
+        _advance_with_changes(cell, 3 * lease_ms, [cell.ledger[0].worker])
+        self.assertEqual(2, len(cell.ledger))
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/workflows/test_leader_changes.py
+++ b/tests/workflows/test_leader_changes.py
@@ -11,6 +11,8 @@
 MAX_WAIT_MS = 9000
 # Longest leases that the workers of a deployment may accept.
 LONGEST_LEASES_MS = (6000, 10_000)
+# Time for which each of a series of leaders leads.
+LEADER_MS = 2000
 
 
 class LeaderChangeTest(unittest.TestCase):
@@ -92,6 +94,15 @@
                 self.assertIn(worker, world.unreachable_workers)
                 self._check_runs_elsewhere(world, worker)
 
+    # Guards against a lease that each leader assumes to begin with it.
+    def test_task_of_worker_cut_off_runs_again_though_leaders_change(self):
+        world, worker = self._start_world(6000)
+        world.unreachable_workers.add(worker)
+        for _ in range(3 * MAX_WAIT_MS // LEADER_MS):
+            world.start_leader()
+            world.run(LEADER_MS)
+        self._check_runs_elsewhere(world, worker)
+
     def _cut_off_after_polls(self, world, worker, poll_count):
         """Cuts off a worker once its next process has answered some polls."""
         next_process_after_ms = world.now_ms
