Give a voter its place back if it answers before its removal commits

Change: once the removal of a silent voter is committed, the leader looks whether the voter has answered a round since it was appended. If so, the next change makes it a voter again with its identity, and the newcomer stands again with its true age.

--- a/fuchsiatrestle/agreement/_membership.py
+++ b/fuchsiatrestle/agreement/_membership.py
@@ -35,6 +35,9 @@
         self._newcomers_by_name = {}
         # Those identities that may take part in founding a group.
         self._founding_identities = set()
+        # (voter, newcomer, joining time, last answered round) of the silent
+        # voter whose removal was appended last, or None.
+        self._last_removal = None
         self._replacement = _replacement.VoterReplacement(replica, leader)
 
     def propose_change(self, change, member, newcomer=''):
@@ -57,14 +60,19 @@
         voters = self._make_changed_voters(change, member)
         if newcomer:
             voters = voters.without_newcomer(newcomer)
+        self._append_voters(
+            voters, self._replica.joined_ms_by_newcomer, change, member
+        )
+        return ''
+
+    def _append_voters(self, voters, joined_ms_by_newcomer, change, member):
         voters = voters.with_newcomer_ages(
-            self._replica.joined_ms_by_newcomer, self._replica.now_ms
+            joined_ms_by_newcomer, self._replica.now_ms
         )
         self._replica.append_as_leader('voters', _voters.encode_voters(voters))
         LOG.info('voters_changing', extra={'change': change, 'member': member})
         self._leader.track_members()
         self._leader.broadcast_entries()
-        return ''
 
     def _make_changed_voters(self, change, member):
         voters = self._replica.voters
@@ -152,6 +160,8 @@
         """
         if not self._leader.is_ready or not self._replica.voters_committed:
             return
+        if self._restore_voter():
+            return
         self._stop_tracking_removed_members()
         if (
             self._leader.is_transferring_leadership
@@ -179,13 +189,45 @@
             return False
         voter, newcomer = self._replacement.find_gone_voter()
         if voter:
-            return not self.propose_change('replace', voter, newcomer)
+            return self._remove_silent_voter(voter, newcomer)
         for learner in self._replica.voters.learners:
             silent_ms = self._leader.get_silent_ms(learner)
             if silent_ms >= self._replica.cfg.lost_voter_ms:
                 return not self.propose_change('replace', learner)
         return False
 
+    def _remove_silent_voter(self, voter, newcomer):
+        joined_ms = self._replica.joined_ms_by_newcomer.get(newcomer)
+        if self.propose_change('replace', voter, newcomer):
+            return False
+        progress = self._leader.progress_by_identity[voter]
+        self._last_removal = (voter, newcomer, joined_ms, progress.acked_round)
+        return True
+
+    def _restore_voter(self):
+        """Gives a voter its place back if it answered in time.
+
+        That is before the leader saw that its removal is committed.
+
+        Returns:
+            True if the change was appended.
+        """
+        if self._last_removal is None:
+            return False
+        voter, newcomer, joined_ms, acked_round = self._last_removal
+        self._last_removal = None
+        progress = self._leader.progress_by_identity.get(voter)
+        if progress is None or progress.acked_round == acked_round:
+            return False
+        if self._leader.is_transferring_leadership:
+            return False
+        voters = self._replica.voters.with_restored_voter(voter, newcomer)
+        joined_ms_by_newcomer = dict(self._replica.joined_ms_by_newcomer)
+        if newcomer in voters.newcomers:
+            joined_ms_by_newcomer[newcomer] = joined_ms
+        self._append_voters(voters, joined_ms_by_newcomer, 'restore', voter)
+        return True
+
     def remove_stopping_voter(self):
         """Removes a voter before its planned stop if a newcomer replaces it.
 
--- a/fuchsiatrestle/agreement/_voters.py
+++ b/fuchsiatrestle/agreement/_voters.py
@@ -116,6 +116,23 @@
         voters = self.without_member(identity)
         return voters._replace(replaced=voters.replaced + [identity])
 
+    def with_restored_voter(self, identity, newcomer):
+        """Returns a copy in which a replaced voter has its place again.
+
+        Args:
+            identity: identity of the voter, whose disk is the same.
+            newcomer: the newcomer that took its place; it is one again.
+        """
+        newcomers = self.newcomers
+        if newcomer in self.members:
+            newcomers = newcomers + [newcomer]
+        return self._replace(
+            voters=self.voters + [identity],
+            removed=_without(self.removed, identity),
+            replaced=_without(self.replaced, identity),
+            newcomers=newcomers,
+        )
+
     def without_newcomer(self, identity):
         """Returns a copy in which a member is no newcomer any more."""
         return self._replace(newcomers=_without(self.newcomers, identity))
--- a/tests/agreement/test_pauses.py
+++ b/tests/agreement/test_pauses.py
@@ -98,6 +98,42 @@
                 )
                 self.assertEqual([followers[0]], list(names))
 
+    def test_voter_heard_before_its_removal_is_committed_stays(self):
+        for seed in range(10):
+            group = cluster.Cluster(
+                NAMES, seed, replacement_runs.make_config(1)
+            )
+            self.assertTrue(group.run_until(lambda: group.leader, 6000))
+            group.may_found = False
+            leader = group.leader
+            paused = next(name for name in NAMES if name != leader)
+            identity = group.nodes[paused].replica.identity
+            replica = group.nodes[leader].replica
+            group.add_node('c4')
+            group.run(1000)
+            group.freeze(paused)
+            group.run_until(
+                lambda: replica.role.get_silent_ms(identity) >= 1400, 2000
+            )
+            for node in group.nodes.values():
+                node.slow_disk = True
+            self.assertTrue(
+                group.run_until(lambda: replica.voters.removed, PAUSE_MS)
+            )
+            self.assertFalse(replica.voters_committed)
+            group.resume(paused)
+            group.run(300)
+            for node in group.nodes.values():
+                node.slow_disk = False
+            group.run(1000)
+            with self.subTest(seed=seed):
+                voters = self._voters(group)
+                self.assertIn(identity, voters.voters)
+                self.assertEqual([], voters.removed)
+                self.assertIn('c4#', ''.join(voters.newcomers))
+                self.assertLess(2000, max(voters.newcomer_ages_ms.values()))
+            group.require_recovered()
+
 
 class NewcomerTest(unittest.TestCase):
     def test_replica_that_came_with_the_group_is_no_newcomer(self):
