Take a voter that was started again out of the planned stops

Cause: a remembered stop also removed a voter that had only been restarted as planned, if a newcomer was caught up within 3 s of its notice.

Change: a voter that answers a round sent later than 1 s after its notice is not stopping; a replica ends within that time of its notice.

--- a/fuchsiatrestle/agreement/_leader.py
+++ b/fuchsiatrestle/agreement/_leader.py
@@ -153,6 +153,15 @@
         lag_entries = self._replica.commit_index - progress.match_index
         return lag_entries <= self._replica.cfg.max_promote_lag_entries
 
+    def get_answered_round_sent_ms(self, identity):
+        """Returns when the newest round that a member answered was sent.
+
+        It is 0 if there is none, and for this leader.
+        """
+        if identity == self._replica.identity:
+            return 0
+        return max(0, self._get_acked_round_sent_ms(identity))
+
     def has_replicated(self, identity, index):
         """Returns True if a member has the log up to an index on disk."""
         progress = self.progress_by_identity.get(identity)
--- a/fuchsiatrestle/agreement/_membership.py
+++ b/fuchsiatrestle/agreement/_membership.py
@@ -239,7 +239,8 @@
         if not self._replica.cfg.auto_admit_unlisted:
             return False
         for voter in self._replica.voters.voters:
-            if not self._replica.is_stopping(voter):
+            heard_ms = self._leader.get_answered_round_sent_ms(voter)
+            if not self._replica.is_stopping(voter, heard_ms):
                 continue
             newcomer = self._replacement.find_newcomer_for(voter)
             if newcomer and not self.propose_change(
--- a/fuchsiatrestle/agreement/_replica.py
+++ b/fuchsiatrestle/agreement/_replica.py
@@ -21,6 +21,8 @@
 # A replica that told of its stop counts as stopping for this many times
 # ``replaced_voter_ms``; then its silence shows that it is gone.
 STOP_VALID_INTERVALS = 2
+# One that answers later than this time after its notice was started again.
+STOP_DURATION_MS = 1_000
 
 
 class Replica(core.Core):
@@ -335,10 +337,15 @@
         if identity in self.voters.voters:
             self._stop_ms_by_identity[identity] = self.now_ms
 
-    def is_stopping(self, identity):
-        """Returns True if a voter has lately told that it is about to stop."""
+    def is_stopping(self, identity, heard_ms=0):
+        """Returns True if a voter has lately told that it is about to stop.
+
+        Args:
+            identity: identity of the voter.
+            heard_ms: time at which it was heard last, if known.
+        """
         stop_ms = self._stop_ms_by_identity.get(identity)
-        if stop_ms is None:
+        if stop_ms is None or heard_ms > stop_ms + STOP_DURATION_MS:
             return False
         valid_ms = STOP_VALID_INTERVALS * self.cfg.replaced_voter_ms
         return self.now_ms - stop_ms < valid_ms
--- a/tests/agreement/test_replacement.py
+++ b/tests/agreement/test_replacement.py
@@ -145,6 +145,26 @@
             with self.subTest(seed=seed):
                 self.assertNotIn(gone, self._voter_names(group))
 
+    def test_voter_that_was_started_again_is_not_taken_for_stopping(self):
+        for seed in range(10):
+            group = self._start_group(['c1', 'c2', 'c3'], seed=seed)
+            voters = self._voters(group).voters
+            name = next(
+                name for name in group.node_names if name != group.leader
+            )
+            group.step(name, agreement.PrepareStop())
+            group.run(100)
+            group.kill(name)
+            group.run(900)
+            group.start(name)
+            group.run(400)
+            self._add_node(group, 'c4')
+            group.run(1000)
+            with self.subTest(seed=seed):
+                kept = self._voters(group).voters
+                self.assertEqual(set(voters), set(kept) & set(voters))
+                self.assertIn('c4', self._voter_names(group))
+
     def test_newcomer_that_leads_takes_the_place_of_a_gone_voter(self):
         for seed in range(10):
             group = self._start_group(['c1', 'c2', 'c3'], seed=seed)
