Show that leaders shorter than an announcement interval place nothing

Cause: a worker accepts placements only once it has announced itself to the present leader, which takes up to 1.5 s after each election.

Change: the case with elections at the times of the announcements is a test of its own, as the existing ones have the workers announce themselves between the elections.

--- a/tests/workflows/test_idle_workflows.py
+++ b/tests/workflows/test_idle_workflows.py
@@ -557,7 +557,7 @@
     def test_late_large_batch_task_gets_a_turn_if_little_is_free(self):
         self._check_late_batch(0.65)
 
-    def _check_leaders(self, share):
+    def _check_leaders(self, share, first_led_ms=LEADER_INTERVAL_MS // 2):
         world = _make_world(1, workers=4)
         _submit_serving(world, 's', {'f': HEAVY_SLOPE}, 4)
         _submit_lasting(
@@ -578,8 +578,8 @@
         _submit_late(
             world, 'late', BEST_EFFORT_CPU, 1500, image='f', fills=True
         )
-        # The workers announce themselves between the elections.
-        observer.run(LEADER_INTERVAL_MS // 2)
+        # The workers announce themselves at multiples of the interval.
+        observer.run(first_led_ms)
         for _ in range(LEADER_COUNT):
             world.start_leader()
             observer.run(LEADER_INTERVAL_MS)
@@ -592,6 +592,11 @@
     def test_waits_go_on_across_changes_of_leader_if_little_is_free(self):
         self._check_leaders(0.65)
 
+    def test_waits_go_on_across_leaders_that_get_announcements_at_their_end(
+        self,
+    ):
+        self._check_leaders(0.35, first_led_ms=0)
+
 
 class _RandomRun:
     """A run with random shares, images, workflows and faults.
