--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -48,6 +48,8 @@
         state: ``ready``, ``draining`` or ``withdrawn``.
         last_announced_ms: time of its last announcement to this leader, None
             before the first.
+        earlier_record: ``WorkerRecord`` from an announcement that names an
+            earlier start and came after the last one of this process, or None.
         announcement_sequence: number of its newest announcement.
         withdrawn_ms: when it first announced that its process will end, or
             None.
@@ -84,6 +86,7 @@
         'acknowledged_end_number',
         'capacity',
         'collected_end_number',
+        'earlier_record',
         'failed_start_count',
         'failed_start_ms',
         'has_seen_token',
@@ -111,6 +114,7 @@
         self.record = record
         self.state = READY
         self.last_announced_ms = None
+        self.earlier_record = None
         self.announcement_sequence = -1
         self.withdrawn_ms = None
         self.lease_clock = lease_clock
@@ -138,6 +142,10 @@
         """Id of the worker."""
         return self.record.worker
 
+    def is_of_later_process(self, born_ms):
+        """True if a start time is later than those of all known processes."""
+        return born_ms > max(self.record.born_ms, self.record.ended_born_ms)
+
     # Runs
 
     def add_run(self, run):
@@ -165,6 +173,20 @@
         run.is_pace_limited = False
         self.capacity.reserve(run)
 
+    def update_cpu_sharing(self, now_ms):
+        """Gives runs that share processor time their own, the oldest first.
+
+        Args:
+            now_ms: monotonic time.
+        """
+        for run in [run for run in self.runs.values() if run.shares_cpu]:
+            self.capacity.release(run)
+            if self.capacity.unused_cpu >= run.step.cpu:
+                run.end_cpu_sharing()
+            elif self.capacity.best_effort_limit >= run.step.cpu:
+                run.claims_cpu = run.claims_cpu or run.is_claim_due(now_ms)
+            self.capacity.reserve(run)
+
     def update_record(self, record):
         """Replaces the record by one that the same process has announced."""
         self.record = record
