--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -176,16 +176,29 @@
     def update_cpu_sharing(self, now_ms):
         """Gives runs that share processor time their own, the oldest first.
 
+        One of them at a time claims it, so that other runs keep most of it.
+
         Args:
             now_ms: monotonic time.
         """
-        for run in [run for run in self.runs.values() if run.shares_cpu]:
+        sharing_runs = [run for run in self.runs.values() if run.shares_cpu]
+        for run in sharing_runs:
             self.capacity.release(run)
             if self.capacity.unused_cpu >= run.step.cpu:
                 run.end_cpu_sharing()
-            elif self.capacity.best_effort_limit >= run.step.cpu:
-                run.claims_cpu = run.claims_cpu or run.is_claim_due(now_ms)
             self.capacity.reserve(run)
+        if any(run.claims_cpu for run in sharing_runs):
+            return
+        for run in sharing_runs:
+            if (
+                run.shares_cpu
+                and run.is_claim_due(now_ms)
+                and run.step.cpu <= self.capacity.best_effort_limit
+            ):
+                self.capacity.release(run)
+                run.claims_cpu = True
+                self.capacity.reserve(run)
+                return
 
     def update_record(self, record):
         """Replaces the record by one that the same process has announced."""
