Give tasks to the process that follows one whose clock was set back

A process whose start lies between that of the present one and that of the ended one counted as neither later nor earlier, so it was not polled. Any other start that is announced now has the worker polled; the start in its answer tells which one runs.

test_process_that_follows_one_whose_clock_was_set_back_gets_tasks failed before: no task ran.

--- a/fuchsiatrestle/workflows/_announcing.py
+++ b/fuchsiatrestle/workflows/_announcing.py
@@ -55,10 +55,9 @@
                 worker, _fleet.record_from_announcement(announcement)
             )
         elif announcement.born_ms != worker.record.born_ms:
-            if announcement.born_ms < worker.record.born_ms:
-                worker.earlier_record = _fleet.record_from_announcement(
-                    announcement
-                )
+            worker.earlier_record = _fleet.record_from_announcement(
+                announcement
+            )
             self._log_ignored_announcement(worker, announcement)
             return
         elif announcement.sequence <= worker.announcement_sequence:
--- a/tests/workflows/test_unbounded_waits.py
+++ b/tests/workflows/test_unbounded_waits.py
@@ -215,6 +215,22 @@
             self._check_runs_on('w0')
             self.assertEqual(1, self.world.ledger.starts)
 
+    def test_process_that_follows_one_whose_clock_was_set_back_gets_tasks(
+        self,
+    ):
+        deliver_announcement = self.world.deliver_announcement
+        report_reply = self.world._report_reply
+        self._start_process_with_clock_set_back()
+        self.world.deliver_announcement = deliver_announcement
+        self.world._report_reply = report_reply
+        self._replace_announcements(born_ms=2)
+        self._replace_reply_fields(born_ms=2)
+        self.world.crash_worker('w0', 200)
+        self.world.run(4000)
+        self._submit()
+        self.world.run(LONG_WAIT_MS)
+        self._check_runs_on('w0')
+
     # Guards against a run that is taken for over while it goes on.
     def test_late_announcement_of_an_earlier_process_replaces_none(self):
         self.world.crash_worker('w0', 200)
