--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -160,6 +160,8 @@
             if run.is_best_effort:
                 self._adopt_pace(run, worker)
             worker.add_run(run)
+        for worker in self._state.fleet:
+            worker.adopt_cpu_sharing()
         LOG.info(
             'dispatch_started',
             extra={
@@ -591,9 +593,10 @@
         pools = {worker.record.pool for worker in self._state.fleet}
         for pool in sorted(pools):
             pool_round = self._find_pool_round(round_by_pool, pool)
-            for worker in self._limited_runs.stop_runs_for_others(
-                pool_round
-            ) + self._limited_runs.stop_runs_to_move(pool_round):
+            for worker in self._limited_runs.stop_runs_for_others(pool_round):
+                self._send_due_orders(worker)
+            worker = self._limited_runs.stop_run_to_move(pool_round)
+            if worker is not None:
                 self._send_due_orders(worker)
             for (
                 group,
--- a/fuchsiatrestle/workflows/_limited_runs.py
+++ b/fuchsiatrestle/workflows/_limited_runs.py
@@ -36,7 +36,6 @@
         self._further_task_placer = _placement.LeastDisturbance(
             interference_model, shares_cpu=False
         )
-        self._unlimited_placer = _placement.BestFit(interference_model)
         # For tasks of a workflow of which nothing runs.
         self._shared_cpu_placer = _placement.SharedCpu(interference_model)
 
@@ -88,7 +87,7 @@
             )
             if not group.step.gang:
                 group = group.first_task_alone()
-            if not group.workflow.is_running:
+            if not group.workflow.is_running and not group.step.gang:
                 assignments = self._shared_cpu_placer.choose_workers(
                     group, workers
                 )
@@ -111,14 +110,17 @@
         """
         task_id = group.waiting_task_ids[0]
         return any(
-            self._interference_model.worst_severity(
-                worker.serving_images, group.step.image
-            )
-            == _interference.Severity.LIGHT
+            self._disturbs_nothing(group.step, worker)
             and _placement.has_room(group.step, task_id, worker)
             for worker in workers
         )
 
+    def _disturbs_nothing(self, step, worker):
+        severity = self._interference_model.worst_severity(
+            worker.serving_images, step.image
+        )
+        return severity == _interference.Severity.LIGHT
+
     def stop_runs_for_others(self, pool_round):
         """Stops runs with a limited pace whose memory other tasks wait for.
 
@@ -144,30 +146,38 @@
                     break
         return stopping_workers
 
-    def stop_runs_to_move(self, pool_round):
-        """Stops runs with a limited pace that another worker ends sooner.
+    def stop_run_to_move(self, pool_round):
+        """Stops one run with a limited pace that ends sooner elsewhere.
+
+        The other worker has unused processor time for it, and its image
+        disturbs nothing there.
 
         Args:
             pool_round: the ``PlacementRound``, after all groups were tried.
 
         Returns:
-            A list of the ``Worker`` values with stopped runs, one run each.
+            The ``Worker`` of the stopped run, None if there is none.
         """
-        stopping_workers = []
         for worker in pool_round.usable_workers:
-            run = next(filter(worker.is_slow_run, _limited_runs(worker)), None)
-            if run is None:
-                continue
-            task_id = run.live_run.task
-            if any(
-                self._unlimited_placer.find_obstacle(run.step, task_id, other)
-                is None
-                for other in pool_round.usable_workers
-                if other is not worker
-            ):
-                self._dispatch_state.stop_run(run, 'moved')
-                stopping_workers.append(worker)
-        return stopping_workers
+            for run in _limited_runs(worker):
+                if (
+                    not run.step.gang
+                    and worker.is_slow_run(run)
+                    and self._suits_another(run, worker, pool_round)
+                ):
+                    self._dispatch_state.stop_run(run, 'moved')
+                    return worker
+        return None
+
+    def _suits_another(self, run, worker, pool_round):
+        task_id = run.live_run.task
+        return any(
+            other is not worker
+            and run.step.cpu <= other.capacity.unused_cpu
+            and self._disturbs_nothing(run.step, other)
+            and _placement.has_room(run.step, task_id, other)
+            for other in pool_round.usable_workers
+        )
 
     def _stop_runs_for(self, group, worker):
         """Returns True if it stops runs with whose memory a group fits."""
--- /dev/null
+++ b/tests/workflows/test_limited_runs.py
@@ -0,0 +1,109 @@
+"""Checks which runs with a limited pace are stopped to move."""
+
+import unittest
+
+from fuchsiatrestle.state import workflows
+from fuchsiatrestle.workflows import _clock
+from fuchsiatrestle.workflows import _fleet
+from fuchsiatrestle.workflows import _interference
+from fuchsiatrestle.workflows import _limited_runs
+from fuchsiatrestle.workflows import _pacing
+from fuchsiatrestle.workflows import _runs
+from fuchsiatrestle.workflows import _waiting
+
+WORKER_CPU = 10_000
+
+
+class _DispatchState:
+    """Stand-in for ``DispatchState`` that lists the stopped runs."""
+
+    def __init__(self):
+        self.now_ms = 0
+        self.stopped_runs = []
+
+    def stop_run(self, run, reason):
+        """Records a stopped run."""
+        self.stopped_runs.append(run)
+
+
+class _Round:
+    """Stand-in for ``PlacementRound``.
+
+    Args:
+        usable_workers: list of ``Worker``.
+    """
+
+    def __init__(self, usable_workers):
+        self.usable_workers = usable_workers
+
+
+class MoveTest(unittest.TestCase):
+    def setUp(self):
+        self.model = _interference.InterferenceModel()
+        self.model.adopt_image_pairs([workflows.ImagePair('s', 'f', True)])
+        self.state = _DispatchState()
+        self.planner = _limited_runs.LimitedRunPlanner(
+            self.state, self.model, _waiting.WaitTimes()
+        )
+        self.workers = [self._make_worker(name) for name in ('w0', 'w1')]
+        self._add_serving_run(self.workers[0])
+
+    def _make_worker(self, name):
+        record = workflows.WorkerRecord(
+            name, 1, f'{name}:1', 'pool', 'dc', WORKER_CPU, 100_000, 0, []
+        )
+        return _fleet.Worker(record, _clock.LeaseClock(5000))
+
+    def _add_run(self, worker, step, index=0):
+        task_id = workflows.TaskId(step.image, 0, 0, index)
+        live_run = workflows.LiveRun(task_id, 1, worker.record.worker, 1)
+        run = _runs.Run(live_run, step, _runs.Phase.RUNNING)
+        worker.add_run(run)
+        return run
+
+    def _add_serving_run(self, worker):
+        step = workflows.Step(
+            1, cpu=1000, lasts=True, image='s', tail_target_ms=100
+        )
+        self._add_run(worker, step)
+
+    def _add_limited_runs(self, count, **fields):
+        """Puts runs at a limited pace beside the serving one."""
+        worker = self.workers[0]
+        step = workflows.Step(
+            count, cpu=6000, memory_mb=10, image='f', fills=True, **fields
+        )
+        runs = []
+        for index in range(count):
+            run = self._add_run(worker, step, index)
+            run.limit_pace()
+            runs.append(run)
+        worker.pace_control = _pacing.PaceControl(self.model, 'w0')
+        worker.pace_control.decide_paces(
+            list(worker.runs.values()), WORKER_CPU, 0
+        )
+        return runs
+
+    def test_one_of_many_runs_moves_at_a_time(self):
+        runs = self._add_limited_runs(3)
+        self.planner.stop_run_to_move(_Round(self.workers))
+        self.assertEqual(runs[:1], self.state.stopped_runs)
+
+    def test_member_of_a_gang_is_not_stopped_to_move(self):
+        self._add_limited_runs(3, gang=True)
+        self.planner.stop_run_to_move(_Round(self.workers))
+        self.assertEqual([], self.state.stopped_runs)
+
+    def test_run_does_not_move_to_a_worker_that_it_may_disturb(self):
+        self._add_limited_runs(1)
+        self.model.adopt_image_pairs([workflows.ImagePair('t', 'f', True)])
+        step = workflows.Step(
+            1, cpu=1000, lasts=True, image='t', tail_target_ms=100
+        )
+        self._add_run(self.workers[1], step)
+        self.planner.stop_run_to_move(_Round(self.workers))
+        self.assertEqual([], self.state.stopped_runs)
+
+
+if __name__ == '__main__':
+    unittest.main()
