Adopt shared processor time, end claims that can't be met, halt sharers first

A new leader has the newest runs of a worker share again, as far as they need more than there is. Where a tail is disturbed, runs that share are halted half a second before others, which may suffice. New tests in test_cpu_sharing.

--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -5,6 +5,7 @@
 from fuchsiatrestle.workflows import _capacity
 from fuchsiatrestle.workflows import _clock
 from fuchsiatrestle.workflows import _events
+from fuchsiatrestle.workflows import _runs
 
 __all__ = (
     'Fleet',
@@ -186,6 +187,8 @@
             self.capacity.release(run)
             if self.capacity.unused_cpu >= run.step.cpu:
                 run.end_cpu_sharing()
+            elif not self._may_claim_cpu(run):
+                run.claims_cpu = False
             self.capacity.reserve(run)
         if any(run.claims_cpu for run in sharing_runs):
             return
@@ -193,13 +196,38 @@
             if (
                 run.shares_cpu
                 and run.is_claim_due(now_ms)
-                and run.step.cpu <= self.capacity.best_effort_limit
+                and self._may_claim_cpu(run)
             ):
                 self.capacity.release(run)
                 run.claims_cpu = True
                 self.capacity.reserve(run)
                 return
 
+    def _may_claim_cpu(self, run):
+        """True if enough processor time may get free for a run."""
+        return (
+            run.phase == _runs.Phase.RUNNING
+            and run.step.cpu <= self.capacity.best_effort_limit
+        )
+
+    def adopt_cpu_sharing(self):
+        """Has the newest runs share processor time if there is not enough.
+
+        An earlier leader placed them so.
+        """
+        newest_runs = sorted(
+            (run for run in self.runs.values() if run.is_best_effort),
+            key=lambda run: run.live_run.placed_ms,
+            reverse=True,
+        )
+        for run in newest_runs:
+            if self.capacity.unused_cpu >= 0:
+                return
+            if run.takes_cpu:
+                self.capacity.release(run)
+                run.share_cpu()
+                self.capacity.reserve(run)
+
     def update_record(self, record):
         """Replaces the record by one that the same process has announced."""
         self.record = record
--- a/fuchsiatrestle/workflows/_pacing.py
+++ b/fuchsiatrestle/workflows/_pacing.py
@@ -154,6 +154,7 @@
             run
             for run in best_effort_runs
             if self._severity(serving_images, run) != _Severity.LIGHT
+            or _may_be_halted_first(run)
         ]
         if self._worst_tail_ratio >= HALT_SUSPECTS_RATIO and suspect_runs:
             self._halt_runs(suspect_runs, now_ms)
@@ -247,6 +248,14 @@
         )
 
 
+def _may_be_halted_first(run):
+    """True for a run that shares processor time and is not halted yet.
+
+    Without it the others may leave the tail calm.
+    """
+    return run.shares_cpu and run.wanted_pace_percent != HALTED_PACE_PERCENT
+
+
 def _must_move(run, now_ms, *, is_due):
     """True if a run that is to be halted has to be stopped instead.
 
--- a/fuchsiatrestle/workflows/_waiting.py
+++ b/fuchsiatrestle/workflows/_waiting.py
@@ -58,7 +58,7 @@
             now_ms: monotonic time.
             wall_ms: time since the epoch.
         """
-        epoch_ms = wall_ms - now_ms
+        wall_offset_ms = wall_ms - now_ms
         self._seen_since_ms_by_task = {
             task_id: self._seen_since_ms_by_task.get(task_id, now_ms)
             for group in groups
@@ -69,7 +69,7 @@
             task_id: _find_start(
                 self._seen_since_ms_by_task[task_id],
                 group.workflow.task_idle_since_ms(task_id),
-                epoch_ms,
+                wall_offset_ms,
             )
             for group in groups
             if group.step.lasts
@@ -81,7 +81,7 @@
                 group.workflow.idle_since_ms(
                     group.occurrence, group.step_number
                 ),
-                epoch_ms,
+                wall_offset_ms,
             )
             for group in groups
             if not group.step.lasts
@@ -150,18 +150,18 @@
         return self.longest_wait_ms(group, now_ms) >= OVERDUE_BESIDE_RUNS_MS
 
 
-def _find_start(measured_ms, idle_since_ms, epoch_ms):
+def _find_start(measured_ms, idle_since_ms, wall_offset_ms):
     """Returns since when something waits, as monotonic time.
 
     Args:
         measured_ms: the monotonic time from which this leader has measured.
         idle_since_ms: agreed time since the epoch from which nothing of it is
             live, None if a run is.
-        epoch_ms: the epoch, as monotonic time of this leader, negated.
+        wall_offset_ms: time since the epoch at monotonic time 0.
     """
     if idle_since_ms is None:
         return measured_ms
-    return min(measured_ms, idle_since_ms - epoch_ms)
+    return min(measured_ms, idle_since_ms - wall_offset_ms)
 
 
 class WaitingLog:
--- a/tests/workflows/test_cpu_sharing.py
+++ b/tests/workflows/test_cpu_sharing.py
@@ -58,6 +58,49 @@
         self.assertTrue(self.sharing_run.claims_cpu)
         self.assertEqual(-1000, self.worker.capacity.unused_cpu)
 
+    def test_runs_claim_cpu_one_at_a_time(self):
+        other_run = _add_run(self.worker, 'other', 3000, shares_cpu=True)
+        for _ in range(2):
+            self.worker.update_cpu_sharing(_runs.MAX_SHARED_MS)
+        self.assertTrue(self.sharing_run.claims_cpu)
+        self.assertFalse(other_run.claims_cpu)
+
+    def test_claim_ends_when_too_little_is_left_for_it(self):
+        self.worker.update_cpu_sharing(_runs.MAX_SHARED_MS)
+        self.assertTrue(self.sharing_run.claims_cpu)
+        live_run = workflows.LiveRun(workflows.TaskId('l', 0, 0, 0), 1, 'w', 1)
+        step = workflows.Step(1, cpu=8000, memory_mb=10, lasts=True)
+        self.worker.add_run(_runs.Run(live_run, step, _runs.Phase.RUNNING))
+        self.worker.update_cpu_sharing(2 * _runs.MAX_SHARED_MS)
+        self.assertFalse(self.sharing_run.claims_cpu)
+
+    def test_next_leader_does_not_let_all_runs_run_at_full_pace(self):
+        worker = _make_worker()
+        runs = [_add_run(worker, f'{name}', 4000) for name in range(4)]
+        worker.adopt_cpu_sharing()
+        self.assertEqual(2, sum(run.shares_cpu for run in runs))
+        self.assertEqual(2000, worker.capacity.unused_cpu)
+
+    def test_runs_that_share_are_halted_before_others(self):
+        model = _interference.InterferenceModel()
+        control = _pacing.PaceControl(model)
+        step = workflows.Step(
+            1, cpu=1, lasts=True, image='s', tail_target_ms=100
+        )
+        live_run = workflows.LiveRun(workflows.TaskId('s', 0, 0, 0), 1, 'w', 1)
+        serving_run = _runs.Run(live_run, step, _runs.Phase.RUNNING)
+        serving_run.measurement = 120
+        runs = [serving_run, self.busy_run, self.sharing_run]
+        model.adopt_image_pairs([workflows.ImagePair('s', 'f', False)])
+        control.decide_paces(runs, WORKER_CPU, 1000)
+        paces = (
+            self.busy_run.wanted_pace_percent,
+            self.sharing_run.wanted_pace_percent,
+        )
+        self.assertEqual((FULL_PACE_PERCENT, 0), paces)
+        control.decide_paces(runs, WORKER_CPU, 1500)
+        self.assertEqual(0, self.busy_run.wanted_pace_percent)
+
     def test_calm_tail_does_not_end_sharing(self):
         control = _pacing.PaceControl(_interference.InterferenceModel())
         control.decide_paces(list(self.worker.runs.values()), WORKER_CPU, 1000)
