--- a/fuchsiatrestle/workflows/_backlog.py
+++ b/fuchsiatrestle/workflows/_backlog.py
@@ -5,8 +5,9 @@
 the workflow ends, if the group started now.  A group with negative slack is
 late.  Groups of interrupted tasks come first, then groups that are not late,
 then late ones; those so late that their workflow earns nothing come last, but
-they are never dropped.  Within each of these classes, groups are ordered by
-the priority of their queue and then by their slack, the least first.
+they are never dropped, and may get a turn (see ``_turns``).  Within each of
+these classes, groups are ordered by the priority of their queue and then by
+their slack, the least first.
 
 Long-running tasks never count as late.  One that ran before is interrupted
 while it waits, and goes before all other groups whatever its priority: its
--- a/fuchsiatrestle/workflows/_limited_runs.py
+++ b/fuchsiatrestle/workflows/_limited_runs.py
@@ -2,7 +2,14 @@
 
 Whether an image disturbs serving tasks is estimated from its runs beside them.
 An estimate that keeps an image off every worker is examined again only by
-running the image, so it must not keep its tasks waiting without a bound.
+running the image, so it must not keep its tasks waiting without a bound.  Nor
+must tasks that are placed before others and use all processor time.
+
+A task of a workflow of which nothing runs therefore shares processor time on a
+worker where its image disturbs nothing: it runs slowly beside the other runs,
+then claims the time that gets free next, and has it for itself in the end (see
+``Run.shares_cpu`` and ``Worker.update_cpu_sharing``).  If the image disturbs
+serving tasks everywhere, the pace of the run is limited by their tails.
 """
 
 from fuchsiatrestle.workflows import _interference
--- a/fuchsiatrestle/workflows/_turns.py
+++ b/fuchsiatrestle/workflows/_turns.py
@@ -3,8 +3,8 @@
 Groups are placed by lateness, priority and slack.  New groups that go before
 a late one may keep coming and take all room as it gets free.  So a workflow
 of which nothing has run for a while gets a turn: one of its tasks is placed
-before the groups that are in time, whatever is reserved.  The workflow that
-has waited longest comes first.
+before the groups that are in time, whatever their priority and whatever is
+reserved.  The workflow that has waited longest comes first.
 
 Best-effort tasks need no turn, as they reserve no processor time: they share
 it, see ``_limited_runs``.
