Move runs that share processor time to workers that have some, or for memory

Both rules now hold for it, too: one run moves at a time, to a worker where it disturbs nothing and has its processor time.

test_run_that_shares_cpu_moves_to_an_empty_worker failed before.

--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -33,11 +33,11 @@
 # Time without new tasks for a worker that refused or did not answer an order.
 PLACEMENT_PAUSE_MS = 1500
 
-LOG = logs.get_logger(__name__)
-
 # A run is moved if it ends this many times sooner elsewhere.
 MIN_GAIN_FACTOR = 2
 
+LOG = logs.get_logger(__name__)
+
 
 class Worker:
     """One process of a worker, from its start to its end.
@@ -301,9 +301,12 @@
         Args:
             run: a ``Run`` on the worker whose pace is limited.
         """
-        if self.pace_control is None:
+        if run.shares_cpu:
+            pace_percent = _runs.SHARED_PACE_PERCENT
+        elif self.pace_control is not None:
+            pace_percent = self.pace_control.find_limit_percent(run.step.image)
+        else:
             return False
-        pace_percent = self.pace_control.find_limit_percent(run.step.image)
         remaining_percent = 100 - run.progress_percent
         return remaining_percent > MIN_GAIN_FACTOR * pace_percent
 
--- a/fuchsiatrestle/workflows/_limited_runs.py
+++ b/fuchsiatrestle/workflows/_limited_runs.py
@@ -200,9 +200,10 @@
 
 
 def _limited_runs(worker):
-    """Returns the runs of a worker whose pace is limited."""
+    """Returns the runs of a worker whose pace is limited, for any reason."""
     return [
         run
         for run in worker.runs.values()
-        if run.is_pace_limited and run.phase == _runs.Phase.RUNNING
+        if (run.is_pace_limited or run.shares_cpu)
+        and run.phase == _runs.Phase.RUNNING
     ]
--- a/tests/workflows/test_limited_runs.py
+++ b/tests/workflows/test_limited_runs.py
@@ -94,6 +94,13 @@
         self.planner.stop_run_to_move(_Round(self.workers))
         self.assertEqual([], self.state.stopped_runs)
 
+    def test_run_that_shares_cpu_moves_to_an_empty_worker(self):
+        step = workflows.Step(1, cpu=6000, memory_mb=10, image='f', fills=True)
+        run = self._add_run(self.workers[0], step)
+        run.share_cpu()
+        self.planner.stop_run_to_move(_Round(self.workers))
+        self.assertEqual([run], self.state.stopped_runs)
+
     def test_run_does_not_move_to_a_worker_that_it_may_disturb(self):
         self._add_limited_runs(1)
         self.model.adopt_image_pairs([workflows.ImagePair('t', 'f', True)])
