Answer requests on connections that were not accepted before a planned stop

Callers saw a request cut by a planned stop: a connection that a client had opened, with its whole request sent, but that the entry had not accepted yet was reset when the listener closed.

--- a/fuchsiatrestle/net/_http_server.py
+++ b/fuchsiatrestle/net/_http_server.py
@@ -97,6 +97,7 @@
         """
         self.is_stopping = True
         await self._tasks[0].cancel()
+        await self._accept_waiting_connections()
         await self._listener_sock.close()
         stop_started_s = time.monotonic()
         while self._connections:
@@ -128,9 +129,31 @@
                 LOG.warning('accept_failed', extra={'error': str(exc)})
                 await curio.sleep(SWEEP_INTERVAL_S)
                 continue
-            if len(self._connections) >= self.limits.connections:
-                self._refuse_connection(sock)
-                continue
+            await self._start_or_refuse_connection(sock)
+
+    async def _accept_waiting_connections(self):
+        """Accepts the connections that clients have opened by now.
+
+        They would be reset when the listener closes, and the requests on them
+        lost.
+        """
+        listener_sock = self._listener_sock._socket
+        if listener_sock is None:
+            return  # It was stopped before.
+        for _ in range(LISTEN_BACKLOG_CONNECTIONS):
+            try:
+                sock, _ = listener_sock.accept()
+            except BlockingIOError:
+                return
+            except OSError as exc:
+                LOG.warning('accept_failed', extra={'error': str(exc)})
+                return
+            await self._start_or_refuse_connection(curio.io.Socket(sock))
+
+    async def _start_or_refuse_connection(self, sock):
+        if len(self._connections) >= self.limits.connections:
+            self._refuse_connection(sock)
+        else:
             await self._start_connection(sock)
 
     async def _start_connection(self, sock):
--- a/tests/net/test_http.py
+++ b/tests/net/test_http.py
@@ -181,6 +181,19 @@
 
         self._run(scenario)
 
+    def test_planned_stop_answers_request_that_was_not_accepted_yet(self):
+        async def scenario(server, handler, address):
+            await curio.sleep(0.05)
+            with socket.create_connection(
+                (address.host, address.port)
+            ) as sock:
+                sock.sendall(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
+                await server.stop(1.0)
+                sock.settimeout(1)
+                self.assertIn(b'200', sock.recv(4096))
+
+        self._run(scenario)
+
     def test_planned_stop_finishes_requests_in_progress(self):
         async def scenario(server, handler, address):
             client = http.Client(address)
