Bound the workers that a round of shared processor time looks at

It is not traced; suspected is the leader's processor time, as each round tried every overdue group on all workers, and every run with a limited pace against all others.

A round looks at 10,000 workers over all groups at most, the longest wait first, and looks for a worker to move to only if some has enough processor time unused. test_round_of_a_large_service_tries_the_longest_wait_only is new.

--- a/fuchsiatrestle/workflows/_limited_runs.py
+++ b/fuchsiatrestle/workflows/_limited_runs.py
@@ -20,6 +20,9 @@
 
 # Shortest time between two rounds; a round is costly while many groups wait.
 ROUND_INTERVAL_MS = 500
+# Largest number of workers that a round looks at, over all its groups; it
+# bounds the processor time of a round in a large service.
+MAX_CANDIDATES = 10_000
 
 
 class LimitedRunPlanner:
@@ -85,10 +88,7 @@
             The ``Group``, the task id, the ``Worker``, and True if the pace
             is to be limited.
         """
-        for group in pool_round.waiting_groups:
-            placer = None if group.is_suspected else self.find_placer(group)
-            if placer is None:
-                continue
+        for group, placer in self._find_overdue_groups(pool_round):
             workers = pool_round.workers_for(
                 group.step, ignores_reservations=True
             )
@@ -110,6 +110,26 @@
             for task_id, worker in placer.choose_workers(group, workers):
                 yield group, task_id, worker, True
 
+    def _find_overdue_groups(self, pool_round):
+        """Returns (``Group``, ``Placer``) pairs, the longest wait first."""
+        groups_and_placers = [
+            (group, self.find_placer(group))
+            for group in pool_round.waiting_groups
+            if not group.is_suspected
+        ]
+        groups_and_placers = [
+            (group, placer)
+            for group, placer in groups_and_placers
+            if placer is not None
+        ]
+        now_ms = self._dispatch_state.now_ms
+        groups_and_placers.sort(
+            key=lambda pair: self._wait_times.longest_wait_ms(pair[0], now_ms),
+            reverse=True,
+        )
+        worker_count = max(1, len(pool_round.usable_workers))
+        return groups_and_placers[: max(1, MAX_CANDIDATES // worker_count)]
+
     def _suits_any(self, group, workers):
         """True if an image is known to disturb nothing on a worker with room.
 
@@ -165,10 +185,18 @@
         Returns:
             The ``Worker`` of the stopped run, None if there is none.
         """
+        most_unused_cpu = max(
+            (
+                worker.capacity.unused_cpu
+                for worker in pool_round.usable_workers
+            ),
+            default=0,
+        )
         for worker in pool_round.usable_workers:
             for run in _limited_runs(worker):
                 if (
-                    not run.step.gang
+                    run.step.cpu <= most_unused_cpu
+                    and not run.step.gang
                     and worker.is_slow_run(run)
                     and self._suits_another(run, worker, pool_round)
                 ):
--- a/tests/workflows/test_limited_runs.py
+++ b/tests/workflows/test_limited_runs.py
@@ -1,8 +1,10 @@
 """Checks which runs with a limited pace are stopped to move."""
 
 import unittest
+from unittest import mock
 
 from fuchsiatrestle.state import workflows
+from fuchsiatrestle.workflows import _backlog
 from fuchsiatrestle.workflows import _clock
 from fuchsiatrestle.workflows import _fleet
 from fuchsiatrestle.workflows import _interference
@@ -33,8 +35,72 @@
         usable_workers: list of ``Worker``.
     """
 
-    def __init__(self, usable_workers):
+    def __init__(self, usable_workers, waiting_groups=()):
         self.usable_workers = usable_workers
+        self.waiting_groups = waiting_groups
+
+    def workers_for(self, step, *, ignores_reservations):
+        """Returns all workers."""
+        return self.usable_workers
+
+
+class _WaitTimes:
+    """Stand-in for ``WaitTimes``: each group waits for its own time."""
+
+    def longest_wait_ms(self, group, now_ms):
+        """Returns the wait of a group."""
+        return group.workflow.wait_ms
+
+    def is_overdue(self, group, now_ms):
+        """Returns True for all groups."""
+        return True
+
+
+class _IdleWorkflow:
+    """Stand-in for a ``Workflow`` of which nothing runs.
+
+    Args:
+        workflow_id: its id.
+        wait_ms: for how long it has waited.
+    """
+
+    is_running = False
+
+    def __init__(self, workflow_id, wait_ms):
+        self.workflow_id = workflow_id
+        self.wait_ms = wait_ms
+        step = workflows.Step(1, cpu=1000, image='f', fills=True)
+        self.spec = workflows.WorkflowSpec('', [step])
+
+    def has_live_run(self, occurrence, step_number):
+        """Returns False."""
+        return False
+
+
+class LimitTest(unittest.TestCase):
+    def test_round_of_a_large_service_tries_the_longest_wait_only(self):
+        record = workflows.WorkerRecord(
+            'w', 1, 'w:1', 'pool', 'dc', WORKER_CPU, 100_000, 0, []
+        )
+        worker = _fleet.Worker(record, _clock.LeaseClock(5000))
+        planner = _limited_runs.LimitedRunPlanner(
+            _DispatchState(), _interference.InterferenceModel(), _WaitTimes()
+        )
+        groups = [
+            _backlog.Group(
+                _IdleWorkflow(name, wait_ms),
+                0,
+                0,
+                [workflows.TaskId(name, 0, 0, 0)],
+            )
+            for name, wait_ms in (('short', 3000), ('long', 9000))
+        ]
+        pool_round = _Round([worker], groups)
+        with mock.patch.object(_limited_runs, 'MAX_CANDIDATES', 1):
+            chosen = list(planner.choose_workers(pool_round))
+        self.assertEqual(
+            ['long'], [group.workflow.workflow_id for group, *_ in chosen]
+        )
 
 
 class MoveTest(unittest.TestCase):
