Take no uptime from two starts when the time of day was set back between

Found when the change was read again. Since a process whose start lies between those of the present and of the ended one is accepted. The uptime of the present one, which bounds the leases in starts that may still arrive, was then taken as the difference of the two starts, which may be far too short: a run could count as over while a late start of it may still be carried out.

The clock of the process tells its uptime then, as for an earlier start; while that clock is not known, no lease is proof. Such a run waits longer, without a figure. test_uptime_of_a_process_is_not_told_by_starts_after_a_set_back_clock failed before: 1 ms in place of 60,000.

--- a/fuchsiatrestle/workflows/_announcing.py
+++ b/fuchsiatrestle/workflows/_announcing.py
@@ -246,8 +246,9 @@
         record: ``WorkerRecord`` of the next process.
         now_ms: monotonic time.
     """
-    if record.born_ms > previous_worker.record.born_ms:
+    if previous_worker.is_of_later_process(record.born_ms):
         return record.born_ms - previous_worker.record.born_ms
+    # The time of day was set back, so the two starts do not tell.
     max_clock_ms = previous_worker.lease_clock.max_clock_ms(now_ms)
     return MAX_UPTIME_MS if max_clock_ms is None else round(max_clock_ms)
 
--- a/tests/workflows/test_unbounded_waits.py
+++ b/tests/workflows/test_unbounded_waits.py
@@ -15,6 +15,9 @@
 from fuchsiatrestle.platform import _driver
 from fuchsiatrestle.state import workflows
 from fuchsiatrestle import workflows as dispatcher
+from fuchsiatrestle.workflows import _announcing
+from fuchsiatrestle.workflows import _clock
+from fuchsiatrestle.workflows import _fleet
 from standins import worker_model
 from tests.fakes import dispatch_world
 
@@ -231,6 +234,23 @@
         self.world.run(LONG_WAIT_MS)
         self._check_runs_on('w0')
 
+    def test_uptime_of_a_process_is_not_told_by_starts_after_a_set_back_clock(
+        self,
+    ):
+        uptime_ms = 60_000
+        record = workflows.WorkerRecord(
+            'w0', 1, 'w0:1', 'pool', 'dc', 1000, 100, 0, []
+        )
+        worker = _fleet.Worker(
+            msgspec.structs.replace(record, ended_born_ms=6000),
+            _clock.LeaseClock(5000),
+        )
+        worker.record_clock(uptime_ms, 0)
+        next_record = msgspec.structs.replace(record, born_ms=2)
+        self.assertGreaterEqual(
+            _announcing._find_max_uptime_ms(worker, next_record, 0), uptime_ms
+        )
+
     # Guards against a run that is taken for over while it goes on.
     def test_late_announcement_of_an_earlier_process_replaces_none(self):
         self.world.crash_worker('w0', 200)
