--- a/fuchsiatrestle/agreement/_membership.py
+++ b/fuchsiatrestle/agreement/_membership.py
@@ -12,6 +12,25 @@
 LOG = logs.get_logger(__name__)
 
 
+class _Removal:
+    """Removal of a silent voter.
+
+    Attributes:
+        voter: identity of the voter.
+        newcomer: identity of the newcomer that takes its place, or ''.
+        joined_ms: time at which the newcomer has joined, None without one.
+        acked_round: round that the voter had answered last.
+    """
+
+    __slots__ = ('acked_round', 'joined_ms', 'newcomer', 'voter')
+
+    def __init__(self, voter, newcomer, joined_ms, acked_round):
+        self.voter = voter
+        self.newcomer = newcomer
+        self.joined_ms = joined_ms
+        self.acked_round = acked_round
+
+
 class MembershipChanger:
     """Appends membership changes to the log, one at a time.
 
@@ -35,8 +54,7 @@
         self._newcomers_by_name = {}
         # Those identities that may take part in founding a group.
         self._founding_identities = set()
-        # (voter, newcomer, joining time, last answered round) of the silent
-        # voter whose removal was appended last, or None.
+        # ``_Removal`` of a silent voter that was appended last, or None.
         self._last_removal = None
         self._replacement = _replacement.VoterReplacement(replica, leader)
 
@@ -201,7 +219,9 @@
         if self.propose_change('replace', voter, newcomer):
             return False
         progress = self._leader.progress_by_identity[voter]
-        self._last_removal = (voter, newcomer, joined_ms, progress.acked_round)
+        self._last_removal = _Removal(
+            voter, newcomer, joined_ms, progress.acked_round
+        )
         return True
 
     def _restore_voter(self):
@@ -212,20 +232,24 @@
         Returns:
             True if the change was appended.
         """
-        if self._last_removal is None:
+        removal = self._last_removal
+        if removal is None:
             return False
-        voter, newcomer, joined_ms, acked_round = self._last_removal
         self._last_removal = None
-        progress = self._leader.progress_by_identity.get(voter)
-        if progress is None or progress.acked_round == acked_round:
+        progress = self._leader.progress_by_identity.get(removal.voter)
+        if progress is None or progress.acked_round == removal.acked_round:
             return False
         if self._leader.is_transferring_leadership:
             return False
-        voters = self._replica.voters.with_restored_voter(voter, newcomer)
+        voters = self._replica.voters.with_restored_voter(
+            removal.voter, removal.newcomer
+        )
         joined_ms_by_newcomer = dict(self._replica.joined_ms_by_newcomer)
-        if newcomer in voters.newcomers:
-            joined_ms_by_newcomer[newcomer] = joined_ms
-        self._append_voters(voters, joined_ms_by_newcomer, 'restore', voter)
+        if removal.newcomer in voters.newcomers:
+            joined_ms_by_newcomer[removal.newcomer] = removal.joined_ms
+        self._append_voters(
+            voters, joined_ms_by_newcomer, 'restore', removal.voter
+        )
         return True
 
     def remove_stopping_voter(self):
--- a/fuchsiatrestle/state/_workflows_model.py
+++ b/fuchsiatrestle/state/_workflows_model.py
@@ -235,7 +235,8 @@
         That is the latest of these times: the submission, the due time of the
         occurrence, the end of the steps that it depends on, and the end of
         its last live run.  A run that certainly never ran does not count.
-        All replicas give the same time.
+        All replicas give the same time, but for ends before a snapshot that
+        an older build has written.
 
         Args:
             occurrence: number of the occurrence.
