--- a/fuchsiatrestle/control/_daemon.py
+++ b/fuchsiatrestle/control/_daemon.py
@@ -200,6 +200,7 @@
             self._cfg.get('control', 'snapshot_entries'),
             state.snapshot,
             self._make_worker_timing(),
+            self._make_workflow_features(),
         )
         replica = agreement.Replica(
             self._cfg.get('control', 'cell'),
@@ -252,6 +253,14 @@
             }
         )
 
+    def _make_workflow_features(self):
+        return workflows.Features(
+            evacuation_ms=self._cfg.get('workflows', 'evacuation_ms'),
+            refuses_overload=self._cfg.get('workflows', 'refuse_overload'),
+            learns_run_times=self._cfg.get('workflows', 'learn_run_times'),
+            copies_stragglers=self._cfg.get('workflows', 'copy_stragglers'),
+        )
+
     def _connect_members(self, index, names):
         """Has the link keep a stream to each named member of the group.
 
--- a/fuchsiatrestle/control/_leader.py
+++ b/fuchsiatrestle/control/_leader.py
@@ -92,9 +92,10 @@
         machine: the state machine; it is only read here.
         timing: ``workflows.Timing``.
         now_ms: monotonic time of the start of the services, in milliseconds.
+        features: ``workflows.Features``; None if none is switched on.
     """
 
-    def __init__(self, name, term, machine, timing, now_ms):
+    def __init__(self, name, term, machine, timing, now_ms, features=None):
         self.term = term
         self._name = name
         self._machine = machine
@@ -104,7 +105,7 @@
         self._granter.step(membership.LeaderReady(term), now_ms)
         self._scheduler = scheduling.Scheduler(machine.jobs, now_ms)
         self._dispatcher = workflows.Dispatcher(
-            machine.workflows, term, timing, now_ms
+            machine.workflows, term, timing, now_ms, features=features
         )
         self._next_abandon_check_ms = now_ms + ABANDON_CHECK_INTERVAL_MS
         # For each owner of claims without a lease, a pair (entry,
--- a/fuchsiatrestle/control/_service.py
+++ b/fuchsiatrestle/control/_service.py
@@ -67,11 +67,20 @@
         snapshot: ``agreement.Snapshot`` to start from; None for an empty
             state.
         timing: ``workflows.Timing``; None for the defaults.
+        features: ``workflows.Features``; None if none is switched on.
     """
 
-    def __init__(self, name, snapshot_entries, snapshot=None, timing=None):
+    def __init__(
+        self,
+        name,
+        snapshot_entries,
+        snapshot=None,
+        timing=None,
+        features=None,
+    ):
         self._name = name
         self._timing = timing or workflows.Timing()
+        self._features = features or workflows.Features()
         self._snapshot_entries = snapshot_entries
         self._machine = state_machine.StateMachine()
         self._snapshot_index = 0
@@ -262,7 +271,12 @@
 
     def _start_leading(self, term):
         self._leader_services = _leader.LeaderServices(
-            self._name, term, self._machine, self._timing, self._now_ms
+            self._name,
+            term,
+            self._machine,
+            self._timing,
+            self._now_ms,
+            self._features,
         )
         self._leader_services.update_replica_status(self._replica_status)
 
--- a/fuchsiatrestle/control/_settings.py
+++ b/fuchsiatrestle/control/_settings.py
@@ -36,6 +36,14 @@
         ),
         settings.IntOption('announce_ms', 1500, min_value=50, max_value=60000),
     ),
+    # See ``workflows.Features``.
+    settings.Section(
+        'workflows',
+        settings.IntOption('evacuation_ms', 0, min_value=0, max_value=600000),
+        settings.BoolOption('refuse_overload', False),
+        settings.BoolOption('learn_run_times', False),
+        settings.BoolOption('copy_stragglers', False),
+    ),
     # See ``agreement.ReplicaConfig``.
     settings.Section(
         'timing',
--- a/fuchsiatrestle/platform/_settings.py
+++ b/fuchsiatrestle/platform/_settings.py
@@ -21,7 +21,7 @@
 
 # Names of the sections of the control daemon that are also part of the
 # platform's settings file.
-_SHARED_SECTION_NAMES = ('workers', 'timing')
+_SHARED_SECTION_NAMES = ('workers', 'workflows', 'timing')
 
 ENTRY_SECTIONS = (
     settings.Section(
--- /dev/null
+++ b/fuchsiatrestle/workflows/_policies.py
@@ -0,0 +1,84 @@
+"""Policies that take part in the placement rounds of a deployment.
+
+A policy is one decision that only some deployments ask for.  It is switched
+on by the settings (see ``Features``) and by what is agreed.
+"""
+
+import abc
+
+__all__ = ('Placement', 'PlacementPolicy', 'make_policies')
+
+
+class Placement:
+    """A run that a policy adds to a round.
+
+    Attributes:
+        group: ``Group`` of the task.
+        task_id: id of the task.
+        worker: the ``Worker`` that it is to run on.
+    """
+
+    __slots__ = ('group', 'task_id', 'worker')
+
+    def __init__(self, group, task_id, worker):
+        self.group = group
+        self.task_id = task_id
+        self.worker = worker
+
+
+class PlacementPolicy(abc.ABC):
+    """Hooks into a placement round; by default they change nothing.
+
+    ``DispatchState.now_ms`` is the monotonic time of the round.
+    """
+
+    def start_round(self, ready_groups, wall_ms):
+        """Called before the first group of a round is tried.
+
+        Args:
+            ready_groups: list of ``Group`` in the order of placement.
+            wall_ms: time since the epoch.
+        """
+        return None
+
+    def may_use(self, worker):
+        """Returns False if no task may be placed on a worker in this round.
+
+        Args:
+            worker: a ``Worker`` that accepts placements.
+        """
+        return True
+
+    def stop_runs(self, pool_round):
+        """Stops runs after all groups of the round were tried.
+
+        Args:
+            pool_round: the ``PlacementRound`` of a service.
+
+        Returns:
+            A list of the ``Worker`` values of which runs were stopped.
+        """
+        return []
+
+    def find_placements(self, pool_round):
+        """Yields further runs after all groups of the round were tried.
+
+        Each run is placed before the next one is asked for.
+
+        Args:
+            pool_round: the ``PlacementRound`` of a service.
+
+        Yields:
+            ``Placement`` values.
+        """
+        return iter(())
+
+
+def make_policies(features, dispatch_state):
+    """Returns the list of the policies that are switched on.
+
+    Args:
+        features: ``Features``.
+        dispatch_state: ``DispatchState``.
+    """
+    return []
--- a/fuchsiatrestle/workflows/_settings.py
+++ b/fuchsiatrestle/workflows/_settings.py
@@ -1,6 +1,6 @@
-"""Timings of the dispatcher."""
+"""Timings of the dispatcher, and the features that are switched on."""
 
-__all__ = ('Timing',)
+__all__ = ('Features', 'Timing')
 
 
 class Timing:
@@ -45,3 +45,39 @@
         self.poll_wait_ms = poll_wait_ms
         self.busy_poll_wait_ms = busy_poll_wait_ms
         self.announce_ms = announce_ms
+
+
+class Features:
+    """Decisions that only some deployments ask for; all are off by default.
+
+    Attributes:
+        evacuation_ms: longest time from the acknowledgement of an evacuation
+            to the last start in the data centre, 0 if evacuations are not
+            offered.
+        refuses_overload: True if workflows that can not be served in time are
+            refused when they are submitted.
+        learns_run_times: True if estimated run times are corrected by those
+            of earlier tasks.
+        copies_stragglers: True if a task that takes unusually long gets a
+            second run where its step allows copies.
+    """
+
+    __slots__ = (
+        'copies_stragglers',
+        'evacuation_ms',
+        'learns_run_times',
+        'refuses_overload',
+    )
+
+    def __init__(
+        self,
+        *,
+        evacuation_ms=0,
+        refuses_overload=False,
+        learns_run_times=False,
+        copies_stragglers=False,
+    ):
+        self.evacuation_ms = evacuation_ms
+        self.refuses_overload = refuses_overload
+        self.learns_run_times = learns_run_times
+        self.copies_stragglers = copies_stragglers
