Refuse workflows that can not be served in time

Cause: what does not fit waits, however long; callers learn of it only by missing their objective, and work that is of no use any more takes the room of work that could still be in time.

Change: the leader's dispatcher judges each submission by the measured drain rate and the waiting work before it.

--- a/fuchsiatrestle/control/_leader.py
+++ b/fuchsiatrestle/control/_leader.py
@@ -25,6 +25,7 @@
     commands.CancelWorkflow,
     commands.PutDocument,
     commands.RecordProgress,
+    commands.RefuseWorkflow,
     commands.SubmitWorkflow,
 )
 _WORKER_MESSAGES = (messages.AnnounceWorker, messages.WithdrawWorker)
@@ -283,6 +284,21 @@
         """
         return self._step_dispatcher(reply, now_ms)
 
+    def judge_command(self, command, now_ms):
+        """Returns the command to propose for a call.
+
+        Args:
+            command: the command that the call asks for.
+            now_ms: monotonic time, in milliseconds.
+
+        Returns:
+            The same command, or the ``commands.RefuseWorkflow`` that takes
+            its place.
+        """
+        if not isinstance(command, commands.SubmitWorkflow):
+            return command
+        return self._dispatcher.find_refusal(command, now_ms) or command
+
     def _handle_announcement(self, call, now_ms):
         message = call.message
         if isinstance(message, messages.WithdrawWorker):
--- a/fuchsiatrestle/control/_service.py
+++ b/fuchsiatrestle/control/_service.py
@@ -183,6 +183,11 @@
         if not isinstance(command, _EXTERNAL_COMMANDS):
             self._refuse_call(call, 'bad_request', type(command).__name__)
             return
+        judged_command = self._leader_services.judge_command(
+            command, self._now_ms
+        )
+        if judged_command is not command:
+            encoded_command = commands.CODEC.encode(judged_command)
         self._propose_command(call, encoded_command)
 
     def _propose_command(self, call, encoded_command):
--- a/fuchsiatrestle/platform/_callers.py
+++ b/fuchsiatrestle/platform/_callers.py
@@ -1,5 +1,6 @@
 """Handlers of callers' requests: submit, show and cancel a workflow."""
 
+import math
 import time
 
 from returns import pipeline
@@ -34,6 +35,10 @@
     'refused.control_away',
     'Calls that certainly had no effect, for want of control (503).',
 )
+OVERLOADED = metrics.declare(
+    'refused.overloaded',
+    'Workflows that could not be served in time and never run (429).',
+)
 ANSWER_TIME = metrics.declare(
     'callers.answer_ms', 'Time from a whole request to its answer, in ms.'
 )
@@ -138,6 +143,8 @@
         if not pipeline.is_successful(call_result):
             return _make_failure_response(call_result.failure())
         outcome = call_result.unwrap()
+        if outcome.reason == 'overloaded':
+            return _make_overload_response(outcome.retry_after_ms)
         if outcome.reason:
             return _make_refusal_response(outcome.reason)
         return http.make_json_response(200, {'state': outcome.state})
@@ -178,6 +185,23 @@
     return http.make_reason_response(503, reason, detail, headers)
 
 
+def _make_overload_response(retry_after_ms):
+    """Returns a 429 with Retry-After for a workflow that never runs.
+
+    Args:
+        retry_after_ms: time after which the caller should try again, 0 if
+            that is not known.
+    """
+    metrics.count(OVERLOADED)
+    retry_after_s = max(RETRY_AFTER_S, math.ceil(retry_after_ms / 1000))
+    return http.make_reason_response(
+        429,
+        'overloaded',
+        'can not be completed in time',
+        [http.make_retry_after_header(retry_after_s)],
+    )
+
+
 def _make_refusal_response(reason):
     """Returns the response to a call that the agreed state did not accept.
 
--- a/fuchsiatrestle/state/_workflows.py
+++ b/fuchsiatrestle/state/_workflows.py
@@ -6,6 +6,7 @@
 
 from fuchsiatrestle import records
 from fuchsiatrestle.state import _part
+from fuchsiatrestle.state import _refusals
 from fuchsiatrestle.state import _workflows_model
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import outcomes
@@ -41,6 +42,8 @@
             ended.
         workers: the registered workers.
         pairs: learned interference of images, least recently updated first.
+        refusals: refused workflows, the oldest first.
+        refusals_dropped_ms: see ``RefusalTable.dropped_ms``.
     """
 
     now_ms: int
@@ -48,13 +51,15 @@
     ended: list[_EndedWorkflow]
     workers: list[workflows.WorkerRecord]
     pairs: list[workflows.ImagePair] = []
+    refusals: list[_refusals.RefusalRow] = []
+    refusals_dropped_ms: int = 0
 
 
 _STATE_CODEC = records.Codec(_PartState)
 
 
-def _refused_outcome(reason):
-    return outcomes.WorkflowOutcome('', reason)
+def _refused_outcome(reason, retry_after_ms=0):
+    return outcomes.WorkflowOutcome('', reason, retry_after_ms)
 
 
 class WorkflowsPart(_part.Part):
@@ -67,6 +72,7 @@
     name = 'workflows'
     command_kinds = (
         commands.SubmitWorkflow,
+        commands.RefuseWorkflow,
         commands.CancelWorkflow,
         commands.RecordProgress,
     )
@@ -79,10 +85,12 @@
         self._ended_workflows = collections.deque()
         self._workers = {}
         self._image_pairs = {}
+        self._refusals = _refusals.RefusalTable()
         # Latest ``now_ms`` of a ``RecordProgress`` command, since the epoch.
         self._progress_recorded_ms = 0
         self._handlers = {
             commands.SubmitWorkflow: self._submit_workflow,
+            commands.RefuseWorkflow: self._refuse_workflow,
             commands.CancelWorkflow: self._cancel_workflow,
             commands.RecordProgress: self._record_progress,
         }
@@ -192,6 +200,11 @@
             return _refused_outcome('no_queue')
         workflow = self._workflows.get(workflow_id)
         if workflow is None:
+            retry_after_ms = self._refusals.find_retry_after_ms(
+                workflow_id, command.submitted_ms
+            )
+            if retry_after_ms is not None:
+                return _refused_outcome('overloaded', retry_after_ms)
             workflow = _workflows_model.Workflow(
                 workflow_id, queue, command.spec, command.submitted_ms
             )
@@ -199,6 +212,25 @@
             self._open_workflows_by_id[workflow_id] = workflow
         return outcomes.WorkflowOutcome(workflow.public_state)
 
+    def _refuse_workflow(self, command):
+        if self.documents.document is None:
+            return _refused_outcome('no_document')
+        _, workflow_id = self.documents.resolve_path(
+            command.host, command.path
+        )
+        if not workflow_id:
+            return _refused_outcome('no_queue')
+        workflow = self._workflows.get(workflow_id)
+        if workflow is not None:
+            return outcomes.WorkflowOutcome(workflow.public_state)
+        self._refusals.add(
+            workflow_id,
+            command.submitted_ms,
+            command.refused_ms,
+            command.retry_after_ms,
+        )
+        return _refused_outcome('overloaded', command.retry_after_ms)
+
     def _cancel_workflow(self, command):
         queue, workflow_id = self.documents.resolve_path(
             command.host, command.path
@@ -234,6 +266,7 @@
         for live_run in command.survived:
             self._record_survival(live_run)
         self._remove_expired_workflows()
+        self._refusals.remove_expired(self._progress_recorded_ms)
         return outcomes.Done()
 
     def _register_worker(self, worker):
@@ -358,6 +391,8 @@
                 list(self._ended_workflows),
                 list(self._workers.values()),
                 list(self._image_pairs.values()),
+                self._refusals.to_rows(),
+                self._refusals.dropped_ms,
             )
         )
 
@@ -380,3 +415,6 @@
             (record.serving, record.filling): record
             for record in snapshot.pairs
         }
+        self._refusals = _refusals.RefusalTable(
+            snapshot.refusals, snapshot.refusals_dropped_ms
+        )
--- a/fuchsiatrestle/state/_workflows_model.py
+++ b/fuchsiatrestle/state/_workflows_model.py
@@ -229,6 +229,18 @@
         """Returns True if a run of a step may be executing."""
         return self._live_run_count_by_step[occurrence, step_number] > 0
 
+    def count_waiting_tasks(self, occurrence, step_number):
+        """Returns the number of tasks of a step that wait for a worker.
+
+        Further runs of a task that has several may count for other tasks.
+        """
+        step_key = occurrence, step_number
+        return max(
+            0,
+            self._unfinished_count_by_step[step_key]
+            - self._live_run_count_by_step[step_key],
+        )
+
     def idle_since_ms(self, occurrence, step_number):
         """Returns since when a step could run and nothing of it was executing.
 
--- a/fuchsiatrestle/state/commands/_workflows.py
+++ b/fuchsiatrestle/state/commands/_workflows.py
@@ -8,6 +8,7 @@
     'CancelWorkflow',
     'PutDocument',
     'RecordProgress',
+    'RefuseWorkflow',
     'RunEnd',
     'RunLost',
     'SubmitWorkflow',
@@ -43,6 +44,26 @@
     submitted_ms: int
 
 
+class RefuseWorkflow(records.Record, tag='refuse-workflow'):
+    """Refuses a submission for want of capacity, in place of accepting it.
+
+    If the workflow was accepted before, nothing is refused.
+
+    Attributes:
+        host: host of the caller's request.
+        path: path of the request: prefix of the queue and workflow id.
+        submitted_ms: time when the request was received, since the epoch.
+        refused_ms: time at the leader, since the epoch.
+        retry_after_ms: time after which the caller should try again.
+    """
+
+    host: str
+    path: str
+    submitted_ms: int
+    refused_ms: int
+    retry_after_ms: int
+
+
 class CancelWorkflow(records.Record, tag='cancel-workflow'):
     """Cancels a workflow; its tasks are stopped.
 
@@ -132,4 +153,10 @@
     survived: list[workflows.LiveRun] = []
 
 
-RECORD_CLASSES = (PutDocument, SubmitWorkflow, CancelWorkflow, RecordProgress)
+RECORD_CLASSES = (
+    PutDocument,
+    SubmitWorkflow,
+    RefuseWorkflow,
+    CancelWorkflow,
+    RecordProgress,
+)
--- a/fuchsiatrestle/state/outcomes.py
+++ b/fuchsiatrestle/state/outcomes.py
@@ -132,11 +132,14 @@
         state: ``queued``, ``running``, ``completed``, ``failed`` or
             ``cancelled``; empty if refused.
         reason: empty, or why it was refused: ``no_document``, ``no_queue``,
-            ``no_workflow``.
+            ``no_workflow``, ``overloaded``.
+        retry_after_ms: time after which a submission refused as
+            ``overloaded`` should be repeated, 0 if not known.
     """
 
     state: str
     reason: str = ''
+    retry_after_ms: int = 0
 
 
 CODEC = records.Codec(
--- /dev/null
+++ b/fuchsiatrestle/workflows/_admission.py
@@ -0,0 +1,475 @@
+"""Refuses workflows that can not be served in time, when they are submitted.
+
+It addresses a load that exceeds the capacity for longer than callers can
+wait: a burst, or a loss of workers.  A workflow that would be completed after
+three times its objective is of no use to its caller, who is told so at once
+and when to come back.  Nothing is refused while the estimate is not backed by
+measurements, see ``AdmissionPolicy.find_refusal``.
+
+The estimates are local to a leader (see ``_load``).  A refusal is agreed
+before it is sent; the agreed state decides whether it takes effect.
+"""
+
+import collections
+import math
+
+from fuchsiatrestle import logs
+from fuchsiatrestle import metrics
+from fuchsiatrestle.state import commands
+from fuchsiatrestle.workflows import _load
+from fuchsiatrestle.workflows import _policies
+
+__all__ = ('AdmissionPolicy',)
+
+# A result is of no use once it comes after this multiple of the objective.
+USELESS_OBJECTIVE_FACTOR = 3
+# Time in which a refused caller comes back: four calls of up to 3000 ms.
+CALLER_PATIENCE_MS = 12_000
+# A new leader refuses nothing before this: workers announce themselves every
+# 1.5 s, and one of these announcements may be lost.
+MIN_LED_MS = 5000
+# Time for which work must have waited in a lane of which the share of the
+# processor time is not settled otherwise.
+MIN_SHORTAGE_MS = 3000
+# Time for which a view of the load is used for further submissions.
+MAX_VIEW_AGE_MS = 200
+VIEW_INTERVAL_MS = 500
+# An accepted submission that is not agreed after this counts no more.
+MAX_PROPOSAL_MS = 3000
+# Part of the drain rate that is divided evenly among the queues.
+FLOOR_SHARE = 0.2
+MIN_RETRY_AFTER_MS = 1000
+MAX_RETRY_AFTER_MS = 600_000
+
+LOG = logs.get_logger(__name__)
+
+_REFUSALS = {
+    (kind, reason): metrics.declare(
+        f'refused.overload_{kind}_{reason}',
+        f'Workflows of {kind} tasks refused at submission: {description}.',
+    )
+    for kind in ('batch', 'best_effort')
+    for reason, description in (
+        ('useless', 'too late even for three times the objective'),
+        ('late', 'too late for the objective while the queue is overloaded'),
+    )
+}
+_ESTIMATED_TIMES = {
+    kind: metrics.declare(
+        f'admission.{kind}_ms',
+        f'Estimated time to completion of the last workflow of {kind} tasks '
+        'that was submitted while work waited, in ms.',
+    )
+    for kind in ('batch', 'best_effort')
+}
+
+
+class _PendingSubmission:
+    """Accepted submission that the view of the load may not contain yet."""
+
+    __slots__ = ('accepted_ms', 'demand', 'is_large_by_lane', 'order_key')
+
+    def __init__(self, accepted_ms, demand, is_large_by_lane, order_key):
+        self.accepted_ms = accepted_ms
+        self.demand = demand
+        self.is_large_by_lane = is_large_by_lane
+        self.order_key = order_key
+
+
+class _Estimate:
+    """Estimated time to completion of a workflow.
+
+    Attributes:
+        lane: lane of the first steps that has the longest wait.
+        wait_ms: time until the workflow starts.
+        own_ms: time from its start to its completion.
+        drain_rate: drain rate of the lane, in thousandths of a core.
+        queue_rate: the part of it that the queue can count on.
+        work: work of the workflow in the lane.
+    """
+
+    __slots__ = (
+        'drain_rate',
+        'lane',
+        'own_ms',
+        'queue_rate',
+        'wait_ms',
+        'work',
+    )
+
+    def __init__(self, lane, wait_ms, own_ms, drain_rate, queue_rate, work):
+        self.lane = lane
+        self.wait_ms = wait_ms
+        self.own_ms = own_ms
+        self.drain_rate = drain_rate
+        self.queue_rate = queue_rate
+        self.work = work
+
+    @property
+    def total_ms(self):
+        """Time to completion."""
+        return self.wait_ms + self.own_ms
+
+
+class AdmissionPolicy(_policies.PlacementPolicy):
+    """Judges the submissions of one leader.
+
+    Args:
+        dispatch_state: ``DispatchState``.
+    """
+
+    def __init__(self, dispatch_state):
+        self._state = dispatch_state
+        self._led_since_ms = dispatch_state.now_ms
+        self._drain_meter = _load.DrainMeter(dispatch_state.workflow_store)
+        # By (name of the queue, lane).
+        self._histories = {}
+        self._last_refused_ms = {}
+        self._next_return_ms = {}
+        self._demand_by_workflow = {}
+        self._pending_by_workflow = {}
+        self._view = None
+        # (monotonic time, processor time in use by lane), oldest first.
+        self._busy_cpu = collections.deque()
+        self._waiting_since_ms_by_lane = {}
+
+    # Hooks
+
+    def start_round(self, ready_groups, wall_ms):
+        """Measures the load at intervals."""
+        if self._view is None or self._view_age_ms >= VIEW_INTERVAL_MS:
+            self._make_view(wall_ms)
+
+    def record_command(self, command):
+        """Measures the run times of ended tasks."""
+        if isinstance(command, commands.RecordProgress):
+            self._drain_meter.record_progress(command)
+
+    def find_refusal(self, submission, wall_ms):
+        """Decides whether a workflow is refused when it is submitted.
+
+        Args:
+            submission: the ``commands.SubmitWorkflow``, not proposed yet.
+            wall_ms: time since the epoch.
+
+        Returns:
+            A ``commands.RefuseWorkflow``; None for a workflow that is known,
+            long-running or timed, that may be served in time, or for which
+            that is not known.
+        """
+        workflow_store = self._state.workflow_store
+        queue, workflow_id = workflow_store.documents.resolve_path(
+            submission.host, submission.path
+        )
+        spec = submission.spec
+        if not workflow_id or workflow_store.find_workflow(workflow_id):
+            return None
+        if spec.occurrences or any(step.lasts for step in spec.steps):
+            return None
+        demand = _load.Demand(queue, spec)
+        if not demand.longest_path_ms:
+            return None
+        now_ms = self._state.now_ms
+        is_large_by_lane = self._record_submission(workflow_id, demand)
+        if self._view is None or self._view_age_ms > MAX_VIEW_AGE_MS:
+            self._make_view(wall_ms)
+        order_key = (
+            queue.priority,
+            submission.submitted_ms
+            + demand.objective_ms
+            - demand.longest_path_ms,
+        )
+        estimate = self._estimate(demand, order_key, is_large_by_lane, wall_ms)
+        if estimate is not None:
+            metrics.gauge(
+                _ESTIMATED_TIMES[_kind(estimate.lane)],
+                round(estimate.total_ms),
+            )
+        reason = self._find_reason(demand, estimate)
+        if not reason:
+            self._pending_by_workflow[workflow_id] = _PendingSubmission(
+                now_ms, demand, is_large_by_lane, order_key
+            )
+            return None
+        self._last_refused_ms[queue.name, estimate.lane] = now_ms
+        retry_after_ms = self._assign_return(demand, estimate)
+        self._report_refusal(
+            workflow_id, demand, estimate, reason, retry_after_ms
+        )
+        return commands.RefuseWorkflow(
+            submission.host,
+            submission.path,
+            submission.submitted_ms,
+            wall_ms,
+            retry_after_ms,
+        )
+
+    # Measurement
+
+    @property
+    def _view_age_ms(self):
+        return self._state.now_ms - self._view.made_ms
+
+    def _make_view(self, wall_ms):
+        now_ms = self._state.now_ms
+        self._forget_idle_queues()
+        self._view = _load.LoadView(
+            self._state, self._histories, self._demand_by_workflow, wall_ms
+        )
+        self._busy_cpu.append((now_ms, self._view.busy_cpu_by_lane))
+        while self._busy_cpu[0][0] < now_ms - _load.BUSY_CPU_MEMORY_MS:
+            self._busy_cpu.popleft()
+        self._waiting_since_ms_by_lane = {
+            lane: self._waiting_since_ms_by_lane.get(lane, now_ms)
+            for lane in self._view.waiting_lanes
+        }
+        open_workflows = self._state.workflow_store.open_workflows
+        self._pending_by_workflow = {
+            workflow_id: pending
+            for workflow_id, pending in self._pending_by_workflow.items()
+            if workflow_id not in open_workflows
+            and now_ms - pending.accepted_ms < MAX_PROPOSAL_MS
+        }
+
+    def _forget_idle_queues(self):
+        """Forgets queues to which nothing was submitted lately."""
+        now_ms = self._state.now_ms
+        self._histories = {
+            key: history
+            for key, history in self._histories.items()
+            if history.demand_rate(now_ms)
+        }
+        self._last_refused_ms = {
+            key: refused_ms
+            for key, refused_ms in self._last_refused_ms.items()
+            if now_ms - refused_ms < CALLER_PATIENCE_MS
+        }
+        self._next_return_ms = {
+            key: return_ms
+            for key, return_ms in self._next_return_ms.items()
+            if return_ms > now_ms
+        }
+
+    def _record_submission(self, workflow_id, demand):
+        """Records a submission; returns whether it is large, by lane."""
+        is_large_by_lane = {}
+        for lane, work in demand.work_by_lane.items():
+            history = self._histories.setdefault(
+                (demand.queue.name, lane), _load.SubmissionHistory()
+            )
+            history.record(workflow_id, work, self._state.now_ms)
+            is_large_by_lane[lane] = history.is_large(work)
+        return is_large_by_lane
+
+    def _find_busy_cpu(self, lane):
+        return max(cpu_by_lane[lane] for _, cpu_by_lane in self._busy_cpu)
+
+    def _find_drain_rate(self, lane, wall_ms):
+        """Returns the drain rate of a lane, None if it is not known.
+
+        The processor time that the lane uses may still grow unless work has
+        waited there for a while, or it has most of what batch tasks use.
+        """
+        now_ms = self._state.now_ms
+        busy_cpu = self._find_busy_cpu(lane)
+        waiting_since_ms = self._waiting_since_ms_by_lane.get(lane, now_ms)
+        if now_ms - waiting_since_ms < MIN_SHORTAGE_MS:
+            batch_cpu = sum(
+                self._find_busy_cpu(other_lane)
+                for other_lane in self._view.busy_cpu_by_lane
+                if other_lane.pool == lane.pool and not other_lane.fills
+            )
+            if lane.is_restricted or 2 * busy_cpu < batch_cpu:
+                return None
+        speed = self._drain_meter.find_speed(lane, wall_ms)
+        if speed is None or not busy_cpu:
+            return None
+        return speed * busy_cpu
+
+    # Estimates
+
+    def _estimate(self, demand, order_key, is_large_by_lane, wall_ms):
+        """Returns the ``_Estimate`` of a workflow, None if nothing is known.
+
+        It is that of the lane with the longest wait; lanes of which the drain
+        rate is not known are taken to have none.
+        """
+        estimates = []
+        for lane in {lane for lane, _ in demand.entry_steps}:
+            drain_rate = self._find_drain_rate(lane, wall_ms)
+            if drain_rate is None:
+                continue
+            is_large = is_large_by_lane[lane]
+            queue_rate = self._find_queue_rate(demand.queue, lane, drain_rate)
+            queue_rate *= self._histories[demand.queue.name, lane].size_share(
+                is_large
+            )
+            wait_ms = min(
+                self._find_work_before(lane, order_key) / drain_rate,
+                self._find_own_work(lane, demand.queue, is_large) / queue_rate,
+            )
+            work = demand.work_by_lane[lane]
+            own_ms = max(demand.longest_path_ms, work / drain_rate)
+            if own_ms > demand.objective_ms:
+                # It would miss its objective on idle workers as well, and
+                # would be refused for ever.
+                own_ms = min(demand.longest_path_ms, demand.objective_ms)
+            estimates.append(
+                _Estimate(lane, wait_ms, own_ms, drain_rate, queue_rate, work)
+            )
+        return max(
+            estimates, key=lambda estimate: estimate.total_ms, default=None
+        )
+
+    def _find_work_before(self, lane, order_key):
+        """Returns the waiting work that is placed before a workflow."""
+        return self._view.find_lane_load(lane).work_before(order_key) + sum(
+            pending.demand.work_by_lane[lane]
+            for pending in self._pending_by_workflow.values()
+            if pending.order_key <= order_key
+        )
+
+    def _find_own_work(self, lane, queue, is_large):
+        """Returns the waiting work of a queue, of one size."""
+        lane_load = self._view.find_lane_load(lane)
+        return lane_load.work_by_queue_and_size[queue.name, is_large] + sum(
+            pending.demand.work_by_lane[lane]
+            for pending in self._pending_by_workflow.values()
+            if pending.demand.queue.name == queue.name
+            and pending.is_large_by_lane.get(lane) == is_large
+        )
+
+    def _find_queue_rate(self, queue, lane, drain_rate):
+        """Returns the part of a drain rate that a queue can count on.
+
+        Each queue with work has an equal floor.  The rest goes to the queues
+        by priority, up to what was submitted to them, and among queues of one
+        priority by the submitted work.
+
+        Args:
+            queue: the ``Queue``.
+            lane: the ``Lane``.
+            drain_rate: drain rate of the lane.
+        """
+        queues = dict(self._view.find_lane_load(lane).queues)
+        find_queue = self._state.workflow_store.documents.find_queue
+        now_ms = self._state.now_ms
+        demand_rates = {}
+        for (name, other_lane), history in self._histories.items():
+            if other_lane == lane:
+                demand_rates[name] = history.demand_rate(now_ms)
+                other_queue = find_queue(name)
+                if demand_rates[name] and other_queue is not None:
+                    queues[name] = other_queue
+        queues[queue.name] = queue
+        floor = FLOOR_SHARE * drain_rate / len(queues)
+        wanted_rates = {
+            name: max(0, demand_rates.get(name, 0) - floor) for name in queues
+        }
+        left_rate = (1 - FLOOR_SHARE) * drain_rate
+        left_rate -= sum(
+            wanted_rates[name]
+            for name, other_queue in queues.items()
+            if other_queue.priority < queue.priority
+        )
+        left_rate = max(0, left_rate)
+        equal_rate = sum(
+            wanted_rates[name]
+            for name, other_queue in queues.items()
+            if other_queue.priority == queue.priority
+        )
+        wanted_rate = wanted_rates[queue.name]
+        if equal_rate <= left_rate:
+            return floor + left_rate - (equal_rate - wanted_rate)
+        return floor + left_rate * wanted_rate / equal_rate
+
+    # Decision
+
+    def _find_reason(self, demand, estimate):
+        """Returns why a workflow is refused, empty if it is accepted."""
+        now_ms = self._state.now_ms
+        if estimate is None or now_ms - self._led_since_ms < MIN_LED_MS:
+            return ''
+        reason = ''
+        if estimate.total_ms > USELESS_OBJECTIVE_FACTOR * demand.objective_ms:
+            reason = 'useless'
+        elif (
+            self._is_overloaded(demand.queue, estimate.lane)
+            and estimate.total_ms > demand.objective_ms
+        ):
+            reason = 'late'
+        if not reason or self._has_free_room(demand, estimate.lane):
+            return ''
+        return reason
+
+    def _is_overloaded(self, queue, lane):
+        last_refused_ms = self._last_refused_ms.get((queue.name, lane))
+        return (
+            last_refused_ms is not None
+            and self._state.now_ms - last_refused_ms < CALLER_PATIENCE_MS
+        )
+
+    def _has_free_room(self, demand, lane):
+        """True if workers have room that waiting tasks do not take.
+
+        Where best-effort tasks wait, the room that is left is barred to them.
+        """
+        if lane.fills:
+            return False
+        pending_task_count = sum(
+            step.count
+            for pending in self._pending_by_workflow.values()
+            for pending_lane, step in pending.demand.entry_steps
+            if pending_lane == lane
+        )
+        return any(
+            self._view.has_free_room(lane, step, pending_task_count)
+            for step_lane, step in demand.entry_steps
+            if step_lane == lane
+        )
+
+    def _assign_return(self, demand, estimate):
+        """Returns when a refused caller should come back, in ms from now.
+
+        That is when the queue has drained far enough for its workflow, but
+        after the callers that were refused before, by the time in which the
+        queue works off what they ask for.
+        """
+        now_ms = self._state.now_ms
+        drained_ms = now_ms + estimate.total_ms - demand.objective_ms
+        key = demand.queue.name, estimate.lane
+        next_ms = self._next_return_ms.get(key, now_ms)
+        longest_ms = drained_ms + (
+            USELESS_OBJECTIVE_FACTOR * demand.objective_ms
+        )
+        return_ms = max(drained_ms, min(next_ms, longest_ms))
+        self._next_return_ms[key] = (
+            return_ms + estimate.work / estimate.queue_rate
+        )
+        retry_after_ms = 1000 * math.ceil((return_ms - now_ms) / 1000)
+        return min(max(retry_after_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
+
+    def _report_refusal(
+        self, workflow_id, demand, estimate, reason, retry_after_ms
+    ):
+        kind = _kind(estimate.lane)
+        metrics.count(_REFUSALS[kind, reason])
+        LOG.info(
+            'workflow_refused',
+            extra={
+                'workflow': workflow_id,
+                'queue': demand.queue.name,
+                'kind': kind,
+                'reason': reason,
+                'estimated_ms': round(estimate.total_ms),
+                'wait_ms': round(estimate.wait_ms),
+                'objective_ms': round(demand.objective_ms),
+                'drain_rate': round(estimate.drain_rate),
+                'queue_rate': round(estimate.queue_rate),
+                'retry_after_ms': retry_after_ms,
+            },
+        )
+
+
+def _kind(lane):
+    return 'best_effort' if lane.fills else 'batch'
--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -61,6 +61,7 @@
         self._state = _book.DispatchState(
             workflow_store, token, timing, now_ms
         )
+        self._policies = _policies.make_policies(features, self._state)
         self._interference_model = _interference.InterferenceModel()
         self._backlog = _backlog.Backlog(workflow_store)
         self._round_planner = _round_planner.PlacementPlanner(
@@ -68,7 +69,7 @@
             self._backlog,
             self._interference_model,
             placer or _placement.BestFit(self._interference_model),
-            _policies.make_policies(features, self._state),
+            self._policies,
         )
         self._order_planner = _orders.OrderPlanner(self._state, timing)
         self._announcement_handler = _announcing.AnnouncementHandler(
@@ -117,6 +118,27 @@
         self._effects = []
         return effects
 
+    def find_refusal(self, submission, now_ms):
+        """Decides whether a workflow is refused when it is submitted.
+
+        Nothing is refused before the first tick, which tells the time of day.
+
+        Args:
+            submission: the ``commands.SubmitWorkflow``, not proposed yet.
+            now_ms: monotonic time.
+
+        Returns:
+            The ``commands.RefuseWorkflow`` to propose in its place, or None.
+        """
+        self._state.now_ms = now_ms
+        if not self._last_tick_wall_ms:
+            return None
+        for policy in self._policies:
+            refusal = policy.find_refusal(submission, self._wall_now())
+            if refusal is not None:
+                return refusal
+        return None
+
     @property
     def _may_place(self):
         """False before the first tick, which tells the time of day."""
@@ -286,6 +308,8 @@
         handler = self._command_handlers.get(type(event.command))
         if handler is not None:
             handler(event.command)
+        for policy in self._policies:
+            policy.record_command(event.command)
         self._state.placement_due = True
 
     def _find_workflow_id(self, command):
--- a/fuchsiatrestle/workflows/_policies.py
+++ b/fuchsiatrestle/workflows/_policies.py
@@ -73,6 +73,26 @@
         """
         return iter(())
 
+    def record_command(self, command):
+        """Called after an agreed command was applied.
+
+        Args:
+            command: the command, of workflows or documents.
+        """
+        return None
+
+    def find_refusal(self, submission, wall_ms):
+        """Decides whether a workflow is refused when it is submitted.
+
+        Args:
+            submission: the ``commands.SubmitWorkflow``, not proposed yet.
+            wall_ms: time since the epoch.
+
+        Returns:
+            The ``commands.RefuseWorkflow`` to propose in its place, or None.
+        """
+        return None
+
 
 def make_policies(features, dispatch_state):
     """Returns the list of the policies that are switched on.
@@ -81,4 +101,10 @@
         features: ``Features``.
         dispatch_state: ``DispatchState``.
     """
-    return []
+    # Imported here, as the policies are subclasses of ``PlacementPolicy``.
+    from fuchsiatrestle.workflows import _admission
+
+    policies = []
+    if features.refuses_overload:
+        policies.append(_admission.AdmissionPolicy(dispatch_state))
+    return policies
