Estimate late workflows by the whole backlog

Cause: a workflow that is late goes behind those that are in time, so the work before it at its submission was far too little.

Change: if a workflow can not be completed in its objective, its wait is estimated by all work of its priority.

--- a/fuchsiatrestle/workflows/_admission.py
+++ b/fuchsiatrestle/workflows/_admission.py
@@ -304,16 +304,20 @@
             queue_rate *= self._histories[demand.queue.name, lane].size_share(
                 is_large
             )
-            wait_ms = min(
-                self._find_work_before(lane, order_key) / drain_rate,
-                self._find_own_work(lane, demand.queue, is_large) / queue_rate,
-            )
             work = demand.work_by_lane[lane]
             own_ms = max(demand.longest_path_ms, work / drain_rate)
             if own_ms > demand.objective_ms:
                 # It would miss its objective on idle workers as well, and
                 # would be refused for ever.
                 own_ms = min(demand.longest_path_ms, demand.objective_ms)
+            wait_ms = self._find_work_before(lane, order_key) / drain_rate
+            if wait_ms + own_ms > demand.objective_ms:
+                # Once it is late, it goes behind what waits now.
+                wait_ms = self._find_backlog(lane, demand.queue) / drain_rate
+            wait_ms = min(
+                wait_ms,
+                self._find_own_work(lane, demand.queue, is_large) / queue_rate,
+            )
             estimates.append(
                 _Estimate(lane, wait_ms, own_ms, drain_rate, queue_rate, work)
             )
@@ -329,6 +333,19 @@
             if pending.order_key <= order_key
         )
 
+    def _find_backlog(self, lane, queue):
+        """Returns all waiting work of the priority of a queue or a higher."""
+        lane_load = self._view.find_lane_load(lane)
+        return sum(
+            work
+            for priority, work in lane_load.work_by_priority.items()
+            if priority <= queue.priority
+        ) + sum(
+            pending.demand.work_by_lane[lane]
+            for pending in self._pending_by_workflow.values()
+            if pending.demand.queue.priority <= queue.priority
+        )
+
     def _find_own_work(self, lane, queue, is_large):
         """Returns the waiting work of a queue, of one size."""
         lane_load = self._view.find_lane_load(lane)
--- a/fuchsiatrestle/workflows/_load.py
+++ b/fuchsiatrestle/workflows/_load.py
@@ -339,9 +339,11 @@
         self._turn_work = self._turns_before[-1] + sum(
             waiting.turn_work for waiting in late
         )
+        self.work_by_priority = collections.Counter()
         self.work_by_queue_and_size = collections.Counter()
         self.queues = {}
         for waiting in (*in_time, *late):
+            self.work_by_priority[waiting.queue.priority] += waiting.work
             self.work_by_queue_and_size[
                 waiting.queue.name, waiting.is_large
             ] += waiting.work
--- a/tests/fakes/dispatch_world.py
+++ b/tests/fakes/dispatch_world.py
@@ -150,6 +150,7 @@
         timing: ``workflows.Timing`` of all leaders, the defaults if None.
         refuses_connections: True if orders to a VM without a process fail at
             once instead of after the timeout of the order.
+        features: ``workflows.Features`` of all leaders, None for none.
 
     Attributes:
         random: source of all random choices.
@@ -197,6 +198,7 @@
         cpu_milli=8000,
         timing=None,
         refuses_connections=False,
+        features=None,
     ):
         self.random = random.Random(seed)
         self.now_ms = 0
@@ -230,6 +232,7 @@
         # Arguments of the last ``set_capacity`` of a worker, by its name.
         self._capacity_by_worker = {}
         self._timing = timing or workflows.Timing()
+        self._features = features
         # ``_Slots`` by token of the leader and name of the worker.
         self._slots_by_worker = collections.defaultdict(_Slots)
         self._cancelled_ms_by_workflow = {}
@@ -316,6 +319,7 @@
             self._leader_token,
             self._timing,
             self.now_ms,
+            features=self._features,
         )
 
     def restore_replicas(self):
@@ -375,11 +379,16 @@
         return len(orders)
 
     def apply_agreed(self, command):
-        """Applies an agreed command and passes it to the leader."""
+        """Applies an agreed command and passes it to the leader.
+
+        Returns:
+            Its outcome, a record of ``state.outcomes``.
+        """
         self._agreed_commands.append(command)
-        self.machine.apply(self.machine.applied_index + 1, command)
+        outcome = self.machine.apply(self.machine.applied_index + 1, command)
         if self._dispatcher is not None:
             self._step_dispatcher(workflows.CommandApplied(command))
+        return outcome
 
     def _settle_proposal(self, token, command):
         """Applies a pending proposal of the current leader.
@@ -464,6 +473,15 @@
         profile = worker_model.TaskProfile(cpu, 10, work_ms)
         self.submit(workflow_id, [step], [profile], prefix)
 
+    def judge(self, submission):
+        """Returns the command that the leader proposes for a submission.
+
+        Args:
+            submission: a ``commands.SubmitWorkflow``.
+        """
+        refusal = self._dispatcher.find_refusal(submission, self.now_ms)
+        return refusal or submission
+
     def cancel(self, workflow_id):
         """Cancels a workflow."""
         self._cancelled_ms_by_workflow[workflow_id] = self.now_ms
