Measure best-effort tasks by their throughput; adopt an overload

A new leader also had to see three objectives of backlog before it held the queue at its objective again.

Change: their drain rate is the estimated work that ended in three mean run times, while work waited; runs that share count as waiting. Refusals name queue and kind, and a new leader takes the last ones as proof of a shortage.

--- a/fuchsiatrestle/platform/_callers.py
+++ b/fuchsiatrestle/platform/_callers.py
@@ -119,7 +119,7 @@
             metrics.count(BAD_WORKFLOW)
             return http.make_reason_response(400, 'bad_workflow', str(exc))
         command = commands.SubmitWorkflow(
-            host, request.path, workflow_spec, daemon.epoch_ms()
+            host, request.path, workflow_spec, _find_receipt_ms(request)
         )
         response = await self._propose_command(command, budget_ms)
         if response.status == 200:
@@ -168,6 +168,18 @@
         return http.make_json_response(200, {'state': path_view.state})
 
 
+def _find_receipt_ms(request):
+    """Returns the time at which a request was received, since the epoch.
+
+    It may have waited in the socket while this process stood still.  A later
+    attempt may have been refused meanwhile, and then it must not run.
+    """
+    if not request.received_ms:
+        return daemon.epoch_ms()
+    age_ms = time.monotonic_ns() // 1_000_000 - request.received_ms
+    return daemon.epoch_ms() - max(0, age_ms)
+
+
 def _get_control_budget_ms(request):
     """Returns the time in which control has to answer, in milliseconds."""
     deadline_text = request.get_header(DEADLINE_HEADER)
--- a/fuchsiatrestle/state/_refusals.py
+++ b/fuchsiatrestle/state/_refusals.py
@@ -4,6 +4,8 @@
 arrives late.
 """
 
+import msgspec
+
 from fuchsiatrestle import records
 
 __all__ = ('RefusalRow', 'RefusalTable')
@@ -24,12 +26,16 @@
             epoch, by the clocks of the entries.
         refused_ms: time of the last refusal at the leader, since the epoch.
         retry_after_ms: time after which the caller should try again.
+        queue_name: name of the queue.
+        is_best_effort: see ``commands.RefuseWorkflow``.
     """
 
     workflow_id: str
     submitted_ms: int
     refused_ms: int
     retry_after_ms: int
+    queue_name: str
+    is_best_effort: bool
 
 
 class RefusalTable:
@@ -69,15 +75,16 @@
             return 0
         return None
 
-    def add(self, workflow_id, submitted_ms, refused_ms, retry_after_ms):
-        """Records a refusal; an earlier one of the workflow is merged."""
-        earlier = self._refusals_by_workflow.pop(workflow_id, None)
+    def add(self, refusal):
+        """Records a ``RefusalRow``; merges an earlier one of the workflow."""
+        earlier = self._refusals_by_workflow.pop(refusal.workflow_id, None)
         if earlier is not None:
-            submitted_ms = max(submitted_ms, earlier.submitted_ms)
-            refused_ms = max(refused_ms, earlier.refused_ms)
-        self._refusals_by_workflow[workflow_id] = RefusalRow(
-            workflow_id, submitted_ms, refused_ms, retry_after_ms
-        )
+            refusal = msgspec.structs.replace(
+                refusal,
+                submitted_ms=max(refusal.submitted_ms, earlier.submitted_ms),
+                refused_ms=max(refusal.refused_ms, earlier.refused_ms),
+            )
+        self._refusals_by_workflow[refusal.workflow_id] = refusal
         if len(self._refusals_by_workflow) > MAX_REFUSALS:
             oldest = self._pop_oldest()
             self.dropped_ms = max(self.dropped_ms, oldest.refused_ms)
--- a/fuchsiatrestle/state/_workflows.py
+++ b/fuchsiatrestle/state/_workflows.py
@@ -112,6 +112,11 @@
         """Learned ``ImagePair`` by (``serving``, ``filling``) image."""
         return self._image_pairs
 
+    @property
+    def refusals(self):
+        """List of the ``RefusalRow`` that are kept, the oldest first."""
+        return self._refusals.to_rows()
+
     def find_workflow(self, workflow_id):
         """Returns the ``Workflow`` with this id, or None."""
         return self._workflows.get(workflow_id)
@@ -215,7 +220,7 @@
     def _refuse_workflow(self, command):
         if self.documents.document is None:
             return _refused_outcome('no_document')
-        _, workflow_id = self.documents.resolve_path(
+        queue, workflow_id = self.documents.resolve_path(
             command.host, command.path
         )
         if not workflow_id:
@@ -224,10 +229,14 @@
         if workflow is not None:
             return outcomes.WorkflowOutcome(workflow.public_state)
         self._refusals.add(
-            workflow_id,
-            command.submitted_ms,
-            command.refused_ms,
-            command.retry_after_ms,
+            _refusals.RefusalRow(
+                workflow_id,
+                command.submitted_ms,
+                command.refused_ms,
+                command.retry_after_ms,
+                queue.name,
+                command.is_best_effort,
+            )
         )
         return _refused_outcome('overloaded', command.retry_after_ms)
 
--- a/fuchsiatrestle/state/commands/_workflows.py
+++ b/fuchsiatrestle/state/commands/_workflows.py
@@ -55,6 +55,8 @@
         submitted_ms: time when the request was received, since the epoch.
         refused_ms: time at the leader, since the epoch.
         retry_after_ms: time after which the caller should try again.
+        is_best_effort: True if best-effort tasks are short of capacity, else
+            those that reserve processor time are.
     """
 
     host: str
@@ -62,6 +64,7 @@
     submitted_ms: int
     refused_ms: int
     retry_after_ms: int
+    is_best_effort: bool = False
 
 
 class CancelWorkflow(records.Record, tag='cancel-workflow'):
--- a/fuchsiatrestle/workflows/_admission.py
+++ b/fuchsiatrestle/workflows/_admission.py
@@ -23,6 +23,10 @@
 
 # A result is of no use once it comes after this multiple of the objective.
 USELESS_OBJECTIVE_FACTOR = 3
+# Share of the objective that an estimate may reach while a queue is
+# overloaded.  The rest is for run times that vary: a step ends with its
+# slowest task.
+IN_TIME_OBJECTIVE_SHARE = 0.8
 # Time in which a refused caller comes back: four calls of up to 3000 ms.
 CALLER_PATIENCE_MS = 12_000
 # A new leader refuses nothing before this: workers announce themselves every
@@ -125,6 +129,12 @@
         # By (name of the queue, lane).
         self._histories = {}
         self._last_refused_ms = {}
+        # Time since the epoch of the last refusal that an earlier leader had
+        # agreed, by name of the queue and whether it was of best-effort tasks.
+        self._adopted_refused_wall_ms = {
+            (refusal.queue_name, refusal.is_best_effort): refusal.refused_ms
+            for refusal in dispatch_state.workflow_store.refusals
+        }
         self._next_return_ms = {}
         self._demand_by_workflow = {}
         self._pending_by_workflow = {}
@@ -185,7 +195,7 @@
                 _ESTIMATED_TIMES[_kind(estimate.lane)],
                 round(estimate.total_ms),
             )
-        reason = self._find_reason(demand, estimate)
+        reason = self._find_reason(demand, estimate, wall_ms)
         if not reason:
             self._pending_by_workflow[workflow_id] = _PendingSubmission(
                 now_ms, demand, is_large_by_lane, order_key
@@ -202,6 +212,7 @@
             submission.submitted_ms,
             wall_ms,
             retry_after_ms,
+            estimate.lane.fills,
         )
 
     # Measurement
@@ -269,11 +280,15 @@
 
         The processor time that the lane uses may still grow unless work has
         waited there for a while, or it has most of what batch tasks use.
+        That of best-effort tasks is not reserved, so their throughput is
+        measured, over a time in which work waited.
         """
         now_ms = self._state.now_ms
+        waited_ms = now_ms - self._waiting_since_ms_by_lane.get(lane, now_ms)
+        if lane.fills:
+            return self._drain_meter.find_throughput(lane, wall_ms, waited_ms)
         busy_cpu = self._find_busy_cpu(lane)
-        waiting_since_ms = self._waiting_since_ms_by_lane.get(lane, now_ms)
-        if now_ms - waiting_since_ms < MIN_SHORTAGE_MS:
+        if waited_ms < MIN_SHORTAGE_MS:
             batch_cpu = sum(
                 self._find_busy_cpu(other_lane)
                 for other_lane in self._view.busy_cpu_by_lane
@@ -402,7 +417,7 @@
 
     # Decision
 
-    def _find_reason(self, demand, estimate):
+    def _find_reason(self, demand, estimate, wall_ms):
         """Returns why a workflow is refused, empty if it is accepted."""
         now_ms = self._state.now_ms
         if estimate is None or now_ms - self._led_since_ms < MIN_LED_MS:
@@ -411,19 +426,26 @@
         if estimate.total_ms > USELESS_OBJECTIVE_FACTOR * demand.objective_ms:
             reason = 'useless'
         elif (
-            self._is_overloaded(demand.queue, estimate.lane)
-            and estimate.total_ms > demand.objective_ms
+            self._is_overloaded(demand.queue, estimate.lane, wall_ms)
+            and estimate.total_ms
+            > IN_TIME_OBJECTIVE_SHARE * demand.objective_ms
         ):
             reason = 'late'
         if not reason or self._has_free_room(demand, estimate.lane):
             return ''
         return reason
 
-    def _is_overloaded(self, queue, lane):
+    def _is_overloaded(self, queue, lane, wall_ms):
+        """True if callers that were refused may still come back."""
         last_refused_ms = self._last_refused_ms.get((queue.name, lane))
+        if last_refused_ms is not None:
+            return self._state.now_ms - last_refused_ms < CALLER_PATIENCE_MS
+        adopted_wall_ms = self._adopted_refused_wall_ms.get(
+            (queue.name, lane.fills)
+        )
         return (
-            last_refused_ms is not None
-            and self._state.now_ms - last_refused_ms < CALLER_PATIENCE_MS
+            adopted_wall_ms is not None
+            and abs(wall_ms - adopted_wall_ms) < CALLER_PATIENCE_MS
         )
 
     def _has_free_room(self, demand, lane):
@@ -453,7 +475,11 @@
         queue works off what they ask for.
         """
         now_ms = self._state.now_ms
-        drained_ms = now_ms + estimate.total_ms - demand.objective_ms
+        drained_ms = (
+            now_ms
+            + estimate.total_ms
+            - IN_TIME_OBJECTIVE_SHARE * demand.objective_ms
+        )
         key = demand.queue.name, estimate.lane
         next_ms = self._next_return_ms.get(key, now_ms)
         longest_ms = drained_ms + (
--- a/fuchsiatrestle/workflows/_load.py
+++ b/fuchsiatrestle/workflows/_load.py
@@ -23,7 +23,12 @@
 )
 
 # Window of ended tasks and of submissions.
-WINDOW_MS = 30_000
+WINDOW_MS = 60_000
+# Window of the throughput of best-effort tasks, as a multiple of their mean
+# run time, and its lower bound.  In a shorter one, the ends depend on when
+# the tasks happened to start.
+THROUGHPUT_RUN_TIMES = 3
+MIN_THROUGHPUT_MS = 5000
 # Number of ended tasks from which the drain rate of a lane is known.
 MIN_ENDED_RUNS = 8
 # The processor time in use is the largest one of this time, as it is low for
@@ -161,7 +166,8 @@
             (live_run.task, live_run.run): live_run.placed_ms
             for live_run in workflow_store.live_runs()
         }
-        # (end, estimated work, used processor time) by lane, oldest first.
+        # (end, estimated work, reserved processor time, run time) by lane, the
+        # oldest first.
         self._ended_runs_by_lane = collections.defaultdict(collections.deque)
 
     def record_progress(self, command):
@@ -193,9 +199,10 @@
             estimated_work = max(step.cpu, 1) * estimate_run_ms(
                 queue.name, run_end.task.step, step
             )
-        used_work = max(step.cpu, 1) * max(1, now_ms - placed_ms)
+        run_ms = max(1, now_ms - placed_ms)
+        used_work = max(step.cpu, 1) * run_ms
         self._ended_runs_by_lane[find_lane(queue.pool, step)].append(
-            (now_ms, estimated_work, used_work)
+            (now_ms, estimated_work, used_work, run_ms)
         )
 
     def find_speed(self, lane, wall_ms):
@@ -208,15 +215,45 @@
         Returns:
             The ratio; None while too few tasks have ended.
         """
-        ended_runs = self._ended_runs_by_lane[lane]
-        while ended_runs and ended_runs[0][0] <= wall_ms - WINDOW_MS:
-            ended_runs.popleft()
+        ended_runs = self._find_ended_runs(lane, wall_ms)
         if len(ended_runs) < MIN_ENDED_RUNS:
             return None
-        estimated_work = sum(work for _, work, _ in ended_runs)
-        used_work = sum(work for _, _, work in ended_runs)
+        estimated_work = sum(work for _, work, _, _ in ended_runs)
+        used_work = sum(work for _, _, work, _ in ended_runs)
         return estimated_work / used_work or None
 
+    def find_throughput(self, lane, wall_ms, max_window_ms):
+        """Returns the rate of the estimated work that was drained.
+
+        Args:
+            lane: the ``Lane``.
+            wall_ms: time since the epoch.
+            max_window_ms: longest time to be looked at.
+
+        Returns:
+            The rate; None if too few tasks have ended, or if that time is too
+            short for their run times.
+        """
+        ended_runs = self._find_ended_runs(lane, wall_ms)
+        if len(ended_runs) < MIN_ENDED_RUNS:
+            return None
+        mean_run_ms = sum(ms for _, _, _, ms in ended_runs) / len(ended_runs)
+        window_ms = max(MIN_THROUGHPUT_MS, THROUGHPUT_RUN_TIMES * mean_run_ms)
+        if window_ms > min(max_window_ms, WINDOW_MS):
+            return None
+        drained_work = sum(
+            work
+            for ended_ms, work, _, _ in ended_runs
+            if ended_ms > wall_ms - window_ms
+        )
+        return drained_work / window_ms or None
+
+    def _find_ended_runs(self, lane, wall_ms):
+        ended_runs = self._ended_runs_by_lane[lane]
+        while ended_runs and ended_runs[0][0] <= wall_ms - WINDOW_MS:
+            ended_runs.popleft()
+        return ended_runs
+
 
 class SubmissionHistory:
     """What callers have submitted to a queue lately, in one lane.
@@ -388,7 +425,10 @@
         self._histories = histories
         self._waiting_tasks_by_lane = collections.defaultdict(list)
         self.busy_cpu_by_lane = collections.Counter()
-        self._count_busy_cpu()
+        # Number of the best-effort runs of each step that share processor
+        # time at a low pace; most of their work still waits.
+        self._sharing_run_counts = collections.Counter()
+        self._count_runs()
         in_time = collections.defaultdict(list)
         late = collections.defaultdict(list)
         open_workflows = dispatch_state.workflow_store.open_workflows
@@ -410,7 +450,7 @@
         }
         self.waiting_lanes = self._load_by_lane.keys()
 
-    def _count_busy_cpu(self):
+    def _count_runs(self):
         for worker in self._state.fleet:
             if worker.is_unresponsive or worker.last_announced_ms is None:
                 continue
@@ -418,6 +458,11 @@
                 if run.step is not None and not run.step.lasts:
                     lane = find_lane(worker.record.pool, run.step)
                     self.busy_cpu_by_lane[lane] += max(run.step.cpu, 1)
+                if run.shares_cpu:
+                    task_id = run.live_run.task
+                    self._sharing_run_counts[
+                        task_id.workflow_id, task_id.occurrence, task_id.step
+                    ] += 1
 
     def _add_waiting_work(
         self, workflow, occurrence, demand, wall_ms, in_time, late
@@ -433,6 +478,9 @@
                 continue
             path_ms = max(path_ms, demand.path_ms_from_step(step_number))
             count = workflow.count_waiting_tasks(occurrence, step_number)
+            count += self._sharing_run_counts[
+                workflow.workflow_id, occurrence, step_number
+            ]
             if not count:
                 continue
             lane = demand.lanes[step_number]
--- a/tests/control/test_service.py
+++ b/tests/control/test_service.py
@@ -11,6 +11,8 @@
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import outcomes
 from fuchsiatrestle.state import queries
+from fuchsiatrestle.state import workflows
+from fuchsiatrestle.workflows import _dispatcher as dispatcher
 
 ENCODED_PATCH = commands.CODEC.encode(commands.PatchConfig(1, 'p', b'{}'))
 ENCODED_QUERY = queries.CODEC.encode(queries.GetConfig())
@@ -88,6 +90,46 @@
             outcomes.ConfigAccepted(2), outcomes.CODEC.decode(answer.outcome)
         )
 
+    def _submit_refused(self):
+        """Sends a submission that the dispatcher refuses."""
+        self._become_leader()
+        spec = workflows.WorkflowSpec('', [workflows.Step(1)])
+        submission = commands.SubmitWorkflow('host', '/q/a', spec, 1)
+        refusal = commands.RefuseWorkflow('host', '/q/a', 1, 2, 1000)
+        with mock.patch.object(
+            dispatcher.Dispatcher, 'find_refusal', return_value=refusal
+        ):
+            effects = self._send_call(
+                messages.ProposeCommand, commands.CODEC.encode(submission)
+            )
+        ((token, proposed_command),) = effects[0].event.proposals
+        self.assertEqual(refusal, commands.CODEC.decode(proposed_command))
+        self._step(agreement.ProposalAppended(token, 2, 1))
+        return proposed_command
+
+    def test_refusal_is_answered_once_it_is_agreed(self):
+        """A refusal by one leader alone would not hold at the next one."""
+        proposed_command = self._submit_refused()
+        (answer,) = self._apply_command(2, 1, proposed_command)
+        self.assertEqual(
+            'no_document', outcomes.CODEC.decode(answer.outcome).reason
+        )
+
+    def test_refusal_of_a_lost_leadership_is_unknown(self):
+        proposed_command = self._submit_refused()
+        role_change = agreement.RoleChanged('follower', 2, 'c2', False)
+        answers = self._get_answers(self._step(role_change))
+        self._assert_refused('unknown', answers)
+        self.assertEqual([], self._apply_command(2, 1, proposed_command))
+
+    def test_other_processes_may_not_refuse_workflows(self):
+        self._become_leader()
+        refusal = commands.RefuseWorkflow('host', '/q/a', 1, 2, 1000)
+        effects = self._send_call(
+            messages.ProposeCommand, commands.CODEC.encode(refusal)
+        )
+        self._assert_refused('bad_request', self._get_answers(effects))
+
     def test_entry_of_another_term_in_its_place_means_not_agreed(self):
         self._become_leader()
         token = self._get_token(self._propose())
--- a/tests/fakes/dispatch_world.py
+++ b/tests/fakes/dispatch_world.py
@@ -284,6 +284,10 @@
                 raise AssertionError('the condition did not hold in time')
             self.run(CONDITION_INTERVAL_MS)
 
+    def call_later(self, delay_ms, action, *args):
+        """Calls a function after a span of virtual time."""
+        self._schedule(delay_ms, action, *args)
+
     def _schedule(self, delay_ms, action, *args):
         heapq.heappush(
             self._scheduled_calls,
--- /dev/null
+++ b/tests/platform/test_callers.py
@@ -0,0 +1,62 @@
+"""Tests the answers to callers.
+
+They guard against a refusal that does not say when to come back, and against
+an old copy of a refused request that counts as a new attempt.
+"""
+
+import time
+import unittest
+
+import curio
+from returns import result
+
+from fuchsiatrestle.net import http
+from fuchsiatrestle.platform import _callers
+from fuchsiatrestle.state import outcomes
+
+
+class _Client:
+    """Client of control that gives one outcome to all commands."""
+
+    target_replica = 'c1'
+
+    def __init__(self, outcome):
+        self._outcome = outcome
+        self.command = None
+
+    async def propose(self, command, timeout_ms):
+        self.command = command
+        return result.Success(self._outcome)
+
+
+BODY = b'{"task_spec": "", "steps": [{"count": 1}]}'
+
+
+class RefusalTest(unittest.TestCase):
+    def test_request_that_waited_in_the_socket_is_as_old_as_its_receipt(self):
+        client = _Client(outcomes.WorkflowOutcome('queued'))
+        handler = _callers.CallerHandler(client)
+        received_ms = time.monotonic_ns() // 1_000_000 - 5000
+        request = http.Request('POST', '/q/a', [], BODY, received_ms)
+        curio.run(handler.handle, request)
+        age_ms = time.time() * 1000 - client.command.submitted_ms
+        self.assertGreaterEqual(age_ms, 5000)
+
+    def test_overload_is_answered_in_whole_seconds(self):
+        for retry_after_ms, seconds in ((0, 1), (1000, 1), (1001, 2)):
+            with self.subTest(retry_after_ms=retry_after_ms):
+                outcome = outcomes.WorkflowOutcome(
+                    '', 'overloaded', retry_after_ms
+                )
+                handler = _callers.CallerHandler(_Client(outcome))
+                request = http.Request('POST', '/q/a', [], BODY)
+                response = curio.run(handler.handle, request)
+                self.assertEqual(429, response.status)
+                self.assertIn(b'overloaded', response.body)
+                self.assertIn(
+                    (b'retry-after', b'%d' % seconds), response.headers
+                )
+
+
+if __name__ == '__main__':
+    unittest.main()
