Estimate the wait by the share of the queue alone

Cause: the shorter one of two estimates, by the order of placement over all queues and by the queue's share, admitted more of a low priority than the share: with 0.8 of the capacity asked for by an urgent queue and 1.3 by a patient one, 82 of 180 urgent callers were served in three objectives.

Change: the wait is the work of the queue's own workflows that go before, over the rate that the queue can count on.

--- a/fuchsiatrestle/workflows/_admission.py
+++ b/fuchsiatrestle/workflows/_admission.py
@@ -71,13 +71,18 @@
 class _PendingSubmission:
     """Accepted submission that the view of the load may not contain yet."""
 
-    __slots__ = ('accepted_ms', 'demand', 'is_large_by_lane', 'order_key')
+    __slots__ = (
+        'accepted_ms',
+        'demand',
+        'is_large_by_lane',
+        'latest_start_ms',
+    )
 
-    def __init__(self, accepted_ms, demand, is_large_by_lane, order_key):
+    def __init__(self, accepted_ms, demand, is_large_by_lane, latest_start_ms):
         self.accepted_ms = accepted_ms
         self.demand = demand
         self.is_large_by_lane = is_large_by_lane
-        self.order_key = order_key
+        self.latest_start_ms = latest_start_ms
 
 
 class _Estimate:
@@ -183,13 +188,14 @@
         is_large_by_lane = self._record_submission(workflow_id, demand)
         if self._view is None or self._view_age_ms > MAX_VIEW_AGE_MS:
             self._make_view(wall_ms)
-        order_key = (
-            queue.priority,
+        latest_start_ms = (
             submission.submitted_ms
             + demand.objective_ms
-            - demand.longest_path_ms,
+            - demand.longest_path_ms
+        )
+        estimate = self._estimate(
+            demand, latest_start_ms, is_large_by_lane, wall_ms
         )
-        estimate = self._estimate(demand, order_key, is_large_by_lane, wall_ms)
         if estimate is not None:
             metrics.gauge(
                 _ESTIMATED_TIMES[_kind(estimate.lane)],
@@ -198,7 +204,7 @@
         reason = self._find_reason(demand, estimate, wall_ms)
         if not reason:
             self._pending_by_workflow[workflow_id] = _PendingSubmission(
-                now_ms, demand, is_large_by_lane, order_key
+                now_ms, demand, is_large_by_lane, latest_start_ms
             )
             return None
         self._last_refused_ms[queue.name, estimate.lane] = now_ms
@@ -303,7 +309,7 @@
 
     # Estimates
 
-    def _estimate(self, demand, order_key, is_large_by_lane, wall_ms):
+    def _estimate(self, demand, latest_start_ms, is_large_by_lane, wall_ms):
         """Returns the ``_Estimate`` of a workflow, None if nothing is known.
 
         It is that of the lane with the longest wait; lanes of which the drain
@@ -325,14 +331,13 @@
                 # It would miss its objective on idle workers as well, and
                 # would be refused for ever.
                 own_ms = min(demand.longest_path_ms, demand.objective_ms)
-            wait_ms = self._find_work_before(lane, order_key) / drain_rate
+            work_before, total_work = self._find_waiting_work(
+                lane, demand, latest_start_ms, is_large
+            )
+            wait_ms = work_before / queue_rate
             if wait_ms + own_ms > demand.objective_ms:
                 # Once it is late, it goes behind what waits now.
-                wait_ms = self._find_backlog(lane, demand.queue) / drain_rate
-            wait_ms = min(
-                wait_ms,
-                self._find_own_work(lane, demand.queue, is_large) / queue_rate,
-            )
+                wait_ms = total_work / queue_rate
             estimates.append(
                 _Estimate(lane, wait_ms, own_ms, drain_rate, queue_rate, work)
             )
@@ -340,36 +345,36 @@
             estimates, key=lambda estimate: estimate.total_ms, default=None
         )
 
-    def _find_work_before(self, lane, order_key):
-        """Returns the waiting work that is placed before a workflow."""
-        return self._view.find_lane_load(lane).work_before(order_key) + sum(
-            pending.demand.work_by_lane[lane]
-            for pending in self._pending_by_workflow.values()
-            if pending.order_key <= order_key
-        )
+    def _find_waiting_work(self, lane, demand, latest_start_ms, is_large):
+        """Returns the waiting work of a queue, of workflows of one size.
 
-    def _find_backlog(self, lane, queue):
-        """Returns all waiting work of the priority of a queue or a higher."""
-        lane_load = self._view.find_lane_load(lane)
-        return sum(
-            work
-            for priority, work in lane_load.work_by_priority.items()
-            if priority <= queue.priority
-        ) + sum(
-            pending.demand.work_by_lane[lane]
-            for pending in self._pending_by_workflow.values()
-            if pending.demand.queue.priority <= queue.priority
-        )
+        Args:
+            lane: the ``Lane``.
+            demand: ``Demand`` of a workflow.
+            latest_start_ms: latest start of the workflow.
+            is_large: True if it is large.
 
-    def _find_own_work(self, lane, queue, is_large):
-        """Returns the waiting work of a queue, of one size."""
-        lane_load = self._view.find_lane_load(lane)
-        return lane_load.work_by_queue_and_size[queue.name, is_large] + sum(
-            pending.demand.work_by_lane[lane]
-            for pending in self._pending_by_workflow.values()
-            if pending.demand.queue.name == queue.name
-            and pending.is_large_by_lane.get(lane) == is_large
+        Returns:
+            The work that goes before the workflow if it starts in time, and
+            all work that waits.
+        """
+        work_before = total_work = 0
+        queue_load = self._view.find_queue_load(
+            lane, demand.queue.name, is_large
         )
+        if queue_load is not None:
+            work_before = queue_load.find_work_before(latest_start_ms)
+            total_work = queue_load.total_work
+        for pending in self._pending_by_workflow.values():
+            if (
+                pending.demand.queue.name == demand.queue.name
+                and pending.is_large_by_lane.get(lane) == is_large
+            ):
+                work = pending.demand.work_by_lane[lane]
+                total_work += work
+                if pending.latest_start_ms <= latest_start_ms:
+                    work_before += work
+        return work_before, total_work
 
     def _find_queue_rate(self, queue, lane, drain_rate):
         """Returns the part of a drain rate that a queue can count on.
@@ -383,16 +388,20 @@
             lane: the ``Lane``.
             drain_rate: drain rate of the lane.
         """
-        queues = dict(self._view.find_lane_load(lane).queues)
-        find_queue = self._state.workflow_store.documents.find_queue
         now_ms = self._state.now_ms
-        demand_rates = {}
-        for (name, other_lane), history in self._histories.items():
-            if other_lane == lane:
-                demand_rates[name] = history.demand_rate(now_ms)
-                other_queue = find_queue(name)
-                if demand_rates[name] and other_queue is not None:
-                    queues[name] = other_queue
+        demand_rates = {
+            name: history.demand_rate(now_ms)
+            for (name, other_lane), history in self._histories.items()
+            if other_lane == lane
+        }
+        find_queue = self._state.workflow_store.documents.find_queue
+        queues = {
+            name: find_queue(name)
+            for name in (
+                self._view.list_waiting_queues(lane) | demand_rates.keys()
+            )
+            if find_queue(name) is not None
+        }
         queues[queue.name] = queue
         floor = FLOOR_SHARE * drain_rate / len(queues)
         wanted_rates = {
--- a/fuchsiatrestle/workflows/_load.py
+++ b/fuchsiatrestle/workflows/_load.py
@@ -305,9 +305,12 @@
         if len(self._work_by_workflow) < MIN_SUBMISSIONS_FOR_LARGE:
             return
         works = sorted(self._work_by_workflow.values())
-        quantile = works[int(LARGE_QUANTILE * len(works))]
-        if quantile > works[len(works) // 2]:
-            self._large_from = quantile
+        position = int(LARGE_QUANTILE * len(works))
+        if works[position] == works[len(works) // 2]:
+            # Few are larger than usual, or none.
+            position = bisect.bisect_right(works, works[position])
+        if position < len(works):
+            self._large_from = works[position]
 
     def is_large(self, work):
         """True for a workflow with this work if it is large."""
@@ -334,75 +337,49 @@
         return self._total_work / measured_ms
 
 
-class _WaitingWork:
-    """Work of one workflow that waits in a lane.
+class _QueueLoad:
+    """Waiting work of a queue in one lane, of large workflows or the others.
 
     Attributes:
-        queue: its ``Queue``.
-        is_large: True if it is large for its queue.
-        order_key: priority and latest start of a workflow that is in time.
-        work: all of its work that waits.
-        turn_work: work of one of its tasks if nothing of it runs, else 0.
+        total_work: all of it.
     """
 
-    __slots__ = ('is_large', 'order_key', 'queue', 'turn_work', 'work')
+    def __init__(self):
+        self.total_work = 0
+        # (latest start, work, work of a turn) of each workflow in time.
+        self._in_time = []
+        self._late_turn_work = 0
 
-    def __init__(self, queue, is_large, order_key, work, turn_work):
-        self.queue = queue
-        self.is_large = is_large
-        self.order_key = order_key
-        self.work = work
-        self.turn_work = turn_work
+    def add(self, latest_start_ms, is_late, work, turn_work):
+        """Adds the waiting work of a workflow.
 
+        Args:
+            latest_start_ms: latest start that meets its objective.
+            is_late: True if that time is over.
+            work: its work.
+            turn_work: work of one of its tasks if nothing of it runs, else 0.
+        """
+        self.total_work += work
+        if is_late:
+            self._late_turn_work += turn_work
+        else:
+            self._in_time.append((latest_start_ms, work, turn_work))
 
-class _LaneLoad:
-    """Waiting work of a lane, in the order of placement.
+    def find_work_before(self, latest_start_ms):
+        """Returns the work that is placed before a workflow that is in time.
 
-    Args:
-        in_time: list of ``_WaitingWork`` of workflows that are in time.
-        late: the same for the late ones.
-    """
-
-    def __init__(self, in_time, late):
-        in_time.sort(key=lambda waiting: waiting.order_key)
-        self._order_keys = [waiting.order_key for waiting in in_time]
-        self._work_before = [0]
-        self._turns_before = [0]
-        for waiting in in_time:
-            self._work_before.append(self._work_before[-1] + waiting.work)
-            self._turns_before.append(
-                self._turns_before[-1] + waiting.turn_work
-            )
-        self._turn_work = self._turns_before[-1] + sum(
-            waiting.turn_work for waiting in late
-        )
-        self.work_by_priority = collections.Counter()
-        self.work_by_queue_and_size = collections.Counter()
-        self.queues = {}
-        for waiting in (*in_time, *late):
-            self.work_by_priority[waiting.queue.priority] += waiting.work
-            self.work_by_queue_and_size[
-                waiting.queue.name, waiting.is_large
-            ] += waiting.work
-            self.queues[waiting.queue.name] = waiting.queue
-
-    def work_before(self, order_key):
-        """Returns the work that goes before a workflow that is in time.
+        That is the work of workflows in time that have to start earlier, and
+        one task of any other of which nothing runs.
 
         Args:
-            order_key: its priority and latest start.
+            latest_start_ms: latest start that meets its objective.
         """
-        position = bisect.bisect_right(self._order_keys, order_key)
-        return (
-            self._work_before[position]
-            + self._turn_work
-            - self._turns_before[position]
+        return self._late_turn_work + sum(
+            work if other_start_ms <= latest_start_ms else turn_work
+            for other_start_ms, work, turn_work in self._in_time
         )
 
 
-_NO_LOAD = _LaneLoad([], [])
-
-
 class LoadView:
     """The waiting work and the processor time in use, at one time.
 
@@ -429,8 +406,8 @@
         # time at a low pace; most of their work still waits.
         self._sharing_run_counts = collections.Counter()
         self._count_runs()
-        in_time = collections.defaultdict(list)
-        late = collections.defaultdict(list)
+        # By lane, name of the queue and whether the workflows are large.
+        self._queue_loads = collections.defaultdict(_QueueLoad)
         open_workflows = dispatch_state.workflow_store.open_workflows
         for workflow_id in demand_by_workflow.keys() - open_workflows.keys():
             del demand_by_workflow[workflow_id]
@@ -441,14 +418,8 @@
                 demand = Demand(queue, workflow.spec)
                 demand_by_workflow[workflow_id] = demand
             for occurrence in workflow.occurrences:
-                self._add_waiting_work(
-                    workflow, occurrence, demand, wall_ms, in_time, late
-                )
-        self._load_by_lane = {
-            lane: _LaneLoad(in_time[lane], late[lane])
-            for lane in {*in_time, *late}
-        }
-        self.waiting_lanes = self._load_by_lane.keys()
+                self._add_waiting_work(workflow, occurrence, demand, wall_ms)
+        self.waiting_lanes = {lane for lane, _, _ in self._queue_loads}
 
     def _count_runs(self):
         for worker in self._state.fleet:
@@ -464,9 +435,7 @@
                         task_id.workflow_id, task_id.occurrence, task_id.step
                     ] += 1
 
-    def _add_waiting_work(
-        self, workflow, occurrence, demand, wall_ms, in_time, late
-    ):
+    def _add_waiting_work(self, workflow, occurrence, demand, wall_ms):
         due_ms = workflow.spec.due_ms(occurrence)
         if due_ms > wall_ms:
             return
@@ -493,24 +462,30 @@
         latest_start_ms = (
             (due_ms or workflow.submitted_ms) + demand.objective_ms - path_ms
         )
-        waiting_by_lane = in_time if latest_start_ms >= wall_ms else late
         gets_turn = not workflow.is_running
         for lane, work in work_by_lane.items():
             history = self._histories.get((demand.queue.name, lane))
-            waiting_by_lane[lane].append(
-                _WaitingWork(
-                    demand.queue,
-                    history is not None
-                    and history.is_large(demand.work_by_lane[lane]),
-                    (demand.queue.priority, latest_start_ms),
-                    work,
-                    turn_work_by_lane.get(lane, 0) if gets_turn else 0,
-                )
+            is_large = history is not None and history.is_large(
+                demand.work_by_lane[lane]
+            )
+            self._queue_loads[lane, demand.queue.name, is_large].add(
+                latest_start_ms,
+                latest_start_ms < wall_ms,
+                work,
+                turn_work_by_lane.get(lane, 0) if gets_turn else 0,
             )
 
-    def find_lane_load(self, lane):
-        """Returns the ``_LaneLoad`` of a lane."""
-        return self._load_by_lane.get(lane, _NO_LOAD)
+    def find_queue_load(self, lane, queue_name, is_large):
+        """Returns the ``_QueueLoad`` of a queue in a lane, or None."""
+        return self._queue_loads.get((lane, queue_name, is_large))
+
+    def list_waiting_queues(self, lane):
+        """Returns the set of names of the queues whose work waits."""
+        return {
+            queue_name
+            for other_lane, queue_name, _ in self._queue_loads
+            if other_lane == lane
+        }
 
     def has_free_room(self, lane, step, added_task_count):
         """True if workers have room for a task beside those that wait.
