--- a/fuchsiatrestle/workflows/_admission.py
+++ b/fuchsiatrestle/workflows/_admission.py
@@ -326,10 +326,9 @@
                 is_large
             )
             work = demand.work_by_lane[lane]
-            own_ms = max(demand.longest_path_ms, work / drain_rate)
-            if own_ms > demand.objective_ms:
-                # It would miss its objective on idle workers as well, and
-                # would be refused for ever.
+            own_ms = max(demand.longest_path_ms, work / queue_rate)
+            if own_ms > USELESS_OBJECTIVE_FACTOR * demand.objective_ms:
+                # It would be refused for ever, also if it did not wait.
                 own_ms = min(demand.longest_path_ms, demand.objective_ms)
             work_before, total_work = self._find_waiting_work(
                 lane, demand, latest_start_ms, is_large
@@ -434,11 +433,9 @@
         reason = ''
         if estimate.total_ms > USELESS_OBJECTIVE_FACTOR * demand.objective_ms:
             reason = 'useless'
-        elif (
-            self._is_overloaded(demand.queue, estimate.lane, wall_ms)
-            and estimate.total_ms
-            > IN_TIME_OBJECTIVE_SHARE * demand.objective_ms
-        ):
+        elif estimate.total_ms > _find_target_ms(
+            demand, estimate
+        ) and self._is_overloaded(demand.queue, estimate.lane, wall_ms):
             reason = 'late'
         if not reason or self._has_free_room(demand, estimate.lane):
             return ''
@@ -485,9 +482,7 @@
         """
         now_ms = self._state.now_ms
         drained_ms = (
-            now_ms
-            + estimate.total_ms
-            - IN_TIME_OBJECTIVE_SHARE * demand.objective_ms
+            now_ms + estimate.total_ms - _find_target_ms(demand, estimate)
         )
         key = demand.queue.name, estimate.lane
         next_ms = self._next_return_ms.get(key, now_ms)
@@ -523,5 +518,17 @@
         )
 
 
+def _find_target_ms(demand, estimate):
+    """Returns the time to completion that is aimed at under an overload.
+
+    It is the objective, or three times the objective for a workflow that
+    would miss its objective also if it did not wait.
+    """
+    target_ms = IN_TIME_OBJECTIVE_SHARE * demand.objective_ms
+    if estimate.own_ms <= target_ms:
+        return target_ms
+    return USELESS_OBJECTIVE_FACTOR * demand.objective_ms
+
+
 def _kind(lane):
     return 'best_effort' if lane.fills else 'batch'
