Measure only workflows that have changed

Change: the waiting work of a workflow is kept until one of its tasks changes; work before a workflow is found by bisection and the sums of ended runs are kept; views are made less often beyond 1,600 open workflows.

--- a/fuchsiatrestle/workflows/_admission.py
+++ b/fuchsiatrestle/workflows/_admission.py
@@ -38,6 +38,9 @@
 # Time for which a view of the load is used for further submissions.
 MAX_VIEW_AGE_MS = 200
 VIEW_INTERVAL_MS = 500
+# A view takes about 1 ms for each 100 open workflows; beyond this number of
+# them, views are made less often.
+MAX_FREQUENT_WORKFLOWS = 1600
 # An accepted submission that is not agreed after this counts no more.
 MAX_PROPOSAL_MS = 3000
 # Part of the drain rate that is divided evenly among the queues.
@@ -141,7 +144,9 @@
             for refusal in dispatch_state.workflow_store.refusals
         }
         self._next_return_ms = {}
-        self._demand_by_workflow = {}
+        self._waiting_work_table = _load.WaitingWorkTable(
+            dispatch_state.workflow_store
+        )
         self._pending_by_workflow = {}
         self._view = None
         # (monotonic time, processor time in use by lane), oldest first.
@@ -152,13 +157,23 @@
 
     def start_round(self, ready_groups, wall_ms):
         """Measures the load at intervals."""
-        if self._view is None or self._view_age_ms >= VIEW_INTERVAL_MS:
-            self._make_view(wall_ms)
+        self._refresh_view(wall_ms, VIEW_INTERVAL_MS)
 
     def record_command(self, command):
-        """Measures the run times of ended tasks."""
-        if isinstance(command, commands.RecordProgress):
+        """Follows the changes of workflows and queues."""
+        if isinstance(command, commands.PutDocument):
+            self._waiting_work_table.clear()
+        elif isinstance(command, commands.RecordProgress):
             self._drain_meter.record_progress(command)
+            self._waiting_work_table.record_changes(
+                changed_run.task.workflow_id
+                for changed_runs in (
+                    command.ends,
+                    command.lost,
+                    command.placed,
+                )
+                for changed_run in changed_runs
+            )
 
     def find_refusal(self, submission, wall_ms):
         """Decides whether a workflow is refused when it is submitted.
@@ -184,10 +199,12 @@
         demand = _load.Demand(queue, spec)
         if not demand.longest_path_ms:
             return None
+        if workflow_id in self._pending_by_workflow:
+            # This leader has accepted it, and it may be agreed any moment.
+            return None
         now_ms = self._state.now_ms
         is_large_by_lane = self._record_submission(workflow_id, demand)
-        if self._view is None or self._view_age_ms > MAX_VIEW_AGE_MS:
-            self._make_view(wall_ms)
+        self._refresh_view(wall_ms, MAX_VIEW_AGE_MS)
         latest_start_ms = (
             submission.submitted_ms
             + demand.objective_ms
@@ -223,15 +240,23 @@
 
     # Measurement
 
-    @property
-    def _view_age_ms(self):
-        return self._state.now_ms - self._view.made_ms
+    def _refresh_view(self, wall_ms, max_age_ms):
+        """Makes a view of the load if there is none or it is too old."""
+        open_count = len(self._state.workflow_store.open_workflows)
+        if open_count > MAX_FREQUENT_WORKFLOWS:
+            max_age_ms *= open_count / MAX_FREQUENT_WORKFLOWS
+        if (
+            self._view is None
+            or self._state.now_ms - self._view.made_ms >= max_age_ms
+        ):
+            self._make_view(wall_ms)
 
     def _make_view(self, wall_ms):
         now_ms = self._state.now_ms
+        self._drain_meter.remove_old(wall_ms)
         self._forget_idle_queues()
         self._view = _load.LoadView(
-            self._state, self._histories, self._demand_by_workflow, wall_ms
+            self._state, self._histories, self._waiting_work_table, wall_ms
         )
         self._busy_cpu.append((now_ms, self._view.busy_cpu_by_lane))
         while self._busy_cpu[0][0] < now_ms - _load.BUSY_CPU_MEMORY_MS:
@@ -302,7 +327,7 @@
             )
             if lane.is_restricted or 2 * busy_cpu < batch_cpu:
                 return None
-        speed = self._drain_meter.find_speed(lane, wall_ms)
+        speed = self._drain_meter.find_speed(lane)
         if speed is None or not busy_cpu:
             return None
         return speed * busy_cpu
--- a/fuchsiatrestle/workflows/_load.py
+++ b/fuchsiatrestle/workflows/_load.py
@@ -13,12 +13,14 @@
 
 import bisect
 import collections
+import itertools
 
 __all__ = (
     'Demand',
     'DrainMeter',
     'LoadView',
     'SubmissionHistory',
+    'WaitingWorkTable',
     'find_lane',
 )
 
@@ -153,6 +155,52 @@
         return self._path_ms_from_step[step_number]
 
 
+class _EndedRuns:
+    """Runs that have ended in a lane lately, with their sums.
+
+    Attributes:
+        estimated_work: estimated work of those that are done.
+        used_work: processor time that all of them have reserved.
+        run_ms: their run times.
+    """
+
+    __slots__ = ('_runs', 'estimated_work', 'run_ms', 'used_work')
+
+    def __init__(self):
+        self.estimated_work = 0
+        self.used_work = 0
+        self.run_ms = 0
+        # (end, estimated work, used work, run time), the oldest first.
+        self._runs = collections.deque()
+
+    def __len__(self):
+        return len(self._runs)
+
+    def add(self, ended_ms, estimated_work, used_work, run_ms):
+        """Adds a run; times are in ms."""
+        self._runs.append((ended_ms, estimated_work, used_work, run_ms))
+        self.estimated_work += estimated_work
+        self.used_work += used_work
+        self.run_ms += run_ms
+
+    def remove_old(self, oldest_ms):
+        """Removes the runs that ended up to a time since the epoch."""
+        while self._runs and self._runs[0][0] <= oldest_ms:
+            _, estimated_work, used_work, run_ms = self._runs.popleft()
+            self.estimated_work -= estimated_work
+            self.used_work -= used_work
+            self.run_ms -= run_ms
+
+    def find_drained_work(self, since_ms):
+        """Returns the estimated work of runs that ended after a time."""
+        drained_work = 0
+        for ended_ms, estimated_work, _, _ in reversed(self._runs):
+            if ended_ms <= since_ms:
+                break
+            drained_work += estimated_work
+        return drained_work
+
+
 class DrainMeter:
     """Measures how the tasks that ended compare with their estimates.
 
@@ -166,9 +214,7 @@
             (live_run.task, live_run.run): live_run.placed_ms
             for live_run in workflow_store.live_runs()
         }
-        # (end, estimated work, reserved processor time, run time) by lane, the
-        # oldest first.
-        self._ended_runs_by_lane = collections.defaultdict(collections.deque)
+        self._ended_runs_by_lane = collections.defaultdict(_EndedRuns)
 
     def record_progress(self, command):
         """Records the runs that an agreed ``RecordProgress`` has changed."""
@@ -201,26 +247,23 @@
             )
         run_ms = max(1, now_ms - placed_ms)
         used_work = max(step.cpu, 1) * run_ms
-        self._ended_runs_by_lane[find_lane(queue.pool, step)].append(
-            (now_ms, estimated_work, used_work, run_ms)
+        self._ended_runs_by_lane[find_lane(queue.pool, step)].add(
+            now_ms, estimated_work, used_work, run_ms
         )
 
-    def find_speed(self, lane, wall_ms):
+    def find_speed(self, lane):
         """Returns the estimated work that a unit of processor time drains.
 
         Args:
             lane: the ``Lane``.
-            wall_ms: time since the epoch.
 
         Returns:
             The ratio; None while too few tasks have ended.
         """
-        ended_runs = self._find_ended_runs(lane, wall_ms)
-        if len(ended_runs) < MIN_ENDED_RUNS:
+        ended_runs = self._ended_runs_by_lane.get(lane)
+        if ended_runs is None or len(ended_runs) < MIN_ENDED_RUNS:
             return None
-        estimated_work = sum(work for _, work, _, _ in ended_runs)
-        used_work = sum(work for _, _, work, _ in ended_runs)
-        return estimated_work / used_work or None
+        return ended_runs.estimated_work / ended_runs.used_work or None
 
     def find_throughput(self, lane, wall_ms, max_window_ms):
         """Returns the rate of the estimated work that was drained.
@@ -234,25 +277,26 @@
             The rate; None if too few tasks have ended, or if that time is too
             short for their run times.
         """
-        ended_runs = self._find_ended_runs(lane, wall_ms)
-        if len(ended_runs) < MIN_ENDED_RUNS:
+        ended_runs = self._ended_runs_by_lane.get(lane)
+        if ended_runs is None or len(ended_runs) < MIN_ENDED_RUNS:
             return None
-        mean_run_ms = sum(ms for _, _, _, ms in ended_runs) / len(ended_runs)
+        mean_run_ms = ended_runs.run_ms / len(ended_runs)
         window_ms = max(MIN_THROUGHPUT_MS, THROUGHPUT_RUN_TIMES * mean_run_ms)
         if window_ms > min(max_window_ms, WINDOW_MS):
             return None
-        drained_work = sum(
-            work
-            for ended_ms, work, _, _ in ended_runs
-            if ended_ms > wall_ms - window_ms
-        )
+        drained_work = ended_runs.find_drained_work(wall_ms - window_ms)
         return drained_work / window_ms or None
 
-    def _find_ended_runs(self, lane, wall_ms):
-        ended_runs = self._ended_runs_by_lane[lane]
-        while ended_runs and ended_runs[0][0] <= wall_ms - WINDOW_MS:
-            ended_runs.popleft()
-        return ended_runs
+    def remove_old(self, wall_ms):
+        """Forgets the tasks that ended before the window.
+
+        Args:
+            wall_ms: time since the epoch.
+        """
+        for lane, ended_runs in list(self._ended_runs_by_lane.items()):
+            ended_runs.remove_old(wall_ms - WINDOW_MS)
+            if not len(ended_runs):
+                del self._ended_runs_by_lane[lane]
 
 
 class SubmissionHistory:
@@ -337,6 +381,129 @@
         return self._total_work / measured_ms
 
 
+class _WaitingWork:
+    """Work of one occurrence of a workflow that waits in a lane.
+
+    Attributes:
+        lane: the ``Lane``.
+        due_ms: time since the epoch before which it does not wait.
+        latest_start_ms: latest start that meets its objective.
+        work: its work.
+        turn_work: work of one of its tasks if nothing of it runs, else 0.
+        task_counts: number of tasks that may start now, by reserved processor
+            time and memory.
+    """
+
+    __slots__ = (
+        'due_ms',
+        'lane',
+        'latest_start_ms',
+        'task_counts',
+        'turn_work',
+        'work',
+    )
+
+    def __init__(self, lane, due_ms):
+        self.lane = lane
+        self.due_ms = due_ms
+        self.latest_start_ms = 0
+        self.work = 0
+        self.turn_work = 0
+        self.task_counts = collections.Counter()
+
+
+class WaitingWorkTable:
+    """Waiting work of the open workflows, updated where they have changed.
+
+    Args:
+        workflow_store: the part of the replicated state with the workflows.
+
+    Attributes:
+        rows: (``Demand``, list of ``_WaitingWork``) by workflow id.
+    """
+
+    def __init__(self, workflow_store):
+        self.rows = {}
+        self._workflow_store = workflow_store
+        self._changed_ids = set()
+
+    def record_changes(self, workflow_ids):
+        """Records that the tasks of workflows have changed."""
+        self._changed_ids.update(workflow_ids)
+
+    def clear(self):
+        """Has all workflows measured anew, as the queues have changed."""
+        self.rows.clear()
+
+    def update(self, sharing_run_counts):
+        """Measures the workflows that are new or have changed.
+
+        Args:
+            sharing_run_counts: number of the best-effort runs that share
+                processor time at a low pace, by workflow id, occurrence and
+                step number; most of their work still waits.
+        """
+        open_workflows = self._workflow_store.open_workflows
+        for workflow_id in self.rows.keys() - open_workflows.keys():
+            del self.rows[workflow_id]
+        sharing_ids = {workflow_id for workflow_id, _, _ in sharing_run_counts}
+        changed_ids = self._changed_ids | sharing_ids
+        # Those that share now have to be measured again when they do not.
+        self._changed_ids = sharing_ids
+        changed_ids &= open_workflows.keys()
+        for workflow_id in changed_ids | (
+            open_workflows.keys() - self.rows.keys()
+        ):
+            workflow = open_workflows[workflow_id]
+            demand = Demand(
+                self._workflow_store.current_queue(workflow), workflow.spec
+            )
+            self.rows[workflow_id] = (
+                demand,
+                [
+                    waiting_work
+                    for occurrence in workflow.occurrences
+                    for waiting_work in _find_waiting_work(
+                        workflow, occurrence, demand, sharing_run_counts
+                    )
+                ],
+            )
+
+
+def _find_waiting_work(workflow, occurrence, demand, sharing_run_counts):
+    """Returns the ``_WaitingWork`` of an occurrence, one for each lane."""
+    due_ms = workflow.spec.due_ms(occurrence)
+    waiting_by_lane = {}
+    path_ms = 0
+    gets_turn = not workflow.is_running
+    for step_number, step in enumerate(workflow.spec.steps):
+        if step.lasts or workflow.is_step_done(occurrence, step_number):
+            continue
+        path_ms = max(path_ms, demand.path_ms_from_step(step_number))
+        task_count = workflow.count_waiting_tasks(occurrence, step_number)
+        task_count += sharing_run_counts[
+            workflow.workflow_id, occurrence, step_number
+        ]
+        if not task_count:
+            continue
+        lane = demand.lanes[step_number]
+        waiting_work = waiting_by_lane.setdefault(
+            lane, _WaitingWork(lane, due_ms)
+        )
+        task_work = demand.task_work[step_number]
+        waiting_work.work += task_count * task_work
+        if workflow.is_step_ready(occurrence, step_number):
+            waiting_work.task_counts[step.cpu, step.memory_mb] += task_count
+            if gets_turn and not waiting_work.turn_work:
+                waiting_work.turn_work = task_work
+    latest_start_ms = (
+        (due_ms or workflow.submitted_ms) + demand.objective_ms - path_ms
+    )
+    for waiting_work in waiting_by_lane.values():
+        waiting_work.latest_start_ms = latest_start_ms
+    return waiting_by_lane.values()
+
+
 class _QueueLoad:
     """Waiting work of a queue in one lane, of large workflows or the others.
 
@@ -346,24 +513,24 @@
 
     def __init__(self):
         self.total_work = 0
-        # (latest start, work, work of a turn) of each workflow in time.
+        # Latest start, and work beyond that of its turn, of each workflow
+        # that is in time; sorted by the start when they are read first.
         self._in_time = []
-        self._late_turn_work = 0
-
-    def add(self, latest_start_ms, is_late, work, turn_work):
-        """Adds the waiting work of a workflow.
-
-        Args:
-            latest_start_ms: latest start that meets its objective.
-            is_late: True if that time is over.
-            work: its work.
-            turn_work: work of one of its tasks if nothing of it runs, else 0.
-        """
-        self.total_work += work
-        if is_late:
-            self._late_turn_work += turn_work
-        else:
-            self._in_time.append((latest_start_ms, work, turn_work))
+        self._starts_ms = None
+        self._work_before = None
+        self._turn_work = 0
+
+    def add(self, waiting_work, wall_ms):
+        """Adds the ``_WaitingWork`` of a workflow."""
+        self.total_work += waiting_work.work
+        self._turn_work += waiting_work.turn_work
+        if waiting_work.latest_start_ms >= wall_ms:
+            self._in_time.append(
+                (
+                    waiting_work.latest_start_ms,
+                    waiting_work.work - waiting_work.turn_work,
+                )
+            )
 
     def find_work_before(self, latest_start_ms):
         """Returns the work that is placed before a workflow that is in time.
@@ -374,10 +541,16 @@
         Args:
             latest_start_ms: latest start that meets its objective.
         """
-        return self._late_turn_work + sum(
-            work if other_start_ms <= latest_start_ms else turn_work
-            for other_start_ms, work, turn_work in self._in_time
-        )
+        if self._starts_ms is None:
+            self._in_time.sort()
+            self._starts_ms = [start_ms for start_ms, _ in self._in_time]
+            self._work_before = list(
+                itertools.accumulate(
+                    (work for _, work in self._in_time), initial=0
+                )
+            )
+        position = bisect.bisect_right(self._starts_ms, latest_start_ms)
+        return self._turn_work + self._work_before[position]
 
 
 class LoadView:
@@ -386,8 +559,7 @@
     Args:
         dispatch_state: ``DispatchState``.
         histories: ``SubmissionHistory`` by queue name and lane.
-        demand_by_workflow: ``Demand`` by workflow id; those of new workflows
-            are added and those of closed ones removed.
+        waiting_work_table: ``WaitingWorkTable``; it is updated.
         wall_ms: time since the epoch.
 
     Attributes:
@@ -396,32 +568,35 @@
         waiting_lanes: set of the lanes in which work waits.
     """
 
-    def __init__(self, dispatch_state, histories, demand_by_workflow, wall_ms):
+    def __init__(self, dispatch_state, histories, waiting_work_table, wall_ms):
         self.made_ms = dispatch_state.now_ms
         self._state = dispatch_state
-        self._histories = histories
-        self._waiting_tasks_by_lane = collections.defaultdict(list)
         self.busy_cpu_by_lane = collections.Counter()
-        # Number of the best-effort runs of each step that share processor
-        # time at a low pace; most of their work still waits.
-        self._sharing_run_counts = collections.Counter()
-        self._count_runs()
+        # By lane, and reserved processor time and memory.
+        self._task_counts_by_lane = collections.defaultdict(
+            collections.Counter
+        )
         # By lane, name of the queue and whether the workflows are large.
         self._queue_loads = collections.defaultdict(_QueueLoad)
-        open_workflows = dispatch_state.workflow_store.open_workflows
-        for workflow_id in demand_by_workflow.keys() - open_workflows.keys():
-            del demand_by_workflow[workflow_id]
-        for workflow_id, workflow in open_workflows.items():
-            queue = dispatch_state.workflow_store.current_queue(workflow)
-            demand = demand_by_workflow.get(workflow_id)
-            if demand is None or demand.queue is not queue:
-                demand = Demand(queue, workflow.spec)
-                demand_by_workflow[workflow_id] = demand
-            for occurrence in workflow.occurrences:
-                self._add_waiting_work(workflow, occurrence, demand, wall_ms)
+        waiting_work_table.update(self._count_runs())
+        for demand, waiting_works in waiting_work_table.rows.values():
+            for waiting_work in waiting_works:
+                if waiting_work.due_ms <= wall_ms:
+                    history = histories.get(
+                        (demand.queue.name, waiting_work.lane)
+                    )
+                    self._add_waiting_work(
+                        demand, waiting_work, history, wall_ms
+                    )
         self.waiting_lanes = {lane for lane, _, _ in self._queue_loads}
 
     def _count_runs(self):
+        """Adds up the processor time in use.
+
+        Returns:
+            The number of runs that share it, see ``WaitingWorkTable``.
+        """
+        sharing_run_counts = collections.Counter()
         for worker in self._state.fleet:
             if worker.is_unresponsive or worker.last_announced_ms is None:
                 continue
@@ -431,49 +606,21 @@
                     self.busy_cpu_by_lane[lane] += max(run.step.cpu, 1)
                 if run.shares_cpu:
                     task_id = run.live_run.task
-                    self._sharing_run_counts[
+                    sharing_run_counts[
                         task_id.workflow_id, task_id.occurrence, task_id.step
                     ] += 1
+        return sharing_run_counts
 
-    def _add_waiting_work(self, workflow, occurrence, demand, wall_ms):
-        due_ms = workflow.spec.due_ms(occurrence)
-        if due_ms > wall_ms:
-            return
-        work_by_lane = collections.Counter()
-        turn_work_by_lane = {}
-        path_ms = 0
-        for step_number, step in enumerate(workflow.spec.steps):
-            if step.lasts or workflow.is_step_done(occurrence, step_number):
-                continue
-            path_ms = max(path_ms, demand.path_ms_from_step(step_number))
-            count = workflow.count_waiting_tasks(occurrence, step_number)
-            count += self._sharing_run_counts[
-                workflow.workflow_id, occurrence, step_number
-            ]
-            if not count:
-                continue
-            lane = demand.lanes[step_number]
-            work_by_lane[lane] += count * demand.task_work[step_number]
-            if workflow.is_step_ready(occurrence, step_number):
-                self._waiting_tasks_by_lane[lane].append((step, count))
-                turn_work_by_lane.setdefault(
-                    lane, demand.task_work[step_number]
-                )
-        latest_start_ms = (
-            (due_ms or workflow.submitted_ms) + demand.objective_ms - path_ms
+    def _add_waiting_work(self, demand, waiting_work, history, wall_ms):
+        lane = waiting_work.lane
+        is_large = history is not None and history.is_large(
+            demand.work_by_lane[lane]
         )
-        gets_turn = not workflow.is_running
-        for lane, work in work_by_lane.items():
-            history = self._histories.get((demand.queue.name, lane))
-            is_large = history is not None and history.is_large(
-                demand.work_by_lane[lane]
-            )
-            self._queue_loads[lane, demand.queue.name, is_large].add(
-                latest_start_ms,
-                latest_start_ms < wall_ms,
-                work,
-                turn_work_by_lane.get(lane, 0) if gets_turn else 0,
-            )
+        self._queue_loads[lane, demand.queue.name, is_large].add(
+            waiting_work, wall_ms
+        )
+        for needs, task_count in waiting_work.task_counts.items():
+            self._task_counts_by_lane[lane][needs] += task_count
 
     def find_queue_load(self, lane, queue_name, is_large):
         """Returns the ``_QueueLoad`` of a queue in a lane, or None."""
@@ -499,10 +646,11 @@
             added_task_count: number of further waiting tasks.
         """
         waiting_count = added_task_count + sum(
-            count
-            for waiting_step, count in self._waiting_tasks_by_lane[lane]
-            if waiting_step.cpu <= step.cpu
-            and waiting_step.memory_mb <= step.memory_mb
+            task_count
+            for (cpu, memory_mb), task_count in self._task_counts_by_lane[
+                lane
+            ].items()
+            if cpu <= step.cpu and memory_mb <= step.memory_mb
         )
         room_count = 0
         for worker in self._state.fleet.usable_workers(
--- a/tests/workflows/test_admission.py
+++ b/tests/workflows/test_admission.py
@@ -94,12 +94,12 @@
             if self.world.workflow_state(caller.workflow_id) == 'completed':
                 caller.completed_ms = self.world.now_ms
 
-    def submit(self, prefix=URGENT, tasks=4, **fields):
+    def submit(self, prefix=URGENT, tasks=4, cpu=1000, **fields):
         """Submits a workflow of two steps, the second one of one task."""
         steps = [
             records.Step(
                 count,
-                cpu=1000,
+                cpu=cpu,
                 memory_mb=10,
                 estimate_ms=TASK_MS,
                 after=after,
@@ -113,7 +113,7 @@
         factor = self.world.random.choice(RUN_TIME_FACTORS)
         self.world.profiles_by_workflow[caller.workflow_id] = [
             worker_model.TaskProfile(
-                1000,
+                cpu,
                 10,
                 int(TASK_MS * factor),
                 fills=fields.get('fills', False),
@@ -322,6 +322,13 @@
         self.assertTrue(load.would_refuse(load.submit(fills=True, image='f')))
         self.assertFalse(load.would_refuse(load.submit()))
 
+    def test_nothing_is_refused_that_free_room_suffices_for(self):
+        """Large tasks leave gaps on the workers that small ones can use."""
+        load = _Load()
+        load.play(20_000, 0.8, cpu=5000)
+        self.assertTrue(load.would_refuse(load.submit(cpu=5000)))
+        self.assertFalse(load.would_refuse(load.submit(tasks=1)))
+
     def _play_two_queues(self):
         """Returns the callers of a queue of low priority beside another."""
         load = _Load()
