--- a/fuchsiatrestle/workflows/_admission.py
+++ b/fuchsiatrestle/workflows/_admission.py
@@ -247,7 +247,7 @@
             max_age_ms *= open_count / MAX_FREQUENT_WORKFLOWS
         if (
             self._view is None
-            or self._state.now_ms - self._view.made_ms >= max_age_ms
+            or self._state.now_ms - self._view.made_ms > max_age_ms
         ):
             self._make_view(wall_ms)
 
