Slow best-effort runs in steps, and stop them only where they disturb

Runs that do not interfere by themselves were halted together at 1.1 times the target.

The pace of all runs on a worker now changes in steps of 25% while the tail is near its target, and they are halted from 1.3 times the target on or if the lowest pace does not help. A run whose image is held to interfere is stopped only where the tail is disturbed, and as soon as its worker has halted it. Halted tasks that save their progress move after 1 s. No best-effort task is added beside a tail at or above 0.85 of its target (Obstacle.TAIL).

--- a/fuchsiatrestle/workflows/_answers.py
+++ b/fuchsiatrestle/workflows/_answers.py
@@ -200,6 +200,8 @@
     def _on_pace_reply(self, worker, run, order, reply, retry_delay_ms):
         if reply.verdict == _Verdict.ACCEPTED:
             run.pace_percent = order.percent
+            if run.stops_once_halted and not run.pace_percent:
+                self._dispatch_state.stop_run(run, 'disturbs')
         else:
             run.next_order_ms = self._dispatch_state.now_ms + (
                 retry_delay_ms or _fleet.RETRY_MIN_MS
--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -295,6 +295,11 @@
         """True unless its serving tasks were disturbed when last measured."""
         return self.pace_control is None or self.pace_control.is_tail_calm
 
+    @property
+    def may_add_best_effort_run(self):
+        """False while a new best-effort run would be slowed or halted."""
+        return self.pace_control is None or self.pace_control.may_add_run
+
     def is_slow_run(self, run):
         """True if a run would end sooner if it began anew at its full pace.
 
--- a/fuchsiatrestle/workflows/_pacing.py
+++ b/fuchsiatrestle/workflows/_pacing.py
@@ -6,6 +6,10 @@
 those that are known to interfere, so that their tasks run on another worker,
 and resumes the others when the tail latency has dropped.
 
+Runs that are not known to interfere may still disturb together.  Their pace
+is lowered step by step while the tail latency is near its target and raised
+again below that, as a halt would throw away the time of all of them.
+
 A run with a limited pace was placed although it may interfere, as no other
 worker was left for it.  It is not moved for that, but runs at a ``PaceLimit``.
 """
@@ -18,23 +22,33 @@
 __all__ = ('PaceControl',)
 
 FULL_PACE_PERCENT = 100
-HALF_PACE_PERCENT = 50
 HALTED_PACE_PERCENT = 0
+# Step by which the pace of all runs on a worker changes, and the lowest pace
+# before they are halted, in percent of the full pace.
+PACE_STEP_PERCENT = 25
+MIN_SHARED_PACE_PERCENT = 25
 # Limits on the largest ratio of a tail latency on a worker to its target.  At
 # or above HALT_SUSPECTS_RATIO the best-effort runs that may interfere are
-# halted.  If there are none, all best-effort runs are slowed to half pace at
-# or above SLOW_ALL_RATIO, and halted at or above HALT_ALL_RATIO.  Below
-# RESUME_RATIO the runs that are not known to interfere run at full pace again.
+# halted.  If there are none, all best-effort runs are slowed by a step at or
+# above SLOW_ALL_RATIO, by two at or above SLOW_MORE_RATIO, and halted at or
+# above HALT_ALL_RATIO, or if they are at the lowest pace already.  Below
+# RAISE_RATIO slowed runs are raised by a step, and below RESUME_RATIO the
+# halted ones that are not known to interfere run again.
 HALT_SUSPECTS_RATIO = 0.85
 SLOW_ALL_RATIO = 0.95
-HALT_ALL_RATIO = 1.1
+SLOW_MORE_RATIO = 1.1
+HALT_ALL_RATIO = 1.3
+RAISE_RATIO = 0.85
 RESUME_RATIO = 0.72
 # Measurements cover half a second, so a change of pace shows fully only after
 # this time; until then no run is resumed.
 SETTLE_MS = 700
 # Once runs on a worker have been halted for this long, all halted runs there
-# are stopped, so that their tasks can run on other workers.
+# are stopped, so that their tasks can run on other workers.  A task that saves
+# its progress loses little by that, so it waits only until its worker had
+# time to settle.
 MAX_HALT_MS = 2500
+MAX_SAVED_HALT_MS = 1000
 # A run that its worker has not halted after this long is stopped.
 MAX_HALT_ORDER_MS = 1500
 
@@ -51,9 +65,10 @@
 
     __slots__ = (
         '_interference_model',
-        '_last_slowdown_ms',
+        '_pace_changed_ms',
         '_pace_limits',
         '_runs_halted_since_ms',
+        '_shared_pace_percent',
         '_window',
         '_worst_tail_ratio',
     )
@@ -61,7 +76,10 @@
     def __init__(self, interference_model, worker_name=''):
         self._interference_model = interference_model
         self._runs_halted_since_ms = None
-        self._last_slowdown_ms = 0
+        # Pace of the runs that are neither halted nor limited, and when it
+        # was changed last.
+        self._shared_pace_percent = FULL_PACE_PERCENT
+        self._pace_changed_ms = 0
         # ``PaceLimit`` by image of the runs with a limited pace.
         self._pace_limits = {}
         self._window = _tails.TailWindow(worker_name, interference_model)
@@ -72,6 +90,14 @@
         """True if best-effort runs would run at their full paces."""
         return self._worst_tail_ratio < RESUME_RATIO
 
+    @property
+    def may_add_run(self):
+        """False while one more best-effort run would be slowed or halted."""
+        return (
+            self._worst_tail_ratio < RAISE_RATIO
+            and self._runs_halted_since_ms is None
+        )
+
     def decide_paces(self, running_runs, capacity_cpu, now_ms):
         """Learns from the newest measurements and sets the wanted paces.
 
@@ -103,6 +129,7 @@
         )
         if not best_effort_runs:
             self._runs_halted_since_ms = None
+            self._shared_pace_percent = FULL_PACE_PERCENT
             return []
         serving_images = {run.step.image for run in serving_runs}
         self._update_pace_limits(best_effort_runs, now_ms)
@@ -158,21 +185,67 @@
         ]
         if self._worst_tail_ratio >= HALT_SUSPECTS_RATIO and suspect_runs:
             self._halt_runs(suspect_runs, now_ms)
-        elif self._worst_tail_ratio >= HALT_ALL_RATIO:
+        elif self._must_halt_all(now_ms):
             self._halt_runs(best_effort_runs, now_ms)
         elif self._worst_tail_ratio >= SLOW_ALL_RATIO:
-            self._slow_runs(best_effort_runs, now_ms)
+            self._lower_shared_pace(now_ms)
         elif (
             self._worst_tail_ratio < RESUME_RATIO
             and self._has_pace_change_settled(now_ms)
         ):
             self._runs_halted_since_ms = None
+            self._raise_shared_pace(now_ms)
             for pace_limit in self._pace_limits.values():
                 pace_limit.raise_if_due(now_ms)
             for run in best_effort_runs:
                 run.wanted_pace_percent = self._find_full_pace(
                     run, serving_images
                 )
+        elif (
+            self._worst_tail_ratio < RAISE_RATIO
+            and self._runs_halted_since_ms is None
+        ):
+            self._raise_shared_pace(now_ms)
+        self._apply_shared_pace(best_effort_runs)
+
+    def _must_halt_all(self, now_ms):
+        """True if slower runs would not protect the serving tasks."""
+        if self._worst_tail_ratio >= HALT_ALL_RATIO:
+            return True
+        return (
+            self._worst_tail_ratio >= SLOW_MORE_RATIO
+            and self._shared_pace_percent <= MIN_SHARED_PACE_PERCENT
+            and self._has_pace_change_settled(now_ms)
+        )
+
+    def _lower_shared_pace(self, now_ms):
+        if not self._has_pace_change_settled(now_ms):
+            return
+        steps = 2 if self._worst_tail_ratio >= SLOW_MORE_RATIO else 1
+        self._shared_pace_percent = max(
+            MIN_SHARED_PACE_PERCENT,
+            self._shared_pace_percent - steps * PACE_STEP_PERCENT,
+        )
+        self._pace_changed_ms = now_ms
+
+    def _raise_shared_pace(self, now_ms):
+        if (
+            self._shared_pace_percent == FULL_PACE_PERCENT
+            or not self._has_pace_change_settled(now_ms)
+        ):
+            return
+        self._shared_pace_percent += PACE_STEP_PERCENT
+        self._pace_changed_ms = now_ms
+
+    def _apply_shared_pace(self, best_effort_runs):
+        """Gives the shared pace to all runs without another pace."""
+        for run in best_effort_runs:
+            if (
+                run.wanted_pace_percent != HALTED_PACE_PERCENT
+                and not run.shares_cpu
+                and not run.is_pace_limited
+            ):
+                run.wanted_pace_percent = self._shared_pace_percent
 
     def _find_full_pace(self, run, serving_images):
         """Returns the pace of a run while the tail is calm, in percent."""
@@ -182,7 +255,7 @@
             not run.is_pace_limited
             or self._severity(serving_images, run) == _Severity.LIGHT
         ):
-            return FULL_PACE_PERCENT
+            return self._shared_pace_percent
         return self._pace_limits[run.step.image].percent
 
     def _halt_runs(self, runs, now_ms):
@@ -199,16 +272,9 @@
         if self._runs_halted_since_ms is None:
             self._runs_halted_since_ms = now_ms
 
-    def _slow_runs(self, runs, now_ms):
-        self._last_slowdown_ms = now_ms
-        for run in runs:
-            run.wanted_pace_percent = min(
-                run.wanted_pace_percent, HALF_PACE_PERCENT
-            )
-
     def _has_pace_change_settled(self, now_ms):
         last_pace_change_ms = max(
-            self._runs_halted_since_ms or 0, self._last_slowdown_ms
+            self._runs_halted_since_ms or 0, self._pace_changed_ms
         )
         return (
             not last_pace_change_ms
@@ -218,19 +284,21 @@
     def _runs_to_move(self, best_effort_runs, serving_images, now_ms):
         """Returns the halted runs to be stopped.
 
-        These are the runs that are known to interfere, unless their pace is
-        limited, and all halted runs once the halt has lasted ``MAX_HALT_MS``.
+        These are the runs that are known to interfere, unless the tail is
+        calm here or their pace is limited, and all halted runs once the halt
+        has lasted ``MAX_HALT_MS``, or ``MAX_SAVED_HALT_MS``.  A verdict that
+        is wrong, or that holds for larger shares of a worker only, stops
+        nothing where no harm is measured.
         """
-        is_move_due = (
-            self._runs_halted_since_ms is not None
-            and now_ms - self._runs_halted_since_ms >= MAX_HALT_MS
-        )
         runs_to_move = [
             run
             for run in best_effort_runs
-            if not run.is_pace_limited
+            if self._worst_tail_ratio >= HALT_SUSPECTS_RATIO
+            and not run.is_pace_limited
             and self._severity(serving_images, run) == _Severity.HEAVY
         ]
+        for run in best_effort_runs:
+            run.stops_once_halted = run in runs_to_move
         for run in runs_to_move:
             run.want_halt(now_ms)
         return [
@@ -238,10 +306,21 @@
             for run in best_effort_runs
             if run.wanted_pace_percent == HALTED_PACE_PERCENT
             and _must_move(
-                run, now_ms, is_due=is_move_due or run in runs_to_move
+                run,
+                now_ms,
+                is_due=run in runs_to_move or self._is_move_due(run, now_ms),
             )
         ]
 
+    def _is_move_due(self, run, now_ms):
+        """True if a halted run is to be stopped as the halt lasts."""
+        if self._runs_halted_since_ms is None:
+            return False
+        max_halt_ms = (
+            MAX_SAVED_HALT_MS if run.step.checkpoints else MAX_HALT_MS
+        )
+        return now_ms - self._runs_halted_since_ms >= max_halt_ms
+
     def _severity(self, serving_images, run):
         return self._interference_model.worst_severity(
             serving_images, run.step.image
--- a/fuchsiatrestle/workflows/_placement.py
+++ b/fuchsiatrestle/workflows/_placement.py
@@ -40,13 +40,19 @@
     """Why a worker is not used for a task."""
 
     NO_ROOM = 'no_room'  # it lacks the capacity or the label
-    # The three below bar best-effort images only.
+    # The ones below bar best-effort images only.
     CPU_IN_USE = 'cpu_in_use'  # other tasks use the processor time
     HEAVY = 'heavy'  # the image disturbs the serving tasks there
     TRIAL = 'trial'  # the image or another one is being tried there
+    TAIL = 'tail'  # the tail latency there is near its target
 
 
-BEST_EFFORT_OBSTACLES = (Obstacle.CPU_IN_USE, Obstacle.HEAVY, Obstacle.TRIAL)
+BEST_EFFORT_OBSTACLES = (
+    Obstacle.CPU_IN_USE,
+    Obstacle.HEAVY,
+    Obstacle.TRIAL,
+    Obstacle.TAIL,
+)
 
 
 class Placer(abc.ABC):
@@ -184,6 +190,8 @@
         """Returns what bars a worker to a best-effort step, or None."""
         if self._unused_cpu(worker, allocations) < step.cpu:
             return Obstacle.CPU_IN_USE
+        if not worker.may_add_best_effort_run:
+            return Obstacle.TAIL
         severity = self._interference_model.worst_severity(
             worker.serving_images, step.image
         )
@@ -212,6 +220,7 @@
         return (
             is_far_from_data,
             severity,
+            not worker.is_tail_calm,
             not serving_images,
             light_image_count,
             -unused_cpu,
--- a/fuchsiatrestle/workflows/_runs.py
+++ b/fuchsiatrestle/workflows/_runs.py
@@ -71,6 +71,8 @@
         pace_percent: pace that the worker accepted last, None if that is not
             known to this leader.
         wanted_pace_percent: pace that the run should have.
+        stops_once_halted: True if it is to be stopped as soon as its worker
+            has halted it, as it is known to interfere.
         halt_wanted_ms: when it was last decided to halt the run, 0 before.
         is_pace_limited: True for a best-effort run that was placed although it
             may disturb the serving tasks on its worker.
@@ -106,6 +108,7 @@
         'started_ms',
         'step',
         'stopped_ms',
+        'stops_once_halted',
         'survival_recorded',
         'wanted_pace_percent',
     )
@@ -135,6 +138,7 @@
         self.pace_percent = 100
         self.wanted_pace_percent = 100
         self.halt_wanted_ms = 0
+        self.stops_once_halted = False
         self.is_pace_limited = False
         self.shares_cpu = False
         self.claims_cpu = False
