Keep the evacuated data centres in the agreed state

The order of an operator has to outlast a power loss of all control VMs and a change of leader, and one that is carried out late must not undo a later one. A new part of the state counts the changes of each data centre; a command names the count that its order was based on.

--- a/fuchsiatrestle/state/_workflows.py
+++ b/fuchsiatrestle/state/_workflows.py
@@ -62,6 +62,8 @@
 
     Args:
         documents: the ``DocumentsPart`` with the configured queues.
+        evacuations: the ``EvacuationsPart``, which is not changed here; it is
+            for those who place runs.
     """
 
     name = 'workflows'
@@ -72,8 +74,9 @@
     )
     query_kinds = (queries.LookUpPath,)
 
-    def __init__(self, documents):
+    def __init__(self, documents, evacuations):
         self.documents = documents
+        self.evacuations = evacuations
         self._workflows = {}
         self._open_workflows_by_id = {}
         self._ended_workflows = collections.deque()
--- a/fuchsiatrestle/state/machine.py
+++ b/fuchsiatrestle/state/machine.py
@@ -6,6 +6,7 @@
 from fuchsiatrestle.state import _claims
 from fuchsiatrestle.state import _config
 from fuchsiatrestle.state import _documents
+from fuchsiatrestle.state import _evacuations
 from fuchsiatrestle.state import _jobs
 from fuchsiatrestle.state import _workflows
 from fuchsiatrestle.state import commands
@@ -33,12 +34,14 @@
     config = _config.ConfigPart()
     jobs = _jobs.JobsPart(get_quotas=config.team_quotas)
     documents = _documents.DocumentsPart()
+    evacuations = _evacuations.EvacuationsPart()
     return [
         config,
         _claims.ClaimsPart(),
         jobs,
         documents,
-        _workflows.WorkflowsPart(documents),
+        evacuations,
+        _workflows.WorkflowsPart(documents, evacuations),
     ]
 
 
@@ -97,6 +100,11 @@
         """The ``JobsPart`` with the batch jobs and their workers."""
         return self._parts['jobs']
 
+    @property
+    def evacuations(self):
+        """The ``EvacuationsPart`` with the evacuated data centres."""
+        return self._parts['evacuations']
+
     @property
     def workflows(self):
         """The ``WorkflowsPart`` with the workflows and their workers."""
--- a/fuchsiatrestle/state/outcomes.py
+++ b/fuchsiatrestle/state/outcomes.py
@@ -13,6 +13,7 @@
     'ConfigAccepted',
     'ConfigConflict',
     'Done',
+    'EvacuationOutcome',
     'Invalid',
     'JobOutcome',
     'JobOutcomes',
@@ -139,6 +140,23 @@
     reason: str = ''
 
 
+class EvacuationOutcome(records.Record, tag='evacuation'):
+    """Outcome of starting or ending an evacuation.
+
+    Attributes:
+        data_centre: name of the data centre.
+        evacuated: True if it is evacuated afterwards.
+        change_count: number of its changes afterwards.
+        repeated: True if the command changed nothing, as it was fulfilled
+            before; a later order may have been agreed since.
+    """
+
+    data_centre: str
+    evacuated: bool
+    change_count: int
+    repeated: bool = False
+
+
 CODEC = records.Codec(
     Done,
     Invalid,
@@ -147,4 +165,5 @@
     JobOutcomes,
     ClaimOutcomes,
     WorkflowOutcome,
+    EvacuationOutcome,
 )
--- a/fuchsiatrestle/state/queries/__init__.py
+++ b/fuchsiatrestle/state/queries/__init__.py
@@ -12,10 +12,13 @@
     'ConfigVersion',
     'CounterList',
     'DocumentText',
+    'EvacuationList',
+    'EvacuationView',
     'GetConfig',
     'GetConfigHistory',
     'GetCounters',
     'GetDocument',
+    'GetEvacuations',
     'GetJob',
     'GetJobReason',
     'GetStatus',
@@ -301,6 +304,45 @@
     pending: int
 
 
+class GetEvacuations(records.Record, tag='evacuations?'):
+    """Requests the data centres and whether they are evacuated."""
+
+
+class EvacuationView(records.Record, tag='ev'):
+    """One data centre.
+
+    Attributes:
+        data_centre: its name.
+        evacuated: True if nothing is started on its workers.
+        change_count: how often an evacuation of it was started or ended.
+    """
+
+    data_centre: str
+    evacuated: bool
+    change_count: int
+
+
+class EvacuationList(records.Record, tag='evacuations'):
+    """The data centres that were evacuated, or that may be.
+
+    Attributes:
+        evacuations: the data centres, sorted by name.
+        offered: True if the leader offers evacuations.
+        data_centres: names of those that the settings of the leader list.
+    """
+
+    evacuations: list[EvacuationView]
+    offered: bool
+    data_centres: list[str]
+
+    def change_count(self, data_centre):
+        """Returns the number of changes of a data centre."""
+        for view in self.evacuations:
+            if view.data_centre == data_centre:
+                return view.change_count
+        return 0
+
+
 CODEC = records.Codec(
     NotFound,
     GetConfig,
@@ -324,4 +366,6 @@
     LookUpPath,
     WorkflowState,
     PendingCount,
+    GetEvacuations,
+    EvacuationList,
 )
