Keep starts out of evacuated data centres

What is started in a data centre that its operators are about to give up is lost with it. The control address takes POST /evacuations/ZONE/start and end; the leader leaves the workers there out of its rounds, orders no start that was agreed or left unanswered before, and moves the tasks that lose little. After the end, workers that announce themselves as cold get what warm ones have no room for. Off unless evacuation_ms is set.

--- a/fuchsiatrestle/control/_daemon.py
+++ b/fuchsiatrestle/control/_daemon.py
@@ -256,6 +256,7 @@
     def _make_workflow_features(self):
         return workflows.Features(
             evacuation_ms=self._cfg.get('workflows', 'evacuation_ms'),
+            data_centres=self._cfg.get('control', 'data_centres'),
             refuses_overload=self._cfg.get('workflows', 'refuse_overload'),
             learns_run_times=self._cfg.get('workflows', 'learn_run_times'),
             copies_stragglers=self._cfg.get('workflows', 'copy_stragglers'),
--- a/fuchsiatrestle/control/_leader.py
+++ b/fuchsiatrestle/control/_leader.py
@@ -23,8 +23,10 @@
 # Applied commands that the dispatcher follows; the scheduler gets the others.
 _WORKFLOW_COMMANDS = (
     commands.CancelWorkflow,
+    commands.EndEvacuation,
     commands.PutDocument,
     commands.RecordProgress,
+    commands.StartEvacuation,
     commands.SubmitWorkflow,
 )
 _WORKER_MESSAGES = (messages.AnnounceWorker, messages.WithdrawWorker)
@@ -99,6 +101,7 @@
         self.term = term
         self._name = name
         self._machine = machine
+        self._features = features or workflows.Features()
         self._replica_status = None
         self._granter = membership.ConfigLeaseGranter()
         self._granter.step(self._make_version_agreed_event(), now_ms)
@@ -329,6 +332,10 @@
             return self._scheduler.find_job_reason(query.job_id)
         if isinstance(query, queries.GetCounters):
             return self._make_counter_list()
+        if isinstance(query, queries.GetEvacuations):
+            return self._machine.evacuations.make_list(
+                self._features.data_centres, self._features.evacuation_ms > 0
+            )
         return None
 
     def _make_counter_list(self):
--- a/fuchsiatrestle/control/_leadership.py
+++ b/fuchsiatrestle/control/_leadership.py
@@ -1,24 +1,10 @@
 """Tells whether this replica still leads a term for certain."""
 
-import time
+from fuchsiatrestle import pauses
 
 __all__ = ('Leadership', 'read_suspended_ms')
 
-# Two clocks are read one after the other; growth of their difference up to
-# this is not taken for a suspension.
-MAX_READING_GAP_MS = 5
-
-
-def read_suspended_ms():
-    """Returns for how long the machine has been suspended since its boot.
-
-    The monotonic clock omits that time.  It is 0 on systems that do not tell.
-    """
-    if not hasattr(time, 'CLOCK_BOOTTIME'):
-        return 0
-    boottime_ns = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
-    monotonic_ns = time.clock_gettime_ns(time.CLOCK_MONOTONIC)
-    return (boottime_ns - monotonic_ns) // 1000000
+read_suspended_ms = pauses.read_suspended_ms
 
 
 class Leadership:
@@ -31,17 +17,16 @@
         '_confirmed_since_ms',
         '_confirmed_until_ms',
         '_led_term',
-        '_resumed_ms',
-        '_suspended_ms',
+        '_pause_detector',
     )
 
     def __init__(self):
         self._led_term = None
         self._confirmed_since_ms = 0
         self._confirmed_until_ms = 0
-        self._suspended_ms = read_suspended_ms()
-        # Time at which the end of the last suspension was noticed.
-        self._resumed_ms = -1
+        self._pause_detector = pauses.PauseDetector(
+            lambda: read_suspended_ms()
+        )
 
     def publish(self, replica):
         """Takes over the state of the ``agreement.Replica`` after a step."""
@@ -69,15 +54,11 @@
             term: the term of the dispatcher that made the order.
             now_ms: monotonic time, in milliseconds.
         """
-        self._notice_suspension(now_ms)
+        has_resumed = self._pause_detector.has_resumed_since(
+            self._confirmed_since_ms, now_ms
+        )
         return (
             term == self._led_term
             and now_ms < self._confirmed_until_ms
-            and self._confirmed_since_ms > self._resumed_ms
+            and not has_resumed
         )
-
-    def _notice_suspension(self, now_ms):
-        suspended_ms = read_suspended_ms()
-        if suspended_ms > self._suspended_ms + MAX_READING_GAP_MS:
-            self._resumed_ms = now_ms
-        self._suspended_ms = suspended_ms
--- a/fuchsiatrestle/control/_service.py
+++ b/fuchsiatrestle/control/_service.py
@@ -49,6 +49,8 @@
     commands.PutDocument,
     commands.SubmitWorkflow,
     commands.CancelWorkflow,
+    commands.StartEvacuation,
+    commands.EndEvacuation,
 )
 
 
--- a/fuchsiatrestle/control/_settings.py
+++ b/fuchsiatrestle/control/_settings.py
@@ -14,6 +14,8 @@
         settings.PeerListOption('peers'),
         settings.NameOption('cell', 'main'),
         settings.TextOption('data_centre', ''),
+        # All data centres, which are those that may be evacuated.
+        settings.NameListOption('data_centres', ()),
         settings.IntOption(
             'snapshot_entries', 2000, min_value=10, max_value=1000000
         ),
--- a/fuchsiatrestle/messages/_announcements.py
+++ b/fuchsiatrestle/messages/_announcements.py
@@ -29,6 +29,7 @@
         clock_ms: reading of its monotonic clock when it sent this, or None.
         machine: name of the VM, or empty; a VM may be several workers, one
             after another.
+        cold_left_ms: for how long it will be slow after a time without work.
     """
 
     worker: str
@@ -44,6 +45,7 @@
     labels: list[str]
     clock_ms: int | None = None
     machine: str = ''
+    cold_left_ms: int = 0
 
 
 class AnnounceWorker(records.Record, tag='wb'):
--- /dev/null
+++ b/fuchsiatrestle/net/evacuation_orders.py
@@ -0,0 +1,197 @@
+"""Orders of operators to evacuate a data centre, or to end that.
+
+An order may be sent twice and to several daemons, and may be late.  It is
+agreed only if no other order was agreed since it arrived, for which the number
+of changes of the data centre is read first; see ``docs/design/evacuation.md``.
+"""
+
+from returns import pipeline
+from returns import result
+
+from fuchsiatrestle import daemon
+from fuchsiatrestle import logs
+from fuchsiatrestle import metrics
+from fuchsiatrestle.net import control_client
+from fuchsiatrestle import pauses
+from fuchsiatrestle.state import commands
+from fuchsiatrestle.state import outcomes
+from fuchsiatrestle.state import queries
+
+__all__ = ('NOT_FOUND_REASONS', 'EvacuationOrders')
+
+# An operator turns to another daemon after a second without an answer.  An
+# order has to be based on the state that was agreed before that.
+MAX_ORDER_AGE_MS = 900
+
+# Reasons that the same order would be refused for again.
+NOT_FOUND_REASONS = ('not_offered', 'unknown_data_centre')
+
+ACCEPTED_ORDERS = metrics.declare(
+    'evacuations.acknowledged', 'Orders about evacuations acknowledged.'
+)
+UNKNOWN_DATA_CENTRE = metrics.declare(
+    'refused.unknown_data_centre',
+    'Orders to evacuate a data centre that the settings do not list (404).',
+)
+LATE_ORDERS = metrics.declare(
+    'refused.evacuation_late',
+    'Orders about evacuations that had waited in a paused process (503).',
+)
+
+LOG = logs.get_logger(__name__)
+
+
+class EvacuationOrders:
+    """Carries out orders about evacuations through the control leader.
+
+    Args:
+        client: the ``control_client.ControlClient``, or another object with
+            its ``query`` and ``propose``.
+        data_centres: names of those that may be evacuated; None if the
+            settings of the leader tell.
+        pause_detector: ``pauses.PauseDetector``, by default a new one.
+        read_now_ms: function that returns the monotonic time, in
+            milliseconds.
+    """
+
+    def __init__(
+        self,
+        client,
+        data_centres=None,
+        pause_detector=None,
+        read_now_ms=daemon.monotonic_ms,
+    ):
+        self._client = client
+        self._data_centres = data_centres
+        self._pause_detector = pause_detector or pauses.PauseDetector()
+        self._read_now_ms = read_now_ms
+
+    def check_pause(self):
+        """Notices a suspension; to be called at short intervals."""
+        self._pause_detector.check(self._read_now_ms())
+
+    async def order(self, data_centre, *, is_start, received_ms):
+        """Has an evacuation started or ended.
+
+        Args:
+            data_centre: name of the data centre.
+            is_start: False to end the evacuation.
+            received_ms: monotonic time at which the order arrived at this
+                machine; 0 if it is unknown.
+
+        Returns:
+            ``Success`` of the ``outcomes.EvacuationOutcome``, or ``Failure``
+            of a ``control_client.CallFailure``, whose reason may be one of
+            ``NOT_FOUND_REASONS``.
+        """
+        order_result = await self._order(
+            data_centre, is_start, received_ms or self._read_now_ms()
+        )
+        log_fields = {
+            'data_centre': data_centre,
+            'order': 'start' if is_start else 'end',
+        }
+        if pipeline.is_successful(order_result):
+            outcome = order_result.unwrap()
+            metrics.count(ACCEPTED_ORDERS)
+            LOG.info(
+                'evacuation_acknowledged',
+                extra={
+                    **log_fields,
+                    'evacuated': outcome.evacuated,
+                    'changes': outcome.change_count,
+                    'repeated': outcome.repeated,
+                },
+            )
+        else:
+            failure = order_result.failure()
+            LOG.warning(
+                'evacuation_refused',
+                extra={
+                    **log_fields,
+                    'reason': failure.reason,
+                    'detail': failure.detail,
+                },
+            )
+        return order_result
+
+    async def _order(self, data_centre, is_start, received_ms):
+        if self._data_centres is not None:
+            if data_centre not in self._data_centres:
+                return _refuse_unknown()
+        if self._remaining_ms(received_ms) <= 0:
+            return _refuse_late()
+        query_result = await self._client.query(
+            queries.GetEvacuations(), self._remaining_ms(received_ms)
+        )
+        if not pipeline.is_successful(query_result):
+            return query_result
+        evacuations = query_result.unwrap()
+        if self._data_centres is None:
+            if not evacuations.offered:
+                return _make_refusal('not_offered', 'evacuation_ms is 0')
+            if data_centre not in evacuations.data_centres:
+                return _refuse_unknown()
+        remaining_ms = self._remaining_ms(received_ms)
+        if remaining_ms <= 0:
+            return _refuse_late()
+        change_count = evacuations.change_count(data_centre)
+        if (change_count % 2 == 1) == is_start:
+            return result.Success(
+                outcomes.EvacuationOutcome(
+                    data_centre, is_start, change_count, True
+                )
+            )
+        return await self._propose(
+            data_centre, is_start, change_count, remaining_ms
+        )
+
+    async def _propose(self, data_centre, is_start, base, timeout_ms):
+        make_command = (
+            commands.StartEvacuation if is_start else commands.EndEvacuation
+        )
+        call_result = await self._client.propose(
+            make_command(data_centre, base), timeout_ms
+        )
+        if pipeline.is_successful(call_result):
+            outcome = call_result.unwrap()
+            if isinstance(outcome, outcomes.Invalid):
+                return _make_refusal(outcome.reason, outcome.detail)
+        return call_result
+
+    def _remaining_ms(self, received_ms):
+        """Returns for how long an order may still be worked on.
+
+        It is 0 for one that arrived before the machine was suspended.
+
+        Args:
+            received_ms: monotonic time at which it arrived.
+        """
+        now_ms = self._read_now_ms()
+        if self._pause_detector.has_resumed_since(received_ms, now_ms):
+            return 0
+        return max(0, MAX_ORDER_AGE_MS - (now_ms - received_ms))
+
+
+def _make_refusal(reason, detail):
+    return result.Failure(
+        control_client.CallFailure(
+            reason,
+            detail,
+            step='order_evacuation',
+            peer='local',
+            executed=False,
+        )
+    )
+
+
+def _refuse_unknown():
+    metrics.count(UNKNOWN_DATA_CENTRE)
+    return _make_refusal(
+        'unknown_data_centre', 'the settings do not list this data centre'
+    )
+
+
+def _refuse_late():
+    metrics.count(LATE_ORDERS)
+    return _make_refusal('late', 'the order had waited too long')
--- a/fuchsiatrestle/platform/_operators.py
+++ b/fuchsiatrestle/platform/_operators.py
@@ -1,10 +1,13 @@
 """Handler of the control address, which operators and workers call."""
 
+import urllib.parse
+
 from returns import pipeline
 
 from fuchsiatrestle import logs
 from fuchsiatrestle import messages
 from fuchsiatrestle import metrics
+from fuchsiatrestle.net import evacuation_orders
 from fuchsiatrestle.net import http
 from fuchsiatrestle.platform import _documents
 from fuchsiatrestle.platform import _workers
@@ -22,6 +25,8 @@
 PUT_DOCUMENT_BUDGET_MS = 2500
 
 INSTANCES_PATH = '/instances/'
+EVACUATIONS_PATH = '/evacuations/'
+EVACUATION_ACTIONS = ('start', 'end')
 
 BAD_HEARTBEAT = metrics.declare(
     'refused.bad_heartbeat', 'Heartbeats that name no usable worker (400).'
@@ -48,11 +53,13 @@
     Args:
         client: the ``control_client.ControlClient``.
         port: port of the control address, which is the same on all VMs.
+        orders: ``EvacuationOrders``; None if evacuations are not offered.
     """
 
-    def __init__(self, client, port):
+    def __init__(self, client, port, orders=None):
         self._client = client
         self._port = port
+        self._evacuation_orders = orders
 
     async def handle(self, request):
         """Returns the response to one call; status 404 for an unknown path."""
@@ -68,6 +75,10 @@
                 return await self._announce_worker(worker, request.body)
             if action == 'deregister':
                 return await self._withdraw_worker(worker, request.body)
+        if request.method == 'POST' and path.startswith(EVACUATIONS_PATH):
+            zone, _, action = path[len(EVACUATIONS_PATH) :].rpartition('/')
+            if self._evacuation_orders and action in EVACUATION_ACTIONS:
+                return await self._order_evacuation(zone, action, request)
         return http.make_reason_response(404, 'unknown_path')
 
     # Configuration
@@ -119,6 +130,22 @@
         document_text = _documents.decompress_text(document_view.text)
         return http.Response(200, [http.JSON_TYPE], document_text)
 
+    # Evacuations
+
+    async def _order_evacuation(self, zone, action, request):
+        is_start = action == 'start'
+        order_result = await self._evacuation_orders.order(
+            urllib.parse.unquote(zone),
+            is_start=is_start,
+            received_ms=request.received_ms,
+        )
+        if pipeline.is_successful(order_result):
+            return http.make_json_response(200, {'evacuated': is_start})
+        failure = order_result.failure()
+        if failure.reason in evacuation_orders.NOT_FOUND_REASONS:
+            return http.make_reason_response(404, failure.reason)
+        return _make_leader_away_response('evacuation', failure)
+
     # Workers
 
     async def _announce_worker(self, worker, body):
--- a/fuchsiatrestle/platform/_programs.py
+++ b/fuchsiatrestle/platform/_programs.py
@@ -6,6 +6,7 @@
 from fuchsiatrestle import daemon
 from fuchsiatrestle import logs
 from fuchsiatrestle.net import control_client
+from fuchsiatrestle.net import evacuation_orders
 from fuchsiatrestle.net import http
 from fuchsiatrestle.net import link
 from fuchsiatrestle.platform import _callers
@@ -19,6 +20,9 @@
 MAX_BODY_BYTES = 8 * 1024 * 1024
 # Part of ``grace_s`` that is left for the process to exit after its last call.
 EXIT_MARGIN_S = 0.5
+# An order that arrives after a suspension of the machine, but before this has
+# been noticed, is answered 503.
+PAUSE_CHECK_INTERVAL_S = 0.05
 
 LOG = logs.get_logger(__name__)
 
@@ -117,10 +121,18 @@
             driver=_driver.HttpDriver(),
         )
         control_address = cfg.get('platform', 'control')
+        self._evacuation_orders = None
+        if cfg.get('workflows', 'evacuation_ms'):
+            self._evacuation_orders = evacuation_orders.EvacuationOrders(
+                self._control_daemon.client,
+                cfg.get('platform', 'data_centres'),
+            )
         self._control_server = http.Server(
             control_address,
             _operators.ControlHandler(
-                self._control_daemon.client, control_address.port
+                self._control_daemon.client,
+                control_address.port,
+                self._evacuation_orders,
             ),
             http.Limits(body_bytes=MAX_BODY_BYTES),
         )
@@ -138,9 +150,16 @@
 
     async def serve(self, stop_requested):
         """Serves until told to stop."""
+        pause_check = await curio.spawn(self._check_pauses, daemon=True)
         await self._control_daemon.serve(stop_requested)
+        await pause_check.cancel()
         await self._control_server.stop(0)
 
+    async def _check_pauses(self):
+        while self._evacuation_orders is not None:
+            self._evacuation_orders.check_pause()
+            await curio.sleep(PAUSE_CHECK_INTERVAL_S)
+
 
 PROGRAMS = {
     'entry': daemon.Program(
--- a/fuchsiatrestle/platform/_settings.py
+++ b/fuchsiatrestle/platform/_settings.py
@@ -40,6 +40,8 @@
         *_COMMON_OPTIONS,
         settings.AddressOption('control'),
         settings.FolderOption('data_folder'),
+        # All data centres, which are those that may be evacuated.
+        settings.NameListOption('data_centres', ()),
         # See the options of the same names of the control daemon.
         settings.BoolOption('may_found', True),
         settings.IntOption('tolerated_losses', 0, min_value=0, max_value=10),
@@ -89,6 +91,7 @@
         'data_folder': cfg.get('platform', 'data_folder'),
         'peers': make_control_addresses(cfg),
         'data_centre': cfg.get('platform', 'data_centre'),
+        'data_centres': cfg.get('platform', 'data_centres'),
         'open_membership': True,
         'may_found': cfg.get('platform', 'may_found'),
         'tolerated_losses': cfg.get('platform', 'tolerated_losses'),
--- a/fuchsiatrestle/platform/_workers.py
+++ b/fuchsiatrestle/platform/_workers.py
@@ -71,6 +71,7 @@
     # Start of the worker's process, in milliseconds since the epoch.
     born: int = 0
     machine: str = ''
+    cold_left_ms: int = 0
 
 
 class _Withdrawal(msgspec.Struct):
@@ -154,6 +155,7 @@
         heartbeat.labels,
         heartbeat.clock_ms,
         heartbeat.machine,
+        heartbeat.cold_left_ms,
     )
 
 
--- a/fuchsiatrestle/settings.py
+++ b/fuchsiatrestle/settings.py
@@ -22,6 +22,7 @@
     'FloatOption',
     'FolderOption',
     'IntOption',
+    'NameListOption',
     'NameOption',
     'Option',
     'PeerListOption',
@@ -232,6 +233,18 @@
         return [Address.parse(item) for item in text.replace(',', ' ').split()]
 
 
+class NameListOption(Option):
+    """List of different names, separated by commas or white space."""
+
+    def parse(self, text):
+        """Returns a tuple of the names, which may be empty."""
+        names = tuple(text.replace(',', ' ').split())
+        for name in names:
+            if names.count(name) > 1:
+                raise ValueError(f'{name!r} is listed twice')
+        return names
+
+
 class PeerListOption(Option):
     """List of ``name=IP:port`` items, separated by white space."""
 
--- a/fuchsiatrestle/state/_evacuations.py
+++ b/fuchsiatrestle/state/_evacuations.py
@@ -45,6 +45,11 @@
     def __init__(self):
         self._change_counts = {}
 
+    @property
+    def is_used(self):
+        """True if any data centre is, or ever was, evacuated."""
+        return bool(self._change_counts)
+
     def is_evacuated(self, data_centre):
         """Returns True if nothing may be started in a data centre."""
         return self._change_counts.get(data_centre, 0) % 2 == 1
--- a/fuchsiatrestle/workflows/_announcing.py
+++ b/fuchsiatrestle/workflows/_announcing.py
@@ -68,6 +68,11 @@
         self._update_worker(worker, announcement)
         worker.earlier_record = None
         worker.announcement_sequence = announcement.sequence
+        worker.cold_until_ms = 0
+        if announcement.cold_left_ms:
+            worker.cold_until_ms = (
+                self._dispatch_state.now_ms + announcement.cold_left_ms
+            )
         worker.last_announced_ms = self._dispatch_state.now_ms
         worker.record_clock(announcement.clock_ms, self._dispatch_state.now_ms)
         self._dispatch_state.placement_due = True
--- a/fuchsiatrestle/workflows/_book.py
+++ b/fuchsiatrestle/workflows/_book.py
@@ -36,6 +36,7 @@
         now_ms: monotonic time of the event being handled.
         placement_due: True if the placement of waiting tasks must be tried
             again, as a task that found no worker before may fit now.
+        policies: list of the ``PlacementPolicy`` values in force.
     """
 
     def __init__(self, workflow_store, token, timing, now_ms):
@@ -45,9 +46,24 @@
         self.proposals = _proposals.ProposalBuffer()
         self.now_ms = now_ms
         self.placement_due = True
+        self.policies = []
 
     # Queries
 
+    def find_start_obstacle(self, worker):
+        """Returns why no start may be ordered on a worker, or empty.
+
+        Args:
+            worker: the ``Worker``.
+        """
+        if worker.withdrawn_ms is not None:
+            return 'worker_leaves'
+        for policy in self.policies:
+            obstacle = policy.find_start_obstacle(worker)
+            if obstacle:
+                return obstacle
+        return ''
+
     def find_step(self, task_id):
         """Returns the ``Step`` of a task, None if the task is not known."""
         workflow = self.workflow_store.find_workflow(task_id.workflow_id)
--- a/fuchsiatrestle/workflows/_crashes.py
+++ b/fuchsiatrestle/workflows/_crashes.py
@@ -138,8 +138,9 @@
 def choose_trial_worker(group, workers, placer, now_ms):
     """Chooses the worker on which a suspected task is started next.
 
-    Those that start orders reach come first, then those with the fewest starts
-    that are not known to be harmless, then those with the fewest runs to lose.
+    Warm workers come first, then those that start orders reach, then those
+    with the fewest starts that are not known to be harmless, then those with
+    the fewest runs to lose.
 
     Args:
         group: ``Group`` of the task.
@@ -155,6 +156,7 @@
     ranked_workers = sorted(
         (
             (
+                worker.is_cold,
                 worker.failed_start_count,
                 _count_recent_starts(worker, now_ms),
                 len(worker.runs),
@@ -164,7 +166,7 @@
             if _placement.has_room(group.step, task_id, worker)
         )
     )
-    for _, start_count, _, position in ranked_workers:
+    for _, _, start_count, _, position in ranked_workers:
         worker = workers[position]
         if placer.choose_workers(group, [worker]):
             return worker, start_count
--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -61,6 +61,7 @@
         self._state = _book.DispatchState(
             workflow_store, token, timing, now_ms
         )
+        self._state.policies = _policies.make_policies(features, self._state)
         self._interference_model = _interference.InterferenceModel()
         self._backlog = _backlog.Backlog(workflow_store)
         self._round_planner = _round_planner.PlacementPlanner(
@@ -68,7 +69,7 @@
             self._backlog,
             self._interference_model,
             placer or _placement.BestFit(self._interference_model),
-            _policies.make_policies(features, self._state),
+            self._state.policies,
         )
         self._order_planner = _orders.OrderPlanner(self._state, timing)
         self._announcement_handler = _announcing.AnnouncementHandler(
@@ -348,8 +349,9 @@
         if worker.record.born_ms != live_run.born_ms:
             self._record_unsent_run(worker, run, 'worker_reborn')
             return
-        if worker.withdrawn_ms is not None:
-            self._record_unsent_run(worker, run, 'worker_leaves')
+        obstacle = self._state.find_start_obstacle(worker)
+        if obstacle:
+            self._record_unsent_run(worker, run, obstacle)
             return
         run.phase = _Phase.STARTING
         self._send_due_orders(worker)
--- /dev/null
+++ b/fuchsiatrestle/workflows/_evacuation.py
@@ -0,0 +1,247 @@
+"""Keeps starts out of evacuated data centres, and moves tasks out of them.
+
+Addresses the loss of a data centre that its operators foresee: what would be
+started there would be lost with it.  Tasks that lose little by it move
+elsewhere while there is room; the others end by themselves.  When an
+evacuation ends, its workers may be cold and slow, and get work only as far as
+warm ones have no room.
+"""
+
+from fuchsiatrestle import logs
+from fuchsiatrestle import metrics
+from fuchsiatrestle.workflows import _fleet
+from fuchsiatrestle.workflows import _placement
+from fuchsiatrestle.workflows import _policies
+from fuchsiatrestle.workflows import _runs
+
+__all__ = ('EvacuationPolicy',)
+
+# A batch task with less work left than this is not moved.  A move takes about
+# 1 s (stop, list, agreement, start), and estimates are off by a factor of up
+# to 5.
+MIN_MOVED_WORK_MS = 5000
+# Share of the processor time of the usable workers that has to stay free after
+# all moves in progress; else capacity elsewhere counts as short.
+MIN_FREE_CPU_SHARE = 0.15
+# Largest number of batch tasks of a service that move at the same time.
+MAX_BATCH_MOVES = 8
+# A move that takes longer no longer keeps others from beginning.  The new run
+# may wait for a worker, or the workflow may have ended.
+MAX_MOVE_MS = 10_000
+
+EVACUATED_DATA_CENTRES = metrics.declare(
+    'evacuations.data_centres', 'Data centres that are evacuated.'
+)
+MOVED_RUNS = metrics.declare(
+    'evacuations.moved', 'Runs stopped to continue in another data centre.'
+)
+
+LOG = logs.get_logger(__name__)
+
+
+class EvacuationPolicy(_policies.PlacementPolicy):
+    """Follows the agreed evacuations of data centres.
+
+    Args:
+        dispatch_state: ``DispatchState``.
+    """
+
+    def __init__(self, dispatch_state):
+        self._dispatch_state = dispatch_state
+        self._evacuations = dispatch_state.workflow_store.evacuations
+        # Names as of the last round.
+        self._evacuated_names = []
+        # Time of the stop and the ``Run`` of each task that moves, by task id.
+        self._moves = {}
+
+    def find_start_obstacle(self, worker):
+        """Returns ``evacuated`` for a worker in an evacuated data centre."""
+        if self._evacuations.is_evacuated(worker.record.data_centre):
+            return 'evacuated'
+        return ''
+
+    def may_use(self, worker):
+        """Returns False for a worker in an evacuated data centre."""
+        return not self.find_start_obstacle(worker)
+
+    def start_round(self, ready_groups, wall_ms):
+        """Logs what has changed, and marks the cold workers."""
+        if not self._evacuations.is_used:
+            return
+        names = self._evacuations.evacuated_names()
+        if names != self._evacuated_names:
+            self._log_changes(names)
+            self._evacuated_names = names
+        for worker in self._dispatch_state.fleet:
+            worker.is_cold = (
+                worker.cold_until_ms > self._dispatch_state.now_ms
+                and self._evacuations.was_evacuated(worker.record.data_centre)
+            )
+
+    def _log_changes(self, names):
+        metrics.gauge(EVACUATED_DATA_CENTRES, len(names))
+        for name in sorted({*names, *self._evacuated_names}):
+            if name in names and name in self._evacuated_names:
+                continue
+            workers = [
+                worker
+                for worker in self._dispatch_state.fleet
+                if worker.record.data_centre == name
+            ]
+            LOG.info(
+                'evacuation_started' if name in names else 'evacuation_ended',
+                extra={
+                    'data_centre': name,
+                    'workers': len(workers),
+                    'runs': sum(len(worker.runs) for worker in workers),
+                    'token': self._dispatch_state.token,
+                },
+            )
+
+    # Moves
+
+    def stop_runs(self, pool_round):
+        """Stops runs in evacuated data centres that can go on elsewhere.
+
+        Nothing is stopped while another group waits in the service, as it
+        would have to share the capacity with the stopped tasks.
+        """
+        if not self._evacuated_names:
+            return []
+        self._forget_ended_moves()
+        if any(not group.step.fills for group in pool_round.waiting_groups):
+            return []
+        spare_cpu = self._find_spare_cpu(pool_round)
+        stopped_workers = []
+        for worker, run in self._find_movable_runs(pool_round.pool):
+            needed_cpu = 0 if run.step.fills else run.step.cpu
+            if needed_cpu > spare_cpu:
+                continue
+            if not self._may_begin_move(run, pool_round):
+                continue
+            spare_cpu -= needed_cpu
+            self._moves[run.live_run.task] = self._dispatch_state.now_ms, run
+            metrics.count(MOVED_RUNS)
+            self._dispatch_state.stop_run(run, 'evacuated')
+            stopped_workers.append(worker)
+        return stopped_workers
+
+    def _find_movable_runs(self, pool):
+        """Yields (``Worker``, ``Run``) pairs of runs that lose little."""
+        for worker in self._dispatch_state.fleet:
+            if (
+                worker.record.pool != pool
+                or worker.state != _fleet.READY
+                or worker.is_unresponsive
+                or not self.find_start_obstacle(worker)
+            ):
+                continue
+            for run in list(worker.runs.values()):
+                if _is_at_work(worker, run) and _loses_little(run):
+                    yield worker, run
+
+    def _may_begin_move(self, run, pool_round):
+        """True if a run may be stopped now to go on elsewhere."""
+        moved_runs = [
+            moved_run
+            for _, moved_run in self._moves.values()
+            if moved_run.step.lasts == run.step.lasts
+            and self._find_pool(moved_run) == pool_round.pool
+        ]
+        if len(moved_runs) >= (1 if run.step.lasts else MAX_BATCH_MOVES):
+            return False
+        if not any(
+            _has_room(run, worker) for worker in pool_round.usable_workers
+        ):
+            return False
+        return not run.step.lasts or (
+            self._count_missing_tasks(run) < run.step.may_miss
+        )
+
+    def _find_pool(self, run):
+        worker = self._dispatch_state.fleet.get(run.live_run.worker)
+        return worker.record.pool if worker else ''
+
+    def _find_spare_cpu(self, pool_round):
+        """Returns the processor time that moved tasks may reserve.
+
+        It is in thousandths of a core.
+        """
+        workers = pool_round.usable_workers
+        total_cpu = sum(worker.record.cpu for worker in workers)
+        free_cpu = sum(worker.capacity.free_cpu for worker in workers)
+        moving_cpu = sum(
+            run.step.cpu
+            for _, run in self._moves.values()
+            if not run.step.fills
+        )
+        return free_cpu - moving_cpu - MIN_FREE_CPU_SHARE * total_cpu
+
+    def _count_missing_tasks(self, run):
+        """Returns how many other tasks of a run's step are not at work."""
+        task_id = run.live_run.task
+        workflow = self._dispatch_state.workflow_store.find_workflow(
+            task_id.workflow_id
+        )
+        return sum(
+            not self._is_task_at_work(workflow.tasks[other_id])
+            for other_id in workflow.task_ids(task_id.occurrence, task_id.step)
+            if other_id != task_id
+        )
+
+    def _is_task_at_work(self, task):
+        for live_run in task.live_runs.values():
+            worker, run = self._dispatch_state.find_worker_and_run(live_run)
+            if run is not None and _is_at_work(worker, run):
+                return not worker.is_unresponsive
+        return False
+
+    def _forget_ended_moves(self):
+        """Forgets the moves of tasks that are at work again, or have ended."""
+        store = self._dispatch_state.workflow_store
+        for task_id, (began_ms, run) in list(self._moves.items()):
+            workflow = store.open_workflows.get(task_id.workflow_id)
+            task = workflow.tasks[task_id] if workflow else None
+            if (
+                task is None
+                or task.is_done
+                or self._is_task_at_work(task)
+                or self._dispatch_state.now_ms - began_ms >= MAX_MOVE_MS
+            ):
+                del self._moves[task_id]
+
+
+def _is_at_work(worker, run):
+    """True if the present process of a worker has listed a run as running."""
+    return run.phase == _runs.Phase.RUNNING and run.is_listed
+
+
+def _loses_little(run):
+    """True for a run whose task loses little if it goes on elsewhere.
+
+    The members of a gang run under one number, so a move of one would take
+    the work of all.
+    """
+    step = run.step
+    if step is None or step.gang:
+        return False
+    if step.lasts:
+        return step.may_miss > 0
+    remaining_ms = step.estimate_ms * (100 - run.progress_percent) / 100
+    return step.checkpoints and remaining_ms >= MIN_MOVED_WORK_MS
+
+
+def _has_room(run, worker):
+    """True if a worker has room for the task of a run elsewhere.
+
+    A best-effort task needs unused processor time, beside no serving task
+    that it might disturb.
+    """
+    step = run.step
+    if step.fills and (
+        worker.serving_images or worker.capacity.unused_cpu < step.cpu
+    ):
+        return False
+    return not worker.is_cold and _placement.has_room(
+        step, run.live_run.task, worker
+    )
--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -52,6 +52,10 @@
         earlier_record: ``WorkerRecord`` from an announcement that names an
             earlier start and came after the last one of this process, or None.
         announcement_sequence: number of its newest announcement.
+        cold_until_ms: time until which it is slow, as it announced last; 0
+            before the first announcement.
+        is_cold: True if it is to be used only as far as others have no room;
+            it gets no serving task.
         withdrawn_ms: when it first announced that its process will end, or
             None.
         lease_clock: ``LeaseClock`` of the worker.
@@ -86,11 +90,13 @@
     __slots__ = (
         'acknowledged_end_number',
         'capacity',
+        'cold_until_ms',
         'collected_end_number',
         'earlier_record',
         'failed_start_count',
         'failed_start_ms',
         'has_seen_token',
+        'is_cold',
         'last_announced_ms',
         'last_replied_ms',
         'lease_clock',
@@ -117,6 +123,8 @@
         self.last_announced_ms = None
         self.earlier_record = None
         self.announcement_sequence = -1
+        self.cold_until_ms = 0
+        self.is_cold = False
         self.withdrawn_ms = None
         self.lease_clock = lease_clock
         self.newest_clock_ms = None
--- a/fuchsiatrestle/workflows/_orders.py
+++ b/fuchsiatrestle/workflows/_orders.py
@@ -127,6 +127,8 @@
                 self._dispatch_state.stop_run(run, 'unannounced')
             elif worker.last_announced_ms is None:
                 return None
+            elif self._dispatch_state.find_start_obstacle(worker):
+                self._end_barred_start(worker, run)
             elif self._is_start_overdue(worker, run):
                 worker.record_failed_start(now_ms)
                 self._dispatch_state.stop_run(run, 'start_unanswered')
@@ -158,6 +160,24 @@
             )
         return None
 
+    def _end_barred_start(self, worker, run):
+        """Ends a start that may not be ordered, or not again.
+
+        An earlier order may have started the run, and only its answer was
+        lost.  So if there is one, the run is stopped only once a list of the
+        worker that was asked for after the failure lacks it.
+        """
+        if run.start_sent_ms is not None and (
+            worker.listed_ms is None
+            or worker.pending_poll is not None
+            or worker.listed_ms < worker.poll_sent_ms
+            or worker.poll_sent_ms < run.next_order_ms
+        ):
+            return
+        self._dispatch_state.end_run(
+            worker, run, self._dispatch_state.find_start_obstacle(worker)
+        )
+
     @staticmethod
     def _is_start_overdue(worker, run):
         """True if a list of the worker lacks a start of long ago."""
--- a/fuchsiatrestle/workflows/_placement.py
+++ b/fuchsiatrestle/workflows/_placement.py
@@ -94,6 +94,9 @@
 
     def _gang_candidate_sets(self, step, workers):
         """Yields lists of workers for a gang, the preferred one first."""
+        warm_workers = [worker for worker in workers if not worker.is_cold]
+        if len(warm_workers) < len(workers):
+            yield from self._gang_candidate_sets(step, warm_workers)
         if step.one_rack:
             racks = {}
             for worker in workers:
@@ -369,7 +372,9 @@
         score = self._placer.score_worker(
             group.step, worker, self._allocations
         )
-        return None if score is None else (worker.failed_start_count, score)
+        if score is None:
+            return None
+        return worker.is_cold, worker.failed_start_count, score
 
 
 class _RoundAllocations:
@@ -446,7 +451,8 @@
 def meets_constraints(step, task_id, worker, added_task_count=0):
     """True if label and ``most_per_worker`` allow one more task of a step.
 
-    The free capacity of the worker is not checked.
+    A serving task is not allowed on a cold worker, either.  The free capacity
+    of the worker is not checked.
 
     Args:
         step: the ``Step``.
@@ -457,6 +463,8 @@
     """
     if step.label and step.label not in worker.record.labels:
         return False
+    if step.tail_target_ms and worker.is_cold:
+        return False
     if not step.most_per_worker:
         return True
     return (
--- a/fuchsiatrestle/workflows/_policies.py
+++ b/fuchsiatrestle/workflows/_policies.py
@@ -49,6 +49,17 @@
         """
         return True
 
+    def find_start_obstacle(self, worker):
+        """Returns why no start may be ordered on a worker, or empty.
+
+        It is asked at each start, also of runs that an earlier round or an
+        earlier leader has placed.
+
+        Args:
+            worker: a ``Worker``.
+        """
+        return ''
+
     def stop_runs(self, pool_round):
         """Stops runs after all groups of the round were tried.
 
@@ -81,4 +92,10 @@
         features: ``Features``.
         dispatch_state: ``DispatchState``.
     """
-    return []
+    # Imported here, as each policy derives from the base class above.
+    from fuchsiatrestle.workflows import _evacuation
+
+    policies = []
+    if features.evacuation_ms:
+        policies.append(_evacuation.EvacuationPolicy(dispatch_state))
+    return policies
--- a/fuchsiatrestle/workflows/_rounds.py
+++ b/fuchsiatrestle/workflows/_rounds.py
@@ -115,6 +115,7 @@
         self._reservation_limits = reservation_limits
         self._now_ms = now_ms
         self._usable_names = {worker.name for worker in workers}
+        self._has_cold_worker = any(worker.is_cold for worker in workers)
         # Highest priority (lowest number) of the queues of the batch groups
         # that found no worker for some of their tasks.
         self._waiting_batch_priority = None
@@ -187,11 +188,20 @@
         """
         return not any(
             _needs_at_most(unplaced_step, step)
+            and not self._may_use_more_workers(step, unplaced_step)
             for unplaced_step in self._unplaced_steps_by_competition.get(
                 _competition_key(step, ignores_reservations), ()
             )
         )
 
+    def _may_use_more_workers(self, step, other_step):
+        """True if only ``other_step`` is kept off cold workers."""
+        return (
+            self._has_cold_worker
+            and bool(other_step.tail_target_ms)
+            and not step.tail_target_ms
+        )
+
     def workers_for(self, step, *, ignores_reservations):
         """Returns the workers on which tasks of a step may be placed.
 
--- a/fuchsiatrestle/workflows/_settings.py
+++ b/fuchsiatrestle/workflows/_settings.py
@@ -60,10 +60,12 @@
             of earlier tasks.
         copies_stragglers: True if a task that takes unusually long gets a
             second run where its step allows copies.
+        data_centres: names of all data centres, as the settings list them.
     """
 
     __slots__ = (
         'copies_stragglers',
+        'data_centres',
         'evacuation_ms',
         'learns_run_times',
         'refuses_overload',
@@ -76,8 +78,10 @@
         refuses_overload=False,
         learns_run_times=False,
         copies_stragglers=False,
+        data_centres=(),
     ):
         self.evacuation_ms = evacuation_ms
         self.refuses_overload = refuses_overload
         self.learns_run_times = learns_run_times
         self.copies_stragglers = copies_stragglers
+        self.data_centres = data_centres
--- a/tests/fakes/dispatch_world.py
+++ b/tests/fakes/dispatch_world.py
@@ -150,6 +150,7 @@
         timing: ``workflows.Timing`` of all leaders, the defaults if None.
         refuses_connections: True if orders to a VM without a process fail at
             once instead of after the timeout of the order.
+        features: ``workflows.Features`` of all leaders, none if None.
 
     Attributes:
         random: source of all random choices.
@@ -179,6 +180,11 @@
             sent, by its name.
         added_agreement_ms: time by which proposals are agreed later.
         port_by_worker: port that a worker announces, 1 if it is missing here.
+        data_centre_by_worker: data centre that a worker announces, ``dc`` if
+            it is missing here.
+        cold_until_ms_by_worker: time until which a worker announces itself as
+            cold.
+        start_orders: (time, ``StartRun``) of each start that was sent.
         restart_ms: time until a worker that a task has crashed is started
             again.
         renames_restarted: True if it then has a new id at the same address.
@@ -197,6 +203,7 @@
         cpu_milli=8000,
         timing=None,
         refuses_connections=False,
+        features=None,
     ):
         self.random = random.Random(seed)
         self.now_ms = 0
@@ -221,6 +228,9 @@
         self.last_announcement_by_worker = {}
         self.added_agreement_ms = 0
         self.port_by_worker = {}
+        self.data_centre_by_worker = {}
+        self.cold_until_ms_by_worker = {}
+        self.start_orders = []
         self.restart_ms = RESTART_MS
         self.renames_restarted = True
         self.first_announcement_ms = 0
@@ -230,6 +240,7 @@
         # Arguments of the last ``set_capacity`` of a worker, by its name.
         self._capacity_by_worker = {}
         self._timing = timing or workflows.Timing()
+        self._features = features
         # ``_Slots`` by token of the leader and name of the worker.
         self._slots_by_worker = collections.defaultdict(_Slots)
         self._cancelled_ms_by_workflow = {}
@@ -316,6 +327,7 @@
             self._leader_token,
             self._timing,
             self.now_ms,
+            features=self._features,
         )
 
     def restore_replicas(self):
@@ -675,13 +687,17 @@
             next(self._announcement_numbers),
             f'{_find_vm(model.name)}:{self.port_by_worker.get(model.name, 1)}',
             POOL,
-            'dc',
+            self.data_centre_by_worker.get(model.name, 'dc'),
             'draining' if model.name in self.draining_workers else 'ready',
             model.cpu_milli,
             model.memory_mib,
             model.accelerators,
             worker_labels(model.name),
             model.clock_ms(self.now_ms),
+            cold_left_ms=max(
+                0,
+                self.cold_until_ms_by_worker.get(model.name, 0) - self.now_ms,
+            ),
         )
         self.last_announcement_by_worker[model.name] = announcement
         self.deliver_announcement(announcement)
@@ -693,6 +709,8 @@
 
         Polls do not count.
         """
+        if isinstance(order, workflows.StartRun):
+            self.start_orders.append((self.now_ms, order))
         if isinstance(order, workflows.PollWorker):
             self._transmit_order(order)
             return
