--- a/fuchsiatrestle/admin/_answers.py
+++ b/fuchsiatrestle/admin/_answers.py
@@ -43,6 +43,8 @@
     'unknown_member': 409,
     'known_member': 409,
     'last_voter': 409,
+    'not_offered': 404,
+    'unknown_data_centre': 404,
 }
 
 
--- a/fuchsiatrestle/admin/_api.py
+++ b/fuchsiatrestle/admin/_api.py
@@ -11,6 +11,7 @@
 from fuchsiatrestle import messages
 from fuchsiatrestle import metrics
 from fuchsiatrestle import named_json
+from fuchsiatrestle.net import evacuation_orders
 from fuchsiatrestle.net import http
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import queries
@@ -31,14 +32,16 @@
         path_values: values of the path segments in braces, by name.
         parameters: query parameters by name, defaults included.
         body: the decoded body if the route names a class for it, else bytes.
+        received_ms: see ``http.Request``.
     """
 
-    __slots__ = ('body', 'parameters', 'path_values')
+    __slots__ = ('body', 'parameters', 'path_values', 'received_ms')
 
-    def __init__(self, path_values, parameters, body):
+    def __init__(self, path_values, parameters, body, received_ms):
         self.path_values = path_values
         self.parameters = parameters
         self.body = body
+        self.received_ms = received_ms
 
 
 class AdminApi(http.Handler):
@@ -54,6 +57,7 @@
         self, control, local_entry, registry=metrics.default_registry
     ):
         self._control = control
+        self._evacuation_orders = evacuation_orders.EvacuationOrders(control)
         self._local_entry = local_entry
         self._registry = registry
 
@@ -87,7 +91,9 @@
         body = request.body
         if route_match.route.body_type is not None:
             body = _calls.decode_body(body, route_match.route.body_type)
-        call = _Call(route_match.path_values, parameters, body)
+        call = _Call(
+            route_match.path_values, parameters, body, request.received_ms
+        )
         return await getattr(self, f'_{route_match.route.action}')(call)
 
     async def _propose_command(self, command):
@@ -153,6 +159,22 @@
         )
         return await self._call_leader(message)
 
+    async def _start_evacuation(self, call):
+        return await self._order_evacuation(call, is_start=True)
+
+    async def _end_evacuation(self, call):
+        return await self._order_evacuation(call, is_start=False)
+
+    async def _order_evacuation(self, call, *, is_start):
+        order_result = await self._evacuation_orders.order(
+            call.path_values['data_centre'],
+            is_start=is_start,
+            received_ms=call.received_ms,
+        )
+        if isinstance(order_result, result.Success):
+            return _answers.make_outcome_answer(order_result.unwrap())
+        return _answers.make_failure_answer(order_result.failure())
+
     async def _drain(self, call):
         entry_name = self._local_entry.get_status().entry
         if call.body.entry != entry_name:
@@ -195,6 +217,9 @@
     async def _get_members(self, call):
         return await self._call_leader(messages.ShowMembers(0))
 
+    async def _get_evacuations(self, call):
+        return await self._query_control(queries.GetEvacuations())
+
     async def _get_workers(self, call):
         return await self._query_control(queries.GetWorkers())
 
--- a/fuchsiatrestle/admin/_interfaces.py
+++ b/fuchsiatrestle/admin/_interfaces.py
@@ -15,14 +15,16 @@
     """
 
     @abc.abstractmethod
-    async def propose(self, command):
+    async def propose(
+        self, command, timeout_ms=control_client.DEFAULT_TIMEOUT_MS
+    ):
         """Proposes a command and waits for its outcome.
 
         The success value is a record of ``state.outcomes``.
         """
 
     @abc.abstractmethod
-    async def query(self, query):
+    async def query(self, query, timeout_ms=control_client.DEFAULT_TIMEOUT_MS):
         """Reads from the state that the control replicas share.
 
         The success value is a record of ``state.queries``.
--- a/fuchsiatrestle/admin/_routes.py
+++ b/fuchsiatrestle/admin/_routes.py
@@ -167,6 +167,24 @@
         body_type=_payloads.MemberBody,
     ),
     Route('GET', '/v1/workers', 'get_workers', 'Workers that control knows.'),
+    Route(
+        'GET',
+        '/v1/evacuations',
+        'get_evacuations',
+        'Data centres, and which of them are evacuated.',
+    ),
+    Route(
+        'POST',
+        '/v1/evacuations/{data_centre}/start',
+        'start_evacuation',
+        'Starts nothing more on the workers of a data centre.',
+    ),
+    Route(
+        'POST',
+        '/v1/evacuations/{data_centre}/end',
+        'end_evacuation',
+        'Lets tasks return to a data centre.',
+    ),
     Route(
         'GET',
         '/v1/upstreams',
--- a/fuchsiatrestle/ctl/__main__.py
+++ b/fuchsiatrestle/ctl/__main__.py
@@ -9,6 +9,7 @@
 from fuchsiatrestle.ctl import _commands
 from fuchsiatrestle.ctl import _config_commands
 from fuchsiatrestle.ctl import _data_commands
+from fuchsiatrestle.ctl import _evacuation_commands
 from fuchsiatrestle.ctl import _exits
 from fuchsiatrestle.ctl import _flags
 from fuchsiatrestle.ctl import _job_commands
@@ -24,6 +25,7 @@
     _config_commands.COMMANDS
     + _view_commands.COMMANDS
     + _job_commands.COMMANDS
+    + _evacuation_commands.COMMANDS
     + _data_commands.COMMANDS
 )
 
--- a/fuchsiatrestle/platform/_workers.py
+++ b/fuchsiatrestle/platform/_workers.py
@@ -71,7 +71,7 @@
     # Start of the worker's process, in milliseconds since the epoch.
     born: int = 0
     machine: str = ''
-    cold_left_ms: int = 0
+    cold_left_ms: int | float | None = None
 
 
 class _Withdrawal(msgspec.Struct):
@@ -155,7 +155,7 @@
         heartbeat.labels,
         heartbeat.clock_ms,
         heartbeat.machine,
-        heartbeat.cold_left_ms,
+        int(heartbeat.cold_left_ms or 0),
     )
 
 
--- a/fuchsiatrestle/workflows/_book.py
+++ b/fuchsiatrestle/workflows/_book.py
@@ -51,13 +51,11 @@
     # Queries
 
     def find_start_obstacle(self, worker):
-        """Returns why no start may be ordered on a worker, or empty.
+        """Returns why a policy forbids starts on a worker, or empty.
 
         Args:
             worker: the ``Worker``.
         """
-        if worker.withdrawn_ms is not None:
-            return 'worker_leaves'
         for policy in self.policies:
             obstacle = policy.find_start_obstacle(worker)
             if obstacle:
--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -349,9 +349,8 @@
         if worker.record.born_ms != live_run.born_ms:
             self._record_unsent_run(worker, run, 'worker_reborn')
             return
-        obstacle = self._state.find_start_obstacle(worker)
-        if obstacle:
-            self._record_unsent_run(worker, run, obstacle)
+        if worker.withdrawn_ms is not None:
+            self._record_unsent_run(worker, run, 'worker_leaves')
             return
         run.phase = _Phase.STARTING
         self._send_due_orders(worker)
--- a/tests/control/test_service.py
+++ b/tests/control/test_service.py
@@ -11,6 +11,7 @@
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import outcomes
 from fuchsiatrestle.state import queries
+from fuchsiatrestle import workflows
 
 ENCODED_PATCH = commands.CODEC.encode(commands.PatchConfig(1, 'p', b'{}'))
 ENCODED_QUERY = queries.CODEC.encode(queries.GetConfig())
@@ -123,6 +124,36 @@
         config = queries.CODEC.decode(answer.result)
         self.assertEqual(2, config.version)
 
+    def test_evacuations_are_ordered_and_read_through_the_leader(self):
+        """The list tells the data centres of the leader's settings, too."""
+        features = workflows.Features(
+            evacuation_ms=5000, data_centres=('dc', 'empty')
+        )
+        self.service = _service.Service('c1', 100, features=features)
+        self._become_leader()
+        order = commands.CODEC.encode(commands.StartEvacuation('dc', 0))
+        token = self._get_token(
+            self._send_call(messages.ProposeCommand, order)
+        )
+        self._step(agreement.ProposalAppended(token, 2, 1))
+        answer = self._apply_command(2, 1, order)[0]
+        self.assertTrue(outcomes.CODEC.decode(answer.outcome).evacuated)
+        query = queries.CODEC.encode(queries.GetEvacuations())
+        token = self._get_token(self._send_call(messages.AskQuery, query))
+        effects = self._step(agreement.ReadReady(token, 2))
+        answer = self._get_answers(effects)[0]
+        self.assertEqual(
+            queries.EvacuationList(
+                [
+                    queries.EvacuationView('dc', True, 1),
+                    queries.EvacuationView('empty', False, 0),
+                ],
+                True,
+                ['dc', 'empty'],
+            ),
+            queries.CODEC.decode(answer.result),
+        )
+
     def test_read_after_lost_leadership_is_refused(self):
         self._become_leader()
         token = self._get_token(
--- a/tests/ctl/test_main.py
+++ b/tests/ctl/test_main.py
@@ -164,6 +164,24 @@
                 as_json = _ProgramRun(*words, self.entry_flag, '--json')
                 self.assertIsInstance(json.loads(as_json.out), dict)
 
+    def test_evacuations_are_shown_and_ordered(self):
+        view = queries.EvacuationView('dc a', False, 2)
+        self.control.answers = {
+            'GetEvacuations': queries.EvacuationList([view], True, ['dc a']),
+            'StartEvacuation': outcomes.EvacuationOutcome('dc a', True, 3),
+        }
+        cases = (
+            (('show',), EXIT.OK, 'dc a'),
+            (('start', 'dc a'), EXIT.OK, 'dc a is evacuated'),
+            (('end', 'other'), EXIT.REFUSED, 'unknown_data_centre'),
+            (('start',), EXIT.USAGE, 'DATA_CENTRE'),
+        )
+        for words, status, text in cases:
+            with self.subTest(words=words):
+                run = _ProgramRun('evacuations', *words, self.entry_flag)
+                self.assertEqual(status, run.status, run.err)
+                self.assertIn(text, run.out + run.err)
+
     def test_drain_finds_the_entry_by_name(self):
         run = _ProgramRun('drain', 'e9', self.entry_flag)
         self.assertEqual(EXIT.UNAVAILABLE, run.status)
--- a/tests/fakes/admin.py
+++ b/tests/fakes/admin.py
@@ -53,11 +53,11 @@
             return answer
         return result.Success(answer)
 
-    async def propose(self, command):
+    async def propose(self, command, timeout_ms=None):
         """Returns the prepared outcome."""
         return self._get_answer(command)
 
-    async def query(self, query):
+    async def query(self, query, timeout_ms=None):
         """Returns the prepared result."""
         return self._get_answer(query)
 
--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -13,6 +13,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 PLACEHOLDER = re.compile(r'\{\{([a-z_.0-9]+)\}\}')
+SECTION = re.compile(r'\{\{#([a-z_.]+)\}\}(.*?)\{\{/\1\}\}', re.DOTALL)
 
 
 def _placeholder_values(folder):
@@ -31,9 +32,30 @@
         'data_dir': folder,
         'bootstrap': 'false',
         'fault_tolerance.machines': '1',
+        'bounds.evacuation_ms': '5000',
+        'zones': {'dc-a': {}, 'dc-b': {}},
     }
 
 
+def _render_section(match, values):
+    """Returns a section once for each of its entries, with their keys.
+
+    A section of a name without a value is empty.
+    """
+    value = values.get(match[1])
+    if value is None:
+        return ''
+    if not isinstance(value, dict):
+        return match[2]
+    last_key = list(value)[-1]
+    return ''.join(
+        match[2]
+        .replace('{{@}}', key)
+        .replace('{{,}}', '' if key == last_key else ',')
+        for key in value
+    )
+
+
 def _count_replicas(role_table, vm_count):
     """Returns how many VMs of a data centre run a role."""
     if 'share' in role_table:
@@ -49,14 +71,21 @@
         self.addCleanup(folder.cleanup)
         self.folder = folder.name
 
-    def _load(self, role):
-        """Returns the settings of a role from its filled-in template."""
+    def _load(self, role, omitted_name=''):
+        """Returns the settings of a role from its filled-in template.
+
+        Args:
+            role: name of the role.
+            omitted_name: placeholder for which the platform has no value.
+        """
         template = ROOT / self.deploy['roles'][role]['template']
         values = _placeholder_values(self.folder)
-        text = PLACEHOLDER.sub(
-            lambda match: values[match[1]],
+        values.pop(omitted_name, None)
+        text = SECTION.sub(
+            lambda match: _render_section(match, values),
             template.read_text(encoding='utf-8'),
         )
+        text = PLACEHOLDER.sub(lambda match: values[match[1]], text)
         path = pathlib.Path(self.folder) / f'{role}.ini'
         path.write_text(text, encoding='utf-8')
         return settings.load(path, _programs.PROGRAMS[role].sections)
@@ -86,6 +115,13 @@
         self.assertFalse(cfg.get('control', 'may_found'))
         self.assertEqual(1, cfg.get('control', 'tolerated_losses'))
 
+    def test_evacuations_are_offered_where_the_platform_names_a_bound(self):
+        cfg = _settings.make_control_daemon_settings(self._load('control'))
+        self.assertEqual(5000, cfg.get('workflows', 'evacuation_ms'))
+        self.assertEqual(('dc-a', 'dc-b'), cfg.get('control', 'data_centres'))
+        cfg = self._load('control', 'bounds.evacuation_ms')
+        self.assertEqual(0, cfg.get('workflows', 'evacuation_ms'))
+
     def test_control_keeps_a_quorum_after_the_losses_to_be_borne(self):
         role_table = self.deploy['roles']['control']
         for core_vms_by_data_centre, lost_count in (
--- /dev/null
+++ b/tests/platform/test_operators.py
@@ -0,0 +1,103 @@
+"""Tests of the calls of operators on the control address.
+
+They guard against answers that operators take for another state: an unknown
+data centre that looks like an absent leader, and the other way round.
+"""
+
+import json
+import logging
+import unittest
+
+import curio
+from returns import result
+
+from fuchsiatrestle.net import control_client
+from fuchsiatrestle.net import evacuation_orders
+from fuchsiatrestle.net import http
+from fuchsiatrestle.platform import _operators
+from fuchsiatrestle.state import commands
+from fuchsiatrestle.state import outcomes
+from fuchsiatrestle.state import queries
+from tests.fakes import admin as fakes
+
+NOT_ANSWERED = result.Failure(
+    control_client.CallFailure(
+        'no_quorum', step='query', peer='c1', executed=False
+    )
+)
+
+
+def _make_list(change_count):
+    view = queries.EvacuationView('dc a', change_count % 2 == 1, change_count)
+    return queries.EvacuationList([view], True, [])
+
+
+class EvacuationCallTest(unittest.TestCase):
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        self.control = fakes.FakeControl()
+        self.control.answers['GetEvacuations'] = _make_list(4)
+        self.control.answers['StartEvacuation'] = outcomes.EvacuationOutcome(
+            'dc a', True, 5
+        )
+        orders = evacuation_orders.EvacuationOrders(self.control, ('dc a',))
+        self.handler = _operators.ControlHandler(self.control, 1, orders)
+
+    def _call(self, path, method='POST'):
+        """Returns the status and the decoded body of the response."""
+        request = http.Request(method, path)
+        response = curio.run(self.handler.handle, request)
+        return response.status, json.loads(response.body)
+
+    def _assert_refused(self, status, reason, path, method='POST'):
+        actual_status, body = self._call(path, method)
+        self.assertEqual((status, reason), (actual_status, body['reason']))
+
+    def test_orders_are_acknowledged(self):
+        self.assertEqual(
+            (200, {'evacuated': True}), self._call('/evacuations/dc%20a/start')
+        )
+        self.assertEqual(
+            commands.StartEvacuation('dc a', 4), self.control.calls[-1]
+        )
+        # It is fulfilled already, so nothing has to be agreed.
+        self.assertEqual(
+            (200, {'evacuated': False}), self._call('/evacuations/dc%20a/end')
+        )
+
+    def test_superseded_order_is_acknowledged(self):
+        """An accepted order is never refused, also after a later one."""
+        self.control.answers['StartEvacuation'] = outcomes.EvacuationOutcome(
+            'dc a', False, 6, True
+        )
+        self.assertEqual(
+            (200, {'evacuated': True}), self._call('/evacuations/dc%20a/start')
+        )
+
+    def test_no_leader_is_503(self):
+        for call in ('StartEvacuation', 'GetEvacuations'):
+            self.control.answers[call] = NOT_ANSWERED
+            self._assert_refused(503, 'no_quorum', '/evacuations/dc%20a/start')
+
+    def test_unknown_data_centre_is_404_without_a_leader(self):
+        self.control.answers['GetEvacuations'] = NOT_ANSWERED
+        for path in ('/evacuations/dc/start', '/evacuations/dc/x/end'):
+            self._assert_refused(404, 'unknown_data_centre', path)
+
+    def test_unknown_paths(self):
+        for path, method in (
+            ('/evacuations/dc%20a/start', 'GET'),
+            ('/evacuations/dc%20a/stop', 'POST'),
+            ('/evacuations/dc%20a', 'POST'),
+        ):
+            self._assert_refused(404, 'unknown_path', path, method)
+
+    def test_calls_are_unknown_where_evacuations_are_not_offered(self):
+        self.handler = _operators.ControlHandler(self.control, 1)
+        for path in ('/evacuations/dc%20a/start', '/evacuations/dc/end'):
+            self._assert_refused(404, 'unknown_path', path)
+
+
+if __name__ == '__main__':
+    unittest.main()
