Count orders about evacuations that change nothing, too

An end that found nothing to end was acknowledged without a command, so a start that was still under way with the same base was accepted after it and undid it. Each order is agreed and counted now. The kinds of the last 64 are kept, so that a second copy of an accepted order is acknowledged and any other late one is answered 503.

--- a/fuchsiatrestle/ctl/_evacuation_commands.py
+++ b/fuchsiatrestle/ctl/_evacuation_commands.py
@@ -24,7 +24,7 @@
         columns = (
             ('DC', 'data_centre'),
             ('EVACUATED', 'evacuated'),
-            ('CHANGES', 'change_count'),
+            ('ORDERS', 'order_count'),
         )
         output.print_table(columns, json_body['evacuations'])
 
@@ -51,8 +51,7 @@
             return _commands.report_refusal(context.output, reply)
         context.output.print_json(reply.value)
         state = 'evacuated' if reply.value['evacuated'] else 'in use'
-        repeated = ' (it was before)' if reply.value['repeated'] else ''
-        context.output.print_line(f'{arguments[0]} is {state}{repeated}')
+        context.output.print_line(f'{arguments[0]} is {state}')
         return _exits.ExitStatus.OK
 
 
--- a/fuchsiatrestle/net/evacuation_orders.py
+++ b/fuchsiatrestle/net/evacuation_orders.py
@@ -2,7 +2,8 @@
 
 An order may be sent twice and to several daemons, and may be late.  It is
 agreed only if no other order was agreed since it arrived, for which the number
-of changes of the data centre is read first; see ``docs/design/evacuation.md``.
+of agreed orders about the data centre is read first; see
+``docs/design/evacuation.md``.
 """
 
 from returns import pipeline
@@ -99,7 +100,7 @@
                 extra={
                     **log_fields,
                     'evacuated': outcome.evacuated,
-                    'changes': outcome.change_count,
+                    'orders': outcome.order_count,
                     'repeated': outcome.repeated,
                 },
             )
@@ -135,28 +136,21 @@
         remaining_ms = self._remaining_ms(received_ms)
         if remaining_ms <= 0:
             return _refuse_late()
-        change_count = evacuations.change_count(data_centre)
-        if (change_count % 2 == 1) == is_start:
-            return result.Success(
-                outcomes.EvacuationOutcome(
-                    data_centre, is_start, change_count, True
-                )
-            )
-        return await self._propose(
-            data_centre, is_start, change_count, remaining_ms
-        )
-
-    async def _propose(self, data_centre, is_start, base, timeout_ms):
         make_command = (
             commands.StartEvacuation if is_start else commands.EndEvacuation
         )
+        # Proposed also if it is fulfilled: an earlier order of the other kind
+        # may be under way, and must not be accepted after this one.
         call_result = await self._client.propose(
-            make_command(data_centre, base), timeout_ms
+            make_command(data_centre, evacuations.order_count(data_centre)),
+            remaining_ms,
         )
         if pipeline.is_successful(call_result):
             outcome = call_result.unwrap()
             if isinstance(outcome, outcomes.Invalid):
                 return _make_refusal(outcome.reason, outcome.detail)
+            if outcome.superseded:
+                return _make_refusal('superseded', 'a later order was agreed')
         return call_result
 
     def _remaining_ms(self, received_ms):
--- a/fuchsiatrestle/state/_evacuations.py
+++ b/fuchsiatrestle/state/_evacuations.py
@@ -11,13 +11,46 @@
 # Bounds the state.  Data centres that the settings do not list are refused
 # before a command is proposed.
 MAX_DATA_CENTRES = 1000
+# Number of orders about a data centre whose kinds are kept, to acknowledge an
+# accepted one again.  They are sent again for a few seconds only.
+MAX_KEPT_ORDERS = 64
 
 
 class _DataCentreRow(records.Record, tag='dc'):
-    """Stored form of one data centre that was evacuated at least once."""
+    """State of one data centre about which an order was agreed.
+
+    Attributes:
+        name: its name.
+        order_count: number of the orders that were agreed.
+        kept_orders: for the last of them, True for a start and False for an
+            end, newest last.
+        was_evacuated: True if one of all orders was a start.
+    """
 
     name: str
-    change_count: int
+    order_count: int
+    kept_orders: list[bool]
+    was_evacuated: bool
+
+    def was_accepted(self, base, is_start):
+        """Returns True if the order after the one numbered ``base`` is equal.
+
+        It is False as well for one whose kind is not kept any more.
+        """
+        position = len(self.kept_orders) - (self.order_count - base)
+        return (
+            0 <= position < len(self.kept_orders)
+            and self.kept_orders[position] == is_start
+        )
+
+    def add_order(self, is_start):
+        """Returns the state after one more order."""
+        return _DataCentreRow(
+            self.name,
+            self.order_count + 1,
+            [*self.kept_orders, is_start][-MAX_KEPT_ORDERS:],
+            self.was_evacuated or is_start,
+        )
 
 
 class _EvacuationState(records.Record, tag='evacuations-1'):
@@ -30,12 +63,12 @@
 
 
 class EvacuationsPart(_part.Part):
-    """Number of changes of each data centre; it is evacuated while it is odd.
+    """The data centres that are evacuated, and the orders that led to that.
 
-    An order names the number that was read when it arrived, and changes the
-    state only if there were no changes since.  So an order that is carried
-    out late undoes no later one.  As the changes alternate, the change after
-    that number did what a late order asks for.
+    An order names the number of orders that was read when it arrived, and is
+    accepted only if none was agreed since.  So an order that is carried out
+    late undoes no later one.  Orders that change nothing count as well, as an
+    earlier order of the other kind may still be under way.
     """
 
     name = 'evacuations'
@@ -43,24 +76,27 @@
     query_kinds = (queries.GetEvacuations,)
 
     def __init__(self):
-        self._change_counts = {}
+        # By name of the data centre.
+        self._rows = {}
 
     @property
     def is_used(self):
-        """True if any data centre is, or ever was, evacuated."""
-        return bool(self._change_counts)
+        """True if an order about any data centre was agreed."""
+        return bool(self._rows)
 
     def is_evacuated(self, data_centre):
         """Returns True if nothing may be started in a data centre."""
-        return self._change_counts.get(data_centre, 0) % 2 == 1
+        row = self._rows.get(data_centre)
+        return row is not None and row.kept_orders[-1]
 
     def was_evacuated(self, data_centre):
         """Returns True if a data centre is, or ever was, evacuated."""
-        return data_centre in self._change_counts
+        row = self._rows.get(data_centre)
+        return row is not None and row.was_evacuated
 
     def evacuated_names(self):
         """Returns the names of the evacuated data centres, sorted."""
-        return sorted(filter(self.is_evacuated, self._change_counts))
+        return sorted(filter(self.is_evacuated, self._rows))
 
     def make_list(self, data_centres=(), is_offered=False):
         """Returns the ``queries.EvacuationList``.
@@ -71,12 +107,16 @@
         """
         views = [
             queries.EvacuationView(
-                name, self.is_evacuated(name), self._change_counts.get(name, 0)
+                name, self.is_evacuated(name), self._count_orders(name)
             )
-            for name in sorted({*data_centres, *self._change_counts})
+            for name in sorted({*data_centres, *self._rows})
         ]
         return queries.EvacuationList(views, is_offered, list(data_centres))
 
+    def _count_orders(self, data_centre):
+        row = self._rows.get(data_centre)
+        return row.order_count if row else 0
+
     # Methods of ``_part.Part``
 
     def apply(self, index, command):
@@ -92,44 +132,36 @@
         """
         name = command.data_centre
         is_start = isinstance(command, commands.StartEvacuation)
-        change_count = self._change_counts.get(name, 0)
-        is_repeated = (
-            command.base != change_count or self.is_evacuated(name) == is_start
-        )
-        if not is_repeated:
-            if (
-                name not in self._change_counts
-                and len(self._change_counts) >= MAX_DATA_CENTRES
-            ):
+        row = self._rows.get(name) or _DataCentreRow(name, 0, [], False)
+        is_accepted = command.base == row.order_count
+        is_superseded = False
+        if is_accepted:
+            if name not in self._rows and len(self._rows) >= MAX_DATA_CENTRES:
                 return outcomes.Invalid(
                     'too_many_data_centres',
                     'data_centre',
                     f'at most {MAX_DATA_CENTRES} can be evacuated',
                 )
-            change_count += 1
-            self._change_counts[name] = change_count
+            self._rows[name] = row = row.add_order(is_start)
+        elif self.is_evacuated(name) != is_start:
+            is_superseded = not row.was_accepted(command.base, is_start)
         return outcomes.EvacuationOutcome(
-            name, self.is_evacuated(name), change_count, is_repeated
+            name,
+            self.is_evacuated(name),
+            row.order_count,
+            not is_accepted,
+            is_superseded,
         )
 
     def query(self, query):
-        """Returns the ``EvacuationList`` of what was evacuated so far."""
+        """Returns the ``EvacuationList`` of what was ordered so far."""
         return self.make_list()
 
     def snapshot(self):
         """Returns the whole part as bytes."""
-        return _STATE_CODEC.encode(
-            _EvacuationState(
-                [
-                    _DataCentreRow(name, change_count)
-                    for name, change_count in self._change_counts.items()
-                ]
-            )
-        )
+        return _STATE_CODEC.encode(_EvacuationState(list(self._rows.values())))
 
     def restore(self, data):
         """Replaces the whole part by what ``snapshot`` returned."""
         snapshot = _STATE_CODEC.decode(data)
-        self._change_counts = {
-            row.name: row.change_count for row in snapshot.data_centres
-        }
+        self._rows = {row.name: row for row in snapshot.data_centres}
--- a/fuchsiatrestle/state/commands/_evacuations.py
+++ b/fuchsiatrestle/state/commands/_evacuations.py
@@ -10,8 +10,8 @@
 
     Attributes:
         data_centre: name of the data centre.
-        base: number of changes of the data centre (see
-            ``queries.EvacuationView``) that was read when the order arrived;
+        base: number of agreed orders about the data centre (see
+            ``queries.EvacuationView``) that was read when this one arrived;
             if there were more since, nothing is changed.
     """
 
--- a/fuchsiatrestle/state/outcomes.py
+++ b/fuchsiatrestle/state/outcomes.py
@@ -146,15 +146,18 @@
     Attributes:
         data_centre: name of the data centre.
         evacuated: True if it is evacuated afterwards.
-        change_count: number of its changes afterwards.
-        repeated: True if the command changed nothing, as it was fulfilled
-            before; a later order may have been agreed since.
+        order_count: number of the agreed orders about it afterwards.
+        repeated: True if the command changed nothing, as other orders were
+            agreed since it arrived; one of them may be the same order.
+        superseded: True if it was not accepted, before or now, and the order
+            agreed last is of the other kind.
     """
 
     data_centre: str
     evacuated: bool
-    change_count: int
+    order_count: int
     repeated: bool = False
+    superseded: bool = False
 
 
 CODEC = records.Codec(
--- a/fuchsiatrestle/state/queries/__init__.py
+++ b/fuchsiatrestle/state/queries/__init__.py
@@ -314,16 +314,16 @@
     Attributes:
         data_centre: its name.
         evacuated: True if nothing is started on its workers.
-        change_count: how often an evacuation of it was started or ended.
+        order_count: number of the agreed orders to start or to end it.
     """
 
     data_centre: str
     evacuated: bool
-    change_count: int
+    order_count: int
 
 
 class EvacuationList(records.Record, tag='evacuations'):
-    """The data centres that were evacuated, or that may be.
+    """The data centres with an agreed order, and those that may get one.
 
     Attributes:
         evacuations: the data centres, sorted by name.
@@ -335,11 +335,11 @@
     offered: bool
     data_centres: list[str]
 
-    def change_count(self, data_centre):
-        """Returns the number of changes of a data centre."""
+    def order_count(self, data_centre):
+        """Returns the number of agreed orders about a data centre."""
         for view in self.evacuations:
             if view.data_centre == data_centre:
-                return view.change_count
+                return view.order_count
         return 0
 
 
--- a/tests/net/test_evacuation_orders.py
+++ b/tests/net/test_evacuation_orders.py
@@ -107,16 +107,33 @@
         self.assertEqual('', self._order(True))
 
     def test_order_delayed_on_a_link_undoes_no_later_one(self):
+        """Also not one that found its wish fulfilled when it arrived."""
+        for later_orders in ((True, False), (False,), (False, False)):
+            with self.subTest(later_orders=later_orders):
+                self.setUp()
+                outcome = self._apply_late_start(later_orders)
+                self.assertFalse(self._is_evacuated)
+                self.assertEqual(True not in later_orders, outcome.superseded)
+
+    def test_order_that_is_late_but_was_sent_again_is_acknowledged(self):
+        self.assertFalse(self._apply_late_start((True,)).superseded)
+        self.assertTrue(self._is_evacuated)
+
+    def _apply_late_start(self, later_orders):
+        """Returns the outcome of a start that is applied after later orders.
+
+        Args:
+            later_orders: list of True for each start and False for each end.
+        """
         self.leader.held_commands = delayed_commands = []
         self.leader.unanswered_calls = ('propose',)
         self._order(True)
         self.leader.held_commands = None
         self.leader.unanswered_calls = ()
-        for is_start in (True, False):
+        for is_start in later_orders:
             self.assertEqual('', self._order(is_start))
-        self.assertEqual(1, len(delayed_commands))
-        self.leader.apply(delayed_commands[0])
-        self.assertFalse(self._is_evacuated)
+        (delayed_command,) = delayed_commands
+        return self.leader.apply(delayed_command)
 
     def test_order_from_before_a_stop_of_the_process_has_no_effect(self):
         """The socket of a stopped process holds it until it goes on."""
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -27,8 +27,8 @@
 )
 
 
-def _make_list(change_count):
-    view = queries.EvacuationView('dc a', change_count % 2 == 1, change_count)
+def _make_list(order_count):
+    view = queries.EvacuationView('dc a', order_count % 2 == 1, order_count)
     return queries.EvacuationList([view], True, [])
 
 
@@ -41,6 +41,9 @@
         self.control.answers['StartEvacuation'] = outcomes.EvacuationOutcome(
             'dc a', True, 5
         )
+        self.control.answers['EndEvacuation'] = outcomes.EvacuationOutcome(
+            'dc a', False, 5
+        )
         orders = evacuation_orders.EvacuationOrders(self.control, ('dc a',))
         self.handler = _operators.ControlHandler(self.control, 1, orders)
 
@@ -61,19 +64,19 @@
         self.assertEqual(
             commands.StartEvacuation('dc a', 4), self.control.calls[-1]
         )
-        # It is fulfilled already, so nothing has to be agreed.
         self.assertEqual(
             (200, {'evacuated': False}), self._call('/evacuations/dc%20a/end')
         )
 
-    def test_superseded_order_is_acknowledged(self):
+    def test_late_order_is_acknowledged_only_if_it_was_accepted(self):
         """An accepted order is never refused, also after a later one."""
-        self.control.answers['StartEvacuation'] = outcomes.EvacuationOutcome(
-            'dc a', False, 6, True
-        )
-        self.assertEqual(
-            (200, {'evacuated': True}), self._call('/evacuations/dc%20a/start')
-        )
+        for superseded, status in ((False, 200), (True, 503)):
+            self.control.answers['StartEvacuation'] = (
+                outcomes.EvacuationOutcome('dc a', False, 6, True, superseded)
+            )
+            self.assertEqual(
+                status, self._call('/evacuations/dc%20a/start')[0]
+            )
 
     def test_no_leader_is_503(self):
         for call in ('StartEvacuation', 'GetEvacuations'):
--- a/tests/state/test_evacuations.py
+++ b/tests/state/test_evacuations.py
@@ -50,8 +50,8 @@
                         expected == [START],
                         state_machine.evacuations.is_evacuated('dc'),
                     )
-                    self.assertIsInstance(outcome, outcomes.EvacuationOutcome)
-                    self.assertEqual(len(expected), outcome.change_count)
+                    self.assertFalse(outcome.superseded)
+                    self.assertEqual(len(expected), outcome.order_count)
 
     def test_order_on_the_present_state_is_carried_out(self):
         for base in range(6):
@@ -60,6 +60,19 @@
             self.assertEqual(base % 2 == 0, self._is_evacuated())
         self.assertFalse(self.machine.evacuations.is_evacuated('other'))
 
+    def test_late_order_that_was_never_accepted_is_told(self):
+        _apply(self.machine, commands.EndEvacuation('dc', 0))
+        outcome = _apply(self.machine, START)
+        self.assertEqual(
+            outcomes.EvacuationOutcome('dc', False, 1, True, True), outcome
+        )
+        for base in range(1, 101):
+            _apply(self.machine, commands.StartEvacuation('dc', base))
+        # The kinds of the oldest orders are not kept.
+        outcome = _apply(self.machine, commands.EndEvacuation('dc', 0))
+        self.assertTrue(outcome.superseded)
+        self.assertTrue(self._is_evacuated())
+
     def test_evacuation_outlasts_a_power_loss(self):
         """A replica restores the last snapshot and applies the log again."""
         snapshots = [self.machine.snapshot()]
--- a/tests/workflows/test_evacuation.py
+++ b/tests/workflows/test_evacuation.py
@@ -51,7 +51,7 @@
     def _order(self, data_centre, make_command=commands.StartEvacuation):
         evacuations = self.world.machine.evacuations.make_list()
         self.world.apply_agreed(
-            make_command(data_centre, evacuations.change_count(data_centre))
+            make_command(data_centre, evacuations.order_count(data_centre))
         )
 
     def _end(self, data_centre):
