Give up orders about evacuations whose operator has gone

An order that a broken link has held back reaches the daemon when its operator has long turned to another one, and looks new. The end of the connection follows right after it, so an order is now proposed 250 ms after its base was read, by when the HTTP server has cancelled the calls of clients that are gone.

--- a/fuchsiatrestle/net/evacuation_orders.py
+++ b/fuchsiatrestle/net/evacuation_orders.py
@@ -6,6 +6,7 @@
 ``docs/design/evacuation.md``.
 """
 
+import curio
 from returns import pipeline
 from returns import result
 
@@ -23,6 +24,10 @@
 # An operator turns to another daemon after a second without an answer.  An
 # order has to be based on the state that was agreed before that.
 MAX_ORDER_AGE_MS = 900
+# Time from the arrival of an order to its proposal.  If the network has held
+# it back until its operator gave up, the end of the connection comes right
+# after it, and ``http.Server`` cancels the call within 200 ms.
+MIN_HANDLING_S = 0.25
 
 # Reasons that the same order would be refused for again.
 NOT_FOUND_REASONS = ('not_offered', 'unknown_data_centre')
@@ -53,6 +58,7 @@
         pause_detector: ``pauses.PauseDetector``, by default a new one.
         read_now_ms: function that returns the monotonic time, in
             milliseconds.
+        min_handling_s: see ``MIN_HANDLING_S``.
     """
 
     def __init__(
@@ -61,11 +67,13 @@
         data_centres=None,
         pause_detector=None,
         read_now_ms=daemon.monotonic_ms,
+        min_handling_s=MIN_HANDLING_S,
     ):
         self._client = client
         self._data_centres = data_centres
         self._pause_detector = pause_detector or pauses.PauseDetector()
         self._read_now_ms = read_now_ms
+        self._min_handling_s = min_handling_s
 
     def check_pause(self):
         """Notices a suspension; to be called at short intervals."""
@@ -133,6 +141,9 @@
                 return _make_refusal('not_offered', 'evacuation_ms is 0')
             if data_centre not in evacuations.data_centres:
                 return _refuse_unknown()
+        if self._remaining_ms(received_ms) <= 0:
+            return _refuse_late()
+        await curio.sleep(self._min_handling_s)
         remaining_ms = self._remaining_ms(received_ms)
         if remaining_ms <= 0:
             return _refuse_late()
--- a/tests/net/test_evacuation_orders.py
+++ b/tests/net/test_evacuation_orders.py
@@ -69,6 +69,7 @@
             ('dc', 'empty'),
             pauses.PauseDetector(lambda: self.suspended_ms),
             lambda: self.now_ms,
+            min_handling_s=0,
         )
 
     def _order(self, is_start, name='dc', received_ms=None):
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -15,10 +15,12 @@
 from fuchsiatrestle.net import evacuation_orders
 from fuchsiatrestle.net import http
 from fuchsiatrestle.platform import _operators
+from fuchsiatrestle import settings
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import outcomes
 from fuchsiatrestle.state import queries
 from tests.fakes import admin as fakes
+from tests.fakes import ports
 
 NOT_ANSWERED = result.Failure(
     control_client.CallFailure(
@@ -88,6 +90,35 @@
         for path in ('/evacuations/dc/start', '/evacuations/dc/x/end'):
             self._assert_refused(404, 'unknown_data_centre', path)
 
+    def test_order_whose_operator_has_gone_has_no_effect(self):
+        """The network may deliver it long after its operator gave up."""
+        for is_gone in (False, True):
+            self.control.calls.clear()
+            curio.run(self._send_order, is_gone)
+            is_proposed = any(
+                isinstance(call, commands.StartEvacuation)
+                for call in self.control.calls
+            )
+            self.assertEqual(not is_gone, is_proposed)
+
+    async def _send_order(self, is_gone):
+        address = settings.Address('127.0.0.1', ports.find_free_ports(1)[0])
+        server = http.Server(address, self.handler)
+        await server.start()
+        sock = await curio.open_connection(address.host, address.port)
+        await sock.sendall(
+            b'POST /evacuations/dc%20a/start HTTP/1.1\r\nhost: c\r\n'
+            b'content-length: 0\r\n\r\n'
+        )
+        if is_gone:
+            await sock.close()
+            while not self.control.calls or server.open_connection_count:
+                await curio.sleep(0.02)
+        else:
+            await sock.recv(1000)
+            await sock.close()
+        await server.stop(0)
+
     def test_unknown_paths(self):
         for path, method in (
             ('/evacuations/dc%20a/start', 'GET'),
