--- a/tests/platform/_deployment.py
+++ b/tests/platform/_deployment.py
@@ -56,9 +56,13 @@
 data_folder = {folder}
 may_found = {may_found}
 tolerated_losses = 1
+data_centres = dc-a,dc-b
 
 [workers]
 announce_ms = 500
+
+[workflows]
+evacuation_ms = 5000
 """
 _ENTRY_SETTINGS = """\
 [platform]
