Make rounds for evacuations only while there is one

A policy had a round of each service made for it each time, also while nothing is evacuated; the leader has no processor time to spare. A policy now says whether it acts after the groups. Moves of other services no longer count against the free capacity of a service. The gain was not measured.

--- a/fuchsiatrestle/workflows/_evacuation.py
+++ b/fuchsiatrestle/workflows/_evacuation.py
@@ -100,14 +100,16 @@
 
     # Moves
 
+    def acts_after_groups(self):
+        """Returns True while a data centre is evacuated."""
+        return bool(self._evacuated_names)
+
     def stop_runs(self, pool_round):
         """Stops runs in evacuated data centres that can go on elsewhere.
 
         Nothing is stopped while another group waits in the service, as it
         would have to share the capacity with the stopped tasks.
         """
-        if not self._evacuated_names:
-            return []
         self._forget_ended_moves()
         if any(not group.step.fills for group in pool_round.waiting_groups):
             return []
@@ -173,7 +175,7 @@
         moving_cpu = sum(
             run.step.cpu
             for _, run in self._moves.values()
-            if not run.step.fills
+            if not run.step.fills and self._find_pool(run) == pool_round.pool
         )
         return free_cpu - moving_cpu - MIN_FREE_CPU_SHARE * total_cpu
 
--- a/fuchsiatrestle/workflows/_policies.py
+++ b/fuchsiatrestle/workflows/_policies.py
@@ -60,6 +60,13 @@
         """
         return ''
 
+    def acts_after_groups(self):
+        """Returns False if the two hooks below have nothing to do now.
+
+        A round of each service is made for them, which takes processor time.
+        """
+        return True
+
     def stop_runs(self, pool_round):
         """Stops runs after all groups of the round were tried.
 
--- a/fuchsiatrestle/workflows/_round_planner.py
+++ b/fuchsiatrestle/workflows/_round_planner.py
@@ -120,6 +120,8 @@
         """
         stopped_workers = []
         for policy in self._policies:
+            if not policy.acts_after_groups():
+                continue
             for pool in self._all_pools():
                 pool_round = self._find_pool_round(round_by_pool, pool)
                 stopped_workers += policy.stop_runs(pool_round)
