--- a/fuchsiatrestle/state/outcomes.py
+++ b/fuchsiatrestle/state/outcomes.py
@@ -13,6 +13,7 @@
     'ConfigAccepted',
     'ConfigConflict',
     'Done',
+    'EvacuationOutcome',
     'Invalid',
     'JobOutcome',
     'JobOutcomes',
@@ -139,6 +140,26 @@
     reason: str = ''
 
 
+class EvacuationOutcome(records.Record, tag='evacuation'):
+    """Outcome of starting or ending an evacuation.
+
+    Attributes:
+        data_centre: name of the data centre.
+        evacuated: True if it is evacuated afterwards.
+        order_count: number of the agreed orders about it afterwards.
+        repeated: True if the command changed nothing, as other orders were
+            agreed since it arrived; one of them may be the same order.
+        superseded: True if it was not accepted, before or now, and the order
+            agreed last is of the other kind.
+    """
+
+    data_centre: str
+    evacuated: bool
+    order_count: int
+    repeated: bool = False
+    superseded: bool = False
+
+
 CODEC = records.Codec(
     Done,
     Invalid,
@@ -147,4 +168,5 @@
     JobOutcomes,
     ClaimOutcomes,
     WorkflowOutcome,
+    EvacuationOutcome,
 )
--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -61,6 +61,7 @@
         self._state = _book.DispatchState(
             workflow_store, token, timing, now_ms
         )
+        self._state.policies = _policies.make_policies(features, self._state)
         self._interference_model = _interference.InterferenceModel()
         self._backlog = _backlog.Backlog(workflow_store)
         self._round_planner = _round_planner.PlacementPlanner(
@@ -68,7 +69,7 @@
             self._backlog,
             self._interference_model,
             placer or _placement.BestFit(self._interference_model),
-            _policies.make_policies(features, self._state),
+            self._state.policies,
         )
         self._order_planner = _orders.OrderPlanner(self._state, timing)
         self._announcement_handler = _announcing.AnnouncementHandler(
