Keep the run times of ended tasks in the agreed state

Declared estimates are off by a factor that tasks of one kind share, and no replica kept what tasks really took.

--- a/fuchsiatrestle/state/_workflows.py
+++ b/fuchsiatrestle/state/_workflows.py
@@ -6,6 +6,7 @@
 
 from fuchsiatrestle import records
 from fuchsiatrestle.state import _part
+from fuchsiatrestle.state import _run_times
 from fuchsiatrestle.state import _workflows_model
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import outcomes
@@ -41,6 +42,8 @@
             ended.
         workers: the registered workers.
         pairs: learned interference of images, least recently updated first.
+        run_times: learned run times, see ``RunTimes.to_rows``; empty in old
+            snapshots.
     """
 
     now_ms: int
@@ -48,6 +51,7 @@
     ended: list[_EndedWorkflow]
     workers: list[workflows.WorkerRecord]
     pairs: list[workflows.ImagePair] = []
+    run_times: list[_run_times.RunTimesRow] = []
 
 
 _STATE_CODEC = records.Codec(_PartState)
@@ -79,6 +83,7 @@
         self._ended_workflows = collections.deque()
         self._workers = {}
         self._image_pairs = {}
+        self._run_times = _run_times.RunTimes()
         # Latest ``now_ms`` of a ``RecordProgress`` command, since the epoch.
         self._progress_recorded_ms = 0
         self._handlers = {
@@ -104,6 +109,11 @@
         """Learned ``ImagePair`` by (``serving``, ``filling``) image."""
         return self._image_pairs
 
+    @property
+    def run_times(self):
+        """The ``RunTimes`` of tasks that are done."""
+        return self._run_times
+
     def find_workflow(self, workflow_id):
         """Returns the ``Workflow`` with this id, or None."""
         return self._workflows.get(workflow_id)
@@ -268,6 +278,7 @@
             return
         now_ms = self._progress_recorded_ms
         if run_end.how == 'done':
+            self._record_run_time(workflow, run_end)
             workflow.finish_task(run_end.task, run_end.run, now_ms)
         elif run_end.how == 'failed':
             queue = self.current_queue(workflow)
@@ -284,6 +295,26 @@
             )
         self._close_workflow_if_ended(workflow, now_ms)
 
+    def _record_run_time(self, workflow, run_end):
+        """Records the run time of a live run that is done.
+
+        A run that went on from a checkpoint tells nothing of the whole task,
+        and a run that was placed after the agreed time of its end has no time
+        to go by: the clock of a new leader is behind that of the earlier one.
+        """
+        task = workflow.tasks[run_end.task]
+        live_run = task.live_runs.get(run_end.run)
+        if live_run is None or task.checkpoint or not live_run.placed_ms:
+            return
+        run_ms = self._progress_recorded_ms - live_run.placed_ms
+        if run_ms >= 0:
+            self._run_times.record_run(
+                workflow.queue.name,
+                run_end.task.step,
+                workflow.get_step(run_end.task),
+                run_ms,
+            )
+
     def _record_lost_run(self, lost_run):
         workflow = self._workflows.get(lost_run.task.workflow_id)
         if workflow is None:
@@ -358,6 +389,7 @@
                 list(self._ended_workflows),
                 list(self._workers.values()),
                 list(self._image_pairs.values()),
+                self._run_times.to_rows(),
             )
         )
 
@@ -380,3 +412,4 @@
             (record.serving, record.filling): record
             for record in snapshot.pairs
         }
+        self._run_times = _run_times.RunTimes.from_rows(snapshot.run_times)
