Order waiting work by learned run times

Where learn_run_times is on, the backlog takes the median of the step's own ended tasks, else that of its kind, else the declared estimate, for both the objective and the remaining path. Critical paths are recomputed with their workflow and at most once a second otherwise, 32 a round. What is learned is logged once a second at most.

--- a/fuchsiatrestle/state/_run_times.py
+++ b/fuchsiatrestle/state/_run_times.py
@@ -57,6 +57,7 @@
     """What is known of the run times of one kind.
 
     Attributes:
+        name: image, queue and step number as a tuple.
         image: image of the tasks, or empty.
         queue_name: name of the queue if there is no image, else empty.
         step_number: number of the step if there is no image, else 0.
@@ -68,13 +69,15 @@
     __slots__ = (
         'image',
         'median_permille',
+        'name',
         'queue_name',
         'sample_count',
         'step_number',
     )
 
-    def __init__(self, kind, sample_count, median_permille):
-        self.image, self.queue_name, self.step_number = kind
+    def __init__(self, name, sample_count, median_permille):
+        self.name = name
+        self.image, self.queue_name, self.step_number = name
         self.sample_count = sample_count
         self.median_permille = median_permille
 
@@ -106,7 +109,7 @@
             ``MIN_SAMPLES`` run times are known.
         """
         histogram = self._find_histogram(queue_name, step_number, step)
-        if histogram is None or step.estimate_ms <= 0:
+        if histogram is None:
             return step.estimate_ms
         ratio = histogram.find_quantile(permille)
         return max(1, step.estimate_ms * ratio // RATIO_UNIT)
@@ -119,10 +122,8 @@
             step_number: number of the step in its workflow.
             step: the ``Step``.
         """
-        return (
-            step.estimate_ms > 0
-            and self._find_histogram(queue_name, step_number, step) is not None
-        )
+        histogram = self._find_histogram(queue_name, step_number, step)
+        return histogram is not None
 
     def kind_estimates(self):
         """Returns the ``KindEstimate`` of each kind with enough run times.
@@ -140,7 +141,9 @@
         ]
 
     def _find_histogram(self, queue_name, step_number, step):
-        """Returns the histogram of a kind, None with too few run times."""
+        """Returns the histogram for a step, None with too few run times."""
+        if not _has_ratio(step):
+            return None
         histogram = self._histograms.get(
             _find_kind(queue_name, step_number, step)
         )
@@ -161,7 +164,7 @@
             step: the ``Step``.
             run_ms: run time of the whole task, at least 0.
         """
-        if step.estimate_ms <= 0 or step.lasts:
+        if not _has_ratio(step):
             return
         kind = _find_kind(queue_name, step_number, step)
         histogram = self._histograms.pop(kind, None) or _RatioHistogram()
@@ -255,6 +258,11 @@
         ]
 
 
+def _has_ratio(step):
+    """Returns True if the run times of a step compare to an estimate."""
+    return step.estimate_ms > 0 and not step.lasts
+
+
 def _find_kind(queue_name, step_number, step):
     """Returns the kind of the tasks of a step, the key of its histogram."""
     if step.image and len(step.image) <= MAX_IMAGE_LENGTH:
--- a/fuchsiatrestle/state/_workflows.py
+++ b/fuchsiatrestle/state/_workflows.py
@@ -308,6 +308,7 @@
             return
         run_ms = self._progress_recorded_ms - live_run.placed_ms
         if run_ms >= 0:
+            workflow.record_run_time(run_end.task.step, run_ms)
             self._run_times.record_run(
                 workflow.queue.name,
                 run_end.task.step,
--- a/fuchsiatrestle/state/_workflows_model.py
+++ b/fuchsiatrestle/state/_workflows_model.py
@@ -14,6 +14,13 @@
 FAILED = 'failed'
 CANCELLED = 'cancelled'
 
+# Number of run times that are kept for a step, the latest ones.  A median of
+# these is off only if eight of them are.
+MAX_STEP_RUN_TIMES = 15
+# With fewer run times of a step there is no median, as one straggler would
+# make up half of them.
+MIN_STEP_RUN_TIMES = 3
+
 
 class _TaskRow(records.Record, tag='t'):
     """Stored form of a ``Task`` with its id.
@@ -46,6 +53,8 @@
             the time since which it may be started; 0 for a step that may not
             be.  Empty in old rows; the ready steps then count from the
             submission.
+        run_ms: for each step, the latest run times of its tasks that are
+            done, see ``Workflow.record_run_time``.  Empty in old rows.
     """
 
     workflow_id: str
@@ -55,6 +64,7 @@
     state: str
     tasks: list[_TaskRow]
     ready_ms: list[int] = []
+    run_ms: list[list[int]] = []
 
 
 class Task(_crash_counts.CrashCounts):
@@ -124,6 +134,7 @@
         '_last_run_end_ms_by_step',
         '_live_run_count_by_step',
         '_ready_ms_by_step',
+        '_run_times_by_step_number',
         '_task_ids_by_step',
         '_unfinished_count_by_step',
         'queue',
@@ -148,6 +159,8 @@
         self._last_run_end_ms_by_step = {}
         # Has no entry for a step that may not be started yet.
         self._ready_ms_by_step = {}
+        # Lists of milliseconds, by step number.
+        self._run_times_by_step_number = [[] for _ in spec.steps]
         for occurrence in self.occurrences:
             for step_number, step in enumerate(spec.steps):
                 self._add_tasks(occurrence, step_number, step.count)
@@ -280,6 +293,42 @@
             return None
         return max(ready_ms, task.last_run_end_ms)
 
+    def median_run_ms(self, step_number):
+        """Returns the median run time of the tasks of a step that are done.
+
+        The latest of all occurrences count.  While more tasks are executing
+        than are done, those that are done are the shortest ones of the step,
+        and there is no median.
+
+        Args:
+            step_number: number of the step.
+
+        Returns:
+            Milliseconds, None if too few tasks are done.
+        """
+        run_times_ms = self._run_times_by_step_number[step_number]
+        if len(run_times_ms) < MIN_STEP_RUN_TIMES:
+            return None
+        if self._count_done(step_number) < self._count_live_runs(step_number):
+            return None
+        return sorted(run_times_ms)[len(run_times_ms) // 2]
+
+    def _count_done(self, step_number):
+        """Returns the number of done tasks of a step, in all occurrences."""
+        task_count = self.spec.steps[step_number].count
+        return sum(
+            task_count
+            - self._unfinished_count_by_step[occurrence, step_number]
+            for occurrence in self.occurrences
+        )
+
+    def _count_live_runs(self, step_number):
+        """Returns the number of live runs of a step, in all occurrences."""
+        return sum(
+            self._live_run_count_by_step[occurrence, step_number]
+            for occurrence in self.occurrences
+        )
+
     @property
     def is_running(self):
         """True if a run of any of its tasks may be executing."""
@@ -391,6 +440,17 @@
         if self.state == OPEN and not task.is_done and task.crashes_workers:
             self.state = FAILED
 
+    def record_run_time(self, step_number, run_ms):
+        """Records the run time of a task that is done.
+
+        Args:
+            step_number: number of the step.
+            run_ms: run time of the whole task, in milliseconds.
+        """
+        run_times_ms = self._run_times_by_step_number[step_number]
+        run_times_ms.append(run_ms)
+        del run_times_ms[:-MAX_STEP_RUN_TIMES]
+
     def finish_task(self, task_id, run_number, now_ms):
         """Marks a task as done by a run.
 
@@ -531,6 +591,7 @@
                 self._ready_ms_by_step.get(step_key, 0)
                 for step_key in self._unfinished_count_by_step
             ],
+            [list(times_ms) for times_ms in self._run_times_by_step_number],
         )
 
     @classmethod
@@ -541,6 +602,10 @@
         for task_row in row.tasks:
             workflow._restore_task(task_row)
         workflow._set_ready_times(row.ready_ms)
+        for step_number, run_times_ms in enumerate(row.run_ms):
+            workflow._run_times_by_step_number[step_number] = list(
+                run_times_ms
+            )
         return workflow
 
     def _restore_task(self, row):
--- a/fuchsiatrestle/workflows/_backlog.py
+++ b/fuchsiatrestle/workflows/_backlog.py
@@ -12,12 +12,25 @@
 Long-running tasks never count as late.  One that ran before is interrupted
 while it waits, and goes before all other groups whatever its priority: its
 start continues what was running, and running tasks do not make way either.
+
+Where run times are learned (see ``_estimates``), both the objective and the
+slack come from what is known when the critical paths of the workflow were
+computed last.
 """
 
+import itertools
+
+from fuchsiatrestle.workflows import _estimates
+
 __all__ = ('Backlog', 'Group')
 
 # A workflow earns nothing once its age exceeds this multiple of its objective.
 WORTHLESS_OBJECTIVE_FACTOR = 3
+# The critical paths of a workflow are recomputed when it has changed and, as
+# what is learned from others changes, at this interval.  A round, of which
+# there may be a hundred a second, recomputes no more than so many.
+PATH_REFRESH_INTERVAL_MS = 1000
+MAX_PATH_REFRESHES = 32
 
 
 class Group:
@@ -108,21 +121,27 @@
 class _CriticalPaths:
     """Longest paths through a workflow's steps, by estimated run times.
 
+    Args:
+        spec: the ``WorkflowSpec``.
+        estimates_ms: estimated run time of a task, by step number.
+        computed_ms: time since the epoch.
+
     Attributes:
         from_step_ms: by step number, the length of the longest path from the
             start of that step to the end of the workflow.
         longest_ms: length of the longest path of all.
+        computed_ms: time since the epoch.
     """
 
-    __slots__ = ('from_step_ms', 'longest_ms')
+    __slots__ = ('computed_ms', 'from_step_ms', 'longest_ms')
 
-    def __init__(self, spec):
-        self.from_step_ms = [step.estimate_ms for step in spec.steps]
+    def __init__(self, spec, estimates_ms, computed_ms):
+        self.computed_ms = computed_ms
+        self.from_step_ms = list(estimates_ms)
         for step_number in reversed(range(len(spec.steps))):
             for earlier_step in spec.steps[step_number].after:
                 path_ms = (
-                    spec.steps[earlier_step].estimate_ms
-                    + self.from_step_ms[step_number]
+                    estimates_ms[earlier_step] + self.from_step_ms[step_number]
                 )
                 self.from_step_ms[earlier_step] = max(
                     self.from_step_ms[earlier_step], path_ms
@@ -135,12 +154,22 @@
 
     Args:
         workflow_store: the part of the replicated state with the workflows.
+        learns_run_times: True if estimated run times are corrected by those
+            of earlier tasks.
     """
 
-    def __init__(self, workflow_store):
+    def __init__(self, workflow_store, learns_run_times=False):
         self._workflow_store = workflow_store
+        self._estimates = _estimates.DeclaredEstimates()
+        self._run_time_report = None
+        if learns_run_times:
+            self._estimates = _estimates.LearnedEstimates(workflow_store)
+            self._run_time_report = _estimates.RunTimeReport(workflow_store)
         self._groups_by_workflow = {}
+        # Those computed longest ago come first.
         self._critical_paths_by_workflow = {}
+        # Time of the latest round, since the epoch.
+        self._round_ms = 0
         for workflow_id in workflow_store.open_workflows:
             self.refresh_workflow(workflow_id)
 
@@ -154,10 +183,36 @@
             self._groups_by_workflow.pop(workflow_id, None)
         if workflow is None:
             self._critical_paths_by_workflow.pop(workflow_id, None)
-        elif workflow_id not in self._critical_paths_by_workflow:
-            self._critical_paths_by_workflow[workflow_id] = _CriticalPaths(
-                workflow.spec
+        elif (
+            self._estimates.may_change
+            or workflow_id not in self._critical_paths_by_workflow
+        ):
+            self._compute_critical_paths(workflow)
+
+    def _compute_critical_paths(self, workflow):
+        self._critical_paths_by_workflow.pop(workflow.workflow_id, None)
+        self._critical_paths_by_workflow[workflow.workflow_id] = (
+            _CriticalPaths(
+                workflow.spec,
+                self._estimates.estimate_steps_ms(workflow),
+                self._round_ms,
             )
+        )
+
+    def _refresh_critical_paths(self):
+        """Recomputes the critical paths that were computed longest ago."""
+        oldest_ids = itertools.islice(
+            self._critical_paths_by_workflow, MAX_PATH_REFRESHES
+        )
+        for workflow_id in list(oldest_ids):
+            critical_paths = self._critical_paths_by_workflow[workflow_id]
+            age_ms = self._round_ms - critical_paths.computed_ms
+            # The age is negative if the time of day was set back.
+            if 0 <= age_ms < PATH_REFRESH_INTERVAL_MS:
+                return
+            workflow = self._workflow_store.open_workflows.get(workflow_id)
+            if workflow is not None:
+                self._compute_critical_paths(workflow)
 
     def ready_groups(self, wall_ms):
         """Returns the groups that may start now, in the order of placement.
@@ -165,6 +220,11 @@
         Args:
             wall_ms: time since the epoch.
         """
+        self._round_ms = wall_ms
+        if self._estimates.may_change:
+            self._refresh_critical_paths()
+        if self._run_time_report is not None:
+            self._run_time_report.report_if_due(wall_ms)
         groups = [
             group
             for workflow_groups in self._groups_by_workflow.values()
--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -62,7 +62,9 @@
             workflow_store, token, timing, now_ms
         )
         self._interference_model = _interference.InterferenceModel()
-        self._backlog = _backlog.Backlog(workflow_store)
+        self._backlog = _backlog.Backlog(
+            workflow_store, features.learns_run_times
+        )
         self._round_planner = _round_planner.PlacementPlanner(
             self._state,
             self._backlog,
--- a/tests/fakes/dispatch_world.py
+++ b/tests/fakes/dispatch_world.py
@@ -150,6 +150,7 @@
         timing: ``workflows.Timing`` of all leaders, the defaults if None.
         refuses_connections: True if orders to a VM without a process fail at
             once instead of after the timeout of the order.
+        features: ``workflows.Features`` of all leaders, none if None.
 
     Attributes:
         random: source of all random choices.
@@ -197,6 +198,7 @@
         cpu_milli=8000,
         timing=None,
         refuses_connections=False,
+        features=None,
     ):
         self.random = random.Random(seed)
         self.now_ms = 0
@@ -230,6 +232,7 @@
         # Arguments of the last ``set_capacity`` of a worker, by its name.
         self._capacity_by_worker = {}
         self._timing = timing or workflows.Timing()
+        self._features = features
         # ``_Slots`` by token of the leader and name of the worker.
         self._slots_by_worker = collections.defaultdict(_Slots)
         self._cancelled_ms_by_workflow = {}
@@ -316,6 +319,7 @@
             self._leader_token,
             self._timing,
             self.now_ms,
+            features=self._features,
         )
 
     def restore_replicas(self):
