Find the critical paths computed longest ago without a scan

In a plain dict, a search for the first key passes the places of all keys that were moved to the end.

--- a/fuchsiatrestle/workflows/_backlog.py
+++ b/fuchsiatrestle/workflows/_backlog.py
@@ -18,6 +18,7 @@
 computed last.
 """
 
+import collections
 import itertools
 
 from fuchsiatrestle.workflows import _estimates
@@ -166,8 +167,9 @@
             self._estimates = _estimates.LearnedEstimates(workflow_store)
             self._run_time_report = _estimates.RunTimeReport(workflow_store)
         self._groups_by_workflow = {}
-        # Those computed longest ago come first.
-        self._critical_paths_by_workflow = {}
+        # Those computed longest ago come first.  In a plain dict, a search
+        # for the first one passes the places of all that have moved.
+        self._critical_paths_by_workflow = collections.OrderedDict()
         # Time of the latest round, since the epoch.
         self._round_ms = 0
         for workflow_id in workflow_store.open_workflows:
@@ -190,7 +192,6 @@
             self._compute_critical_paths(workflow)
 
     def _compute_critical_paths(self, workflow):
-        self._critical_paths_by_workflow.pop(workflow.workflow_id, None)
         self._critical_paths_by_workflow[workflow.workflow_id] = (
             _CriticalPaths(
                 workflow.spec,
@@ -198,6 +199,7 @@
                 self._round_ms,
             )
         )
+        self._critical_paths_by_workflow.move_to_end(workflow.workflow_id)
 
     def _refresh_critical_paths(self):
         """Recomputes the critical paths that were computed longest ago."""
