Ignore long-running steps and bound the cost of a step's median

A long-running task that ends as done left a run time with its step, and the median of a step counted its tasks over all occurrences, of which a workflow may have thousands, each second.

--- a/fuchsiatrestle/state/_workflows.py
+++ b/fuchsiatrestle/state/_workflows.py
@@ -302,19 +302,18 @@
         and a run that was placed after the agreed time of its end has no time
         to go by: the clock of a new leader is behind that of the earlier one.
         """
+        step = workflow.get_step(run_end.task)
         task = workflow.tasks[run_end.task]
         live_run = task.live_runs.get(run_end.run)
-        if live_run is None or task.checkpoint or not live_run.placed_ms:
+        if live_run is None or not live_run.placed_ms:
             return
         run_ms = self._progress_recorded_ms - live_run.placed_ms
-        if run_ms >= 0:
-            workflow.record_run_time(run_end.task.step, run_ms)
-            self._run_times.record_run(
-                workflow.queue.name,
-                run_end.task.step,
-                workflow.get_step(run_end.task),
-                run_ms,
-            )
+        if run_ms < 0 or task.checkpoint or step.lasts:
+            return
+        workflow.record_run_time(run_end.task.step, run_ms)
+        self._run_times.record_run(
+            workflow.queue.name, run_end.task.step, step, run_ms
+        )
 
     def _record_lost_run(self, lost_run):
         workflow = self._workflows.get(lost_run.task.workflow_id)
--- a/fuchsiatrestle/state/_workflows_model.py
+++ b/fuchsiatrestle/state/_workflows_model.py
@@ -296,9 +296,9 @@
     def median_run_ms(self, step_number):
         """Returns the median run time of the tasks of a step that are done.
 
-        The latest of all occurrences count.  While more tasks are executing
-        than are done, those that are done are the shortest ones of the step,
-        and there is no median.
+        The latest of all occurrences count.  While more tasks of the first
+        occurrence are executing than are done, those that are done are the
+        shortest ones of the step, and there is no median.
 
         Args:
             step_number: number of the step.
@@ -309,26 +309,14 @@
         run_times_ms = self._run_times_by_step_number[step_number]
         if len(run_times_ms) < MIN_STEP_RUN_TIMES:
             return None
-        if self._count_done(step_number) < self._count_live_runs(step_number):
+        done_count = (
+            self.spec.steps[step_number].count
+            - self._unfinished_count_by_step[0, step_number]
+        )
+        if done_count < self._live_run_count_by_step[0, step_number]:
             return None
         return sorted(run_times_ms)[len(run_times_ms) // 2]
 
-    def _count_done(self, step_number):
-        """Returns the number of done tasks of a step, in all occurrences."""
-        task_count = self.spec.steps[step_number].count
-        return sum(
-            task_count
-            - self._unfinished_count_by_step[occurrence, step_number]
-            for occurrence in self.occurrences
-        )
-
-    def _count_live_runs(self, step_number):
-        """Returns the number of live runs of a step, in all occurrences."""
-        return sum(
-            self._live_run_count_by_step[occurrence, step_number]
-            for occurrence in self.occurrences
-        )
-
     @property
     def is_running(self):
         """True if a run of any of its tasks may be executing."""
--- a/tests/state/test_run_times.py
+++ b/tests/state/test_run_times.py
@@ -167,12 +167,9 @@
     """Which runs the workflows part counts, and its snapshots."""
 
     def setUp(self):
-        self._make_workflow(msgspec.structs.replace(STEP, count=20))
+        self.machine = _make_machine(msgspec.structs.replace(STEP, count=20))
         self.end_count = 0
 
-    def _make_workflow(self, *steps):
-        self.machine = _make_machine(*steps)
-
     def _run_task(
         self, index, run_ms=3000, run=1, how='done', checkpoint='', placed=50
     ):
@@ -218,6 +215,14 @@
         self.assertFalse(self._has_samples())
         self.assertIsNone(self._find_workflow().median_run_ms(0))
 
+    def test_long_running_tasks_do_not_count(self):
+        step = msgspec.structs.replace(STEP, count=5, lasts=True)
+        self.machine = _make_machine(step)
+        for index in range(5):
+            self._run_task(index)
+        self.assertFalse(self._has_samples())
+        self.assertIsNone(self._find_workflow().median_run_ms(0))
+
     def _find_workflow(self):
         return self.machine.workflows.find_workflow('a')
 
