--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -63,7 +63,9 @@
         )
         self._state.policies = _policies.make_policies(features, self._state)
         self._interference_model = _interference.InterferenceModel()
-        self._backlog = _backlog.Backlog(workflow_store)
+        self._backlog = _backlog.Backlog(
+            workflow_store, features.learns_run_times
+        )
         self._round_planner = _round_planner.PlacementPlanner(
             self._state,
             self._backlog,
