--- a/fuchsiatrestle/state/_workflows.py
+++ b/fuchsiatrestle/state/_workflows.py
@@ -7,6 +7,7 @@
 from fuchsiatrestle import records
 from fuchsiatrestle.state import _part
 from fuchsiatrestle.state import _refusals
+from fuchsiatrestle.state import _run_times
 from fuchsiatrestle.state import _workflows_model
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import outcomes
@@ -42,6 +43,8 @@
             ended.
         workers: the registered workers.
         pairs: learned interference of images, least recently updated first.
+        run_times: learned run times, see ``RunTimes.to_rows``; empty in old
+            snapshots.
         refusals: refused workflows, the oldest first.
         refusals_dropped_ms: see ``RefusalTable.dropped_ms``.
     """
@@ -51,6 +54,7 @@
     ended: list[_EndedWorkflow]
     workers: list[workflows.WorkerRecord]
     pairs: list[workflows.ImagePair] = []
+    run_times: list[_run_times.RunTimesRow] = []
     refusals: list[_refusals.RefusalRow] = []
     refusals_dropped_ms: int = 0
 
@@ -67,6 +71,8 @@
 
     Args:
         documents: the ``DocumentsPart`` with the configured queues.
+        evacuations: the ``EvacuationsPart``, which is not changed here; it is
+            for those who place runs.
     """
 
     name = 'workflows'
@@ -78,13 +84,15 @@
     )
     query_kinds = (queries.LookUpPath,)
 
-    def __init__(self, documents):
+    def __init__(self, documents, evacuations):
         self.documents = documents
+        self.evacuations = evacuations
         self._workflows = {}
         self._open_workflows_by_id = {}
         self._ended_workflows = collections.deque()
         self._workers = {}
         self._image_pairs = {}
+        self._run_times = _run_times.RunTimes()
         self._refusals = _refusals.RefusalTable()
         # Latest ``now_ms`` of a ``RecordProgress`` command, since the epoch.
         self._progress_recorded_ms = 0
@@ -112,6 +120,11 @@
         """Learned ``ImagePair`` by (``serving``, ``filling``) image."""
         return self._image_pairs
 
+    @property
+    def run_times(self):
+        """The ``RunTimes`` of tasks that are done."""
+        return self._run_times
+
     @property
     def refusals(self):
         """List of the ``RefusalRow`` that are kept, the oldest first."""
@@ -310,6 +323,7 @@
             return
         now_ms = self._progress_recorded_ms
         if run_end.how == 'done':
+            self._record_run_time(workflow, run_end)
             workflow.finish_task(run_end.task, run_end.run, now_ms)
         elif run_end.how == 'failed':
             queue = self.current_queue(workflow)
@@ -326,6 +340,26 @@
             )
         self._close_workflow_if_ended(workflow, now_ms)
 
+    def _record_run_time(self, workflow, run_end):
+        """Records the run time of a live run that is done.
+
+        A run that went on from a checkpoint tells nothing of the whole task,
+        and a run that was placed after the agreed time of its end has no time
+        to go by: the clock of a new leader is behind that of the earlier one.
+        """
+        step = workflow.get_step(run_end.task)
+        task = workflow.tasks[run_end.task]
+        live_run = task.live_runs.get(run_end.run)
+        if live_run is None or not live_run.placed_ms:
+            return
+        run_ms = self._progress_recorded_ms - live_run.placed_ms
+        if run_ms < 0 or task.checkpoint or step.lasts:
+            return
+        workflow.record_run_time(run_end.task.step, run_ms)
+        self._run_times.record_run(
+            workflow.queue.name, run_end.task.step, step, run_ms
+        )
+
     def _record_lost_run(self, lost_run):
         workflow = self._workflows.get(lost_run.task.workflow_id)
         if workflow is None:
@@ -400,6 +434,7 @@
                 list(self._ended_workflows),
                 list(self._workers.values()),
                 list(self._image_pairs.values()),
+                self._run_times.to_rows(),
                 self._refusals.to_rows(),
                 self._refusals.dropped_ms,
             )
@@ -424,6 +459,7 @@
             (record.serving, record.filling): record
             for record in snapshot.pairs
         }
+        self._run_times = _run_times.RunTimes.from_rows(snapshot.run_times)
         self._refusals = _refusals.RefusalTable(
             snapshot.refusals, snapshot.refusals_dropped_ms
         )
--- a/fuchsiatrestle/workflows/_admission.py
+++ b/fuchsiatrestle/workflows/_admission.py
@@ -128,12 +128,18 @@
 
     Args:
         dispatch_state: ``DispatchState``.
+        learns_run_times: True if estimated run times are corrected by those
+            of earlier tasks.
     """
 
-    def __init__(self, dispatch_state):
+    def __init__(self, dispatch_state, learns_run_times=False):
         self._state = dispatch_state
         self._led_since_ms = dispatch_state.now_ms
-        self._drain_meter = _load.DrainMeter(dispatch_state.workflow_store)
+        workflow_store = dispatch_state.workflow_store
+        self._estimates = _load.RunTimeEstimates(
+            workflow_store.run_times if learns_run_times else None
+        )
+        self._drain_meter = _load.DrainMeter(workflow_store, self._estimates)
         # By (name of the queue, lane).
         self._histories = {}
         self._last_refused_ms = {}
@@ -141,11 +147,11 @@
         # agreed, by name of the queue and whether it was of best-effort tasks.
         self._adopted_refused_wall_ms = {
             (refusal.queue_name, refusal.is_best_effort): refusal.refused_ms
-            for refusal in dispatch_state.workflow_store.refusals
+            for refusal in workflow_store.refusals
         }
         self._next_return_ms = {}
         self._waiting_work_table = _load.WaitingWorkTable(
-            dispatch_state.workflow_store
+            workflow_store, self._estimates
         )
         self._pending_by_workflow = {}
         self._view = None
@@ -155,6 +161,10 @@
 
     # Hooks
 
+    def acts_after_groups(self):
+        """Returns False: submissions are judged outside of the rounds."""
+        return False
+
     def start_round(self, ready_groups, wall_ms):
         """Measures the load at intervals."""
         self._refresh_view(wall_ms, VIEW_INTERVAL_MS)
@@ -196,7 +206,7 @@
             return None
         if spec.occurrences or any(step.lasts for step in spec.steps):
             return None
-        demand = _load.Demand(queue, spec)
+        demand = _load.Demand(queue, spec, self._estimates)
         if not demand.longest_path_ms:
             return None
         if workflow_id in self._pending_by_workflow:
--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -15,7 +15,7 @@
 from fuchsiatrestle.workflows import _interference
 from fuchsiatrestle.workflows import _orders
 from fuchsiatrestle.workflows import _placement
-from fuchsiatrestle.workflows import _policies
+from fuchsiatrestle.workflows import _policy_list
 from fuchsiatrestle.workflows import _round_planner
 from fuchsiatrestle.workflows import _run_ends
 from fuchsiatrestle.workflows import _runs
@@ -61,15 +61,19 @@
         self._state = _book.DispatchState(
             workflow_store, token, timing, now_ms
         )
-        self._policies = _policies.make_policies(features, self._state)
+        self._state.policies = _policy_list.make_policies(
+            features, self._state
+        )
         self._interference_model = _interference.InterferenceModel()
-        self._backlog = _backlog.Backlog(workflow_store)
+        self._backlog = _backlog.Backlog(
+            workflow_store, features.learns_run_times
+        )
         self._round_planner = _round_planner.PlacementPlanner(
             self._state,
             self._backlog,
             self._interference_model,
             placer or _placement.BestFit(self._interference_model),
-            self._policies,
+            self._state.policies,
         )
         self._order_planner = _orders.OrderPlanner(self._state, timing)
         self._announcement_handler = _announcing.AnnouncementHandler(
@@ -133,7 +137,7 @@
         self._state.now_ms = now_ms
         if not self._last_tick_wall_ms:
             return None
-        for policy in self._policies:
+        for policy in self._state.policies:
             refusal = policy.find_refusal(submission, self._wall_now())
             if refusal is not None:
                 return refusal
@@ -308,7 +312,7 @@
         handler = self._command_handlers.get(type(event.command))
         if handler is not None:
             handler(event.command)
-        for policy in self._policies:
+        for policy in self._state.policies:
             policy.record_command(event.command)
         self._state.placement_due = True
 
--- a/fuchsiatrestle/workflows/_load.py
+++ b/fuchsiatrestle/workflows/_load.py
@@ -19,6 +19,7 @@
     'Demand',
     'DrainMeter',
     'LoadView',
+    'RunTimeEstimates',
     'SubmissionHistory',
     'WaitingWorkTable',
     'find_lane',
@@ -48,15 +49,28 @@
 MAX_LARGE_SHARE = 0.5
 
 
-def estimate_run_ms(queue_name, step_number, step):
-    """Returns the estimated run time of a task.
+class RunTimeEstimates:
+    """Estimated run times of tasks.
 
     Args:
-        queue_name: name of the queue.
-        step_number: number of the step in its workflow.
-        step: the ``Step``.
+        run_times: the ``RunTimes`` of tasks that are done, None to use what
+            callers declare.
     """
-    return step.estimate_ms
+
+    def __init__(self, run_times):
+        self._run_times = run_times
+
+    def estimate_ms(self, queue_name, step_number, step):
+        """Returns the estimated run time of a task.
+
+        Args:
+            queue_name: name of the queue.
+            step_number: number of the step in its workflow.
+            step: the ``Step``.
+        """
+        if self._run_times is None:
+            return step.estimate_ms
+        return self._run_times.estimate_ms(queue_name, step_number, step)
 
 
 class Lane(
@@ -97,6 +111,7 @@
     Args:
         queue: its ``Queue``.
         spec: its ``WorkflowSpec``.
+        estimates: ``RunTimeEstimates``.
 
     Attributes:
         queue: its ``Queue``.
@@ -119,11 +134,11 @@
         'work_by_lane',
     )
 
-    def __init__(self, queue, spec):
+    def __init__(self, queue, spec, estimates):
         self.queue = queue
         self.lanes = [find_lane(queue.pool, step) for step in spec.steps]
         run_ms = [
-            estimate_run_ms(queue.name, step_number, step)
+            estimates.estimate_ms(queue.name, step_number, step)
             for step_number, step in enumerate(spec.steps)
         ]
         self.task_work = [
@@ -206,10 +221,12 @@
 
     Args:
         workflow_store: the part of the replicated state with the workflows.
+        estimates: ``RunTimeEstimates``.
     """
 
-    def __init__(self, workflow_store):
+    def __init__(self, workflow_store, estimates):
         self._workflow_store = workflow_store
+        self._estimates = estimates
         self._placed_ms_by_run = {
             (live_run.task, live_run.run): live_run.placed_ms
             for live_run in workflow_store.live_runs()
@@ -242,7 +259,7 @@
         queue = self._workflow_store.current_queue(workflow)
         estimated_work = 0
         if run_end.how == 'done':
-            estimated_work = max(step.cpu, 1) * estimate_run_ms(
+            estimated_work = max(step.cpu, 1) * self._estimates.estimate_ms(
                 queue.name, run_end.task.step, step
             )
         run_ms = max(1, now_ms - placed_ms)
@@ -417,13 +434,15 @@
 
     Args:
         workflow_store: the part of the replicated state with the workflows.
+        estimates: ``RunTimeEstimates``.
 
     Attributes:
         rows: (``Demand``, list of ``_WaitingWork``) by workflow id.
     """
 
-    def __init__(self, workflow_store):
+    def __init__(self, workflow_store, estimates):
         self.rows = {}
+        self._estimates = estimates
         self._workflow_store = workflow_store
         self._changed_ids = set()
 
@@ -456,7 +475,9 @@
         ):
             workflow = open_workflows[workflow_id]
             demand = Demand(
-                self._workflow_store.current_queue(workflow), workflow.spec
+                self._workflow_store.current_queue(workflow),
+                workflow.spec,
+                self._estimates,
             )
             self.rows[workflow_id] = (
                 demand,
--- a/fuchsiatrestle/workflows/_policies.py
+++ b/fuchsiatrestle/workflows/_policies.py
@@ -6,7 +6,7 @@
 
 import abc
 
-__all__ = ('Placement', 'PlacementPolicy', 'make_policies')
+__all__ = ('Placement', 'PlacementPolicy')
 
 
 class Placement:
@@ -49,6 +49,24 @@
         """
         return True
 
+    def find_start_obstacle(self, worker):
+        """Returns why no start may be ordered on a worker, or empty.
+
+        It is asked at each start, also of runs that an earlier round or an
+        earlier leader has placed.
+
+        Args:
+            worker: a ``Worker``.
+        """
+        return ''
+
+    def acts_after_groups(self):
+        """Returns False if the two hooks below have nothing to do now.
+
+        A round of each service is made for them, which takes processor time.
+        """
+        return True
+
     def stop_runs(self, pool_round):
         """Stops runs after all groups of the round were tried.
 
@@ -92,19 +110,3 @@
             The ``commands.RefuseWorkflow`` to propose in its place, or None.
         """
         return None
-
-
-def make_policies(features, dispatch_state):
-    """Returns the list of the policies that are switched on.
-
-    Args:
-        features: ``Features``.
-        dispatch_state: ``DispatchState``.
-    """
-    # Imported here, as the policies are subclasses of ``PlacementPolicy``.
-    from fuchsiatrestle.workflows import _admission
-
-    policies = []
-    if features.refuses_overload:
-        policies.append(_admission.AdmissionPolicy(dispatch_state))
-    return policies
