Judge queues without estimated work; start no round for a refusal

Cause: a queue whose first steps declare no run time was forgotten between the record of its submission and its estimate, and the KeyError would have ended the leader. Each agreed refusal also started a placement round.

Change: the view of the load is made before the submission is recorded. The leader's services do not follow RefuseWorkflow.

What it checks is the same.

The new test ends with the KeyError on the old order.

--- a/fuchsiatrestle/control/_leader.py
+++ b/fuchsiatrestle/control/_leader.py
@@ -26,7 +26,6 @@
     commands.EndEvacuation,
     commands.PutDocument,
     commands.RecordProgress,
-    commands.RefuseWorkflow,
     commands.StartEvacuation,
     commands.SubmitWorkflow,
 )
@@ -151,6 +150,10 @@
             outcome: its outcome, a record of ``state.outcomes``.
             now_ms: monotonic time, in milliseconds.
         """
+        if isinstance(command, commands.RefuseWorkflow):
+            # It leaves the services nothing to do.  Under an overload there
+            # are many, and the dispatcher would run a placement round each.
+            return []
         if isinstance(command, _WORKFLOW_COMMANDS):
             return self._step_dispatcher(
                 workflows.CommandApplied(command), now_ms
--- a/fuchsiatrestle/workflows/_admission.py
+++ b/fuchsiatrestle/workflows/_admission.py
@@ -213,8 +213,9 @@
             # This leader has accepted it, and it may be agreed any moment.
             return None
         now_ms = self._state.now_ms
-        is_large_by_lane = self._record_submission(workflow_id, demand)
+        # A view forgets queues without work, so it is made first.
         self._refresh_view(wall_ms, MAX_VIEW_AGE_MS)
+        is_large_by_lane = self._record_submission(workflow_id, demand)
         latest_start_ms = (
             submission.submitted_ms
             + demand.objective_ms
--- a/tests/workflows/test_admission.py
+++ b/tests/workflows/test_admission.py
@@ -329,6 +329,17 @@
         self.assertTrue(load.would_refuse(load.submit(cpu=5000)))
         self.assertFalse(load.would_refuse(load.submit(tasks=1)))
 
+    def test_queue_whose_work_is_not_estimated(self):
+        """The judgement failed with a KeyError, which ends the leader."""
+        load = _Load()
+        load.play(10_000, 2.0)
+        later = records.Step(1, 1000, 0, 0, TASK_MS, [0], label='b')
+        spec = records.WorkflowSpec('', [records.Step(1, cpu=1000), later])
+        for number in range(9):
+            caller = _Caller(f'other{number}', PATIENT, spec)
+            load.would_refuse(caller)
+            load.world.run(150)
+
     def _play_two_queues(self):
         """Returns the callers of a queue of low priority beside another."""
         load = _Load()
