--- a/fuchsiatrestle/control/_leader.py
+++ b/fuchsiatrestle/control/_leader.py
@@ -150,6 +150,10 @@
             outcome: its outcome, a record of ``state.outcomes``.
             now_ms: monotonic time, in milliseconds.
         """
+        if isinstance(command, commands.RefuseWorkflow):
+            # It leaves the services nothing to do.  Under an overload there
+            # are many, and the dispatcher would run a placement round each.
+            return []
         if isinstance(command, _WORKFLOW_COMMANDS):
             return self._step_dispatcher(
                 workflows.CommandApplied(command), now_ms
@@ -286,6 +290,21 @@
         """
         return self._step_dispatcher(reply, now_ms)
 
+    def judge_command(self, command, now_ms):
+        """Returns the command to propose for a call.
+
+        Args:
+            command: the command that the call asks for.
+            now_ms: monotonic time, in milliseconds.
+
+        Returns:
+            The same command, or the ``commands.RefuseWorkflow`` that takes
+            its place.
+        """
+        if not isinstance(command, commands.SubmitWorkflow):
+            return command
+        return self._dispatcher.find_refusal(command, now_ms) or command
+
     def _handle_announcement(self, call, now_ms):
         message = call.message
         if isinstance(message, messages.WithdrawWorker):
--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -15,7 +15,7 @@
 from fuchsiatrestle.workflows import _interference
 from fuchsiatrestle.workflows import _orders
 from fuchsiatrestle.workflows import _placement
-from fuchsiatrestle.workflows import _policies
+from fuchsiatrestle.workflows import _policy_list
 from fuchsiatrestle.workflows import _round_planner
 from fuchsiatrestle.workflows import _run_ends
 from fuchsiatrestle.workflows import _runs
@@ -61,7 +61,9 @@
         self._state = _book.DispatchState(
             workflow_store, token, timing, now_ms
         )
-        self._state.policies = _policies.make_policies(features, self._state)
+        self._state.policies = _policy_list.make_policies(
+            features, self._state
+        )
         self._interference_model = _interference.InterferenceModel()
         self._backlog = _backlog.Backlog(
             workflow_store, features.learns_run_times
@@ -120,6 +122,27 @@
         self._effects = []
         return effects
 
+    def find_refusal(self, submission, now_ms):
+        """Decides whether a workflow is refused when it is submitted.
+
+        Nothing is refused before the first tick, which tells the time of day.
+
+        Args:
+            submission: the ``commands.SubmitWorkflow``, not proposed yet.
+            now_ms: monotonic time.
+
+        Returns:
+            The ``commands.RefuseWorkflow`` to propose in its place, or None.
+        """
+        self._state.now_ms = now_ms
+        if not self._last_tick_wall_ms:
+            return None
+        for policy in self._state.policies:
+            refusal = policy.find_refusal(submission, self._wall_now())
+            if refusal is not None:
+                return refusal
+        return None
+
     @property
     def _may_place(self):
         """False before the first tick, which tells the time of day."""
@@ -289,6 +312,8 @@
         handler = self._command_handlers.get(type(event.command))
         if handler is not None:
             handler(event.command)
+        for policy in self._state.policies:
+            policy.record_command(event.command)
         self._state.placement_due = True
 
     def _find_workflow_id(self, command):
--- a/fuchsiatrestle/workflows/_policies.py
+++ b/fuchsiatrestle/workflows/_policies.py
@@ -6,7 +6,7 @@
 
 import abc
 
-__all__ = ('Placement', 'PlacementPolicy', 'make_policies')
+__all__ = ('Placement', 'PlacementPolicy')
 
 
 class Placement:
@@ -91,18 +91,22 @@
         """
         return iter(())
 
+    def record_command(self, command):
+        """Called after an agreed command was applied.
 
-def make_policies(features, dispatch_state):
-    """Returns the list of the policies that are switched on.
+        Args:
+            command: the command, of workflows or documents.
+        """
+        return None
 
-    Args:
-        features: ``Features``.
-        dispatch_state: ``DispatchState``.
-    """
-    # Imported here, as each policy derives from the base class above.
-    from fuchsiatrestle.workflows import _evacuation
+    def find_refusal(self, submission, wall_ms):
+        """Decides whether a workflow is refused when it is submitted.
+
+        Args:
+            submission: the ``commands.SubmitWorkflow``, not proposed yet.
+            wall_ms: time since the epoch.
 
-    policies = []
-    if features.evacuation_ms:
-        policies.append(_evacuation.EvacuationPolicy(dispatch_state))
-    return policies
+        Returns:
+            The ``commands.RefuseWorkflow`` to propose in its place, or None.
+        """
+        return None
--- a/tests/fakes/dispatch_world.py
+++ b/tests/fakes/dispatch_world.py
@@ -292,6 +292,10 @@
                 raise AssertionError('the condition did not hold in time')
             self.run(CONDITION_INTERVAL_MS)
 
+    def call_later(self, delay_ms, action, *args):
+        """Calls a function after a span of virtual time."""
+        self._schedule(delay_ms, action, *args)
+
     def _schedule(self, delay_ms, action, *args):
         heapq.heappush(
             self._scheduled_calls,
@@ -387,11 +391,16 @@
         return len(orders)
 
     def apply_agreed(self, command):
-        """Applies an agreed command and passes it to the leader."""
+        """Applies an agreed command and passes it to the leader.
+
+        Returns:
+            Its outcome, a record of ``state.outcomes``.
+        """
         self._agreed_commands.append(command)
-        self.machine.apply(self.machine.applied_index + 1, command)
+        outcome = self.machine.apply(self.machine.applied_index + 1, command)
         if self._dispatcher is not None:
             self._step_dispatcher(workflows.CommandApplied(command))
+        return outcome
 
     def _settle_proposal(self, token, command):
         """Applies a pending proposal of the current leader.
@@ -476,6 +485,15 @@
         profile = worker_model.TaskProfile(cpu, 10, work_ms)
         self.submit(workflow_id, [step], [profile], prefix)
 
+    def judge(self, submission):
+        """Returns the command that the leader proposes for a submission.
+
+        Args:
+            submission: a ``commands.SubmitWorkflow``.
+        """
+        refusal = self._dispatcher.find_refusal(submission, self.now_ms)
+        return refusal or submission
+
     def cancel(self, workflow_id):
         """Cancels a workflow."""
         self._cancelled_ms_by_workflow[workflow_id] = self.now_ms
