Copy straggling tasks and keep tasks off slow workers

3 of 100 tasks take seven times as long as others, and workers turn several times slower for seconds; a workflow then waits for its last task.

--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -300,6 +300,7 @@
 
     def _on_progress_recorded(self, command):
         self._state.proposals.end_agreed_proposal(command)
+        self._round_planner.record_progress(command)
         changed_workflow_ids = {end.task.workflow_id for end in command.ends}
         changed_workflow_ids |= {
             lost.task.workflow_id for lost in command.lost
--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -81,6 +81,8 @@
         capacity: ``Capacity`` that the runs reserve.
         pace_control: ``PaceControl`` of its best-effort tasks, None before
             the first poll.
+        max_run_count: number of runs from which on it gets no new task, None
+            for no limit.
     """
 
     __slots__ = (
@@ -95,6 +97,7 @@
         'last_replied_ms',
         'lease_clock',
         'listed_ms',
+        'max_run_count',
         'newest_clock_ms',
         'next_poll_ms',
         'pace_control',
@@ -137,6 +140,7 @@
         self.runs = {}
         self.capacity = _capacity.Capacity(record)
         self.pace_control = None
+        self.max_run_count = None
 
     @property
     def name(self):
--- a/fuchsiatrestle/workflows/_placement.py
+++ b/fuchsiatrestle/workflows/_placement.py
@@ -408,6 +408,11 @@
 def _is_task_allowed(step, task_id, worker, allocations, freed_memory_mb=0):
     """True if a worker has the capacity and the labels for one more task."""
     capacity = worker.capacity
+    if worker.max_run_count is not None and (
+        len(worker.runs) + allocations.task_count(worker)
+        >= worker.max_run_count
+    ):
+        return False
     if (
         not step.fills
         and capacity.free_cpu < step.cpu + allocations.allocated_cpu(worker)
--- a/fuchsiatrestle/workflows/_policies.py
+++ b/fuchsiatrestle/workflows/_policies.py
@@ -73,6 +73,14 @@
         """
         return iter(())
 
+    def record_progress(self, command):
+        """Called after an agreed command has changed the agreed state.
+
+        Args:
+            command: the ``RecordProgress``.
+        """
+        return None
+
 
 def make_policies(features, dispatch_state):
     """Returns the list of the policies that are switched on.
@@ -81,4 +89,12 @@
         features: ``Features``.
         dispatch_state: ``DispatchState``.
     """
-    return []
+    # These modules need the base class above.
+    from fuchsiatrestle.workflows import _slow_workers
+    from fuchsiatrestle.workflows import _stragglers
+
+    policies = []
+    if features.copies_stragglers:
+        policies.append(_slow_workers.SlowWorkers(dispatch_state))
+        policies.append(_stragglers.StragglerCopies(dispatch_state))
+    return policies
--- a/fuchsiatrestle/workflows/_round_planner.py
+++ b/fuchsiatrestle/workflows/_round_planner.py
@@ -79,6 +79,11 @@
         )
         return stopped_workers
 
+    def record_progress(self, command):
+        """Tells the policies of an agreed ``RecordProgress``."""
+        for policy in self._policies:
+            policy.record_progress(command)
+
     def _place_groups(self, ready_groups, round_by_pool):
         """Places the groups that find room, each kind in its turn.
 
--- /dev/null
+++ b/fuchsiatrestle/workflows/_slow_workers.py
@@ -0,0 +1,414 @@
+"""Finds workers that have become slow, and gives them fewer tasks.
+
+A worker may become several times slower for a while, and all that runs there
+comes late.  Its announcements do not tell.  The progress of its runs does, if
+it is compared with that of runs alike on other workers.  As a task may be slow
+by itself, a worker is blamed only for slow runs of several workflows.
+"""
+
+import bisect
+import collections
+import statistics
+
+from fuchsiatrestle import logs
+from fuchsiatrestle import metrics
+from fuchsiatrestle.workflows import _policies
+from fuchsiatrestle.workflows import _runs
+
+__all__ = ('SlowWorkers',)
+
+# Interval at which the workers are judged.  They list their runs as often.
+CHECK_INTERVAL_MS = 1000
+# A run is slow if it advances by less than this share of what its peers do.
+SLOW_PACE = 0.5
+# Numbers of runs on other workers that tell the pace of a step or an image.
+MIN_STEP_PEERS = 2
+MIN_IMAGE_PEERS = 3
+# Number of workflows whose runs have to be slow on a worker.
+MIN_SLOW_WORKFLOWS = 2
+# Spans over which a run is measured: the shortest one in which its peers
+# advance by some points, as progress is listed in whole percent.
+MIN_SPAN_MS = 1500
+MAX_SPAN_MS = 15_000
+MIN_ADVANCE_PERCENT = 5
+# Time without new tasks for a slow worker; doubled after each retry in which
+# it was still slow.
+PAUSE_MS = 3000
+MAX_PAUSE_MS = 30_000
+# Number of runs that a worker may have in a retry beyond those that it has,
+# and the time after which it has recovered if none of them is slow.
+RETRY_RUNS = 2
+RETRY_MS = 10_000
+# Largest share of a service's workers that count as slow; one may in any case.
+MAX_SLOW_WORKER_SHARE = 0.2
+
+SLOW_WORKERS = metrics.declare(
+    'workflows.slow_workers', 'Workers that get fewer tasks as they are slow.'
+)
+
+LOG = logs.get_logger(__name__)
+
+
+class _SlowWorker:
+    """What a slow worker may get.
+
+    Attributes:
+        worker: the ``Worker``.
+        is_paused: True if it gets no task, False during a retry.
+        pause_ms: length of its latest pause.
+        until_ms: end of the pause or of the retry.
+        retried_ms: start of the latest retry, None before the first.
+    """
+
+    __slots__ = ('is_paused', 'pause_ms', 'retried_ms', 'until_ms', 'worker')
+
+    def __init__(self, worker):
+        self.worker = worker
+        self.is_paused = False
+        self.pause_ms = 0
+        self.until_ms = 0
+        self.retried_ms = None
+
+    def pause(self, now_ms):
+        """Starts a pause that is twice as long as the one before."""
+        self.is_paused = True
+        self.pause_ms = min(self.pause_ms * 2 or PAUSE_MS, MAX_PAUSE_MS)
+        self.until_ms = now_ms + self.pause_ms
+
+    def retry(self, now_ms):
+        """Starts a retry, in which the worker may get few tasks."""
+        self.is_paused = False
+        self.retried_ms = now_ms
+        self.until_ms = now_ms + RETRY_MS
+        self.worker.max_run_count = len(self.worker.runs) + RETRY_RUNS
+
+
+class _MeasuredRun:
+    """A run whose pace is known.
+
+    Attributes:
+        run: the ``Run``.
+        pace: its advance as a multiple of that of its peers.
+    """
+
+    __slots__ = ('pace', 'run')
+
+    def __init__(self, run, pace):
+        self.run = run
+        self.pace = pace
+
+    @property
+    def is_slow(self):
+        """True if it advances far slower than its peers."""
+        return self.pace < SLOW_PACE
+
+
+class _Judgement:
+    """What the measured runs of a worker say of it.
+
+    Args:
+        measured_runs: list of ``_MeasuredRun``.
+
+    Attributes:
+        slow_runs: the ``Run`` values of the slow ones.
+    """
+
+    __slots__ = ('_measured_runs', 'slow_runs')
+
+    def __init__(self, measured_runs):
+        self._measured_runs = measured_runs
+        self.slow_runs = [
+            measured.run for measured in measured_runs if measured.is_slow
+        ]
+
+    @property
+    def are_most_slow(self):
+        """True if more than half of the measured runs are slow."""
+        return 2 * len(self.slow_runs) > len(self._measured_runs)
+
+    @property
+    def is_worker_slow(self):
+        """True if the slow runs can not be slow by themselves."""
+        workflow_ids = {
+            run.live_run.task.workflow_id for run in self.slow_runs
+        }
+        return self.are_most_slow and len(workflow_ids) >= MIN_SLOW_WORKFLOWS
+
+    @property
+    def is_worker_sound(self):
+        """True if half of the measured runs, at least one, are not slow."""
+        return bool(self._measured_runs) and not self.are_most_slow
+
+    @property
+    def pace(self):
+        """Median pace of the measured runs against their peers, or None."""
+        if not self._measured_runs:
+            return None
+        return round(
+            statistics.median(
+                measured.pace for measured in self._measured_runs
+            ),
+            2,
+        )
+
+
+class SlowWorkers(_policies.PlacementPolicy):
+    """Keeps tasks off slow workers.
+
+    Args:
+        dispatch_state: ``DispatchState``.
+    """
+
+    def __init__(self, dispatch_state):
+        self._state = dispatch_state
+        self._next_check_ms = dispatch_state.now_ms
+        self._pace_meter = _PaceMeter()
+        # ``_SlowWorker`` by name.
+        self._slow_workers = {}
+
+    def may_use(self, worker):
+        """Returns False for a slow worker in a pause."""
+        slow_worker = self._slow_workers.get(worker.name)
+        return (
+            slow_worker is None
+            or slow_worker.worker is not worker
+            or not slow_worker.is_paused
+        )
+
+    def start_round(self, ready_groups, wall_ms):
+        """Judges all workers if that is due."""
+        now_ms = self._state.now_ms
+        if now_ms < self._next_check_ms:
+            return
+        self._next_check_ms = now_ms + CHECK_INTERVAL_MS
+        workers = list(self._state.fleet)
+        worker_counts = collections.Counter(
+            worker.record.pool for worker in workers
+        )
+        slow_counts = collections.Counter(
+            slow_worker.worker.record.pool
+            for slow_worker in self._slow_workers.values()
+        )
+        measured_runs = self._pace_meter.measure(workers)
+        for worker in workers:
+            judgement = _Judgement(measured_runs.get(worker.name, []))
+            if worker.name in self._slow_workers:
+                self._update_slow_worker(worker, judgement, now_ms)
+            elif judgement.is_worker_slow:
+                pool = worker.record.pool
+                if slow_counts[pool] < max(
+                    1, int(MAX_SLOW_WORKER_SHARE * worker_counts[pool])
+                ):
+                    slow_counts[pool] += 1
+                    self._slow_workers[worker.name] = _SlowWorker(worker)
+                    self._pause(worker, judgement, now_ms)
+        metrics.gauge(SLOW_WORKERS, len(self._slow_workers))
+
+    def _update_slow_worker(self, worker, judgement, now_ms):
+        slow_worker = self._slow_workers[worker.name]
+        if slow_worker.worker is not worker:
+            # Its process was started again.
+            del self._slow_workers[worker.name]
+        elif judgement.is_worker_sound:
+            self._end_slowness(worker, judgement)
+        elif slow_worker.is_paused:
+            if now_ms >= slow_worker.until_ms:
+                slow_worker.retry(now_ms)
+                self._log('worker_retried', worker, judgement)
+        elif self._has_failed_retry(slow_worker, judgement, now_ms):
+            self._pause(worker, judgement, now_ms)
+        elif now_ms >= slow_worker.until_ms:
+            self._end_slowness(worker, judgement)
+
+    @staticmethod
+    def _has_failed_retry(slow_worker, judgement, now_ms):
+        """True if the runs of a retry are slow, or all that was measured."""
+        new_slow_runs = [
+            run
+            for run in judgement.slow_runs
+            if run.started_ms >= slow_worker.retried_ms
+        ]
+        if len(new_slow_runs) >= RETRY_RUNS:
+            return True
+        return now_ms >= slow_worker.until_ms and bool(judgement.slow_runs)
+
+    def _pause(self, worker, judgement, now_ms):
+        slow_worker = self._slow_workers[worker.name]
+        slow_worker.pause(now_ms)
+        self._log(
+            'worker_slow',
+            worker,
+            judgement,
+            slow=len(judgement.slow_runs),
+            pause_ms=slow_worker.pause_ms,
+        )
+
+    def _end_slowness(self, worker, judgement):
+        worker.max_run_count = None
+        del self._slow_workers[worker.name]
+        self._log('worker_recovered', worker, judgement)
+
+    @staticmethod
+    def _log(event, worker, judgement, **fields):
+        LOG.info(
+            event,
+            extra={
+                'worker': worker.name,
+                'pace': judgement.pace,
+                'runs': len(worker.runs),
+                **fields,
+            },
+        )
+
+
+class _PaceMeter:
+    """Measures the paces of batch runs against those of their peers.
+
+    A pace is an advance in percent per millisecond.
+    """
+
+    def __init__(self):
+        # (time, progress in percent) of the lists of a run, the oldest first,
+        # by worker name and key of the run.
+        self._samples_by_run = {}
+
+    def measure(self, workers):
+        """Returns lists of ``_MeasuredRun`` by name of the worker.
+
+        Args:
+            workers: all workers; the newest progress of their runs is
+                recorded.
+        """
+        workers_and_runs = [
+            (worker, run)
+            for worker in workers
+            for run in worker.runs.values()
+            if _is_measurable(run)
+        ]
+        self._record_samples(workers_and_runs)
+        peers = _Peers()
+        for worker, run in workers_and_runs:
+            samples = self._samples_by_run[worker.name, run.key]
+            span_ms = samples[-1][0] - samples[0][0]
+            if span_ms >= MIN_SPAN_MS:
+                pace = (samples[-1][1] - samples[0][1]) / span_ms
+                peers.add_run(worker.name, run, pace)
+        measured_runs = {}
+        for worker, run in workers_and_runs:
+            pace = _find_relative_pace(
+                self._samples_by_run[worker.name, run.key],
+                peers.find_pace(worker.name, run),
+            )
+            if pace is not None:
+                measured_runs.setdefault(worker.name, []).append(
+                    _MeasuredRun(run, pace)
+                )
+        return measured_runs
+
+    def _record_samples(self, workers_and_runs):
+        samples_by_run = {}
+        for worker, run in workers_and_runs:
+            key = worker.name, run.key
+            samples = self._samples_by_run.get(key, [])
+            if not samples or samples[-1][0] < worker.listed_ms:
+                samples.append((worker.listed_ms, run.progress_percent))
+            # Keeps the youngest sample that is older than the longest span.
+            first = bisect.bisect_right(
+                samples, (worker.listed_ms - MAX_SPAN_MS, 0)
+            )
+            samples_by_run[key] = samples[max(0, first - 1) :]
+        self._samples_by_run = samples_by_run
+
+
+class _Peers:
+    """Paces of the runs of each step and image."""
+
+    def __init__(self):
+        # (name of the worker, pace) pairs; those of an image are multiplied
+        # by the declared run time.
+        self._paces_by_step = collections.defaultdict(list)
+        self._paces_by_image = collections.defaultdict(list)
+        self._found_paces = {}
+
+    def add_run(self, worker_name, run, pace):
+        """Adds the pace of a run on a worker."""
+        self._paces_by_step[_step_key(run)].append((worker_name, pace))
+        if run.step.image and run.step.estimate_ms:
+            self._paces_by_image[run.step.image].append(
+                (worker_name, pace * run.step.estimate_ms)
+            )
+
+    def find_pace(self, worker_name, run):
+        """Returns the median pace of runs like this one elsewhere, or None.
+
+        Args:
+            worker_name: name of the worker whose runs do not count.
+            run: the ``Run``.
+        """
+        key = worker_name, _step_key(run)
+        if key not in self._found_paces:
+            self._found_paces[key] = self._compute_pace(worker_name, run)
+        return self._found_paces[key]
+
+    def _compute_pace(self, worker_name, run):
+        pace = _find_median(
+            worker_name, self._paces_by_step[_step_key(run)], MIN_STEP_PEERS
+        )
+        if pace is None and run.step.image and run.step.estimate_ms:
+            pace = _find_median(
+                worker_name,
+                self._paces_by_image[run.step.image],
+                MIN_IMAGE_PEERS,
+            )
+            if pace is not None:
+                pace /= run.step.estimate_ms
+        return pace
+
+
+def _find_median(worker_name, names_and_paces, min_count):
+    paces = [pace for name, pace in names_and_paces if name != worker_name]
+    return statistics.median(paces) if len(paces) >= min_count else None
+
+
+def _find_relative_pace(samples, peer_pace):
+    """Returns the advance of a run as a multiple of that of its peers.
+
+    It is measured over the shortest span in which a run with their pace
+    advances far enough.
+
+    Args:
+        samples: (time, progress) pairs of the run, the oldest first.
+        peer_pace: pace of its peers, or None.
+
+    Returns:
+        A float; None if it can not be measured.
+    """
+    if not peer_pace:
+        return None
+    last_ms, last_percent = samples[-1]
+    for listed_ms, percent in reversed(samples):
+        span_ms = last_ms - listed_ms
+        peer_advance = peer_pace * span_ms
+        if span_ms >= MIN_SPAN_MS and peer_advance >= MIN_ADVANCE_PERCENT:
+            return (last_percent - percent) / peer_advance
+    return None
+
+
+def _is_measurable(run):
+    """True for a batch run whose progress its worker lists.
+
+    Members of a gang wait for each other, so their paces are equal.
+    """
+    return (
+        run.phase == _runs.Phase.RUNNING
+        and run.is_listed
+        and run.step is not None
+        and not run.step.lasts
+        and not run.step.fills
+        and not run.step.gang
+    )
+
+
+def _step_key(run):
+    task_id = run.live_run.task
+    return task_id.workflow_id, task_id.occurrence, task_id.step
--- a/tests/fakes/dispatch_world.py
+++ b/tests/fakes/dispatch_world.py
@@ -150,6 +150,7 @@
         timing: ``workflows.Timing`` of all leaders, the defaults if None.
         refuses_connections: True if orders to a VM without a process fail at
             once instead of after the timeout of the order.
+        features: ``workflows.Features`` of all leaders, none if None.
 
     Attributes:
         random: source of all random choices.
@@ -197,6 +198,7 @@
         cpu_milli=8000,
         timing=None,
         refuses_connections=False,
+        features=None,
     ):
         self.random = random.Random(seed)
         self.now_ms = 0
@@ -204,6 +206,7 @@
         self.ledger = worker_model.RunLedger()
         self.ledger.may_start = self._may_start
         self.ledger.may_run_on = self._may_run_on
+        self.ledger.may_copy = self._may_copy
         self.ledger.max_failures = MAX_FAILURES
         self.machine = machine.StateMachine()
         self.workflow_store = self.machine.workflows
@@ -230,6 +233,7 @@
         # Arguments of the last ``set_capacity`` of a worker, by its name.
         self._capacity_by_worker = {}
         self._timing = timing or workflows.Timing()
+        self._features = features
         # ``_Slots`` by token of the leader and name of the worker.
         self._slots_by_worker = collections.defaultdict(_Slots)
         self._cancelled_ms_by_workflow = {}
@@ -316,6 +320,7 @@
             self._leader_token,
             self._timing,
             self.now_ms,
+            features=self._features,
         )
 
     def restore_replicas(self):
@@ -514,6 +519,14 @@
         )
         return tasks_on_worker < step.most_per_worker
 
+    def _may_copy(self, task):
+        """Returns True if a task may have two runs at a time."""
+        if self._features is None or not self._features.copies_stragglers:
+            return False
+        workflow = self.workflow_store.find_workflow(task.workflow_id)
+        step = workflow.get_step(task)
+        return step.copies and not (step.gang or step.lasts or step.fills)
+
     # Workers
 
     def add_worker(self, name):
@@ -576,6 +589,22 @@
         if name in self._worker_models:
             self._worker_models[name].set_capacity(self.now_ms, *capacity)
 
+    def slow_down_worker(self, name, slowdown, duration_ms=None):
+        """Lets the runs on a worker take longer.
+
+        Args:
+            name: name of the worker.
+            slowdown: factor by which they take longer.
+            duration_ms: time after which they do not any more, None for ever.
+        """
+        model = self._worker_models[name]
+        model.set_slowdown(self.now_ms, slowdown)
+        if duration_ms is not None:
+            self._schedule(duration_ms, self._end_slowdown, model)
+
+    def _end_slowdown(self, model):
+        model.set_slowdown(self.now_ms, 1)
+
     def deliver_announcement(self, announcement):
         """Delivers an announcement to the leader."""
         self._step_dispatcher(workflows.WorkerAnnounced(announcement))
@@ -709,6 +738,14 @@
             self._transmit_order(order)
 
     def _check_still_wanted(self, start_order):
+        task = self.workflow_store.find_workflow(
+            start_order.task.workflow_id
+        ).tasks[start_order.task]
+        if task.is_done:
+            self.ledger.breaches.append(
+                f'{self.now_ms}: start of {start_order.task} is sent, which '
+                f'is done'
+            )
         workflow_id = start_order.task.workflow_id
         cancelled_ms = self._cancelled_ms_by_workflow.get(workflow_id)
         if (
