--- a/fuchsiatrestle/workflows/_slow_workers.py
+++ b/fuchsiatrestle/workflows/_slow_workers.py
@@ -162,7 +162,7 @@
     def __init__(self, dispatch_state):
         self._state = dispatch_state
         self._next_check_ms = dispatch_state.now_ms
-        self._pace_meter = _PaceMeter()
+        self._pace_meter = _PaceMeter(dispatch_state.workflow_store)
         # ``_SlowWorker`` by name.
         self._slow_workers = {}
 
@@ -189,7 +189,7 @@
             slow_worker.worker.record.pool
             for slow_worker in self._slow_workers.values()
         )
-        measured_runs = self._pace_meter.measure(workers)
+        measured_runs = self._pace_meter.measure(workers, self._slow_workers)
         for worker in workers:
             judgement = _Judgement(measured_runs.get(worker.name, []))
             if worker.name in self._slow_workers:
@@ -265,19 +265,26 @@
     """Measures the paces of batch runs against those of their peers.
 
     A pace is an advance in percent per millisecond.
+
+    Args:
+        workflow_store: the part of the replicated state with the workflows.
     """
 
-    def __init__(self):
+    def __init__(self, workflow_store):
+        self._workflow_store = workflow_store
         # (time, progress in percent) of the lists of a run, the oldest first,
         # by worker name and key of the run.
         self._samples_by_run = {}
 
-    def measure(self, workers):
+    def measure(self, workers, slow_names):
         """Returns lists of ``_MeasuredRun`` by name of the worker.
 
         Args:
             workers: all workers; the newest progress of their runs is
                 recorded.
+            slow_names: names of the slow workers.  Their runs go on when
+                those of the peers have ended, and are then compared with the
+                learned run time.
         """
         workers_and_runs = [
             (worker, run)
@@ -295,9 +302,11 @@
                 peers.add_run(worker.name, run, pace)
         measured_runs = {}
         for worker, run in workers_and_runs:
+            peer_pace = peers.find_pace(worker.name, run)
+            if peer_pace is None and worker.name in slow_names:
+                peer_pace = self._find_learned_pace(run)
             pace = _find_relative_pace(
-                self._samples_by_run[worker.name, run.key],
-                peers.find_pace(worker.name, run),
+                self._samples_by_run[worker.name, run.key], peer_pace
             )
             if pace is not None:
                 measured_runs.setdefault(worker.name, []).append(
@@ -305,6 +314,18 @@
                 )
         return measured_runs
 
+    def _find_learned_pace(self, run):
+        """Returns the pace by the learned run time of its kind, or None."""
+        task_id = run.live_run.task
+        workflow = self._workflow_store.find_workflow(task_id.workflow_id)
+        run_times = self._workflow_store.run_times
+        if workflow is None:
+            return None
+        kind = workflow.queue.name, task_id.step, run.step
+        if not run_times.has_samples(*kind):
+            return None
+        return 100 / run_times.estimate_ms(*kind)
+
     def _record_samples(self, workers_and_runs):
         samples_by_run = {}
         for worker, run in workers_and_runs:
--- a/tests/state/test_workflows.py
+++ b/tests/state/test_workflows.py
@@ -240,6 +240,87 @@
         self._end_run(_make_task_id())
         self.assertEqual('completed', self._workflow_state())
 
+    # Copies
+
+    def _start_copy(self, *later_steps, **fields):
+        """Places two runs of the first task of two."""
+        step = workflows.Step(2, copies=True, **fields)
+        self._submit_workflow(step, *later_steps)
+        for run in (1, 2):
+            self._place_run(_make_task_id(), run)
+        return self.part.find_workflow('a')
+
+    def _live_run_numbers(self):
+        return [run.run for run in self.part.live_runs()]
+
+    def test_task_has_two_live_runs_at_most(self):
+        self._start_copy()
+        self._place_run(_make_task_id(), 3)
+        self.assertEqual([1, 2], self._live_run_numbers())
+        self.part.restore(self.part.snapshot())
+        self._place_run(_make_task_id(), 3)
+        self.assertEqual([1, 2], self._live_run_numbers())
+        self._end_run(_make_task_id(), 1, 'stopped')
+        self._place_run(_make_task_id(), 3)
+        self.assertEqual([2, 3], self._live_run_numbers())
+
+    def test_copies_are_of_tasks_that_end_by_themselves_alone(self):
+        for field in ('gang', 'lasts', 'fills'):
+            with self.subTest(field):
+                self.setUp()
+                self._start_copy(**{field: True})
+                self.assertEqual([1], self._live_run_numbers())
+
+    def test_two_ends_as_done_count_once(self):
+        """The second one counted for the other task of the step."""
+        for runs in ((1, 2), (2, 1)):
+            with self.subTest(runs=runs):
+                self.setUp()
+                workflow = self._start_copy(workflows.Step(1, after=[0]))
+                ends = [
+                    commands.RunEnd(
+                        'w1', 5, number, _make_task_id(), run, 'done', ''
+                    )
+                    for number, run in enumerate(runs, start=1)
+                ]
+                self._apply_command(commands.RecordProgress(1, 10, ends=ends))
+                self.assertEqual([], self._live_run_numbers())
+                self.assertFalse(workflow.is_step_ready(0, 1))
+                self._place_run(_make_task_id(1))
+                self._end_run(_make_task_id(1), number=3)
+                self.assertTrue(workflow.is_step_ready(0, 1))
+
+    def test_end_that_is_not_done_leaves_the_other_run(self):
+        for run in (1, 2):
+            for how in ('failed', 'stopped', 'lapsed', 'lost'):
+                with self.subTest(run=run, how=how):
+                    self.setUp()
+                    workflow = self._start_copy()
+                    task = workflow.tasks[_make_task_id()]
+                    if how == 'lost':
+                        self._lose_run(run, commands.StartOutcome.CRASHED)
+                    else:
+                        self._end_run(_make_task_id(), run, how)
+                    self.assertEqual([3 - run], self._live_run_numbers())
+                    self.assertEqual('running', self._workflow_state())
+                    self.assertEqual(how == 'failed', task.failures)
+                    self._end_run(_make_task_id(), 3 - run)
+                    self.assertTrue(task.is_done)
+
+    def test_failures_of_both_runs_count(self):
+        self._start_copy()
+        for run in (2, 1):
+            self.assertEqual('running', self._workflow_state())
+            self._end_run(_make_task_id(), run, 'failed')
+        self.assertEqual('failed', self._workflow_state())
+
+    def test_checkpoint_of_the_newest_run_stays(self):
+        workflow = self._start_copy(checkpoints=True)
+        task = workflow.tasks[_make_task_id()]
+        self._end_run(_make_task_id(), 2, 'stopped', checkpoint='new')
+        self._end_run(_make_task_id(), 1, 'stopped', checkpoint='old')
+        self.assertEqual('new', task.checkpoint)
+
     # Crashes of workers
 
     def test_task_is_not_started_on_a_fourth_worker_after_three_crashes(self):
--- a/tests/workflows/test_random_runs.py
+++ b/tests/workflows/test_random_runs.py
@@ -12,11 +12,13 @@
 import unittest
 
 from fuchsiatrestle.state import workflows
+from fuchsiatrestle import workflows as dispatcher
 from standins import worker_model
 from tests.fakes import dispatch_world
 
 SEEDS = range(40)
 PROOF_SEEDS = (*range(60), 94)
+COPY_SEEDS = range(30)
 FAULTY_MS = 20_000
 CALM_MS = 90_000
 
@@ -56,6 +58,44 @@
     return workflow_id
 
 
+def _submit_straggling_workflow(world, random_source, number):
+    """Submits a step of which some tasks take seven times as long, in one run.
+
+    Its tasks may have copies; some fail now and then.
+    """
+    work_ms = random_source.randint(300, 1500)
+    saves_checkpoints = random_source.random() < 0.3
+    failing_run = random_source.choice((0, 0, 1, 2))
+    straggling_runs = {
+        (index, random_source.choice((1, 1, 2)))
+        for index in range(12)
+        if random_source.random() < 0.3
+    }
+    step = workflows.Step(
+        random_source.randint(6, 12),
+        cpu=random_source.choice((50, 100, 200)),
+        memory_mb=1000,
+        estimate_ms=work_ms,
+        checkpoints=saves_checkpoints,
+        label=random_source.choice(('', '', 'a')),
+        most_per_worker=random_source.choice((0, 0, 4)),
+        copies=True,
+    )
+    profile = worker_model.TaskProfile(
+        step.cpu,
+        1000,
+        work_ms,
+        writes_checkpoints=saves_checkpoints,
+        run_fails=lambda run: run == failing_run,
+        find_slowdown=lambda task, run: (
+            7 if (task.index, run) in straggling_runs else 1
+        ),
+    )
+    workflow_id = f'straggling-{number}'
+    world.submit(workflow_id, [step], [profile])
+    return workflow_id
+
+
 def _inject_fault(world, random_source):
     """Injects one random fault or none, or reconnects all workers."""
     worker = f'w{random_source.randrange(4)}'
@@ -199,6 +239,50 @@
     return world, workflow_ids
 
 
+def _run_copies(seed, faults):
+    """Draws faults while tasks straggle, workers are slow and copies run.
+
+    Returns:
+        The world, the ids of its workflows, and the number of copies.
+    """
+    random_source = random.Random(f'copies/{seed}')
+    world = dispatch_world.World(
+        seed,
+        faults=faults,
+        features=dispatcher.Features(copies_stragglers=True),
+    )
+    world.max_listed_ends = random_source.choice((1, 2, 500))
+    workflow_ids = []
+    copies = set()
+    for number in range(10):
+        workflow_ids.append(
+            _submit_straggling_workflow(world, random_source, number)
+        )
+        for _ in range(random_source.randint(5, 30)):
+            world.run(100)
+            copies |= {
+                (run.task, run.run)
+                for workflow in world.workflow_store.open_workflows.values()
+                for task in workflow.tasks.values()
+                for run in task.live_runs.values()
+                if run.run > min(task.live_runs)
+            }
+        inject = random_source.choice((_inject_fault, *PROOF_FAULTS))
+        inject(world, random_source)
+        if random_source.random() < 0.5:
+            name = random_source.choice(world.worker_names() or ['w0'])
+            if name in world.worker_names():
+                world.slow_down_worker(name, 5, 6000)
+        if random_source.random() < 0.1:
+            world.cancel(workflow_ids.pop(0))
+        if random_source.random() < 0.4:
+            _rejoin(world, random_source)
+    world.faults = dispatch_world.Faults()
+    _rejoin(world, random_source)
+    world.run(CALM_MS)
+    return world, workflow_ids, len(copies)
+
+
 class RandomRunsTest(unittest.TestCase):
     def setUp(self):
         logging.disable(logging.CRITICAL)
@@ -253,6 +337,19 @@
         for seed in PROOF_SEEDS:
             self._check_world(seed, *_run_proof_faults(seed))
 
+    def test_with_copies(self):
+        """Two live runs of a task keep all rules, whatever fails."""
+        copy_count = 0
+        for seed in COPY_SEEDS:
+            for faults in (
+                dispatch_world.Faults(),
+                dispatch_world.Faults(0.03, 0.03, 0.03),
+            ):
+                world, workflow_ids, copies = _run_copies(seed, faults)
+                copy_count += copies
+                self._check_world(seed, world, workflow_ids)
+        self.assertGreater(copy_count, 2 * len(COPY_SEEDS))
+
     def test_with_orders_carried_out_late(self):
         for seed in SEEDS:
             faults = dispatch_world.Faults(
