Cut the processor time of the checks; document copies and slow workers

Most was hashing of task ids: progress is now kept by run, and what excludes most runs is checked first. The expected time is the agreed median of the step where there is one.

--- a/fuchsiatrestle/workflows/_slow_workers.py
+++ b/fuchsiatrestle/workflows/_slow_workers.py
@@ -257,6 +257,45 @@
         )
 
 
+class _RunProgress:
+    """Progress of a run as its worker has listed it.
+
+    Attributes:
+        run: the ``Run``.
+        worker: its ``Worker``.
+        step_key: equal for the runs of one step.
+        samples: (time, progress in percent) pairs, the oldest first.
+    """
+
+    __slots__ = ('run', 'samples', 'step_key', 'worker')
+
+    def __init__(self, worker, run):
+        task_id = run.live_run.task
+        self.run = run
+        self.worker = worker
+        self.step_key = task_id.workflow_id, task_id.occurrence, task_id.step
+        self.samples = []
+
+    def update(self):
+        """Adds the newest list as a sample and drops the old ones.
+
+        The youngest sample that is older than the longest span stays.
+        """
+        listed_ms = self.worker.listed_ms
+        if self.samples and self.samples[-1][0] >= listed_ms:
+            return
+        self.samples.append((listed_ms, self.run.progress_percent))
+        first = bisect.bisect_right(self.samples, (listed_ms - MAX_SPAN_MS, 0))
+        del self.samples[: max(0, first - 1)]
+
+    def find_pace(self):
+        """Returns the pace over all samples, None if they span too little."""
+        span_ms = self.samples[-1][0] - self.samples[0][0]
+        if span_ms < MIN_SPAN_MS:
+            return None
+        return (self.samples[-1][1] - self.samples[0][1]) / span_ms
+
+
 class _PaceMeter:
     """Measures the paces of batch runs against those of their peers.
 
@@ -268,9 +307,9 @@
 
     def __init__(self, workflow_store):
         self._workflow_store = workflow_store
-        # (time, progress in percent) of the lists of a run, the oldest first,
-        # by worker name and key of the run.
-        self._samples_by_run = {}
+        # ``_RunProgress`` by ``id`` of its run, which it refers to.  Hashing
+        # task ids takes most of the time otherwise.
+        self._progress_by_run = {}
 
     def measure(self, workers, slow_names):
         """Returns lists of ``_MeasuredRun`` by name of the worker.
@@ -282,31 +321,20 @@
                 those of the peers have ended, and are then compared with the
                 learned run time.
         """
-        workers_and_runs = [
-            (worker, run)
-            for worker in workers
-            for run in worker.runs.values()
-            if _is_measurable(run)
-        ]
-        self._record_samples(workers_and_runs)
+        self._update_progress(workers)
         peers = _Peers()
-        for worker, run in workers_and_runs:
-            samples = self._samples_by_run[worker.name, run.key]
-            span_ms = samples[-1][0] - samples[0][0]
-            if span_ms >= MIN_SPAN_MS:
-                pace = (samples[-1][1] - samples[0][1]) / span_ms
-                peers.add_run(worker.name, run, pace)
+        for progress in self._progress_by_run.values():
+            peers.add_run(progress)
         measured_runs = {}
-        for worker, run in workers_and_runs:
-            peer_pace = peers.find_pace(worker.name, run)
-            if peer_pace is None and worker.name in slow_names:
-                peer_pace = self._find_learned_pace(run)
-            pace = _find_relative_pace(
-                self._samples_by_run[worker.name, run.key], peer_pace
-            )
+        for progress in self._progress_by_run.values():
+            worker_name = progress.worker.name
+            peer_pace = peers.find_pace(progress)
+            if peer_pace is None and worker_name in slow_names:
+                peer_pace = self._find_learned_pace(progress.run)
+            pace = _find_relative_pace(progress.samples, peer_pace)
             if pace is not None:
-                measured_runs.setdefault(worker.name, []).append(
-                    _MeasuredRun(run, pace)
+                measured_runs.setdefault(worker_name, []).append(
+                    _MeasuredRun(progress.run, pace)
                 )
         return measured_runs
 
@@ -322,19 +350,17 @@
             return None
         return 100 / run_times.estimate_ms(*kind)
 
-    def _record_samples(self, workers_and_runs):
-        samples_by_run = {}
-        for worker, run in workers_and_runs:
-            key = worker.name, run.key
-            samples = self._samples_by_run.get(key, [])
-            if not samples or samples[-1][0] < worker.listed_ms:
-                samples.append((worker.listed_ms, run.progress_percent))
-            # Keeps the youngest sample that is older than the longest span.
-            first = bisect.bisect_right(
-                samples, (worker.listed_ms - MAX_SPAN_MS, 0)
-            )
-            samples_by_run[key] = samples[max(0, first - 1) :]
-        self._samples_by_run = samples_by_run
+    def _update_progress(self, workers):
+        progress_by_run = {}
+        for worker in workers:
+            for run in worker.runs.values():
+                if _is_measurable(run):
+                    progress = self._progress_by_run.get(
+                        id(run)
+                    ) or _RunProgress(worker, run)
+                    progress.update()
+                    progress_by_run[id(run)] = progress
+        self._progress_by_run = progress_by_run
 
 
 class _Peers:
@@ -347,38 +373,46 @@
         self._paces_by_image = collections.defaultdict(list)
         self._found_paces = {}
 
-    def add_run(self, worker_name, run, pace):
-        """Adds the pace of a run on a worker."""
-        self._paces_by_step[_step_key(run)].append((worker_name, pace))
-        if run.step.image and run.step.estimate_ms:
-            self._paces_by_image[run.step.image].append(
-                (worker_name, pace * run.step.estimate_ms)
+    def add_run(self, progress):
+        """Adds the pace of a run from its ``_RunProgress``."""
+        pace = progress.find_pace()
+        if pace is None:
+            return
+        step = progress.run.step
+        worker_name = progress.worker.name
+        self._paces_by_step[progress.step_key].append((worker_name, pace))
+        if step.image and step.estimate_ms:
+            self._paces_by_image[step.image].append(
+                (worker_name, pace * step.estimate_ms)
             )
 
-    def find_pace(self, worker_name, run):
+    def find_pace(self, progress):
         """Returns the median pace of runs like this one elsewhere, or None.
 
         Args:
-            worker_name: name of the worker whose runs do not count.
-            run: the ``Run``.
+            progress: the ``_RunProgress`` of the run.
         """
-        key = worker_name, _step_key(run)
+        key = progress.worker.name, progress.step_key
         if key not in self._found_paces:
-            self._found_paces[key] = self._compute_pace(worker_name, run)
+            self._found_paces[key] = self._compute_pace(progress)
         return self._found_paces[key]
 
-    def _compute_pace(self, worker_name, run):
+    def _compute_pace(self, progress):
+        step = progress.run.step
+        worker_name = progress.worker.name
         pace = _find_median(
-            worker_name, self._paces_by_step[_step_key(run)], MIN_STEP_PEERS
+            worker_name,
+            self._paces_by_step[progress.step_key],
+            MIN_STEP_PEERS,
         )
-        if pace is None and run.step.image and run.step.estimate_ms:
+        if pace is None and step.image and step.estimate_ms:
             pace = _find_median(
                 worker_name,
-                self._paces_by_image[run.step.image],
+                self._paces_by_image[step.image],
                 MIN_IMAGE_PEERS,
             )
             if pace is not None:
-                pace /= run.step.estimate_ms
+                pace /= step.estimate_ms
         return pace
 
 
@@ -424,8 +458,3 @@
         and not run.step.fills
         and not run.step.gang
     )
-
-
-def _step_key(run):
-    task_id = run.live_run.task
-    return task_id.workflow_id, task_id.occurrence, task_id.step
--- a/fuchsiatrestle/workflows/_stragglers.py
+++ b/fuchsiatrestle/workflows/_stragglers.py
@@ -248,22 +248,14 @@
             not group.step.fills for group in pool_round.waiting_groups
         ):
             return
-        runs_by_task = self._find_runs(pool_round.pool)
-        copy_cpu = sum(
-            (len(workers_and_runs) - 1) * workers_and_runs[0][1].step.cpu
-            for workers_and_runs in runs_by_task.values()
-        )
+        copy_cpu = self._count_copy_cpu(pool_round.pool)
         budget_cpu = MAX_COPY_CPU_SHARE * sum(
             worker.record.cpu for worker in pool_round.usable_workers
         )
-        stragglers = []
-        for workers_and_runs in runs_by_task.values():
-            if len(workers_and_runs) == 1:
-                straggler = self._check_run(*workers_and_runs[0])
-                if straggler is not None:
-                    stragglers.append(straggler)
-        stragglers.sort(
-            key=lambda straggler: straggler.delay_factor, reverse=True
+        stragglers = sorted(
+            self._find_stragglers(pool_round.pool),
+            key=lambda straggler: straggler.delay_factor,
+            reverse=True,
         )
         for straggler in stragglers:
             step = straggler.run.step
@@ -283,41 +275,55 @@
             )
             yield _policies.Placement(group, task_id, worker)
 
-    def _find_runs(self, pool):
-        """Returns (``Worker``, ``Run``) pairs by task that may have copies.
+    def _count_copy_cpu(self, pool):
+        """Returns the processor time that the copies of a service reserve."""
+        return sum(
+            copy.cpu
+            for copy in self._copies_by_task.values()
+            if self._state.fleet.get(copy.live_run.worker).record.pool == pool
+        )
 
-        Args:
-            pool: name of the service.
-        """
-        runs_by_task = {}
+    def _find_stragglers(self, pool):
+        """Yields the ``_Straggler`` values of a service."""
+        expectations = {}
         for worker in self._state.fleet:
             if worker.record.pool != pool:
                 continue
             for run in worker.runs.values():
-                if run.step is not None and run.step.copies:
-                    runs_by_task.setdefault(run.live_run.task, []).append(
-                        (worker, run)
-                    )
-        return runs_by_task
-
-    def _check_run(self, worker, run):
-        """Returns the ``_Straggler`` for the only run of a task, or None."""
-        task_id = run.live_run.task
-        if (
-            run.phase != _runs.Phase.RUNNING
-            or run.started_ms is None
-            or task_id in self._retry_ms_by_task
-        ):
-            return None
+                if (
+                    run.step is not None
+                    and run.step.copies
+                    and run.phase == _runs.Phase.RUNNING
+                    and run.started_ms is not None
+                ):
+                    straggler = self._check_run(worker, run, expectations)
+                    if straggler is not None:
+                        yield straggler
+
+    def _check_run(self, worker, run, expectations):
+        """Returns the ``_Straggler`` for a run, or None.
+
+        What excludes most runs comes first.
+
+        Args:
+            worker: the ``Worker``.
+            run: the ``Run``.
+            expectations: results of ``_find_expected_ms`` by ``_step_key``;
+                the missing one is added.
+        """
         elapsed_ms = self._find_elapsed_ms(run)
         if elapsed_ms < MIN_ELAPSED_MS:
             return None
+        task_id = run.live_run.task
         workflow = self._state.workflow_store.open_workflows.get(
             task_id.workflow_id
         )
-        if workflow is None or not self._may_copy(workflow, run):
+        if workflow is None:
             return None
-        expected_ms, expected_by = self._find_expected_ms(workflow, task_id)
+        step_key = _step_key(task_id)
+        if step_key not in expectations:
+            expectations[step_key] = self._find_expected_ms(workflow, task_id)
+        expected_ms, expected_by = expectations[step_key]
         if expected_ms is None or elapsed_ms < STRAGGLER_FACTOR * expected_ms:
             return None
         percent = run.progress_percent
@@ -325,16 +331,20 @@
             rest_ms = elapsed_ms * (100 - percent) / percent
             if rest_ms < max(MIN_REST_FACTOR * expected_ms, MIN_ELAPSED_MS):
                 return None
+        if not self._may_copy(workflow, run):
+            return None
         return _Straggler(
             worker, run, workflow, elapsed_ms, expected_ms, expected_by
         )
 
     def _may_copy(self, workflow, run):
-        """True if the agreed state allows a copy of a task's only run.
+        """True if a run is the only one of its task and may be copied.
 
         If the run and its copy both fail, the task must not have failed more
         often than is allowed.
         """
+        if run.live_run.task in self._retry_ms_by_task:
+            return False
         task = workflow.tasks[run.live_run.task]
         queue = self._state.workflow_store.current_queue(workflow)
         return (
@@ -355,10 +365,15 @@
     def _find_expected_ms(self, workflow, task_id):
         """Returns how long runs like those of a task take, and what tells it.
 
-        Until half of the tasks of the step have ended, these are the fast
-        ones.  None and '' if it is not known.
+        The run times of the same step count, in the agreed state if there
+        are enough.  Until half of its tasks have ended, these are the fast
+        ones, and the learned run time counts if it is longer.  None and ''
+        if nothing is known.
         """
         step = workflow.get_step(task_id)
+        agreed_median_ms = workflow.median_run_ms(task_id.step)
+        if agreed_median_ms is not None:
+            return agreed_median_ms, 'step'
         ended_ms = self._run_times_ms_by_step.get(_step_key(task_id), ())
         candidates = []
         if len(ended_ms) >= MIN_ENDED_TASKS:
