--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -15,7 +15,7 @@
 from fuchsiatrestle.workflows import _interference
 from fuchsiatrestle.workflows import _orders
 from fuchsiatrestle.workflows import _placement
-from fuchsiatrestle.workflows import _policies
+from fuchsiatrestle.workflows import _policy_list
 from fuchsiatrestle.workflows import _round_planner
 from fuchsiatrestle.workflows import _run_ends
 from fuchsiatrestle.workflows import _runs
@@ -61,6 +61,9 @@
         self._state = _book.DispatchState(
             workflow_store, token, timing, now_ms
         )
+        self._state.policies = _policy_list.make_policies(
+            features, self._state
+        )
         self._interference_model = _interference.InterferenceModel()
         self._backlog = _backlog.Backlog(
             workflow_store, features.learns_run_times
@@ -70,7 +73,7 @@
             self._backlog,
             self._interference_model,
             placer or _placement.BestFit(self._interference_model),
-            _policies.make_policies(features, self._state),
+            self._state.policies,
         )
         self._order_planner = _orders.OrderPlanner(self._state, timing)
         self._announcement_handler = _announcing.AnnouncementHandler(
@@ -288,6 +291,8 @@
         handler = self._command_handlers.get(type(event.command))
         if handler is not None:
             handler(event.command)
+        for policy in self._state.policies:
+            policy.record_command(event.command)
         self._state.placement_due = True
 
     def _find_workflow_id(self, command):
@@ -302,7 +307,6 @@
 
     def _on_progress_recorded(self, command):
         self._state.proposals.end_agreed_proposal(command)
-        self._round_planner.record_progress(command)
         changed_workflow_ids = {end.task.workflow_id for end in command.ends}
         changed_workflow_ids |= {
             lost.task.workflow_id for lost in command.lost
--- a/fuchsiatrestle/workflows/_placement.py
+++ b/fuchsiatrestle/workflows/_placement.py
@@ -40,13 +40,19 @@
     """Why a worker is not used for a task."""
 
     NO_ROOM = 'no_room'  # it lacks the capacity or the label
-    # The three below bar best-effort images only.
+    # The ones below bar best-effort images only.
     CPU_IN_USE = 'cpu_in_use'  # other tasks use the processor time
     HEAVY = 'heavy'  # the image disturbs the serving tasks there
     TRIAL = 'trial'  # the image or another one is being tried there
+    TAIL = 'tail'  # the tail latency there is near its target
 
 
-BEST_EFFORT_OBSTACLES = (Obstacle.CPU_IN_USE, Obstacle.HEAVY, Obstacle.TRIAL)
+BEST_EFFORT_OBSTACLES = (
+    Obstacle.CPU_IN_USE,
+    Obstacle.HEAVY,
+    Obstacle.TRIAL,
+    Obstacle.TAIL,
+)
 
 
 class Placer(abc.ABC):
@@ -94,6 +100,9 @@
 
     def _gang_candidate_sets(self, step, workers):
         """Yields lists of workers for a gang, the preferred one first."""
+        warm_workers = [worker for worker in workers if not worker.is_cold]
+        if len(warm_workers) < len(workers):
+            yield from self._gang_candidate_sets(step, warm_workers)
         if step.one_rack:
             racks = {}
             for worker in workers:
@@ -184,6 +193,8 @@
         """Returns what bars a worker to a best-effort step, or None."""
         if self._unused_cpu(worker, allocations) < step.cpu:
             return Obstacle.CPU_IN_USE
+        if not worker.may_add_best_effort_run:
+            return Obstacle.TAIL
         severity = self._interference_model.worst_severity(
             worker.serving_images, step.image
         )
@@ -212,6 +223,7 @@
         return (
             is_far_from_data,
             severity,
+            not worker.is_tail_calm,
             not serving_images,
             light_image_count,
             -unused_cpu,
@@ -369,7 +381,9 @@
         score = self._placer.score_worker(
             group.step, worker, self._allocations
         )
-        return None if score is None else (worker.failed_start_count, score)
+        if score is None:
+            return None
+        return worker.is_cold, worker.failed_start_count, score
 
 
 class _RoundAllocations:
@@ -451,7 +465,8 @@
 def meets_constraints(step, task_id, worker, added_task_count=0):
     """True if label and ``most_per_worker`` allow one more task of a step.
 
-    The free capacity of the worker is not checked.
+    A serving task is not allowed on a cold worker, either.  The free capacity
+    of the worker is not checked.
 
     Args:
         step: the ``Step``.
@@ -462,6 +477,8 @@
     """
     if step.label and step.label not in worker.record.labels:
         return False
+    if step.tail_target_ms and worker.is_cold:
+        return False
     if not step.most_per_worker:
         return True
     return (
--- a/fuchsiatrestle/workflows/_policies.py
+++ b/fuchsiatrestle/workflows/_policies.py
@@ -6,7 +6,7 @@
 
 import abc
 
-__all__ = ('Placement', 'PlacementPolicy', 'make_policies')
+__all__ = ('Placement', 'PlacementPolicy')
 
 
 class Placement:
@@ -49,6 +49,24 @@
         """
         return True
 
+    def find_start_obstacle(self, worker):
+        """Returns why no start may be ordered on a worker, or empty.
+
+        It is asked at each start, also of runs that an earlier round or an
+        earlier leader has placed.
+
+        Args:
+            worker: a ``Worker``.
+        """
+        return ''
+
+    def acts_after_groups(self):
+        """Returns False if the two hooks below have nothing to do now.
+
+        A round of each service is made for them, which takes processor time.
+        """
+        return True
+
     def stop_runs(self, pool_round):
         """Stops runs after all groups of the round were tried.
 
@@ -73,28 +91,10 @@
         """
         return iter(())
 
-    def record_progress(self, command):
-        """Called after an agreed command has changed the agreed state.
+    def record_command(self, command):
+        """Called after an agreed command was applied.
 
         Args:
-            command: the ``RecordProgress``.
+            command: the command, of workflows or documents.
         """
         return None
-
-
-def make_policies(features, dispatch_state):
-    """Returns the list of the policies that are switched on.
-
-    Args:
-        features: ``Features``.
-        dispatch_state: ``DispatchState``.
-    """
-    # These modules need the base class above.
-    from fuchsiatrestle.workflows import _slow_workers
-    from fuchsiatrestle.workflows import _stragglers
-
-    policies = []
-    if features.copies_stragglers:
-        policies.append(_slow_workers.SlowWorkers(dispatch_state))
-        policies.append(_stragglers.StragglerCopies(dispatch_state))
-    return policies
--- a/fuchsiatrestle/workflows/_round_planner.py
+++ b/fuchsiatrestle/workflows/_round_planner.py
@@ -79,11 +79,6 @@
         )
         return stopped_workers
 
-    def record_progress(self, command):
-        """Tells the policies of an agreed ``RecordProgress``."""
-        for policy in self._policies:
-            policy.record_progress(command)
-
     def _place_groups(self, ready_groups, round_by_pool):
         """Places the groups that find room, each kind in its turn.
 
@@ -125,6 +120,8 @@
         """
         stopped_workers = []
         for policy in self._policies:
+            if not policy.acts_after_groups():
+                continue
             for pool in self._all_pools():
                 pool_round = self._find_pool_round(round_by_pool, pool)
                 stopped_workers += policy.stop_runs(pool_round)
--- a/fuchsiatrestle/workflows/_slow_workers.py
+++ b/fuchsiatrestle/workflows/_slow_workers.py
@@ -171,6 +171,10 @@
         slow_worker = self._slow_workers.get(worker.name)
         return slow_worker is None or not slow_worker.is_paused
 
+    def acts_after_groups(self):
+        """Returns False: it only keeps workers from the groups."""
+        return False
+
     def start_round(self, ready_groups, wall_ms):
         """Judges all workers if that is due."""
         now_ms = self._state.now_ms
--- a/fuchsiatrestle/workflows/_stragglers.py
+++ b/fuchsiatrestle/workflows/_stragglers.py
@@ -11,6 +11,7 @@
 
 from fuchsiatrestle import logs
 from fuchsiatrestle import metrics
+from fuchsiatrestle.state import commands
 from fuchsiatrestle.workflows import _backlog
 from fuchsiatrestle.workflows import _placement
 from fuchsiatrestle.workflows import _policies
@@ -134,8 +135,10 @@
 
     # Agreed progress
 
-    def record_progress(self, command):
+    def record_command(self, command):
         """Learns run times of ended tasks, and what became of copies."""
+        if not isinstance(command, commands.RecordProgress):
+            return
         for run_end in command.ends:
             self._record_end(run_end, command.now_ms)
         for lost_run in command.lost:
@@ -242,11 +245,13 @@
             if step_key[0] in open_workflows
         }
 
+    def acts_after_groups(self):
+        """Returns True if the runs are checked in this round."""
+        return self._is_due
+
     def find_placements(self, pool_round):
         """Yields copies while nothing else waits and the budget lasts."""
-        if not self._is_due or any(
-            not group.step.fills for group in pool_round.waiting_groups
-        ):
+        if any(not group.step.fills for group in pool_round.waiting_groups):
             return
         copy_cpu = self._count_copy_cpu(pool_round.pool)
         budget_cpu = MAX_COPY_CPU_SHARE * sum(
@@ -407,8 +412,8 @@
 def _choose_worker(straggler, pool_round):
     """Returns the ``Worker`` for the copy of a straggler, or None.
 
-    Of those with room, it prefers the ones that starts reach, then those near
-    the data, then the one on which the least processor time remains.
+    Of those with room, it prefers warm ones, those that starts reach, those
+    near the data, and the one on which the least processor time remains.
     """
     step = straggler.run.step
     task_id = straggler.run.live_run.task
@@ -422,6 +427,7 @@
             and _placement.has_room(step, task_id, worker)
         ),
         key=lambda worker: (
+            worker.is_cold,
             worker.failed_start_count,
             bool(step.data_rack)
             and step.data_rack not in worker.record.labels,
