--- a/fuchsiatrestle/workflows/_slow_workers.py
+++ b/fuchsiatrestle/workflows/_slow_workers.py
@@ -32,9 +32,9 @@
 MAX_SPAN_MS = 15_000
 MIN_ADVANCE_PERCENT = 5
 # Time without new tasks for a slow worker; doubled after each retry in which
-# it was still slow.
+# it was still slow.  A task with a label may fit nowhere else meanwhile.
 PAUSE_MS = 3000
-MAX_PAUSE_MS = 30_000
+MAX_PAUSE_MS = 12_000
 # Number of runs that a worker may have in a retry beyond those that it has,
 # and the time after which it has recovered if none of them is slow.
 RETRY_RUNS = 2
