--- a/fuchsiatrestle/workflows/_policy_list.py
+++ b/fuchsiatrestle/workflows/_policy_list.py
@@ -2,6 +2,8 @@
 
 from fuchsiatrestle.workflows import _admission
 from fuchsiatrestle.workflows import _evacuation
+from fuchsiatrestle.workflows import _slow_workers
+from fuchsiatrestle.workflows import _stragglers
 
 __all__ = ('make_policies',)
 
@@ -22,4 +24,7 @@
                 dispatch_state, features.learns_run_times
             )
         )
+    if features.copies_stragglers:
+        policies.append(_slow_workers.SlowWorkers(dispatch_state))
+        policies.append(_stragglers.StragglerCopies(dispatch_state))
     return policies
