Slow the other best-effort runs while halted suspects do not help

While a halted run that may interfere was still there, which is up to 2.5 s if its task saves no progress, no other best-effort run on the worker was slowed or halted, however far the tail was over its target. Together with the steps down to a halt, a serving task stayed over its target for more than 4 s. The new test failed before (paces 100 in place of 0 and 75); 22 tests of colocation, processor sharing, limited runs and waits pass.

--- a/fuchsiatrestle/workflows/_pacing.py
+++ b/fuchsiatrestle/workflows/_pacing.py
@@ -29,11 +29,11 @@
 MIN_SHARED_PACE_PERCENT = 25
 # Limits on the largest ratio of a tail latency on a worker to its target.  At
 # or above HALT_SUSPECTS_RATIO the best-effort runs that may interfere are
-# halted.  If there are none, all best-effort runs are slowed by a step at or
-# above SLOW_ALL_RATIO, by two at or above SLOW_MORE_RATIO, and halted at or
-# above HALT_ALL_RATIO, or if they are at the lowest pace already.  Below
-# RAISE_RATIO slowed runs are raised by a step, and below RESUME_RATIO the
-# halted ones that are not known to interfere run again.
+# halted.  If there are none, or their halt did not help, all other best-effort
+# runs are slowed by a step at or above SLOW_ALL_RATIO, by two at or above
+# SLOW_MORE_RATIO, and halted at or above HALT_ALL_RATIO, or if they are at the
+# lowest pace already.  Below RAISE_RATIO slowed runs are raised by a step, and
+# below RESUME_RATIO the halted ones that are not known to interfere run again.
 HALT_SUSPECTS_RATIO = 0.85
 SLOW_ALL_RATIO = 0.95
 SLOW_MORE_RATIO = 1.1
@@ -183,12 +183,13 @@
             if self._severity(serving_images, run) != _Severity.LIGHT
             or _may_be_halted_first(run)
         ]
-        if self._worst_tail_ratio >= HALT_SUSPECTS_RATIO and suspect_runs:
+        if self._must_halt_suspects(suspect_runs, now_ms):
             self._halt_runs(suspect_runs, now_ms)
         elif self._must_halt_all(now_ms):
             self._halt_runs(best_effort_runs, now_ms)
         elif self._worst_tail_ratio >= SLOW_ALL_RATIO:
-            self._lower_shared_pace(now_ms)
+            if any(run.wanted_pace_percent for run in best_effort_runs):
+                self._lower_shared_pace(now_ms)
         elif (
             self._worst_tail_ratio < RESUME_RATIO
             and self._has_pace_change_settled(now_ms)
@@ -208,6 +209,20 @@
             self._raise_shared_pace(now_ms)
         self._apply_shared_pace(best_effort_runs)
 
+    def _must_halt_suspects(self, suspect_runs, now_ms):
+        """True if the runs that may interfere are halted, and no others.
+
+        It is False as well once their halt shows in the measured tail: the
+        others then disturb the serving tasks, too, if it is still high.
+        """
+        if not suspect_runs or self._worst_tail_ratio < HALT_SUSPECTS_RATIO:
+            return False
+        return (
+            any(run.wanted_pace_percent for run in suspect_runs)
+            or self._runs_halted_since_ms is None
+            or now_ms - self._runs_halted_since_ms < SETTLE_MS
+        )
+
     def _must_halt_all(self, now_ms):
         """True if slower runs would not protect the serving tasks."""
         if self._worst_tail_ratio >= HALT_ALL_RATIO:
--- a/tests/workflows/test_pacing.py
+++ b/tests/workflows/test_pacing.py
@@ -120,6 +120,24 @@
             stop_ms_by_run,
         )
 
+    def _add_unclassified_run(self):
+        step = workflows.Step(1, cpu=1000, image='u', fills=True)
+        return _add_run(self.worker, 'u', step)
+
+    def test_others_are_slowed_while_halted_suspects_do_not_help(self):
+        """The serving task must not wait until the suspects are stopped."""
+        for tail_ratio, max_pace_percent in ((1.5, 0), (1.05, 75)):
+            with self.subTest(tail_ratio=tail_ratio):
+                self.setUp()
+                run = self._add_best_effort_run(checkpoints=False)
+                suspect_run = self._add_unclassified_run()
+                self._poll(tail_ratio)
+                self.assertEqual(0, suspect_run.pace_percent)
+                self.assertEqual(100, run.pace_percent)
+                for _ in range(2):
+                    self._poll(tail_ratio)
+                self.assertLessEqual(run.pace_percent, max_pace_percent)
+
     def test_no_run_is_added_where_it_would_be_slowed(self):
         self._add_best_effort_run()
         self._poll(0.9)
