Halt best-effort runs beside a tail that stays over its target

At the lowest pace, runs were halted only from 1.1 times the target on, so a tail at 1.05 times the target stayed there for ever. The new test failed before (pace 25 in place of 0). 30 tests of paces, colocation, processor sharing, limited runs and waits pass.

--- a/fuchsiatrestle/workflows/_pacing.py
+++ b/fuchsiatrestle/workflows/_pacing.py
@@ -40,6 +40,10 @@
 HALT_ALL_RATIO = 1.3
 RAISE_RATIO = 0.85
 RESUME_RATIO = 0.72
+# If a tail latency stays over its target for this long, all best-effort runs
+# are halted, as the lowest pace may leave it slightly over the target.  Three
+# changes of pace fit into this time, and the halt shows before 4 s are over.
+MAX_OVER_TARGET_MS = 2500
 # Measurements cover half a second, so a change of pace shows fully only after
 # this time; until then no run is resumed.
 SETTLE_MS = 700
@@ -65,6 +69,7 @@
 
     __slots__ = (
         '_interference_model',
+        '_over_target_since_ms',
         '_pace_changed_ms',
         '_pace_limits',
         '_runs_halted_since_ms',
@@ -76,6 +81,8 @@
     def __init__(self, interference_model, worker_name=''):
         self._interference_model = interference_model
         self._runs_halted_since_ms = None
+        # Since when lists show a tail latency over its target, None if not.
+        self._over_target_since_ms = None
         # Pace of the runs that are neither halted nor limited, and when it
         # was changed last.
         self._shared_pace_percent = FULL_PACE_PERCENT
@@ -129,8 +136,13 @@
         )
         if not best_effort_runs:
             self._runs_halted_since_ms = None
+            self._over_target_since_ms = None
             self._shared_pace_percent = FULL_PACE_PERCENT
             return []
+        if self._worst_tail_ratio <= 1:
+            self._over_target_since_ms = None
+        elif self._over_target_since_ms is None:
+            self._over_target_since_ms = now_ms
         serving_images = {run.step.image for run in serving_runs}
         self._update_pace_limits(best_effort_runs, now_ms)
         self._set_paces(best_effort_runs, serving_images, now_ms)
@@ -227,6 +239,11 @@
         """True if slower runs would not protect the serving tasks."""
         if self._worst_tail_ratio >= HALT_ALL_RATIO:
             return True
+        if (
+            self._over_target_since_ms is not None
+            and now_ms - self._over_target_since_ms >= MAX_OVER_TARGET_MS
+        ):
+            return True
         return (
             self._worst_tail_ratio >= SLOW_MORE_RATIO
             and self._shared_pace_percent <= MIN_SHARED_PACE_PERCENT
--- a/tests/workflows/test_pacing.py
+++ b/tests/workflows/test_pacing.py
@@ -138,6 +138,13 @@
                     self._poll(tail_ratio)
                 self.assertLessEqual(run.pace_percent, max_pace_percent)
 
+    def test_tail_does_not_stay_slightly_over_target(self):
+        """The lowest pace may leave the tail over its target for ever."""
+        run = self._add_best_effort_run()
+        for _ in range(6):
+            self._poll(1.05)
+        self.assertEqual(0, run.pace_percent)
+
     def test_no_run_is_added_where_it_would_be_slowed(self):
         self._add_best_effort_run()
         self._poll(0.9)
