End a halt once no halted run is left on a worker

The time of a halt was kept until the tail fell below 0.72 of its target or no best-effort run was left. At a tail between that and 0.85, the runs that were left stayed slow for ever, no run was added, and a run that was halted later was stopped at once.

--- a/fuchsiatrestle/workflows/_pacing.py
+++ b/fuchsiatrestle/workflows/_pacing.py
@@ -143,6 +143,12 @@
             self._over_target_since_ms = None
         elif self._over_target_since_ms is None:
             self._over_target_since_ms = now_ms
+        if not any(
+            run.wanted_pace_percent == HALTED_PACE_PERCENT
+            for run in best_effort_runs
+        ):
+            # The halted runs have ended or are being stopped.
+            self._end_halt()
         serving_images = {run.step.image for run in serving_runs}
         self._update_pace_limits(best_effort_runs, now_ms)
         self._set_paces(best_effort_runs, serving_images, now_ms)
@@ -177,6 +183,14 @@
             and self._severity(serving_images, run) == _Severity.LIGHT
         ]
 
+    def _end_halt(self):
+        """Forgets since when runs are halted; the tail may yet settle."""
+        if self._runs_halted_since_ms is not None:
+            self._pace_changed_ms = max(
+                self._pace_changed_ms, self._runs_halted_since_ms
+            )
+            self._runs_halted_since_ms = None
+
     def _update_pace_limits(self, best_effort_runs, now_ms):
         limited_images = {
             run.step.image for run in best_effort_runs if run.is_pace_limited
--- a/tests/workflows/test_pacing.py
+++ b/tests/workflows/test_pacing.py
@@ -145,6 +145,21 @@
             self._poll(1.05)
         self.assertEqual(0, run.pace_percent)
 
+    def test_halt_is_over_once_the_halted_runs_are_gone(self):
+        """The others must not stay slow at a tail between the limits."""
+        run = self._add_best_effort_run()
+        suspect_run = self._add_unclassified_run()
+        self._poll(0.9)
+        self.assertEqual(0, suspect_run.pace_percent)
+        self.worker.remove_run(suspect_run.key)
+        for _ in range(2):
+            self._poll(1.0)
+        self.assertLess(run.pace_percent, 100)
+        for _ in range(10):
+            self._poll(0.8)
+        self.assertEqual(100, run.pace_percent)
+        self.assertTrue(self.worker.may_add_best_effort_run)
+
     def test_no_run_is_added_where_it_would_be_slowed(self):
         self._add_best_effort_run()
         self._poll(0.9)
