Take a tail near its target into account for runs with limited paces

BestFit keeps best-effort tasks off workers whose tail is near its target. The planner of limited runs did not know this. It took such a worker for one that suits an image, so the tasks of a workflow of which something runs waited for ever, and it stopped limited runs to move them there, where they were not started.

--- a/fuchsiatrestle/workflows/_limited_runs.py
+++ b/fuchsiatrestle/workflows/_limited_runs.py
@@ -131,18 +131,25 @@
         return groups_and_placers[: max(1, MAX_CANDIDATES // worker_count)]
 
     def _suits_any(self, group, workers):
-        """True if an image is known to disturb nothing on a worker with room.
+        """True if a worker with room would let a run go on at its full pace.
 
         The processor time that best-effort tasks use there does not count.
         """
         task_id = group.waiting_task_ids[0]
         return any(
-            self._disturbs_nothing(group.step, worker)
+            self._may_run_freely(group.step, worker)
             and _placement.has_room(group.step, task_id, worker)
             for worker in workers
         )
 
-    def _disturbs_nothing(self, step, worker):
+    def _may_run_freely(self, step, worker):
+        """True if a new run would be neither slowed nor halted on a worker.
+
+        Its image is known to disturb nothing there, and the tail is not near
+        its target.
+        """
+        if not worker.may_add_best_effort_run:
+            return False
         severity = self._interference_model.worst_severity(
             worker.serving_images, step.image
         )
@@ -209,7 +216,7 @@
         return any(
             other is not worker
             and run.step.cpu <= other.capacity.unused_cpu
-            and self._disturbs_nothing(run.step, other)
+            and self._may_run_freely(run.step, other)
             and _placement.has_room(run.step, task_id, other)
             for other in pool_round.usable_workers
         )
--- a/tests/workflows/test_limited_runs.py
+++ b/tests/workflows/test_limited_runs.py
@@ -33,8 +33,11 @@
 
     Args:
         usable_workers: list of ``Worker``.
+        waiting_groups: list of ``Group``.
     """
 
+    is_mostly_free = False
+
     def __init__(self, usable_workers, waiting_groups=()):
         self.usable_workers = usable_workers
         self.waiting_groups = waiting_groups
@@ -77,12 +80,31 @@
         return False
 
 
+def _make_worker(name):
+    record = workflows.WorkerRecord(
+        name, 1, f'{name}:1', 'pool', 'dc', WORKER_CPU, 100_000, 0, []
+    )
+    return _fleet.Worker(record, _clock.LeaseClock(5000))
+
+
+def _add_serving_run(worker, image, tail_ratio, model):
+    """Adds a serving run and reports its tail."""
+    step = workflows.Step(
+        1, cpu=1000, lasts=True, image=image, tail_target_ms=100
+    )
+    live_run = workflows.LiveRun(
+        workflows.TaskId(image, 0, 0, 0), 1, worker.name, 1
+    )
+    run = _runs.Run(live_run, step, _runs.Phase.RUNNING)
+    run.measurement = 100 * tail_ratio
+    worker.add_run(run)
+    worker.pace_control = _pacing.PaceControl(model, worker.name)
+    worker.pace_control.decide_paces([run], WORKER_CPU, 0)
+
+
 class LimitTest(unittest.TestCase):
     def test_round_of_a_large_service_tries_the_longest_wait_only(self):
-        record = workflows.WorkerRecord(
-            'w', 1, 'w:1', 'pool', 'dc', WORKER_CPU, 100_000, 0, []
-        )
-        worker = _fleet.Worker(record, _clock.LeaseClock(5000))
+        worker = _make_worker('w')
         planner = _limited_runs.LimitedRunPlanner(
             _DispatchState(), _interference.InterferenceModel(), _WaitTimes()
         )
@@ -102,6 +124,24 @@
             ['long'], [group.workflow.workflow_id for group, *_ in chosen]
         )
 
+    def test_tail_near_target_does_not_keep_a_workflow_waiting(self):
+        """The image disturbs nothing, but no worker takes its tasks."""
+        model = _interference.InterferenceModel()
+        model.adopt_image_pairs([workflows.ImagePair('s', 'f', False)])
+        planner = _limited_runs.LimitedRunPlanner(
+            _DispatchState(), model, _WaitTimes()
+        )
+        workflow = _IdleWorkflow('w', 9000)
+        workflow.is_running = True
+        task_ids = [workflows.TaskId('w', 0, 0, 0)]
+        group = _backlog.Group(workflow, 0, 0, task_ids)
+        for tail_ratio, is_placed in ((0.5, False), (0.9, True)):
+            with self.subTest(tail_ratio=tail_ratio):
+                worker = _make_worker('w0')
+                _add_serving_run(worker, 's', tail_ratio, model)
+                chosen = planner.choose_workers(_Round([worker], [group]))
+                self.assertEqual(is_placed, bool(list(chosen)))
+
 
 class MoveTest(unittest.TestCase):
     def setUp(self):
@@ -111,15 +151,9 @@
         self.planner = _limited_runs.LimitedRunPlanner(
             self.state, self.model, _waiting.WaitTimes()
         )
-        self.workers = [self._make_worker(name) for name in ('w0', 'w1')]
+        self.workers = [_make_worker(name) for name in ('w0', 'w1')]
         self._add_serving_run(self.workers[0])
 
-    def _make_worker(self, name):
-        record = workflows.WorkerRecord(
-            name, 1, f'{name}:1', 'pool', 'dc', WORKER_CPU, 100_000, 0, []
-        )
-        return _fleet.Worker(record, _clock.LeaseClock(5000))
-
     def _add_run(self, worker, step, index=0):
         task_id = workflows.TaskId(step.image, 0, 0, index)
         live_run = workflows.LiveRun(task_id, 1, worker.record.worker, 1)
@@ -177,6 +211,17 @@
         self.planner.stop_run_to_move(_Round(self.workers))
         self.assertEqual([], self.state.stopped_runs)
 
+    def test_run_does_not_move_to_a_worker_that_would_not_take_it(self):
+        """It would wait there, start here again, and be stopped again."""
+        self._add_limited_runs(1)
+        self.model.adopt_image_pairs([workflows.ImagePair('t', 'f', False)])
+        for tail_ratio, is_moved in ((0.9, False), (0.5, True)):
+            with self.subTest(tail_ratio=tail_ratio):
+                self.workers[1] = _make_worker('w1')
+                _add_serving_run(self.workers[1], 't', tail_ratio, self.model)
+                self.planner.stop_run_to_move(_Round(self.workers))
+                self.assertEqual(is_moved, bool(self.state.stopped_runs))
+
 
 if __name__ == '__main__':
     unittest.main()
