Acknowledge the second copy of an order that was read after the first

A copy whose base was read after the first one had been agreed was refused as superseded if an order of the other kind followed. It had nothing to do when its base was read, so it is acknowledged and changes nothing, like a copy that was read earlier. The new test failed before; 25 tests of evacuations in state, net and platform pass.

--- a/fuchsiatrestle/state/_evacuations.py
+++ b/fuchsiatrestle/state/_evacuations.py
@@ -32,16 +32,23 @@
     kept_orders: list[bool]
     was_evacuated: bool
 
-    def was_accepted(self, base, is_start):
-        """Returns True if the order after the one numbered ``base`` is equal.
+    def was_fulfilled(self, base, is_start):
+        """Returns True if an order had its effect at or right after its base.
 
-        It is False as well for one whose kind is not kept any more.
+        Either the order numbered ``base`` was equal, so that there was nothing
+        to do, or the one after it was.  Both hold for further copies of an
+        accepted order, depending on when their base was read.  It is False as
+        well if the kinds of these two are not kept any more.
+
+        Args:
+            base: number of the orders that were agreed when it was read.
+            is_start: False for an end.
         """
         position = len(self.kept_orders) - (self.order_count - base)
-        return (
-            0 <= position < len(self.kept_orders)
-            and self.kept_orders[position] == is_start
-        )
+        if position < 0:
+            return False
+        first_position = max(0, position - 1)
+        return is_start in self.kept_orders[first_position : position + 1]
 
     def add_order(self, is_start):
         """Returns the state after one more order."""
@@ -144,7 +151,7 @@
                 )
             self._rows[name] = row = row.add_order(is_start)
         elif self.is_evacuated(name) != is_start:
-            is_superseded = not row.was_accepted(command.base, is_start)
+            is_superseded = not row.was_fulfilled(command.base, is_start)
         return outcomes.EvacuationOutcome(
             name,
             self.is_evacuated(name),
--- a/tests/state/test_evacuations.py
+++ b/tests/state/test_evacuations.py
@@ -53,6 +53,19 @@
                     self.assertFalse(outcome.superseded)
                     self.assertEqual(len(expected), outcome.order_count)
 
+    def test_copy_that_was_read_after_its_order_is_not_refused(self):
+        """Both copies of a start are sent before the end that follows."""
+        _apply(self.machine, START)
+        copy = commands.StartEvacuation('dc', 1)
+        _apply(self.machine, END)
+        outcome = _apply(self.machine, copy)
+        self.assertFalse(outcome.superseded)
+        self.assertFalse(self._is_evacuated())
+        _apply(self.machine, commands.StartEvacuation('dc', 2))
+        outcome = _apply(self.machine, commands.EndEvacuation('dc', 2))
+        self.assertFalse(outcome.superseded)
+        self.assertTrue(self._is_evacuated())
+
     def test_order_on_the_present_state_is_carried_out(self):
         for base in range(6):
             order = (START, END)[base % 2].__class__('dc', base)
