Move no more tasks out of a data centre than there is room for

Each task was compared with the room elsewhere as if it moved alone; only the processor time that tasks reserve was summed up. So up to eight tasks were stopped for one place where memory, accelerators or unused processor time are short, and waited. The new test failed before (2 of 4 tasks running in place of 3); 22 tests of evacuations pass.

--- a/fuchsiatrestle/workflows/_evacuation.py
+++ b/fuchsiatrestle/workflows/_evacuation.py
@@ -152,8 +152,8 @@
         ]
         if len(moved_runs) >= (1 if run.step.lasts else MAX_BATCH_MOVES):
             return False
-        if not any(
-            _has_room(run, worker) for worker in pool_round.usable_workers
+        if not _has_room_for(
+            len(moved_runs) + 1, run, pool_round.usable_workers
         ):
             return False
         return not run.step.lasts or (
@@ -233,17 +233,47 @@
     return step.checkpoints and remaining_ms >= MIN_MOVED_WORK_MS
 
 
-def _has_room(run, worker):
-    """True if a worker has room for the task of a run elsewhere.
+def _has_room_for(count, run, workers):
+    """True if so many tasks like that of a run find room elsewhere.
 
-    A best-effort task needs unused processor time, beside no serving task
-    that it might disturb.
+    Args:
+        count: the number of tasks; those that move already count as well, as
+            they may not have been placed yet.
+        run: the ``Run``.
+        workers: the workers that may be used.
+    """
+    for worker in workers:
+        count -= _count_room(run, worker)
+        if count <= 0:
+            return True
+    return False
+
+
+def _count_room(run, worker):
+    """Returns how many tasks like that of a run find room on a worker.
+
+    A best-effort task needs unused processor time, beside no serving task that
+    it might disturb.
     """
     step = run.step
-    if step.fills and (
-        worker.serving_images or worker.capacity.unused_cpu < step.cpu
-    ):
-        return False
-    return not worker.is_cold and _placement.has_room(
-        step, run.live_run.task, worker
-    )
+    task_id = run.live_run.task
+    capacity = worker.capacity
+    if worker.is_cold or not _placement.has_room(step, task_id, worker):
+        return 0
+    free_cpu = capacity.free_cpu
+    if step.fills:
+        if worker.serving_images:
+            return 0
+        free_cpu = int(capacity.unused_cpu)
+    counts = [
+        free // needed
+        for free, needed in (
+            (free_cpu, step.cpu),
+            (capacity.free_memory_mb, step.memory_mb),
+            (capacity.free_accelerators, step.accelerators),
+        )
+        if needed
+    ]
+    if step.most_per_worker:
+        counts.append(step.most_per_worker - capacity.count_step_runs(task_id))
+    return max(0, min(counts, default=MAX_BATCH_MOVES))
--- a/tests/workflows/test_evacuation.py
+++ b/tests/workflows/test_evacuation.py
@@ -9,6 +9,8 @@
 import random
 import unittest
 
+import msgspec
+
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import workflows as records
 from fuchsiatrestle import workflows
@@ -277,6 +279,45 @@
         self.world.run(3000)
         self.assertEqual(2, self._count_running_left('stays'))
 
+    def test_no_more_tasks_move_than_there_is_room_for(self):
+        """The others would wait, and lose what they have not saved."""
+        for name, fields in (
+            ('memory', {'memory_mb': dispatch_world.MEMORY_MIB // 2}),
+            ('processor time', {'fills': True, 'cpu': 3000, 'image': 'f'}),
+        ):
+            with self.subTest(scarce=name):
+                self._make_world()
+                fields = {'memory_mb': 10, 'cpu': 100, **fields}
+                step = records.Step(
+                    4, estimate_ms=30_000, checkpoints=True, **fields
+                )
+                profile = worker_model.TaskProfile(
+                    step.cpu,
+                    step.memory_mb,
+                    30_000,
+                    image=step.image,
+                    fills=step.fills,
+                    writes_checkpoints=True,
+                )
+                self._order('left')
+                self._submit(
+                    'other', msgspec.structs.replace(step, count=3), profile
+                )
+                self.world.run(500)
+                self._end('left')
+                self._order('right')
+                self._submit('stays', step, profile)
+                self.world.run(500)
+                self._end('right')
+                self._order('left')
+                least_count = 4
+                for _ in range(200):
+                    self.world.run(20)
+                    running_count = len(self._running_workers('stays'))
+                    least_count = min(least_count, running_count)
+                self.assertEqual(3, least_count)
+                self.assertEqual(3, self._count_running_left('stays'))
+
     def test_long_running_tasks_move_one_at_a_time(self):
         for may_miss, moves in ((0, False), (1, True), (2, True)):
             with self.subTest(may_miss=may_miss):
