Bound the search for tasks to move out of a data centre

Each round compared each movable run in the evacuated data centres with each usable worker, and counted the missing tasks of its step, as long as it could not move. With full data centres elsewhere this grows with runs times workers in up to a hundred rounds a second. The new test failed before (648 calls in place of at most 18); 23 tests of evacuations pass. What a search costs on a large fleet was not measured.

--- a/fuchsiatrestle/workflows/_evacuation.py
+++ b/fuchsiatrestle/workflows/_evacuation.py
@@ -25,6 +25,10 @@
 MIN_FREE_CPU_SHARE = 0.15
 # Largest number of batch tasks of a service that move at the same time.
 MAX_BATCH_MOVES = 8
+# Shortest time between two searches for tasks to move.  A search looks at all
+# runs in the evacuated data centres, and there may be a hundred rounds a
+# second, while a move takes about 1 s.
+MOVE_INTERVAL_MS = 250
 # A move that takes longer no longer keeps others from beginning.  The new run
 # may wait for a worker, or the workflow may have ended.
 MAX_MOVE_MS = 10_000
@@ -53,6 +57,9 @@
         self._evacuated_names = []
         # Time of the stop and the ``Run`` of each task that moves, by task id.
         self._moves = {}
+        # Whether this round looks for tasks to move, and when the next may.
+        self._moves_tasks = False
+        self._next_moves_ms = 0
 
     def find_start_obstacle(self, worker):
         """Returns ``evacuated`` for a worker in an evacuated data centre."""
@@ -65,13 +72,20 @@
         return not self.find_start_obstacle(worker)
 
     def start_round(self, ready_groups, wall_ms):
-        """Logs what has changed, and marks the cold workers."""
+        """Logs changes, marks the cold workers, and limits the searches."""
         if not self._evacuations.is_used:
             return
         names = self._evacuations.evacuated_names()
         if names != self._evacuated_names:
             self._log_changes(names)
             self._evacuated_names = names
+        self._moves_tasks = (
+            bool(names) and self._dispatch_state.now_ms >= self._next_moves_ms
+        )
+        if self._moves_tasks:
+            self._next_moves_ms = (
+                self._dispatch_state.now_ms + MOVE_INTERVAL_MS
+            )
         for worker in self._dispatch_state.fleet:
             worker.is_cold = (
                 worker.cold_until_ms > self._dispatch_state.now_ms
@@ -101,8 +115,8 @@
     # Moves
 
     def acts_after_groups(self):
-        """Returns True while a data centre is evacuated."""
-        return bool(self._evacuated_names)
+        """Returns True at intervals while a data centre is evacuated."""
+        return self._moves_tasks
 
     def stop_runs(self, pool_round):
         """Stops runs in evacuated data centres that can go on elsewhere.
@@ -115,14 +129,21 @@
             return []
         spare_cpu = self._find_spare_cpu(pool_round)
         stopped_workers = []
+        # What keeps a task of a step from moving holds for its other tasks.
+        kept_steps = set()
         for worker, run in self._find_movable_runs(pool_round.pool):
-            needed_cpu = 0 if run.step.fills else run.step.cpu
-            if needed_cpu > spare_cpu:
+            task_id = run.live_run.task
+            step_key = task_id.workflow_id, task_id.occurrence, task_id.step
+            if step_key in kept_steps:
                 continue
-            if not self._may_begin_move(run, pool_round):
+            needed_cpu = 0 if run.step.fills else run.step.cpu
+            if needed_cpu > spare_cpu or not self._may_begin_move(
+                run, pool_round
+            ):
+                kept_steps.add(step_key)
                 continue
             spare_cpu -= needed_cpu
-            self._moves[run.live_run.task] = self._dispatch_state.now_ms, run
+            self._moves[task_id] = self._dispatch_state.now_ms, run
             metrics.count(MOVED_RUNS)
             self._dispatch_state.stop_run(run, 'evacuated')
             stopped_workers.append(worker)
--- a/tests/workflows/test_evacuation.py
+++ b/tests/workflows/test_evacuation.py
@@ -8,12 +8,14 @@
 import logging
 import random
 import unittest
+from unittest import mock
 
 import msgspec
 
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import workflows as records
 from fuchsiatrestle import workflows
+from fuchsiatrestle.workflows import _placement
 from standins import worker_model
 from tests.fakes import dispatch_world
 
@@ -318,6 +320,29 @@
                 self.assertEqual(3, least_count)
                 self.assertEqual(3, self._count_running_left('stays'))
 
+    def test_runs_without_room_elsewhere_cost_the_leader_little(self):
+        """It must not look for room for each run in each round."""
+        self._make_world()
+        memory_mb = dispatch_world.MEMORY_MIB // 8
+        fields = {'memory_mb': memory_mb, 'cpu': 100, 'checkpoints': True}
+        step = records.Step(16, estimate_ms=30_000, **fields)
+        profile = worker_model.TaskProfile(
+            100, memory_mb, 30_000, writes_checkpoints=True
+        )
+        for data_centre, workflow_id in (('left', 'other'), ('right', 'w')):
+            self._order(data_centre)
+            self._submit(workflow_id, step, profile)
+            self.world.run(500)
+            self._end(data_centre)
+        self._order('left')
+        with mock.patch.object(
+            _placement, 'has_room', wraps=_placement.has_room
+        ) as has_room:
+            self.world.run(2000)
+        self.assertEqual(16, self._count_running_left('w'))
+        # Four times a second, once for each worker.
+        self.assertLessEqual(has_room.call_count, 2 * 4 * 2 + 2)
+
     def test_long_running_tasks_move_one_at_a_time(self):
         for may_miss, moves in ((0, False), (1, True), (2, True)):
             with self.subTest(may_miss=may_miss):
