Measure run times by the clock of the leader

The time of an end was the latest agreed time, which stays ahead of the clock of the leader for as long as that was set back, or as the next leader's clock is behind. All run times were too long by this until then; estimates and the order of placement follow them. The new test failed before (999950 in place of 3000 ms); 48 tests of run times, estimates and workflows pass.

--- a/fuchsiatrestle/state/_workflows.py
+++ b/fuchsiatrestle/state/_workflows.py
@@ -235,7 +235,7 @@
         for worker in command.workers:
             self._register_worker(worker)
         for run_end in command.ends:
-            self._record_run_end(run_end)
+            self._record_run_end(run_end, command.now_ms)
         for lost_run in command.lost:
             self._record_lost_run(lost_run)
         for placement in command.placed:
@@ -263,11 +263,15 @@
             )
         self._workers[worker.worker] = worker
 
-    def _record_run_end(self, run_end):
+    def _record_run_end(self, run_end, reported_ms):
         """Applies a ``RunEnd`` that a worker has reported.
 
         An end that the worker's current process has listed and that was
         recorded before is ignored.
+
+        Args:
+            run_end: the ``RunEnd``.
+            reported_ms: time of the report by the leader's clock.
         """
         worker = self._workers.get(run_end.worker)
         if worker is not None and worker.born_ms == run_end.born_ms:
@@ -281,7 +285,7 @@
             return
         now_ms = self._progress_recorded_ms
         if run_end.how == 'done':
-            self._record_run_time(workflow, run_end)
+            self._record_run_time(workflow, run_end, reported_ms)
             workflow.finish_task(run_end.task, run_end.run, now_ms)
         elif run_end.how == 'failed':
             queue = self.current_queue(workflow)
@@ -298,19 +302,21 @@
             )
         self._close_workflow_if_ended(workflow, now_ms)
 
-    def _record_run_time(self, workflow, run_end):
+    def _record_run_time(self, workflow, run_end, reported_ms):
         """Records the run time of a live run that is done.
 
         A run that went on from a checkpoint tells nothing of the whole task,
-        and a run that was placed after the agreed time of its end has no time
-        to go by: the clock of a new leader is behind that of the earlier one.
+        and a run that was placed after the report of its end has no time to go
+        by: the clock of a new leader is behind that of the earlier one.  The
+        latest agreed time would not do: while it is ahead of a clock that was
+        set back, all run times would be too long.
         """
         step = workflow.get_step(run_end.task)
         task = workflow.tasks[run_end.task]
         live_run = task.live_runs.get(run_end.run)
         if live_run is None or not live_run.placed_ms:
             return
-        run_ms = self._progress_recorded_ms - live_run.placed_ms
+        run_ms = reported_ms - live_run.placed_ms
         if run_ms < 0 or task.checkpoint or step.lasts:
             return
         workflow.record_run_time(run_end.task.step, run_ms)
--- a/tests/state/test_run_times.py
+++ b/tests/state/test_run_times.py
@@ -215,6 +215,14 @@
         self.assertFalse(self._has_samples())
         self.assertIsNone(self._find_workflow().median_run_ms(0))
 
+    def test_run_times_are_right_after_the_clock_was_set_back(self):
+        """The latest agreed time is then ahead of the clock for long."""
+        _apply_command(self.machine, commands.RecordProgress(1, 10**6))
+        for index in range(5):
+            self._run_task(index)
+        part = self.machine.workflows
+        self.assertEqual(3000, part.find_workflow('a').median_run_ms(0))
+
     def test_long_running_tasks_do_not_count(self):
         step = msgspec.structs.replace(STEP, count=5, lasts=True)
         self.machine = _make_machine(step)
