Let no run share processor time where it would be halted at once

Runs that share processor time are halted first, from 0.85 times the target of a tail on, and stopped 2.5 s later. The tasks of an idle workflow were put on such workers nevertheless, again and again. They run at a limited pace now, which goes on there.

--- a/fuchsiatrestle/workflows/_placement.py
+++ b/fuchsiatrestle/workflows/_placement.py
@@ -324,11 +324,15 @@
         )
         if severity != _interference.Severity.LIGHT:
             return None
+        unused_cpu = self._unused_cpu(worker, allocations)
+        if unused_cpu < step.cpu and not worker.may_add_best_effort_run:
+            # Runs that share processor time are halted first.
+            return None
         return (
             worker.capacity.best_effort_limit < step.cpu,
             not worker.is_tail_calm,
             is_far_from_data,
-            -self._unused_cpu(worker, allocations),
+            -unused_cpu,
         )
 
 
--- a/tests/workflows/test_limited_runs.py
+++ b/tests/workflows/test_limited_runs.py
@@ -142,6 +142,33 @@
                 chosen = planner.choose_workers(_Round([worker], [group]))
                 self.assertEqual(is_placed, bool(list(chosen)))
 
+    def test_no_run_shares_cpu_where_it_would_be_halted_at_once(self):
+        """It would be stopped and start there again and again."""
+        model = _interference.InterferenceModel()
+        model.adopt_image_pairs([workflows.ImagePair('s', 'f', False)])
+        planner = _limited_runs.LimitedRunPlanner(
+            _DispatchState(), model, _WaitTimes()
+        )
+        task_ids = [workflows.TaskId('w', 0, 0, 0)]
+        group = _backlog.Group(_IdleWorkflow('w', 9000), 0, 0, task_ids)
+        for tail_ratio, is_limited in ((0.5, False), (0.9, True)):
+            with self.subTest(tail_ratio=tail_ratio):
+                worker = _make_worker('w0')
+                _add_serving_run(worker, 's', tail_ratio, model)
+                busy_step = workflows.Step(
+                    1, cpu=WORKER_CPU, image='f', fills=True
+                )
+                live_run = workflows.LiveRun(
+                    workflows.TaskId('busy', 0, 0, 0), 1, 'w0', 1
+                )
+                worker.add_run(
+                    _runs.Run(live_run, busy_step, _runs.Phase.RUNNING)
+                )
+                chosen = planner.choose_workers(_Round([worker], [group]))
+                self.assertEqual(
+                    [is_limited], [limits_pace for *_, limits_pace in chosen]
+                )
+
 
 class MoveTest(unittest.TestCase):
     def setUp(self):
