--- a/fuchsiatrestle/workflows/_pacing.py
+++ b/fuchsiatrestle/workflows/_pacing.py
@@ -29,17 +29,21 @@
 MIN_SHARED_PACE_PERCENT = 25
 # Limits on the largest ratio of a tail latency on a worker to its target.  At
 # or above HALT_SUSPECTS_RATIO the best-effort runs that may interfere are
-# halted.  If there are none, all best-effort runs are slowed by a step at or
-# above SLOW_ALL_RATIO, by two at or above SLOW_MORE_RATIO, and halted at or
-# above HALT_ALL_RATIO, or if they are at the lowest pace already.  Below
-# RAISE_RATIO slowed runs are raised by a step, and below RESUME_RATIO the
-# halted ones that are not known to interfere run again.
+# halted.  If there are none, or their halt did not help, all other best-effort
+# runs are slowed by a step at or above SLOW_ALL_RATIO, by two at or above
+# SLOW_MORE_RATIO, and halted at or above HALT_ALL_RATIO, or if they are at the
+# lowest pace already.  Below RAISE_RATIO slowed runs are raised by a step, and
+# below RESUME_RATIO the halted ones that are not known to interfere run again.
 HALT_SUSPECTS_RATIO = 0.85
 SLOW_ALL_RATIO = 0.95
 SLOW_MORE_RATIO = 1.1
 HALT_ALL_RATIO = 1.3
 RAISE_RATIO = 0.85
 RESUME_RATIO = 0.72
+# If a tail latency stays over its target for this long, all best-effort runs
+# are halted, as the lowest pace may leave it slightly over the target.  Three
+# changes of pace fit into this time, and the halt shows before 4 s are over.
+MAX_OVER_TARGET_MS = 2500
 # Measurements cover half a second, so a change of pace shows fully only after
 # this time; until then no run is resumed.
 SETTLE_MS = 700
@@ -65,6 +69,7 @@
 
     __slots__ = (
         '_interference_model',
+        '_over_target_since_ms',
         '_pace_changed_ms',
         '_pace_limits',
         '_runs_halted_since_ms',
@@ -76,6 +81,8 @@
     def __init__(self, interference_model, worker_name=''):
         self._interference_model = interference_model
         self._runs_halted_since_ms = None
+        # Since when lists show a tail latency over its target, None if not.
+        self._over_target_since_ms = None
         # Pace of the runs that are neither halted nor limited, and when it
         # was changed last.
         self._shared_pace_percent = FULL_PACE_PERCENT
@@ -129,8 +136,19 @@
         )
         if not best_effort_runs:
             self._runs_halted_since_ms = None
+            self._over_target_since_ms = None
             self._shared_pace_percent = FULL_PACE_PERCENT
             return []
+        if self._worst_tail_ratio <= 1:
+            self._over_target_since_ms = None
+        elif self._over_target_since_ms is None:
+            self._over_target_since_ms = now_ms
+        if not any(
+            run.wanted_pace_percent == HALTED_PACE_PERCENT
+            for run in best_effort_runs
+        ):
+            # The halted runs have ended or are being stopped.
+            self._end_halt()
         serving_images = {run.step.image for run in serving_runs}
         self._update_pace_limits(best_effort_runs, now_ms)
         self._set_paces(best_effort_runs, serving_images, now_ms)
@@ -165,6 +183,14 @@
             and self._severity(serving_images, run) == _Severity.LIGHT
         ]
 
+    def _end_halt(self):
+        """Forgets since when runs are halted; the tail may yet settle."""
+        if self._runs_halted_since_ms is not None:
+            self._pace_changed_ms = max(
+                self._pace_changed_ms, self._runs_halted_since_ms
+            )
+            self._runs_halted_since_ms = None
+
     def _update_pace_limits(self, best_effort_runs, now_ms):
         limited_images = {
             run.step.image for run in best_effort_runs if run.is_pace_limited
@@ -183,12 +209,13 @@
             if self._severity(serving_images, run) != _Severity.LIGHT
             or _may_be_halted_first(run)
         ]
-        if self._worst_tail_ratio >= HALT_SUSPECTS_RATIO and suspect_runs:
+        if self._must_halt_suspects(suspect_runs, now_ms):
             self._halt_runs(suspect_runs, now_ms)
         elif self._must_halt_all(now_ms):
             self._halt_runs(best_effort_runs, now_ms)
         elif self._worst_tail_ratio >= SLOW_ALL_RATIO:
-            self._lower_shared_pace(now_ms)
+            if any(run.wanted_pace_percent for run in best_effort_runs):
+                self._lower_shared_pace(now_ms)
         elif (
             self._worst_tail_ratio < RESUME_RATIO
             and self._has_pace_change_settled(now_ms)
@@ -208,10 +235,29 @@
             self._raise_shared_pace(now_ms)
         self._apply_shared_pace(best_effort_runs)
 
+    def _must_halt_suspects(self, suspect_runs, now_ms):
+        """True if the runs that may interfere are halted, and no others.
+
+        It is False as well once their halt shows in the measured tail: the
+        others then disturb the serving tasks, too, if it is still high.
+        """
+        if not suspect_runs or self._worst_tail_ratio < HALT_SUSPECTS_RATIO:
+            return False
+        return (
+            any(run.wanted_pace_percent for run in suspect_runs)
+            or self._runs_halted_since_ms is None
+            or now_ms - self._runs_halted_since_ms < SETTLE_MS
+        )
+
     def _must_halt_all(self, now_ms):
         """True if slower runs would not protect the serving tasks."""
         if self._worst_tail_ratio >= HALT_ALL_RATIO:
             return True
+        if (
+            self._over_target_since_ms is not None
+            and now_ms - self._over_target_since_ms >= MAX_OVER_TARGET_MS
+        ):
+            return True
         return (
             self._worst_tail_ratio >= SLOW_MORE_RATIO
             and self._shared_pace_percent <= MIN_SHARED_PACE_PERCENT
--- a/tests/workflows/test_pacing.py
+++ b/tests/workflows/test_pacing.py
@@ -120,6 +120,46 @@
             stop_ms_by_run,
         )
 
+    def _add_unclassified_run(self):
+        step = workflows.Step(1, cpu=1000, image='u', fills=True)
+        return _add_run(self.worker, 'u', step)
+
+    def test_others_are_slowed_while_halted_suspects_do_not_help(self):
+        """The serving task must not wait until the suspects are stopped."""
+        for tail_ratio, max_pace_percent in ((1.5, 0), (1.05, 75)):
+            with self.subTest(tail_ratio=tail_ratio):
+                self.setUp()
+                run = self._add_best_effort_run(checkpoints=False)
+                suspect_run = self._add_unclassified_run()
+                self._poll(tail_ratio)
+                self.assertEqual(0, suspect_run.pace_percent)
+                self.assertEqual(100, run.pace_percent)
+                for _ in range(2):
+                    self._poll(tail_ratio)
+                self.assertLessEqual(run.pace_percent, max_pace_percent)
+
+    def test_tail_does_not_stay_slightly_over_target(self):
+        """The lowest pace may leave the tail over its target for ever."""
+        run = self._add_best_effort_run()
+        for _ in range(6):
+            self._poll(1.05)
+        self.assertEqual(0, run.pace_percent)
+
+    def test_halt_is_over_once_the_halted_runs_are_gone(self):
+        """The others must not stay slow at a tail between the limits."""
+        run = self._add_best_effort_run()
+        suspect_run = self._add_unclassified_run()
+        self._poll(0.9)
+        self.assertEqual(0, suspect_run.pace_percent)
+        self.worker.remove_run(suspect_run.key)
+        for _ in range(2):
+            self._poll(1.0)
+        self.assertLess(run.pace_percent, 100)
+        for _ in range(10):
+            self._poll(0.8)
+        self.assertEqual(100, run.pace_percent)
+        self.assertTrue(self.worker.may_add_best_effort_run)
+
     def test_no_run_is_added_where_it_would_be_slowed(self):
         self._add_best_effort_run()
         self._poll(0.9)
