Replace a copy that is lost, after 5 s

The rule that a task's only live run had to be its latest one kept a task whose copy was lost or refused from ever getting another one, and made the delay of 5 s between copies useless. New tests: a lost copy is replaced, not at once (fails with the delay off), and a new leader knows the run times of ended tasks (fails with the agreed median off).

--- a/fuchsiatrestle/workflows/_stragglers.py
+++ b/fuchsiatrestle/workflows/_stragglers.py
@@ -356,7 +356,6 @@
             workflow.may_copy(run.live_run.task)
             and not task.is_done
             and list(task.live_runs) == [run.live_run.run]
-            and task.last_run_number == run.live_run.run
             and not task.possible_worker_crashes
             and task.failures + 2 <= queue.max_failures
         )
--- a/tests/workflows/test_stragglers.py
+++ b/tests/workflows/test_stragglers.py
@@ -211,6 +211,19 @@
                     self.assertEqual([], world.ledger.breaches)
                     self.assertEqual(0, world.task().failures)
 
+    def test_lost_copy_is_replaced_after_a_while(self):
+        """A refused start would else be repeated in each round."""
+        self.world.submit_step()
+        workers = self.world.wait_for_copy()
+        self.world.run(1200)
+        self.world.crash_worker(workers[1], 200)
+        self.world.run(2500)
+        self.assertEqual([1], list(self.world.task().live_runs))
+        self.assertEqual(2, self.world.task().last_run_number)
+        self.world.run(2500)
+        self.assertEqual([1, 3], list(self.world.task().live_runs))
+        self.assertEqual([], self.world.ledger.breaches)
+
     def test_new_leader_adopts_both_runs(self):
         """Guards against a third run, and against one that is not stopped."""
         for restores in (False, True):
@@ -296,6 +309,13 @@
             ),
         )
 
+    def test_new_leader_knows_the_run_times_of_ended_tasks(self):
+        world = _World()
+        world.submit_step()
+        world.run(WORK_MS + 1000)
+        world.start_leader()
+        world.wait_for_copy()
+
     def test_single_task_is_copied_by_the_learned_run_time(self):
         def learn(world):
             for number in range(6):
