Order a pace again whose answer was lost

A worker may have changed the pace of a run although its answer is lost. If the wanted pace went back to the last one that was acknowledged meanwhile, no order was sent any more, and the run stayed slow or halted until the next leader. The pace now counts as unknown. The new test failed before (still running after 6 s); 72 tests of answers, paces, waits, decisions and random runs pass.

--- a/fuchsiatrestle/workflows/_answers.py
+++ b/fuchsiatrestle/workflows/_answers.py
@@ -203,6 +203,9 @@
             if run.stops_once_halted and not run.pace_percent:
                 self._dispatch_state.stop_run(run, 'disturbs')
         else:
+            # The worker may have changed the pace, and only its answer is
+            # lost.
+            run.pace_percent = None
             run.next_order_ms = self._dispatch_state.now_ms + (
                 retry_delay_ms or _fleet.RETRY_MIN_MS
             )
--- a/tests/workflows/test_answers.py
+++ b/tests/workflows/test_answers.py
@@ -8,6 +8,10 @@
 from tests.fakes import dispatch_world
 
 BATCH_STEP = workflows.Step(1, cpu=1000, memory_mb=100, estimate_ms=3000)
+FILLING_STEP = workflows.Step(
+    1, cpu=1000, memory_mb=100, estimate_ms=3000, image='f', fills=True
+)
+FILLING_SIZE = worker_model.TaskProfile(1000, 100, 3000, fills=True, image='f')
 BATCH_SIZE = worker_model.TaskProfile(1000, 100, 3000)
 ENDLESS_STEP = workflows.Step(1, cpu=1000, memory_mb=100, lasts=True)
 ENDLESS_SIZE = worker_model.TaskProfile(1000, 100, None)
@@ -52,5 +56,30 @@
                 self.assertEqual([], world.ledger.breaches)
 
 
+class LostPaceAnswerTest(unittest.TestCase):
+    """The answer to an order of pace is lost."""
+
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    def test_run_is_not_left_halted(self):
+        """It must be resumed although no halt is known to this leader."""
+        world = dispatch_world.World(1, workers=1)
+        world.submit('batch', [FILLING_STEP], [FILLING_SIZE])
+        world.run(1000)
+        worker = world._dispatcher._state.fleet.get('w0')
+        (run,) = worker.runs.values()
+        run.want_halt(world.now_ms)
+        world.voiceless_workers.add('w0')
+        world.run(500)
+        self.assertEqual([0], world.paces('w0'))
+        run.wanted_pace_percent = 100
+        world.run(1000)
+        world.voiceless_workers.clear()
+        world.run(6000)
+        self.assertEqual('completed', world.workflow_state('batch'))
+
+
 if __name__ == '__main__':
     unittest.main()
