--- a/fuchsiatrestle/control/_leadership.py
+++ b/fuchsiatrestle/control/_leadership.py
@@ -24,6 +24,7 @@
         self._led_term = None
         self._confirmed_since_ms = 0
         self._confirmed_until_ms = 0
+        # The name is looked up at each call, as tests replace the function.
         self._pause_detector = pauses.PauseDetector(
             lambda: read_suspended_ms()
         )
--- a/fuchsiatrestle/workflows/_evacuation.py
+++ b/fuchsiatrestle/workflows/_evacuation.py
@@ -57,7 +57,8 @@
         self._evacuated_names = []
         # Time of the stop and the ``Run`` of each task that moves, by task id.
         self._moves = {}
-        # Whether this round looks for tasks to move, and when the next may.
+        # True if this round looks for tasks to move, and the earliest time of
+        # the next one that does.
         self._moves_tasks = False
         self._next_moves_ms = 0
 
--- a/fuchsiatrestle/workflows/_placement.py
+++ b/fuchsiatrestle/workflows/_placement.py
@@ -315,7 +315,9 @@
 
     It may share the processor time there with other best-effort runs; the
     workers that have enough of it for the task are preferred, and the one on
-    which other runs use the least.
+    which other runs use the least.  Where the tail is near its target, the
+    task needs unused processor time, as a run that shares it would be halted
+    at once.
     """
 
     def _score_best_effort(self, step, worker, allocations, is_far_from_data):
