Learn task sizes and keep large workers for large tasks

Best fit puts a small task where the least processor time remains, also if that takes the last room of a large task. The switch balances_sizes (off by default) learns the sizes that callers submit and orders the workers by them.

--- a/fuchsiatrestle/control/_daemon.py
+++ b/fuchsiatrestle/control/_daemon.py
@@ -260,6 +260,7 @@
             refuses_overload=self._cfg.get('workflows', 'refuse_overload'),
             learns_run_times=self._cfg.get('workflows', 'learn_run_times'),
             copies_stragglers=self._cfg.get('workflows', 'copy_stragglers'),
+            balances_sizes=self._cfg.get('workflows', 'balance_sizes'),
         )
 
     def _connect_members(self, index, names):
--- a/fuchsiatrestle/control/_settings.py
+++ b/fuchsiatrestle/control/_settings.py
@@ -45,6 +45,7 @@
         settings.BoolOption('refuse_overload', False),
         settings.BoolOption('learn_run_times', False),
         settings.BoolOption('copy_stragglers', False),
+        settings.BoolOption('balance_sizes', False),
     ),
     # See ``agreement.ReplicaConfig``.
     settings.Section(
--- a/fuchsiatrestle/state/_workflows.py
+++ b/fuchsiatrestle/state/_workflows.py
@@ -97,6 +97,11 @@
         """Workflows whose tasks may be started, as ``Workflow`` by id."""
         return self._open_workflows_by_id
 
+    @property
+    def retained_workflows(self):
+        """Iterable of every ``Workflow`` that is open or ended lately."""
+        return self._workflows.values()
+
     @property
     def worker_records(self):
         """Registered workers, as ``WorkerRecord`` by id."""
--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -14,7 +14,6 @@
 from fuchsiatrestle.workflows import _events
 from fuchsiatrestle.workflows import _interference
 from fuchsiatrestle.workflows import _orders
-from fuchsiatrestle.workflows import _placement
 from fuchsiatrestle.workflows import _policies
 from fuchsiatrestle.workflows import _round_planner
 from fuchsiatrestle.workflows import _run_ends
@@ -44,7 +43,7 @@
         token: fencing token, higher than that of every earlier leader.
         timing: ``Timing``.
         now_ms: monotonic time, in milliseconds.
-        placer: ``Placer``, ``BestFit`` by default.
+        placer: ``Placer``; that of the policies by default.
         features: ``Features``; by default none is switched on.
     """
 
@@ -68,7 +67,10 @@
             self._state,
             self._backlog,
             self._interference_model,
-            placer or _placement.BestFit(self._interference_model),
+            placer
+            or _policies.make_placer(
+                self._state.policies, self._interference_model
+            ),
             self._state.policies,
         )
         self._order_planner = _orders.OrderPlanner(self._state, timing)
--- a/fuchsiatrestle/workflows/_placement.py
+++ b/fuchsiatrestle/workflows/_placement.py
@@ -173,12 +173,22 @@
         colocation_cost = 0
         if step.tail_target_ms:
             colocation_cost = self._colocation_cost(step, worker)
-        remaining_cpu = (
+        return (
+            is_far_from_data,
+            colocation_cost,
+            self._score_room(step, worker, allocations),
+        )
+
+    def _score_room(self, step, worker, allocations):
+        """Returns a sort key of the room that a task leaves on a worker.
+
+        It is the processor time that remains free.
+        """
+        return (
             worker.capacity.free_cpu
             - allocations.allocated_cpu(worker)
             - step.cpu
         )
-        return is_far_from_data, colocation_cost, remaining_cpu
 
     def find_obstacle(self, step, task_id, worker):
         """Tells also what bars a worker to a best-effort step."""
--- a/fuchsiatrestle/workflows/_policies.py
+++ b/fuchsiatrestle/workflows/_policies.py
@@ -6,7 +6,9 @@
 
 import abc
 
-__all__ = ('Placement', 'PlacementPolicy', 'make_policies')
+from fuchsiatrestle.workflows import _placement
+
+__all__ = ('Placement', 'PlacementPolicy', 'make_placer', 'make_policies')
 
 
 class Placement:
@@ -41,6 +43,14 @@
         """
         return None
 
+    def make_placer(self, interference_model):
+        """Returns the ``Placer`` of this policy, None if it has none.
+
+        Args:
+            interference_model: the ``InterferenceModel``.
+        """
+        return None
+
     def may_use(self, worker):
         """Returns False if no task may be placed on a worker in this round.
 
@@ -101,8 +111,25 @@
     """
     # Imported here, as each policy derives from the base class above.
     from fuchsiatrestle.workflows import _evacuation
+    from fuchsiatrestle.workflows import _size_balance
 
     policies = []
     if features.evacuation_ms:
         policies.append(_evacuation.EvacuationPolicy(dispatch_state))
+    if features.balances_sizes:
+        policies.append(_size_balance.SizeBalancePolicy(dispatch_state))
     return policies
+
+
+def make_placer(policies, interference_model):
+    """Returns the ``Placer`` of the first policy with one, else ``BestFit``.
+
+    Args:
+        policies: list of the ``PlacementPolicy`` values in force.
+        interference_model: the ``InterferenceModel``.
+    """
+    for policy in policies:
+        placer = policy.make_placer(interference_model)
+        if placer is not None:
+            return placer
+    return _placement.BestFit(interference_model)
--- a/fuchsiatrestle/workflows/_settings.py
+++ b/fuchsiatrestle/workflows/_settings.py
@@ -61,9 +61,12 @@
         copies_stragglers: True if a task that takes unusually long gets a
             second run where its step allows copies.
         data_centres: names of all data centres, as the settings list them.
+        balances_sizes: True if small tasks are kept off workers on which
+            large tasks would fit, while others have room.
     """
 
     __slots__ = (
+        'balances_sizes',
         'copies_stragglers',
         'data_centres',
         'evacuation_ms',
@@ -79,9 +82,11 @@
         learns_run_times=False,
         copies_stragglers=False,
         data_centres=(),
+        balances_sizes=False,
     ):
         self.evacuation_ms = evacuation_ms
         self.refuses_overload = refuses_overload
         self.learns_run_times = learns_run_times
         self.copies_stragglers = copies_stragglers
         self.data_centres = data_centres
+        self.balances_sizes = balances_sizes
