--- a/fuchsiatrestle/workflows/_size_balance.py
+++ b/fuchsiatrestle/workflows/_size_balance.py
@@ -13,9 +13,10 @@
 
 __all__ = ('SizeBalancePolicy', 'SizeFit')
 
-# Processor time that no likely task can use after a placement counts this many
-# times more than what remains for others.
-UNUSABLE_CPU_FACTOR = 4
+# Processor time that remains free counts this many times if no likely task can
+# use it.  Two lets a task open another worker only if that leaves less than
+# twice as much.
+UNUSABLE_CPU_FACTOR = 2
 # Shortest time between two measurements, each with a log line.
 REPORT_INTERVAL_MS = 1000
 
@@ -96,11 +97,11 @@
             if size.fits(
                 record.labels, remaining_cpu, memory_mb, accelerators
             ):
-                return lost_count, possible_count, remaining_cpu
+                return possible_count, lost_count, remaining_cpu
         return (
-            lost_count,
             possible_count,
-            (1 + UNUSABLE_CPU_FACTOR) * remaining_cpu,
+            lost_count,
+            UNUSABLE_CPU_FACTOR * remaining_cpu,
         )
 
     def _select_sizes(self, step, pool):
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -36,10 +36,17 @@
 # Counters
 
 
-_PRINT_DECLARED = (
-    'import importlib, json; from fuchsiatrestle import metrics;'
-    'importlib.import_module({module!r}); print(json.dumps(metrics.DECLARED))'
-)
+# The policies of placement rounds are imported only if a setting asks for
+# them, so all modules of their package are imported where a program uses it.
+_PRINT_DECLARED = """
+import importlib, json, pkgutil, sys
+from fuchsiatrestle import metrics
+importlib.import_module({module!r})
+package = sys.modules.get('fuchsiatrestle.workflows')
+for module in pkgutil.iter_modules(package.__path__) if package else ():
+    importlib.import_module(package.__name__ + '.' + module.name)
+print(json.dumps(metrics.DECLARED))
+"""
 
 
 def _load_declared_metrics(module):
