--- a/tests/workflows/test_size_balance.py
+++ b/tests/workflows/test_size_balance.py
@@ -226,7 +226,7 @@
         self.assertLessEqual(longest_ms[True], longest_ms[False] + JITTER_MS)
 
     def test_more_large_tasks_start_soon_and_no_small_one_waits(self):
-        """Of 114 large tasks, 86 to 88 start within 1 s, instead of 67 to 73."""
+        """Of 114 large tasks, 86 to 88 start in 1 s, instead of 67 to 73."""
         self._check_gain(SEEDS, 10)
 
     def test_new_leader_goes_on(self):
