--- a/fuchsiatrestle/workflows/_policies.py
+++ b/fuchsiatrestle/workflows/_policies.py
@@ -41,6 +41,14 @@
         """
         return None
 
+    def make_placer(self, interference_model):
+        """Returns the ``Placer`` of this policy, None if it has none.
+
+        Args:
+            interference_model: the ``InterferenceModel``.
+        """
+        return None
+
     def may_use(self, worker):
         """Returns False if no task may be placed on a worker in this round.
 
