Test what clients that are not controlled do to the daemons

Cause: clients with legal bodies, many fields, pipelined requests or slow reading can make a process run out of memory or descriptors (Part 5 of docs/design).

--- a/tests/platform/_deployment.py
+++ b/tests/platform/_deployment.py
@@ -103,6 +103,10 @@
         control_count: number of control daemons.
         seed_count: number of control daemons that the settings name as seeds.
         worker_count: number of workers.
+        further_settings: text added to the settings of all programs, in which
+            ``{host}`` and ``{metrics}`` stand for the host of the program and
+            a free port.
+        control_settings: text added to the settings of the control daemons.
 
     Attributes:
         relay: ``relay.Relay`` in front of the workers, by the names that they
@@ -113,16 +117,32 @@
         fleet: the workers, whose ledger records what they run.
     """
 
-    def __init__(self, folder, control_count=3, seed_count=3, worker_count=4):
-        link_port, control_port, ready_port, worker_port, announced_port = (
-            _ports.find_free_ports(5)
-        )
+    def __init__(
+        self,
+        folder,
+        control_count=3,
+        seed_count=3,
+        worker_count=4,
+        further_settings='',
+        control_settings='',
+    ):
+        (
+            link_port,
+            control_port,
+            ready_port,
+            metrics_port,
+            worker_port,
+            announced_port,
+        ) = _ports.find_free_ports(6)
         self._folder = folder
+        self._further_settings = further_settings
+        self._control_settings = _CONTROL_SETTINGS + control_settings
         self._may_found = 'yes'
         self._ports = {
             'link': link_port,
             'control': control_port,
             'ready': ready_port,
+            'metrics': metrics_port,
         }
         self.hosts = [
             f'127.0.7.{number + 1}' for number in range(control_count)
@@ -131,7 +151,7 @@
             f'{host}:{control_port}' for host in self.hosts[:seed_count]
         )
         self.controls = {
-            host: self._create_program('control', host, _CONTROL_SETTINGS)
+            host: self._create_program('control', host, self._control_settings)
             for host in self.hosts
         }
         self.entry = self._create_program(
@@ -161,9 +181,10 @@
         folder = os.path.join(self._folder, f'{host}.data')
         os.makedirs(folder, exist_ok=True)
         path = os.path.join(self._folder, f'{host}.ini')
+        template = settings_template + self._further_settings
         with open(path, 'w', encoding='utf-8') as stream:
             stream.write(
-                settings_template.format(
+                template.format(
                     seeds=self._seeds,
                     host=host,
                     folder=folder,
@@ -177,6 +198,15 @@
         """Returns the control address of the daemon on a host."""
         return settings.Address(host, self._ports['control'])
 
+    def find_entry_address(self, listener):
+        """Returns the address of a listener of the entry.
+
+        Args:
+            listener: ``callers``, ``ready`` or ``metrics``.
+        """
+        port_name = 'control' if listener == 'callers' else listener
+        return settings.Address('127.0.8.1', self._ports[port_name])
+
     def _create_program(self, role, host, settings_template):
         path = self._write_settings(host, settings_template)
         return _processes.Process(
@@ -199,7 +229,7 @@
         self._may_found = 'no'
         self._seeds = ','.join(str(self.address(seed)) for seed in seed_hosts)
         self.controls[host] = self._create_program(
-            'control', host, _CONTROL_SETTINGS
+            'control', host, self._control_settings
         )
         self.fleet.set_control_addresses(
             [self.address(other) for other in self.hosts]
@@ -223,7 +253,7 @@
         """Writes all settings with the daemons of today as seeds."""
         self._seeds = ','.join(str(self.address(host)) for host in self.hosts)
         for host in self.controls:
-            self._write_settings(host, _CONTROL_SETTINGS)
+            self._write_settings(host, self._control_settings)
         self._write_settings('127.0.8.1', _ENTRY_SETTINGS)
 
     async def start(self):
