Limit what clients of the HTTP listeners take, trial state

One memory budget a process, limits on connections, fields, JSON values, pipelined requests and rates; bytes of link queues, log and large workflows.

--- a/fuchsiatrestle/agreement/_log.py
+++ b/fuchsiatrestle/agreement/_log.py
@@ -92,6 +92,23 @@
         """Drops the entries from ``first_dropped_index`` on."""
         del self._entries[first_dropped_index - self.base_index - 1 :]
 
+    def find_kept_base(self, last_index, max_entries, max_bytes):
+        """Returns the index before the entries to keep up to ``last_index``.
+
+        Args:
+            last_index: index of the last entry that may be dropped.
+            max_entries: maximum number of entries to keep.
+            max_bytes: maximum size of their data, in bytes.
+        """
+        index = last_index
+        first_index = max(last_index - max_entries, self.base_index)
+        while index > first_index:
+            max_bytes -= len(self._entries[index - self.base_index - 1].data)
+            if max_bytes < 0:
+                break
+            index -= 1
+        return index
+
     def compact(self, index):
         """Drops the entries up to ``index``."""
         if index <= self.base_index:
--- a/fuchsiatrestle/agreement/_replica.py
+++ b/fuchsiatrestle/agreement/_replica.py
@@ -439,13 +439,18 @@
     def compact_log(self, snapshot):
         """Drops log entries that a durable snapshot covers.
 
-        The last ``max_kept_entries`` of them stay in memory, so that followers
-        that lag a little need no snapshot.
+        The last ``max_kept_entries`` of them stay in memory, within
+        ``max_kept_bytes``, so that followers that lag a little need no
+        snapshot.
         """
         if snapshot.last_index <= self._snapshot_index:
             return
         self.snapshot = snapshot
-        new_base_index = snapshot.last_index - self.cfg.max_kept_entries
+        new_base_index = self.log.find_kept_base(
+            snapshot.last_index,
+            self.cfg.max_kept_entries,
+            self.cfg.max_kept_bytes,
+        )
         if new_base_index > self.log.base_index:
             self.log.compact(new_base_index)
             self._voter_history.compact(new_base_index)
--- a/fuchsiatrestle/agreement/_settings.py
+++ b/fuchsiatrestle/agreement/_settings.py
@@ -25,6 +25,7 @@
         snapshot_chunk_bytes: size of one snapshot chunk, in bytes.
         max_snapshot_bytes: limit of an encoded snapshot that is received, in
             bytes.
+        max_kept_bytes: limit of the size of these entries, in bytes.
         max_kept_entries: number of entries before a snapshot's last index that
             stay in memory, for followers that lag a little.
         max_promote_lag_entries: number of committed entries that a learner
@@ -53,6 +54,7 @@
         'max_append_bytes',
         'max_append_entries',
         'max_inflight_appends',
+        'max_kept_bytes',
         'max_kept_entries',
         'max_promote_lag_entries',
         'max_snapshot_bytes',
@@ -80,6 +82,7 @@
         snapshot_chunk_bytes=128 * 1024,
         max_snapshot_bytes=128 * 1024 * 1024,
         max_kept_entries=1000,
+        max_kept_bytes=16 * 1024 * 1024,
         max_promote_lag_entries=0,
         auto_admit=True,
         auto_admit_unlisted=False,
@@ -100,6 +103,7 @@
         self.snapshot_chunk_bytes = snapshot_chunk_bytes
         self.max_snapshot_bytes = max_snapshot_bytes
         self.max_kept_entries = max_kept_entries
+        self.max_kept_bytes = max_kept_bytes
         self.max_promote_lag_entries = max_promote_lag_entries
         self.auto_admit = auto_admit
         self.auto_admit_unlisted = auto_admit_unlisted
--- a/fuchsiatrestle/control/_daemon.py
+++ b/fuchsiatrestle/control/_daemon.py
@@ -31,6 +31,7 @@
 # Time before the link is closed, for messages in its send queues to leave.
 SEND_DRAIN_S = 0.2
 MAX_STATE_BACKLOG_EVENTS = 10000
+MAX_STATE_BACKLOG_BYTES = 16 * 1024 * 1024
 
 # Calls that the service answers; each carries a ``call_id``.
 _CALL_MESSAGES = (
@@ -109,6 +110,8 @@
         # events are put without this check; what the replica task adds is
         # bounded by its limit on uncommitted entries instead.
         self._state_inbox = curio.Queue()
+        # Size of the commands in the calls that the queue holds.
+        self._state_backlog_bytes = 0
         # None until ``start``.
         self._replica_task = None
         # The newest committed ``messages.MemberList``.
@@ -201,6 +204,10 @@
             state.snapshot,
             self._make_worker_timing(),
             self._make_workflow_features(),
+            log_bytes=self._cfg.get('state', 'log_bytes'),
+            large_workflow_bytes=self._cfg.get(
+                'state', 'large_workflow_bytes'
+            ),
         )
         replica = agreement.Replica(
             self._cfg.get('control', 'cell'),
@@ -239,6 +246,7 @@
             replaced_voter_ms=self._cfg.get('timing', 'replaced_voter_ms'),
             lost_voter_ms=self._cfg.get('timing', 'lost_voter_ms'),
             tolerated_losses=self._cfg.get('control', 'tolerated_losses'),
+            max_kept_bytes=self._cfg.get('state', 'log_bytes') // 2,
         )
 
     def _make_worker_timing(self):
@@ -335,13 +343,17 @@
             self._replica_task.inbox.put(event)
         elif not isinstance(message, _CALL_MESSAGES):
             metrics.count(REFUSED_MISDIRECTED)
-        elif self._state_inbox.qsize() >= MAX_STATE_BACKLOG_EVENTS:
+        elif (
+            self._state_inbox.qsize() >= MAX_STATE_BACKLOG_EVENTS
+            or self._state_backlog_bytes >= MAX_STATE_BACKLOG_BYTES
+        ):
             _refusals.count_refusal('overloaded')
             refusal = messages.ControlRefused(
                 message.call_id, 'overloaded', ''
             )
             self._link.send(peer, refusal)
         else:
+            self._state_backlog_bytes += _count_command_bytes(message)
             await self._state_inbox.put(_events.Call(peer, message))
 
     async def _run_state_task(self):
@@ -354,6 +366,10 @@
         """
         while True:
             event = await self._state_inbox.get()
+            if isinstance(event, _events.Call):
+                self._state_backlog_bytes -= _count_command_bytes(
+                    event.message
+                )
             for effect in self._service.step(event, daemon.monotonic_ms()):
                 await self._carry_out_effect(effect)
             if isinstance(event, _events.DataFolderFailed):
@@ -408,3 +424,10 @@
                 while self._replica_task.role == 'leader':
                     await curio.sleep(REPLICA_TICK_INTERVAL_S)
         await curio.sleep(SEND_DRAIN_S)
+
+
+def _count_command_bytes(message):
+    """Returns the size of the command that a call carries, in bytes."""
+    if isinstance(message, messages.ProposeCommand):
+        return len(message.command)
+    return 0
--- a/fuchsiatrestle/control/_service.py
+++ b/fuchsiatrestle/control/_service.py
@@ -9,6 +9,7 @@
 from fuchsiatrestle import agreement
 from fuchsiatrestle.control import _calls
 from fuchsiatrestle.control import _events
+from fuchsiatrestle.control import _large_workflows
 from fuchsiatrestle.control import _leader
 from fuchsiatrestle.control import _refusals
 from fuchsiatrestle import core
@@ -27,12 +28,18 @@
 # one.
 MAX_PENDING_CALLS = 5000
 MAX_COMMAND_BYTES = 1024 * 1024
+DEFAULT_LOG_BYTES = 16 * 1024 * 1024
+DEFAULT_LARGE_WORKFLOW_BYTES = 96 * 1024 * 1024
 # Limit of calls that wait for the next tick, which requests one read for all
 # of them.
 MAX_CALLS_FOR_NEXT_READ = 5000
 
 APPLIED_INDEX = metrics.declare('agreement.applied', 'Applied log index.')
 SNAPSHOTS_TAKEN = metrics.declare('agreement.snapshots', 'Snapshots taken.')
+LARGE_WORKFLOW_REFUSED = metrics.declare(
+    'refused.large_workflow',
+    'Large workflows refused as those accepted fill their memory (503).',
+)
 SNAPSHOT_BYTES = metrics.declare(
     'agreement.snapshot_bytes', 'Size of the last snapshot, in bytes.'
 )
@@ -68,6 +75,9 @@
             state.
         timing: ``workflows.Timing``; None for the defaults.
         features: ``workflows.Features``; None if none is switched on.
+        log_bytes: size of the applied entries after which a snapshot is made
+            before ``snapshot_entries`` are reached.
+        large_workflow_bytes: limit of the memory of large workflows.
     """
 
     def __init__(
@@ -77,12 +87,21 @@
         snapshot=None,
         timing=None,
         features=None,
+        *,
+        log_bytes=DEFAULT_LOG_BYTES,
+        large_workflow_bytes=DEFAULT_LARGE_WORKFLOW_BYTES,
     ):
         self._name = name
         self._timing = timing or workflows.Timing()
         self._features = features or workflows.Features()
         self._snapshot_entries = snapshot_entries
         self._machine = state_machine.StateMachine()
+        self._large_workflows = _large_workflows.LargeWorkflows(
+            self._machine.workflows, large_workflow_bytes
+        )
+        self._log_bytes = log_bytes
+        # Size of the entries applied since the last snapshot was made.
+        self._applied_bytes = 0
         self._snapshot_index = 0
         self._snapshot_pending = False
         self._call_table = _calls.CallTable()
@@ -95,6 +114,7 @@
         self._now_ms = 0
         if snapshot is not None:
             self._machine.restore(snapshot.data)
+            self._large_workflows.rebuild()
             self._snapshot_index = snapshot.last_index
         self._handlers = {
             _events.Tick: self._on_tick,
@@ -183,6 +203,14 @@
         if not isinstance(command, _EXTERNAL_COMMANDS):
             self._refuse_call(call, 'bad_request', type(command).__name__)
             return
+        if isinstance(
+            command, commands.SubmitWorkflow
+        ) and not self._large_workflows.may_propose(
+            command, len(encoded_command)
+        ):
+            metrics.count(LARGE_WORKFLOW_REFUSED)
+            self._refuse_call(call, 'overloaded', 'too many large workflows')
+            return
         self._propose_command(call, encoded_command)
 
     def _propose_command(self, call, encoded_command):
@@ -302,6 +330,9 @@
     def _apply_entry(self, entry):
         command = state_machine.decode_command(entry)
         outcome = self._machine.apply(entry.index, command)
+        self._applied_bytes += len(entry.data)
+        if isinstance(command, commands.SubmitWorkflow):
+            self._large_workflows.record_applied(command, len(entry.data))
         self._answer_proposer(entry, outcome)
         if self._leader_services is not None:
             self._handle_leader_effects(
@@ -342,12 +373,15 @@
 
     def _on_restore_snapshot(self, event):
         self._machine.restore(event.snapshot.data)
+        self._large_workflows.rebuild()
+        self._applied_bytes = 0
         self._snapshot_index = event.snapshot.last_index
 
     def _make_snapshot_if_due(self):
         applied_index = self._machine.applied_index
         snapshot_is_due = (
             applied_index - self._snapshot_index >= self._snapshot_entries
+            or self._applied_bytes >= self._log_bytes
         )
         if (
             not snapshot_is_due
@@ -356,6 +390,7 @@
         ):
             return
         self._snapshot_pending = True
+        self._applied_bytes = 0
         encoded_state = self._machine.snapshot()
         metrics.count(SNAPSHOTS_TAKEN)
         metrics.gauge(SNAPSHOT_BYTES, len(encoded_state))
--- a/fuchsiatrestle/control/_settings.py
+++ b/fuchsiatrestle/control/_settings.py
@@ -36,6 +36,22 @@
         ),
         settings.IntOption('announce_ms', 1500, min_value=50, max_value=60000),
     ),
+    # Limits on the memory of a replica.
+    settings.Section(
+        'state',
+        # Log entries in memory after which a snapshot is taken.
+        settings.IntOption(
+            'log_bytes', 16777216, min_value=1048576, max_value=1 << 30
+        ),
+        # Memory of workflows that take more than 64 KiB each, together;
+        # further ones are refused.
+        settings.IntOption(
+            'large_workflow_bytes',
+            100663296,
+            min_value=1048576,
+            max_value=1 << 40,
+        ),
+    ),
     # See ``workflows.Features``.
     settings.Section(
         'workflows',
--- a/fuchsiatrestle/daemon.py
+++ b/fuchsiatrestle/daemon.py
@@ -39,6 +39,7 @@
 from fuchsiatrestle import logs
 from fuchsiatrestle import metrics
 from fuchsiatrestle.net import http
+from fuchsiatrestle.net import http_limits
 from fuchsiatrestle import settings
 from fuchsiatrestle import signals
 
@@ -128,6 +129,9 @@
     def __init__(self, name, sections, create_daemon):
         self.name = name
         self.sections = tuple(sections) + COMMON_SECTIONS
+        names = {section.name for section in self.sections}
+        if http_limits.SECTION_NAME not in names:
+            self.sections += (http_limits.make_section(),)
         self.create_daemon = create_daemon
 
 
@@ -215,12 +219,12 @@
     LOG.info('reloaded', extra={'level': cfg.get('log', 'level')})
 
 
-async def _run_daemon(daemon, reload_settings, metrics_address):
+async def _run_daemon(daemon, reload_settings, cfg):
     stop_requested = curio.Event()
     signal_watcher = await curio.spawn(
         _watch_signals, stop_requested, reload_settings, daemon=True
     )
-    metrics_server = _make_metrics_server(metrics_address)
+    metrics_server = _make_metrics_server(cfg)
     try:
         if metrics_server is not None:
             await metrics_server.start()
@@ -242,22 +246,28 @@
         return http.Response(200, [(b'content-type', b'text/plain')], body)
 
 
-def _make_metrics_server(metrics_address):
+def _make_metrics_server(cfg):
     """Returns the server of the metrics address, None if none is set."""
+    metrics_address = cfg.get('metrics', 'listen')
     if metrics_address is None:
         return None
-    return http.Server(metrics_address, _MetricsHandler())
+    return http.Server(
+        metrics_address,
+        _MetricsHandler(),
+        http_limits.make_small_limits(cfg),
+    )
 
 
 def _run_until_stopped(program, cfg):
     """Runs the daemon of a program; returns the exit status."""
     try:
+        http_limits.apply_memory_budget(cfg)
         daemon = program.create_daemon(cfg)
         curio.run(
             _run_daemon,
             daemon,
             functools.partial(_reload_settings, program, daemon),
-            cfg.get('metrics', 'listen'),
+            cfg,
         )
     except errors.SettingsInvalid as exc:
         return _report_error(exc.reason)
--- a/fuchsiatrestle/entry/_daemon.py
+++ b/fuchsiatrestle/entry/_daemon.py
@@ -8,13 +8,13 @@
 from fuchsiatrestle.entry import _local
 from fuchsiatrestle.entry import _platform
 from fuchsiatrestle.entry import _reports
-from fuchsiatrestle.entry import _settings
 from fuchsiatrestle import errors
 from fuchsiatrestle import logs
 from fuchsiatrestle import membership
 from fuchsiatrestle import messages
 from fuchsiatrestle.net import control_client
 from fuchsiatrestle.net import http
+from fuchsiatrestle.net import http_limits
 from fuchsiatrestle.net import link
 from fuchsiatrestle.net import tls
 from fuchsiatrestle import routing
@@ -84,7 +84,9 @@
         self._report_batcher = _reports.ReportBatcher(
             self.name, self._control_client
         )
-        limits = _settings.make_http_limits(self._cfg)
+        limits = http_limits.make_limits(self._cfg, decodes_json=True)
+        # Bodies of callers are passed on as they are.
+        callers_limits = http_limits.make_limits(self._cfg, decodes_json=False)
         platform_handler = _platform.PlatformHandler(
             self.router, self._report_batcher
         )
@@ -92,7 +94,7 @@
             self._control_client, _local.LocalEntryAdapter(self)
         )
         self._callers_server = self._build_server(
-            'callers', self._caller_path.handler, limits
+            'callers', self._caller_path.handler, callers_limits
         )
         self._platform_server = self._build_server(
             'platform', platform_handler, limits
--- a/fuchsiatrestle/logs.py
+++ b/fuchsiatrestle/logs.py
@@ -29,6 +29,9 @@
 
 # Lines that may wait for the writer; further ones are dropped.
 MAX_WAITING_LINES = 10_000
+# Longer lines lose their middle, as clients choose some of what is logged and
+# waiting lines take memory.
+MAX_LINE_CHARS = 4096
 FLUSH_TIMEOUT_S = 1.0
 
 LEVELS = ('debug', 'info', 'warning', 'error')
@@ -137,6 +140,10 @@
         if self._items.qsize() >= self._max_waiting_items:
             self._dropped_count += 1
         else:
+            if isinstance(item, str) and len(item) > MAX_LINE_CHARS:
+                item = ' [cut] '.join(
+                    (item[: MAX_LINE_CHARS // 2], item[-MAX_LINE_CHARS // 2 :])
+                )
             self._items.put(item)
 
     def flush(self):
--- a/fuchsiatrestle/net/_http_messages.py
+++ b/fuchsiatrestle/net/_http_messages.py
@@ -8,6 +8,7 @@
 from fuchsiatrestle import errors
 
 __all__ = (
+    'BodyLimits',
     'Handler',
     'HttpError',
     'JSON_TYPE',
@@ -21,16 +22,35 @@
     'encode_stored_response',
     'make_json_response',
     'make_reason_response',
+    'make_refusal_headers',
     'make_retry_after_header',
 )
 
 JSON_TYPE = (b'content-type', b'application/json')
+NOT_RUN_HEADER = (b'fuchsiatrestle-outcome', b'not-run')
+REFUSAL_RETRY_S = 1
 
 
 class HttpError(errors.Error):
     """An HTTP call got no valid, complete response, or a body is not JSON."""
 
 
+class BodyLimits:
+    """Limits on the body of a request.
+
+    Attributes:
+        byte_count: maximum size in bytes.
+        json_values: maximum number of values of a JSON body; None for bodies
+            that are not decoded here.
+    """
+
+    __slots__ = ('byte_count', 'json_values')
+
+    def __init__(self, byte_count, json_values=None):
+        self.byte_count = byte_count
+        self.json_values = json_values
+
+
 class Limits:
     """Limits on size, duration and number of what clients of a server send.
 
@@ -47,15 +67,38 @@
             client accepts no byte of a response.
         connections: maximum number of open connections; further ones are
             answered with status 503 and closed.
+        connections_per_address: maximum number of open connections from one
+            address; further ones are answered with status 429 and closed.
+        head_fields: maximum number of fields of a head.
+        pipelined: maximum number of requests that a client may have sent
+            beyond the one that is received.
+        min_rate: lowest average rate in bytes a second at which a client
+            sends a body, after ``RATE_GRACE_S``, and accepts a response,
+            after ``write_s``.
+        json_values: maximum number of values of a JSON body; None for a
+            server that does not decode bodies.
+        json_depth: maximum nesting of a JSON body.
+        handling_factor: memory that a request takes while it is handled, as
+            a multiple of the size of its body.
+        body_limits_by_call: ``BodyLimits`` by (method, path), for calls whose
+            bodies have other limits than ``body_bytes`` and ``json_values``.
     """
 
     __slots__ = (
+        '_body_limits',
         'body_bytes',
+        'body_limits_by_call',
         'body_s',
         'connections',
+        'connections_per_address',
+        'handling_factor',
         'head_bytes',
+        'head_fields',
         'head_s',
         'idle_s',
+        'json_depth',
+        'min_rate',
+        'pipelined',
         'write_s',
     )
 
@@ -68,7 +111,15 @@
         body_s=10.0,
         idle_s=60.0,
         write_s=10.0,
-        connections=2000,
+        connections=1000,
+        connections_per_address=500,
+        head_fields=100,
+        pipelined=32,
+        min_rate=1024,
+        json_values=None,
+        json_depth=32,
+        handling_factor=2,
+        body_limits_by_call=None,
     ):
         self.head_bytes = head_bytes
         self.body_bytes = body_bytes
@@ -77,6 +128,26 @@
         self.idle_s = idle_s
         self.write_s = write_s
         self.connections = connections
+        self.connections_per_address = connections_per_address
+        self.head_fields = head_fields
+        self.pipelined = pipelined
+        self.min_rate = min_rate
+        self.json_depth = json_depth
+        self.handling_factor = handling_factor
+        self.body_limits_by_call = body_limits_by_call or {}
+        self._body_limits = BodyLimits(body_bytes, json_values)
+
+    def find_body_limits(self, method, target):
+        """Returns the ``BodyLimits`` of a request.
+
+        Args:
+            method: upper-case method, text.
+            target: request target, text.
+        """
+        if not self.body_limits_by_call:
+            return self._body_limits
+        path = target.partition('?')[0]
+        return self.body_limits_by_call.get((method, path), self._body_limits)
 
 
 class Request:
@@ -202,6 +273,18 @@
     return b'retry-after', b'%d' % delay_s
 
 
+def make_refusal_headers(status):
+    """Returns the headers of a refusal of a request that was not run.
+
+    Args:
+        status: HTTP status; with 429 and 503 the client is told to retry.
+    """
+    headers = [NOT_RUN_HEADER]
+    if status in (429, 503):
+        headers.append(make_retry_after_header(REFUSAL_RETRY_S))
+    return headers
+
+
 def encode_json(value):
     """Returns the JSON encoding of a value, bytes."""
     return msgspec.json.encode(value)
--- a/fuchsiatrestle/net/_http_server.py
+++ b/fuchsiatrestle/net/_http_server.py
@@ -3,8 +3,12 @@
 A single task checks the time limits of all connections at a fixed interval,
 because a timer for each phase of each request would cost processor time on
 every request. A limit is therefore enforced up to ``SWEEP_INTERVAL_S`` late.
+
+All servers of a process share one ``MemoryBudget``.
 """
 
+import collections
+import resource
 import socket
 import time
 
@@ -15,8 +19,10 @@
 from fuchsiatrestle import metrics
 from fuchsiatrestle.net import _http_connection
 from fuchsiatrestle.net import _http_messages
+from fuchsiatrestle.net import _memory_budget
+from fuchsiatrestle.net import _refusal_log
 
-__all__ = ('Server',)
+__all__ = ('Server', 'process_budget')
 
 SWEEP_INTERVAL_S = 0.1
 LISTEN_BACKLOG_CONNECTIONS = 1024
@@ -25,12 +31,30 @@
 # instead of being lost.
 IDLE_DRAIN_S = 1.0
 
+# Buffers in the kernel take memory of the VM, too.  Without a limit a socket
+# may grow to several MB, which a client that does not read brings about.
+SOCKET_BUFFER_BYTES = 256 * 1024
+
 TOO_MANY_CONNECTIONS = metrics.declare(
     'refused.too_many_connections', 'Connections above the limit (503).'
 )
+TOO_MANY_FROM_ADDRESS = metrics.declare(
+    'refused.too_many_from_address',
+    'Connections above the limit for one address (429).',
+)
+STALLED_CONNECTIONS = metrics.declare(
+    'http.stalled_closed',
+    'Connections without a request closed to make room for others.',
+)
+MEMORY_IN_USE = metrics.declare(
+    'http.memory_bytes', 'Memory of requests in progress, in bytes.'
+)
 
 LOG = logs.get_logger(__name__)
 
+# The budget of this process.
+process_budget = _memory_budget.MemoryBudget()
+
 
 class Server:
     """Serves HTTP on one address with one handler.
@@ -41,19 +65,31 @@
             same signature.
         limits: ``Limits``; None for its defaults.
         share_port: True lets several processes listen on the address.
+        budget: ``MemoryBudget``; None for that of the process.
 
     Attributes:
         is_stopping: True once ``stop`` was called; each connection is then
             closed after its current request.
+        budget: the ``MemoryBudget``.
+        refusal_log: ``RefusalLog`` of the listener.
     """
 
-    def __init__(self, address, handler, limits=None, *, share_port=False):
+    def __init__(
+        self, address, handler, limits=None, *, share_port=False, budget=None
+    ):
         self.address = address
         self.handler = handler
         self.limits = limits or _http_messages.Limits()
+        self.budget = budget or process_budget
         self.is_stopping = False
+        self.refusal_log = _refusal_log.RefusalLog(str(address))
         self._share_port = share_port
+        self._reported_bytes = 0
         self._connections = set()
+        self._connection_count_by_host = collections.Counter()
+        self._max_connections = min(
+            self.limits.connections, _count_usable_descriptors()
+        )
         self._listener_sock = None
         self._tasks = []
 
@@ -81,6 +117,11 @@
                 f'can not listen on {self.address}: {exc.strerror}',
                 step='listen',
             ) from exc
+        # Accepted sockets inherit the sizes.
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            self._listener_sock.setsockopt(
+                socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES
+            )
         self._tasks = [
             await curio.spawn(self._accept_connections, daemon=True),
             await curio.spawn(self._sweep_connections, daemon=True),
@@ -112,8 +153,13 @@
         await self._tasks[1].cancel()
 
     def remove_connection(self, conn):
-        """Stops tracking a connection that has ended."""
+        """Stops tracking a connection that has ended or was closed."""
+        if conn not in self._connections:
+            return
         self._connections.discard(conn)
+        self._connection_count_by_host[conn.host] -= 1
+        if not self._connection_count_by_host[conn.host]:
+            del self._connection_count_by_host[conn.host]
 
     @property
     def _address_family(self):
@@ -124,12 +170,15 @@
     async def _accept_connections(self):
         while True:
             try:
-                sock, _ = await self._listener_sock.accept()
+                sock, peer = await self._listener_sock.accept()
             except OSError as exc:
                 LOG.warning('accept_failed', extra={'error': str(exc)})
                 await curio.sleep(SWEEP_INTERVAL_S)
                 continue
-            await self._start_or_refuse_connection(sock)
+            if not await self._start_or_refuse_connection(sock, peer[0]):
+                # Lets other tasks run, as neither call waits while clients
+                # keep connecting.
+                await curio.sleep(0)
 
     async def _accept_waiting_connections(self):
         """Accepts the connections that clients have opened by now.
@@ -142,40 +191,87 @@
             return  # It was stopped before.
         for _ in range(LISTEN_BACKLOG_CONNECTIONS):
             try:
-                sock, _ = listener_sock.accept()
+                sock, peer = listener_sock.accept()
             except BlockingIOError:
                 return
             except OSError as exc:
                 LOG.warning('accept_failed', extra={'error': str(exc)})
                 return
-            await self._start_or_refuse_connection(curio.io.Socket(sock))
+            await self._start_or_refuse_connection(
+                curio.io.Socket(sock), peer[0]
+            )
+
+    async def _start_or_refuse_connection(self, sock, host):
+        """Starts a connection if it is within the limits.
+
+        Returns:
+            False if the connection was refused.
+        """
+        limits = self.limits
+        host_count = self._connection_count_by_host[host]
+        if (
+            host_count >= limits.connections_per_address
+            and not self._close_stalled_connection(host)
+        ):
+            self._refuse_connection(
+                sock, host, 429, 'too_many_from_address', TOO_MANY_FROM_ADDRESS
+            )
+            return False
+        if len(
+            self._connections
+        ) >= self._max_connections and not self._close_stalled_connection(
+            None
+        ):
+            self._refuse_connection(
+                sock, host, 503, 'too_many_connections', TOO_MANY_CONNECTIONS
+            )
+            return False
+        await self._start_connection(sock, host)
+        return True
 
-    async def _start_or_refuse_connection(self, sock):
-        if len(self._connections) >= self.limits.connections:
-            self._refuse_connection(sock)
-        else:
-            await self._start_connection(sock)
+    def _close_stalled_connection(self, host):
+        """Closes the connection whose client has been silent longest.
 
-    async def _start_connection(self, sock):
+        Connections that are being handled or were active within the last
+        second are left alone.
+
+        Args:
+            host: IP address of the client; None for any.
+
+        Returns:
+            False if there is no such connection.
+        """
+        silent_since_s = time.monotonic() - _memory_budget.STALL_S
+        stalled = None
+        for conn in self._connections:
+            if (
+                conn.active_s < silent_since_s
+                and conn.is_waiting_for_client
+                and (host is None or conn.host == host)
+            ):
+                stalled = conn
+                silent_since_s = conn.active_s
+        if stalled is None:
+            return False
+        metrics.count(STALLED_CONNECTIONS)
+        self.refusal_log.count('stalled_closed', stalled.host)
+        stalled.close_at_once(503, 'too_many_connections')
+        self.remove_connection(stalled)
+        return True
+
+    async def _start_connection(self, sock, host):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        conn = _http_connection.Connection(self, sock)
+        conn = _http_connection.Connection(self, sock, host)
         self._connections.add(conn)
+        self._connection_count_by_host[host] += 1
         conn.task = await curio.spawn(conn.run, daemon=True)
 
-    def _refuse_connection(self, sock):
-        """Sends 503 and closes the socket, without starting a task."""
-        metrics.count(TOO_MANY_CONNECTIONS)
-        response = _http_messages.make_reason_response(
-            503, 'too_many_connections'
-        )
-        head = (
-            b'HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n'
-            b'fuchsiatrestle-outcome: not-run\r\n'
-            b'content-type: application/json\r\nconnection: close\r\n'
-            b'content-length: %d\r\n\r\n' % len(response.body)
-        )
+    def _refuse_connection(self, sock, host, status, reason, counter):
+        """Sends a refusal and closes the socket, without starting a task."""
+        metrics.count(counter)
+        self.refusal_log.count(reason, host)
         try:
-            sock._socket.send(head + response.body)
+            sock._socket.send(_http_connection.make_refusal(status, reason))
         except OSError:
             LOG.debug('refusal_not_sent')
         sock._socket.close()
@@ -186,6 +282,10 @@
             now_s = time.monotonic()
             for conn in list(self._connections):
                 await self._enforce_limits(conn, now_s)
+            if self.budget.used_bytes != self._reported_bytes:
+                self._reported_bytes = self.budget.used_bytes
+                metrics.gauge(MEMORY_IN_USE, self._reported_bytes)
+            self.refusal_log.write_if_due(now_s)
 
     async def _enforce_limits(self, conn, now_s):
         """Cancels the task of a connection that is past its deadline.
@@ -206,3 +306,13 @@
             await conn.task.cancel(
                 exc=_http_connection.DeadlineExceeded, blocking=False
             )
+
+
+def _count_usable_descriptors():
+    """Returns the number of descriptors that a listener may use.
+
+    The other half of what the process may open is for files, links, orders to
+    workers and the smaller listeners.
+    """
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return max(1, soft_limit // 2)
--- a/fuchsiatrestle/net/_link_exchange.py
+++ b/fuchsiatrestle/net/_link_exchange.py
@@ -17,6 +17,11 @@
 SILENCE_LIMIT_S = 1.2
 MAX_QUEUED_MESSAGES = 20000
 MAX_FRAME_MESSAGES = 512
+# The messages of one queue and of one frame take at most so much, apart from
+# the last message of each.  Calls carry bodies of clients, so that their
+# number alone bounds no memory.
+MAX_QUEUED_BYTES = 24 * 1024 * 1024
+MAX_FRAME_BYTES = 1024 * 1024
 
 DROPPED_MESSAGES = metrics.declare(
     'link.dropped', 'Messages dropped because the peer was away or full.'
@@ -49,6 +54,7 @@
 
     __slots__ = (
         '_queue',
+        '_queued_bytes',
         '_wake_event',
         'closed_event',
         'last_received_s',
@@ -58,6 +64,7 @@
 
     def __init__(self, now_s):
         self._queue = collections.deque()
+        self._queued_bytes = 0
         self._wake_event = asyncio.Event()
         self.closed_event = asyncio.Event()
         self.last_received_s = now_s
@@ -69,10 +76,14 @@
 
         If the queue is full, the message is dropped and counted.
         """
-        if len(self._queue) >= MAX_QUEUED_MESSAGES:
+        if (
+            len(self._queue) >= MAX_QUEUED_MESSAGES
+            or self._queued_bytes >= MAX_QUEUED_BYTES
+        ):
             metrics.count(DROPPED_MESSAGES)
             return
         self._queue.append(encoded_message)
+        self._queued_bytes += len(encoded_message)
         self._wake_event.set()
 
     def wake_sender(self):
@@ -86,14 +97,21 @@
         """Waits for messages or a call of ``wake_sender``.
 
         Returns:
-            Up to ``MAX_FRAME_MESSAGES`` encoded messages, in order; an empty
-            list if ``wake_sender`` was called and none is queued.
+            Encoded messages for one frame, in order; an empty list
+            if ``wake_sender`` was called and none is queued.
         """
         await self._wake_event.wait()
-        message_count = min(len(self._queue), MAX_FRAME_MESSAGES)
-        encoded_messages = [
-            self._queue.popleft() for _ in range(message_count)
-        ]
+        encoded_messages = []
+        frame_bytes = 0
+        while (
+            self._queue
+            and len(encoded_messages) < MAX_FRAME_MESSAGES
+            and frame_bytes < MAX_FRAME_BYTES
+        ):
+            encoded_message = self._queue.popleft()
+            encoded_messages.append(encoded_message)
+            frame_bytes += len(encoded_message)
+        self._queued_bytes -= frame_bytes
         if not self._queue:
             self._wake_event.clear()
         return encoded_messages
--- a/fuchsiatrestle/net/http.py
+++ b/fuchsiatrestle/net/http.py
@@ -22,6 +22,7 @@
 from fuchsiatrestle.net import _http_server
 
 __all__ = (
+    'BodyLimits',
     'Client',
     'ClientConnection',
     'Handler',
@@ -39,9 +40,11 @@
     'encode_stored_response',
     'make_json_response',
     'make_reason_response',
+    'make_refusal_headers',
     'make_retry_after_header',
 )
 
+BodyLimits = _http_messages.BodyLimits
 Client = _http_client.Client
 ClientConnection = _http_client.ClientConnection
 Handler = _http_messages.Handler
@@ -59,4 +62,5 @@
 encode_stored_response = _http_messages.encode_stored_response
 make_json_response = _http_messages.make_json_response
 make_reason_response = _http_messages.make_reason_response
+make_refusal_headers = _http_messages.make_refusal_headers
 make_retry_after_header = _http_messages.make_retry_after_header
--- a/fuchsiatrestle/platform/_callers.py
+++ b/fuchsiatrestle/platform/_callers.py
@@ -20,6 +20,7 @@
 # the answer's way back to the caller.
 CONTROL_BUDGET_SHARE = 0.85
 RETRY_AFTER_S = 1
+MAX_LOGGED_CHARS = 256  # of a host or path, which a caller chooses
 
 SUBMITTED_WORKFLOWS = metrics.declare(
     'callers.submitted', 'Workflows accepted.'
@@ -96,8 +97,8 @@
             'caller_answered',
             extra={
                 'method': request.method,
-                'host': host,
-                'path': request.path,
+                'host': host[:MAX_LOGGED_CHARS],
+                'path': request.path[:MAX_LOGGED_CHARS],
                 'status': response.status,
                 'control': self._client.target_replica,
                 'took_ms': round(elapsed_ms),
--- a/fuchsiatrestle/platform/_documents.py
+++ b/fuchsiatrestle/platform/_documents.py
@@ -25,11 +25,18 @@
 MAX_TASKS = 20_000  # of a workflow, over all its occurrences
 MAX_STEPS = 200
 MAX_PAYLOAD_CHARS = 4000
+# Reasons are logged and answered, and may quote the body.
+MAX_REASON_CHARS = 256
 
 
 class BodyInvalid(errors.Error):
     """The body of a call is malformed or its content is not allowed."""
 
+    def __init__(self, reason, *, step, peer=''):
+        super().__init__(
+            reason[:MAX_REASON_CHARS], step=step, peer=peer[:MAX_REASON_CHARS]
+        )
+
 
 class _Advice(msgspec.Struct):
     """Durations for the placement advice; see ``workflows.AdviceTerms``."""
--- a/fuchsiatrestle/platform/_operators.py
+++ b/fuchsiatrestle/platform/_operators.py
@@ -22,6 +22,9 @@
 PUT_DOCUMENT_BUDGET_MS = 2500
 
 INSTANCES_PATH = '/instances/'
+# Configurations that are put or read at a time.  Each may have 8 MiB and takes
+# several times as much while it is decoded, sent on or compressed.
+MAX_DOCUMENT_CALLS = 4
 
 BAD_HEARTBEAT = metrics.declare(
     'refused.bad_heartbeat', 'Heartbeats that name no usable worker (400).'
@@ -32,6 +35,10 @@
 BAD_DOCUMENT = metrics.declare(
     'refused.bad_document', 'Configurations that are not valid (400).'
 )
+TOO_MANY_DOCUMENTS = metrics.declare(
+    'refused.too_many_documents',
+    'Configurations put or read while too many others were (429).',
+)
 LEADER_AWAY = metrics.declare(
     'refused.leader_away', 'Calls that the leader did not answer (503).'
 )
@@ -53,15 +60,18 @@
     def __init__(self, client, port):
         self._client = client
         self._port = port
+        self._document_call_count = 0
 
     async def handle(self, request):
         """Returns the response to one call; status 404 for an unknown path."""
         path = request.path
         method_and_path = (request.method, path)
         if method_and_path == ('POST', '/config/put'):
-            return await self._put_document(request)
+            return await self._limit_document_calls(
+                self._put_document(request)
+            )
         if method_and_path == ('GET', '/config/get'):
-            return await self._get_document()
+            return await self._limit_document_calls(self._get_document())
         if request.method == 'POST' and path.startswith(INSTANCES_PATH):
             worker, _, action = path[len(INSTANCES_PATH) :].partition('/')
             if action == 'heartbeat':
@@ -72,6 +82,26 @@
 
     # Configuration
 
+    async def _limit_document_calls(self, call):
+        """Awaits a call, or refuses it while too many others are running.
+
+        Args:
+            call: coroutine that returns the response.
+        """
+        if self._document_call_count >= MAX_DOCUMENT_CALLS:
+            call.close()
+            metrics.count(TOO_MANY_DOCUMENTS)
+            return http.make_reason_response(
+                429,
+                'too_many_documents',
+                headers=http.make_refusal_headers(429),
+            )
+        self._document_call_count += 1
+        try:
+            return await call
+        finally:
+            self._document_call_count -= 1
+
     async def _put_document(self, request):
         """Proposes a configuration.
 
--- a/fuchsiatrestle/platform/_programs.py
+++ b/fuchsiatrestle/platform/_programs.py
@@ -7,6 +7,7 @@
 from fuchsiatrestle import logs
 from fuchsiatrestle.net import control_client
 from fuchsiatrestle.net import http
+from fuchsiatrestle.net import http_limits
 from fuchsiatrestle.net import link
 from fuchsiatrestle.platform import _callers
 from fuchsiatrestle.platform import _driver
@@ -16,7 +17,13 @@
 
 __all__ = ('PROGRAMS',)
 
-MAX_BODY_BYTES = 8 * 1024 * 1024
+# Memory of a request while control answers it, as a multiple of its body: the
+# body, its decoded form, the encoded command and the message on the link.
+HANDLING_FACTOR = 4
+# A configuration has some ten values for each of its routes.
+BODY_LIMITS_BY_CALL = {
+    ('POST', '/config/put'): http.BodyLimits(8 * 1024 * 1024, 262144)
+}
 # Part of ``grace_s`` that is left for the process to exit after its last call.
 EXIT_MARGIN_S = 0.5
 
@@ -40,7 +47,9 @@
             _settings.make_control_addresses(cfg),
             settings.Address.parse,
         )
-        limits = http.Limits(body_bytes=MAX_BODY_BYTES)
+        limits = http_limits.make_limits(
+            cfg, decodes_json=True, handling_factor=HANDLING_FACTOR
+        )
         self._callers_server = http.Server(
             cfg.get('platform', 'callers'),
             _callers.CallerHandler(self._client),
@@ -49,6 +58,7 @@
         self._ready_server = http.Server(
             cfg.get('platform', 'ready'),
             _callers.ReadyHandler(self._is_ready),
+            http_limits.make_small_limits(cfg),
         )
 
     def _is_ready(self):
@@ -122,7 +132,12 @@
             _operators.ControlHandler(
                 self._control_daemon.client, control_address.port
             ),
-            http.Limits(body_bytes=MAX_BODY_BYTES),
+            http_limits.make_limits(
+                cfg,
+                decodes_json=True,
+                handling_factor=HANDLING_FACTOR,
+                body_limits_by_call=BODY_LIMITS_BY_CALL,
+            ),
         )
 
     def reload(self, cfg):
--- a/fuchsiatrestle/platform/_settings.py
+++ b/fuchsiatrestle/platform/_settings.py
@@ -1,6 +1,7 @@
 """Settings of the two programs on the platform."""
 
 from fuchsiatrestle.control import program
+from fuchsiatrestle.net import http_limits
 from fuchsiatrestle import settings
 
 __all__ = (
@@ -21,7 +22,13 @@
 
 # Names of the sections of the control daemon that are also part of the
 # platform's settings file.
-_SHARED_SECTION_NAMES = ('workers', 'workflows', 'timing')
+_SHARED_SECTION_NAMES = ('workers', 'workflows', 'timing', 'state')
+
+# Callers and workers may take 3 s for a head, keep an idle connection for 15 s
+# and send bodies of 262,144 bytes, so these times are somewhat longer.
+_LIMITS_SECTION = http_limits.make_section(
+    body_bytes=262144, idle_s=20.0, json_values=32768
+)
 
 ENTRY_SECTIONS = (
     settings.Section(
@@ -32,6 +39,7 @@
         settings.FloatOption('grace_s', 6.0, min_value=0.1, max_value=600),
         settings.FloatOption('health_lead_s', 2.0, min_value=0, max_value=600),
     ),
+    _LIMITS_SECTION,
 )
 
 CONTROL_SECTIONS = (
@@ -44,6 +52,7 @@
         settings.BoolOption('may_found', True),
         settings.IntOption('tolerated_losses', 0, min_value=0, max_value=10),
     ),
+    _LIMITS_SECTION,
     *(
         section
         for section in program.SECTIONS
--- a/fuchsiatrestle/platform/_workers.py
+++ b/fuchsiatrestle/platform/_workers.py
@@ -25,6 +25,10 @@
 WORKER_STATES = ('ready', 'draining')
 RUN_END_KINDS = ('done', 'failed', 'stopped', 'lapsed', 'broken', 'alone')
 
+# The leader keeps what workers announce.
+MAX_ANNOUNCED_CHARS = 256  # of each text
+MAX_LABELS = 64
+
 # A worker lists so many ends of runs at a time.
 MAX_LISTED_ENDS = 500
 
@@ -128,6 +132,21 @@
     heartbeat = _documents.decode_body(
         _HEARTBEAT_DECODER, body, operation, worker
     )
+    texts = (
+        worker,
+        heartbeat.service,
+        heartbeat.address,
+        heartbeat.zone,
+        heartbeat.machine,
+        *heartbeat.labels[:MAX_LABELS],
+    )
+    _documents.refuse_if(
+        len(heartbeat.labels) > MAX_LABELS
+        or max(map(len, texts)) > MAX_ANNOUNCED_CHARS,
+        'too many labels or long texts',
+        operation,
+        worker,
+    )
     try:
         settings.Address.parse(heartbeat.address)
     except ValueError as exc:
--- a/fuchsiatrestle/state/_workflows.py
+++ b/fuchsiatrestle/state/_workflows.py
@@ -94,6 +94,11 @@
         """Workflows whose tasks may be started, as ``Workflow`` by id."""
         return self._open_workflows_by_id
 
+    @property
+    def all_workflows(self):
+        """All workflows, those that have ended lately included."""
+        return self._workflows.values()
+
     @property
     def worker_records(self):
         """Registered workers, as ``WorkerRecord`` by id."""
--- a/tests/platform/test_process_untrusted_clients.py
+++ b/tests/platform/test_process_untrusted_clients.py
@@ -36,7 +36,7 @@
 [metrics]
 listen = {host}:{metrics}
 """
-# A quarter of the default limits on what the leader keeps.
+# Lowered limits on what the leader keeps.
 CONTROL_LIMITS = """
 [state]
 log_bytes = 4194304
