--- a/tests/net/test_http_limits.py
+++ b/tests/net/test_http_limits.py
@@ -4,6 +4,7 @@
 request which is being handled.
 """
 
+import socket
 import unittest
 
 import curio
@@ -168,6 +169,21 @@
 
         self._run(scenario)
 
+    def test_slow_reader_is_reset_although_it_reads(self):
+        async def scenario():
+            self.budget.max_bytes = 10**9
+            sock = curio.io.Socket(socket.socket())
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            await sock.connect((self.address.host, self.address.port))
+            await sock.sendall(GET.replace(b'/', b'/large', 1))
+            with self.assertRaises(ConnectionResetError):
+                while True:
+                    await sock.recv(4096)
+                    await curio.sleep(0.02)
+            await sock.close()
+
+        self._run(scenario, min_rate=100000000, write_s=3.0)
+
     def test_slow_sender_is_refused_before_the_time_for_a_body_ends(self):
         async def scenario():
             await self._assert_refused(STOPPED, 408, b'slow_sender')
