--- a/tests/_runner.py
+++ b/tests/_runner.py
@@ -41,6 +41,7 @@
     'tests.entry.test_fault_matrix',
     'tests.scheduling.test_process_evictions',
     'tests.standins.test_process_soak',
+    'tests.platform.test_process_untrusted_clients',
     'tests.platform.test_process_platform',
     'tests.net.test_link',
 )
--- a/tests/fakes/crowd.py
+++ b/tests/fakes/crowd.py
@@ -14,6 +14,7 @@
 
 SEND_TIMEOUT_S = 10.0
 RECEIVE_BUFFER_BYTES = 4096
+PIECE_PAUSE_S = 0.2
 
 
 class Crowd:
@@ -62,6 +63,19 @@
                     selector.unregister(key.fileobj)
         selector.close()
 
+    def send_slowly(self, data, piece_bytes, piece_count):
+        """Sends pieces of ``data`` on all connections, with pauses.
+
+        Args:
+            data: the bytes, sent from their beginning.
+            piece_bytes: size of a piece.
+            piece_count: number of pieces.
+        """
+        for number in range(piece_count):
+            start = number * piece_bytes
+            self.send(data[start : start + piece_bytes], PIECE_PAUSE_S)
+            time.sleep(PIECE_PAUSE_S)
+
     def close(self):
         """Closes all connections."""
         for sock in self._socks:
--- a/tests/platform/test_process_untrusted_clients.py
+++ b/tests/platform/test_process_untrusted_clients.py
@@ -131,8 +131,19 @@
         further_settings=LIMITS,
         max_descriptors=400,
         send_timeout_s=5.0,
+        slow_pieces=None,
     ):
-        """Checks the process while a crowd sends bytes to the listener."""
+        """Checks the process while a crowd sends bytes to the listener.
+
+        Args:
+            data: what each connection sends.
+            size: number of connections.
+            source_count: number of addresses that they come from.
+            further_settings: settings of the processes.
+            max_descriptors: limit of the descriptors that they may take.
+            send_timeout_s: time to send ``data``, in seconds.
+            slow_pieces: arguments of ``Crowd.send_slowly``, called then.
+        """
         self.run_in_curio(
             self._check_crowd,
             data,
@@ -141,6 +152,7 @@
             further_settings,
             max_descriptors,
             send_timeout_s,
+            slow_pieces,
         )
 
     async def _check_crowd(
@@ -151,6 +163,7 @@
         further_settings,
         max_descriptors,
         send_timeout_s,
+        slow_pieces,
     ):
         process = await self.start(further_settings)
         await self._check_answers()
@@ -162,6 +175,10 @@
         )
         try:
             await curio.run_in_thread(connections.send, data, send_timeout_s)
+            if slow_pieces is not None:
+                await curio.run_in_thread(
+                    connections.send_slowly, *slow_pieces
+                )
             await curio.sleep(READ_S)
             self.assertTrue(process.running)
             self.assertLessEqual(
@@ -219,6 +236,21 @@
             HEAD, SILENT_CROWD, 50, FEW_CONNECTIONS, MAX_CONNECTIONS
         )
 
+    def test_process_heads_sent_slowly(self):
+        self.check_crowd(
+            b'',
+            SILENT_CROWD,
+            50,
+            FEW_CONNECTIONS,
+            MAX_CONNECTIONS,
+            slow_pieces=(HEAD, 4, 10),
+        )
+
+    def test_process_bodies_sent_slowly(self):
+        self.check_crowd(
+            STOPPED_BODY[:-30000], slow_pieces=(STOPPED_BODY, 2500, 10)
+        )
+
 
 class _PlatformTest(_ClientsTest):
     async def start(self, further_settings):
