--- a/tests/control/test_service.py
+++ b/tests/control/test_service.py
@@ -5,6 +5,7 @@
 
 from fuchsiatrestle import agreement
 from fuchsiatrestle.control import _events
+from fuchsiatrestle.control import _large_workflows
 from fuchsiatrestle.control import _service
 from fuchsiatrestle import errors
 from fuchsiatrestle import messages
@@ -108,6 +109,23 @@
         self._step(agreement.ProposalAppended(token, 2, 1))
         return proposed_command
 
+    def test_large_workflow_is_refused_by_agreement(self):
+        """A copy of it may be in the log already, and must not start then."""
+        self._become_leader()
+        spec = records.WorkflowSpec('', [records.Step(1)])
+        submission = commands.SubmitWorkflow('host', '/q/a', spec, 7)
+        with mock.patch.object(
+            _large_workflows.LargeWorkflows, 'may_propose', return_value=False
+        ):
+            effects = self._send_call(
+                messages.ProposeCommand, commands.CODEC.encode(submission)
+            )
+        ((_, proposed_command),) = effects[0].event.proposals
+        refusal = commands.CODEC.decode(proposed_command)
+        self.assertIsInstance(refusal, commands.RefuseWorkflow)
+        self.assertEqual('/q/a', refusal.path)
+        self.assertEqual(7, refusal.submitted_ms)
+
     def test_refusal_is_answered_once_it_is_agreed(self):
         """A refusal by one leader alone would not hold at the next one."""
         proposed_command = self._submit_refused()
