--- a/fuchsiatrestle/agreement/_membership.py
+++ b/fuchsiatrestle/agreement/_membership.py
@@ -271,9 +271,8 @@
         return True
 
     def remove_stopping_voter(self):
-        """Replaces a voter before its planned stop if a newcomer has joined.
+        """Removes a voter before its planned stop if a newcomer replaces it.
 
-        A learner is promoted first if there is one, then the voter is removed.
         The voter may be this leader.
 
         Returns:
@@ -286,33 +285,12 @@
             if not self._replica.is_stopping(voter, heard_ms):
                 continue
             newcomer = self._replacement.find_newcomer_for(voter)
-            if not newcomer:
-                continue
-            if self._promote_before_stop() or not self.propose_change(
+            if newcomer and not self.propose_change(
                 'replace', voter, newcomer
             ):
                 return True
         return False
 
-    def _promote_before_stop(self):
-        """Promotes a learner before a stopping voter is removed.
-
-        Nobody is lost yet, so that the group need not have a voter less until
-        the promotion; with three voters it would bear no loss meanwhile.
-
-        Returns:
-            True if the change was appended.
-        """
-        voters = self._replica.voters
-        if len(voters.voters) % 2 == 0:
-            return False
-        for learner in voters.learners:
-            if self._leader.is_caught_up(learner) and not self._find_namesake(
-                voters.voters, learner
-            ):
-                return not self.propose_change('promote', learner)
-        return False
-
     def _stop_tracking_removed_members(self):
         """Stops replicating to removed members that need no more entries.
 
--- a/fuchsiatrestle/agreement/_settings.py
+++ b/fuchsiatrestle/agreement/_settings.py
@@ -34,10 +34,9 @@
             members by itself and removes members of the same name that are
             not alive.
         auto_admit_unlisted: True if ``auto_admit`` applies to all other names
-            as well; members that are gone are then removed, too, and the
-            number of voters is kept odd from three on.
-        replaced_voter_ms: time for which a voter or standby has to be silent
-            before a newcomer takes its place, in milliseconds.
+            as well; members that are gone are then removed, too.
+        replaced_voter_ms: time for which a voter has to be silent before a
+            newcomer takes its place, in milliseconds.
         lost_voter_ms: the same without a newcomer, if the group is better off
             without the voter; also for learners.
         tolerated_losses: number of voters whose loss at the same time the
