Take the odd number of voters out again

An odd number of voters with a standby would keep a quorum when the network splits six control replicas into halves.

--- a/fuchsiatrestle/agreement/_membership.py
+++ b/fuchsiatrestle/agreement/_membership.py
@@ -8,9 +8,6 @@
 
 # Bounds the memory used for hellos of replicas outside the group.
 MAX_NEWCOMERS = 32
-# Below this number any caught-up learner is promoted, also to an even number:
-# no loss is borne either way, and each entry is then on one disk more.
-MIN_ODD_VOTERS = 3
 
 LOG = logs.get_logger(__name__)
 
@@ -45,12 +42,6 @@
     replica with another identity of the same process name takes its place, or
     as ``VoterReplacement`` decides.
 
-    With ``auto_admit_unlisted`` it promotes learners only to an odd number of
-    voters, as an even number bears no more losses and has no quorum if the
-    network splits the group into halves.  A learner that is left over stays a
-    standby.  No voter is demoted: a group that has an even number of voters
-    keeps it until a learner joins or a voter is removed.
-
     Args:
         replica: the leading ``Replica``.
         leader: its ``Leader`` role.
@@ -65,9 +56,6 @@
         self._founding_identities = set()
         # ``_Removal`` of a silent voter that was appended last, or None.
         self._last_removal = None
-        # Learners that were caught up at some time under this leader; under
-        # load several are rarely caught up in the same tick.
-        self._once_caught_up_learners = set()
         self._replacement = _replacement.VoterReplacement(replica, leader)
 
     def propose_change(self, change, member, newcomer=''):
@@ -75,8 +63,7 @@
 
         Args:
             change: ``add``, ``promote``, ``remove``, ``replace`` to remove a
-                member that may join again with a new identity, ``renew`` to
-                add a learner in place of its namesake, ``settle``
+                member that may join again with a new identity, ``settle``
                 for a newcomer that replaces nobody any more, or ``age`` to
                 commit for how long a newcomer has been one.
             member: identity of the member.
@@ -110,8 +97,6 @@
         if change == 'add':
             may_found = member in self._founding_identities
             return voters.with_learner(member, may_found)
-        if change == 'renew':
-            return voters.with_renewed_learner(member)
         if change == 'promote':
             return voters.with_promoted_learner(member)
         if change == 'replace':
@@ -132,7 +117,6 @@
             return 'change_pending'
         reason_finders = {
             'add': self._find_reason_against_adding,
-            'renew': self._find_reason_against_adding,
             'promote': self._find_reason_against_promoting,
             'remove': self._find_reason_against_removing,
             'replace': self._find_reason_against_removing,
@@ -186,8 +170,8 @@
 
         With ``auto_admit`` it makes at most one change: a step towards
         promoting a learner that caught up, else towards adding an identity
-        that asked to join.  The first step may be the removal of a voter of
-        the same process name that is not alive.
+        that asked to join.  Either step may be the removal of a member of the
+        same process name that is not alive.
 
         It does nothing while the leader is not ready or a change is
         uncommitted, and makes no change during a leadership transfer.
@@ -221,11 +205,9 @@
         """
         if not self._replica.cfg.auto_admit_unlisted:
             return False
-        member, newcomer = self._replacement.find_gone_member()
-        if member in self._replica.voters.voters:
-            return self._remove_silent_voter(member, newcomer)
-        if member:
-            return not self.propose_change('replace', member, newcomer)
+        voter, newcomer = self._replacement.find_gone_voter()
+        if voter:
+            return self._remove_silent_voter(voter, newcomer)
         for learner in self._replica.voters.learners:
             silent_ms = self._leader.get_silent_ms(learner)
             if silent_ms >= self._replica.cfg.lost_voter_ms:
@@ -354,7 +336,10 @@
         Returns:
             True if a change was appended.
         """
-        promotable_learners = self._find_promotable_learners()
+        must_wait = (
+            self._replica.cfg.auto_admit_unlisted
+            and self._replacement.must_wait()
+        )
         for learner in self._replica.voters.learners:
             if not self._leader.is_caught_up(learner):
                 continue
@@ -363,61 +348,17 @@
             )
             if namesake and not self._leader.is_alive(namesake):
                 return not self.propose_change('remove', namesake)
-            if learner in promotable_learners:
+            if not namesake and not must_wait:
                 return not self.propose_change('promote', learner)
         return False
 
-    def _find_promotable_learners(self):
-        """Returns the learners of which one may be promoted now.
-
-        With ``auto_admit_unlisted`` there are none while a promotion would
-        lead to an even number of voters, or has to wait for a silent voter.
-        """
-        voters = self._replica.voters
-        self._once_caught_up_learners = {
-            learner
-            for learner in voters.learners
-            if learner in self._once_caught_up_learners
-            or self._leader.is_caught_up(learner)
-        }
-        learners = [
-            learner
-            for learner in voters.learners
-            if learner in self._once_caught_up_learners
-            and self._leader.is_alive(learner)
-            and not self._find_namesake(voters.voters, learner)
-        ]
-        if not self._replica.cfg.auto_admit_unlisted:
-            return learners
-        if self._replacement.must_wait():
-            return []
-        if len(voters.voters) < MIN_ODD_VOTERS:
-            return learners
-        learners = self._leave_out_newcomers(learners)
-        needed_count = 1 + len(voters.voters) % 2
-        return learners if len(learners) >= needed_count else []
-
-    def _leave_out_newcomers(self, learners):
-        """Leaves out newcomers that may yet take the place of a voter.
-
-        A planned replacement starts the new VM first; promoted beside a
-        standby it would leave an even number once the old voter stops.  None
-        is left out while there are too few voters for ``tolerated_losses``.
-        """
-        voters = self._replica.voters
-        tolerated_losses = self._replica.cfg.tolerated_losses
-        if len(voters.voters) < 2 * tolerated_losses + 1:
-            return learners
-        return [
-            learner for learner in learners if learner not in voters.newcomers
-        ]
-
     def _admit_newcomers(self):
         """Makes one change towards adding an identity that asked to join.
 
         Only the names of initial members are admitted, unless
         ``auto_admit_unlisted`` is set.  A learner of the same process name is
-        replaced if it is not alive; while it is alive, the newcomer waits.
+        removed first if it is not alive; while it is alive, the newcomer
+        waits.
 
         Returns:
             True if a change was appended.
@@ -433,8 +374,10 @@
             namesake = self._find_namesake(replica.voters.learners, identity)
             if namesake and self._leader.is_alive(namesake):
                 continue
-            change = 'renew' if namesake else 'add'
-            if not self.propose_change(change, identity):
+            next_change = (
+                ('remove', namesake) if namesake else ('add', identity)
+            )
+            if not self.propose_change(*next_change):
                 return True
         return False
 
--- a/fuchsiatrestle/agreement/_replacement.py
+++ b/fuchsiatrestle/agreement/_replacement.py
@@ -73,41 +73,27 @@
             )
         )
 
-    def find_gone_member(self):
-        """Returns a voter or standby to remove because it is gone.
-
-        The one that is silent for longest is the first to be matched with a
-        newcomer, so that a newcomer which comes for a silent standby takes no
-        place of a voter that pauses beside it.
+    def find_gone_voter(self):
+        """Returns a voter to remove because it is gone.
 
         Returns:
-            The member, or '', and the newcomer that takes its place, or ''.
+            The voter, or '', and the newcomer that takes its place, or ''.
         """
-        voters = self._replica.voters
-        standbys = [
-            learner
-            for learner in voters.learners
-            if learner not in voters.newcomers
-        ]
-        for member in sorted(
-            voters.voters + standbys,
-            key=self._leader.get_silent_ms,
-            reverse=True,
+        voters = self._replica.voters.voters
+        for voter in sorted(
+            voters, key=self._leader.get_silent_ms, reverse=True
         ):
-            silent_ms = self._leader.get_silent_ms(member)
+            silent_ms = self._leader.get_silent_ms(voter)
             if silent_ms < self._replica.cfg.replaced_voter_ms:
                 break
             newcomer = self._find_newcomer(
-                member, self._replica.now_ms - silent_ms
-            )
-            is_lost = (
-                member in voters.voters
-                and silent_ms >= self._replica.cfg.lost_voter_ms
+                voter, self._replica.now_ms - silent_ms
             )
-            if not newcomer and not (is_lost and self._is_dispensable(member)):
+            is_lost = silent_ms >= self._replica.cfg.lost_voter_ms
+            if not newcomer and not (is_lost and self._is_dispensable(voter)):
                 continue
-            if self._has_live_quorum_without(member):
-                return member, newcomer
+            if self._has_live_quorum_without(voter):
+                return voter, newcomer
         return '', ''
 
     def find_newcomer_for(self, voter):
--- a/fuchsiatrestle/agreement/_voters.py
+++ b/fuchsiatrestle/agreement/_voters.py
@@ -93,26 +93,6 @@
             learners=self.learners + [identity], newcomers=newcomers
         )
 
-    def with_renewed_learner(self, identity):
-        """Returns a copy with a learner in place of its namesake.
-
-        It is a newcomer only if the learner of the same process name was one,
-        as a replica whose disk was lost replaces no voter.
-
-        Args:
-            identity: identity of the new learner.
-        """
-        name = process_name_of(identity)
-        voters = self
-        for learner in self.learners:
-            if process_name_of(learner) == name:
-                voters = voters.without_member(learner)
-                if learner in self.newcomers:
-                    voters = voters._replace(
-                        newcomers=voters.newcomers + [identity]
-                    )
-        return voters._replace(learners=voters.learners + [identity])
-
     def with_promoted_learner(self, identity):
         """Returns a copy with one learner promoted to voter."""
         return self._replace(
--- a/tests/agreement/replacement_runs.py
+++ b/tests/agreement/replacement_runs.py
@@ -271,11 +271,6 @@
             raise cluster.ClusterInvariantBreach(
                 f'{len(live_voters)} of {len(voters.voters)} voters are left'
             )
-        missing = up_identities.difference(voters.members)
+        missing = up_identities.difference(voters.voters)
         if missing:
-            raise cluster.ClusterInvariantBreach(f'no members: {missing}')
-        standbys = up_identities.intersection(voters.learners)
-        if len(voters.voters) % 2 == 0 or len(standbys) > 1:
-            raise cluster.ClusterInvariantBreach(
-                f'{len(voters.voters)} voters beside {len(standbys)} standbys'
-            )
+            raise cluster.ClusterInvariantBreach(f'no voters: {missing}')
--- a/tests/agreement/test_cluster.py
+++ b/tests/agreement/test_cluster.py
@@ -66,9 +66,9 @@
         cfg = cluster.small_config()
         cfg.auto_admit_unlisted = True
         self.cluster = cluster.Cluster(
-            ('c1', 'c2', 'c3', 'c4', 'c5'), 1, cfg, ('c1', 'c2', 'c3')
+            ('c1', 'c2', 'c3', 'c4'), 1, cfg, ('c1', 'c2', 'c3')
         )
-        self.assertTrue(self._run_until_voters(5))
+        self.assertTrue(self._run_until_voters(4))
 
     def _run_until_voters(self, voter_count):
         """Runs until the voters are the present identities of some nodes.
@@ -111,7 +111,7 @@
         self.cluster.kill('c2')
         self.cluster.replace_disk('c2')
         self.cluster.start('c2')
-        self.assertTrue(self._run_until_voters(5))
+        self.assertTrue(self._run_until_voters(4))
         self.assertEqual('c4', self.cluster.leader)
 
 
--- a/tests/agreement/test_replacement.py
+++ b/tests/agreement/test_replacement.py
@@ -54,16 +54,6 @@
             for voter in self._voters(group).voters
         }
 
-    def _standby_names(self, group):
-        """Returns the names of the learners, all of which have to be up."""
-        learners = self._voters(group).learners
-        names = set(map(agreement.process_name_of, learners))
-        self.assertEqual(
-            {group.nodes[name].replica.identity for name in names},
-            set(learners),
-        )
-        return names
-
     def _check_bears_losses(self, group, loss_count):
         """Requires commits while some voters, the leader among them, are down.
 
@@ -172,15 +162,12 @@
             group.run(1000)
             with self.subTest(seed=seed):
                 kept = self._voters(group).voters
-                self.assertEqual(set(voters), set(kept))
-                self.assertEqual({'c4'}, self._standby_names(group))
+                self.assertEqual(set(voters), set(kept) & set(voters))
+                self.assertIn('c4', self._voter_names(group))
 
     def test_newcomer_that_leads_takes_the_place_of_a_gone_voter(self):
         for seed in range(10):
-            # Four voters of five that are needed: the newcomer is promoted.
-            group = self._start_group(
-                ['c1', 'c2', 'c3', 'c5'], 4, tolerated_losses=2, seed=seed
-            )
+            group = self._start_group(['c1', 'c2', 'c3'], seed=seed)
             gone = next(
                 name for name in group.node_names if name != group.leader
             )
@@ -217,7 +204,7 @@
                     group.run(3_000)
                     self.assertEqual(voters, set(self._voters(group).voters))
 
-    def test_voter_paused_beside_a_replacement_is_a_member_again(self):
+    def test_voter_paused_beside_a_replacement_is_a_voter_again(self):
         names = [f'c{number}' for number in range(1, 7)]
         group = self._start_group(names, tolerated_losses=2)
         group.run(15_000)
@@ -228,10 +215,8 @@
         group.run(PAUSE_MS)
         group.resume('c2')
         group.run(replacement_runs.CATCH_UP_MS[2])
-        self.assertEqual(
-            {'c1', 'c4', 'c5', 'c6', 'c7'}, self._voter_names(group)
-        )
-        self.assertEqual({'c2'}, self._standby_names(group))
+        self.assertIn('c2', self._voter_names(group))
+        self.assertNotIn('c3', self._voter_names(group))
         self._check_bears_losses(group, 2)
 
     # Replicas that were replaced
@@ -253,7 +238,7 @@
         group.resume(paused)
         group.run(CATCH_UP_MS)
         self.assertNotEqual(identity, group.nodes[paused].replica.identity)
-        self.assertEqual({paused}, self._standby_names(group))
+        self.assertIn(paused, self._voter_names(group))
         self.assertNotIn(identity, self._voters(group).members)
 
     def test_replaced_replica_gets_no_vote_and_orders_nothing(self):
@@ -281,7 +266,7 @@
         group.initial_names = ['c4', 'c5', 'c6']
         group.start(paused)
         group.run(CATCH_UP_MS)
-        self.assertEqual({paused}, self._standby_names(group))
+        self.assertIn(paused, self._voter_names(group))
 
     def test_member_removed_by_an_operator_does_not_join_again(self):
         group = self._start_group(['c1', 'c2', 'c3', 'c4'])
@@ -326,10 +311,10 @@
         group.initial_names = ['c8', 'c9', 'c4']
         group.add_node('c4')
         group.run(CATCH_UP_MS)
-        self.assertEqual(set(), self._standby_names(group))
+        self.assertNotIn('c4', self._voter_names(group))
         group.step('c4', agreement.SetInitialMembers(['c2', 'c4']))
         group.run(CATCH_UP_MS)
-        self.assertEqual({'c4'}, self._standby_names(group))
+        self.assertIn('c4', self._voter_names(group))
 
     # Random runs
 
@@ -383,7 +368,7 @@
         for owner, attribute, replacement in (
             (
                 _replacement.VoterReplacement,
-                'find_gone_member',
+                'find_gone_voter',
                 lambda self: ('', ''),
             ),
             (
--- a/tests/platform/test_process_platform.py
+++ b/tests/platform/test_process_platform.py
@@ -5,7 +5,6 @@
 and the loss of a disk.
 """
 
-import re
 import signal
 import tempfile
 import unittest
@@ -155,34 +154,23 @@
     def test_replica_that_is_no_seed_joins(self):
         curio.run(self._check_join)
 
-    async def _wait_until_joined(self, deployment, host, role='follower'):
-        """Waits until a replica follows a leader as a voter or learner."""
-        pattern = re.compile(rf'role={role} term=\d+ leader=\d')
-
-        async def has_joined():
+    async def _wait_until_joined(self, deployment, host):
+        async def is_voter():
             with open(
                 deployment.controls[host].log_path, encoding='utf-8'
             ) as log:
-                return pattern.search(log.read())
+                return 'role=follower' in log.read()
 
-        await deployment.wait_until(has_joined, f'{host} as {role}')
+        await deployment.wait_until(is_voter, 'a fourth voter')
 
     async def _check_join(self):
         deployment = self._deploy(control_count=4)
         await deployment.start()
         await deployment.put_configuration(_deployment.make_configuration(1))
-        joined_host = deployment.hosts[3]
-        await self._wait_until_joined(deployment, joined_host, 'learner')
-        lost_host = deployment.find_leader()
-        deployment.controls[lost_host].kill()
-        # The standby takes the place of the lost voter.
-        await self._wait_until_joined(deployment, joined_host)
-        # One of the first three daemons is left, so the quorum, two of three,
-        # needs the fourth.
-        killed_host = next(
-            host for host in deployment.hosts if host != lost_host
-        )
-        deployment.controls[killed_host].kill()
+        await self._wait_until_joined(deployment, deployment.hosts[3])
+        # Two of the first three daemons are left, so the quorum, three of
+        # four, needs the fourth.
+        deployment.controls[deployment.find_leader()].kill()
         name = f'{1:016x}'
         self.assertEqual(
             200, await deployment.submit_workflow(name, _deployment.STEPS)
@@ -209,10 +197,8 @@
         self.assertEqual(
             200, await deployment.submit_workflow(name, _deployment.STEPS)
         )
-        # The fourth replica of four is the standby, of five a voter.
-        role = 'follower' if control_count % 2 else 'learner'
         for host in deployment.hosts[3:]:
-            await self._wait_until_joined(deployment, host, role)
+            await self._wait_until_joined(deployment, host)
         for process in deployment.controls.values():
             process.kill()
         for lost_index in lost_indexes:
