Check for suspensions at intervals in the entry

AdminApi made its own PauseDetector, which was checked only by the orders about evacuations. The first order after a suspension of the VM, even hours later, was therefore what noticed it, and was refused as late (503).

The entry daemon now owns the detector, checks it in its tick of 50 ms beside the step of the lease holder, and passes it to AdminApi. There is no new task. The clocks tell the whole suspended time but not when a suspension ended, so an order can be placed before or after it only if it was checked in between.

test_order_after_an_earlier_suspension_reaches_control fails without the change ('timeout' != 'late'). An order that had arrived before the suspension is still refused. tests.entry.test_daemon, tests.admin and tests.net.test_evacuation_orders: 19 passed.

--- a/fuchsiatrestle/admin/_api.py
+++ b/fuchsiatrestle/admin/_api.py
@@ -51,13 +51,22 @@
         control: the ``Control`` that commands and queries are sent to.
         local_entry: the ``LocalEntry`` that provides the state of this entry.
         registry: ``metrics`` registry whose values ``/v1/counters`` returns.
+        pause_detector: ``pauses.PauseDetector`` that is checked at short
+            intervals; by default a new one that only the orders check, which
+            refuses the first order after a suspension.
     """
 
     def __init__(
-        self, control, local_entry, registry=metrics.default_registry
+        self,
+        control,
+        local_entry,
+        registry=metrics.default_registry,
+        pause_detector=None,
     ):
         self._control = control
-        self._evacuation_orders = evacuation_orders.EvacuationOrders(control)
+        self._evacuation_orders = evacuation_orders.EvacuationOrders(
+            control, pause_detector=pause_detector
+        )
         self._local_entry = local_entry
         self._registry = registry
 
--- a/fuchsiatrestle/entry/_daemon.py
+++ b/fuchsiatrestle/entry/_daemon.py
@@ -17,12 +17,14 @@
 from fuchsiatrestle.net import http_limits
 from fuchsiatrestle.net import link
 from fuchsiatrestle.net import tls
+from fuchsiatrestle import pauses
 from fuchsiatrestle import routing
 from fuchsiatrestle import settings
 
 __all__ = ('EntryDaemon',)
 
-# Interval of the lease holder's steps and of the check for failed tasks.
+# Interval of the lease holder's steps and of the checks for suspensions and
+# failed tasks.
 TICK_INTERVAL_S = 0.05
 
 LOG = logs.get_logger(__name__)
@@ -56,6 +58,7 @@
         self._stop_requested = curio.Event()
         self._peer_addresses = {}
         self._tasks = []
+        self._pause_detector = pauses.PauseDetector()
         control_addresses = cfg.get('entry', 'controls')
         link_address = cfg.get('entry', 'link')
         self._link = link.Link(
@@ -91,7 +94,9 @@
             self.router, self._report_batcher
         )
         admin_api = admin.AdminApi(
-            self._control_client, _local.LocalEntryAdapter(self)
+            self._control_client,
+            _local.LocalEntryAdapter(self),
+            pause_detector=self._pause_detector,
         )
         self._callers_server = self._build_server(
             'callers', self._caller_path.handler, callers_limits
@@ -243,6 +248,7 @@
 
     async def _renew_lease_forever(self):
         while True:
+            self._pause_detector.check(daemon.monotonic_ms())
             await self._step_lease_holder(membership.Tick())
             await curio.sleep(TICK_INTERVAL_S)
 
