Name one thing alike in the modules of hard load

The key of a step was built in several modules, lookups had names without a verb, the entry of an evacuation called the data centre zone, and some comments used figurative words or left out what a value is. Two constants had no use.

_runs.make_step_key serves _capacity, _stragglers, _evacuation, _slow_workers and _load. Lookups begin with a verb (find_demand_rate, find_size_share, find_path_ms, find_larger_sizes, list_kind_estimates, list_evacuated_names), as STYLE asks. _find_expected_ms states its arguments and results. PROFILE_INTERVAL_MS and _BUCKETS_PER_OCTAVE are removed.

--- a/fuchsiatrestle/net/_memory_budget.py
+++ b/fuchsiatrestle/net/_memory_budget.py
@@ -26,7 +26,7 @@
 HANDLING = 'handling'
 SENDING = 'sending'
 
-# A process was seen to grow by 1.7 times its budget above 37 MB when idle.
+# A process grows by up to 1.7 times its budget above the 37 MB when idle.
 # That and the 24 MiB of a link queue fit into the smallest VM, of 200 MB.
 DEFAULT_BUDGET_BYTES = 64 * 1024 * 1024
 # A client that sent or accepted nothing for so long counts as stopped.  A lost
@@ -141,17 +141,17 @@
         stalled.sort(key=lambda reservation: reservation.active_s)
         later.sort(key=lambda reservation: -reservation.sequence)
         needed_bytes = self.used_bytes + added_bytes - self.max_bytes
-        victims = []
+        revoked = []
         for reservation in stalled + later:
             if needed_bytes <= 0:
                 break
-            victims.append(reservation)
+            revoked.append(reservation)
             needed_bytes -= reservation.byte_count
-        # What stalled is given up even if the asking request does not fit.
-        # Later ones are not, as nobody would gain from it.
+        # Stalled reservations are revoked even if the asking request does not
+        # fit.  Later ones are kept then, as revoking them would not help it.
         if needed_bytes > 0:
-            victims = stalled
-        for reservation in victims:
+            revoked = stalled
+        for reservation in revoked:
             self._release(reservation)
             reservation.revoke()
         return needed_bytes <= 0
--- a/fuchsiatrestle/platform/_operators.py
+++ b/fuchsiatrestle/platform/_operators.py
@@ -86,9 +86,13 @@
             if action == 'deregister':
                 return await self._withdraw_worker(worker, request.body)
         if request.method == 'POST' and path.startswith(EVACUATIONS_PATH):
-            zone, _, action = path[len(EVACUATIONS_PATH) :].rpartition('/')
+            data_centre, _, action = path[len(EVACUATIONS_PATH) :].rpartition(
+                '/'
+            )
             if self._evacuation_orders and action in EVACUATION_ACTIONS:
-                return await self._order_evacuation(zone, action, request)
+                return await self._order_evacuation(
+                    data_centre, action, request
+                )
         return http.make_reason_response(404, 'unknown_path')
 
     # Configuration
@@ -162,10 +166,10 @@
 
     # Evacuations
 
-    async def _order_evacuation(self, zone, action, request):
+    async def _order_evacuation(self, data_centre, action, request):
         is_start = action == 'start'
         order_result = await self._evacuation_orders.order(
-            urllib.parse.unquote(zone),
+            urllib.parse.unquote(data_centre),
             is_start=is_start,
             received_ms=request.received_ms,
         )
@@ -216,7 +220,8 @@
     """Logs and counts a call that the leader did not answer; returns a 503.
 
     Args:
-        call_subject: ``document`` or the name of a worker, for the log.
+        call_subject: ``document``, ``evacuation`` or the name of a worker, for
+            the log.
         failure: the ``control_client.CallFailure``.
     """
     metrics.count(LEADER_AWAY)
--- a/fuchsiatrestle/state/_evacuations.py
+++ b/fuchsiatrestle/state/_evacuations.py
@@ -101,7 +101,7 @@
         row = self._rows.get(data_centre)
         return row is not None and row.was_evacuated
 
-    def evacuated_names(self):
+    def list_evacuated_names(self):
         """Returns the names of the evacuated data centres, sorted."""
         return sorted(filter(self.is_evacuated, self._rows))
 
--- a/fuchsiatrestle/state/_run_times.py
+++ b/fuchsiatrestle/state/_run_times.py
@@ -33,7 +33,6 @@
 # Each range from a power of two to the next one has 16 buckets, so that the
 # middle of a bucket is off by 1/32 at most.
 _BUCKET_BITS = 4
-_BUCKETS_PER_OCTAVE = 1 << _BUCKET_BITS
 
 
 class RunTimesRow(records.Record, tag='run-times'):
@@ -125,7 +124,7 @@
         histogram = self._find_histogram(queue_name, step_number, step)
         return histogram is not None
 
-    def kind_estimates(self):
+    def list_kind_estimates(self):
         """Returns the ``KindEstimate`` of each kind with enough run times.
 
         The least recently updated kind comes first.
--- a/fuchsiatrestle/workflows/_admission.py
+++ b/fuchsiatrestle/workflows/_admission.py
@@ -2,9 +2,9 @@
 
 It addresses a load that exceeds the capacity for longer than callers can
 wait: a burst, or a loss of workers.  A workflow that would be completed after
-three times its objective is of no use to its caller, who is told so at once
-and when to come back.  Nothing is refused while the estimate is not backed by
-measurements, see ``AdmissionPolicy.find_refusal``.
+three times its objective is of no use to its caller.  It is refused at once,
+with the time after which to try again.  Nothing is refused while the estimate
+is not backed by measurements, see ``AdmissionPolicy.find_refusal``.
 
 The estimates are local to a leader (see ``_load``).  A refusal is agreed
 before it is sent; the agreed state decides whether it takes effect.
@@ -27,8 +27,8 @@
 # overloaded.  The rest is for run times that vary: a step ends with its
 # slowest task.
 IN_TIME_OBJECTIVE_SHARE = 0.8
-# Time in which a refused caller comes back: four calls of up to 3000 ms.
-CALLER_PATIENCE_MS = 12_000
+# Time in which a refused caller tries again: four calls of up to 3000 ms.
+CALLER_RETRY_SPAN_MS = 12_000
 # A new leader refuses nothing before this: workers announce themselves every
 # 1.5 s, and one of these announcements may be lost.
 MIN_LED_MS = 5000
@@ -226,7 +226,7 @@
         )
         if estimate is not None:
             metrics.gauge(
-                _ESTIMATED_TIMES[_kind(estimate.lane)],
+                _ESTIMATED_TIMES[_find_lane_kind(estimate.lane)],
                 round(estimate.total_ms),
             )
         reason = self._find_reason(demand, estimate, wall_ms)
@@ -290,12 +290,12 @@
         self._histories = {
             key: history
             for key, history in self._histories.items()
-            if history.demand_rate(now_ms)
+            if history.find_demand_rate(now_ms)
         }
         self._last_refused_ms = {
             key: refused_ms
             for key, refused_ms in self._last_refused_ms.items()
-            if now_ms - refused_ms < CALLER_PATIENCE_MS
+            if now_ms - refused_ms < CALLER_RETRY_SPAN_MS
         }
         self._next_return_ms = {
             key: return_ms
@@ -358,13 +358,13 @@
                 continue
             is_large = is_large_by_lane[lane]
             queue_rate = self._find_queue_rate(demand.queue, lane, drain_rate)
-            queue_rate *= self._histories[demand.queue.name, lane].size_share(
-                is_large
-            )
+            queue_rate *= self._histories[
+                demand.queue.name, lane
+            ].find_size_share(is_large)
             work = demand.work_by_lane[lane]
             own_ms = max(demand.longest_path_ms, work / queue_rate)
             if own_ms > USELESS_OBJECTIVE_FACTOR * demand.objective_ms:
-                # It would be refused for ever, also if it did not wait.
+                # It would be refused always, also if it did not wait.
                 own_ms = min(demand.longest_path_ms, demand.objective_ms)
             work_before, total_work = self._find_waiting_work(
                 lane, demand, latest_start_ms, is_large
@@ -425,7 +425,7 @@
         """
         now_ms = self._state.now_ms
         demand_rates = {
-            name: history.demand_rate(now_ms)
+            name: history.find_demand_rate(now_ms)
             for (name, other_lane), history in self._histories.items()
             if other_lane == lane
         }
@@ -481,13 +481,13 @@
         """True if callers that were refused may still come back."""
         last_refused_ms = self._last_refused_ms.get((queue.name, lane))
         if last_refused_ms is not None:
-            return self._state.now_ms - last_refused_ms < CALLER_PATIENCE_MS
+            return self._state.now_ms - last_refused_ms < CALLER_RETRY_SPAN_MS
         adopted_wall_ms = self._adopted_refused_wall_ms.get(
             (queue.name, lane.fills)
         )
         return (
             adopted_wall_ms is not None
-            and abs(wall_ms - adopted_wall_ms) < CALLER_PATIENCE_MS
+            and abs(wall_ms - adopted_wall_ms) < CALLER_RETRY_SPAN_MS
         )
 
     def _has_free_room(self, demand, lane):
@@ -535,7 +535,7 @@
     def _report_refusal(
         self, workflow_id, demand, estimate, reason, retry_after_ms
     ):
-        kind = _kind(estimate.lane)
+        kind = _find_lane_kind(estimate.lane)
         metrics.count(_REFUSALS[kind, reason])
         LOG.info(
             'workflow_refused',
@@ -566,5 +566,6 @@
     return USELESS_OBJECTIVE_FACTOR * demand.objective_ms
 
 
-def _kind(lane):
+def _find_lane_kind(lane):
+    """Returns the kind of the tasks of a lane, as log lines name it."""
     return 'best_effort' if lane.fills else 'batch'
--- a/fuchsiatrestle/workflows/_capacity.py
+++ b/fuchsiatrestle/workflows/_capacity.py
@@ -2,6 +2,8 @@
 
 import collections
 
+from fuchsiatrestle.workflows import _runs
+
 __all__ = ('Capacity',)
 
 # Share of the processor time reserved by serving tasks that best-effort tasks
@@ -60,7 +62,7 @@
         Args:
             task_id: id of any task of the step.
         """
-        return self._run_count_by_step[_step_key(task_id)]
+        return self._run_count_by_step[_runs.make_step_key(task_id)]
 
     @property
     def best_effort_limit(self):
@@ -107,7 +109,7 @@
 
     def _adjust_reservation(self, run, sign):
         """Adds (sign 1) or removes (sign -1) the needs of a run."""
-        self._run_count_by_step[_step_key(run.live_run.task)] += sign
+        self._run_count_by_step[_runs.make_step_key(run.live_run.task)] += sign
         step = run.step
         if step is None:
             return
@@ -123,7 +125,3 @@
         self.free_cpu -= sign * step.cpu
         if step.lasts:
             self.long_running_cpu += sign * step.cpu
-
-
-def _step_key(task_id):
-    return task_id.workflow_id, task_id.occurrence, task_id.step
--- a/fuchsiatrestle/workflows/_estimates.py
+++ b/fuchsiatrestle/workflows/_estimates.py
@@ -122,7 +122,7 @@
         if 0 <= wall_ms - self._reported_ms < REPORT_INTERVAL_MS:
             return
         self._reported_ms = wall_ms
-        kinds = self._workflow_store.run_times.kind_estimates()
+        kinds = self._workflow_store.run_times.list_kind_estimates()
         metrics.gauge(KNOWN_KINDS, len(kinds))
         metrics.gauge(
             SHORT_ESTIMATES,
--- a/fuchsiatrestle/workflows/_evacuation.py
+++ b/fuchsiatrestle/workflows/_evacuation.py
@@ -76,7 +76,7 @@
         """Logs changes, marks the cold workers, and limits the searches."""
         if not self._evacuations.is_used:
             return
-        names = self._evacuations.evacuated_names()
+        names = self._evacuations.list_evacuated_names()
         if names != self._evacuated_names:
             self._log_changes(names)
             self._evacuated_names = names
@@ -134,7 +134,7 @@
         kept_steps = set()
         for worker, run in self._find_movable_runs(pool_round.pool):
             task_id = run.live_run.task
-            step_key = task_id.workflow_id, task_id.occurrence, task_id.step
+            step_key = _runs.make_step_key(task_id)
             if step_key in kept_steps:
                 continue
             needed_cpu = 0 if run.step.fills else run.step.cpu
--- a/fuchsiatrestle/workflows/_load.py
+++ b/fuchsiatrestle/workflows/_load.py
@@ -15,6 +15,8 @@
 import collections
 import itertools
 
+from fuchsiatrestle.workflows import _runs
+
 __all__ = (
     'Demand',
     'DrainMeter',
@@ -165,8 +167,15 @@
             if not step.after
         ]
 
-    def path_ms_from_step(self, step_number):
-        """Returns the longest path from the start of a step to the end."""
+    def find_path_ms(self, step_number):
+        """Returns the estimated length of the longest path from a step on.
+
+        Args:
+            step_number: number of the step, which is part of the path.
+
+        Returns:
+            Milliseconds.
+        """
         return self._path_ms_from_step[step_number]
 
 
@@ -374,10 +383,10 @@
             self._large_from = works[position]
 
     def is_large(self, work):
-        """True for a workflow with this work if it is large."""
+        """Returns True if a workflow with this work is large."""
         return self._large_from is not None and work >= self._large_from
 
-    def size_share(self, is_large):
+    def find_size_share(self, is_large):
         """Returns the share of the queue's rate for a size of workflows."""
         if self._large_from is None or not self._total_work:
             return 1.0
@@ -385,7 +394,7 @@
         large_share = min(max(large_share, MIN_LARGE_SHARE), MAX_LARGE_SHARE)
         return large_share if is_large else 1 - large_share
 
-    def demand_rate(self, now_ms):
+    def find_demand_rate(self, now_ms):
         """Returns the rate at which work was submitted.
 
         Args:
@@ -451,7 +460,7 @@
         self._changed_ids.update(workflow_ids)
 
     def clear(self):
-        """Has all workflows measured anew, as the queues have changed."""
+        """Drops all rows; the next ``update`` measures every workflow."""
         self.rows.clear()
 
     def update(self, sharing_run_counts):
@@ -500,7 +509,7 @@
     for step_number, step in enumerate(workflow.spec.steps):
         if step.lasts or workflow.is_step_done(occurrence, step_number):
             continue
-        path_ms = max(path_ms, demand.path_ms_from_step(step_number))
+        path_ms = max(path_ms, demand.find_path_ms(step_number))
         task_count = workflow.count_waiting_tasks(occurrence, step_number)
         task_count += sharing_run_counts[
             workflow.workflow_id, occurrence, step_number
@@ -626,10 +635,8 @@
                     lane = find_lane(worker.record.pool, run.step)
                     self.busy_cpu_by_lane[lane] += max(run.step.cpu, 1)
                 if run.shares_cpu:
-                    task_id = run.live_run.task
-                    sharing_run_counts[
-                        task_id.workflow_id, task_id.occurrence, task_id.step
-                    ] += 1
+                    step_key = _runs.make_step_key(run.live_run.task)
+                    sharing_run_counts[step_key] += 1
         return sharing_run_counts
 
     def _add_waiting_work(self, demand, waiting_work, history, wall_ms):
--- a/fuchsiatrestle/workflows/_runs.py
+++ b/fuchsiatrestle/workflows/_runs.py
@@ -2,7 +2,14 @@
 
 from fuchsiatrestle.workflows import _pace_limits
 
-__all__ = ('STEP_KINDS', 'Phase', 'Run', 'format_task_id', 'step_kind')
+__all__ = (
+    'STEP_KINDS',
+    'Phase',
+    'Run',
+    'format_task_id',
+    'make_step_key',
+    'step_kind',
+)
 
 # Kinds of steps, as log lines name them.
 STEP_KINDS = ('best_effort', 'batch', 'long_running')
@@ -248,6 +255,11 @@
     return f'{task_id.occurrence}.{task_id.step}.{task_id.index}'
 
 
+def make_step_key(task_id):
+    """Returns a key that is equal for the tasks of one step and occurrence."""
+    return task_id.workflow_id, task_id.occurrence, task_id.step
+
+
 def step_kind(step):
     """Returns the kind of a step's tasks, for log lines."""
     if step.fills:
--- a/fuchsiatrestle/workflows/_size_balance.py
+++ b/fuchsiatrestle/workflows/_size_balance.py
@@ -108,7 +108,7 @@
         self._step = step
         self._pool = pool
         profile = self.profiles.get(pool)
-        self._larger_sizes = profile.larger_sizes(step) if profile else []
+        self._larger_sizes = profile.find_larger_sizes(step) if profile else []
         self._likely_sizes = profile.sizes if profile else []
 
 
--- a/fuchsiatrestle/workflows/_slow_workers.py
+++ b/fuchsiatrestle/workflows/_slow_workers.py
@@ -1,9 +1,9 @@
 """Finds workers that have become slow, and gives them fewer tasks.
 
 A worker may become several times slower for a while, and all that runs there
-comes late.  Its announcements do not tell.  The progress of its runs does, if
-it is compared with that of runs alike on other workers.  As a task may be slow
-by itself, a worker is blamed only for slow runs of several workflows.
+comes late.  Its announcements do not show that.  The progress of its runs
+does, compared with that of runs alike on other workers.  As a task may be slow
+by itself, a worker counts as slow only if runs of several workflows are slow.
 """
 
 import bisect
@@ -21,7 +21,8 @@
 CHECK_INTERVAL_MS = 1000
 # A run is slow if it advances by less than this share of what its peers do.
 SLOW_PACE = 0.5
-# Numbers of runs on other workers that tell the pace of a step or an image.
+# Numbers of runs on other workers from which the pace of a step or an image
+# is known.
 MIN_STEP_PEERS = 2
 MIN_IMAGE_PEERS = 3
 # Number of workflows whose runs have to be slow on a worker.
@@ -50,7 +51,7 @@
 
 
 class _SlowWorker:
-    """What a slow worker may get.
+    """Pauses and retries of a slow worker.
 
     Attributes:
         worker: the ``Worker``.
@@ -104,7 +105,7 @@
 
 
 class _Judgement:
-    """What the measured runs of a worker say of it.
+    """Tells from the measured runs of a worker whether it is slow.
 
     Args:
         measured_runs: list of ``_MeasuredRun``.
@@ -274,10 +275,9 @@
     __slots__ = ('run', 'samples', 'step_key', 'worker')
 
     def __init__(self, worker, run):
-        task_id = run.live_run.task
         self.run = run
         self.worker = worker
-        self.step_key = task_id.workflow_id, task_id.occurrence, task_id.step
+        self.step_key = _runs.make_step_key(run.live_run.task)
         self.samples = []
 
     def update(self):
--- a/fuchsiatrestle/workflows/_stragglers.py
+++ b/fuchsiatrestle/workflows/_stragglers.py
@@ -79,7 +79,7 @@
         workflow: the ``Workflow``.
         elapsed_ms: time that it has taken.
         expected_ms: time that runs of its kind take.
-        expected_by: what tells that time, for the log.
+        expected_by: source of that time for the log: ``step`` or ``kind``.
     """
 
     __slots__ = (
@@ -121,7 +121,7 @@
         self._next_check_ms = dispatch_state.now_ms
         # Earliest time of the next copy, by task id.
         self._retry_ms_by_task = {}
-        # Run times of the tasks that are done, by ``_step_key``.
+        # Run times of the tasks that are done, by ``_runs.make_step_key``.
         self._run_times_ms_by_step = {}
         # Agreed placement time of each live run, by task id and run number.
         self._placed_ms_by_run = {}
@@ -136,7 +136,7 @@
     # Agreed progress
 
     def record_command(self, command):
-        """Learns run times of ended tasks, and what became of copies."""
+        """Learns run times of ended tasks; counts placed and ended copies."""
         if not isinstance(command, commands.RecordProgress):
             return
         for run_end in command.ends:
@@ -182,7 +182,7 @@
         if run_end.how == 'done' and not (copy and copy.is_beaten):
             if workflow and not workflow.tasks[run_end.task].checkpoint:
                 self._run_times_ms_by_step.setdefault(
-                    _step_key(run_end.task), []
+                    _runs.make_step_key(run_end.task), []
                 ).append(now_ms - placed_ms)
         if copy is None:
             return
@@ -313,8 +313,8 @@
         Args:
             worker: the ``Worker``.
             run: the ``Run``.
-            expectations: results of ``_find_expected_ms`` by ``_step_key``;
-                the missing one is added.
+            expectations: results of ``_find_expected_ms`` by step key; the
+                missing one is added.
         """
         elapsed_ms = self._find_elapsed_ms(run)
         if elapsed_ms < MIN_ELAPSED_MS:
@@ -325,7 +325,7 @@
         )
         if workflow is None:
             return None
-        step_key = _step_key(task_id)
+        step_key = _runs.make_step_key(task_id)
         if step_key not in expectations:
             expectations[step_key] = self._find_expected_ms(workflow, task_id)
         expected_ms, expected_by = expectations[step_key]
@@ -367,18 +367,27 @@
         return self._state.now_ms - run.started_ms
 
     def _find_expected_ms(self, workflow, task_id):
-        """Returns how long runs like those of a task take, and what tells it.
+        """Returns the expected run time of a task and its source.
 
         The run times of the same step count, in the agreed state if there
         are enough.  Until half of its tasks have ended, these are the fast
-        ones, and the learned run time counts if it is longer.  None and ''
-        if nothing is known.
+        ones, and the learned run time counts if it is longer.
+
+        Args:
+            workflow: the ``Workflow``.
+            task_id: id of the task.
+
+        Returns:
+            Milliseconds, and ``step`` or ``kind``; None and an empty string
+            if nothing is known.
         """
         step = workflow.get_step(task_id)
         agreed_median_ms = workflow.median_run_ms(task_id.step)
         if agreed_median_ms is not None:
             return agreed_median_ms, 'step'
-        ended_ms = self._run_times_ms_by_step.get(_step_key(task_id), ())
+        ended_ms = self._run_times_ms_by_step.get(
+            _runs.make_step_key(task_id), ()
+        )
         candidates = []
         if len(ended_ms) >= MIN_ENDED_TASKS:
             step_median_ms = statistics.median(ended_ms)
@@ -435,7 +444,3 @@
         ),
         default=None,
     )
-
-
-def _step_key(task_id):
-    return task_id.workflow_id, task_id.occurrence, task_id.step
--- a/fuchsiatrestle/workflows/_task_sizes.py
+++ b/fuchsiatrestle/workflows/_task_sizes.py
@@ -20,8 +20,6 @@
 # A size is large from this share of the largest worker, in percent.  Four
 # tasks below it fit on that worker, so there is often room for one.
 LARGE_PERCENT = 25
-# Profiles are computed anew after this time, as old spans are dropped.
-PROFILE_INTERVAL_MS = 1000
 
 
 class TaskSize:
@@ -108,7 +106,7 @@
             ]
         self.large_sizes = large_sizes
 
-    def larger_sizes(self, step):
+    def find_larger_sizes(self, step):
         """Returns the large sizes that are larger than the tasks of a step.
 
         Args:
--- a/tests/state/test_evacuations.py
+++ b/tests/state/test_evacuations.py
@@ -101,7 +101,7 @@
                     _apply(restored, command)
                 self.assertEqual(self.machine.snapshot(), restored.snapshot())
                 self.assertEqual(
-                    ['other'], restored.evacuations.evacuated_names()
+                    ['other'], restored.evacuations.list_evacuated_names()
                 )
 
     def test_snapshot_of_the_previous_build_restores(self):
@@ -110,7 +110,7 @@
         del snapshot.parts['evacuations']
         restored = machine.StateMachine()
         restored.restore(codec.encode(snapshot))
-        self.assertEqual([], restored.evacuations.evacuated_names())
+        self.assertEqual([], restored.evacuations.list_evacuated_names())
 
     def test_data_centres_are_bounded(self):
         """Names that a faulty daemon proposes must not fill the state."""
--- a/tests/state/test_run_times.py
+++ b/tests/state/test_run_times.py
@@ -130,7 +130,7 @@
         self._record(*[4000] * 5 * _run_times.MAX_SAMPLES)
         self.assertEqual(2, len(self.run_times.to_rows()[0].weights))
         self.assertLessEqual(
-            self.run_times.kind_estimates()[0].sample_count,
+            self.run_times.list_kind_estimates()[0].sample_count,
             _run_times.MAX_SAMPLES,
         )
 
@@ -161,7 +161,7 @@
             )
             for permille in generator.sample((1, 500, 990, 1000), 2):
                 self.run_times.estimate_ms('q', 0, queried_step, permille)
-            self.run_times.kind_estimates()
+            self.run_times.list_kind_estimates()
             if number % 100 == 0:
                 other = _run_times.RunTimes.from_rows(other.to_rows())
                 self.assertEqual(self.run_times.to_rows(), other.to_rows())
