Split long functions and count fitting tasks in one place

LoadView and EvacuationPolicy each computed how many tasks of a step fit into the free capacity of a worker. find_refusal, make_profile and EvacuationOrders.order each had a second job.

Capacity.count_fitting_tasks computes the number for both. _find_demand, _merge_spans and _report_result are split off.

--- a/fuchsiatrestle/net/evacuation_orders.py
+++ b/fuchsiatrestle/net/evacuation_orders.py
@@ -96,32 +96,7 @@
         order_result = await self._order(
             data_centre, is_start, received_ms or self._read_now_ms()
         )
-        log_fields = {
-            'data_centre': data_centre,
-            'order': 'start' if is_start else 'end',
-        }
-        if pipeline.is_successful(order_result):
-            outcome = order_result.unwrap()
-            metrics.count(ACCEPTED_ORDERS)
-            LOG.info(
-                'evacuation_acknowledged',
-                extra={
-                    **log_fields,
-                    'evacuated': outcome.evacuated,
-                    'orders': outcome.order_count,
-                    'repeated': outcome.repeated,
-                },
-            )
-        else:
-            failure = order_result.failure()
-            LOG.warning(
-                'evacuation_refused',
-                extra={
-                    **log_fields,
-                    'reason': failure.reason,
-                    'detail': failure.detail,
-                },
-            )
+        _report_result(data_centre, is_start, order_result)
         return order_result
 
     async def _order(self, data_centre, is_start, received_ms):
@@ -178,6 +153,36 @@
         return max(0, MAX_ORDER_AGE_MS - (now_ms - received_ms))
 
 
+def _report_result(data_centre, is_start, order_result):
+    """Logs an order with its result, and counts an acknowledged one."""
+    log_fields = {
+        'data_centre': data_centre,
+        'order': 'start' if is_start else 'end',
+    }
+    if pipeline.is_successful(order_result):
+        outcome = order_result.unwrap()
+        metrics.count(ACCEPTED_ORDERS)
+        LOG.info(
+            'evacuation_acknowledged',
+            extra={
+                **log_fields,
+                'evacuated': outcome.evacuated,
+                'orders': outcome.order_count,
+                'repeated': outcome.repeated,
+            },
+        )
+        return
+    failure = order_result.failure()
+    LOG.warning(
+        'evacuation_refused',
+        extra={
+            **log_fields,
+            'reason': failure.reason,
+            'detail': failure.detail,
+        },
+    )
+
+
 def _make_refusal(reason, detail):
     return result.Failure(
         control_client.CallFailure(
--- a/fuchsiatrestle/workflows/_admission.py
+++ b/fuchsiatrestle/workflows/_admission.py
@@ -197,20 +197,8 @@
             long-running or timed, that may be served in time, or for which
             that is not known.
         """
-        workflow_store = self._state.workflow_store
-        queue, workflow_id = workflow_store.documents.resolve_path(
-            submission.host, submission.path
-        )
-        spec = submission.spec
-        if not workflow_id or workflow_store.find_workflow(workflow_id):
-            return None
-        if spec.occurrences or any(step.lasts for step in spec.steps):
-            return None
-        demand = _load.Demand(queue, spec, self._estimates)
-        if not demand.longest_path_ms:
-            return None
-        if workflow_id in self._pending_by_workflow:
-            # This leader has accepted it, and it may be agreed any moment.
+        workflow_id, demand = self._find_demand(submission)
+        if demand is None:
             return None
         now_ms = self._state.now_ms
         # A view forgets queues without work, so it is made first.
@@ -235,7 +223,7 @@
                 now_ms, demand, is_large_by_lane, latest_start_ms
             )
             return None
-        self._last_refused_ms[queue.name, estimate.lane] = now_ms
+        self._last_refused_ms[demand.queue.name, estimate.lane] = now_ms
         retry_after_ms = self._assign_return(demand, estimate)
         self._report_refusal(
             workflow_id, demand, estimate, reason, retry_after_ms
@@ -249,6 +237,33 @@
             estimate.lane.fills,
         )
 
+    def _find_demand(self, submission):
+        """Returns the id and the ``Demand`` of a workflow to be judged.
+
+        The demand is None for a workflow that is never refused: one that is
+        known or already accepted by this leader, that is long-running or
+        timed, or that declares no run time.
+
+        Args:
+            submission: the ``commands.SubmitWorkflow``.
+        """
+        workflow_store = self._state.workflow_store
+        queue, workflow_id = workflow_store.documents.resolve_path(
+            submission.host, submission.path
+        )
+        spec = submission.spec
+        if not workflow_id or workflow_store.find_workflow(workflow_id):
+            return workflow_id, None
+        if spec.occurrences or any(step.lasts for step in spec.steps):
+            return workflow_id, None
+        demand = _load.Demand(queue, spec, self._estimates)
+        if (
+            not demand.longest_path_ms
+            or workflow_id in self._pending_by_workflow
+        ):
+            return workflow_id, None
+        return workflow_id, demand
+
     # Measurement
 
     def _refresh_view(self, wall_ms, max_age_ms):
--- a/fuchsiatrestle/workflows/_capacity.py
+++ b/fuchsiatrestle/workflows/_capacity.py
@@ -56,6 +56,29 @@
         self.serving_cpu = 0
         self._run_count_by_step = collections.Counter()
 
+    def count_fitting_tasks(self, step, cpu):
+        """Returns how many tasks of a step fit beside the present runs.
+
+        Label and ``most_per_worker`` are not checked.
+
+        Args:
+            step: the ``Step``.
+            cpu: processor time that they may use, in thousandths of a core.
+
+        Returns:
+            The number, 0 at least; None if the step needs no capacity.
+        """
+        counts = [
+            free // needed
+            for free, needed in (
+                (cpu, step.cpu),
+                (self.free_memory_mb, step.memory_mb),
+                (self.free_accelerators, step.accelerators),
+            )
+            if needed
+        ]
+        return max(0, min(counts)) if counts else None
+
     def count_step_runs(self, task_id):
         """Returns how many runs of the same step are on the worker.
 
--- a/fuchsiatrestle/workflows/_evacuation.py
+++ b/fuchsiatrestle/workflows/_evacuation.py
@@ -287,15 +287,10 @@
         if worker.serving_images:
             return 0
         free_cpu = int(capacity.unused_cpu)
-    counts = [
-        free // needed
-        for free, needed in (
-            (free_cpu, step.cpu),
-            (capacity.free_memory_mb, step.memory_mb),
-            (capacity.free_accelerators, step.accelerators),
-        )
-        if needed
-    ]
+    count = capacity.count_fitting_tasks(step, free_cpu)
     if step.most_per_worker:
-        counts.append(step.most_per_worker - capacity.count_step_runs(task_id))
-    return max(0, min(counts, default=MAX_BATCH_MOVES))
+        allowed_count = max(
+            0, step.most_per_worker - capacity.count_step_runs(task_id)
+        )
+        return allowed_count if count is None else min(count, allowed_count)
+    return MAX_BATCH_MOVES if count is None else count
--- a/fuchsiatrestle/workflows/_load.py
+++ b/fuchsiatrestle/workflows/_load.py
@@ -695,15 +695,5 @@
 def _count_rooms(step, capacity):
     """Returns how many tasks of a step fit into a free capacity."""
     free_cpu = capacity.unused_cpu if step.fills else capacity.free_cpu
-    needed_and_free = (
-        (step.cpu, free_cpu),
-        (step.memory_mb, capacity.free_memory_mb),
-        (step.accelerators, capacity.free_accelerators),
-    )
-    return max(
-        0,
-        min(
-            (free // needed for needed, free in needed_and_free if needed),
-            default=step.count,
-        ),
-    )
+    count = capacity.count_fitting_tasks(step, free_cpu)
+    return step.count if count is None else count
--- a/fuchsiatrestle/workflows/_task_sizes.py
+++ b/fuchsiatrestle/workflows/_task_sizes.py
@@ -200,15 +200,7 @@
             pool: name of the service.
             workers: its workers.
         """
-        merged_groups = {}
-        for _, size_groups_by_pool in sorted(self._spans.items()):
-            for key, size_group in size_groups_by_pool.get(pool, {}).items():
-                merged = merged_groups.setdefault(key, _SizeGroup())
-                merged.add(
-                    size_group.cpu,
-                    size_group.memory_mb,
-                    size_group.task_count,
-                )
+        merged_groups = self._merge_spans(pool)
         task_count = sum(
             size_group.task_count for size_group in merged_groups.values()
         )
@@ -242,6 +234,19 @@
             max((worker.record.memory_mb for worker in workers), default=0),
         )
 
+    def _merge_spans(self, pool):
+        """Returns the ``_SizeGroup`` of all spans of a service by key."""
+        merged_groups = {}
+        for _, size_groups_by_pool in sorted(self._spans.items()):
+            for key, size_group in size_groups_by_pool.get(pool, {}).items():
+                merged = merged_groups.setdefault(key, _SizeGroup())
+                merged.add(
+                    size_group.cpu,
+                    size_group.memory_mb,
+                    size_group.task_count,
+                )
+        return merged_groups
+
     def _adopt_workflows(self, wall_ms):
         """Counts the tasks of workflows submitted before this leader."""
         for workflow in self._workflow_store.retained_workflows:
