Explain limits and use one name for the dispatch state in policies

The policies called the DispatchState _state or _dispatch_state, five limits had no comment, large workflows had a weight where bytes were meant, and the method EvacuationList.order_count had the name of a field of its rows.

The policies use _dispatch_state, the limits say what they bound, _estimate_bytes takes the place of _weigh, and the method is find_order_count. _find_receipt_ms reads the clock by daemon.monotonic_ms, as others do.

--- a/fuchsiatrestle/control/_daemon.py
+++ b/fuchsiatrestle/control/_daemon.py
@@ -30,6 +30,8 @@
 LEADERSHIP_TRANSFER_TIMEOUT_S = 3.0
 # Time before the link is closed, for messages in its send queues to leave.
 SEND_DRAIN_S = 0.2
+# Limits of the events that wait for the state task, and of the commands in
+# them; further calls are refused as overloaded.
 MAX_STATE_BACKLOG_EVENTS = 10000
 MAX_STATE_BACKLOG_BYTES = 16 * 1024 * 1024
 
--- a/fuchsiatrestle/control/_large_workflows.py
+++ b/fuchsiatrestle/control/_large_workflows.py
@@ -13,6 +13,7 @@
 # Memory of a workflow from which on it counts as large.  It has 150 tasks or
 # more, or long texts.
 LARGE_BYTES = 64 * 1024
+# Memory of a task in the agreed state.
 TASK_BYTES = 400
 
 
@@ -35,12 +36,15 @@
         self._used_bytes = 0
 
     def rebuild(self):
-        """Weighs all workflows again after a snapshot was restored."""
+        """Estimates the memory of all workflows after a restore."""
         self._bytes_by_id = {}
         self._used_bytes = 0
         for workflow in self._workflows.retained_workflows:
             spec_bytes = len(msgspec.msgpack.encode(workflow.spec))
-            self._add(workflow.workflow_id, _weigh(workflow.spec, spec_bytes))
+            self._add(
+                workflow.workflow_id,
+                _estimate_bytes(workflow.spec, spec_bytes),
+            )
 
     def may_propose(self, command, command_bytes):
         """Returns True unless a new large workflow does not fit.
@@ -49,14 +53,14 @@
             command: the ``commands.SubmitWorkflow``.
             command_bytes: size of its encoding, in bytes.
         """
-        weight = _weigh(command.spec, command_bytes)
+        workflow_bytes = _estimate_bytes(command.spec, command_bytes)
         if (
-            weight < LARGE_BYTES
-            or self._used_bytes + weight <= self._max_bytes
+            workflow_bytes < LARGE_BYTES
+            or self._used_bytes + workflow_bytes <= self._max_bytes
         ):
             return True
         self._remove_expired()
-        if self._used_bytes + weight <= self._max_bytes:
+        if self._used_bytes + workflow_bytes <= self._max_bytes:
             return True
         # A copy of a request that was accepted gets its answer.
         return self._find_submitted_id(command) is not None
@@ -68,12 +72,12 @@
             command: the command.
             command_bytes: size of its encoding, in bytes.
         """
-        weight = _weigh(command.spec, command_bytes)
-        if weight < LARGE_BYTES:
+        workflow_bytes = _estimate_bytes(command.spec, command_bytes)
+        if workflow_bytes < LARGE_BYTES:
             return
         workflow_id = self._find_submitted_id(command)
         if workflow_id is not None:
-            self._add(workflow_id, weight)
+            self._add(workflow_id, workflow_bytes)
 
     def _find_submitted_id(self, command):
         """Returns the id of the workflow of a command, None if unknown."""
@@ -84,10 +88,13 @@
             return None
         return workflow_id
 
-    def _add(self, workflow_id, weight):
-        if weight >= LARGE_BYTES and workflow_id not in self._bytes_by_id:
-            self._bytes_by_id[workflow_id] = weight
-            self._used_bytes += weight
+    def _add(self, workflow_id, workflow_bytes):
+        if (
+            workflow_bytes >= LARGE_BYTES
+            and workflow_id not in self._bytes_by_id
+        ):
+            self._bytes_by_id[workflow_id] = workflow_bytes
+            self._used_bytes += workflow_bytes
 
     def _remove_expired(self):
         for workflow_id in list(self._bytes_by_id):
@@ -95,7 +102,7 @@
                 self._used_bytes -= self._bytes_by_id.pop(workflow_id)
 
 
-def _weigh(spec, spec_bytes):
+def _estimate_bytes(spec, spec_bytes):
     """Returns the memory that a workflow takes, in bytes, as an estimate."""
     task_count = sum(step.count for step in spec.steps)
     return spec_bytes + TASK_BYTES * task_count * max(1, spec.occurrences)
--- a/fuchsiatrestle/control/_service.py
+++ b/fuchsiatrestle/control/_service.py
@@ -28,6 +28,7 @@
 # one.
 MAX_PENDING_CALLS = 5000
 MAX_COMMAND_BYTES = 1024 * 1024
+# Defaults of the settings of the same names in section ``[state]``.
 DEFAULT_LOG_BYTES = 16 * 1024 * 1024
 DEFAULT_LARGE_WORKFLOW_BYTES = 96 * 1024 * 1024
 # Limit of calls that wait for the next tick, which requests one read for all
--- a/fuchsiatrestle/ctl/_evacuation_commands.py
+++ b/fuchsiatrestle/ctl/_evacuation_commands.py
@@ -56,7 +56,7 @@
 
 
 class StartEvacuation(_OrderEvacuation):
-    """Has nothing more started on the workers of a data centre."""
+    """Prevents further starts on the workers of a data centre."""
 
     words = ('evacuations', 'start')
     summary = 'starts nothing more on the workers of a data centre'
--- a/fuchsiatrestle/net/_http_messages.py
+++ b/fuchsiatrestle/net/_http_messages.py
@@ -27,7 +27,9 @@
 )
 
 JSON_TYPE = (b'content-type', b'application/json')
+# States in a refusal that the request had no effect.
 NOT_RUN_HEADER = (b'fuchsiatrestle-outcome', b'not-run')
+# Retry-After of the refusals of the server itself.
 REFUSAL_RETRY_S = 1
 
 
--- a/fuchsiatrestle/net/evacuation_orders.py
+++ b/fuchsiatrestle/net/evacuation_orders.py
@@ -80,7 +80,7 @@
         self._pause_detector.check(self._read_now_ms())
 
     async def order(self, data_centre, *, is_start, received_ms):
-        """Has an evacuation started or ended.
+        """Starts or ends an evacuation.
 
         Args:
             data_centre: name of the data centre.
@@ -128,7 +128,9 @@
         # Proposed also if it is fulfilled: an earlier order of the other kind
         # may be under way, and must not be accepted after this one.
         call_result = await self._client.propose(
-            make_command(data_centre, evacuations.order_count(data_centre)),
+            make_command(
+                data_centre, evacuations.find_order_count(data_centre)
+            ),
             remaining_ms,
         )
         if pipeline.is_successful(call_result):
--- a/fuchsiatrestle/platform/_callers.py
+++ b/fuchsiatrestle/platform/_callers.py
@@ -177,7 +177,7 @@
     """
     if not request.received_ms:
         return daemon.epoch_ms()
-    age_ms = time.monotonic_ns() // 1_000_000 - request.received_ms
+    age_ms = daemon.monotonic_ms() - request.received_ms
     return daemon.epoch_ms() - max(0, age_ms)
 
 
--- a/fuchsiatrestle/state/_workflows.py
+++ b/fuchsiatrestle/state/_workflows.py
@@ -352,10 +352,10 @@
     def _record_run_time(self, workflow, run_end, reported_ms):
         """Records the run time of a live run that is done.
 
-        A run that went on from a checkpoint tells nothing of the whole task,
-        and a run that was placed after the report of its end has no time to go
-        by: the clock of a new leader is behind that of the earlier one.  The
-        latest agreed time would not do: while it is ahead of a clock that was
+        A run that went on from a checkpoint has not run the whole task.  A run
+        that was placed after the report of its end, as the clock of a new
+        leader is behind that of the earlier one, has no valid run time.  The
+        latest agreed time is not used: while it is ahead of a clock that was
         set back, all run times would be too long.
         """
         step = workflow.get_step(run_end.task)
--- a/fuchsiatrestle/state/queries/__init__.py
+++ b/fuchsiatrestle/state/queries/__init__.py
@@ -335,7 +335,7 @@
     offered: bool
     data_centres: list[str]
 
-    def order_count(self, data_centre):
+    def find_order_count(self, data_centre):
         """Returns the number of agreed orders about a data centre."""
         for view in self.evacuations:
             if view.data_centre == data_centre:
--- a/fuchsiatrestle/workflows/_admission.py
+++ b/fuchsiatrestle/workflows/_admission.py
@@ -133,7 +133,7 @@
     """
 
     def __init__(self, dispatch_state, learns_run_times=False):
-        self._state = dispatch_state
+        self._dispatch_state = dispatch_state
         self._led_since_ms = dispatch_state.now_ms
         workflow_store = dispatch_state.workflow_store
         self._estimates = _load.RunTimeEstimates(
@@ -200,7 +200,7 @@
         workflow_id, demand = self._find_demand(submission)
         if demand is None:
             return None
-        now_ms = self._state.now_ms
+        now_ms = self._dispatch_state.now_ms
         # A view forgets queues without work, so it is made first.
         self._refresh_view(wall_ms, MAX_VIEW_AGE_MS)
         is_large_by_lane = self._record_submission(workflow_id, demand)
@@ -247,7 +247,7 @@
         Args:
             submission: the ``commands.SubmitWorkflow``.
         """
-        workflow_store = self._state.workflow_store
+        workflow_store = self._dispatch_state.workflow_store
         queue, workflow_id = workflow_store.documents.resolve_path(
             submission.host, submission.path
         )
@@ -268,21 +268,24 @@
 
     def _refresh_view(self, wall_ms, max_age_ms):
         """Makes a view of the load if there is none or it is too old."""
-        open_count = len(self._state.workflow_store.open_workflows)
+        open_count = len(self._dispatch_state.workflow_store.open_workflows)
         if open_count > MAX_FREQUENT_WORKFLOWS:
             max_age_ms *= open_count / MAX_FREQUENT_WORKFLOWS
         if (
             self._view is None
-            or self._state.now_ms - self._view.made_ms > max_age_ms
+            or self._dispatch_state.now_ms - self._view.made_ms > max_age_ms
         ):
             self._make_view(wall_ms)
 
     def _make_view(self, wall_ms):
-        now_ms = self._state.now_ms
+        now_ms = self._dispatch_state.now_ms
         self._drain_meter.remove_old(wall_ms)
         self._forget_idle_queues()
         self._view = _load.LoadView(
-            self._state, self._histories, self._waiting_work_table, wall_ms
+            self._dispatch_state,
+            self._histories,
+            self._waiting_work_table,
+            wall_ms,
         )
         self._busy_cpu.append((now_ms, self._view.busy_cpu_by_lane))
         while self._busy_cpu[0][0] < now_ms - _load.BUSY_CPU_MEMORY_MS:
@@ -291,7 +294,7 @@
             lane: self._waiting_since_ms_by_lane.get(lane, now_ms)
             for lane in self._view.waiting_lanes
         }
-        open_workflows = self._state.workflow_store.open_workflows
+        open_workflows = self._dispatch_state.workflow_store.open_workflows
         self._pending_by_workflow = {
             workflow_id: pending
             for workflow_id, pending in self._pending_by_workflow.items()
@@ -301,7 +304,7 @@
 
     def _forget_idle_queues(self):
         """Forgets queues to which nothing was submitted lately."""
-        now_ms = self._state.now_ms
+        now_ms = self._dispatch_state.now_ms
         self._histories = {
             key: history
             for key, history in self._histories.items()
@@ -325,7 +328,7 @@
             history = self._histories.setdefault(
                 (demand.queue.name, lane), _load.SubmissionHistory()
             )
-            history.record(workflow_id, work, self._state.now_ms)
+            history.record(workflow_id, work, self._dispatch_state.now_ms)
             is_large_by_lane[lane] = history.is_large(work)
         return is_large_by_lane
 
@@ -340,7 +343,7 @@
         That of best-effort tasks is not reserved, so their throughput is
         measured, over a time in which work waited.
         """
-        now_ms = self._state.now_ms
+        now_ms = self._dispatch_state.now_ms
         waited_ms = now_ms - self._waiting_since_ms_by_lane.get(lane, now_ms)
         if lane.fills:
             return self._drain_meter.find_throughput(lane, wall_ms, waited_ms)
@@ -438,13 +441,13 @@
             lane: the ``Lane``.
             drain_rate: drain rate of the lane.
         """
-        now_ms = self._state.now_ms
+        now_ms = self._dispatch_state.now_ms
         demand_rates = {
             name: history.find_demand_rate(now_ms)
             for (name, other_lane), history in self._histories.items()
             if other_lane == lane
         }
-        find_queue = self._state.workflow_store.documents.find_queue
+        find_queue = self._dispatch_state.workflow_store.documents.find_queue
         queues = {
             name: find_queue(name)
             for name in (
@@ -478,7 +481,7 @@
 
     def _find_reason(self, demand, estimate, wall_ms):
         """Returns why a workflow is refused, empty if it is accepted."""
-        now_ms = self._state.now_ms
+        now_ms = self._dispatch_state.now_ms
         if estimate is None or now_ms - self._led_since_ms < MIN_LED_MS:
             return ''
         reason = ''
@@ -496,7 +499,10 @@
         """True if callers that were refused may still come back."""
         last_refused_ms = self._last_refused_ms.get((queue.name, lane))
         if last_refused_ms is not None:
-            return self._state.now_ms - last_refused_ms < CALLER_RETRY_SPAN_MS
+            return (
+                self._dispatch_state.now_ms - last_refused_ms
+                < CALLER_RETRY_SPAN_MS
+            )
         adopted_wall_ms = self._adopted_refused_wall_ms.get(
             (queue.name, lane.fills)
         )
@@ -531,7 +537,7 @@
         after the callers that were refused before, by the time in which the
         queue works off what they ask for.
         """
-        now_ms = self._state.now_ms
+        now_ms = self._dispatch_state.now_ms
         drained_ms = (
             now_ms + estimate.total_ms - _find_target_ms(demand, estimate)
         )
--- a/fuchsiatrestle/workflows/_load.py
+++ b/fuchsiatrestle/workflows/_load.py
@@ -600,7 +600,7 @@
 
     def __init__(self, dispatch_state, histories, waiting_work_table, wall_ms):
         self.made_ms = dispatch_state.now_ms
-        self._state = dispatch_state
+        self._dispatch_state = dispatch_state
         self.busy_cpu_by_lane = collections.Counter()
         # By lane, and reserved processor time and memory.
         self._task_counts_by_lane = collections.defaultdict(
@@ -627,7 +627,7 @@
             The number of runs that share it, see ``WaitingWorkTable``.
         """
         sharing_run_counts = collections.Counter()
-        for worker in self._state.fleet:
+        for worker in self._dispatch_state.fleet:
             if worker.is_unresponsive or worker.last_announced_ms is None:
                 continue
             for run in worker.runs.values():
@@ -681,8 +681,8 @@
             if cpu <= step.cpu and memory_mb <= step.memory_mb
         )
         room_count = 0
-        for worker in self._state.fleet.usable_workers(
-            lane.pool, self._state.now_ms
+        for worker in self._dispatch_state.fleet.usable_workers(
+            lane.pool, self._dispatch_state.now_ms
         ):
             if lane.label and lane.label not in worker.record.labels:
                 continue
--- a/fuchsiatrestle/workflows/_slow_workers.py
+++ b/fuchsiatrestle/workflows/_slow_workers.py
@@ -161,7 +161,7 @@
     """
 
     def __init__(self, dispatch_state):
-        self._state = dispatch_state
+        self._dispatch_state = dispatch_state
         self._next_check_ms = dispatch_state.now_ms
         self._pace_meter = _PaceMeter(dispatch_state.workflow_store)
         # ``_SlowWorker`` by name.
@@ -178,11 +178,11 @@
 
     def start_round(self, ready_groups, wall_ms):
         """Judges all workers if that is due."""
-        now_ms = self._state.now_ms
+        now_ms = self._dispatch_state.now_ms
         if now_ms < self._next_check_ms:
             return
         self._next_check_ms = now_ms + CHECK_INTERVAL_MS
-        workers = list(self._state.fleet)
+        workers = list(self._dispatch_state.fleet)
         worker_counts = collections.Counter(
             worker.record.pool for worker in workers
         )
--- a/fuchsiatrestle/workflows/_stragglers.py
+++ b/fuchsiatrestle/workflows/_stragglers.py
@@ -115,7 +115,7 @@
     """
 
     def __init__(self, dispatch_state):
-        self._state = dispatch_state
+        self._dispatch_state = dispatch_state
         self._wall_ms = 0
         self._is_due = False
         self._next_check_ms = dispatch_state.now_ms
@@ -152,14 +152,14 @@
                     placed_ms if lost_run.never_ran else command.now_ms,
                 )
         for live_run in command.placed:
-            if self._state.workflow_store.is_live_run(
+            if self._dispatch_state.workflow_store.is_live_run(
                 live_run.task, live_run.run
             ) and self._record_placement(live_run):
                 metrics.count(COPIES_STARTED)
 
     def _record_placement(self, live_run):
         """Returns True if an agreed live run is a copy."""
-        step = self._state.find_step(live_run.task)
+        step = self._dispatch_state.find_step(live_run.task)
         if step is None or not step.copies:
             return False
         self._placed_ms_by_run[live_run.task, live_run.run] = (
@@ -227,7 +227,7 @@
 
     def start_round(self, ready_groups, wall_ms):
         """Decides whether the runs are checked in this round."""
-        now_ms = self._state.now_ms
+        now_ms = self._dispatch_state.now_ms
         self._wall_ms = wall_ms
         self._is_due = now_ms >= self._next_check_ms
         if not self._is_due:
@@ -238,7 +238,7 @@
             for task_id, retry_ms in self._retry_ms_by_task.items()
             if retry_ms > now_ms
         }
-        open_workflows = self._state.workflow_store.open_workflows
+        open_workflows = self._dispatch_state.workflow_store.open_workflows
         self._run_times_ms_by_step = {
             step_key: run_times_ms
             for step_key, run_times_ms in self._run_times_ms_by_step.items()
@@ -273,7 +273,7 @@
             self._log_copy(straggler, worker, copy_cpu, budget_cpu)
             task_id = straggler.run.live_run.task
             self._retry_ms_by_task[task_id] = (
-                self._state.now_ms + COPY_RETRY_MS
+                self._dispatch_state.now_ms + COPY_RETRY_MS
             )
             group = _backlog.Group(
                 straggler.workflow, task_id.occurrence, task_id.step, [task_id]
@@ -285,13 +285,14 @@
         return sum(
             copy.cpu
             for copy in self._copies_by_task.values()
-            if self._state.fleet.get(copy.live_run.worker).record.pool == pool
+            if self._dispatch_state.fleet.get(copy.live_run.worker).record.pool
+            == pool
         )
 
     def _find_stragglers(self, pool):
         """Yields the ``_Straggler`` values of a service."""
         expectations = {}
-        for worker in self._state.fleet:
+        for worker in self._dispatch_state.fleet:
             if worker.record.pool != pool:
                 continue
             for run in worker.runs.values():
@@ -320,7 +321,7 @@
         if elapsed_ms < MIN_ELAPSED_MS:
             return None
         task_id = run.live_run.task
-        workflow = self._state.workflow_store.open_workflows.get(
+        workflow = self._dispatch_state.workflow_store.open_workflows.get(
             task_id.workflow_id
         )
         if workflow is None:
@@ -351,7 +352,7 @@
         if run.live_run.task in self._retry_ms_by_task:
             return False
         task = workflow.tasks[run.live_run.task]
-        queue = self._state.workflow_store.current_queue(workflow)
+        queue = self._dispatch_state.workflow_store.current_queue(workflow)
         return (
             workflow.may_copy(run.live_run.task)
             and not task.is_done
@@ -364,7 +365,7 @@
         """Returns for how long a run has been executing."""
         if run.adopted and run.live_run.placed_ms:
             return max(0, self._wall_ms - run.live_run.placed_ms)
-        return self._state.now_ms - run.started_ms
+        return self._dispatch_state.now_ms - run.started_ms
 
     def _find_expected_ms(self, workflow, task_id):
         """Returns the expected run time of a task and its source.
@@ -394,17 +395,19 @@
             if 2 * len(ended_ms) >= step.count:
                 return step_median_ms, 'step'
             candidates.append((step_median_ms, 'step'))
-        run_times = self._state.workflow_store.run_times
+        run_times = self._dispatch_state.workflow_store.run_times
         kind = workflow.queue.name, task_id.step, step
         if run_times.has_samples(*kind):
             candidates.append((run_times.estimate_ms(*kind), 'kind'))
         return max(candidates, default=(None, ''))
 
     def _find_workflow(self, task_id):
-        return self._state.workflow_store.find_workflow(task_id.workflow_id)
+        return self._dispatch_state.workflow_store.find_workflow(
+            task_id.workflow_id
+        )
 
     def _log_copy(self, straggler, worker, copy_cpu, budget_cpu):
-        self._state.log_run(
+        self._dispatch_state.log_run(
             'run_copied',
             straggler.run,
             copy_worker=worker.name,
--- a/tests/workflows/test_evacuation.py
+++ b/tests/workflows/test_evacuation.py
@@ -55,7 +55,9 @@
     def _order(self, data_centre, make_command=commands.StartEvacuation):
         evacuations = self.world.machine.evacuations.make_list()
         self.world.apply_agreed(
-            make_command(data_centre, evacuations.order_count(data_centre))
+            make_command(
+                data_centre, evacuations.find_order_count(data_centre)
+            )
         )
 
     def _end(self, data_centre):
