--- a/fuchsiatrestle/net/evacuation_orders.py
+++ b/fuchsiatrestle/net/evacuation_orders.py
@@ -80,7 +80,7 @@
         self._pause_detector.check(self._read_now_ms())
 
     async def order(self, data_centre, *, is_start, received_ms):
-        """Has an evacuation started or ended.
+        """Starts or ends an evacuation.
 
         Args:
             data_centre: name of the data centre.
@@ -96,32 +96,7 @@
         order_result = await self._order(
             data_centre, is_start, received_ms or self._read_now_ms()
         )
-        log_fields = {
-            'data_centre': data_centre,
-            'order': 'start' if is_start else 'end',
-        }
-        if pipeline.is_successful(order_result):
-            outcome = order_result.unwrap()
-            metrics.count(ACCEPTED_ORDERS)
-            LOG.info(
-                'evacuation_acknowledged',
-                extra={
-                    **log_fields,
-                    'evacuated': outcome.evacuated,
-                    'orders': outcome.order_count,
-                    'repeated': outcome.repeated,
-                },
-            )
-        else:
-            failure = order_result.failure()
-            LOG.warning(
-                'evacuation_refused',
-                extra={
-                    **log_fields,
-                    'reason': failure.reason,
-                    'detail': failure.detail,
-                },
-            )
+        _report_result(data_centre, is_start, order_result)
         return order_result
 
     async def _order(self, data_centre, is_start, received_ms):
@@ -153,7 +128,9 @@
         # Proposed also if it is fulfilled: an earlier order of the other kind
         # may be under way, and must not be accepted after this one.
         call_result = await self._client.propose(
-            make_command(data_centre, evacuations.order_count(data_centre)),
+            make_command(
+                data_centre, evacuations.find_order_count(data_centre)
+            ),
             remaining_ms,
         )
         if pipeline.is_successful(call_result):
@@ -178,6 +155,36 @@
         return max(0, MAX_ORDER_AGE_MS - (now_ms - received_ms))
 
 
+def _report_result(data_centre, is_start, order_result):
+    """Logs an order with its result, and counts an acknowledged one."""
+    log_fields = {
+        'data_centre': data_centre,
+        'order': 'start' if is_start else 'end',
+    }
+    if pipeline.is_successful(order_result):
+        outcome = order_result.unwrap()
+        metrics.count(ACCEPTED_ORDERS)
+        LOG.info(
+            'evacuation_acknowledged',
+            extra={
+                **log_fields,
+                'evacuated': outcome.evacuated,
+                'orders': outcome.order_count,
+                'repeated': outcome.repeated,
+            },
+        )
+        return
+    failure = order_result.failure()
+    LOG.warning(
+        'evacuation_refused',
+        extra={
+            **log_fields,
+            'reason': failure.reason,
+            'detail': failure.detail,
+        },
+    )
+
+
 def _make_refusal(reason, detail):
     return result.Failure(
         control_client.CallFailure(
--- a/fuchsiatrestle/workflows/_admission.py
+++ b/fuchsiatrestle/workflows/_admission.py
@@ -2,9 +2,9 @@
 
 It addresses a load that exceeds the capacity for longer than callers can
 wait: a burst, or a loss of workers.  A workflow that would be completed after
-three times its objective is of no use to its caller, who is told so at once
-and when to come back.  Nothing is refused while the estimate is not backed by
-measurements, see ``AdmissionPolicy.find_refusal``.
+three times its objective is of no use to its caller.  It is refused at once,
+with the time after which to try again.  Nothing is refused while the estimate
+is not backed by measurements, see ``AdmissionPolicy.find_refusal``.
 
 The estimates are local to a leader (see ``_load``).  A refusal is agreed
 before it is sent; the agreed state decides whether it takes effect.
@@ -27,8 +27,8 @@
 # overloaded.  The rest is for run times that vary: a step ends with its
 # slowest task.
 IN_TIME_OBJECTIVE_SHARE = 0.8
-# Time in which a refused caller comes back: four calls of up to 3000 ms.
-CALLER_PATIENCE_MS = 12_000
+# Time in which a refused caller tries again: four calls of up to 3000 ms.
+CALLER_RETRY_SPAN_MS = 12_000
 # A new leader refuses nothing before this: workers announce themselves every
 # 1.5 s, and one of these announcements may be lost.
 MIN_LED_MS = 5000
@@ -133,7 +133,7 @@
     """
 
     def __init__(self, dispatch_state, learns_run_times=False):
-        self._state = dispatch_state
+        self._dispatch_state = dispatch_state
         self._led_since_ms = dispatch_state.now_ms
         workflow_store = dispatch_state.workflow_store
         self._estimates = _load.RunTimeEstimates(
@@ -197,22 +197,10 @@
             long-running or timed, that may be served in time, or for which
             that is not known.
         """
-        workflow_store = self._state.workflow_store
-        queue, workflow_id = workflow_store.documents.resolve_path(
-            submission.host, submission.path
-        )
-        spec = submission.spec
-        if not workflow_id or workflow_store.find_workflow(workflow_id):
-            return None
-        if spec.occurrences or any(step.lasts for step in spec.steps):
+        workflow_id, demand = self._find_demand(submission)
+        if demand is None:
             return None
-        demand = _load.Demand(queue, spec, self._estimates)
-        if not demand.longest_path_ms:
-            return None
-        if workflow_id in self._pending_by_workflow:
-            # This leader has accepted it, and it may be agreed any moment.
-            return None
-        now_ms = self._state.now_ms
+        now_ms = self._dispatch_state.now_ms
         # A view forgets queues without work, so it is made first.
         self._refresh_view(wall_ms, MAX_VIEW_AGE_MS)
         is_large_by_lane = self._record_submission(workflow_id, demand)
@@ -226,7 +214,7 @@
         )
         if estimate is not None:
             metrics.gauge(
-                _ESTIMATED_TIMES[_kind(estimate.lane)],
+                _ESTIMATED_TIMES[_find_lane_kind(estimate.lane)],
                 round(estimate.total_ms),
             )
         reason = self._find_reason(demand, estimate, wall_ms)
@@ -235,7 +223,7 @@
                 now_ms, demand, is_large_by_lane, latest_start_ms
             )
             return None
-        self._last_refused_ms[queue.name, estimate.lane] = now_ms
+        self._last_refused_ms[demand.queue.name, estimate.lane] = now_ms
         retry_after_ms = self._assign_return(demand, estimate)
         self._report_refusal(
             workflow_id, demand, estimate, reason, retry_after_ms
@@ -249,25 +237,55 @@
             estimate.lane.fills,
         )
 
+    def _find_demand(self, submission):
+        """Returns the id and the ``Demand`` of a workflow to be judged.
+
+        The demand is None for a workflow that is never refused: one that is
+        known or already accepted by this leader, that is long-running or
+        timed, or that declares no run time.
+
+        Args:
+            submission: the ``commands.SubmitWorkflow``.
+        """
+        workflow_store = self._dispatch_state.workflow_store
+        queue, workflow_id = workflow_store.documents.resolve_path(
+            submission.host, submission.path
+        )
+        spec = submission.spec
+        if not workflow_id or workflow_store.find_workflow(workflow_id):
+            return workflow_id, None
+        if spec.occurrences or any(step.lasts for step in spec.steps):
+            return workflow_id, None
+        demand = _load.Demand(queue, spec, self._estimates)
+        if (
+            not demand.longest_path_ms
+            or workflow_id in self._pending_by_workflow
+        ):
+            return workflow_id, None
+        return workflow_id, demand
+
     # Measurement
 
     def _refresh_view(self, wall_ms, max_age_ms):
         """Makes a view of the load if there is none or it is too old."""
-        open_count = len(self._state.workflow_store.open_workflows)
+        open_count = len(self._dispatch_state.workflow_store.open_workflows)
         if open_count > MAX_FREQUENT_WORKFLOWS:
             max_age_ms *= open_count / MAX_FREQUENT_WORKFLOWS
         if (
             self._view is None
-            or self._state.now_ms - self._view.made_ms > max_age_ms
+            or self._dispatch_state.now_ms - self._view.made_ms > max_age_ms
         ):
             self._make_view(wall_ms)
 
     def _make_view(self, wall_ms):
-        now_ms = self._state.now_ms
+        now_ms = self._dispatch_state.now_ms
         self._drain_meter.remove_old(wall_ms)
         self._forget_idle_queues()
         self._view = _load.LoadView(
-            self._state, self._histories, self._waiting_work_table, wall_ms
+            self._dispatch_state,
+            self._histories,
+            self._waiting_work_table,
+            wall_ms,
         )
         self._busy_cpu.append((now_ms, self._view.busy_cpu_by_lane))
         while self._busy_cpu[0][0] < now_ms - _load.BUSY_CPU_MEMORY_MS:
@@ -276,7 +294,7 @@
             lane: self._waiting_since_ms_by_lane.get(lane, now_ms)
             for lane in self._view.waiting_lanes
         }
-        open_workflows = self._state.workflow_store.open_workflows
+        open_workflows = self._dispatch_state.workflow_store.open_workflows
         self._pending_by_workflow = {
             workflow_id: pending
             for workflow_id, pending in self._pending_by_workflow.items()
@@ -286,16 +304,16 @@
 
     def _forget_idle_queues(self):
         """Forgets queues to which nothing was submitted lately."""
-        now_ms = self._state.now_ms
+        now_ms = self._dispatch_state.now_ms
         self._histories = {
             key: history
             for key, history in self._histories.items()
-            if history.demand_rate(now_ms)
+            if history.find_demand_rate(now_ms)
         }
         self._last_refused_ms = {
             key: refused_ms
             for key, refused_ms in self._last_refused_ms.items()
-            if now_ms - refused_ms < CALLER_PATIENCE_MS
+            if now_ms - refused_ms < CALLER_RETRY_SPAN_MS
         }
         self._next_return_ms = {
             key: return_ms
@@ -310,7 +328,7 @@
             history = self._histories.setdefault(
                 (demand.queue.name, lane), _load.SubmissionHistory()
             )
-            history.record(workflow_id, work, self._state.now_ms)
+            history.record(workflow_id, work, self._dispatch_state.now_ms)
             is_large_by_lane[lane] = history.is_large(work)
         return is_large_by_lane
 
@@ -325,7 +343,7 @@
         That of best-effort tasks is not reserved, so their throughput is
         measured, over a time in which work waited.
         """
-        now_ms = self._state.now_ms
+        now_ms = self._dispatch_state.now_ms
         waited_ms = now_ms - self._waiting_since_ms_by_lane.get(lane, now_ms)
         if lane.fills:
             return self._drain_meter.find_throughput(lane, wall_ms, waited_ms)
@@ -358,13 +376,13 @@
                 continue
             is_large = is_large_by_lane[lane]
             queue_rate = self._find_queue_rate(demand.queue, lane, drain_rate)
-            queue_rate *= self._histories[demand.queue.name, lane].size_share(
-                is_large
-            )
+            queue_rate *= self._histories[
+                demand.queue.name, lane
+            ].find_size_share(is_large)
             work = demand.work_by_lane[lane]
             own_ms = max(demand.longest_path_ms, work / queue_rate)
             if own_ms > USELESS_OBJECTIVE_FACTOR * demand.objective_ms:
-                # It would be refused for ever, also if it did not wait.
+                # It would be refused always, also if it did not wait.
                 own_ms = min(demand.longest_path_ms, demand.objective_ms)
             work_before, total_work = self._find_waiting_work(
                 lane, demand, latest_start_ms, is_large
@@ -423,13 +441,13 @@
             lane: the ``Lane``.
             drain_rate: drain rate of the lane.
         """
-        now_ms = self._state.now_ms
+        now_ms = self._dispatch_state.now_ms
         demand_rates = {
-            name: history.demand_rate(now_ms)
+            name: history.find_demand_rate(now_ms)
             for (name, other_lane), history in self._histories.items()
             if other_lane == lane
         }
-        find_queue = self._state.workflow_store.documents.find_queue
+        find_queue = self._dispatch_state.workflow_store.documents.find_queue
         queues = {
             name: find_queue(name)
             for name in (
@@ -463,7 +481,7 @@
 
     def _find_reason(self, demand, estimate, wall_ms):
         """Returns why a workflow is refused, empty if it is accepted."""
-        now_ms = self._state.now_ms
+        now_ms = self._dispatch_state.now_ms
         if estimate is None or now_ms - self._led_since_ms < MIN_LED_MS:
             return ''
         reason = ''
@@ -481,13 +499,16 @@
         """True if callers that were refused may still come back."""
         last_refused_ms = self._last_refused_ms.get((queue.name, lane))
         if last_refused_ms is not None:
-            return self._state.now_ms - last_refused_ms < CALLER_PATIENCE_MS
+            return (
+                self._dispatch_state.now_ms - last_refused_ms
+                < CALLER_RETRY_SPAN_MS
+            )
         adopted_wall_ms = self._adopted_refused_wall_ms.get(
             (queue.name, lane.fills)
         )
         return (
             adopted_wall_ms is not None
-            and abs(wall_ms - adopted_wall_ms) < CALLER_PATIENCE_MS
+            and abs(wall_ms - adopted_wall_ms) < CALLER_RETRY_SPAN_MS
         )
 
     def _has_free_room(self, demand, lane):
@@ -516,7 +537,7 @@
         after the callers that were refused before, by the time in which the
         queue works off what they ask for.
         """
-        now_ms = self._state.now_ms
+        now_ms = self._dispatch_state.now_ms
         drained_ms = (
             now_ms + estimate.total_ms - _find_target_ms(demand, estimate)
         )
@@ -535,7 +556,7 @@
     def _report_refusal(
         self, workflow_id, demand, estimate, reason, retry_after_ms
     ):
-        kind = _kind(estimate.lane)
+        kind = _find_lane_kind(estimate.lane)
         metrics.count(_REFUSALS[kind, reason])
         LOG.info(
             'workflow_refused',
@@ -566,5 +587,6 @@
     return USELESS_OBJECTIVE_FACTOR * demand.objective_ms
 
 
-def _kind(lane):
+def _find_lane_kind(lane):
+    """Returns the kind of the tasks of a lane, as log lines name it."""
     return 'best_effort' if lane.fills else 'batch'
--- a/fuchsiatrestle/workflows/_capacity.py
+++ b/fuchsiatrestle/workflows/_capacity.py
@@ -2,6 +2,8 @@
 
 import collections
 
+from fuchsiatrestle.workflows import _runs
+
 __all__ = ('Capacity',)
 
 # Share of the processor time reserved by serving tasks that best-effort tasks
@@ -54,13 +56,36 @@
         self.serving_cpu = 0
         self._run_count_by_step = collections.Counter()
 
+    def count_fitting_tasks(self, step, cpu):
+        """Returns how many tasks of a step fit beside the present runs.
+
+        Label and ``most_per_worker`` are not checked.
+
+        Args:
+            step: the ``Step``.
+            cpu: processor time that they may use, in thousandths of a core.
+
+        Returns:
+            The number, 0 at least; None if the step needs no capacity.
+        """
+        counts = [
+            free // needed
+            for free, needed in (
+                (cpu, step.cpu),
+                (self.free_memory_mb, step.memory_mb),
+                (self.free_accelerators, step.accelerators),
+            )
+            if needed
+        ]
+        return max(0, min(counts)) if counts else None
+
     def count_step_runs(self, task_id):
         """Returns how many runs of the same step are on the worker.
 
         Args:
             task_id: id of any task of the step.
         """
-        return self._run_count_by_step[_step_key(task_id)]
+        return self._run_count_by_step[_runs.make_step_key(task_id)]
 
     @property
     def best_effort_limit(self):
@@ -107,7 +132,7 @@
 
     def _adjust_reservation(self, run, sign):
         """Adds (sign 1) or removes (sign -1) the needs of a run."""
-        self._run_count_by_step[_step_key(run.live_run.task)] += sign
+        self._run_count_by_step[_runs.make_step_key(run.live_run.task)] += sign
         step = run.step
         if step is None:
             return
@@ -123,7 +148,3 @@
         self.free_cpu -= sign * step.cpu
         if step.lasts:
             self.long_running_cpu += sign * step.cpu
-
-
-def _step_key(task_id):
-    return task_id.workflow_id, task_id.occurrence, task_id.step
--- a/fuchsiatrestle/workflows/_evacuation.py
+++ b/fuchsiatrestle/workflows/_evacuation.py
@@ -76,7 +76,7 @@
         """Logs changes, marks the cold workers, and limits the searches."""
         if not self._evacuations.is_used:
             return
-        names = self._evacuations.evacuated_names()
+        names = self._evacuations.list_evacuated_names()
         if names != self._evacuated_names:
             self._log_changes(names)
             self._evacuated_names = names
@@ -134,7 +134,7 @@
         kept_steps = set()
         for worker, run in self._find_movable_runs(pool_round.pool):
             task_id = run.live_run.task
-            step_key = task_id.workflow_id, task_id.occurrence, task_id.step
+            step_key = _runs.make_step_key(task_id)
             if step_key in kept_steps:
                 continue
             needed_cpu = 0 if run.step.fills else run.step.cpu
@@ -287,15 +287,10 @@
         if worker.serving_images:
             return 0
         free_cpu = int(capacity.unused_cpu)
-    counts = [
-        free // needed
-        for free, needed in (
-            (free_cpu, step.cpu),
-            (capacity.free_memory_mb, step.memory_mb),
-            (capacity.free_accelerators, step.accelerators),
-        )
-        if needed
-    ]
+    count = capacity.count_fitting_tasks(step, free_cpu)
     if step.most_per_worker:
-        counts.append(step.most_per_worker - capacity.count_step_runs(task_id))
-    return max(0, min(counts, default=MAX_BATCH_MOVES))
+        allowed_count = max(
+            0, step.most_per_worker - capacity.count_step_runs(task_id)
+        )
+        return allowed_count if count is None else min(count, allowed_count)
+    return MAX_BATCH_MOVES if count is None else count
--- a/fuchsiatrestle/workflows/_task_sizes.py
+++ b/fuchsiatrestle/workflows/_task_sizes.py
@@ -20,8 +20,6 @@
 # A size is large from this share of the largest worker, in percent.  Four
 # tasks below it fit on that worker, so there is often room for one.
 LARGE_PERCENT = 25
-# Profiles are computed anew after this time, as old spans are dropped.
-PROFILE_INTERVAL_MS = 1000
 
 
 class TaskSize:
@@ -108,7 +106,7 @@
             ]
         self.large_sizes = large_sizes
 
-    def larger_sizes(self, step):
+    def find_larger_sizes(self, step):
         """Returns the large sizes that are larger than the tasks of a step.
 
         Args:
@@ -202,15 +200,7 @@
             pool: name of the service.
             workers: its workers.
         """
-        merged_groups = {}
-        for _, size_groups_by_pool in sorted(self._spans.items()):
-            for key, size_group in size_groups_by_pool.get(pool, {}).items():
-                merged = merged_groups.setdefault(key, _SizeGroup())
-                merged.add(
-                    size_group.cpu,
-                    size_group.memory_mb,
-                    size_group.task_count,
-                )
+        merged_groups = self._merge_spans(pool)
         task_count = sum(
             size_group.task_count for size_group in merged_groups.values()
         )
@@ -244,6 +234,19 @@
             max((worker.record.memory_mb for worker in workers), default=0),
         )
 
+    def _merge_spans(self, pool):
+        """Returns the ``_SizeGroup`` of all spans of a service by key."""
+        merged_groups = {}
+        for _, size_groups_by_pool in sorted(self._spans.items()):
+            for key, size_group in size_groups_by_pool.get(pool, {}).items():
+                merged = merged_groups.setdefault(key, _SizeGroup())
+                merged.add(
+                    size_group.cpu,
+                    size_group.memory_mb,
+                    size_group.task_count,
+                )
+        return merged_groups
+
     def _adopt_workflows(self, wall_ms):
         """Counts the tasks of workflows submitted before this leader."""
         for workflow in self._workflow_store.retained_workflows:
