--- a/fuchsiatrestle/state/_run_times.py
+++ b/fuchsiatrestle/state/_run_times.py
@@ -13,7 +13,7 @@
 __all__ = ('MIN_SAMPLES', 'KindEstimate', 'RunTimes', 'RunTimesRow')
 
 # With fewer run times of a kind the declared estimate holds.  The median of
-# five is off only if three of them are stragglers; 3 in 100 tasks are.
+# five is off only if three of them are stragglers.
 MIN_SAMPLES = 5
 # Beyond this number of run times all weights of a kind are halved.  The next
 # 64 run times then weigh as much as all earlier ones together.
--- a/fuchsiatrestle/workflows/_stragglers.py
+++ b/fuchsiatrestle/workflows/_stragglers.py
@@ -1,7 +1,7 @@
 """Adds a second run of a task that takes unusually long.
 
-3 of 100 tasks take seven times as long as others of their kind, whichever
-worker they run on, and a workflow waits for its last task.  While no other
+A few tasks take several times as long as others of their kind, and a workflow
+waits for its last task.  While no other
 work waits, such a task gets one more run on another worker, if its step allows
 that.  The first run that ends as done counts.  A run and its copy are equal in
 all other respects: their placements, ends and losses are agreed one by one.
@@ -32,7 +32,7 @@
 # Number of ended tasks of a step from which on their median counts.
 MIN_ENDED_TASKS = 2
 # Share of the processor time of a service's workers that copies may reserve.
-# 3% of the tasks straggle, and a copy of each takes about one run time.
+# It bounds the work that is done twice if many tasks are taken for stragglers.
 MAX_COPY_CPU_SHARE = 0.05
 # Time from the decision to copy a task to the next one, as its start may have
 # been refused.
