Read answers in chunks below the size that the allocator maps

Since the heap returns blocks of 32 KiB and more to the system, each read of 64 KiB may map and unmap memory, and the leader reads some thousand answers of workers a second. The answers are far smaller.

--- a/fuchsiatrestle/net/_http_client.py
+++ b/fuchsiatrestle/net/_http_client.py
@@ -15,7 +15,8 @@
     'ResponseHead',
 )
 
-RECEIVE_CHUNK_BYTES = 65536
+# Below ``heap.MMAP_THRESHOLD_BYTES``, so that a read maps no memory.
+RECEIVE_CHUNK_BYTES = 16384
 # Maximum size of status line and headers of a response together.
 MAX_RESPONSE_HEAD_BYTES = 65536
 MAX_IDLE_CONNECTIONS = 8  # in the pool of one ``Client``
