Let each worker keep a connection to the control leader

The limit on connections of the control listener is now 20,000, still at most half of the descriptors.

--- a/fuchsiatrestle/net/http_limits.py
+++ b/fuchsiatrestle/net/http_limits.py
@@ -38,7 +38,12 @@
 
 
 def make_section(
-    *, body_bytes=1048576, head_s=5.0, idle_s=60.0, json_values=131072
+    *,
+    body_bytes=1048576,
+    head_s=5.0,
+    idle_s=60.0,
+    connections=1000,
+    json_values=131072,
 ):
     """Returns the ``settings.Section`` of the limits.
 
@@ -47,6 +52,7 @@
             ``http.Limits``.
         head_s: as above.
         idle_s: as above.
+        connections: as above.
         json_values: as above.
     """
     return settings.Section(
@@ -62,7 +68,9 @@
         settings.FloatOption('body_s', 10.0, min_value=0.05, max_value=600),
         settings.FloatOption('idle_s', idle_s, min_value=0.05, max_value=3600),
         settings.FloatOption('write_s', 10.0, min_value=0.05, max_value=600),
-        settings.IntOption('connections', 1000, min_value=1, max_value=100000),
+        settings.IntOption(
+            'connections', connections, min_value=1, max_value=100000
+        ),
         settings.IntOption(
             'connections_per_address', 500, min_value=1, max_value=100000
         ),
--- a/fuchsiatrestle/platform/_settings.py
+++ b/fuchsiatrestle/platform/_settings.py
@@ -26,8 +26,12 @@
 
 # Callers and workers may take 3 s for a head, keep an idle connection for 15 s
 # and send bodies of 262,144 bytes, so these times are somewhat longer.
-_LIMITS_SECTION = http_limits.make_section(
-    body_bytes=262144, idle_s=20.0, json_values=32768
+_BODY_LIMITS = {'body_bytes': 262144, 'idle_s': 20.0, 'json_values': 32768}
+_ENTRY_LIMITS_SECTION = http_limits.make_section(**_BODY_LIMITS)
+# Each worker keeps a connection to the leader for its announcements.  Half of
+# the descriptors bounds them in any case.
+_CONTROL_LIMITS_SECTION = http_limits.make_section(
+    **_BODY_LIMITS, connections=20000
 )
 
 ENTRY_SECTIONS = (
@@ -39,7 +43,7 @@
         settings.FloatOption('grace_s', 6.0, min_value=0.1, max_value=600),
         settings.FloatOption('health_lead_s', 2.0, min_value=0, max_value=600),
     ),
-    _LIMITS_SECTION,
+    _ENTRY_LIMITS_SECTION,
 )
 
 CONTROL_SECTIONS = (
@@ -54,7 +58,7 @@
         settings.BoolOption('may_found', True),
         settings.IntOption('tolerated_losses', 0, min_value=0, max_value=10),
     ),
-    _LIMITS_SECTION,
+    _CONTROL_LIMITS_SECTION,
     *(
         section
         for section in program.SECTIONS
