--- a/fuchsiatrestle/platform/_settings.py
+++ b/fuchsiatrestle/platform/_settings.py
@@ -28,10 +28,10 @@
 # and send bodies of 262,144 bytes, so these times are somewhat longer.
 _BODY_LIMITS = {'body_bytes': 262144, 'idle_s': 20.0, 'json_values': 32768}
 _ENTRY_LIMITS_SECTION = http_limits.make_section(**_BODY_LIMITS)
-# Each worker keeps a connection to the leader for its announcements.  Half of
-# the descriptors bounds them in any case.
+# Each worker keeps a connection to the leader for its announcements, and the
+# leader one to each worker, so the listener must leave descriptors for those.
 _CONTROL_LIMITS_SECTION = http_limits.make_section(
-    **_BODY_LIMITS, connections=20000
+    **_BODY_LIMITS, connections=2000
 )
 
 ENTRY_SECTIONS = (
