Keep the platform's name for cold workers inside the adapter

The record of an announcement used the platform's field name; it is remaining_cold_ms now. The tests of evacuation, stragglers and the platform's workers pass.

--- a/fuchsiatrestle/messages/_announcements.py
+++ b/fuchsiatrestle/messages/_announcements.py
@@ -29,7 +29,8 @@
         clock_ms: reading of its monotonic clock when it sent this, or None.
         machine: name of the VM, or empty; a VM may be several workers, one
             after another.
-        cold_left_ms: for how long it will be slow after a time without work.
+        remaining_cold_ms: for how long it will be slow, as it has not worked
+            for a while.
     """
 
     worker: str
@@ -45,7 +46,7 @@
     labels: list[str]
     clock_ms: int | None = None
     machine: str = ''
-    cold_left_ms: int = 0
+    remaining_cold_ms: int = 0
 
 
 class AnnounceWorker(records.Record, tag='wb'):
--- a/fuchsiatrestle/workflows/_announcing.py
+++ b/fuchsiatrestle/workflows/_announcing.py
@@ -69,9 +69,9 @@
         worker.earlier_record = None
         worker.announcement_sequence = announcement.sequence
         worker.cold_until_ms = 0
-        if announcement.cold_left_ms:
+        if announcement.remaining_cold_ms:
             worker.cold_until_ms = (
-                self._dispatch_state.now_ms + announcement.cold_left_ms
+                self._dispatch_state.now_ms + announcement.remaining_cold_ms
             )
         worker.last_announced_ms = self._dispatch_state.now_ms
         worker.record_clock(announcement.clock_ms, self._dispatch_state.now_ms)
--- a/fuchsiatrestle/workflows/_stragglers.py
+++ b/fuchsiatrestle/workflows/_stragglers.py
@@ -1,10 +1,10 @@
 """Adds a second run of a task that takes unusually long.
 
 A few tasks take several times as long as others of their kind, and a workflow
-waits for its last task.  While no other
-work waits, such a task gets one more run on another worker, if its step allows
-that.  The first run that ends as done counts.  A run and its copy are equal in
-all other respects: their placements, ends and losses are agreed one by one.
+waits for its last task.  While no other work waits, such a task gets one more
+run on another worker, if its step allows that.  The first run that ends as
+done counts.  A run and its copy are equal in all other respects: their
+placements, ends and losses are agreed one by one.
 """
 
 import statistics
--- a/tests/fakes/dispatch_world.py
+++ b/tests/fakes/dispatch_world.py
@@ -737,7 +737,7 @@
             model.accelerators,
             worker_labels(model.name),
             model.clock_ms(self.now_ms),
-            cold_left_ms=max(
+            remaining_cold_ms=max(
                 0,
                 self.cold_until_ms_by_worker.get(model.name, 0) - self.now_ms,
             ),
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -72,13 +72,13 @@
         for value, cold_left_ms in ((30_000, 30_000), (1.5, 1), (None, 0)):
             body = json.dumps({**HEARTBEAT, 'cold_left_ms': value})
             announcement = _workers.decode_announcement('i-1', body)
-            self.assertEqual(cold_left_ms, announcement.cold_left_ms)
+            self.assertEqual(cold_left_ms, announcement.remaining_cold_ms)
         heartbeat = dict(HEARTBEAT)
         del heartbeat['cold_left_ms']
         announcement = _workers.decode_announcement(
             'i-1', json.dumps(heartbeat)
         )
-        self.assertEqual(0, announcement.cold_left_ms)
+        self.assertEqual(0, announcement.remaining_cold_ms)
 
     def test_withdrawal_names_the_process_or_none(self):
         for body, born_ms in ((b'', 0), (b'{}', 0), (b'{"born":17}', 17)):
