--- a/review/kit2.py
+++ b/review/kit2.py
@@ -265,6 +265,11 @@
         if self.data_folder:
             os.makedirs(self.data_folder, exist_ok=True)
 
+    @property
+    def pid(self):
+        """Id of the process that was started last."""
+        return self._popen.pid
+
     @property
     def running(self):
         """True while the process runs."""
