--- a/review/kit2.py
+++ b/review/kit2.py
@@ -696,14 +696,14 @@
         self.folder = tempfile.mkdtemp(prefix='review2-')
         with open(ROOT / 'deploy' / 'system.toml', 'rb') as stream:
             self.roles = tomllib.load(stream)['roles']
-        self._net = f'127.{random.randint(10, 250)}.{random.randint(1, 250)}'
+        self.net = f'127.{random.randint(10, 250)}.{random.randint(1, 250)}'
         self.front, self.ready, self.control, internal = find_free_ports(4)
         self._internal = internal
         self.minion_port = find_free_ports(1)[0]
         self.ledger = Ledger(self)
         self.minions = {}
         self.jobs = {}
-        self.hosts = [f'{self._net}.{n + 1}' for n in range(core)]
+        self.hosts = [f'{self.net}.{n + 1}' for n in range(core)]
         self.seeds = [f'{host}:{self.control}' for host in self.hosts[:3]]
         self.cores = [
             Process(
@@ -720,9 +720,9 @@
                 self,
                 f'edge-{number}',
                 'entry',
-                f'{self._net}.{100 + number}',
+                f'{self.net}.{100 + number}',
                 self._make_fields(
-                    'edge', f'{self._net}.{100 + number}', number
+                    'edge', f'{self.net}.{100 + number}', number
                 ),
             )
             for number in range(edge)
@@ -854,7 +854,7 @@
     async def add_minion(self, number, name=None, **fields):
         """Starts a minion at the address of its number."""
         name = name or f'i-{number:08x}'
-        address = (f'{self._net}.{150 + number}', self.minion_port)
+        address = (f'{self.net}.{150 + number}', self.minion_port)
         minion = Minion(self, name, address, **fields)
         self.minions[name] = minion
         await minion.start()
