--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,142 +1,126 @@
-"""Clients hand in many scheduled jobs, each of legal size."""
+"""A lasting task whose minion restarts under its id and then is lost."""
 
 import asyncio
-import collections
 import os
 import pathlib
+import signal
 import sys
-import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
 import kit2  # noqa: E402
 
-MEMORY_MB = 296  # ``limits.memory_mb`` of a core machine
-JOB_COUNT = 6000
-CALM_JOB_COUNT = 60
-TASK_COUNT = 140
-CLIENT_COUNT = 30
-SUBMIT_S = 40
-AFTER_S = 30
-STEP = {
-    'count': TASK_COUNT,
-    'cpu': 1000,
-    'mem_mb': 256,
-    'est_runtime_ms': 5000,
-}
-
-
-def read_memory_mb(process):
-    """Returns the resident memory of a process in MB, 0 if it is gone."""
-    try:
-        path = f'/proc/{process.pid}/status'
-        with open(path, encoding='ascii') as status:
-            for line in status:
-                if line.startswith('VmRSS'):
-                    return int(line.split()[1]) / 1024
-    except OSError:
-        return 0
-    return 0
-
-
-class MemoryGuard:
-    """Does what the platform does: kills what exceeds its memory.
-
-    Attributes:
-        ends: number of such ends by name of the process.
-        largest_mb: largest memory by name of the process.
+UPTIME_S = 35
+CUT_S = 5.0
+DOWN_S = 0.5
+CALM_S = 4.0
+IDLE_S = 3.0
+AFTER_LAST_RUN_S = 6.0
+WATCH_S = 25
+STEPS = [
+    {
+        'count': 1,
+        'cpu': 1000,
+        'mem_mb': 256,
+        'est_runtime_ms': 1000,
+        'long_running': True,
+    }
+]
+
+
+class CutMinion(kit2.Minion):
+    """A minion that may be cut off one way: no call reaches it.
+
+    What it sends still arrives.
     """
 
-    def __init__(self, rig):
-        self._rig = rig
-        self.ends = collections.Counter()
-        self.largest_mb = collections.Counter()
-
-    async def run(self):
-        """Checks all core processes until cancelled."""
-        while True:
-            await asyncio.sleep(0.2)
-            for process in self._rig.cores:
-                if process.running:
-                    self._check(process)
-
-    def _check(self, process):
-        memory_mb = read_memory_mb(process)
-        self.largest_mb[process.name] = max(
-            memory_mb, self.largest_mb[process.name]
-        )
-        if memory_mb <= MEMORY_MB:
-            return
-        self.ends[process.name] += 1
-        self._rig.record.write(
-            'memory_exceeded', name=process.name, mb=round(memory_mb)
-        )
-        process.kill()
-
-
-async def submit_all(rig, job_count, first_run_ms):
-    """Hands jobs in from several clients; returns the answers by status."""
-    statuses = collections.Counter()
-    numbers = iter(range(1, job_count + 1))
-    end_s = time.monotonic() + SUBMIT_S
-
-    async def submit_next():
-        for number in numbers:
-            if time.monotonic() > end_s:
-                return
-            edge = rig.edges[number % len(rig.edges)]
-            status, _ = await kit2.call(
-                (edge.host, rig.front),
-                'POST',
-                kit2.PREFIX + kit2.make_job_id(number),
-                {
-                    'task_spec': 'text',
-                    'steps': [STEP],
-                    'repeat_count': 1,
-                    'first_run_ms': first_run_ms,
-                    'interval_ms': 1000,
-                },
-                {
-                    'Host': kit2.HOST,
-                    'Fuchsiatrestle-Deadline-Ms': '3000',
-                },
-                3.0,
-            )
-            statuses[status] += 1
+    cut_names = set()
+
+    async def _handle(self, path, headers, body):
+        if self.name in self.cut_names:
+            await asyncio.sleep(60)
+        return await super()._handle(path, headers, body)
+
+
+async def add_minion(rig, number):
+    """Starts a minion under the id and at the address of its number."""
+    minion = CutMinion(
+        rig,
+        f'i-{number:08x}',
+        (f'{rig.net}.{150 + number}', rig.minion_port),
+    )
+    rig.minions[minion.name] = minion
+    await minion.start()
+    return minion
 
-    await asyncio.gather(*(submit_next() for _ in range(CLIENT_COUNT)))
-    return statuses
+
+def find_leader(rig):
+    """Returns the process that acknowledged the heartbeats last."""
+    hosts = [m.heartbeat_to[0] for m in rig.minions.values() if m.heartbeat_to]
+    leader = max(set(hosts), key=hosts.count)
+    return next(p for p in rig.cores if p.host == leader)
 
 
 async def main(rig):
     """Returns what was broken."""
     await rig.put_config()
-    for number in range(4):
-        await rig.add_minion(number)
+    begin_ms = kit2.now_ms()
+    for number in range(8):
+        await add_minion(rig, number)
+    await asyncio.sleep(3)
+    name = kit2.make_job_id(1)
+    if await rig.submit(name, STEPS) != 200:
+        raise kit2.NotRunError('the job is not accepted')
     await asyncio.sleep(2)
-    guard = MemoryGuard(rig)
-    asyncio.ensure_future(guard.run())
-    count = JOB_COUNT if kit2.has_trouble() else CALM_JOB_COUNT
-    statuses = await submit_all(rig, count, int(time.time() * 1000) + 3600000)
-    rig.record.write('jobs_handed_in', statuses=dict(statuses))
-    await asyncio.sleep(AFTER_S if kit2.has_trouble() else 2)
-    for process in rig.cores:
-        rig.record.write(
-            'memory',
-            name=process.name,
-            largest_mb=round(guard.largest_mb[process.name]),
-            ends=guard.ends[process.name],
-        )
+    if not rig.ledger.running:
+        raise kit2.NotRunError('the task does not run')
+    if kit2.has_trouble():
+        find_leader(rig).send_signal(signal.SIGTERM)
+    await asyncio.sleep(UPTIME_S - (kit2.now_ms() - begin_ms) / 1000)
+    if len(rig.ledger.running) != 1:
+        raise kit2.NotRunError('the task does not run any more')
+    if kit2.has_trouble():
+        lost = rig.minions[next(iter(rig.ledger.running.values()))]
+        number = list(rig.minions).index(lost.name)
+        rig.record.write('cut_begins', minion=lost.name)
+        CutMinion.cut_names = {lost.name}
+        await asyncio.sleep(0.5)
+        lost.crash()
+        await asyncio.sleep(DOWN_S)
+        again = await add_minion(rig, number)
+        await asyncio.sleep(CUT_S - 0.5 - DOWN_S)
+        again.crash()
+        rig.record.write('lost_for_good', minion=lost.name)
+    calm_ms = kit2.now_ms() + CALM_S * 1000
+    idle_since_ms = None
     breaches = []
-    ended_often = [name for name, ends in guard.ends.items() if ends >= 3]
-    if 2 * len(ended_often) >= len(rig.cores):
-        breaches.append(
-            f'Fault: {sorted(ended_often)} of the core exceeded {MEMORY_MB} '
-            f'MB and ended three times or more, after {statuses[200]} '
-            'accepted jobs'
+    end_ms = kit2.now_ms() + WATCH_S * 1000
+    last_end_ms = max([at for at, *_ in rig.ledger.ends], default=0)
+    while kit2.now_ms() < end_ms and not breaches:
+        await asyncio.sleep(0.1)
+        if rig.ledger.running or kit2.now_ms() < max(
+            calm_ms, last_end_ms + AFTER_LAST_RUN_S * 1000
+        ):
+            idle_since_ms = None
+            continue
+        idle_since_ms = idle_since_ms or kit2.now_ms()
+        if kit2.now_ms() - idle_since_ms >= IDLE_S * 1000:
+            breaches.append(
+                'LOST: the lasting task has not run for '
+                f'{(kit2.now_ms() - last_end_ms) / 1000:.1f} s, with seven '
+                'idle minions, calm for 7 s'
+            )
+    first_ms = kit2.now_ms()
+    while kit2.now_ms() < begin_ms + 85000 and not rig.ledger.running:
+        await asyncio.sleep(0.1)
+    if breaches:
+        rig.record.write(
+            'runs_again' if rig.ledger.running else 'still_does_not_run',
+            later_s=(kit2.now_ms() - first_ms) / 1000,
         )
-    return breaches
+    await rig.state(name)
+    return breaches + rig.ledger.breaches
 
 
 kit2.run_case(main, os.fspath(HERE))
