--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""Callers ask how many jobs wait while a minion sheds its load."""
+"""Callers ask how many jobs wait while the minion with room sheds them."""
 
 import asyncio
 import os
@@ -10,16 +10,26 @@
 
 import kit2  # noqa: E402
 
+MINION_COUNT = 8
 JOB_COUNT = 6
 # The site file plays srv_grey for 6.5 s with x = 1.0.
 GREY_S = 6.5
+# A lasting task that takes a whole minion.
+FULL_STEPS = [
+    {
+        'count': 1,
+        'cpu': 16000,
+        'mem_mb': 256,
+        'est_runtime_ms': 1000,
+        'long_running': True,
+    }
+]
 STEPS = [
     {
         'count': 2,
         'cpu': 1000,
         'mem_mb': 256,
         'est_runtime_ms': 500,
-        'requirements': 'b',
         'work_ms': 500,
     }
 ]
@@ -40,17 +50,23 @@
 async def main(rig):
     """Returns what was broken."""
     await rig.put_config()
-    for number in range(7):
-        await rig.add_minion(number)
-    shedding = SheddingMinion(
-        rig,
-        'i-0000000b',
-        (f'{rig.net}.157', rig.minion_port),
-        ('b', 'r1-2'),
-    )
-    rig.minions[shedding.name] = shedding
-    await shedding.start()
+    for number in range(MINION_COUNT):
+        minion = SheddingMinion(
+            rig,
+            f'i-{number:08x}',
+            (f'{rig.net}.{150 + number}', rig.minion_port),
+        )
+        rig.minions[minion.name] = minion
+        await minion.start()
+    await asyncio.sleep(2)
+    for number in range(MINION_COUNT - 1):
+        if await rig.submit(kit2.make_job_id(100 + number), FULL_STEPS) != 200:
+            raise kit2.NotRunError('a lasting job is not accepted')
     await asyncio.sleep(5)
+    idle = [minion for minion in rig.minions.values() if not minion.runs]
+    if len(idle) != 1:
+        raise kit2.NotRunError(f'{len(idle)} minions are idle')
+    shedding = idle[0]
     shedding.is_shedding = kit2.has_trouble()
     begin_ms = kit2.now_ms()
     names = [kit2.make_job_id(number) for number in range(JOB_COUNT)]
