--- a/review/kit2.py
+++ b/review/kit2.py
@@ -334,7 +334,10 @@
         """Returns the last line of the log."""
         with open(self.log_path, encoding='utf-8', errors='replace') as log:
             lines = [line.strip() for line in log if line.strip()]
-        return repr(lines[-1][:200]) if lines else ''
+        if not lines:
+            return ''
+        # Records hold no path of the machine.
+        return repr(lines[-1].replace(f'{ROOT}/', '')[:200])
 
 
 # Minions
