--- a/review/10/case.py
+++ b/review/10/case.py
@@ -10,7 +10,7 @@
 
 import kit2  # noqa: E402
 
-MINION_COUNT = 8
+MINION_COUNT = 10
 JOB_COUNT = 6
 # The site file plays srv_grey for 6.5 s with x = 1.0.
 GREY_S = 6.5
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -69,12 +69,17 @@
 
 async def main(rig):
     """Returns what was broken."""
-    await rig.put_config()
+    # Half of this objective is the longest time after which a client leaves.
+    await rig.put_config(target_latency_ms=1000)
     for number in range(6):
         await rig.add_minion(number)
     # The core has to be stable for contact_ms before and after.
     await asyncio.sleep(4)
-    frozen, other = rig.edges
+    frozen, other, *further = rig.edges
+    # Three clients of four stay.
+    for number, edge in enumerate(further[:3]):
+        if await submit_once(rig, edge, kit2.make_job_id(50 + number)) != 200:
+            raise kit2.NotRunError('a job of another client is refused')
     name = kit2.make_job_id(1)
     if kit2.has_trouble():
         frozen.send_signal(signal.SIGSTOP)
@@ -107,4 +112,5 @@
     return breaches + rig.ledger.breaches
 
 
-kit2.run_case(main, os.fspath(HERE))
+# Eight edge and three core machines, of which one is frozen (0.09).
+kit2.run_case(main, os.fspath(HERE), edge=8)
