Refuse numbers from outside that can not be stored

A daemon delivers a message to itself without encoding it, so the first encoding was that of the leader's proposal, outside of any handler: OverflowError ended the process.

Change: number_ranges declares the ranges of numbers from outside; heartbeats, withdrawals, answers and lists of workers, jobs, configurations, announcements and reports on the platform port, the deadline headers and the parameters of the administration API are declared with them, so such a number is refused (400) before anything is proposed. Addresses with control characters and workers without an id are refused, too.

Why it works: no number reaches a proposal that its encoding does not hold.

--- a/fuchsiatrestle/admin/_calls.py
+++ b/fuchsiatrestle/admin/_calls.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from fuchsiatrestle import number_ranges
 from fuchsiatrestle import settings
 
 __all__ = (
@@ -16,6 +17,7 @@
 )
 
 MAX_PARAMETERS = 16
+MAX_SHOWN_CHARS = 256  # of a parameter in an error
 
 _ERROR_WITH_FIELD = re.compile(r'^(?P<text>.*?) - at `\$\.?(?P<field>.*?)`$')
 _UNKNOWN_FIELD = re.compile(r'unknown field `(?P<name>[^`]*)`')
@@ -135,10 +137,14 @@
 def _parse_parameter(parameter, value_text):
     if parameter.value_type is str:
         return value_text
-    if not value_text.isascii() or not value_text.isdigit():
-        detail = f'expected a whole number, got {value_text!r}'
-        raise CallRefused(400, 'bad_parameter', detail, parameter.name)
-    return int(value_text)
+    try:
+        return number_ranges.parse_decimal(value_text, number_ranges.MAX_INT64)
+    except ValueError as exc:
+        shown_text = value_text[:MAX_SHOWN_CHARS]
+        detail = f'expected a whole number, got {shown_text!r}'
+        raise CallRefused(
+            400, 'bad_parameter', detail, parameter.name
+        ) from exc
 
 
 def decode_parameters(query, parameters):
--- a/fuchsiatrestle/entry/_callers.py
+++ b/fuchsiatrestle/entry/_callers.py
@@ -7,6 +7,7 @@
 from fuchsiatrestle.entry import _headers
 from fuchsiatrestle import metrics
 from fuchsiatrestle.net import http
+from fuchsiatrestle import number_ranges
 from fuchsiatrestle import routing
 
 __all__ = ('CallersHandler',)
@@ -191,9 +192,12 @@
     number_text = request.get_header(header_name)
     if not number_text:
         return 0
-    if not number_text.isdecimal() or not 0 <= int(number_text) <= max_number:
-        raise _BadHeader(f'{header_name.decode()} must be 0 to {max_number}')
-    return int(number_text)
+    try:
+        return number_ranges.parse_decimal(number_text, max_number)
+    except ValueError as exc:
+        raise _BadHeader(
+            f'{header_name.decode()} must be 0 to {max_number}'
+        ) from exc
 
 
 def _hash_request(request):
--- a/fuchsiatrestle/entry/_platform.py
+++ b/fuchsiatrestle/entry/_platform.py
@@ -2,11 +2,14 @@
 
 import ipaddress
 
+import msgspec
+
 from fuchsiatrestle import errors
 from fuchsiatrestle import messages
 from fuchsiatrestle import metrics
 from fuchsiatrestle import named_json
 from fuchsiatrestle.net import http
+from fuchsiatrestle import number_ranges
 from fuchsiatrestle import routing
 from fuchsiatrestle import settings
 
@@ -91,6 +94,7 @@
             report = named_json.decode(messages.WorkerReport, request.body)
             if report.worker != worker:
                 raise ValueError(f'path and report differ: {worker!r}')
+            _check_amounts(report)
         except _DECODING_ERRORS as exc:
             metrics.count(REFUSED_BAD_REPORT)
             return http.make_reason_response(400, 'bad_report', str(exc))
@@ -106,6 +110,23 @@
         return http.make_json_response(200, named_json.to_builtins(orders))
 
 
+def _check_amounts(report):
+    """Checks the resources in a ``messages.WorkerReport``.
+
+    Raises:
+        ValueError: one of them is out of range.
+    """
+    amounts = [report.capacity]
+    amounts += [attempt.used for attempt in report.attempts]
+    amounts += [load.used for load in report.services]
+    for resources in amounts:
+        for amount in msgspec.structs.astuple(resources):
+            if not 0 <= amount <= number_ranges.MAX_AMOUNT:
+                raise ValueError(
+                    f'resources must be 0 to {number_ranges.MAX_AMOUNT}'
+                )
+
+
 def _decode_announcement(body):
     """Returns the ``messages.Announcement`` of a JSON body after checks.
 
--- a/fuchsiatrestle/named_json.py
+++ b/fuchsiatrestle/named_json.py
@@ -2,7 +2,8 @@
 
 The system's own processes exchange records as arrays.  Workers, upstreams and
 operators use JSON objects with the field names of the same records; an object
-with a field that the record does not have is refused.
+with a field that the record does not have is refused.  So is one with a number
+that a record can not be encoded with.
 """
 
 import functools
@@ -10,6 +11,7 @@
 
 import msgspec
 
+from fuchsiatrestle import number_ranges
 from fuchsiatrestle import records
 
 __all__ = (
@@ -103,7 +105,7 @@
         return typing.Optional[_make_named_type(type_arguments[0])]
     if isinstance(field_type, type) and issubclass(field_type, records.Record):
         return _make_named_struct(field_type)
-    return field_type
+    return number_ranges.Int64 if field_type is int else field_type
 
 
 def _to_records(value):
--- a/fuchsiatrestle/platform/_callers.py
+++ b/fuchsiatrestle/platform/_callers.py
@@ -9,6 +9,7 @@
 from fuchsiatrestle import logs
 from fuchsiatrestle import metrics
 from fuchsiatrestle.net import http
+from fuchsiatrestle import number_ranges
 from fuchsiatrestle.platform import _documents
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import queries
@@ -16,7 +17,9 @@
 __all__ = ('CallerHandler', 'ReadyHandler')
 
 DEADLINE_HEADER = b'fuchsiatrestle-deadline-ms'
-DEFAULT_DEADLINE_MS = 3000  # for calls without ``DEADLINE_HEADER``
+# For calls whose ``DEADLINE_HEADER`` is missing or out of range.
+DEFAULT_DEADLINE_MS = 3000
+MAX_DEADLINE_MS = 3_600_000
 # Share of the caller's time in which control has to answer; the rest is for
 # the answer's way back to the caller.
 CONTROL_BUDGET_SHARE = 0.85
@@ -183,12 +186,12 @@
 
 def _get_control_budget_ms(request):
     """Returns the time in which control has to answer, in milliseconds."""
-    deadline_text = request.get_header(DEADLINE_HEADER)
-    deadline_ms = (
-        int(deadline_text)
-        if deadline_text.isdecimal()
-        else DEFAULT_DEADLINE_MS
-    )
+    try:
+        deadline_ms = number_ranges.parse_decimal(
+            request.get_header(DEADLINE_HEADER), MAX_DEADLINE_MS
+        )
+    except ValueError:
+        deadline_ms = DEFAULT_DEADLINE_MS
     return max(1, int(deadline_ms * CONTROL_BUDGET_SHARE))
 
 
--- a/fuchsiatrestle/platform/_documents.py
+++ b/fuchsiatrestle/platform/_documents.py
@@ -4,11 +4,13 @@
 structure does not declare is ignored.
 """
 
+import typing
 import zlib
 
 import msgspec
 
 from fuchsiatrestle import errors
+from fuchsiatrestle import number_ranges
 from fuchsiatrestle.state import workflows
 
 __all__ = (
@@ -25,6 +27,7 @@
 MAX_TASKS = 20_000  # of a workflow, over all its occurrences
 MAX_STEPS = 200
 MAX_PAYLOAD_CHARS = 4000
+MAX_STRETCH = 1_000_000
 # Reasons are logged and answered, and may quote the body.
 MAX_REASON_CHARS = 256
 
@@ -41,9 +44,14 @@
 class _Advice(msgspec.Struct):
     """Durations for the placement advice; see ``workflows.AdviceTerms``."""
 
-    decision_ms: int = 0
-    per_worker_ms: int = 0
-    validity_ms: int = 0
+    decision_ms: number_ranges.Duration = 0
+    per_worker_ms: number_ranges.Duration = 0
+    validity_ms: number_ranges.Duration = 0
+
+
+_Stretch = typing.Annotated[
+    float, msgspec.Meta(ge=-MAX_STRETCH, le=MAX_STRETCH)
+]
 
 
 class _Route(msgspec.Struct):
@@ -56,13 +64,13 @@
     host: str
     path_prefix: str
     service: str
-    timeout_ms: int
-    target_latency_ms: int = 0
-    priority: int = 0
+    timeout_ms: number_ranges.Duration
+    target_latency_ms: number_ranges.Duration = 0
+    priority: number_ranges.Int64 = 0
     # Failed runs of a task after which its workflow fails.  Runs that ended
     # otherwise are not counted, in spite of the name.
-    max_attempts: int = 1
-    stretch: float = 1.0
+    max_attempts: number_ranges.Int64 = 1
+    stretch: _Stretch = 1.0
     advice: _Advice | None = None
 
 
@@ -80,7 +88,7 @@
 class _Configuration(msgspec.Struct):
     """Configuration of all queues and pools; see ``workflows.Document``."""
 
-    version: int
+    version: number_ranges.Int64
     routes: list[_Route]
     services: list[_Service]
 
@@ -91,11 +99,11 @@
     A missing field is 0, false or empty.
     """
 
-    count: int = 0
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    est_runtime_ms: int = 0
+    count: number_ranges.Amount = 0
+    cpu: number_ranges.Amount = 0
+    mem_mb: number_ranges.Amount = 0
+    gpu: number_ranges.Amount = 0
+    est_runtime_ms: number_ranges.Duration = 0
     start_after: list[int] = []
     checkpointing: bool = False
     gang: bool = False
@@ -104,13 +112,13 @@
     requirements: str = ''
     data_rack: str = ''
     # Largest number of tasks of the step on one worker, 0 for no limit.
-    anti_affinity: int = 0
+    anti_affinity: number_ranges.Amount = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ''
-    target_ms: int = 0
+    target_ms: number_ranges.Duration = 0
     fills: bool = False
-    may_miss: int = 0
+    may_miss: number_ranges.Amount = 0
 
 
 class _Job(msgspec.Struct):
@@ -119,9 +127,9 @@
     # Payload that each task receives, not a description of the tasks.
     task_spec: str
     steps: list[_Step]
-    repeat_count: int = 0
-    first_run_ms: int = 0
-    interval_ms: int = 0
+    repeat_count: number_ranges.Amount = 0
+    first_run_ms: number_ranges.Timestamp = 0
+    interval_ms: number_ranges.Duration = 0
 
 
 _CONFIGURATION_DECODER = msgspec.json.Decoder(_Configuration)
@@ -291,15 +299,8 @@
         1, job.repeat_count
     )
     refuse_if(task_count > MAX_TASKS, f'{task_count} tasks', operation)
-    refuse_if(job.repeat_count < 0, 'negative repeat_count', operation)
     for step_index, step in enumerate(job.steps):
         refuse_if(step.count < 1, f'step {step_index} has no task', operation)
-        declared_sizes = (step.cpu, step.mem_mb, step.gpu, step.est_runtime_ms)
-        refuse_if(
-            min(declared_sizes) < 0,
-            f'step {step_index}: negative size',
-            operation,
-        )
         refuse_if(
             any(
                 not 0 <= earlier_index < step_index
--- a/fuchsiatrestle/platform/_workers.py
+++ b/fuchsiatrestle/platform/_workers.py
@@ -9,6 +9,7 @@
 from fuchsiatrestle import logs
 from fuchsiatrestle import messages
 from fuchsiatrestle.net import http
+from fuchsiatrestle import number_ranges
 from fuchsiatrestle.platform import _documents
 from fuchsiatrestle import settings
 from fuchsiatrestle.state import workflows as workflow_records
@@ -29,6 +30,9 @@
 MAX_ANNOUNCED_CHARS = 256  # of each text
 MAX_LABELS = 64
 
+MAX_TASK_NUMBER = 10**9  # in the name of a task
+MAX_NAME_CHARS = 64  # of a name in an error
+
 # A worker lists so many ends of runs at a time.
 MAX_LISTED_ENDS = 500
 
@@ -55,9 +59,9 @@
 class _Capacity(msgspec.Struct):
     """Resources of a worker; ``cpu`` is in thousandths of a core."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: number_ranges.Amount = 0
+    mem_mb: number_ranges.Amount = 0
+    gpu: number_ranges.Amount = 0
 
 
 class _Heartbeat(msgspec.Struct):
@@ -66,41 +70,41 @@
     service: str
     address: str
     state: str
-    sequence: int
+    sequence: number_ranges.SequenceNumber
     zone: str = ''
     capacity: _Capacity = msgspec.field(default_factory=_Capacity)
     # The kind of the worker, then its rack.
     labels: list[str] = []
-    clock_ms: int | None = None
+    clock_ms: number_ranges.Timestamp | None = None
     # Start of the worker's process, in milliseconds since the epoch.
-    born: int = 0
+    born: number_ranges.Timestamp = 0
     machine: str = ''
-    cold_left_ms: int | float | None = None
+    cold_left_ms: number_ranges.Measurement | None = None
 
 
 class _Withdrawal(msgspec.Struct):
     """Body of a worker's last call; workers may also send none."""
 
     # Start of the worker's process, in milliseconds since the epoch.
-    born: int = 0
+    born: number_ranges.Timestamp = 0
 
 
 class _RunningRow(msgspec.Struct, array_like=True):
     """A run on the worker; see ``workflows.ListedRun``."""
 
     task: str
-    run: int
+    run: number_ranges.SequenceNumber
     saved: str
-    percent: int | float
-    figure: int | float | None = None
+    percent: number_ranges.Measurement
+    figure: number_ranges.Measurement | None = None
 
 
 class _EndRow(msgspec.Struct, array_like=True):
     """The end of a run; see ``workflows.ListedEnd``."""
 
-    number: int
+    number: number_ranges.SequenceNumber
     task: str
-    run: int
+    run: number_ranges.SequenceNumber
     how: str
     saved: str
 
@@ -108,9 +112,9 @@
 class _Answer(msgspec.Struct):
     """Body of the answer to any order; a missing field has its default."""
 
-    clock_ms: int | None = None
+    clock_ms: number_ranges.Timestamp | None = None
     reason: str = ''
-    born: int = 0
+    born: number_ranges.Timestamp = 0
     running: list[_RunningRow] = []
     ended: list[_EndRow] = []
 
@@ -133,6 +137,7 @@
     heartbeat = _documents.decode_body(
         _HEARTBEAT_DECODER, body, operation, worker
     )
+    _documents.refuse_if(not worker, 'no id', operation, worker)
     texts = (
         worker,
         heartbeat.service,
@@ -174,7 +179,7 @@
         heartbeat.labels,
         heartbeat.clock_ms,
         heartbeat.machine,
-        int(heartbeat.cold_left_ms or 0),
+        max(0, int(heartbeat.cold_left_ms or 0)),
     )
 
 
@@ -203,10 +208,22 @@
 
 
 def _decode_task_id(task_name):
-    workflow_id, occurrence, step, index = task_name.rsplit('.', 3)
-    return workflow_records.TaskId(
-        workflow_id, int(occurrence), int(step), int(index)
-    )
+    workflow_id, *numbers = task_name.rsplit('.', 3)
+    if len(numbers) < 3:
+        raise ValueError(f'not a task: {task_name[:MAX_NAME_CHARS]!r}')
+    return workflow_records.TaskId(workflow_id, *map(_parse_number, numbers))
+
+
+def _parse_number(text):
+    """Returns a number in the name of a task.
+
+    Raises:
+        ValueError: it is not written as in the names of tasks.
+    """
+    number = number_ranges.parse_decimal(text, MAX_TASK_NUMBER)
+    if str(number) != text:
+        raise ValueError(f'not a number of a task: {text[:MAX_NAME_CHARS]!r}')
+    return number
 
 
 def _make_start_body(order):
--- a/fuchsiatrestle/settings.py
+++ b/fuchsiatrestle/settings.py
@@ -69,6 +69,11 @@
             raise ValueError('expected IP:port')
         host = host.strip('[]')
         ipaddress.ip_address(host)
+        if not host.isprintable():
+            # The name of an IPv6 zone may have any characters.
+            raise ValueError('host has control characters')
+        if not port_text.isascii() or not port_text.isdecimal():
+            raise ValueError('port must be a whole number')
         port = int(port_text)
         if not 0 < port <= MAX_PORT:
             raise ValueError(f'port must be 1 to {MAX_PORT}')
--- a/tests/entry/test_platform.py
+++ b/tests/entry/test_platform.py
@@ -54,6 +54,13 @@
     {'connections': 10**9},
     {'service': ''},
     {'unknown': 1},
+    # An entry that passed it on to others ended.
+    {'incarnation': 2**64},
+    {'seq': 2**64},
+    {'seq': -(2**63) - 1},
+    {'incarnation': 10**400},
+    {'address': '127.0.0.1:٨٠'},
+    {'address': '[::1%\x00]:80'},
 )
 BAD_REPORTS = (
     {'worker': 'other'},
@@ -62,6 +69,21 @@
     {'capacity': None},
     {'capacity': {'cpu_milli': 'x', 'memory_mib': 1}},
     {'unknown': 1},
+    # The other reports of its batch were never answered.
+    {'incarnation': 2**64},
+    {'seq': 2**64},
+    {'capacity': {'cpu_milli': 10**13, 'memory_mib': 1}},
+    {'capacity': {'cpu_milli': 1, 'memory_mib': -1}},
+    {'attempts': [{**REPORT['attempts'][0], 'attempt': 2**64}]},
+    {'attempts': [{**REPORT['attempts'][0], 'progress': 10**400}]},
+    {
+        'attempts': [
+            {
+                **REPORT['attempts'][0],
+                'used': {'cpu_milli': 2**64, 'memory_mib': 2},
+            }
+        ]
+    },
 )
 
 
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -23,15 +23,40 @@
     def __init__(self, outcome):
         self._outcome = outcome
         self.command = None
+        self.timeout_ms = None
 
     async def propose(self, command, timeout_ms):
         self.command = command
+        self.timeout_ms = timeout_ms
         return result.Success(self._outcome)
 
 
 BODY = b'{"task_spec": "", "steps": [{"count": 1}]}'
 
 
+class DeadlineTest(unittest.TestCase):
+    def test_number_of_any_length_is_answered(self):
+        """A number of thousands of digits was answered with status 500."""
+        for text, budget_ms in (
+            (b'1000', 850),
+            (b'3600000', 3_060_000),
+            (b'3600001', 2550),
+            (b'9' * 400, 2550),
+            (b'9' * 5000, 2550),
+            (b'-1', 2550),
+            (b'\xb2', 2550),
+            (b'0', 1),
+        ):
+            with self.subTest(text=text[:9]):
+                client = _Client(outcomes.WorkflowOutcome('queued'))
+                handler = _callers.CallerHandler(client)
+                headers = [(_callers.DEADLINE_HEADER, text)]
+                request = http.Request('POST', '/q/a', headers, BODY)
+                response = curio.run(handler.handle, request)
+                self.assertEqual(200, response.status)
+                self.assertEqual(budget_ms, client.timeout_ms)
+
+
 class RefusalTest(unittest.TestCase):
     def test_request_that_waited_in_the_socket_is_as_old_as_its_receipt(self):
         client = _Client(outcomes.WorkflowOutcome('queued'))
