Keep cancels of workflows that are not known

Cause: the agreed state kept refusals for want of capacity, but nothing of a cancel for a workflow that it does not know, so an older copy of the submission was a new one.

Change: such cancels are agreed and kept for 900 s, up to 10,000; no submission of that id is accepted meanwhile, whatever its date, as the clocks of entries differ. Beyond that number submissions dated up to the oldest are denied. The table shares its limits with that of refusals (_denials), which now keeps long ids as digests. Related answers: 503 without a configuration is kept by host and path; a cancel without a configuration is answered with 503 instead of 404; a cancel of an unknown batch job denies its later submission.

The model in tests/scheduling/_faults.py took a job that was cancelled before its submission for accepted; it now requires that such a job is never known.

Why it works: the denial is agreed before it is answered, and every submission is checked against it where it is applied.

--- a/fuchsiatrestle/admin/_api.py
+++ b/fuchsiatrestle/admin/_api.py
@@ -7,6 +7,7 @@
 from fuchsiatrestle.admin import _answers
 from fuchsiatrestle.admin import _calls
 from fuchsiatrestle.admin import _routes
+from fuchsiatrestle import daemon
 from fuchsiatrestle import logs
 from fuchsiatrestle import messages
 from fuchsiatrestle import metrics
@@ -150,7 +151,9 @@
 
     async def _cancel_jobs(self, call):
         return await self._propose_command(
-            commands.CancelJobs(call.body.job_ids, call.body.author)
+            commands.CancelJobs(
+                call.body.job_ids, call.body.author, daemon.epoch_ms()
+            )
         )
 
     async def _resolve_jobs(self, call):
--- a/fuchsiatrestle/platform/_callers.py
+++ b/fuchsiatrestle/platform/_callers.py
@@ -43,6 +43,10 @@
     'refused.overloaded',
     'Workflows that could not be served in time and never run (429).',
 )
+CANCELLED_BEFORE = metrics.declare(
+    'refused.cancelled',
+    'Workflows cancelled before they arrived, which never run (429).',
+)
 ANSWER_TIME = metrics.declare(
     'callers.answer_ms', 'Time from a whole request to its answer, in ms.'
 )
@@ -50,6 +54,12 @@
     'refused.outcome_unknown', 'Calls whose outcome is not known (504).'
 )
 
+# Counter and explanation of the reasons for which a workflow never runs.
+_DENIALS = {
+    'cancelled': (CANCELLED_BEFORE, 'was cancelled before it arrived'),
+    'overloaded': (OVERLOADED, 'can not be completed in time'),
+}
+
 LOG = logs.get_logger(__name__)
 
 
@@ -147,8 +157,10 @@
         if not pipeline.is_successful(call_result):
             return _make_failure_response(call_result.failure())
         outcome = call_result.unwrap()
-        if outcome.reason == 'overloaded':
-            return _make_overload_response(outcome.retry_after_ms)
+        if outcome.reason in _DENIALS:
+            return _make_denial_response(
+                outcome.reason, outcome.retry_after_ms
+            )
         if outcome.reason:
             return _make_refusal_response(outcome.reason)
         return http.make_json_response(200, {'state': outcome.state})
@@ -201,20 +213,19 @@
     return http.make_reason_response(503, reason, detail, headers)
 
 
-def _make_overload_response(retry_after_ms):
+def _make_denial_response(reason, retry_after_ms):
     """Returns a 429 with Retry-After for a workflow that never runs.
 
     Args:
+        reason: key of ``_DENIALS``.
         retry_after_ms: time after which the caller should try again, 0 if
             that is not known.
     """
-    metrics.count(OVERLOADED)
+    counter, detail = _DENIALS[reason]
+    metrics.count(counter)
     retry_after_s = max(RETRY_AFTER_S, math.ceil(retry_after_ms / 1000))
     return http.make_reason_response(
-        429,
-        'overloaded',
-        'can not be completed in time',
-        [http.make_retry_after_header(retry_after_s)],
+        429, reason, detail, [http.make_retry_after_header(retry_after_s)]
     )
 
 
--- a/fuchsiatrestle/scheduling/_counters.py
+++ b/fuchsiatrestle/scheduling/_counters.py
@@ -14,6 +14,7 @@
         'unknown_job': 'Calls about a job that is not known.',
         'over_quota': 'Jobs larger than the quota of their team.',
         'stale': 'Jobs submitted before the window of remembered jobs.',
+        'cancelled': 'Jobs cancelled before they were submitted.',
         'queue_full': 'Jobs beyond the bound on open jobs.',
         'invalid_spec': 'Jobs with a field out of range.',
         'not_parked': 'Settlements of a job that is not parked.',
--- a/fuchsiatrestle/state/_jobs.py
+++ b/fuchsiatrestle/state/_jobs.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from fuchsiatrestle.state import _cancels
 from fuchsiatrestle.state import _jobs_attempts
 from fuchsiatrestle.state import _jobs_model as model
 from fuchsiatrestle.state import _jobs_store
@@ -23,6 +24,8 @@
     workers: list[model.Worker]
     next_seq: int
     stale_before_ms: int
+    cancels: list[_cancels.CancelRow] = []
+    cancels_dropped_ms: int = 0
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -147,6 +150,8 @@
                 list(store.workers.values()),
                 store.next_seq,
                 store.stale_before_ms,
+                store.unknown_cancels.to_rows(),
+                store.unknown_cancels.dropped_ms,
             )
         )
 
@@ -163,6 +168,9 @@
             snapshot.workers,
             snapshot.next_seq,
             snapshot.stale_before_ms,
+            _cancels.CancelTable(
+                snapshot.cancels, snapshot.cancels_dropped_ms
+            ),
         )
 
     # Commands
@@ -171,8 +179,11 @@
         return _apply_to_each(self._command_handler.submit_job, command.jobs)
 
     def _cancel_jobs(self, command):
-        return _apply_to_each(
-            self._command_handler.cancel_job, command.job_ids
+        return outcomes.JobOutcomes(
+            [
+                self._command_handler.cancel_job(job_id, command.cancelled_ms)
+                for job_id in command.job_ids
+            ]
         )
 
     def _place_attempts(self, command):
--- a/fuchsiatrestle/state/_jobs_store.py
+++ b/fuchsiatrestle/state/_jobs_store.py
@@ -3,6 +3,7 @@
 import collections
 
 from fuchsiatrestle import invariants
+from fuchsiatrestle.state import _cancels
 from fuchsiatrestle.state import _jobs_model as model
 
 __all__ = (
@@ -40,6 +41,8 @@
         stale_before_ms: latest time of submission of the ended jobs that
             were removed, since the epoch; 0 for none.  A job submitted at or
             before it may be a resend that is no longer recognised.
+        unknown_cancels: ``CancelTable`` of the jobs that were cancelled before
+            they were submitted.
     """
 
     def __init__(
@@ -52,6 +55,7 @@
         self.workers = {}
         self.next_seq = 1
         self.stale_before_ms = 0
+        self.unknown_cancels = _cancels.CancelTable()
         self._counts_by_state = collections.Counter()
         self._worker_count_by_capacity = collections.Counter()
 
@@ -260,7 +264,15 @@
                 found=expected_reservations_by_worker[name],
             )
 
-    def rebuild(self, jobs, ended_jobs, workers, next_seq, stale_before_ms):
+    def rebuild(
+        self,
+        jobs,
+        ended_jobs,
+        workers,
+        next_seq,
+        stale_before_ms,
+        unknown_cancels,
+    ):
         """Replaces the whole state by the content of a snapshot.
 
         Raises:
@@ -274,6 +286,7 @@
         self.workers = {worker.spec.worker: worker for worker in workers}
         self.next_seq = next_seq
         self.stale_before_ms = stale_before_ms
+        self.unknown_cancels = unknown_cancels
         self._counts_by_state = collections.Counter(
             job.state for job in [*jobs, *ended_jobs]
         )
--- a/fuchsiatrestle/state/_jobs_submit.py
+++ b/fuchsiatrestle/state/_jobs_submit.py
@@ -1,5 +1,6 @@
 """Submission, cancellation, parking and resolution of jobs."""
 
+from fuchsiatrestle.state import _denials
 from fuchsiatrestle.state import _jobs_model as model
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import outcomes
@@ -106,6 +107,14 @@
                 'submitted before the window of remembered jobs; check '
                 'whether it ran and submit it under a new id',
             )
+        if self._store.unknown_cancels.denies(
+            _denials.make_key(spec.job_id), spec.submitted_ms
+        ):
+            return _refused_outcome(
+                spec.job_id,
+                'cancelled',
+                'cancelled before it was submitted; submit it under a new id',
+            )
         if len(self._store.jobs) >= self._store.max_open_jobs:
             return _refused_outcome(
                 spec.job_id, 'queue_full', 'wait until open jobs have ended'
@@ -166,11 +175,17 @@
 
     # Cancellation, parking and resolution
 
-    def cancel_job(self, job_id):
+    def cancel_job(self, job_id, cancelled_ms):
         """Cancels a job.
 
         A job with a live attempt is only marked; it ends as cancelled when the
-        attempt has ended without being done.
+        attempt has ended without being done.  One that is not known is not
+        accepted any more.
+
+        Args:
+            job_id: identifier of the job.
+            cancelled_ms: time of the cancel, since the epoch; 0 if it is not
+                known.
 
         Returns:
             An ``outcomes.JobOutcome`` with the state after the command.
@@ -178,6 +193,10 @@
         store = self._store
         job = store.jobs.get(job_id)
         if job is None:
+            if job_id not in store.ended_jobs:
+                store.unknown_cancels.add(
+                    _denials.make_key(job_id), cancelled_ms
+                )
             return self._outcome_of_ended_job(job_id)
         if job.is_live:
             job.cancelled = True
--- a/fuchsiatrestle/state/_workflows.py
+++ b/fuchsiatrestle/state/_workflows.py
@@ -5,6 +5,8 @@
 import msgspec
 
 from fuchsiatrestle import records
+from fuchsiatrestle.state import _cancels
+from fuchsiatrestle.state import _denials
 from fuchsiatrestle.state import _part
 from fuchsiatrestle.state import _refusals
 from fuchsiatrestle.state import _run_times
@@ -46,7 +48,10 @@
         run_times: learned run times, see ``RunTimes.to_rows``; empty in old
             snapshots.
         refusals: refused workflows, the oldest first.
-        refusals_dropped_ms: see ``RefusalTable.dropped_ms``.
+        refusals_dropped_ms: see ``DenialTable.dropped_ms``.
+        cancels: workflows that were cancelled before they were submitted, the
+            oldest first.
+        cancels_dropped_ms: see ``DenialTable.dropped_ms``.
     """
 
     now_ms: int
@@ -57,6 +62,8 @@
     run_times: list[_run_times.RunTimesRow] = []
     refusals: list[_refusals.RefusalRow] = []
     refusals_dropped_ms: int = 0
+    cancels: list[_cancels.CancelRow] = []
+    cancels_dropped_ms: int = 0
 
 
 _STATE_CODEC = records.Codec(_PartState)
@@ -94,6 +101,7 @@
         self._image_pairs = {}
         self._run_times = _run_times.RunTimes()
         self._refusals = _refusals.RefusalTable()
+        self._cancels = _cancels.CancelTable()
         # Latest ``now_ms`` of a ``RecordProgress`` command, since the epoch.
         self._progress_recorded_ms = 0
         self._handlers = {
@@ -215,6 +223,7 @@
 
     def _submit_workflow(self, command):
         if self.documents.document is None:
+            self._refuse_without_document(command)
             return _refused_outcome('no_document')
         queue, workflow_id = self.documents.resolve_path(
             command.host, command.path
@@ -223,11 +232,9 @@
             return _refused_outcome('no_queue')
         workflow = self._workflows.get(workflow_id)
         if workflow is None:
-            retry_after_ms = self._refusals.find_retry_after_ms(
-                workflow_id, command.submitted_ms
-            )
-            if retry_after_ms is not None:
-                return _refused_outcome('overloaded', retry_after_ms)
+            denial = self._find_denial(workflow_id, command)
+            if denial is not None:
+                return denial
             workflow = _workflows_model.Workflow(
                 workflow_id, queue, command.spec, command.submitted_ms
             )
@@ -235,8 +242,51 @@
             self._open_workflows_by_id[workflow_id] = workflow
         return outcomes.WorkflowOutcome(workflow.public_state)
 
+    def _find_denial(self, workflow_id, command):
+        """Returns the outcome of a submission that was denied, or None.
+
+        Args:
+            workflow_id: id of a workflow that is not known.
+            command: the ``SubmitWorkflow``, which may be an older copy.
+        """
+        retry_after_ms = self._cancels.find_retry_after_ms(
+            _denials.make_key(workflow_id),
+            command.submitted_ms,
+            self._progress_recorded_ms,
+        )
+        if retry_after_ms is not None:
+            return _refused_outcome('cancelled', retry_after_ms)
+        for key in (
+            _denials.make_key(workflow_id),
+            _denials.make_key(command.host, command.path),
+        ):
+            retry_after_ms = self._refusals.find_retry_after_ms(
+                key, command.submitted_ms
+            )
+            if retry_after_ms is not None:
+                return _refused_outcome('overloaded', retry_after_ms)
+        return None
+
+    def _refuse_without_document(self, command):
+        """Keeps the refusal of a request whose queue is not known yet.
+
+        Args:
+            command: the command, which has a submission time.
+        """
+        self._refusals.add(
+            _refusals.RefusalRow(
+                _denials.make_key(command.host, command.path),
+                command.submitted_ms,
+                command.submitted_ms,
+                0,
+                '',
+                False,
+            )
+        )
+
     def _refuse_workflow(self, command):
         if self.documents.document is None:
+            self._refuse_without_document(command)
             return _refused_outcome('no_document')
         queue, workflow_id = self.documents.resolve_path(
             command.host, command.path
@@ -248,7 +298,7 @@
             return outcomes.WorkflowOutcome(workflow.public_state)
         self._refusals.add(
             _refusals.RefusalRow(
-                workflow_id,
+                _denials.make_key(workflow_id),
                 command.submitted_ms,
                 command.refused_ms,
                 command.retry_after_ms,
@@ -259,18 +309,23 @@
         return _refused_outcome('overloaded', command.retry_after_ms)
 
     def _cancel_workflow(self, command):
+        if self.documents.document is None:
+            return _refused_outcome('no_document')
         queue, workflow_id = self.documents.resolve_path(
             command.host, command.path
         )
         if queue is None:
             return _refused_outcome('no_queue')
+        if not workflow_id:
+            return _refused_outcome('no_workflow')
+        # The last recorded progress may be long ago.  What is kept with that
+        # time would be removed too early.
+        now_ms = max(self._progress_recorded_ms, command.cancelled_ms)
         workflow = self._workflows.get(workflow_id)
         if workflow is None:
+            self._cancels.add(_denials.make_key(workflow_id), now_ms)
             return _refused_outcome('no_workflow')
         workflow.cancel()
-        # The last recorded progress may be long ago.  A workflow with that
-        # time as its end would be removed too early.
-        now_ms = max(self._progress_recorded_ms, command.cancelled_ms)
         self._close_workflow_if_ended(workflow, now_ms)
         return outcomes.WorkflowOutcome(workflow.public_state)
 
@@ -294,6 +349,7 @@
             self._record_survival(live_run)
         self._remove_expired_workflows()
         self._refusals.remove_expired(self._progress_recorded_ms)
+        self._cancels.remove_expired(self._progress_recorded_ms)
         return outcomes.Done()
 
     def _register_worker(self, worker):
@@ -448,6 +504,8 @@
                 self._run_times.to_rows(),
                 self._refusals.to_rows(),
                 self._refusals.dropped_ms,
+                self._cancels.to_rows(),
+                self._cancels.dropped_ms,
             )
         )
 
@@ -474,3 +532,6 @@
         self._refusals = _refusals.RefusalTable(
             snapshot.refusals, snapshot.refusals_dropped_ms
         )
+        self._cancels = _cancels.CancelTable(
+            snapshot.cancels, snapshot.cancels_dropped_ms
+        )
--- a/fuchsiatrestle/state/commands/_jobs.py
+++ b/fuchsiatrestle/state/commands/_jobs.py
@@ -78,10 +78,12 @@
     Attributes:
         job_ids: identifiers of the jobs.
         author: name of the operator, may be empty.
+        cancelled_ms: time when the request was received, since the epoch.
     """
 
     job_ids: list[str]
     author: str = ''
+    cancelled_ms: int = 0
 
 
 class Placement(records.Record, tag='place'):
--- a/fuchsiatrestle/state/outcomes.py
+++ b/fuchsiatrestle/state/outcomes.py
@@ -133,9 +133,11 @@
         state: ``queued``, ``running``, ``completed``, ``failed`` or
             ``cancelled``; empty if refused.
         reason: empty, or why it was refused: ``no_document``, ``no_queue``,
-            ``no_workflow``, ``overloaded``.
+            ``no_workflow``, ``overloaded``, ``cancelled`` (it was cancelled
+            before it was submitted).
         retry_after_ms: time after which a submission refused as
-            ``overloaded`` should be repeated, 0 if not known.
+            ``overloaded`` or ``cancelled`` should be repeated, 0 if not
+            known.
     """
 
     state: str
--- a/tests/admin/test_api.py
+++ b/tests/admin/test_api.py
@@ -189,10 +189,12 @@
             urgent=True,
             submitted_ms=9,
         )
+        submission, cancel = self.control.calls
+        self.assertEqual(commands.SubmitJobs([spec], 'ann'), submission)
         self.assertEqual(
-            [commands.SubmitJobs([spec], 'ann'), commands.CancelJobs(['j1'])],
-            self.control.calls,
+            commands.CancelJobs(['j1'], '', cancel.cancelled_ms), cancel
         )
+        self.assertLess(0, cancel.cancelled_ms)
 
     def test_queries(self):
         document = queries.ConfigDocument(3, b'{"services":{}}')
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -67,17 +67,21 @@
         age_ms = time.time() * 1000 - client.command.submitted_ms
         self.assertGreaterEqual(age_ms, 5000)
 
-    def test_overload_is_answered_in_whole_seconds(self):
-        for retry_after_ms, seconds in ((0, 1), (1000, 1), (1001, 2)):
-            with self.subTest(retry_after_ms=retry_after_ms):
-                outcome = outcomes.WorkflowOutcome(
-                    '', 'overloaded', retry_after_ms
-                )
+    def test_denials_are_answered_in_whole_seconds(self):
+        for reason, retry_after_ms, seconds in (
+            ('overloaded', 0, 1),
+            ('overloaded', 1000, 1),
+            ('overloaded', 1001, 2),
+            ('cancelled', 0, 1),
+            ('cancelled', 899_001, 900),
+        ):
+            with self.subTest(reason=reason, retry_after_ms=retry_after_ms):
+                outcome = outcomes.WorkflowOutcome('', reason, retry_after_ms)
                 handler = _callers.CallerHandler(_Client(outcome))
                 request = http.Request('POST', '/q/a', [], BODY)
                 response = curio.run(handler.handle, request)
                 self.assertEqual(429, response.status)
-                self.assertIn(b'overloaded', response.body)
+                self.assertIn(reason.encode(), response.body)
                 self.assertIn(
                     (b'retry-after', b'%d' % seconds), response.headers
                 )
--- a/tests/scheduling/_faults.py
+++ b/tests/scheduling/_faults.py
@@ -100,6 +100,8 @@
         self.former_scheduler = None
         # The ``JobSpec`` of each submitted job, by job id.
         self.spec_by_job = {}
+        # Jobs that were cancelled before their first submission.
+        self.denied_job_ids = set()
         # The (checkpoint_attempt, checkpoint) that an attempt has to resume
         # from, by (job id, attempt).
         self.agreed_resumes = {}
@@ -190,6 +192,7 @@
 
     def cancel(self, *job_ids):
         """Cancels jobs in one batch."""
+        self.denied_job_ids.update(set(job_ids) - self.spec_by_job.keys())
         self._apply(commands.CancelJobs(list(job_ids)))
 
     # Messages
@@ -416,9 +419,9 @@
         ]
 
     def _is_job_lost(self, job_id):
-        return (
-            job_id not in self.part.jobs and job_id not in self.part.ended_jobs
-        )
+        """True if an accepted job is not known, or a denied one is."""
+        is_known = job_id in self.part.jobs or job_id in self.part.ended_jobs
+        return is_known == (job_id in self.denied_job_ids)
 
 
 # Random actions
--- a/tests/state/test_jobs.py
+++ b/tests/state/test_jobs.py
@@ -1,9 +1,11 @@
 """Tests of the jobs part of the agreed state."""
 
 import unittest
+from unittest import mock
 
 from fuchsiatrestle import errors
 from fuchsiatrestle import messages
+from fuchsiatrestle.state import _denials
 from fuchsiatrestle.state import _jobs
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import queries
@@ -101,6 +103,33 @@
             with self.subTest(job_id=job_id, submitted_ms=submitted_ms):
                 self.assertEqual(reason, self.submit_jobs(spec)[0].reason)
 
+    def test_job_cancelled_before_its_submission_arrives_never_runs(self):
+        """An entry that stood still hands in the submission later."""
+        cancel = commands.CancelJobs(['a'], '', 1000)
+        outcome = self.apply_command(cancel).jobs[0]
+        self.assertEqual('unknown_job', outcome.reason)
+        snapshot = self.part.snapshot()
+        self.part.restore(snapshot)
+        for submitted_ms in (10, 5000):
+            spec = make_spec('a', submitted_ms=submitted_ms)
+            self.assertEqual('cancelled', self.submit_jobs(spec)[0].reason)
+        spec = make_spec('b', submitted_ms=10)
+        self.assertEqual('queued', self.submit_jobs(spec)[0].state)
+
+    def test_cancels_of_unknown_jobs_are_bounded_and_dropped_ones_hold(self):
+        with mock.patch.object(_denials, 'MAX_ROWS', 2):
+            for number in range(4):
+                cancel = commands.CancelJobs([f'n{number}'], '', 100 + number)
+                self.apply_command(cancel)
+        for job_id, submitted_ms, reason in (
+            ('n0', 50, 'cancelled'),
+            ('n3', 200, 'cancelled'),
+            ('n0', 102, ''),
+        ):
+            spec = make_spec(job_id, submitted_ms=submitted_ms)
+            with self.subTest(job_id=job_id, submitted_ms=submitted_ms):
+                self.assertEqual(reason, self.submit_jobs(spec)[0].reason)
+
     def test_refusals(self):
         """Each refusal has its reason and names the cause in its detail."""
         self.quotas = {'team': messages.Resources(3000, 9000, 1)}
--- a/tests/state/test_refusals.py
+++ b/tests/state/test_refusals.py
@@ -9,7 +9,7 @@
 from unittest import mock
 
 from fuchsiatrestle import records
-from fuchsiatrestle.state import _refusals
+from fuchsiatrestle.state import _denials
 from fuchsiatrestle.state import _workflows
 from fuchsiatrestle.state import _workflows_model
 from fuchsiatrestle.state import commands
@@ -101,7 +101,7 @@
             self.assertEqual(1500, self._apply(command).retry_after_ms)
 
     def test_number_is_bounded_and_dropped_refusals_hold(self):
-        with mock.patch.object(_refusals, 'MAX_REFUSALS', 3):
+        with mock.patch.object(_denials, 'MAX_ROWS', 3):
             for number in range(5):
                 self._apply(_refuse(20, 100 + number, f'n{number}'))
                 self._restart_from_snapshot()
@@ -114,7 +114,7 @@
     def test_time_is_bounded(self):
         self._apply(_refuse(20))
         for age_ms, row_count in ((-1, 1), (0, 0)):
-            now_ms = REFUSED_MS + _refusals.RETENTION_MS + age_ms
+            now_ms = REFUSED_MS + _denials.RETENTION_MS + age_ms
             self._apply(commands.RecordProgress(1, now_ms))
             rows = self.machine.workflows.refusals
             self.assertEqual(row_count, len(rows))
