Count workflows as pending until a worker has begun a run

Cause: a workflow counted as started once a run was placed. A placement is agreed before the start is sent, which may be refused, get no answer, or never be sent.

Change: Workflow.has_begun is agreed, by ends, by runs that workers list, and by the new list of begun workflows in RecordProgress. The list waits up to 500 ms for another proposal, as no task is placed while one is pending.

Why it works: the count depends on what workers have answered or listed only, and a new leader learns it from the same lists.

--- a/fuchsiatrestle/state/_workflows.py
+++ b/fuchsiatrestle/state/_workflows.py
@@ -211,7 +211,7 @@
 
     def _count_pending_workflows(self, queue):
         return sum(
-            workflow.queue.name == queue.name and not workflow.has_started
+            workflow.queue.name == queue.name and not workflow.has_begun
             for workflow in self._open_workflows_by_id.values()
         )
 
@@ -347,6 +347,8 @@
             self._move_run(live_run)
         for live_run in command.survived:
             self._record_survival(live_run)
+        for workflow_id in command.begun:
+            self._record_begin(workflow_id)
         self._remove_expired_workflows()
         self._refusals.remove_expired(self._progress_recorded_ms)
         self._cancels.remove_expired(self._progress_recorded_ms)
@@ -449,6 +451,11 @@
         if workflow is not None:
             workflow.record_survival(live_run)
 
+    def _record_begin(self, workflow_id):
+        workflow = self._workflows.get(workflow_id)
+        if workflow is not None:
+            workflow.has_begun = True
+
     def _store_image_pair(self, pair):
         """Stores a pair as the most recently updated one.
 
--- a/fuchsiatrestle/state/commands/_workflows.py
+++ b/fuchsiatrestle/state/commands/_workflows.py
@@ -143,6 +143,7 @@
             the one that they were placed on.
         survived: live runs that have shown to be harmless, although their
             tasks may have crashed workers.
+        begun: ids of workflows of which a worker has begun a run.
     """
 
     token: int
@@ -154,6 +155,7 @@
     learned: list[workflows.ImagePair] = []
     moved: list[workflows.LiveRun] = []
     survived: list[workflows.LiveRun] = []
+    begun: list[str] = []
 
 
 RECORD_CLASSES = (
--- a/fuchsiatrestle/workflows/_answers.py
+++ b/fuchsiatrestle/workflows/_answers.py
@@ -162,6 +162,8 @@
             run.record_start(self._dispatch_state.now_ms, reply.clock_ms)
             if run.phase == _Phase.STARTING:
                 run.phase = _Phase.RUNNING
+            if verdict == _Verdict.ACCEPTED:
+                self._dispatch_state.record_begin(run)
         elif verdict == _Verdict.SILENT:
             run.start_uncertain = True
             run.next_order_ms = self._dispatch_state.now_ms + retry_delay_ms
@@ -262,6 +264,7 @@
             worker.failed_start_count = 0
             run.phase = _Phase.RUNNING
         run.record_listing(self._dispatch_state.now_ms, worker_clock_ms)
+        self._dispatch_state.record_begin(run)
         if run.live_run.born_ms != worker.record.born_ms:
             self._record_moved_run(worker, run)
         self._record_survival(worker, run)
--- a/fuchsiatrestle/workflows/_book.py
+++ b/fuchsiatrestle/workflows/_book.py
@@ -111,6 +111,17 @@
         """Proposes the record of a worker to be agreed."""
         self.proposals.add_worker_record(worker.record)
 
+    def record_begin(self, run):
+        """Records that a worker has begun a run, if callers do not see it yet.
+
+        Args:
+            run: the ``Run``, which the worker has accepted or listed.
+        """
+        workflow_id = run.live_run.task.workflow_id
+        workflow = self.workflow_store.open_workflows.get(workflow_id)
+        if workflow is not None and not workflow.has_begun:
+            self.proposals.add_begun_workflow(workflow_id)
+
     def record_lost_run(self, worker, run, proof, reason=''):
         """Records a run as lost: it is over, but no worker listed its end.
 
--- a/fuchsiatrestle/workflows/_proposals.py
+++ b/fuchsiatrestle/workflows/_proposals.py
@@ -2,7 +2,8 @@
 
 A proposal is agreed when it is committed to the replicated log.  What was
 learned about the interference between two images (an ``ImagePair``) causes no
-proposal by itself; it is added to the next proposal that is made.
+proposal by itself; it is added to the next proposal that is made.  That a
+workflow has begun waits for the next proposal, too, but not for long.
 """
 
 from fuchsiatrestle import logs
@@ -15,6 +16,9 @@
 # proposal to the first one.  Until it is agreed no group is placed, and the
 # wait of none is reported.
 REPORT_INTERVAL_MS = 1000
+# Longest wait for another proposal of what tells that a workflow has begun,
+# which callers see.  Placements wait while a proposal is pending.
+MAX_BEGIN_WAIT_MS = 500
 
 LOG = logs.get_logger(__name__)
 
@@ -33,6 +37,9 @@
         self._moved_runs = []
         self._survived_runs = []
         self._image_pairs = {}
+        # Ids as the keys of a dict, which keeps their order.
+        self._begun_workflows = {}
+        self._begun_since_wall_ms = None
 
     @property
     def is_idle(self):
@@ -63,6 +70,12 @@
         """Adds a ``LiveRun`` that has shown to be harmless to its worker."""
         self._survived_runs.append(live_run)
 
+    def add_begun_workflow(self, workflow_id):
+        """Adds the id of a workflow of which a worker has begun a run."""
+        pending = self._pending_command
+        if pending is None or workflow_id not in pending.begun:
+            self._begun_workflows[workflow_id] = None
+
     def add_image_pair(self, pair):
         """Adds an ``ImagePair``, replacing one of the same two images."""
         self._image_pairs[pair.serving, pair.filling] = pair
@@ -79,7 +92,7 @@
         if not self.is_idle:
             self._report_pending_if_due(wall_ms)
             return []
-        if not self._has_items:
+        if not self._has_items and not self._is_begin_due(wall_ms):
             return []
         self._last_proposal_token += 1
         command = commands.RecordProgress(
@@ -92,6 +105,7 @@
             list(self._image_pairs.values()),
             self._moved_runs,
             self._survived_runs,
+            list(self._begun_workflows),
         )
         self._pending_command = command
         self._last_report_wall_ms = wall_ms
@@ -102,8 +116,23 @@
         self._moved_runs = []
         self._survived_runs = []
         self._image_pairs = {}
+        self._begun_workflows = {}
+        self._begun_since_wall_ms = None
         return [_events.Propose(command)]
 
+    def _is_begin_due(self, wall_ms):
+        """True if a workflow has begun and no proposal was made for a while.
+
+        Args:
+            wall_ms: time since the epoch; it may have been set back.
+        """
+        if not self._begun_workflows:
+            return False
+        if self._begun_since_wall_ms is None:
+            self._begun_since_wall_ms = wall_ms
+        waited_ms = abs(wall_ms - self._begun_since_wall_ms)
+        return waited_ms >= MAX_BEGIN_WAIT_MS
+
     def _report_pending_if_due(self, wall_ms):
         """Logs a proposal that is pending, at most once a second.
 
@@ -164,4 +193,8 @@
         self._lost_runs = command.lost + self._lost_runs
         self._moved_runs = command.moved + self._moved_runs
         self._survived_runs = command.survived + self._survived_runs
+        self._begun_workflows = {
+            **dict.fromkeys(command.begun),
+            **self._begun_workflows,
+        }
         return command.placed
--- a/tests/fakes/dispatch_world.py
+++ b/tests/fakes/dispatch_world.py
@@ -15,6 +15,7 @@
 from fuchsiatrestle import messages
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import machine
+from fuchsiatrestle.state import queries
 from fuchsiatrestle.state import workflows as records
 from fuchsiatrestle import workflows
 from standins import worker_model
@@ -168,6 +169,7 @@
             draining.
         unannounced_workers: names of workers whose announcements are lost.
         startless_workers: names of workers that no start order reaches.
+        shedding_workers: names of workers that refuse each order.
         last_word_workers: names of workers that become unreachable once they
             have answered a poll.
         last_fault_ms: time of the last fault: a lost or late order, a lost
@@ -222,6 +224,7 @@
         self.draining_workers = set()
         self.unannounced_workers = set()
         self.startless_workers = set()
+        self.shedding_workers = set()
         self.last_word_workers = set()
         self.last_fault_ms = 0
         self.led_since_ms = 0
@@ -508,6 +511,11 @@
         """Returns the state of a workflow as callers see it."""
         return self.workflow_store.find_workflow(workflow_id).public_state
 
+    def count_pending(self, prefix=PREFIX):
+        """Returns how many workflows of a queue callers see as pending."""
+        query = queries.LookUpPath(HOST, prefix)
+        return self.machine.query(query).pending
+
     def _find_profile(self, task):
         return self.profiles_by_workflow[task.workflow_id][task.step]
 
@@ -909,6 +917,15 @@
                     workflows.Verdict.OTHER_PROCESS, None, 0, [], [], False
                 )
             return None
+        if order.worker in self.shedding_workers:
+            return workflows.Reply(
+                workflows.Verdict.UNHEALTHY,
+                model.clock_ms(now_ms),
+                0,
+                [],
+                [],
+                False,
+            )
         listed_runs, listed_ends = [], []
         if isinstance(order, workflows.StartRun):
             status_and_reason = model.start_run(
