Bound what a step of the leader does for one workflow

Cause: each step did all of what a caller had handed in. The measure of the waiting work looked at all occurrences for each occurrence, which took longer than the election timeout; the takeover, the changes of tasks, the rounds, the groups, gangs and the agreed state itself grew with tasks, steps, occurrences or their squares, too.

The backlog follows changes by step and adds occurrences as they are due; a round tries the first occurrences of each step, bounded for a workflow, and places 2,000 tasks at most. The waiting work is measured for 512 steps, and as a whole beyond. A worker gets 250 runs at most, a gang has 2,000 members.

Why it works: the counts of what a step executes do not grow with the tasks, occurrences or steps of a workflow, whatever of them is due.

--- a/fuchsiatrestle/platform/_documents.py
+++ b/fuchsiatrestle/platform/_documents.py
@@ -26,6 +26,8 @@
 COMPRESSION_LEVEL = 3  # of zlib
 MAX_TASKS = 20_000  # of a workflow, over all its occurrences
 MAX_STEPS = 200
+# Its members have to be placed and started together.
+MAX_GANG_TASKS = 2000
 MAX_PAYLOAD_CHARS = 4000
 MAX_STRETCH = 1_000_000
 # Reasons are logged and answered, and may quote the body.
@@ -301,6 +303,11 @@
     refuse_if(task_count > MAX_TASKS, f'{task_count} tasks', operation)
     for step_index, step in enumerate(job.steps):
         refuse_if(step.count < 1, f'step {step_index} has no task', operation)
+        refuse_if(
+            step.gang and step.count > MAX_GANG_TASKS,
+            f'step {step_index}: gang of {step.count}',
+            operation,
+        )
         refuse_if(
             any(
                 not 0 <= earlier_index < step_index
@@ -318,7 +325,7 @@
         step.mem_mb,
         step.gpu,
         step.est_runtime_ms,
-        step.start_after,
+        sorted(set(step.start_after)),
         step.checkpointing,
         step.gang,
         step.same_rack,
--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -3,6 +3,8 @@
 What is agreed has been committed to the replicated log.
 """
 
+import collections
+
 from fuchsiatrestle import core
 from fuchsiatrestle import logs
 from fuchsiatrestle import metrics
@@ -326,25 +328,59 @@
         self._backlog.refresh_workflow(self._find_workflow_id(command))
 
     def _on_workflow_cancelled(self, command):
-        self._refresh_workflows({self._find_workflow_id(command)}, 'cancelled')
+        workflow_id = self._find_workflow_id(command)
+        self._backlog.refresh_workflow(workflow_id)
+        workflow = self._state.workflow_store.find_workflow(workflow_id)
+        if workflow is not None:
+            self._stop_unwanted_runs(workflow.live_runs(), 'cancelled')
 
     def _on_progress_recorded(self, command):
         self._state.proposals.end_agreed_proposal(command)
-        changed_workflow_ids = {end.task.workflow_id for end in command.ends}
-        changed_workflow_ids |= {
-            lost.task.workflow_id for lost in command.lost
-        }
+        changed_tasks = collections.defaultdict(set)
+        for change in (*command.ends, *command.lost, *command.placed):
+            changed_tasks[change.task.workflow_id].add(change.task)
+        for workflow_id, task_ids in changed_tasks.items():
+            self._backlog.refresh_tasks(workflow_id, task_ids)
+        workers = {}
         for live_run in command.placed:
-            changed_workflow_ids.add(live_run.task.workflow_id)
-            self._start_agreed_run(live_run)
-        self._refresh_workflows(changed_workflow_ids, 'closed')
+            worker = self._start_agreed_run(live_run)
+            if worker is not None:
+                workers[worker.name] = worker
+        self._stop_runs_of_ended_tasks((*command.ends, *command.lost))
         for lost_run in command.lost:
             self._log_given_up_task(lost_run.task)
-        for name in {end.worker for end in command.ends}:
-            worker = self._state.fleet.get(name)
+        for run_end in command.ends:
+            workers[run_end.worker] = self._state.fleet.get(run_end.worker)
+        for worker in workers.values():
             if worker is not None:
                 self._send_due_orders(worker)
 
+    def _stop_runs_of_ended_tasks(self, ended_runs):
+        """Stops other runs that are not wanted as these runs have ended.
+
+        A task that is done needs no other run of it, and a workflow that has
+        ended needs no run at all.
+
+        Args:
+            ended_runs: ``RunEnd`` and ``RunLost`` values.
+        """
+        store = self._state.workflow_store
+        closed_ids = set()
+        for ended_run in ended_runs:
+            workflow_id = ended_run.task.workflow_id
+            workflow = store.find_workflow(workflow_id)
+            if workflow is None or workflow_id in closed_ids:
+                continue
+            if not workflow.is_open:
+                closed_ids.add(workflow_id)
+                self._stop_unwanted_runs(workflow.live_runs(), 'closed')
+                continue
+            task = workflow.tasks.get(ended_run.task)
+            if task is not None:
+                self._stop_unwanted_runs(
+                    list(task.live_runs.values()), 'closed'
+                )
+
     def _log_given_up_task(self, task_id):
         """Logs that a task is not started again as it crashes its workers."""
         workflow = self._state.workflow_store.find_workflow(
@@ -366,23 +402,27 @@
         )
 
     def _start_agreed_run(self, live_run):
-        """Starts a run whose placement was agreed, if it is still wanted."""
+        """Starts a run whose placement was agreed, if it is still wanted.
+
+        Returns:
+            The ``Worker`` to which the start is due, or None.
+        """
         worker, run = self._state.find_worker_and_run(live_run)
         if run is None or run.phase != _Phase.PLACED:
-            return
+            return None
         if not self._state.workflow_store.is_live_run(
             live_run.task, live_run.run
         ):
             worker.remove_run(run.key)
-            return
+            return None
         if worker.record.born_ms != live_run.born_ms:
             self._record_unsent_run(worker, run, 'worker_reborn')
-            return
+            return None
         if worker.withdrawn_ms is not None:
             self._record_unsent_run(worker, run, 'worker_leaves')
-            return
+            return None
         run.phase = _Phase.STARTING
-        self._send_due_orders(worker)
+        return worker
 
     def _record_unsent_run(self, worker, run, reason):
         """Records a run as lost before its start was ordered."""
@@ -390,14 +430,10 @@
             worker, run, _run_ends.Proof.NEVER_SENT, reason
         )
 
-    def _refresh_workflows(self, workflow_ids, reason):
-        """Updates the backlog and stops runs that are no longer wanted."""
-        for workflow_id in workflow_ids:
-            self._backlog.refresh_workflow(workflow_id)
-            workflow = self._state.workflow_store.find_workflow(workflow_id)
-            for live_run in workflow.live_runs() if workflow else ():
-                if not self._state.should_continue(live_run):
-                    self._stop_unwanted_run(live_run, reason)
+    def _stop_unwanted_runs(self, live_runs, reason):
+        for live_run in live_runs:
+            if not self._state.should_continue(live_run):
+                self._stop_unwanted_run(live_run, reason)
 
     def _stop_unwanted_run(self, live_run, reason):
         worker, run = self._state.find_worker_and_run(live_run)
--- a/fuchsiatrestle/workflows/_evacuation.py
+++ b/fuchsiatrestle/workflows/_evacuation.py
@@ -207,11 +207,18 @@
         workflow = self._dispatch_state.workflow_store.find_workflow(
             task_id.workflow_id
         )
-        return sum(
-            not self._is_task_at_work(workflow.tasks[other_id])
-            for other_id in workflow.task_ids(task_id.occurrence, task_id.step)
-            if other_id != task_id
+        step_key = _runs.make_step_key(task_id)
+        other_ids = {
+            live_run.task
+            for live_run in workflow.live_runs()
+            if _runs.make_step_key(live_run.task) == step_key
+            and live_run.task != task_id
+        }
+        working_count = sum(
+            self._is_task_at_work(workflow.tasks[other_id])
+            for other_id in other_ids
         )
+        return run.step.count - 1 - working_count
 
     def _is_task_at_work(self, task):
         for live_run in task.live_runs.values():
--- a/fuchsiatrestle/workflows/_limited_runs.py
+++ b/fuchsiatrestle/workflows/_limited_runs.py
@@ -167,6 +167,8 @@
             A list of the ``Worker`` values with stopped runs.
         """
         stopping_workers = []
+        if not any(map(_limited_runs, pool_round.usable_workers)):
+            return stopping_workers
         for group in pool_round.waiting_groups:
             if group.step.fills or not self._wait_times.is_overdue(
                 group, self._dispatch_state.now_ms
--- a/fuchsiatrestle/workflows/_load.py
+++ b/fuchsiatrestle/workflows/_load.py
@@ -13,6 +13,7 @@
 
 import bisect
 import collections
+import heapq
 import itertools
 
 from fuchsiatrestle.workflows import _runs
@@ -46,6 +47,9 @@
 MIN_SUBMISSIONS_FOR_LARGE = 20
 MAX_SUBMISSIONS = 2000
 QUANTILE_INTERVAL_MS = 1000
+# Largest number of steps, over its occurrences, that are measured one by one
+# for a workflow.
+MAX_MEASURED_STEPS = 512
 # Bounds of the share of the large workflows in the work of a queue.
 MIN_LARGE_SHARE = 0.1
 MAX_LARGE_SHARE = 0.5
@@ -408,7 +412,7 @@
 
 
 class _WaitingWork:
-    """Work of one occurrence of a workflow that waits in a lane.
+    """Work of a workflow that waits in a lane, of one occurrence or more.
 
     Attributes:
         lane: the ``Lane``.
@@ -454,6 +458,8 @@
         self._estimates = estimates
         self._workflow_store = workflow_store
         self._changed_ids = set()
+        # Heap of (due time, workflow id) of the next occurrences.
+        self._due_times = []
 
     def record_changes(self, workflow_ids):
         """Records that the tasks of workflows have changed."""
@@ -462,41 +468,76 @@
     def clear(self):
         """Drops all rows; the next ``update`` measures every workflow."""
         self.rows.clear()
+        self._due_times.clear()
 
-    def update(self, sharing_run_counts):
-        """Measures the workflows that are new or have changed.
+    def update(self, sharing_run_counts, wall_ms):
+        """Measures the workflows that are new, have changed or became due.
 
         Args:
             sharing_run_counts: number of the best-effort runs that share
                 processor time at a low pace, by workflow id, occurrence and
                 step number; most of their work still waits.
+            wall_ms: time since the epoch.
         """
         open_workflows = self._workflow_store.open_workflows
         for workflow_id in self.rows.keys() - open_workflows.keys():
             del self.rows[workflow_id]
         sharing_ids = {workflow_id for workflow_id, _, _ in sharing_run_counts}
         changed_ids = self._changed_ids | sharing_ids
+        while self._due_times and self._due_times[0][0] <= wall_ms:
+            changed_ids.add(heapq.heappop(self._due_times)[1])
         # Those that share now have to be measured again when they do not.
         self._changed_ids = sharing_ids
         changed_ids &= open_workflows.keys()
         for workflow_id in changed_ids | (
             open_workflows.keys() - self.rows.keys()
         ):
-            workflow = open_workflows[workflow_id]
-            demand = Demand(
-                self._workflow_store.current_queue(workflow),
-                workflow.spec,
-                self._estimates,
+            self._measure(
+                open_workflows[workflow_id], sharing_run_counts, wall_ms
             )
-            self.rows[workflow_id] = (
-                demand,
-                [
-                    waiting_work
-                    for occurrence in workflow.occurrences
-                    for waiting_work in _find_waiting_work(
-                        workflow, occurrence, demand, sharing_run_counts
-                    )
-                ],
+
+    def _measure(self, workflow, sharing_run_counts, wall_ms):
+        """Measures the occurrences of a workflow that are due.
+
+        The first ones are measured one by one, the others are taken to wait
+        as a whole.
+        """
+        demand = Demand(
+            self._workflow_store.current_queue(workflow),
+            workflow.spec,
+            self._estimates,
+        )
+        waiting_works = []
+        remaining_count = workflow.count_open_due_occurrences(wall_ms)
+        occurrence = workflow.find_open_occurrence(0)
+        for _ in range(max(1, MAX_MEASURED_STEPS // len(demand.lanes))):
+            if not remaining_count or occurrence is None:
+                break
+            waiting_works += _find_waiting_work(
+                workflow, occurrence, demand, sharing_run_counts
+            )
+            remaining_count -= 1
+            occurrence = workflow.find_open_occurrence(occurrence + 1)
+        if remaining_count and occurrence is not None:
+            waiting_works += _find_whole_work(
+                workflow, occurrence, demand, remaining_count
+            )
+        self.rows[workflow.workflow_id] = (demand, waiting_works)
+        self._wait_until_due(workflow, wall_ms)
+
+    def _wait_until_due(self, workflow, wall_ms):
+        """Has a workflow measured again when its next occurrence is due."""
+        spec = workflow.spec
+        occurrence = 0
+        waited_ms = wall_ms - spec.due_ms(0)
+        if waited_ms >= 0:
+            if spec.interval_ms <= 0:
+                return
+            occurrence = waited_ms // spec.interval_ms + 1
+        if occurrence < len(workflow.occurrences):
+            heapq.heappush(
+                self._due_times,
+                (spec.due_ms(occurrence), workflow.workflow_id),
             )
 
 
@@ -534,6 +575,35 @@
     return waiting_by_lane.values()
 
 
+def _find_whole_work(workflow, occurrence, demand, occurrence_count):
+    """Returns the ``_WaitingWork`` of occurrences of which nothing has run.
+
+    Args:
+        workflow: the ``Workflow``.
+        occurrence: number of the first of them, the one to start first.
+        demand: its ``Demand``.
+        occurrence_count: their number.
+    """
+    due_ms = workflow.spec.due_ms(occurrence)
+    waiting_by_lane = {}
+    for step_number, step in enumerate(workflow.spec.steps):
+        if step.lasts:
+            continue
+        lane = demand.lanes[step_number]
+        waiting_work = waiting_by_lane.setdefault(
+            lane, _WaitingWork(lane, due_ms)
+        )
+        task_count = occurrence_count * step.count
+        waiting_work.work += task_count * demand.task_work[step_number]
+        if not step.after:
+            waiting_work.task_counts[step.cpu, step.memory_mb] += task_count
+    for waiting_work in waiting_by_lane.values():
+        waiting_work.latest_start_ms = (
+            due_ms + demand.objective_ms - demand.longest_path_ms
+        )
+    return waiting_by_lane.values()
+
+
 class _QueueLoad:
     """Waiting work of a queue in one lane, of large workflows or the others.
 
@@ -608,7 +678,7 @@
         )
         # By lane, name of the queue and whether the workflows are large.
         self._queue_loads = collections.defaultdict(_QueueLoad)
-        waiting_work_table.update(self._count_runs())
+        waiting_work_table.update(self._count_runs(), wall_ms)
         for demand, waiting_works in waiting_work_table.rows.values():
             for waiting_work in waiting_works:
                 if waiting_work.due_ms <= wall_ms:
--- a/fuchsiatrestle/workflows/_placement.py
+++ b/fuchsiatrestle/workflows/_placement.py
@@ -27,6 +27,10 @@
 # image there could use less than this share of the worker's processor time.
 TRIAL_CPU_SHARE = 0.15
 
+# Largest number of runs on a worker.  Callers may submit tasks that need next
+# to nothing, and a new leader takes over all runs in one step.
+MAX_RUNS = 250
+
 # Costs that order the workers for a serving task.  A worker without serving
 # tasks costs ``NO_SERVING_COST``.  On any other worker, each best-effort image
 # that is heavy beside the task costs ``MIXED_IMAGES_COST``, and each serving
@@ -438,10 +442,10 @@
 def _is_task_allowed(step, task_id, worker, allocations, freed_memory_mb=0):
     """True if a worker has the capacity and the labels for one more task."""
     capacity = worker.capacity
-    if worker.max_run_count is not None and (
-        len(worker.runs) + allocations.task_count(worker)
-        >= worker.max_run_count
-    ):
+    run_count = len(worker.runs) + allocations.task_count(worker)
+    if run_count >= MAX_RUNS:
+        return False
+    if worker.max_run_count is not None and run_count >= worker.max_run_count:
         return False
     if (
         not step.fills
--- a/fuchsiatrestle/workflows/_round_planner.py
+++ b/fuchsiatrestle/workflows/_round_planner.py
@@ -16,6 +16,10 @@
 
 __all__ = ('PlacementPlanner',)
 
+# Largest number of tasks that a round places, beyond the members of its last
+# gang; the next round goes on once these are agreed.
+MAX_PLACED_TASKS = 2000
+
 
 class PlacementPlanner:
     """Places waiting groups and stops runs that make way for them.
@@ -46,6 +50,7 @@
             self._wait_times, placer, dispatch_state.now_ms
         )
         self._wall_ms = 0
+        self._remaining_count = 0
 
     def place_waiting_groups(self, wall_ms):
         """Runs one placement round of each service.
@@ -57,6 +62,7 @@
             A list of the ``Worker`` values of which runs were stopped.
         """
         self._wall_ms = wall_ms
+        self._remaining_count = MAX_PLACED_TASKS
         now_ms = self._state.now_ms
         ready_groups = self._backlog.ready_groups(wall_ms)
         self._wait_times.update_waiting_groups(ready_groups, now_ms, wall_ms)
@@ -356,6 +362,8 @@
         self, group, queue, pool_round, *, ignores_reservations
     ):
         """Places the tasks that fit; returns True if all were placed."""
+        if self._remaining_count <= 0:
+            return False
         placed_count = 0
         if pool_round.may_fit(
             group.step, ignores_reservations=ignores_reservations
@@ -367,6 +375,8 @@
             pool_round.record_placed_tasks(group.step, placed_count)
         if placed_count == len(group.waiting_task_ids):
             return True
+        if self._remaining_count <= 0:
+            return False
         pool_round.record_waiting_group(
             group,
             queue.priority,
@@ -376,6 +386,8 @@
 
     def _place_group(self, group, workers):
         """Places the tasks that fit and returns their number."""
+        if not group.step.gang:
+            group = group.first_tasks(self._remaining_count)
         assignments = self._placer.choose_workers(group, workers)
         for task_id, worker in assignments:
             self._place_task(group, task_id, worker)
@@ -398,6 +410,7 @@
         if shares_cpu:
             run.share_cpu()
         worker.add_run(run)
+        self._remaining_count -= 1
         waited_ms = self._wait_times.longest_wait_ms(group, self._state.now_ms)
         self._wait_times.record_placed_task(group, self._state.now_ms)
         self._state.proposals.add_placed_run(live_run)
--- a/fuchsiatrestle/workflows/_stragglers.py
+++ b/fuchsiatrestle/workflows/_stragglers.py
@@ -12,7 +12,7 @@
 from fuchsiatrestle import logs
 from fuchsiatrestle import metrics
 from fuchsiatrestle.state import commands
-from fuchsiatrestle.workflows import _backlog
+from fuchsiatrestle.workflows import _groups
 from fuchsiatrestle.workflows import _placement
 from fuchsiatrestle.workflows import _policies
 from fuchsiatrestle.workflows import _runs
@@ -275,7 +275,7 @@
             self._retry_ms_by_task[task_id] = (
                 self._dispatch_state.now_ms + COPY_RETRY_MS
             )
-            group = _backlog.Group(
+            group = _groups.Group(
                 straggler.workflow, task_id.occurrence, task_id.step, [task_id]
             )
             yield _policies.Placement(group, task_id, worker)
