Make orders only once all runs of a change are updated

Cause: when several runs are stopped by one change, the orders of a worker were made after each of them, so a start whose repetition was due left for a run that the same change was about to stop. The earlier code did the same for the runs of a workflow, and for starts beside ends.

Change: runs that have to start or stop are marked first; the orders of their workers are made once, after all of them.

--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -332,7 +332,9 @@
         self._backlog.refresh_workflow(workflow_id)
         workflow = self._state.workflow_store.find_workflow(workflow_id)
         if workflow is not None:
-            self._stop_unwanted_runs(workflow.live_runs(), 'cancelled')
+            self._send_due_orders_to(
+                self._stop_unwanted_runs(workflow.live_runs(), 'cancelled')
+            )
 
     def _on_progress_recorded(self, command):
         self._state.proposals.end_agreed_proposal(command)
@@ -341,17 +343,21 @@
             changed_tasks[change.task.workflow_id].add(change.task)
         for workflow_id, task_ids in changed_tasks.items():
             self._backlog.refresh_tasks(workflow_id, task_ids)
-        workers = {}
+        # No order is made before all runs that it may be about are updated.
+        worker_names = {run_end.worker for run_end in command.ends}
         for live_run in command.placed:
-            worker = self._start_agreed_run(live_run)
-            if worker is not None:
-                workers[worker.name] = worker
-        self._stop_runs_of_ended_tasks((*command.ends, *command.lost))
+            self._start_agreed_run(live_run)
+            worker_names.add(live_run.worker)
+        worker_names |= self._stop_runs_of_ended_tasks(
+            (*command.ends, *command.lost)
+        )
         for lost_run in command.lost:
             self._log_given_up_task(lost_run.task)
-        for run_end in command.ends:
-            workers[run_end.worker] = self._state.fleet.get(run_end.worker)
-        for worker in workers.values():
+        self._send_due_orders_to(worker_names)
+
+    def _send_due_orders_to(self, worker_names):
+        for name in sorted(worker_names):
+            worker = self._state.fleet.get(name)
             if worker is not None:
                 self._send_due_orders(worker)
 
@@ -363,23 +369,25 @@
 
         Args:
             ended_runs: ``RunEnd`` and ``RunLost`` values.
+
+        Returns:
+            The set of the names of the workers with stopped runs.
         """
-        store = self._state.workflow_store
+        worker_names = set()
         closed_ids = set()
         for ended_run in ended_runs:
             workflow_id = ended_run.task.workflow_id
-            workflow = store.find_workflow(workflow_id)
+            workflow = self._state.workflow_store.find_workflow(workflow_id)
             if workflow is None or workflow_id in closed_ids:
                 continue
+            live_runs = []
             if not workflow.is_open:
                 closed_ids.add(workflow_id)
-                self._stop_unwanted_runs(workflow.live_runs(), 'closed')
-                continue
-            task = workflow.tasks.get(ended_run.task)
-            if task is not None:
-                self._stop_unwanted_runs(
-                    list(task.live_runs.values()), 'closed'
-                )
+                live_runs = workflow.live_runs()
+            elif ended_run.task in workflow.tasks:
+                live_runs = workflow.tasks[ended_run.task].live_runs.values()
+            worker_names |= self._stop_unwanted_runs(live_runs, 'closed')
+        return worker_names
 
     def _log_given_up_task(self, task_id):
         """Logs that a task is not started again as it crashes its workers."""
@@ -402,27 +410,20 @@
         )
 
     def _start_agreed_run(self, live_run):
-        """Starts a run whose placement was agreed, if it is still wanted.
-
-        Returns:
-            The ``Worker`` to which the start is due, or None.
-        """
+        """Has a run started whose placement was agreed, if it is wanted."""
         worker, run = self._state.find_worker_and_run(live_run)
         if run is None or run.phase != _Phase.PLACED:
-            return None
+            return
         if not self._state.workflow_store.is_live_run(
             live_run.task, live_run.run
         ):
             worker.remove_run(run.key)
-            return None
-        if worker.record.born_ms != live_run.born_ms:
+        elif worker.record.born_ms != live_run.born_ms:
             self._record_unsent_run(worker, run, 'worker_reborn')
-            return None
-        if worker.withdrawn_ms is not None:
+        elif worker.withdrawn_ms is not None:
             self._record_unsent_run(worker, run, 'worker_leaves')
-            return None
-        run.phase = _Phase.STARTING
-        return worker
+        else:
+            run.phase = _Phase.STARTING
 
     def _record_unsent_run(self, worker, run, reason):
         """Records a run as lost before its start was ordered."""
@@ -431,16 +432,24 @@
         )
 
     def _stop_unwanted_runs(self, live_runs, reason):
-        for live_run in live_runs:
-            if not self._state.should_continue(live_run):
-                self._stop_unwanted_run(live_run, reason)
+        """Stops those of some runs that are not wanted any more.
 
-    def _stop_unwanted_run(self, live_run, reason):
-        worker, run = self._state.find_worker_and_run(live_run)
-        if run is None or run.phase == _Phase.PLACED:
-            return
-        self._state.end_run(worker, run, reason)
-        self._send_due_orders(worker)
+        Args:
+            live_runs: the ``LiveRun`` values.
+            reason: why, for the log.
+
+        Returns:
+            The set of the names of their workers.
+        """
+        worker_names = set()
+        for live_run in live_runs:
+            if self._state.should_continue(live_run):
+                continue
+            worker, run = self._state.find_worker_and_run(live_run)
+            if run is not None and run.phase != _Phase.PLACED:
+                self._state.end_run(worker, run, reason)
+                worker_names.add(worker.name)
+        return worker_names
 
     def _on_proposal_rejected(self, event):
         for live_run in self._state.proposals.requeue_rejected_items(
--- a/tests/workflows/test_run_ends.py
+++ b/tests/workflows/test_run_ends.py
@@ -372,6 +372,21 @@
         self.assertEqual(0, self.world.ledger.starts)
         self.assertEqual([], self.world.workflow_store.live_runs())
 
+    def test_no_start_leaves_while_a_workflow_is_being_stopped(self):
+        """The stop of one run made orders for others not stopped yet."""
+        for delay_ms in range(1000, 1500, 20):
+            with self.subTest(delay_ms=delay_ms):
+                world = dispatch_world.World(4, workers=1)
+                world.run(2000)
+                world.startless_workers.add('w0')
+                step = workflows.Step(6, cpu=1000, memory_mb=10)
+                profile = worker_model.TaskProfile(1000, 10, 9000)
+                world.submit('w', [step], [profile])
+                world.run(delay_ms)
+                start_count = len(world.start_orders)
+                world.cancel('w')
+                self.assertEqual(start_count, len(world.start_orders))
+
     def test_tasks_whose_start_was_not_sent_leave_a_silent_worker(self):
         """They waited for its answer or the end of its lease."""
         self.world.deaf_workers.add('w0')
