Bound how long a start order of an earlier leader may be under way

Cause: a start order names the end of a lease on the clock of the process that it is meant for, and the next process would carry it out until its own clock shows that. Whether such an order could still be on its way was not asked: a run of an earlier leader counted as one that may start for ever, though it had been listed.

Change: an order leaves within a second of the check of the leadership, pauses included, or not at all; the driver asks for its age right before it is written. What is written on a connection reaches only the process that has accepted it. So a run is over with the process that is known to have been alive after its last start order, and so it is if the next process is known to have begun after that. Both follow from answers to polls and later readings of the worker's clock.

Why it works: the wait depends on when orders can have left, not on uptimes.

--- a/fuchsiatrestle/net/_http_client.py
+++ b/fuchsiatrestle/net/_http_client.py
@@ -289,7 +289,15 @@
         self._idle_connections = collections.deque()
         self._host_header = str(address).encode('ascii')
 
-    async def call(self, method, target, body=b'', headers=(), timeout_s=None):
+    async def call(
+        self,
+        method,
+        target,
+        body=b'',
+        headers=(),
+        timeout_s=None,
+        may_send=None,
+    ):
         """Sends one request and returns the ``Response``.
 
         Args:
@@ -300,15 +308,21 @@
                 are added here.
             timeout_s: time limit for this call, in seconds; None for the
                 limit of the client.
+            may_send: function that is called once the connection is open,
+                right before the request is sent, and returns False if it must
+                not be sent any more; None if it may be at any time.
 
         Raises:
             HttpError: no complete response was received within the time
-                limit, or its body exceeds ``MAX_RESPONSE_BODY_BYTES``.
+                limit, its body exceeds ``MAX_RESPONSE_BODY_BYTES``, or the
+                request must not be sent any more.
         """
         conn = None
         try:
             async with curio.timeout_after(timeout_s or self._timeout_s):
                 conn = await self._acquire_connection()
+                if may_send is not None and not may_send():
+                    raise _make_error('too_late', 'call', self.address)
                 response = await self._send_and_receive(
                     conn, method, target, body, headers
                 )
--- a/fuchsiatrestle/platform/_driver.py
+++ b/fuchsiatrestle/platform/_driver.py
@@ -15,6 +15,8 @@
 
 CALL_TIMEOUT_S = 1.0  # without the delay that a ``PollWorker`` asks for
 
+MAX_SEND_S = workflows.MAX_SEND_MS / 1000
+
 SENT_ORDERS = metrics.declare('workers.orders', 'Orders sent to workers.')
 ORDER_TIME = metrics.declare(
     'workers.order_ms', 'Time from an order to its answer, looks left out.'
@@ -26,6 +28,11 @@
 LOG = logs.get_logger(__name__)
 
 
+def read_clock_s():
+    """Returns time in seconds that goes on while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class HttpDriver(workflows.Driver):
     """Sends each order at once, in a task of its own.
 
@@ -44,14 +51,16 @@
 
     async def send(self, order):
         """Starts to send an order; returns before it is sent."""
-        await curio.spawn(self._send_and_report, order, daemon=True)
+        await curio.spawn(
+            self._send_and_report, order, read_clock_s(), daemon=True
+        )
 
     async def stop(self):
         """Closes the idle connections to all workers."""
         for client in self._clients_by_address.values():
             client.close()
 
-    async def _send_and_report(self, order):
+    async def _send_and_report(self, order, ordered_s):
         metrics.count(SENT_ORDERS)
         client = self._get_or_create_client(order)
         timeout_s = CALL_TIMEOUT_S
@@ -59,7 +68,7 @@
         if is_poll:
             timeout_s += order.wait_ms / 1000
         started_s = time.monotonic()
-        reply = await self._call_worker(client, order, timeout_s)
+        reply = await self._call_worker(client, order, ordered_s, timeout_s)
         if not is_poll:
             elapsed_ms = (time.monotonic() - started_s) * 1000
             metrics.timing(ORDER_TIME, elapsed_ms)
@@ -73,12 +82,17 @@
             self._clients_by_address[order.address] = client
         return client
 
-    async def _call_worker(self, client, order, timeout_s):
+    async def _call_worker(self, client, order, ordered_s, timeout_s):
         """Sends an order and returns the ``workflows.Reply`` of the worker.
 
         Without an answer within ``timeout_s`` the verdict of the reply is
-        ``SILENT``.
+        ``SILENT``.  So it is if this process was paused since ``ordered_s``,
+        and the order is too old to be sent.
         """
+
+        def is_recent():
+            return read_clock_s() - ordered_s <= MAX_SEND_S
+
         path, body = _workers.encode_order(order)
         headers = (
             http.JSON_TYPE,
@@ -86,7 +100,7 @@
         )
         try:
             response = await client.call(
-                'POST', path, body, headers, timeout_s
+                'POST', path, body, headers, timeout_s, is_recent
             )
         except http.HttpError as exc:
             metrics.count(UNANSWERED_ORDERS)
--- a/fuchsiatrestle/workflows/__init__.py
+++ b/fuchsiatrestle/workflows/__init__.py
@@ -16,7 +16,12 @@
 from fuchsiatrestle.workflows import _settings
 from fuchsiatrestle.workflows._dispatcher import Dispatcher  # noqa: H306
 from fuchsiatrestle.workflows._driver import Driver
+from fuchsiatrestle.workflows._driver import MAX_SEND_MS
 from fuchsiatrestle.workflows._events import *
 from fuchsiatrestle.workflows._settings import *
 
-__all__ = _events.__all__ + _settings.__all__ + ('Dispatcher', 'Driver')
+__all__ = (
+    _events.__all__
+    + _settings.__all__
+    + ('MAX_SEND_MS', 'Dispatcher', 'Driver')
+)
--- a/fuchsiatrestle/workflows/_announcing.py
+++ b/fuchsiatrestle/workflows/_announcing.py
@@ -75,6 +75,7 @@
             )
         worker.last_announced_ms = self._dispatch_state.now_ms
         worker.record_clock(announcement.clock_ms, self._dispatch_state.now_ms)
+        worker.life_signs.record_reading(announcement.clock_ms)
         self._dispatch_state.placement_due = True
 
     def _log_ignored_announcement(self, worker, announcement):
@@ -138,7 +139,8 @@
     def replace_worker(self, previous_worker, record):
         """Replaces a worker whose process has restarted.
 
-        A run that the ended process has listed is over with it.  Any other may
+        A run is over with the ended process if that process has listed it, or
+        was alive when the last start order for it had arrived.  Any other may
         have been started by the new process, as accepted starts do not tell
         by which process; it belongs to the new ``Worker`` until its list or
         its lease tells.  A run whose placement is not agreed yet is recorded
@@ -170,7 +172,7 @@
             previous_worker, record, self._dispatch_state.now_ms
         )
         for run in list(previous_worker.runs.values()):
-            proof = _run_ends.find_proof_by_restart(run)
+            proof = _run_ends.find_proof_by_restart(previous_worker, run)
             if run.phase == _Phase.PLACED:
                 worker.add_run(run)
             elif proof is not None:
@@ -279,6 +281,8 @@
     run.started_clock_ms = None
     run.stopped_ms = None
     run.next_order_ms = 0
+    if previous_worker.awaits_start(run.key):
+        run.starts_over_ms = None
     if _run_ends.may_still_start(run):
         # The next process has to refuse the start before the run is over.
         run.earlier_lease_end_ms = max(
--- a/fuchsiatrestle/workflows/_answers.py
+++ b/fuchsiatrestle/workflows/_answers.py
@@ -102,8 +102,12 @@
             record = msgspec.structs.replace(
                 worker.record, born_ms=reply.born_ms, ends_noted=0
             )
+            sent_ms = worker.poll_sent_ms
+            was_pending = order is worker.pending_poll
             worker = self._announcement_handler.replace_worker(worker, record)
             worker.record_clock(reply.clock_ms, self._dispatch_state.now_ms)
+            if was_pending:
+                self._record_life_sign(worker, reply, sent_ms)
         elif reply.verdict == _Verdict.OTHER_PROCESS:
             worker.pending_poll = None
             worker.pause_placement(self._dispatch_state.now_ms)
@@ -147,6 +151,10 @@
 
     def _on_run_reply(self, worker, order, reply, retry_delay_ms):
         run = worker.runs.get((order.task, order.run))
+        if run is not None and isinstance(order, _events.StartRun):
+            run.starts_over_ms = max(
+                self._dispatch_state.now_ms, run.starts_over_ms or 0
+            )
         if run is None or run.pending_order is not order:
             # What a superseded start order did is told by a list.
             return
@@ -223,6 +231,8 @@
                 retry_delay_ms or _fleet.RETRY_MAX_MS
             )
             return
+        if reply.born_ms == worker.record.born_ms:
+            self._record_life_sign(worker, reply, worker.poll_sent_ms)
         worker.next_poll_ms = self._dispatch_state.now_ms
         worker.listed_ms = self._dispatch_state.now_ms
         _update_acknowledged_end(worker, order, reply)
@@ -244,6 +254,22 @@
             self._log_partial_list(worker, reply)
         self._update_paces(worker)
 
+    def _record_life_sign(self, worker, reply, sent_ms):
+        """Records what the answer to a poll proves by its time.
+
+        Args:
+            worker: ``Worker`` of the process that has given it.
+            reply: the ``Reply``.
+            sent_ms: monotonic time at which the poll was made.
+        """
+        worker.life_signs.record_answer(reply.clock_ms, sent_ms)
+        listed_keys = {(row.task, row.run) for row in reply.listed_runs}
+        listed_keys |= {(row.task, row.run) for row in reply.listed_ends}
+        for run in list(worker.runs.values()):
+            proof = _run_ends.find_proof_by_birth(worker, run)
+            if proof is not None and run.key not in listed_keys:
+                self._dispatch_state.record_lost_run(worker, run, proof)
+
     def _log_partial_list(self, worker, reply):
         """Logs a list that proves nothing about the runs that it lacks."""
         LOG.info(
--- a/fuchsiatrestle/workflows/_clock.py
+++ b/fuchsiatrestle/workflows/_clock.py
@@ -4,7 +4,7 @@
 with its orders, and the end of a lease is a time on the worker's own clock.
 """
 
-__all__ = ('LeaseClock',)
+__all__ = ('LeaseClock', 'LifeSigns')
 
 # Lowest assumed rate of a worker's clock, relative to the clock of this
 # process.
@@ -199,6 +199,64 @@
         )
 
 
+class LifeSigns:
+    """Tells between which times one process of a worker was certainly alive.
+
+    It gave the answer to a poll after the poll was sent.  Its clock begins
+    with it, and may be slow but is not fast.  So a later reading shows that at
+    least so much time has passed since.
+    """
+
+    __slots__ = ('_newest_reading_ms', '_start_ms', 'born_after_ms')
+
+    def __init__(self):
+        # Monotonic time up to which its clock had not shown 0 yet, and its
+        # newest reading; None before the first answer and reading.
+        self._start_ms = None
+        self._newest_reading_ms = None
+        # Monotonic time before which it had not started, None if unknown.
+        self.born_after_ms = None
+
+    def record_answer(self, clock_ms, sent_ms):
+        """Records the answer of the process to a poll.
+
+        Args:
+            clock_ms: its clock in the answer, None if it does not tell.
+            sent_ms: monotonic time at which the poll was made.
+        """
+        if clock_ms is None:
+            return
+        self.record_reading(clock_ms)
+        start_ms = sent_ms - clock_ms
+        if self._start_ms is None or start_ms > self._start_ms:
+            self._start_ms = start_ms
+        born_after_ms = (
+            sent_ms - clock_ms / MIN_CLOCK_RATE - CLOCK_ROUNDING_MARGIN_MS
+        )
+        if self.born_after_ms is None or born_after_ms > self.born_after_ms:
+            self.born_after_ms = born_after_ms
+
+    def record_reading(self, clock_ms):
+        """Records a reading of the clock, in a message of any age.
+
+        Args:
+            clock_ms: the reading, None if there is none.
+        """
+        if clock_ms is not None:
+            self._newest_reading_ms = max(
+                clock_ms, self._newest_reading_ms or 0
+            )
+
+    @property
+    def alive_until_ms(self):
+        """Monotonic time at which it was certainly alive, None if unknown."""
+        if self._start_ms is None:
+            return None
+        return (
+            self._start_ms + self._newest_reading_ms - CLOCK_ROUNDING_MARGIN_MS
+        )
+
+
 def _has_surely_elapsed(duration_ms, since_ms, now_ms):
     """True if a duration has passed on any worker's clock, or never began."""
     if since_ms is None:
--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -13,6 +13,7 @@
 from fuchsiatrestle.workflows import _answers
 from fuchsiatrestle.workflows import _backlog
 from fuchsiatrestle.workflows import _book
+from fuchsiatrestle.workflows import _driver
 from fuchsiatrestle.workflows import _events
 from fuchsiatrestle.workflows import _interference
 from fuchsiatrestle.workflows import _orders
@@ -181,6 +182,8 @@
                 live_run, self._state.find_step(live_run.task), phase
             )
             run.adopted = True
+            # Earlier leaders have sent nothing since this one was elected.
+            run.starts_over_ms = self._state.now_ms + _driver.MAX_SEND_MS
             run.adopted_soon = self._state.workflow_store.was_placed_recently(
                 live_run
             )
--- a/fuchsiatrestle/workflows/_driver.py
+++ b/fuchsiatrestle/workflows/_driver.py
@@ -2,7 +2,12 @@
 
 import abc
 
-__all__ = ('Driver',)
+__all__ = ('MAX_SEND_MS', 'Driver')
+
+# Longest time from ``Driver.send`` until the last byte of an order has left.
+# Later ones are dropped: another leader may have been elected, which relies on
+# it that no order of an earlier one reaches a process that starts later.
+MAX_SEND_MS = 1000
 
 
 class Driver(abc.ABC):
@@ -24,7 +29,11 @@
 
     @abc.abstractmethod
     async def send(self, order):
-        """Sends an ``Order`` without waiting for the reply."""
+        """Sends an ``Order`` without waiting for the reply.
+
+        It is sent within ``MAX_SEND_MS``, or not at all, on a connection to a
+        process that accepts it within that time.
+        """
 
     @abc.abstractmethod
     async def stop(self):
--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -59,6 +59,7 @@
         withdrawn_ms: when it first announced that its process will end, or
             None.
         lease_clock: ``LeaseClock`` of the worker.
+        life_signs: ``LifeSigns`` of the process.
         newest_clock_ms: highest reading of its clock, None before the first.
         has_seen_token: True once it accepted a poll with the fencing token
             of this leader.
@@ -102,6 +103,7 @@
         'last_announced_ms',
         'last_replied_ms',
         'lease_clock',
+        'life_signs',
         'listed_ms',
         'max_run_count',
         'newest_clock_ms',
@@ -130,6 +132,7 @@
         self.is_cold = False
         self.withdrawn_ms = None
         self.lease_clock = lease_clock
+        self.life_signs = _clock.LifeSigns()
         self.newest_clock_ms = None
         self.has_seen_token = False
         self.awaited_orders = []
@@ -271,6 +274,18 @@
         ]
         return len(self.awaited_orders) < awaited_count
 
+    def awaits_start(self, key):
+        """True if a start order for a run waits for its reply.
+
+        Args:
+            key: task id and run number.
+        """
+        return any(
+            isinstance(order, _events.StartRun)
+            and (order.task, order.run) == key
+            for order in self.awaited_orders
+        )
+
     # Availability for placements
 
     def accepts_placements(self, now_ms, announce_ms):
--- a/fuchsiatrestle/workflows/_run_ends.py
+++ b/fuchsiatrestle/workflows/_run_ends.py
@@ -10,6 +10,7 @@
 
 __all__ = (
     'Proof',
+    'find_proof_by_birth',
     'find_proof_by_lease',
     'find_proof_by_list',
     'find_proof_by_restart',
@@ -32,7 +33,8 @@
     NOT_THERE = 'not_there'
     # The same after the worker accepted its stop; it refuses the start now.
     STOPPED_UNSTARTED = 'stopped_unstarted'
-    # The process that listed it is followed by another one.
+    # The process that listed it, or was alive after the last start order for
+    # it had arrived, is followed by another one.
     WORKER_REBORN = 'worker_reborn'
     # Another worker answers at the address of its worker.
     OTHER_WORKER_THERE = 'other_worker_there'
@@ -107,20 +109,62 @@
     return reply.is_complete and reply.born_ms == worker.record.born_ms
 
 
-def find_proof_by_restart(run):
+def find_proof_by_restart(ended_worker, run):
     """Returns the ``Proof`` by a later process of the worker, or None.
 
     An accepted start does not tell which process accepted it.  The run ended
-    with the earlier process only if that process has listed it.
+    with the earlier process only if that process has listed it and no start
+    order is under way, or if all start orders had arrived while that process
+    was alive.
 
     Args:
-        run: the ``Run`` on the earlier process.
+        ended_worker: ``Worker`` of the earlier process.
+        run: the ``Run`` on it.
     """
-    if may_still_start(run):
+    if not may_still_start(run):
+        if run.start_sent_ms is None:
+            return Proof.NEVER_SENT
+        if run.is_listed:
+            return Proof.WORKER_REBORN
+    if _outlived_starts(ended_worker, run):
+        return Proof.WORKER_REBORN
+    return None
+
+
+def _outlived_starts(ended_worker, run):
+    """True if a process was alive after all start orders had arrived."""
+    alive_until_ms = ended_worker.life_signs.alive_until_ms
+    return (
+        alive_until_ms is not None
+        and run.starts_over_ms is not None
+        and run.starts_over_ms <= alive_until_ms
+        and not ended_worker.awaits_start(run.key)
+    )
+
+
+def find_proof_by_birth(worker, run):
+    """Returns the ``Proof`` by the start of the present process, or None.
+
+    The run was placed on an earlier process.  If the present one started after
+    all start orders had arrived, it never got one.
+
+    Args:
+        worker: the ``Worker`` of the present process.
+        run: the ``Run``, which has not been listed by it.
+    """
+    born_after_ms = worker.life_signs.born_after_ms
+    if (
+        run.live_run.born_ms == worker.record.born_ms
+        or run.phase == _runs.Phase.PLACED
+        or run.is_listed
+        or run.starts_over_ms is None
+        or born_after_ms is None
+        or worker.awaits_start(run.key)
+    ):
         return None
-    if run.start_sent_ms is None:
-        return Proof.NEVER_SENT
-    return Proof.WORKER_REBORN if run.is_listed else None
+    if run.starts_over_ms <= born_after_ms:
+        return Proof.WORKER_REBORN
+    return None
 
 
 def find_proof_by_lease(worker, run, now_ms):
--- a/fuchsiatrestle/workflows/_runs.py
+++ b/fuchsiatrestle/workflows/_runs.py
@@ -54,6 +54,9 @@
         starts_alone: True if no other run may start on its worker before this
             one has shown to be harmless.
         start_sent_ms: when this leader first ordered its start, None before.
+        starts_over_ms: time by which the start orders for it had arrived, if
+            at all, none of which waits for its reply; None if that is not
+            known.  A process that starts later gets none of them.
         earlier_start_outcome: ``StartOutcome`` on a process of the worker that
             has ended, if a later one has to refuse the run, or empty.
         earlier_lease_end_ms: end of the lease in start orders for an earlier
@@ -109,6 +112,7 @@
         'progress_percent',
         'shares_cpu',
         'start_sent_ms',
+        'starts_over_ms',
         'starts_alone',
         'start_uncertain',
         'started_clock_ms',
@@ -133,6 +137,7 @@
         self.next_order_ms = 0
         self.starts_alone = False
         self.start_sent_ms = None
+        self.starts_over_ms = None
         self.earlier_start_outcome = ''
         self.earlier_lease_end_ms = None
         self.started_ms = None
--- a/tests/workflows/test_run_ends.py
+++ b/tests/workflows/test_run_ends.py
@@ -182,6 +182,125 @@
         self.assertEqual(2, world.ledger.starts)
 
 
+class RestartOfAdoptedRunTest(_EndsTest):
+    """A run that an earlier leader has placed, over two lives of its worker.
+
+    Start orders of that leader may be on their way when the next one is
+    elected, but for no longer than an order is sent.
+    """
+
+    def _adopt_run(self, led_ms, restores=False):
+        """Returns a world whose second leader has led for so long.
+
+        Returns:
+            The world, the worker with the run, and its first start order.
+        """
+        world = dispatch_world.World(4, workers=2)
+        world.submit('w', [LASTING_STEP], [ENDLESS_PROFILE])
+        world.run(20_000)
+        (worker,) = world.ledger.running.values()
+        _, start_order = world.start_orders[0]
+        if restores:
+            world.restore_replicas()
+        else:
+            world.start_leader()
+        world.run(led_ms)
+        return world, worker, start_order
+
+    def test_run_goes_on_elsewhere_at_once_if_the_next_life_is_deaf(self):
+        """It waited for as long as its process had been up, and a lease."""
+        for restores in (False, True):
+            with self.subTest(restores=restores):
+                world, worker, _ = self._adopt_run(5000, restores)
+                world.deaf_workers.add(worker)
+                world.run(500)
+                world.crash_worker(worker, 300)
+                world.run(300 + 2 * START_MS)
+                self._assert_runs_elsewhere(world, worker)
+                world.crash_worker(worker, 60_000)
+                world.run(2 * LEASE_MS)
+                self._assert_runs_elsewhere(world, worker)
+                self.assertEqual([], world.ledger.breaches)
+
+    def test_run_goes_on_elsewhere_after_further_leaders(self):
+        world, worker, _ = self._adopt_run(3000)
+        for _ in range(2):
+            world.start_leader()
+            world.run(3000)
+        world.deaf_workers.add(worker)
+        world.crash_worker(worker, 300)
+        world.run(300 + 2 * START_MS)
+        self._assert_runs_elsewhere(world, worker)
+        self.assertEqual([], world.ledger.breaches)
+
+    def _deliver_to_next_life(self, world, worker, start_order):
+        """Has the next process of a worker carry out an old start order."""
+        world.run_until(lambda: worker in world.worker_names(), 5000)
+        self.assertEqual(
+            dispatcher.Verdict.ACCEPTED,
+            world._execute_order(start_order).verdict,
+        )
+
+    def test_start_that_reaches_the_next_life_right_after_an_election(self):
+        """The earlier leader had sent it just before."""
+        for led_ms in (0, 100, 500, 900):
+            with self.subTest(led_ms=led_ms):
+                world, worker, start_order = self._adopt_run(led_ms)
+                world.first_announcement_ms = 400
+                world.crash_worker(worker, 50)
+                self._deliver_to_next_life(world, worker, start_order)
+                world.deaf_workers.add(worker)
+                world.run(4 * LEASE_MS)
+                self.assertEqual([], world.ledger.breaches)
+
+    def test_next_life_that_listed_nothing_ends_with_the_third(self):
+        """A start order can not reach a process that starts much later."""
+        world, worker, _ = self._adopt_run(0)
+        world.crash_worker(worker, 50)
+        world.run(60)
+        # It answers polls, but takes no stop.
+        execute_order = world._execute_order
+        world._execute_order = lambda order: (
+            None
+            if order.worker == worker and isinstance(order, dispatcher.StopRun)
+            else execute_order(order)
+        )
+        world.run(3000)
+        world.deaf_workers.add(worker)
+        world.crash_worker(worker, 300)
+        world.run(300 + 2 * START_MS)
+        self._assert_runs_elsewhere(world, worker)
+        self.assertEqual([], world.ledger.breaches)
+
+    def test_next_life_that_answers_once_tells_when_it_began(self):
+        """The ended one was not heard between the election and its end."""
+        world, worker, _ = self._adopt_run(0)
+        world.voiceless_workers.add(worker)
+        world.run(1500)
+        world.voiceless_workers.clear()
+        world.first_announcement_ms = 90_000
+        world.last_word_workers.add(worker)
+        world.crash_worker(worker, 20)
+        world.run(2 * LEASE_MS)
+        self._assert_runs_elsewhere(world, worker)
+        self.assertEqual([], world.ledger.breaches)
+
+    def test_start_that_waits_for_its_reply_is_not_over(self):
+        """Its order may be sent when the next process is there."""
+        world = dispatch_world.World(4, workers=1)
+        world.run(2000)
+        world.startless_workers.add('w0')
+        world.submit('w', [LASTING_STEP], [ENDLESS_PROFILE])
+        world.run(300)
+        _, start_order = world.start_orders[-1]
+        world.first_announcement_ms = 300
+        world.crash_worker('w0', 50)
+        self._deliver_to_next_life(world, 'w0', start_order)
+        world.add_worker('w1')
+        world.run(LEASE_MS)
+        self.assertEqual([], world.ledger.breaches)
+
+
 class ForgottenEndTest(_EndsTest):
     """A worker forgets the ends that it is told are agreed."""
 
