Measure no waiting work of workflows that are not due

The leader then measured the waiting work of each, and kept what it asks for, though nothing was due.

Change: a workflow without a due occurrence has one shared row; its demand is measured when the first one is due.

--- a/fuchsiatrestle/workflows/_load.py
+++ b/fuchsiatrestle/workflows/_load.py
@@ -442,6 +442,10 @@
         self.task_counts = collections.Counter()
 
 
+# Row of a workflow without a due occurrence.
+_NOTHING_WAITS = (None, ())
+
+
 class WaitingWorkTable:
     """Waiting work of the open workflows, updated where they have changed.
 
@@ -450,7 +454,8 @@
         estimates: ``RunTimeEstimates``.
 
     Attributes:
-        rows: (``Demand``, list of ``_WaitingWork``) by workflow id.
+        rows: (``Demand``, list of ``_WaitingWork``) by workflow id; the list
+            is empty if nothing of the workflow is due.
     """
 
     def __init__(self, workflow_store, estimates):
@@ -502,13 +507,18 @@
         The first ones are measured one by one, the others are taken to wait
         as a whole.
         """
+        self._wait_until_due(workflow, wall_ms)
+        remaining_count = workflow.count_open_due_occurrences(wall_ms)
+        if not remaining_count:
+            # Callers may submit thousands that are due much later.
+            self.rows[workflow.workflow_id] = _NOTHING_WAITS
+            return
         demand = Demand(
             self._workflow_store.current_queue(workflow),
             workflow.spec,
             self._estimates,
         )
         waiting_works = []
-        remaining_count = workflow.count_open_due_occurrences(wall_ms)
         occurrence = workflow.find_open_occurrence(0)
         for _ in range(max(1, MAX_MEASURED_STEPS // len(demand.lanes))):
             if not remaining_count or occurrence is None:
@@ -523,7 +533,6 @@
                 workflow, occurrence, demand, remaining_count
             )
         self.rows[workflow.workflow_id] = (demand, waiting_works)
-        self._wait_until_due(workflow, wall_ms)
 
     def _wait_until_due(self, workflow, wall_ms):
         """Has a workflow measured again when its next occurrence is due."""
