Keep a worker from announcements of services that are not configured

What a worker saw: an announcement under its id that names a service which is not configured took it from its own service; with a later start, its runs were stopped, and its own announcements were ignored as outdated.

Cause: the service of an announcement was not compared with the configuration.

Change: for a known worker, an announcement that names another service is ignored unless that service is configured; it is logged.

Evidence: test_announcement_of_another_writer_takes_no_worker_away fails twice on and passes now; a worker may still go to a configured service.

--- a/fuchsiatrestle/state/_documents.py
+++ b/fuchsiatrestle/state/_documents.py
@@ -47,6 +47,7 @@
         # Lists of ``Queue`` by host, those with the longest prefix first.
         self._queues_by_host = {}
         self._queues_by_name = {}
+        self._pool_names = set()
 
     @property
     def version(self):
@@ -57,6 +58,10 @@
         """Returns the ``Queue`` with this name, or None."""
         return self._queues_by_name.get(name)
 
+    def has_pool(self, name):
+        """True if the document has a service with this name."""
+        return name in self._pool_names
+
     def resolve_path(self, host, path):
         """Splits the path of a request at the prefix of its queue.
 
@@ -115,6 +120,7 @@
         self.document = document
         self._compressed_text = compressed_text
         self._queues_by_name = {queue.name: queue for queue in document.queues}
+        self._pool_names = {pool.name for pool in document.pools}
         self._queues_by_host = {}
         queues_longest_prefix_first = sorted(
             document.queues, key=lambda queue: -len(queue.prefix)
--- a/fuchsiatrestle/workflows/_announcing.py
+++ b/fuchsiatrestle/workflows/_announcing.py
@@ -50,6 +50,9 @@
             worker = self._add_worker(
                 _fleet.record_from_announcement(announcement)
             )
+        elif self._is_of_other_writer(worker, announcement):
+            self._log_ignored_announcement(worker, announcement)
+            return
         elif worker.is_of_later_process(announcement.born_ms):
             worker = self.replace_worker(
                 worker, _fleet.record_from_announcement(announcement)
@@ -78,6 +81,16 @@
         worker.life_signs.record_reading(announcement.clock_ms)
         self._dispatch_state.placement_due = True
 
+    def _is_of_other_writer(self, worker, announcement):
+        """True if it names another service than a known worker, and none.
+
+        Others may send announcements of their own under any id.  They must
+        not take a worker from its service.
+        """
+        pool = announcement.pool
+        documents = self._dispatch_state.workflow_store.documents
+        return pool != worker.record.pool and not documents.has_pool(pool)
+
     def _log_ignored_announcement(self, worker, announcement):
         """Logs an outdated announcement, at most once a second a worker."""
         now_ms = self._dispatch_state.now_ms
@@ -92,6 +105,7 @@
                 'worker': worker.name,
                 'born_ms': announcement.born_ms,
                 'known_born_ms': worker.record.born_ms,
+                'pool': announcement.pool,
                 'sequence': announcement.sequence,
                 'known_sequence': worker.announcement_sequence,
                 'heard_ms': heard_ms,
--- a/tests/workflows/test_recovery.py
+++ b/tests/workflows/test_recovery.py
@@ -3,6 +3,8 @@
 import logging
 import unittest
 
+import msgspec
+
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import workflows
 from fuchsiatrestle import workflows as dispatcher
@@ -79,6 +81,48 @@
         }
         self.assertEqual({'w0', 'w1'} - {serving_worker}, best_effort_workers)
 
+    def test_announcement_of_another_writer_takes_no_worker_away(self):
+        """It names a service that is not configured, under a known id."""
+        for born_ms, sequence in ((1, 10_000), (90_000, 1)):
+            with self.subTest(born_ms=born_ms):
+                world = dispatch_world.World(1, workers=1)
+                world.submit('lasting', [LONG_RUNNING_STEP], [ENDLESS_SIZE])
+                world.run(2000)
+                own = world.last_announcement_by_worker['w0']
+                for state in ('ready', 'draining'):
+                    world.deliver_announcement(
+                        msgspec.structs.replace(
+                            own,
+                            pool='another-writers',
+                            address='10.9.9.9:9',
+                            born_ms=born_ms,
+                            sequence=sequence,
+                            state=state,
+                        )
+                    )
+                world.submit('quick', [STEP], [STEP_SIZE])
+                world.run(3000)
+                self.assertEqual('completed', world.workflow_state('quick'))
+                self.assertEqual(2, world.ledger.starts)
+                self.assertEqual([], world.ledger.breaches)
+
+    def test_worker_may_go_to_another_configured_service(self):
+        world = dispatch_world.World(1, workers=1)
+        world.run(2000)
+        own = world.last_announcement_by_worker['w0']
+        document = world.workflow_store.documents.document
+        pools = [*document.pools, workflows.Pool('other', False)]
+        new_document = msgspec.structs.replace(
+            document, version=document.version + 1, pools=pools
+        )
+        world.apply_agreed(commands.PutDocument(new_document, b''))
+        world.deliver_announcement(
+            msgspec.structs.replace(own, pool='other', sequence=10_000)
+        )
+        world.run(100)
+        record = world.workflow_store.worker_records['w0']
+        self.assertEqual('other', record.pool)
+
     def test_draining_worker_gets_nothing_new(self):
         world = dispatch_world.World(5, workers=2)
         world.draining_workers.add('w0')
