Have all members of a gang resume from one checkpoint

Cause: each start order carried the checkpoint of its own task, read when the order was made.

Change: the leader places the members of a gang with one checkpoint, the one that it stored last for any of them. It is part of the agreed placement, so that starts that are sent again, also by a later leader, carry the same.

--- a/fuchsiatrestle/state/_step_states.py
+++ b/fuchsiatrestle/state/_step_states.py
@@ -20,10 +20,13 @@
             the runs that certainly never ran; 0 if there was none.
         ready_ms: time since the epoch from which it may be started, None
             while a step that it depends on is not done.
+        checkpoint: progress that a run of any of its tasks has saved, the one
+            that was stored last as far as this replica knows, or empty.
     """
 
     __slots__ = (
         '_waiting_flags',
+        'checkpoint',
         'failure_count',
         'last_run_end_ms',
         'live_run_count',
@@ -37,6 +40,7 @@
         self.failure_count = 0
         self.last_run_end_ms = 0
         self.ready_ms = ready_ms
+        self.checkpoint = ''
         # One byte a task, so that the waiting ones are found at once among
         # thousands.
         self._waiting_flags = bytearray([_WAITING]) * task_count
--- a/fuchsiatrestle/state/_workflows_model.py
+++ b/fuchsiatrestle/state/_workflows_model.py
@@ -256,6 +256,14 @@
         state = self._find_step_state(occurrence, step_number)
         return state.ready_ms is not None
 
+    def find_gang_checkpoint(self, occurrence, step_number):
+        """Returns the checkpoint for the next run of a gang, or empty.
+
+        That of any member is valid for all.  Replicas may know different ones;
+        the one that a leader places the gang with is agreed.
+        """
+        return self._find_step_state(occurrence, step_number).checkpoint
+
     def has_live_run(self, occurrence, step_number):
         """Returns True if a run of a step may be executing."""
         state = self._step_states.get((occurrence, step_number))
@@ -584,6 +592,8 @@
         live_run = task.live_runs.pop(run_number, None)
         if checkpoint and run_number == task.last_run_number:
             task.checkpoint = checkpoint
+            state = self._find_step_state(task_id.occurrence, task_id.step)
+            state.checkpoint = checkpoint
         if live_run is None:
             return
         del self._live_runs[task_id, run_number]
@@ -655,6 +665,7 @@
             state.unfinished_count -= 1
         state.live_run_count += len(row.live)
         state.failure_count += row.failures
+        state.checkpoint = row.checkpoint or state.checkpoint
         state.set_waiting(row.task.index, task.is_waiting)
         state.record_run_end(row.last_run_end_ms)
 
--- a/fuchsiatrestle/state/workflows.py
+++ b/fuchsiatrestle/state/workflows.py
@@ -144,6 +144,8 @@
         worker: id of the worker.
         born_ms: start time of the worker's process, since the epoch.
         placed_ms: time at the leader that placed it, since the epoch.
+        checkpoint: saved progress to resume from, or empty.  Only for the
+            members of a gang, all of which resume from the same one.
     """
 
     task: TaskId
@@ -151,6 +153,7 @@
     worker: str
     born_ms: int
     placed_ms: int = 0
+    checkpoint: str = ''
 
 
 class WorkerRecord(records.Record, tag='worker'):
--- a/fuchsiatrestle/workflows/_orders.py
+++ b/fuchsiatrestle/workflows/_orders.py
@@ -204,6 +204,10 @@
         workflow = self._dispatch_state.workflow_store.find_workflow(
             task_id.workflow_id
         )
+        checkpoint = workflow.tasks[task_id].checkpoint
+        if run.step.gang:
+            # What other members have saved since is for the next run.
+            checkpoint = run.live_run.checkpoint
         return _events.StartRun(
             worker.record.worker,
             worker.record.address,
@@ -212,7 +216,7 @@
             workflow.spec.payload,
             lease_until_ms,
             self._dispatch_state.token,
-            workflow.tasks[task_id].checkpoint,
+            checkpoint,
             '',
         )
 
--- a/fuchsiatrestle/workflows/_round_planner.py
+++ b/fuchsiatrestle/workflows/_round_planner.py
@@ -397,12 +397,18 @@
         self, group, task_id, worker, *, limits_pace=False, shares_cpu=False
     ):
         task = group.workflow.tasks[task_id]
+        checkpoint = ''
+        if group.step.gang:
+            checkpoint = group.workflow.find_gang_checkpoint(
+                group.occurrence, group.step_number
+            )
         live_run = workflows.LiveRun(
             task_id,
             task.last_run_number + 1,
             worker.name,
             worker.record.born_ms,
             self._wall_ms,
+            checkpoint,
         )
         run = _runs.Run(live_run, group.step, _runs.Phase.PLACED)
         if limits_pace:
