Count the crashes of one worker under a task once

Cause: crashes were counted whichever worker it was, and the next trial could go to the same one.

Change: a task keeps the ids of the workers that crashed under it. Those of one worker count once towards the limit of three, each towards that of five, and trials go to other workers first.

--- a/fuchsiatrestle/state/_crash_counts.py
+++ b/fuchsiatrestle/state/_crash_counts.py
@@ -22,16 +22,18 @@
 
     __slots__ = ()
 
-    def record_start_outcome(self, start_outcome):
+    def record_start_outcome(self, start_outcome, is_same_worker=False):
         """Counts one start.
 
         Args:
             start_outcome: one of ``commands.StartOutcome``.
+            is_same_worker: True if its worker has crashed under it before; one
+                that crashes again and again may do so by itself.
         """
         if start_outcome == commands.StartOutcome.SURVIVED:
             self.reset_crash_counts()
         elif start_outcome == commands.StartOutcome.CRASHED:
-            self.worker_crashes += 1
+            self.worker_crashes += not is_same_worker
             self.possible_worker_crashes += 1
         elif start_outcome == commands.StartOutcome.MAY_HAVE_CRASHED:
             self.possible_worker_crashes += 1
--- a/fuchsiatrestle/state/_tasks.py
+++ b/fuchsiatrestle/state/_tasks.py
@@ -4,10 +4,16 @@
 
 from fuchsiatrestle import records
 from fuchsiatrestle.state import _crash_counts
+from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import workflows
 
 __all__ = ('Task', 'TaskRow', 'TaskTable')
 
+_CRASH_OUTCOMES = (
+    commands.StartOutcome.CRASHED,
+    commands.StartOutcome.MAY_HAVE_CRASHED,
+)
+
 
 class TaskRow(records.Record, tag='t'):
     """Stored form of a ``Task`` with its id.
@@ -24,6 +30,7 @@
     worker_crashes: int = 0
     possible_worker_crashes: int = 0
     last_run_end_ms: int = 0
+    crash_workers: list[str] = []
 
     @property
     def is_untouched(self):
@@ -47,10 +54,12 @@
             because of it.
         last_run_end_ms: agreed time at which it last had a live run, without
             the runs that certainly never ran; 0 if there was none.
+        crash_workers: ids of the workers that both counts are about.
     """
 
     __slots__ = (
         'checkpoint',
+        'crash_workers',
         'failures',
         'is_done',
         'last_run_end_ms',
@@ -70,6 +79,7 @@
         worker_crashes=0,
         possible_worker_crashes=0,
         last_run_end_ms=0,
+        crash_workers=(),
     ):
         self.last_run_number = last_run_number
         self.failures = failures
@@ -79,6 +89,23 @@
         self.worker_crashes = worker_crashes
         self.possible_worker_crashes = possible_worker_crashes
         self.last_run_end_ms = last_run_end_ms
+        self.crash_workers = set(crash_workers)
+
+    def record_loss(self, worker, start_outcome):
+        """Records a run that was lost with its worker.
+
+        Args:
+            worker: id of the worker.
+            start_outcome: one of ``commands.StartOutcome``.
+        """
+        self.record_start_outcome(start_outcome, worker in self.crash_workers)
+        if start_outcome in _CRASH_OUTCOMES:
+            self.crash_workers.add(worker)
+
+    def reset_crash_counts(self):
+        """Forgets all crashes so far."""
+        super().reset_crash_counts()
+        self.crash_workers.clear()
 
     @property
     def is_waiting(self):
@@ -97,6 +124,7 @@
             self.worker_crashes,
             self.possible_worker_crashes,
             self.last_run_end_ms,
+            sorted(self.crash_workers),
         )
 
     @classmethod
@@ -111,6 +139,7 @@
             row.worker_crashes,
             row.possible_worker_crashes,
             row.last_run_end_ms,
+            row.crash_workers,
         )
 
 
--- a/fuchsiatrestle/state/_workflows_model.py
+++ b/fuchsiatrestle/state/_workflows_model.py
@@ -462,13 +462,14 @@
         task = self.tasks.get(lost_run.task)
         if task is None or lost_run.run not in task.live_runs:
             return
+        worker = task.live_runs[lost_run.run].worker
         self._remove_run(
             lost_run.task,
             lost_run.run,
             lost_run.checkpoint,
             None if lost_run.never_ran else now_ms,
         )
-        task.record_start_outcome(lost_run.start_outcome)
+        task.record_loss(worker, lost_run.start_outcome)
         if lost_run.start_outcome in _BEGUN_OUTCOMES:
             self.has_begun = True
         if self.state == OPEN and not task.is_done and task.crashes_workers:
--- a/fuchsiatrestle/workflows/_crashes.py
+++ b/fuchsiatrestle/workflows/_crashes.py
@@ -138,9 +138,9 @@
 def choose_trial_worker(group, workers, placer, now_ms):
     """Chooses the worker on which a suspected task is started next.
 
-    Warm workers come first, then those that start orders reach, then those
-    with the fewest starts that are not known to be harmless, then those with
-    the fewest runs to lose.
+    Workers that have not crashed under it come first, then warm ones, then
+    those that start orders reach, then those with the fewest starts that are
+    not known to be harmless, then those with the fewest runs to lose.
 
     Args:
         group: ``Group`` of the task.
@@ -153,9 +153,11 @@
         for, or None and 0 if no worker has room.
     """
     task_id = group.waiting_task_ids[0]
+    crash_workers = group.workflow.tasks[task_id].crash_workers
     ranked_workers = sorted(
         (
             (
+                worker.name in crash_workers,
                 worker.is_cold,
                 worker.failed_start_count,
                 _count_recent_starts(worker, now_ms),
@@ -166,7 +168,7 @@
             if _placement.has_room(group.step, task_id, worker)
         )
     )
-    for _, _, start_count, _, position in ranked_workers:
+    for _, _, _, start_count, _, position in ranked_workers:
         worker = workers[position]
         if placer.choose_workers(group, [worker]):
             return worker, start_count
--- a/tests/workflows/test_deadly_tasks.py
+++ b/tests/workflows/test_deadly_tasks.py
@@ -9,8 +9,13 @@
 import random
 import unittest
 
+from fuchsiatrestle.state import _workflows_model
+from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import workflows
 from fuchsiatrestle import workflows as dispatcher
+from fuchsiatrestle.workflows import _crashes
+from fuchsiatrestle.workflows import _groups
+from fuchsiatrestle.workflows import _placement
 from standins import worker_model
 from tests.fakes import dispatch_world
 
@@ -529,5 +534,44 @@
         self.assertEqual([], world.ledger.breaches)
 
 
+class TrialWorkerTest(unittest.TestCase):
+    """A worker that crashes again and again by itself, beside others."""
+
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    def test_next_trial_goes_to_a_worker_that_has_not_crashed(self):
+        """A sound task was started on the same worker three times."""
+        for crashed in ('w0', 'w1', 'w2'):
+            with self.subTest(crashed=crashed):
+                world = dispatch_world.World(1, workers=3)
+                world.run(2000)
+                step = workflows.Step(1, cpu=500, memory_mb=100)
+                spec = workflows.WorkflowSpec('', [step])
+                workflow = _workflows_model.Workflow('job', None, spec, 0)
+                task_id = workflows.TaskId('job', 0, 0, 0)
+                workflow.tasks[task_id].record_loss(
+                    crashed, commands.StartOutcome.CRASHED
+                )
+                group = _groups.Group(workflow, 0, 0, [task_id])
+                fleet = world._dispatcher._state.fleet
+                worker, _ = _crashes.choose_trial_worker(
+                    group,
+                    list(fleet),
+                    _placement.FirstFit(),
+                    world.now_ms,
+                )
+                self.assertNotEqual(crashed, worker.name)
+                # It is better than none.
+                worker, _ = _crashes.choose_trial_worker(
+                    group,
+                    [fleet.get(crashed)],
+                    _placement.FirstFit(),
+                    world.now_ms,
+                )
+                self.assertEqual(crashed, worker.name)
+
+
 if __name__ == '__main__':
     unittest.main()
