Keep one due time for each workflow

A caller who hands in workflows that are due much later and cancels them, or whose workflow changes while its next occurrence is far away, left an entry in the leader's heaps of due times each time, until it was due.

Cause: entries were pushed for each change and never removed.

--- a/fuchsiatrestle/workflows/_backlog.py
+++ b/fuchsiatrestle/workflows/_backlog.py
@@ -18,9 +18,8 @@
 computed last.
 """
 
-import heapq
-
 from fuchsiatrestle.workflows import _critical_paths
+from fuchsiatrestle.workflows import _due_times
 from fuchsiatrestle.workflows import _estimates
 from fuchsiatrestle.workflows import _groups
 
@@ -55,10 +54,7 @@
         # ``WorkflowGroups`` by workflow id; those with waiting tasks again.
         self._groups_by_workflow = {}
         self._active_groups_by_workflow = {}
-        # Heap of (due time, workflow id) of the next occurrence of others, one
-        # entry a workflow, and the ids in it.
-        self._due_times = []
-        self._scheduled_ids = set()
+        self._due_times = _due_times.DueTimes()
         for workflow_id in workflow_store.open_workflows:
             self.refresh_workflow(workflow_id)
 
@@ -74,7 +70,7 @@
             return
         groups = _groups.WorkflowGroups(workflow)
         self._groups_by_workflow[workflow_id] = groups
-        self._wait_until_due(groups)
+        self._due_times.set(workflow_id, groups.next_due_ms)
 
     def refresh_tasks(self, workflow_id, task_ids):
         """Looks at tasks that have changed.
@@ -103,15 +99,7 @@
         self._groups_by_workflow.pop(workflow_id, None)
         self._active_groups_by_workflow.pop(workflow_id, None)
         self._critical_paths.remove_workflow(workflow_id)
-
-    def _wait_until_due(self, groups):
-        """Has a workflow looked at when its next occurrence is due."""
-        workflow_id = groups.workflow.workflow_id
-        next_due_ms = groups.next_due_ms
-        if next_due_ms is None or workflow_id in self._scheduled_ids:
-            return
-        self._scheduled_ids.add(workflow_id)
-        heapq.heappush(self._due_times, (next_due_ms, workflow_id))
+        self._due_times.set(workflow_id, None)
 
     # Rounds
 
@@ -133,16 +121,16 @@
             if not workflow_groups.has_groups:
                 if not workflow_groups.is_next_due(wall_ms):
                     del self._active_groups_by_workflow[workflow_id]
-                    self._wait_until_due(workflow_groups)
+                    self._due_times.set(
+                        workflow_id, workflow_groups.next_due_ms
+                    )
         return sorted(groups, key=lambda group: self._sort_key(group, wall_ms))
 
     def _activate_due_workflows(self, wall_ms):
-        while self._due_times and self._due_times[0][0] <= wall_ms:
-            _, workflow_id = heapq.heappop(self._due_times)
-            self._scheduled_ids.discard(workflow_id)
-            groups = self._groups_by_workflow.get(workflow_id)
-            if groups is not None:
-                self._active_groups_by_workflow[workflow_id] = groups
+        for workflow_id in self._due_times.pop_due(wall_ms):
+            self._active_groups_by_workflow[workflow_id] = (
+                self._groups_by_workflow[workflow_id]
+            )
 
     def _sort_key(self, group, wall_ms):
         workflow = group.workflow
--- a/fuchsiatrestle/workflows/_groups.py
+++ b/fuchsiatrestle/workflows/_groups.py
@@ -133,7 +133,9 @@
     def __init__(self, workflow):
         self.workflow = workflow
         steps = workflow.spec.steps
-        self._max_occurrences = max(MIN_OCCURRENCES, MAX_GROUPS // len(steps))
+        self._max_occurrences = max(
+            MIN_OCCURRENCES, MAX_GROUPS // max(1, len(steps))
+        )
         # Numbers of the steps that wait for no other.
         self._entry_steps = [
             number for number, step in enumerate(steps) if not step.after
--- a/fuchsiatrestle/workflows/_load.py
+++ b/fuchsiatrestle/workflows/_load.py
@@ -13,9 +13,9 @@
 
 import bisect
 import collections
-import heapq
 import itertools
 
+from fuchsiatrestle.workflows import _due_times
 from fuchsiatrestle.workflows import _runs
 
 __all__ = (
@@ -463,8 +463,7 @@
         self._estimates = estimates
         self._workflow_store = workflow_store
         self._changed_ids = set()
-        # Heap of (due time, workflow id) of the next occurrences.
-        self._due_times = []
+        self._due_times = _due_times.DueTimes()
 
     def record_changes(self, workflow_ids):
         """Records that the tasks of workflows have changed."""
@@ -473,7 +472,6 @@
     def clear(self):
         """Drops all rows; the next ``update`` measures every workflow."""
         self.rows.clear()
-        self._due_times.clear()
 
     def update(self, sharing_run_counts, wall_ms):
         """Measures the workflows that are new, have changed or became due.
@@ -487,10 +485,10 @@
         open_workflows = self._workflow_store.open_workflows
         for workflow_id in self.rows.keys() - open_workflows.keys():
             del self.rows[workflow_id]
+            self._due_times.set(workflow_id, None)
         sharing_ids = {workflow_id for workflow_id, _, _ in sharing_run_counts}
         changed_ids = self._changed_ids | sharing_ids
-        while self._due_times and self._due_times[0][0] <= wall_ms:
-            changed_ids.add(heapq.heappop(self._due_times)[1])
+        changed_ids.update(self._due_times.pop_due(wall_ms))
         # Those that share now have to be measured again when they do not.
         self._changed_ids = sharing_ids
         changed_ids &= open_workflows.keys()
@@ -520,7 +518,8 @@
         )
         waiting_works = []
         occurrence = workflow.find_open_occurrence(0)
-        for _ in range(max(1, MAX_MEASURED_STEPS // len(demand.lanes))):
+        step_count = max(1, len(workflow.spec.steps))
+        for _ in range(max(1, MAX_MEASURED_STEPS // step_count)):
             if not remaining_count or occurrence is None:
                 break
             waiting_works += _find_waiting_work(
@@ -537,17 +536,14 @@
     def _wait_until_due(self, workflow, wall_ms):
         """Has a workflow measured again when its next occurrence is due."""
         spec = workflow.spec
+        due_ms = None
         occurrence = 0
         waited_ms = wall_ms - spec.due_ms(0)
-        if waited_ms >= 0:
-            if spec.interval_ms <= 0:
-                return
+        if waited_ms >= 0 and spec.interval_ms > 0:
             occurrence = waited_ms // spec.interval_ms + 1
-        if occurrence < len(workflow.occurrences):
-            heapq.heappush(
-                self._due_times,
-                (spec.due_ms(occurrence), workflow.workflow_id),
-            )
+        if waited_ms < 0 or 0 < occurrence < len(workflow.occurrences):
+            due_ms = spec.due_ms(occurrence)
+        self._due_times.set(workflow.workflow_id, due_ms)
 
 
 def _find_waiting_work(workflow, occurrence, demand, sharing_run_counts):
