--- a/fuchsiatrestle/workflows/_due_times.py
+++ b/fuchsiatrestle/workflows/_due_times.py
@@ -10,7 +10,7 @@
 
 
 class DueTimes:
-    """Tells which workflows have become due, each with one due time at most."""
+    """Tells which workflows have become due; each has one time at most."""
 
     def __init__(self):
         self._due_ms_by_workflow = {}
