Keep refusals and cancels of paths without a queue

What callers see: a request is refused with 404, as no queue has its path yet. A configuration with the queue follows, an entry that stood still hands in an older copy of the request, and it runs. The same holds for a cancel that was answered with 404.

The state kept refusals without a configuration (503) and cancels of unknown workflows (410), but nothing of an answer no_queue.

A later attempt is accepted; a copy of what was cancelled is not, whatever its date.

--- a/fuchsiatrestle/state/_workflows.py
+++ b/fuchsiatrestle/state/_workflows.py
@@ -222,14 +222,11 @@
         return self._handlers[type(command)](command)
 
     def _submit_workflow(self, command):
-        if self.documents.document is None:
-            self._refuse_without_document(command)
-            return _refused_outcome('no_document')
         queue, workflow_id = self.documents.resolve_path(
             command.host, command.path
         )
         if not workflow_id:
-            return _refused_outcome('no_queue')
+            return self._refuse_unknown_path(command)
         workflow = self._workflows.get(workflow_id)
         if workflow is None:
             denial = self._find_denial(workflow_id, command)
@@ -249,17 +246,17 @@
             workflow_id: id of a workflow that is not known.
             command: the ``SubmitWorkflow``, which may be an older copy.
         """
-        retry_after_ms = self._cancels.find_retry_after_ms(
-            _denials.make_key(workflow_id),
-            command.submitted_ms,
-            self._progress_recorded_ms,
-        )
-        if retry_after_ms is not None:
-            return _refused_outcome('cancelled', retry_after_ms)
-        for key in (
+        keys = (
             _denials.make_key(workflow_id),
             _denials.make_key(command.host, command.path),
-        ):
+        )
+        for key in keys:
+            retry_after_ms = self._cancels.find_retry_after_ms(
+                key, command.submitted_ms, self._progress_recorded_ms
+            )
+            if retry_after_ms is not None:
+                return _refused_outcome('cancelled', retry_after_ms)
+        for key in keys:
             retry_after_ms = self._refusals.find_retry_after_ms(
                 key, command.submitted_ms
             )
@@ -267,11 +264,17 @@
                 return _refused_outcome('overloaded', retry_after_ms)
         return None
 
-    def _refuse_without_document(self, command):
+    def _refuse_unknown_path(self, command):
         """Keeps the refusal of a request whose queue is not known yet.
 
+        A later document may have the queue, and an older copy of the request
+        must not run then.
+
         Args:
             command: the command, which has a submission time.
+
+        Returns:
+            The ``WorkflowOutcome``.
         """
         self._refusals.add(
             _refusals.RefusalRow(
@@ -283,16 +286,15 @@
                 False,
             )
         )
+        has_document = self.documents.document is not None
+        return _refused_outcome('no_queue' if has_document else 'no_document')
 
     def _refuse_workflow(self, command):
-        if self.documents.document is None:
-            self._refuse_without_document(command)
-            return _refused_outcome('no_document')
         queue, workflow_id = self.documents.resolve_path(
             command.host, command.path
         )
         if not workflow_id:
-            return _refused_outcome('no_queue')
+            return self._refuse_unknown_path(command)
         workflow = self._workflows.get(workflow_id)
         if workflow is not None:
             return outcomes.WorkflowOutcome(workflow.public_state)
@@ -314,13 +316,17 @@
         queue, workflow_id = self.documents.resolve_path(
             command.host, command.path
         )
+        # The last recorded progress may be long ago.  What is kept with that
+        # time would be removed too early.
+        now_ms = max(self._progress_recorded_ms, command.cancelled_ms)
         if queue is None:
+            # A later document may have the queue.
+            self._cancels.add(
+                _denials.make_key(command.host, command.path), now_ms
+            )
             return _refused_outcome('no_queue')
         if not workflow_id:
             return _refused_outcome('no_workflow')
-        # The last recorded progress may be long ago.  What is kept with that
-        # time would be removed too early.
-        now_ms = max(self._progress_recorded_ms, command.cancelled_ms)
         workflow = self._workflows.get(workflow_id)
         if workflow is None:
             self._cancels.add(_denials.make_key(workflow_id), now_ms)
--- a/tests/state/test_cancels.py
+++ b/tests/state/test_cancels.py
@@ -8,16 +8,20 @@
 import unittest
 from unittest import mock
 
+import msgspec
+
 from fuchsiatrestle import records
 from fuchsiatrestle.state import _denials
 from fuchsiatrestle.state import _workflows
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import machine
+from fuchsiatrestle.state import workflows
 from tests.state import test_refusals
 
 HOST = test_refusals.HOST
 DOCUMENT = test_refusals.DOCUMENT
 SPEC = test_refusals.SPEC
+EMPTY_DOCUMENT = workflows.Document(1, [], [])
 CANCELLED_MS = 1000
 LONG_ID = 'n' * 10_000
 
@@ -40,8 +44,9 @@
     def setUp(self):
         self.machine = machine.StateMachine()
 
-    def _put_document(self):
-        self._apply(commands.PutDocument(DOCUMENT, b''))
+    def _put_document(self, version=1):
+        document = msgspec.structs.replace(DOCUMENT, version=version)
+        self._apply(commands.PutDocument(document, b''))
 
     def _apply(self, command):
         outcome = self.machine.apply(self.machine.applied_index + 1, command)
@@ -153,6 +158,42 @@
                 self.assertIsNone(self._find_state())
                 self.assertEqual('queued', self._apply(_submit(21)).state)
 
+    def test_copy_refused_for_its_path_does_not_run_once_it_has_a_queue(self):
+        """Its caller was told that there is no such queue (404)."""
+        for refusal in (_submit(20), _refuse(20)):
+            for name in ('a', 'a/b', LONG_ID):
+                with self.subTest(refusal=type(refusal), name=name[:9]):
+                    self._check_refused_path(refusal, name)
+
+    def _check_refused_path(self, refusal, name):
+        self.machine = machine.StateMachine()
+        self._apply(commands.PutDocument(EMPTY_DOCUMENT, b''))
+        refusal = msgspec.structs.replace(refusal, path=f'/q/{name}')
+        self.assertEqual('no_queue', self._apply(refusal).reason)
+        self._apply(commands.RecordProgress(1, 30))
+        self._put_document(version=2)
+        for copy_ms in (20, 10):
+            outcome = self._apply(_submit(copy_ms, name))
+            self.assertEqual('overloaded', outcome.reason)
+        self.assertIsNone(self._find_state(name))
+        self.assertEqual('queued', self._apply(_submit(21, name)).state)
+
+    def test_copy_cancelled_by_its_path_does_not_run_once_it_has_a_queue(self):
+        """Its caller was told that there is no such queue (404)."""
+        self._apply(commands.PutDocument(EMPTY_DOCUMENT, b''))
+        self.assertEqual('no_queue', self._apply(_cancel()).reason)
+        self._put_document(version=2)
+        for copy_ms in (10, CANCELLED_MS + 10):
+            outcome = self._apply(_submit(copy_ms))
+            self.assertEqual('cancelled', outcome.reason)
+
+    def test_refused_path_denies_no_other_path(self):
+        self._apply(commands.PutDocument(EMPTY_DOCUMENT, b''))
+        self._apply(_submit(20, 'a'))
+        self._apply(_cancel(name='c'))
+        self._put_document(version=2)
+        self.assertEqual('queued', self._apply(_submit(10, 'b')).state)
+
     def test_cancel_is_not_answered_as_of_an_unknown_queue(self):
         self.assertEqual('no_document', self._apply(_cancel()).reason)
 
