Date requests by the leader's clock, too

What callers see: a request is refused with 429 while an entry whose time of day is 2 s ahead holds an earlier copy back for 0.7 s. The copy is then accepted and runs. The same happens if the refusal was dated by an entry whose clock is behind (a large workflow, or a path without a queue).

Change: a proposed call tells the age of its request by the monotonic clock, anew in each attempt. The leader limits the date of a submission or cancel to its own time less that age; an earlier date is kept. It also dates its refusals of large workflows and of paths without a queue.

--- a/fuchsiatrestle/control/_leader.py
+++ b/fuchsiatrestle/control/_leader.py
@@ -290,20 +290,14 @@
         """
         return self._step_dispatcher(reply, now_ms)
 
-    def judge_command(self, command, now_ms):
-        """Returns the command to propose for a call.
+    def find_refusal(self, submission, now_ms):
+        """Returns the ``commands.RefuseWorkflow`` of a submission, or None.
 
         Args:
-            command: the command that the call asks for.
+            submission: the ``commands.SubmitWorkflow`` of a call.
             now_ms: monotonic time, in milliseconds.
-
-        Returns:
-            The same command, or the ``commands.RefuseWorkflow`` that takes
-            its place.
         """
-        if not isinstance(command, commands.SubmitWorkflow):
-            return command
-        return self._dispatcher.find_refusal(command, now_ms) or command
+        return self._dispatcher.find_refusal(submission, now_ms)
 
     def _handle_announcement(self, call, now_ms):
         message = call.message
--- a/fuchsiatrestle/control/_service.py
+++ b/fuchsiatrestle/control/_service.py
@@ -12,6 +12,7 @@
 from fuchsiatrestle.control import _large_workflows
 from fuchsiatrestle.control import _leader
 from fuchsiatrestle.control import _refusals
+from fuchsiatrestle.control import _request_dates
 from fuchsiatrestle import core
 from fuchsiatrestle import messages
 from fuchsiatrestle import metrics
@@ -105,6 +106,7 @@
         self._large_workflows = _large_workflows.LargeWorkflows(
             self._machine.workflows, large_workflow_bytes
         )
+        self._request_dates = _request_dates.RequestDates()
         self._log_bytes = log_bytes
         # Size of the entries applied since the last snapshot was made.
         self._applied_bytes = 0
@@ -209,7 +211,12 @@
         if not isinstance(command, _EXTERNAL_COMMANDS):
             self._refuse_call(call, 'bad_request', type(command).__name__)
             return
-        judged_command = self._judge_command(command, len(encoded_command))
+        judged_command = self._judge_command(
+            self._request_dates.limit_date(
+                command, call.message.age_ms, self._now_ms
+            ),
+            len(encoded_command),
+        )
         if judged_command is not command:
             encoded_command = commands.CODEC.encode(judged_command)
         self._propose_command(call, encoded_command)
@@ -224,18 +231,32 @@
             command: the command of the call.
             command_bytes: size of its encoding, in bytes.
         """
-        if isinstance(
-            command, commands.SubmitWorkflow
-        ) and not self._large_workflows.may_propose(command, command_bytes):
+        if not isinstance(command, commands.SubmitWorkflow):
+            return command
+        if not self._large_workflows.may_propose(command, command_bytes):
             metrics.count(LARGE_WORKFLOW_REFUSED)
-            return commands.RefuseWorkflow(
-                command.host,
-                command.path,
-                command.submitted_ms,
-                command.submitted_ms,
-                LARGE_WORKFLOW_RETRY_MS,
-            )
-        return self._leader_services.judge_command(command, self._now_ms)
+            return self._make_refusal(command, LARGE_WORKFLOW_RETRY_MS)
+        refusal = self._leader_services.find_refusal(command, self._now_ms)
+        if refusal is not None:
+            return refusal
+        if not self._machine.workflows.has_queue_for(command):
+            return self._make_refusal(command, 0)
+        return command
+
+    def _make_refusal(self, command, retry_after_ms):
+        """Returns the ``RefuseWorkflow`` in place of a submission.
+
+        It is dated by the clock of this process: that of the entry may be
+        behind, and then the refusal would not deny an older copy.
+        """
+        wall_ms = self._request_dates.find_wall_ms(self._now_ms)
+        return commands.RefuseWorkflow(
+            command.host,
+            command.path,
+            command.submitted_ms,
+            wall_ms or command.submitted_ms,
+            retry_after_ms,
+        )
 
     def _propose_command(self, call, encoded_command):
         token = self._call_table.add_proposal(call)
@@ -253,6 +274,7 @@
     # Time
 
     def _on_tick(self, tick):
+        self._request_dates.handle_tick(tick.wall_ms, self._now_ms)
         if self._leader_services is None:
             return
         if self._calls_for_next_read:
--- a/fuchsiatrestle/messages/_control.py
+++ b/fuchsiatrestle/messages/_control.py
@@ -1,6 +1,7 @@
 """Messages between an entry and the control replicas."""
 
 from fuchsiatrestle.messages import _workers
+from fuchsiatrestle import number_ranges
 from fuchsiatrestle import records
 
 __all__ = (
@@ -46,10 +47,13 @@
     Attributes:
         call_id: chosen by the sender, returned by the answer.
         command: the command, encoded by ``state.commands.CODEC``.
+        age_ms: time for which the sender has had the request that led to the
+            command, in milliseconds; 0 if there is none.
     """
 
     call_id: int
     command: bytes
+    age_ms: number_ranges.Duration = 0
 
 
 class CommandOutcome(records.Record, tag='co'):
--- a/fuchsiatrestle/net/control_client.py
+++ b/fuchsiatrestle/net/control_client.py
@@ -16,6 +16,7 @@
     result = await client.query(queries.GetStatus())
 """
 
+import math
 import time
 
 import curio
@@ -310,19 +311,23 @@
             },
         )
 
-    async def propose(self, command, timeout_ms=DEFAULT_TIMEOUT_MS):
+    async def propose(
+        self, command, timeout_ms=DEFAULT_TIMEOUT_MS, received_ms=0
+    ):
         """Has the control replicas agree on a command.
 
         Args:
             command: record of ``state.commands``.
             timeout_ms: time in milliseconds during which it is retried.
+            received_ms: monotonic time in milliseconds at which the request
+                that led to the command was received; 0 if there is none.
 
         Returns:
             ``Success`` of the outcome, a record of ``state.outcomes``, or
             ``Failure`` of a ``CallFailure``.
         """
         message = messages.ProposeCommand(0, commands.CODEC.encode(command))
-        call_result = await self.call(message, timeout_ms)
+        call_result = await self.call(message, timeout_ms, received_ms)
         return call_result.bind(
             lambda reply: self._decode_answer(
                 reply, messages.CommandOutcome, 'outcome', outcomes.CODEC
@@ -348,12 +353,16 @@
             )
         )
 
-    async def call(self, message, timeout_ms=DEFAULT_TIMEOUT_MS):
+    async def call(
+        self, message, timeout_ms=DEFAULT_TIMEOUT_MS, received_ms=0
+    ):
         """Sends a message with a ``call_id`` until it is answered.
 
         Args:
             message: the call; its ``call_id`` is replaced in each attempt.
             timeout_ms: time in milliseconds during which it is retried.
+            received_ms: see ``propose``; not 0 if the message has an
+                ``age_ms``, which is replaced in each attempt.
 
         Returns:
             ``Success`` of the answering message, or ``Failure`` of a
@@ -363,6 +372,9 @@
         expiry_ms = _monotonic_ms() + timeout_ms
         executed = False
         while True:
+            if received_ms:
+                age_ms = max(0, math.ceil(_monotonic_ms() - received_ms))
+                message = msgspec.structs.replace(message, age_ms=age_ms)
             answer = await self._make_attempt(message, expiry_ms)
             if not isinstance(answer, messages.ControlRefused):
                 return result.Success(answer)
--- a/fuchsiatrestle/platform/_callers.py
+++ b/fuchsiatrestle/platform/_callers.py
@@ -135,7 +135,9 @@
         command = commands.SubmitWorkflow(
             host, request.path, workflow_spec, _find_receipt_ms(request)
         )
-        response = await self._propose_command(command, budget_ms)
+        response = await self._propose_command(
+            command, budget_ms, request.received_ms
+        )
         if response.status == 200:
             metrics.count(SUBMITTED_WORKFLOWS)
         return response
@@ -144,16 +146,21 @@
         command = commands.CancelWorkflow(
             host, request.path, daemon.epoch_ms()
         )
-        return await self._propose_command(command, budget_ms)
+        return await self._propose_command(
+            command, budget_ms, request.received_ms
+        )
 
-    async def _propose_command(self, command, budget_ms):
+    async def _propose_command(self, command, budget_ms, received_ms):
         """Proposes a command and returns the response to the caller.
 
         Args:
             command: record of ``state.commands``.
             budget_ms: time in which control has to answer, in milliseconds.
+            received_ms: see ``http.Request``.
         """
-        call_result = await self._client.propose(command, budget_ms)
+        call_result = await self._client.propose(
+            command, budget_ms, received_ms
+        )
         if not pipeline.is_successful(call_result):
             return _make_failure_response(call_result.failure())
         outcome = call_result.unwrap()
--- a/fuchsiatrestle/state/_workflows.py
+++ b/fuchsiatrestle/state/_workflows.py
@@ -147,6 +147,14 @@
         """Returns the ``Workflow`` with this id, or None."""
         return self._workflows.get(workflow_id)
 
+    def has_queue_for(self, command):
+        """True if the path of a submission names a workflow of a queue.
+
+        Args:
+            command: the ``SubmitWorkflow``.
+        """
+        return bool(self.documents.resolve_path(command.host, command.path)[1])
+
     def current_queue(self, workflow):
         """Returns the queue of a workflow as currently configured.
 
@@ -226,7 +234,7 @@
             command.host, command.path
         )
         if not workflow_id:
-            return self._refuse_unknown_path(command)
+            return self._refuse_unknown_path(command, command.submitted_ms)
         workflow = self._workflows.get(workflow_id)
         if workflow is None:
             denial = self._find_denial(workflow_id, command)
@@ -264,7 +272,7 @@
                 return _refused_outcome('overloaded', retry_after_ms)
         return None
 
-    def _refuse_unknown_path(self, command):
+    def _refuse_unknown_path(self, command, refused_ms):
         """Keeps the refusal of a request whose queue is not known yet.
 
         A later document may have the queue, and an older copy of the request
@@ -272,6 +280,7 @@
 
         Args:
             command: the command, which has a submission time.
+            refused_ms: time of the refusal, since the epoch.
 
         Returns:
             The ``WorkflowOutcome``.
@@ -280,7 +289,7 @@
             _refusals.RefusalRow(
                 _denials.make_key(command.host, command.path),
                 command.submitted_ms,
-                command.submitted_ms,
+                refused_ms,
                 0,
                 '',
                 False,
@@ -294,7 +303,7 @@
             command.host, command.path
         )
         if not workflow_id:
-            return self._refuse_unknown_path(command)
+            return self._refuse_unknown_path(command, command.refused_ms)
         workflow = self._workflows.get(workflow_id)
         if workflow is not None:
             return outcomes.WorkflowOutcome(workflow.public_state)
--- a/fuchsiatrestle/state/commands/_workflows.py
+++ b/fuchsiatrestle/state/commands/_workflows.py
@@ -45,9 +45,10 @@
 
 
 class RefuseWorkflow(records.Record, tag='refuse-workflow'):
-    """Refuses a submission for want of capacity, in place of accepting it.
+    """Refuses a submission in place of accepting it.
 
-    If the workflow was accepted before, nothing is refused.
+    It is refused for want of capacity, or of a queue for its path.  If the
+    workflow was accepted before, nothing is refused.
 
     Attributes:
         host: host of the caller's request.
--- a/tests/control/test_service.py
+++ b/tests/control/test_service.py
@@ -20,7 +20,7 @@
 ENCODED_QUERY = queries.CODEC.encode(queries.GetConfig())
 
 
-class ServiceTest(unittest.TestCase):
+class ServiceCase(unittest.TestCase):
     def setUp(self):
         self.service = _service.Service('c1', 100)
         self.now_ms = 0
@@ -67,6 +67,8 @@
         self.assertEqual([reason], [answer.reason for answer in answers])
         self.assertIs(executed, answers[0].executed)
 
+
+class ServiceTest(ServiceCase):
     def test_only_the_ready_leader_serves(self):
         roles = (
             None,
--- a/tests/net/test_control_client.py
+++ b/tests/net/test_control_client.py
@@ -105,6 +105,27 @@
     def _propose(self, script, timeout_ms=20000):
         return curio.run(curio.timeout_after, 60, _propose, script, timeout_ms)
 
+    def test_each_attempt_tells_the_age_of_the_request(self):
+        """An older copy must not seem newer, as its first attempt failed."""
+
+        async def propose_held_back():
+            fake_link = _FakeLink(['down', 'accept'])
+            client = control_client.ControlClient(
+                fake_link, dict.fromkeys(('c1', 'c2'))
+            )
+            fake_link.client = client
+            task = await curio.spawn(fake_link.answer_messages)
+            received_ms = control_client._monotonic_ms() - 700
+            await client.propose(COMMAND, 2000, received_ms)
+            await task.cancel()
+            return [message.age_ms for _, message in fake_link.sent_messages]
+
+        first_age_ms, second_age_ms = curio.run(propose_held_back)
+        self.assertGreaterEqual(first_age_ms, 700)
+        self.assertGreaterEqual(
+            second_age_ms, first_age_ms + control_client.RETRY_DELAY_MS
+        )
+
     def test_finds_the_leader(self):
         cases = (
             (['accept'], ['c1']),
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -23,10 +23,12 @@
     def __init__(self, outcome):
         self._outcome = outcome
         self.command = None
+        self.received_ms = None
         self.timeout_ms = None
 
-    async def propose(self, command, timeout_ms):
+    async def propose(self, command, timeout_ms, received_ms):
         self.command = command
+        self.received_ms = received_ms
         self.timeout_ms = timeout_ms
         return result.Success(self._outcome)
 
@@ -66,6 +68,7 @@
         curio.run(handler.handle, request)
         age_ms = time.time() * 1000 - client.command.submitted_ms
         self.assertGreaterEqual(age_ms, 5000)
+        self.assertEqual(received_ms, client.received_ms)
 
     def test_denials_are_answered_in_whole_seconds(self):
         for reason, retry_after_ms, seconds in (
