Count suspensions of the VM in the age of a request

What callers see: the VM of an entry is suspended while a request waits in its socket. The caller leaves, a second attempt is refused with 429, the VM wakes up, and the first attempt is accepted and runs.

The entry dated a request by its age on the monotonic clock, which stands still during a suspension, so that the request seemed to be as new as the wake-up. Orders to evacuate noticed suspensions; requests of callers did not.

Evidence: tests.platform.test_callers with a detector of suspensions that takes its readings from the test. Without the sum of the suspensions the two requests received before one are 100 ms old in place of 5,100 ms.

Change: PauseDetector adds up the suspensions since a time; the entry looks for them every 50 ms and adds them to the age. The client of control takes the time between attempts from a clock that counts them.

--- a/fuchsiatrestle/net/control_client.py
+++ b/fuchsiatrestle/net/control_client.py
@@ -16,7 +16,6 @@
     result = await client.query(queries.GetStatus())
 """
 
-import math
 import time
 
 import curio
@@ -28,6 +27,7 @@
 from fuchsiatrestle import messages
 from fuchsiatrestle import metrics
 from fuchsiatrestle.net import link
+from fuchsiatrestle import pauses
 from fuchsiatrestle import records
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import outcomes
@@ -312,22 +312,22 @@
         )
 
     async def propose(
-        self, command, timeout_ms=DEFAULT_TIMEOUT_MS, received_ms=0
+        self, command, timeout_ms=DEFAULT_TIMEOUT_MS, age_ms=None
     ):
         """Has the control replicas agree on a command.
 
         Args:
             command: record of ``state.commands``.
             timeout_ms: time in milliseconds during which it is retried.
-            received_ms: monotonic time in milliseconds at which the request
-                that led to the command was received; 0 if there is none.
+            age_ms: time in milliseconds since the request that led to the
+                command was received; None if there is none.
 
         Returns:
             ``Success`` of the outcome, a record of ``state.outcomes``, or
             ``Failure`` of a ``CallFailure``.
         """
         message = messages.ProposeCommand(0, commands.CODEC.encode(command))
-        call_result = await self.call(message, timeout_ms, received_ms)
+        call_result = await self.call(message, timeout_ms, age_ms)
         return call_result.bind(
             lambda reply: self._decode_answer(
                 reply, messages.CommandOutcome, 'outcome', outcomes.CODEC
@@ -353,16 +353,14 @@
             )
         )
 
-    async def call(
-        self, message, timeout_ms=DEFAULT_TIMEOUT_MS, received_ms=0
-    ):
+    async def call(self, message, timeout_ms=DEFAULT_TIMEOUT_MS, age_ms=None):
         """Sends a message with a ``call_id`` until it is answered.
 
         Args:
             message: the call; its ``call_id`` is replaced in each attempt.
             timeout_ms: time in milliseconds during which it is retried.
-            received_ms: see ``propose``; not 0 if the message has an
-                ``age_ms``, which is replaced in each attempt.
+            age_ms: see ``propose``; None if the message has no ``age_ms``,
+                which is replaced in each attempt.
 
         Returns:
             ``Success`` of the answering message, or ``Failure`` of a
@@ -371,10 +369,13 @@
         step = type(message).__name__
         expiry_ms = _monotonic_ms() + timeout_ms
         executed = False
+        called_ms = pauses.read_boottime_ms()
         while True:
-            if received_ms:
-                age_ms = max(0, math.ceil(_monotonic_ms() - received_ms))
-                message = msgspec.structs.replace(message, age_ms=age_ms)
+            if age_ms is not None:
+                elapsed_ms = pauses.read_boottime_ms() - called_ms
+                message = msgspec.structs.replace(
+                    message, age_ms=age_ms + elapsed_ms
+                )
             answer = await self._make_attempt(message, expiry_ms)
             if not isinstance(answer, messages.ControlRefused):
                 return result.Success(answer)
--- a/fuchsiatrestle/platform/_callers.py
+++ b/fuchsiatrestle/platform/_callers.py
@@ -10,6 +10,7 @@
 from fuchsiatrestle import metrics
 from fuchsiatrestle.net import http
 from fuchsiatrestle import number_ranges
+from fuchsiatrestle import pauses
 from fuchsiatrestle.platform import _documents
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import queries
@@ -89,10 +90,13 @@
 
     Args:
         client: the ``control_client.ControlClient``.
+        pause_detector: ``pauses.PauseDetector`` that is checked at short
+            intervals; None for a new one.
     """
 
-    def __init__(self, client):
+    def __init__(self, client, pause_detector=None):
         self._client = client
+        self._pause_detector = pause_detector or pauses.PauseDetector()
         self._handlers_by_method = {
             'POST': self._submit_workflow,
             'GET': self._show_state,
@@ -132,12 +136,11 @@
         except _documents.BodyInvalid as exc:
             metrics.count(BAD_WORKFLOW)
             return http.make_reason_response(400, 'bad_workflow', str(exc))
+        age_ms = self._find_age_ms(request)
         command = commands.SubmitWorkflow(
-            host, request.path, workflow_spec, _find_receipt_ms(request)
-        )
-        response = await self._propose_command(
-            command, budget_ms, request.received_ms
+            host, request.path, workflow_spec, daemon.epoch_ms() - age_ms
         )
+        response = await self._propose_command(command, budget_ms, age_ms)
         if response.status == 200:
             metrics.count(SUBMITTED_WORKFLOWS)
         return response
@@ -147,20 +150,33 @@
             host, request.path, daemon.epoch_ms()
         )
         return await self._propose_command(
-            command, budget_ms, request.received_ms
+            command, budget_ms, self._find_age_ms(request)
+        )
+
+    def _find_age_ms(self, request):
+        """Returns the time since a request was received, in milliseconds.
+
+        It may have waited in the socket while this process stood still or the
+        VM was suspended.  A later attempt may have been refused meanwhile, and
+        then it must not run.
+        """
+        if not request.received_ms:
+            return 0
+        now_ms = daemon.monotonic_ms()
+        suspended_ms = self._pause_detector.find_suspended_ms(
+            request.received_ms, now_ms
         )
+        return max(0, now_ms - request.received_ms) + suspended_ms
 
-    async def _propose_command(self, command, budget_ms, received_ms):
+    async def _propose_command(self, command, budget_ms, age_ms):
         """Proposes a command and returns the response to the caller.
 
         Args:
             command: record of ``state.commands``.
             budget_ms: time in which control has to answer, in milliseconds.
-            received_ms: see ``http.Request``.
+            age_ms: time since the request was received, in milliseconds.
         """
-        call_result = await self._client.propose(
-            command, budget_ms, received_ms
-        )
+        call_result = await self._client.propose(command, budget_ms, age_ms)
         if not pipeline.is_successful(call_result):
             return _make_failure_response(call_result.failure())
         outcome = call_result.unwrap()
@@ -191,18 +207,6 @@
         return http.make_json_response(200, {'state': path_view.state})
 
 
-def _find_receipt_ms(request):
-    """Returns the time at which a request was received, since the epoch.
-
-    It may have waited in the socket while this process stood still.  A later
-    attempt may have been refused meanwhile, and then it must not run.
-    """
-    if not request.received_ms:
-        return daemon.epoch_ms()
-    age_ms = daemon.monotonic_ms() - request.received_ms
-    return daemon.epoch_ms() - max(0, age_ms)
-
-
 def _get_control_budget_ms(request):
     """Returns the time in which control has to answer, in milliseconds."""
     try:
--- a/fuchsiatrestle/platform/_programs.py
+++ b/fuchsiatrestle/platform/_programs.py
@@ -10,6 +10,7 @@
 from fuchsiatrestle.net import http
 from fuchsiatrestle.net import http_limits
 from fuchsiatrestle.net import link
+from fuchsiatrestle import pauses
 from fuchsiatrestle.platform import _callers
 from fuchsiatrestle.platform import _driver
 from fuchsiatrestle.platform import _operators
@@ -28,7 +29,8 @@
 # Part of ``grace_s`` that is left for the process to exit after its last call.
 EXIT_MARGIN_S = 0.5
 # An order that arrives after a suspension of the machine, but before this has
-# been noticed, is answered 503.
+# been noticed, is answered 503.  A caller's request counts as older than it
+# is.
 PAUSE_CHECK_INTERVAL_S = 0.05
 
 LOG = logs.get_logger(__name__)
@@ -51,12 +53,13 @@
             _settings.make_control_addresses(cfg),
             settings.Address.parse,
         )
+        self._pause_detector = pauses.PauseDetector()
         limits = http_limits.make_limits(
             cfg, decodes_json=True, handling_factor=HANDLING_FACTOR
         )
         self._callers_server = http.Server(
             cfg.get('platform', 'callers'),
-            _callers.CallerHandler(self._client),
+            _callers.CallerHandler(self._client, self._pause_detector),
             limits,
         )
         self._ready_server = http.Server(
@@ -91,12 +94,18 @@
             Exception: the exception of a task that failed.
         """
         async with curio.TaskGroup(wait=any) as task_group:
+            await task_group.spawn(self._check_pauses_forever)
             await task_group.spawn(self._receive_events_forever)
             await task_group.spawn(self._stop_gracefully, stop_requested)
         if task_group.exception:
             raise task_group.exception
         await self._link.stop()
 
+    async def _check_pauses_forever(self):
+        while True:
+            self._pause_detector.check(daemon.monotonic_ms())
+            await curio.sleep(PAUSE_CHECK_INTERVAL_S)
+
     async def _stop_gracefully(self, stop_requested):
         """Stops the listeners once ``stop_requested`` is set.
 
--- a/tests/net/test_control_client.py
+++ b/tests/net/test_control_client.py
@@ -115,8 +115,7 @@
             )
             fake_link.client = client
             task = await curio.spawn(fake_link.answer_messages)
-            received_ms = control_client._monotonic_ms() - 700
-            await client.propose(COMMAND, 2000, received_ms)
+            await client.propose(COMMAND, 2000, 700)
             await task.cancel()
             return [message.age_ms for _, message in fake_link.sent_messages]
 
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -11,6 +11,7 @@
 from returns import result
 
 from fuchsiatrestle.net import http
+from fuchsiatrestle import pauses
 from fuchsiatrestle.platform import _callers
 from fuchsiatrestle.state import outcomes
 
@@ -23,12 +24,12 @@
     def __init__(self, outcome):
         self._outcome = outcome
         self.command = None
-        self.received_ms = None
+        self.age_ms = None
         self.timeout_ms = None
 
-    async def propose(self, command, timeout_ms, received_ms):
+    async def propose(self, command, timeout_ms, age_ms):
         self.command = command
-        self.received_ms = received_ms
+        self.age_ms = age_ms
         self.timeout_ms = timeout_ms
         return result.Success(self._outcome)
 
@@ -68,7 +69,34 @@
         curio.run(handler.handle, request)
         age_ms = time.time() * 1000 - client.command.submitted_ms
         self.assertGreaterEqual(age_ms, 5000)
-        self.assertEqual(received_ms, client.received_ms)
+        self.assertGreaterEqual(client.age_ms, 5000)
+
+    def test_request_that_waited_while_the_vm_was_suspended(self):
+        """The monotonic clock, by which its age is known, stood still."""
+        for method in ('POST', 'DELETE'):
+            for received_before_ms, expected_age_ms in ((100, 5100), (-1, 0)):
+                with self.subTest(method=method, age_ms=expected_age_ms):
+                    self._check_age(
+                        method, received_before_ms, expected_age_ms
+                    )
+
+    def _check_age(self, method, received_before_ms, expected_age_ms):
+        suspended_ms = 7
+        detector = pauses.PauseDetector(lambda: suspended_ms)
+        client = _Client(outcomes.WorkflowOutcome('queued'))
+        handler = _callers.CallerHandler(client, detector)
+        resumed_ms = time.monotonic_ns() // 1_000_000
+        suspended_ms += 5000
+        detector.check(resumed_ms)
+        request = http.Request(
+            method, '/q/a', [], BODY, resumed_ms - received_before_ms
+        )
+        curio.run(handler.handle, request)
+        self.assertGreaterEqual(client.age_ms, expected_age_ms)
+        self.assertLess(client.age_ms, expected_age_ms + 4000)
+        if method == 'POST':
+            date_age_ms = time.time() * 1000 - client.command.submitted_ms
+            self.assertGreaterEqual(date_age_ms, expected_age_ms)
 
     def test_denials_are_answered_in_whole_seconds(self):
         for reason, retry_after_ms, seconds in (
