Keep late starts for an earlier process across leaders

What callers see: a task that must run once runs twice. A worker's next process has received the start of a run, is not heard any more, and carries the start out seconds later under a new leader. That leader gave the run up one lease after its election and started the task elsewhere.

Cause: only the leader that saw the process replaced knew that a start for the earlier process may be carried out until the lease that it names has passed on the clock of the next one. A leader that adopts the run counted a lease from its election.

Change: an adopted run that was placed on an earlier process of its worker waits for the uptime of that process and a lease on the clock of the present one. A clock without a reading counts from the time by which its process had started.

--- a/fuchsiatrestle/workflows/_announcing.py
+++ b/fuchsiatrestle/workflows/_announcing.py
@@ -3,13 +3,14 @@
 import msgspec
 
 from fuchsiatrestle import logs
+from fuchsiatrestle.state import commands
 from fuchsiatrestle.workflows import _crashes
 from fuchsiatrestle.workflows import _fleet
 from fuchsiatrestle.workflows import _run_ends
 from fuchsiatrestle.workflows import _runs
 from fuchsiatrestle.workflows import _stalls
 
-__all__ = ('AnnouncementHandler', 'may_end_process')
+__all__ = ('AnnouncementHandler', 'may_end_process', 'prepare_adopted_run')
 
 # Longest wait of a withdrawal for its acknowledgement.  The worker takes a
 # call as failed after a second, of which the daemon on the way needs a part.
@@ -310,6 +311,27 @@
     run.pending_order = None
 
 
+def prepare_adopted_run(worker, run):
+    """Prepares a run that an earlier leader placed on an earlier process.
+
+    That leader may have sent the start when the present process had followed,
+    which may carry it out late.
+
+    Args:
+        worker: ``Worker`` of the present process.
+        run: the ``Run``.
+    """
+    # Had the run shown to be harmless, it would be recorded as lost already.
+    run.earlier_start_outcome = commands.StartOutcome.MAY_HAVE_CRASHED
+    max_uptime_ms = worker.record.born_ms - run.live_run.born_ms
+    if max_uptime_ms < 0:
+        # The time of day was set back, so the two starts do not tell.
+        max_uptime_ms = MAX_UPTIME_MS
+    run.earlier_lease_end_ms = worker.lease_clock.latest_lease_end_ms(
+        max_uptime_ms
+    )
+
+
 def _is_of_current_process(withdrawal, worker):
     if withdrawal.born_ms:
         return withdrawal.born_ms == worker.record.born_ms
--- a/fuchsiatrestle/workflows/_clock.py
+++ b/fuchsiatrestle/workflows/_clock.py
@@ -27,6 +27,8 @@
             before may still be on their way, but name an end of the lease by
             the worker's clock, so their delay does not prolong it.  None if
             no other leader ever gave the worker a lease.
+        alive_by_ms: monotonic time by which the process of the worker had
+            started, None if it is unknown.
     """
 
     __slots__ = (
@@ -37,9 +39,10 @@
         '_clock_reading_ms',
         '_earlier_process_until_ms',
         '_longest_lease_ms',
+        '_alive_by_ms',
     )
 
-    def __init__(self, lease_ms, sole_leader_since_ms=None):
+    def __init__(self, lease_ms, sole_leader_since_ms=None, alive_by_ms=None):
         self._lease_ms = lease_ms
         self._sole_leader_since_ms = sole_leader_since_ms
         self._clock_reading_ms = None
@@ -47,6 +50,7 @@
         self._lease_end_worker_clock_ms = None
         self._earlier_process_until_ms = None
         self._longest_lease_ms = lease_ms
+        self._alive_by_ms = alive_by_ms
 
     @property
     def is_clock_known(self):
@@ -176,7 +180,7 @@
             worker_clock_ms: time on the worker's clock.
             now_ms: monotonic time.
         """
-        if self._clock_reading_ms is None:
+        if self._clock_reading_ms is None and self._alive_by_ms is None:
             return False
         min_clock_ms = self._min_worker_clock_ms(now_ms)
         return min_clock_ms > worker_clock_ms + CLOCK_ROUNDING_MARGIN_MS
@@ -192,7 +196,12 @@
         )
 
     def _min_worker_clock_ms(self, now_ms):
-        """Returns the least that the worker's clock can show now."""
+        """Returns the least that the worker's clock can show now.
+
+        Its clock begins with its process.
+        """
+        if self._clock_reading_ms is None:
+            return (now_ms - self._alive_by_ms) * MIN_CLOCK_RATE
         return (
             self._clock_reading_ms
             + (now_ms - self._reading_received_ms) * MIN_CLOCK_RATE
--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -191,11 +191,7 @@
                 live_run.task
             )
             if worker.record.born_ms != live_run.born_ms:
-                # Had the run shown to be harmless, it would be recorded as
-                # lost already.
-                run.earlier_start_outcome = (
-                    commands.StartOutcome.MAY_HAVE_CRASHED
-                )
+                _announcing.prepare_adopted_run(worker, run)
             if run.is_best_effort:
                 self._adopt_pace(run, worker)
             worker.add_run(run)
--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -445,14 +445,14 @@
 
         That leader may have given it a lease that still runs.
         """
-        lease_clock = self._make_lease_clock(now_ms)
+        lease_clock = self._make_lease_clock(now_ms, now_ms)
         worker = Worker(record, lease_clock)
         self._workers[record.worker] = worker
         return worker
 
     def add_worker(self, record, now_ms):
         """Adds and returns a new process of a worker, without runs."""
-        worker = Worker(record, self._make_lease_clock(None))
+        worker = Worker(record, self._make_lease_clock(None, now_ms))
         if record.worker in self._workers:
             worker.lease_clock.record_earlier_process(
                 self._timing.longest_lease_ms, now_ms
@@ -475,10 +475,9 @@
             and worker.accepts_placements(now_ms, announce_ms)
         ]
 
-    def _make_lease_clock(self, sole_leader_since_ms):
+    def _make_lease_clock(self, sole_leader_since_ms, alive_by_ms):
         return _clock.LeaseClock(
-            self._timing.lease_ms,
-            sole_leader_since_ms,
+            self._timing.lease_ms, sole_leader_since_ms, alive_by_ms
         )
 
 
--- a/tests/workflows/test_run_ends.py
+++ b/tests/workflows/test_run_ends.py
@@ -300,6 +300,39 @@
         world.run(LEASE_MS)
         self.assertEqual([], world.ledger.breaches)
 
+    def test_start_that_the_next_life_carries_out_late_under_a_new_leader(
+        self,
+    ):
+        """The lease that it takes begins when it carries the start out."""
+        for late_ms in (500, 3000, 5500):
+            for restores in (False, True):
+                with self.subTest(late_ms=late_ms, restores=restores):
+                    self._carry_out_late(late_ms, restores)
+
+    def _carry_out_late(self, late_ms, restores):
+        world = dispatch_world.World(4, workers=1)
+        world.run(20_000)
+        world.startless_workers.add('w0')
+        world.submit('w', [LASTING_STEP], [ENDLESS_PROFILE])
+        world.run(300)
+        _, start_order = world.start_orders[-1]
+        world.deaf_workers.add('w0')
+        world.crash_worker('w0', 50)
+        world.run(150)
+        # The next process has received the order by now.
+        world.call_later(late_ms, world._execute_order, start_order)
+        world.unreachable_workers.add('w0')
+        if restores:
+            world.restore_replicas()
+        else:
+            world.start_leader()
+        world.add_worker('w1')
+        world.run(2 * LEASE_MS)
+        self.assertEqual([], world.ledger.breaches)
+        world.run(20_000 + LEASE_MS)
+        self._assert_runs_elsewhere(world, 'w0')
+        self.assertEqual([], world.ledger.breaches)
+
 
 class ForgottenEndTest(_EndsTest):
     """A worker forgets the ends that it is told are agreed."""
