Agree that a silent worker gets no leases

What callers see: a lasting task does not run again while leaders change every 2 s, beside a free worker; its own worker is cut off for good.

Cause: a leader gives a silent worker no lease, but only it knows. The next one takes the last lease to have been given at its election, so that it ends only under a leader that leads for longer than a lease.

Change: that a worker is silent is agreed, and that it is heard again, and it gets no lease in between. Each replica notes by its own clock when it applied the first; the last lease was given before. Nothing is proposed while over a quarter of the workers with runs are silent.

--- a/fuchsiatrestle/control/_leader.py
+++ b/fuchsiatrestle/control/_leader.py
@@ -95,9 +95,19 @@
         timing: ``workflows.Timing``.
         now_ms: monotonic time of the start of the services, in milliseconds.
         features: ``workflows.Features``; None if none is switched on.
+        silence_times: ``workflows.SilenceTimes`` of this replica.
     """
 
-    def __init__(self, name, term, machine, timing, now_ms, features=None):
+    def __init__(
+        self,
+        name,
+        term,
+        machine,
+        timing,
+        now_ms,
+        features=None,
+        silence_times=None,
+    ):
         self.term = term
         self._name = name
         self._machine = machine
@@ -108,7 +118,12 @@
         self._granter.step(membership.LeaderReady(term), now_ms)
         self._scheduler = scheduling.Scheduler(machine.jobs, now_ms)
         self._dispatcher = workflows.Dispatcher(
-            machine.workflows, term, timing, now_ms, features=features
+            machine.workflows,
+            term,
+            timing,
+            now_ms,
+            features=features,
+            silence_times=silence_times,
         )
         self._next_abandon_check_ms = now_ms + ABANDON_CHECK_INTERVAL_MS
         # For each owner of claims without a lease, a pair (entry,
--- a/fuchsiatrestle/control/_service.py
+++ b/fuchsiatrestle/control/_service.py
@@ -107,6 +107,7 @@
             self._machine.workflows, large_workflow_bytes
         )
         self._request_dates = _request_dates.RequestDates()
+        self._silence_times = workflows.SilenceTimes()
         self._log_bytes = log_bytes
         # Size of the entries applied since the last snapshot was made.
         self._applied_bytes = 0
@@ -344,6 +345,8 @@
             self._stop_leading()
 
     def _start_leading(self, term):
+        # Those of a snapshot that this process started from are new, too.
+        self._update_silence_times()
         self._leader_services = _leader.LeaderServices(
             self._name,
             term,
@@ -351,9 +354,15 @@
             self._timing,
             self._now_ms,
             self._features,
+            self._silence_times,
         )
         self._leader_services.update_replica_status(self._replica_status)
 
+    def _update_silence_times(self):
+        self._silence_times.update(
+            self._machine.workflows.silent_workers, self._now_ms
+        )
+
     def _stop_leading(self):
         self._leader_services = None
         for call in self._call_table.drain_accepted_calls():
@@ -379,6 +388,10 @@
         self._applied_bytes += len(entry.data)
         if isinstance(command, commands.SubmitWorkflow):
             self._large_workflows.record_applied(command, len(entry.data))
+        elif isinstance(command, commands.RecordProgress) and (
+            command.silent or command.heard
+        ):
+            self._update_silence_times()
         self._answer_proposer(entry, outcome)
         if self._leader_services is not None:
             self._handle_leader_effects(
@@ -419,6 +432,7 @@
 
     def _on_restore_snapshot(self, event):
         self._machine.restore(event.snapshot.data)
+        self._update_silence_times()
         self._large_workflows.rebuild()
         self._applied_bytes = 0
         self._snapshot_index = event.snapshot.last_index
--- a/fuchsiatrestle/state/_workflows.py
+++ b/fuchsiatrestle/state/_workflows.py
@@ -52,6 +52,7 @@
         cancels: workflows that were cancelled before they were submitted, the
             oldest first.
         cancels_dropped_ms: see ``DenialTable.dropped_ms``.
+        silent_workers: see ``WorkflowsPart.silent_workers``.
     """
 
     now_ms: int
@@ -64,6 +65,7 @@
     refusals_dropped_ms: int = 0
     cancels: list[_cancels.CancelRow] = []
     cancels_dropped_ms: int = 0
+    silent_workers: dict[str, int] = {}
 
 
 _STATE_CODEC = records.Codec(_PartState)
@@ -102,6 +104,7 @@
         self._run_times = _run_times.RunTimes()
         self._refusals = _refusals.RefusalTable()
         self._cancels = _cancels.CancelTable()
+        self._silent_workers = {}
         # Latest ``now_ms`` of a ``RecordProgress`` command, since the epoch.
         self._progress_recorded_ms = 0
         self._handlers = {
@@ -128,6 +131,14 @@
         """Registered workers, as ``WorkerRecord`` by id."""
         return self._workers
 
+    @property
+    def silent_workers(self):
+        """Log index at which it was agreed to give no leases, by worker id.
+
+        No leader gives one to a worker that is listed here.
+        """
+        return self._silent_workers
+
     @property
     def image_pairs(self):
         """Learned ``ImagePair`` by (``serving``, ``filling``) image."""
@@ -227,7 +238,17 @@
 
     def apply(self, index, command):
         """Applies one command; see ``Part.apply``."""
-        return self._handlers[type(command)](command)
+        outcome = self._handlers[type(command)](command)
+        if isinstance(command, commands.RecordProgress):
+            self._record_silence(index, command)
+        return outcome
+
+    def _record_silence(self, index, command):
+        for name in command.heard:
+            self._silent_workers.pop(name, None)
+        for name in command.silent:
+            if name in self._workers:
+                self._silent_workers.setdefault(name, index)
 
     def _submit_workflow(self, command):
         queue, workflow_id = self.documents.resolve_path(
@@ -528,6 +549,7 @@
                 self._refusals.dropped_ms,
                 self._cancels.to_rows(),
                 self._cancels.dropped_ms,
+                self._silent_workers,
             )
         )
 
@@ -557,3 +579,4 @@
         self._cancels = _cancels.CancelTable(
             snapshot.cancels, snapshot.cancels_dropped_ms
         )
+        self._silent_workers = dict(snapshot.silent_workers)
--- a/fuchsiatrestle/state/commands/_workflows.py
+++ b/fuchsiatrestle/state/commands/_workflows.py
@@ -145,6 +145,9 @@
         survived: live runs that have shown to be harmless, although their
             tasks may have crashed workers.
         begun: ids of workflows of which a worker has begun a run.
+        heard: ids of workers that may get leases again.
+        silent: ids of workers that get no lease from the proposal on, before
+            it is agreed that they are heard.
     """
 
     token: int
@@ -157,6 +160,8 @@
     moved: list[workflows.LiveRun] = []
     survived: list[workflows.LiveRun] = []
     begun: list[str] = []
+    heard: list[str] = []
+    silent: list[str] = []
 
 
 RECORD_CLASSES = (
--- a/fuchsiatrestle/workflows/__init__.py
+++ b/fuchsiatrestle/workflows/__init__.py
@@ -19,9 +19,10 @@
 from fuchsiatrestle.workflows._driver import MAX_SEND_MS
 from fuchsiatrestle.workflows._events import *
 from fuchsiatrestle.workflows._settings import *
+from fuchsiatrestle.workflows._silence_times import SilenceTimes
 
 __all__ = (
     _events.__all__
     + _settings.__all__
-    + ('MAX_SEND_MS', 'Dispatcher', 'Driver')
+    + ('MAX_SEND_MS', 'Dispatcher', 'Driver', 'SilenceTimes')
 )
--- a/fuchsiatrestle/workflows/_answers.py
+++ b/fuchsiatrestle/workflows/_answers.py
@@ -234,6 +234,10 @@
         if reply.born_ms == worker.record.born_ms:
             self._record_life_sign(worker, reply, worker.poll_sent_ms)
         worker.next_poll_ms = self._dispatch_state.now_ms
+        if worker.is_lease_withheld:
+            self._dispatch_state.resume_leases(worker)
+        if worker.is_lease_withheld:
+            worker.next_poll_ms += _fleet.RETRY_MIN_MS
         worker.listed_ms = self._dispatch_state.now_ms
         _update_acknowledged_end(worker, order, reply)
         if not worker.has_seen_token:
--- a/fuchsiatrestle/workflows/_book.py
+++ b/fuchsiatrestle/workflows/_book.py
@@ -107,6 +107,35 @@
 
     # Changes
 
+    def withhold_leases(self, worker):
+        """Gives a silent worker no leases, and proposes that none does.
+
+        Later leaders know then when its last lease was given.
+        """
+        worker.is_lease_withheld = True
+        self.proposals.add_silent_worker(worker.name)
+
+    def resume_leases(self, worker):
+        """Lets a worker that is heard get leases, once that is agreed."""
+        name = worker.name
+        if (
+            name in self.workflow_store.silent_workers
+            or self.proposals.is_silence_pending(name)
+        ):
+            self.proposals.add_heard_worker(name)
+        else:
+            self.proposals.drop_silent_worker(name)
+            worker.is_lease_withheld = False
+
+    def update_silence(self, worker):
+        """Updates whether a worker may get leases, by what is agreed."""
+        name = worker.name
+        worker.is_lease_withheld = (
+            name in self.workflow_store.silent_workers
+            or self.proposals.is_silence_pending(name)
+            or self.proposals.will_be_silent(name)
+        )
+
     def propose_worker_record(self, worker):
         """Proposes the record of a worker to be agreed."""
         self.proposals.add_worker_record(worker.record)
--- a/fuchsiatrestle/workflows/_clock.py
+++ b/fuchsiatrestle/workflows/_clock.py
@@ -22,11 +22,11 @@
 
     Args:
         lease_ms: duration of the leases that this leader and all others give.
-        sole_leader_since_ms: monotonic time from which only this leader makes
-            orders that extend the lease.  Orders that earlier leaders made
-            before may still be on their way, but name an end of the lease by
-            the worker's clock, so their delay does not prolong it.  None if
-            no other leader ever gave the worker a lease.
+        sole_leader_since_ms: monotonic time from which only this leader, or
+            none, makes orders that extend the lease.  Orders that earlier
+            leaders made before may still be on their way, but name an end of
+            the lease by the worker's clock, so their delay does not prolong
+            it.  None if no other leader ever gave the worker a lease.
         alive_by_ms: monotonic time by which the process of the worker had
             started, None if it is unknown.
     """
--- a/fuchsiatrestle/workflows/_dispatcher.py
+++ b/fuchsiatrestle/workflows/_dispatcher.py
@@ -27,6 +27,10 @@
 
 # Interval at which changed image pairs are added to the next proposal.
 IMAGE_PAIR_PROPOSAL_INTERVAL_MS = 1000
+# Largest share of the workers with runs that are taken for silent; as many as
+# the minimum are in any case.
+MAX_SILENT_SHARE = 0.25
+MIN_SILENT_WORKERS = 2
 
 GIVEN_UP_TASKS = metrics.declare(
     'workflows.given_up', 'Tasks given up because they crash their workers.'
@@ -48,6 +52,7 @@
         now_ms: monotonic time, in milliseconds.
         placer: ``Placer``; that of the policies by default.
         features: ``Features``; by default none is switched on.
+        silence_times: ``SilenceTimes`` of this replica; None if it has none.
     """
 
     def __init__(
@@ -58,6 +63,7 @@
         now_ms,
         placer=None,
         features=None,
+        silence_times=None,
     ):
         features = features or _settings.Features()
         self._state = _book.DispatchState(
@@ -109,7 +115,7 @@
         self._interference_model.adopt_image_pairs(
             workflow_store.image_pairs.values()
         )
-        self._adopt_agreed_runs()
+        self._adopt_agreed_runs(silence_times)
 
     def step(self, event, now_ms):
         """Handles one event; see ``core.Core``."""
@@ -161,9 +167,15 @@
 
     # Start of the leadership
 
-    def _adopt_agreed_runs(self):
+    def _adopt_agreed_runs(self, silence_times):
         for record in self._state.workflow_store.worker_records.values():
-            self._state.fleet.adopt_worker(record, self._state.now_ms)
+            silent_since_ms = None
+            if silence_times is not None:
+                silent_since_ms = silence_times.find_ms(record.worker)
+            worker = self._state.fleet.adopt_worker(
+                record, self._state.now_ms, silent_since_ms
+            )
+            self._state.update_silence(worker)
         # Best-effort runs come last: what they may disturb is known by then.
         live_runs = sorted(
             self._state.workflow_store.live_runs(), key=self._is_best_effort
@@ -269,6 +281,7 @@
         self._last_tick_ms = self._state.now_ms
         self._state.placement_due = True
         self._propose_image_pairs()
+        self._withhold_leases()
         for worker in self._state.fleet:
             worker.forget_failed_starts(self._state.now_ms)
             self._check_lost_worker(worker)
@@ -291,6 +304,25 @@
         for pair in self._interference_model.changed_image_pairs(agreed_pairs):
             self._state.proposals.add_image_pair(pair)
 
+    def _withhold_leases(self):
+        """Proposes that silent workers with runs get no leases.
+
+        None is proposed while many of them are silent: this process, or the
+        way to it, is at fault then, and most will soon be heard again.  They
+        would get no lease before that is agreed.
+        """
+        used_workers = [worker for worker in self._state.fleet if worker.runs]
+        silent_workers = [
+            worker for worker in used_workers if worker.is_unresponsive
+        ]
+        if len(silent_workers) > max(
+            MIN_SILENT_WORKERS, len(used_workers) * MAX_SILENT_SHARE
+        ):
+            return
+        for worker in silent_workers:
+            if not worker.is_lease_withheld:
+                self._state.withhold_leases(worker)
+
     def _check_lost_worker(self, worker):
         """Records the runs of a worker as lost that its lease has ended."""
         if not worker.is_unresponsive:
@@ -350,6 +382,12 @@
         worker_names |= self._stop_runs_of_ended_tasks(
             (*command.ends, *command.lost)
         )
+        for name in command.heard:
+            worker = self._state.fleet.get(name)
+            if worker is not None:
+                self._state.update_silence(worker)
+                worker.next_poll_ms = self._state.now_ms
+                worker_names.add(name)
         for lost_run in command.lost:
             self._log_given_up_task(lost_run.task)
         self._send_due_orders_to(worker_names)
--- a/fuchsiatrestle/workflows/_fleet.py
+++ b/fuchsiatrestle/workflows/_fleet.py
@@ -61,6 +61,8 @@
         lease_clock: ``LeaseClock`` of the worker.
         life_signs: ``LifeSigns`` of the process.
         newest_clock_ms: highest reading of its clock, None before the first.
+        is_lease_withheld: True if it gets no leases, as it was silent and it
+            is not agreed yet that it is heard again.
         has_seen_token: True once it accepted a poll with the fencing token
             of this leader.
         awaited_orders: all orders to this process that wait for a reply.
@@ -100,6 +102,7 @@
         'failed_start_ms',
         'has_seen_token',
         'is_cold',
+        'is_lease_withheld',
         'last_announced_ms',
         'last_replied_ms',
         'lease_clock',
@@ -134,6 +137,7 @@
         self.lease_clock = lease_clock
         self.life_signs = _clock.LifeSigns()
         self.newest_clock_ms = None
+        self.is_lease_withheld = False
         self.has_seen_token = False
         self.awaited_orders = []
         self.pending_poll = None
@@ -301,6 +305,8 @@
             return False
         if now_ms < self.paused_until_ms or self.is_unresponsive:
             return False
+        if self.is_lease_withheld:
+            return False
         return not has_missed_announcements(
             self.last_announced_ms, now_ms, announce_ms
         )
@@ -440,12 +446,18 @@
         """
         return self._workers.get(name)
 
-    def adopt_worker(self, record, now_ms):
+    def adopt_worker(self, record, now_ms, silent_since_ms=None):
         """Adds and returns a worker that an earlier leader registered.
 
         That leader may have given it a lease that still runs.
+
+        Args:
+            record: its ``WorkerRecord``.
+            now_ms: monotonic time.
+            silent_since_ms: see ``SilenceTimes.find_ms``.
         """
-        lease_clock = self._make_lease_clock(now_ms, now_ms)
+        last_lease_ms = now_ms if silent_since_ms is None else silent_since_ms
+        lease_clock = self._make_lease_clock(last_lease_ms, now_ms)
         worker = Worker(record, lease_clock)
         self._workers[record.worker] = worker
         return worker
@@ -453,7 +465,9 @@
     def add_worker(self, record, now_ms):
         """Adds and returns a new process of a worker, without runs."""
         worker = Worker(record, self._make_lease_clock(None, now_ms))
-        if record.worker in self._workers:
+        previous_worker = self._workers.get(record.worker)
+        if previous_worker is not None:
+            worker.is_lease_withheld = previous_worker.is_lease_withheld
             worker.lease_clock.record_earlier_process(
                 self._timing.longest_lease_ms, now_ms
             )
--- a/fuchsiatrestle/workflows/_orders.py
+++ b/fuchsiatrestle/workflows/_orders.py
@@ -117,9 +117,9 @@
         """Returns the order that is due for a run, or None."""
         record = worker.record
         if run.phase == _Phase.STARTING and run.started_ms is None:
-            if worker.is_unresponsive or (
-                run.adopted and not worker.has_seen_token
-            ):
+            if worker.is_unresponsive or worker.is_lease_withheld:
+                return None
+            if run.adopted and not worker.has_seen_token:
                 return None
             if self._has_missed_announcements(worker, now_ms):
                 # If this leader has stood still, another one may have started
@@ -268,7 +268,9 @@
         if worker.earlier_record is not None:
             return True
         is_usable = (
-            not worker.is_unresponsive and worker.lease_clock.is_clock_known
+            not worker.is_unresponsive
+            and not worker.is_lease_withheld
+            and worker.lease_clock.is_clock_known
         )
         if is_usable or worker.last_announced_ms is None:
             return False
@@ -295,7 +297,11 @@
         refuses the polls, the lease would never count as expired.  The runs of
         one that leaves are to end.
         """
-        return not worker.is_unresponsive and worker.withdrawn_ms is None
+        return (
+            not worker.is_unresponsive
+            and not worker.is_lease_withheld
+            and worker.withdrawn_ms is None
+        )
 
     def _must_renew_lease(self, worker, now_ms):
         if not self._may_extend_lease(worker):
@@ -314,6 +320,7 @@
             not has_dispatched_runs
             or not worker.has_seen_token
             or worker.is_unresponsive
+            or worker.is_lease_withheld
         ):
             return 0
         if any(run.phase == _Phase.STOPPING for run in worker.runs.values()):
--- a/fuchsiatrestle/workflows/_proposals.py
+++ b/fuchsiatrestle/workflows/_proposals.py
@@ -40,6 +40,8 @@
         # Ids as the keys of a dict, which keeps their order.
         self._begun_workflows = {}
         self._begun_since_wall_ms = None
+        # Whether workers are silent now, by their ids; the latest change.
+        self._silence_changes = {}
 
     @property
     def is_idle(self):
@@ -76,6 +78,37 @@
         if pending is None or workflow_id not in pending.begun:
             self._begun_workflows[workflow_id] = None
 
+    def add_silent_worker(self, name):
+        """Adds the id of a worker that gets no leases from now on."""
+        self._silence_changes[name] = True
+
+    def add_heard_worker(self, name):
+        """Adds the id of a worker that may get leases once that is agreed."""
+        pending = self._pending_command
+        if pending is None or name not in pending.heard:
+            self._silence_changes[name] = False
+
+    def drop_silent_worker(self, name):
+        """Forgets that a worker is silent if that was not proposed yet."""
+        self._silence_changes.pop(name, None)
+
+    def is_silence_pending(self, name):
+        """True if a pending proposal says that a worker is silent.
+
+        Args:
+            name: id of the worker.
+        """
+        pending = self._pending_command
+        return pending is not None and name in pending.silent
+
+    def will_be_silent(self, name):
+        """True if the next proposal says that a worker is silent.
+
+        Args:
+            name: id of the worker.
+        """
+        return self._silence_changes.get(name, False)
+
     def add_image_pair(self, pair):
         """Adds an ``ImagePair``, replacing one of the same two images."""
         self._image_pairs[pair.serving, pair.filling] = pair
@@ -106,6 +139,7 @@
             self._moved_runs,
             self._survived_runs,
             list(self._begun_workflows),
+            *self._take_silence_changes(),
         )
         self._pending_command = command
         self._last_report_wall_ms = wall_ms
@@ -120,6 +154,15 @@
         self._begun_since_wall_ms = None
         return [_events.Propose(command)]
 
+    def _take_silence_changes(self):
+        """Returns the lists of the workers that are heard and silent now."""
+        changes = self._silence_changes
+        self._silence_changes = {}
+        return (
+            [name for name, is_silent in changes.items() if not is_silent],
+            [name for name, is_silent in changes.items() if is_silent],
+        )
+
     def _is_begin_due(self, wall_ms):
         """True if a workflow has begun and no proposal was made for a while.
 
@@ -163,6 +206,7 @@
             or self._placed_runs
             or self._moved_runs
             or self._survived_runs
+            or self._silence_changes
         )
 
     def end_agreed_proposal(self, command):
@@ -197,4 +241,9 @@
             **dict.fromkeys(command.begun),
             **self._begun_workflows,
         }
+        self._silence_changes = {
+            **dict.fromkeys(command.heard, False),
+            **dict.fromkeys(command.silent, True),
+            **self._silence_changes,
+        }
         return command.placed
--- a/tests/control/test_service.py
+++ b/tests/control/test_service.py
@@ -69,6 +69,41 @@
 
 
 class ServiceTest(ServiceCase):
+    def _silence_worker(self):
+        """Applies that a worker is silent; returns a snapshot of the state."""
+        record = records.WorkerRecord(
+            'w', 1, 'host:1', 'pool', 'dc', 1, 1, 0, []
+        )
+        progress = commands.RecordProgress(
+            1, 1, workers=[record], silent=['w']
+        )
+        self._apply_command(1, 1, commands.CODEC.encode(progress))
+        return agreement.Snapshot(1, 1, [], self.service.machine.snapshot())
+
+    def _find_silence_ms(self):
+        return self.service._silence_times.find_ms('w')
+
+    def test_leader_knows_since_when_workers_are_silent(self):
+        """A lease that each leader took to begin with it never ended."""
+        self._silence_worker()
+        silent_ms = self.now_ms
+        self.now_ms += 5000
+        self._become_leader()
+        self.assertEqual(silent_ms, self._find_silence_ms())
+        snapshot = agreement.Snapshot(
+            2, 1, [], self.service.machine.snapshot()
+        )
+        self._step(agreement.RestoreSnapshot(1, snapshot))
+        self.assertEqual(silent_ms, self._find_silence_ms())
+
+    def test_process_that_starts_from_a_snapshot_knows_no_earlier_time(self):
+        """Its clock may have been at any time when the worker fell silent."""
+        snapshot = self._silence_worker()
+        self.service = _service.Service('c1', 100, snapshot)
+        self.now_ms = 70_000
+        self._become_leader()
+        self.assertGreater(self._find_silence_ms(), 70_000)
+
     def test_only_the_ready_leader_serves(self):
         roles = (
             None,
--- a/tests/fakes/dispatch_world.py
+++ b/tests/fakes/dispatch_world.py
@@ -158,6 +158,7 @@
         now_ms: virtual time, in milliseconds.
         faults: ``Faults``.
         machine: the replicated state machine.
+        silence_times: ``workflows.SilenceTimes`` of all replicas.
         profiles_by_workflow: list of ``worker_model.TaskProfile`` by workflow
             id, one for each step.
         unreachable_workers: names of workers without any connection.
@@ -217,6 +218,7 @@
         self.ledger.max_failures = MAX_FAILURES
         self.machine = machine.StateMachine()
         self.workflow_store = self.machine.workflows
+        self.silence_times = workflows.SilenceTimes()
         self.profiles_by_workflow = {}
         self.unreachable_workers = set()
         self.deaf_workers = set()
@@ -336,6 +338,7 @@
             self._timing,
             self.now_ms,
             features=self._features,
+            silence_times=self.silence_times,
         )
 
     def restore_replicas(self):
@@ -345,6 +348,8 @@
         self.machine = machine.StateMachine()
         self.machine.restore(snapshot)
         self.workflow_store = self.machine.workflows
+        self.silence_times = workflows.SilenceTimes()
+        self._update_silence_times()
         self.start_leader()
 
     def stall_leader(self, duration_ms):
@@ -402,10 +407,16 @@
         """
         self._agreed_commands.append(command)
         outcome = self.machine.apply(self.machine.applied_index + 1, command)
+        self._update_silence_times()
         if self._dispatcher is not None:
             self._step_dispatcher(workflows.CommandApplied(command))
         return outcome
 
+    def _update_silence_times(self):
+        self.silence_times.update(
+            self.workflow_store.silent_workers, self.now_ms
+        )
+
     def _settle_proposal(self, token, command):
         """Applies a pending proposal of the current leader.
 
--- a/tests/workflows/test_leader_changes.py
+++ b/tests/workflows/test_leader_changes.py
@@ -106,6 +106,80 @@
             world.run(LEADER_MS)
         self._check_runs_elsewhere(world, worker)
 
+    def test_task_of_silent_worker_runs_again_after_a_restart_of_all(self):
+        """What is kept of its silence is part of snapshots."""
+        world, worker = self._start_world(6000)
+        world.unreachable_workers.add(worker)
+        world.run(2000)
+        world.restore_replicas()
+        self.assertIn(worker, world.workflow_store.silent_workers)
+        for _ in range(MAX_WAIT_MS // LEADER_MS):
+            world.start_leader()
+            world.run(LEADER_MS)
+        self._check_runs_elsewhere(world, worker)
+
+    def test_lease_of_worker_that_is_heard_again_counts_for_later_leaders(
+        self,
+    ):
+        """One given before that was agreed let its task run twice."""
+        for heard_ms in (200, 1000, 2500):
+            for agreement_ms in (0, 300, 3000):
+                with self.subTest(
+                    heard_ms=heard_ms, agreement_ms=agreement_ms
+                ):
+                    self._check_lease_after_silence(heard_ms, agreement_ms)
+
+    def _check_lease_after_silence(self, heard_ms, agreement_ms):
+        world, worker = self._start_world(6000)
+        world.unreachable_workers.add(worker)
+        world.run(2000)
+        self.assertIn(worker, world.workflow_store.silent_workers)
+        world.added_agreement_ms = agreement_ms
+        world.unreachable_workers.clear()
+        world.run(heard_ms)
+        world.added_agreement_ms = 0
+        world.unreachable_workers.add(worker)
+        world.start_leader()
+        world.run(2 * MAX_WAIT_MS)
+        self._check_runs_elsewhere(world, worker)
+
+    def test_leases_go_on_after_a_cut_of_the_leader(self):
+        """Each worker would wait until it is agreed that it is heard."""
+        world = dispatch_world.World(4, workers=12)
+        for number in range(12):
+            world.submit_task(f'lasting-{number}', 5000)
+        world.run(3000)
+        world.unreachable_workers.update(world.worker_names())
+        world.run(2500)
+        self.assertEqual({}, world.workflow_store.silent_workers)
+        world.added_agreement_ms = 3000
+        world.unreachable_workers.clear()
+        world.run(MAX_WAIT_MS)
+        self.assertEqual(12, len(world.ledger.running))
+        self.assertEqual({1}, {run for _, run in world.ledger.running})
+
+    def test_worker_that_was_silent_gets_tasks_again(self):
+        for crashes in (False, True):
+            with self.subTest(crashes=crashes):
+                world, worker = self._start_world(6000)
+                world.unreachable_workers.add(worker)
+                world.run(2000)
+                if crashes:
+                    world.crash_worker(worker, 100)
+                world.unreachable_workers.clear()
+                world.start_leader()
+                world.run(MAX_WAIT_MS)
+                self.assertEqual({}, world.workflow_store.silent_workers)
+                self.assertEqual(1, len(world.ledger.running))
+                world.submit_task('first', 7000, 1000)
+                world.submit_task('second', 7000, 1000)
+                world.run(MAX_WAIT_MS)
+                for workflow_id in ('first', 'second'):
+                    self.assertEqual(
+                        'completed', world.workflow_state(workflow_id)
+                    )
+                self.assertEqual([], world.ledger.breaches)
+
     def _cut_off_after_polls(self, world, worker, poll_count):
         """Cuts off a worker once its next process has answered some polls."""
         next_process_after_ms = world.now_ms
