Limit the memory of open small workflows

What operators see: a client hands in small workflows that are due much later, without end. All are accepted, and the leader runs out of memory.

Further ones get an agreed refusal, 429 with Retry-After 10 s; copies of accepted ones their answer. Of ended ones the latest 2,000 are kept with their tasks.

--- a/fuchsiatrestle/control/_daemon.py
+++ b/fuchsiatrestle/control/_daemon.py
@@ -210,6 +210,9 @@
             large_workflow_bytes=self._cfg.get(
                 'state', 'large_workflow_bytes'
             ),
+            small_workflow_bytes=self._cfg.get(
+                'state', 'small_workflow_bytes'
+            ),
         )
         replica = agreement.Replica(
             self._cfg.get('control', 'cell'),
--- a/fuchsiatrestle/control/_large_workflows.py
+++ b/fuchsiatrestle/control/_large_workflows.py
@@ -2,13 +2,13 @@
 
 Bodies of legal size, each accepted, would fill the memory of the leader.  The
 leader refuses further large workflows before they are proposed.  Small ones
-are accepted all the same, so that a caller with large ones does not shut out
-the others.
+have a limit of their own, see ``_small_workflows``, so that a caller with
+large ones does not shut out the others.
 """
 
 import msgspec
 
-__all__ = ('LARGE_BYTES', 'LargeWorkflows')
+__all__ = ('LARGE_BYTES', 'LargeWorkflows', 'estimate_bytes')
 
 # Memory of a workflow from which on it counts as large.  It has 150 tasks or
 # more, or long texts.
@@ -43,7 +43,7 @@
             spec_bytes = len(msgspec.msgpack.encode(workflow.spec))
             self._add(
                 workflow.workflow_id,
-                _estimate_bytes(workflow.spec, spec_bytes),
+                estimate_bytes(workflow.spec, spec_bytes),
             )
 
     def may_propose(self, command, command_bytes):
@@ -53,7 +53,7 @@
             command: the ``commands.SubmitWorkflow``.
             command_bytes: size of its encoding, in bytes.
         """
-        workflow_bytes = _estimate_bytes(command.spec, command_bytes)
+        workflow_bytes = estimate_bytes(command.spec, command_bytes)
         if (
             workflow_bytes < LARGE_BYTES
             or self._used_bytes + workflow_bytes <= self._max_bytes
@@ -72,7 +72,7 @@
             command: the command.
             command_bytes: size of its encoding, in bytes.
         """
-        workflow_bytes = _estimate_bytes(command.spec, command_bytes)
+        workflow_bytes = estimate_bytes(command.spec, command_bytes)
         if workflow_bytes < LARGE_BYTES:
             return
         workflow_id = self._find_submitted_id(command)
@@ -102,7 +102,12 @@
                 self._used_bytes -= self._bytes_by_id.pop(workflow_id)
 
 
-def _estimate_bytes(spec, spec_bytes):
-    """Returns the memory that a workflow takes, in bytes, as an estimate."""
+def estimate_bytes(spec, spec_bytes):
+    """Returns the memory that a workflow takes, in bytes, as an estimate.
+
+    Args:
+        spec: the ``WorkflowSpec``.
+        spec_bytes: size of its encoding, in bytes.
+    """
     task_count = sum(step.count for step in spec.steps)
     return spec_bytes + TASK_BYTES * task_count * max(1, spec.occurrences)
--- a/fuchsiatrestle/control/_service.py
+++ b/fuchsiatrestle/control/_service.py
@@ -13,6 +13,7 @@
 from fuchsiatrestle.control import _leader
 from fuchsiatrestle.control import _refusals
 from fuchsiatrestle.control import _request_dates
+from fuchsiatrestle.control import _small_workflows
 from fuchsiatrestle import core
 from fuchsiatrestle import messages
 from fuchsiatrestle import metrics
@@ -32,15 +33,21 @@
 # Defaults of the settings of the same names in section ``[state]``.
 DEFAULT_LOG_BYTES = 16 * 1024 * 1024
 DEFAULT_LARGE_WORKFLOW_BYTES = 96 * 1024 * 1024
+DEFAULT_SMALL_WORKFLOW_BYTES = 64 * 1024 * 1024
 # Limit of calls that wait for the next tick, which requests one read for all
 # of them.
 MAX_CALLS_FOR_NEXT_READ = 5000
 
 APPLIED_INDEX = metrics.declare('agreement.applied', 'Applied log index.')
 SNAPSHOTS_TAKEN = metrics.declare('agreement.snapshots', 'Snapshots taken.')
-# Time after which a caller may submit a large workflow again.  The memory gets
-# free as ended workflows are forgotten, which goes on all the time.
-LARGE_WORKFLOW_RETRY_MS = 10_000
+# Time after which a caller may submit a workflow again that had no room.  The
+# memory gets free as workflows end or are forgotten, which goes on all the
+# time.
+MEMORY_RETRY_MS = 10_000
+SMALL_WORKFLOW_REFUSED = metrics.declare(
+    'refused.small_workflow',
+    'Small workflows refused as those accepted fill their memory (429).',
+)
 LARGE_WORKFLOW_REFUSED = metrics.declare(
     'refused.large_workflow',
     'Large workflows refused as those accepted fill their memory (429).',
@@ -85,6 +92,7 @@
         log_bytes: size of the applied entries after which a snapshot is made
             before ``snapshot_entries`` are reached.
         large_workflow_bytes: limit of the memory of large workflows.
+        small_workflow_bytes: limit of the memory of other open workflows.
     """
 
     def __init__(
@@ -97,6 +105,7 @@
         *,
         log_bytes=DEFAULT_LOG_BYTES,
         large_workflow_bytes=DEFAULT_LARGE_WORKFLOW_BYTES,
+        small_workflow_bytes=DEFAULT_SMALL_WORKFLOW_BYTES,
     ):
         self._name = name
         self._timing = timing or workflows.Timing()
@@ -106,6 +115,9 @@
         self._large_workflows = _large_workflows.LargeWorkflows(
             self._machine.workflows, large_workflow_bytes
         )
+        self._small_workflows = _small_workflows.SmallWorkflows(
+            self._machine.workflows, small_workflow_bytes
+        )
         self._request_dates = _request_dates.RequestDates()
         self._silence_times = workflows.SilenceTimes()
         self._log_bytes = log_bytes
@@ -124,6 +136,7 @@
         if snapshot is not None:
             self._machine.restore(snapshot.data)
             self._large_workflows.rebuild()
+            self._small_workflows.rebuild()
             self._snapshot_index = snapshot.last_index
         self._handlers = {
             _events.Tick: self._on_tick,
@@ -236,7 +249,12 @@
             return command
         if not self._large_workflows.may_propose(command, command_bytes):
             metrics.count(LARGE_WORKFLOW_REFUSED)
-            return self._make_refusal(command, LARGE_WORKFLOW_RETRY_MS)
+            return self._make_refusal(command, MEMORY_RETRY_MS)
+        if not self._small_workflows.may_propose(
+            command, command_bytes, self._now_ms
+        ):
+            metrics.count(SMALL_WORKFLOW_REFUSED)
+            return self._make_refusal(command, MEMORY_RETRY_MS)
         refusal = self._leader_services.find_refusal(command, self._now_ms)
         if refusal is not None:
             return refusal
@@ -388,6 +406,7 @@
         self._applied_bytes += len(entry.data)
         if isinstance(command, commands.SubmitWorkflow):
             self._large_workflows.record_applied(command, len(entry.data))
+            self._small_workflows.record_applied(command, len(entry.data))
         elif isinstance(command, commands.RecordProgress) and (
             command.silent or command.heard
         ):
@@ -434,6 +453,7 @@
         self._machine.restore(event.snapshot.data)
         self._update_silence_times()
         self._large_workflows.rebuild()
+        self._small_workflows.rebuild()
         self._applied_bytes = 0
         self._snapshot_index = event.snapshot.last_index
 
--- a/fuchsiatrestle/control/_settings.py
+++ b/fuchsiatrestle/control/_settings.py
@@ -53,6 +53,14 @@
             min_value=1048576,
             max_value=1 << 40,
         ),
+        # Memory of the other workflows that are open, together; further ones
+        # are refused.
+        settings.IntOption(
+            'small_workflow_bytes',
+            67108864,
+            min_value=1048576,
+            max_value=1 << 40,
+        ),
     ),
     # See ``workflows.Features``.
     settings.Section(
--- a/fuchsiatrestle/state/_workflows.py
+++ b/fuchsiatrestle/state/_workflows.py
@@ -25,6 +25,8 @@
 # leader looks at those submitted in the last two minutes.  Kept for as long as
 # the state, 50 workflows of 20 tasks a second would take some 500 MB.
 DETAIL_RETENTION_MS = 120_000
+# Clients may cancel workflows as fast as they submit them.
+MAX_DETAILED_ENDED = 2000
 MAX_IMAGE_PAIRS = 4096
 # A run was placed recently if less than this has passed from its placement to
 # the last recorded progress.  Later, a crash at its start would be recorded,
@@ -111,7 +113,8 @@
         self._workflows = {}
         self._open_workflows_by_id = {}
         # Ended workflows that are kept with their tasks, the oldest first, and
-        # those without them, by id, the oldest first.
+        # those without them, by id, in the order in which the tasks were
+        # dropped.
         self._ended_workflows = collections.deque()
         self._ended_by_id = {}
         self._workers = {}
@@ -140,7 +143,8 @@
     def retained_workflows(self):
         """Iterable of every ``Workflow`` that is kept with its tasks.
 
-        It is open, or ended at most ``DETAIL_RETENTION_MS`` ago.
+        It is open, or one of the ``MAX_DETAILED_ENDED`` latest that ended,
+        less than ``DETAIL_RETENTION_MS`` ago.
         """
         return self._workflows.values()
 
@@ -172,6 +176,11 @@
         """List of the ``RefusalRow`` that are kept, the oldest first."""
         return self._refusals.to_rows()
 
+    @property
+    def known_count(self):
+        """Number of the workflows whose state is known, ended ones too."""
+        return len(self._workflows) + len(self._ended_by_id)
+
     def find_workflow(self, workflow_id):
         """Returns the ``Workflow`` with this id, or None.
 
@@ -550,27 +559,39 @@
         self._ended_workflows.append(
             _EndedWorkflow(workflow.workflow_id, now_ms)
         )
+        self._drop_old_tasks(self._progress_recorded_ms)
 
-    def _remove_expired_workflows(self):
-        """Removes what is not kept any more of the workflows that ended.
+    def _drop_old_tasks(self, now_ms):
+        """Drops the tasks of ended workflows, but of the latest ones.
 
-        Goes through those with their tasks, oldest first, and stops at the
-        first that ended lately or has a run that may still be executing.
+        It stops at the first that has a run that may still be executing.
         """
-        now_ms = self._progress_recorded_ms
         while self._ended_workflows:
             oldest_ended = self._ended_workflows[0]
             workflow = self._workflows[oldest_ended.workflow_id]
-            is_recent = oldest_ended.ended_ms > now_ms - DETAIL_RETENTION_MS
-            if is_recent or workflow.live_runs():
-                break
-            self._ended_workflows.popleft()
-            del self._workflows[oldest_ended.workflow_id]
-            self._ended_by_id[oldest_ended.workflow_id] = _EndedWorkflow(
-                oldest_ended.workflow_id,
-                oldest_ended.ended_ms,
-                workflow.public_state,
+            is_recent = (
+                oldest_ended.ended_ms > now_ms - DETAIL_RETENTION_MS
+                and len(self._ended_workflows) <= MAX_DETAILED_ENDED
             )
+            if is_recent or workflow.is_running:
+                return
+            self._ended_workflows.popleft()
+            self._drop_tasks(workflow, oldest_ended.ended_ms)
+
+    def _drop_tasks(self, workflow, ended_ms):
+        """Keeps only the state of an ended workflow."""
+        del self._workflows[workflow.workflow_id]
+        self._ended_by_id[workflow.workflow_id] = _EndedWorkflow(
+            workflow.workflow_id, ended_ms, workflow.public_state
+        )
+
+    def _remove_expired_workflows(self):
+        """Removes what is not kept any more of the workflows that ended.
+
+        Their states are dropped in the order in which their tasks were.
+        """
+        now_ms = self._progress_recorded_ms
+        self._drop_old_tasks(now_ms)
         while self._ended_by_id:
             oldest_ended = next(iter(self._ended_by_id.values()))
             if oldest_ended.ended_ms > now_ms - ENDED_RETENTION_MS:
