End runs whose starts a worker refuses by now

What callers see: a task waits beside a free worker for as long as its own worker answers polls, but neither starts nor stops.

Cause: a start order without an answer may be carried out later, so no list without the run proved its end, and each poll extends the lease. But the worker refuses a start once its clock has passed the lease that the order names.

Change: a whole list made when the worker's clock had passed the leases in all start orders for a run ends that run, if it lacks it.

--- a/fuchsiatrestle/workflows/_announcing.py
+++ b/fuchsiatrestle/workflows/_announcing.py
@@ -306,6 +306,7 @@
         )
         run.start_uncertain = True
         run.start_sent_ms = None
+        run.start_lease_end_ms = None
         run.started_ms = None
         run.phase = _Phase.STOPPING
     run.pending_order = None
--- a/fuchsiatrestle/workflows/_orders.py
+++ b/fuchsiatrestle/workflows/_orders.py
@@ -200,6 +200,9 @@
         lease_until_ms = worker.lease_clock.extend_lease(now_ms)
         if lease_until_ms is None:
             return None
+        run.start_lease_end_ms = max(
+            run.start_lease_end_ms or 0, lease_until_ms
+        )
         task_id, run_number = run.key
         workflow = self._dispatch_state.workflow_store.find_workflow(
             task_id.workflow_id
--- a/fuchsiatrestle/workflows/_run_ends.py
+++ b/fuchsiatrestle/workflows/_run_ends.py
@@ -6,6 +6,7 @@
 must not be started again.
 """
 
+from fuchsiatrestle.workflows import _clock
 from fuchsiatrestle.workflows import _runs
 
 __all__ = (
@@ -33,6 +34,9 @@
     NOT_THERE = 'not_there'
     # The same after the worker accepted its stop; it refuses the start now.
     STOPPED_UNSTARTED = 'stopped_unstarted'
+    # A list lacks it whose worker refuses all start orders for it by now, as
+    # the leases in them have ended.
+    START_TOO_LATE = 'start_too_late'
     # The process that listed it, or was alive after the last start order for
     # it had arrived, is followed by another one.
     WORKER_REBORN = 'worker_reborn'
@@ -92,6 +96,8 @@
     polled_ms = worker.poll_sent_ms
     if run.stopped_ms is not None and run.stopped_ms < polled_ms:
         return Proof.STOPPED_UNSTARTED
+    if _are_starts_too_late(worker, run, reply):
+        return Proof.START_TOO_LATE
     if may_still_start(run):
         return None
     if run.started_ms is not None and run.started_ms < polled_ms:
@@ -99,6 +105,30 @@
     return None
 
 
+def _are_starts_too_late(worker, run, reply):
+    """True if the worker refused all start orders for a run at its reply.
+
+    It refuses those of earlier leaders once it has accepted a poll of this
+    one, and others once its clock has passed the leases that they name.
+
+    Args:
+        worker: the ``Worker``.
+        run: the ``Run``.
+        reply: ``Reply`` to the newest poll of the worker's present process.
+    """
+    lease_ends_ms = [
+        lease_end_ms
+        for lease_end_ms in (run.start_lease_end_ms, run.earlier_lease_end_ms)
+        if lease_end_ms is not None
+    ]
+    if not lease_ends_ms or reply.clock_ms is None:
+        return False
+    if run.adopted and not worker.has_seen_token:
+        return False
+    last_start_ms = max(lease_ends_ms) + _clock.CLOCK_ROUNDING_MARGIN_MS
+    return reply.clock_ms > last_start_ms
+
+
 def is_whole_list(worker, reply):
     """True if a reply lists all runs and ends of a worker's present process.
 
--- a/fuchsiatrestle/workflows/_runs.py
+++ b/fuchsiatrestle/workflows/_runs.py
@@ -59,6 +59,9 @@
             known.  A process that starts later gets none of them.
         earlier_start_outcome: ``StartOutcome`` on a process of the worker that
             has ended, if a later one has to refuse the run, or empty.
+        start_lease_end_ms: latest end of a lease in its start orders, by the
+            clock of the present process of its worker; None before the first.
+            The worker refuses them once it has passed.
         earlier_lease_end_ms: end of the lease in start orders for an earlier
             process that may still reach the worker, by its clock; None if
             there are none.
@@ -111,6 +114,7 @@
         'phase',
         'progress_percent',
         'shares_cpu',
+        'start_lease_end_ms',
         'start_sent_ms',
         'starts_over_ms',
         'starts_alone',
@@ -137,6 +141,7 @@
         self.next_order_ms = 0
         self.starts_alone = False
         self.start_sent_ms = None
+        self.start_lease_end_ms = None
         self.starts_over_ms = None
         self.earlier_start_outcome = ''
         self.earlier_lease_end_ms = None
--- a/tests/workflows/test_run_ends.py
+++ b/tests/workflows/test_run_ends.py
@@ -334,6 +334,49 @@
         self.assertEqual([], world.ledger.breaches)
 
 
+class LateStartTest(_EndsTest):
+    """A worker takes polls, but may get a start order seconds later."""
+
+    def _order_start(self, holds_ms):
+        """Has a start order reach the first worker after some time.
+
+        That takes neither other start orders nor stops.
+        """
+        world = dispatch_world.World(4, workers=1)
+        world.run(2000)
+        execute_order = world._execute_order
+        world._execute_order = lambda order: (
+            execute_order(order)
+            if order.worker != 'w0' or isinstance(order, dispatcher.PollWorker)
+            else None
+        )
+        world.submit('w', [LASTING_STEP], [ENDLESS_PROFILE])
+        world.run(300)
+        _, start_order = world.start_orders[0]
+        world.call_later(holds_ms, execute_order, start_order)
+        world.add_worker('w1')
+        return world
+
+    def test_start_is_refused_after_its_lease_and_runs_elsewhere(self):
+        """It waited for ever, as each poll extended the lease."""
+        for holds_ms in (9000, 30_000):
+            with self.subTest(holds_ms=holds_ms):
+                world = self._order_start(holds_ms)
+                world.run(2 * LEASE_MS + 2 * START_MS)
+                self._assert_runs_elsewhere(world, 'w0')
+                world.run(40_000)
+                self._assert_runs_elsewhere(world, 'w0')
+                self.assertEqual([], world.ledger.breaches)
+
+    def test_start_that_arrives_within_its_lease_runs_once(self):
+        for holds_ms in (100, 2000, 4000, 5000, 5500):
+            with self.subTest(holds_ms=holds_ms):
+                world = self._order_start(holds_ms)
+                world.run(30_000)
+                self.assertEqual(1, len(world.ledger.running))
+                self.assertEqual([], world.ledger.breaches)
+
+
 class ForgottenEndTest(_EndsTest):
     """A worker forgets the ends that it is told are agreed."""
 
