Keep cancelled workflows from shutting out others

What callers would see: a client that submits and cancels 220 workflows a second fills the 200,000 known ones within 15 minutes, and all others are refused with 429. Found when the limit was read again.

Change: of the cancelled workflows that are dropped for want of room, as over 2,000 have ended within two minutes, the state keeps what it keeps of cancels of unknown workflows: 10,000 rows, the oldest dropped first, which deny late copies of submissions and nobody else.

--- a/fuchsiatrestle/state/_workflows.py
+++ b/fuchsiatrestle/state/_workflows.py
@@ -569,18 +569,30 @@
         while self._ended_workflows:
             oldest_ended = self._ended_workflows[0]
             workflow = self._workflows[oldest_ended.workflow_id]
-            is_recent = (
-                oldest_ended.ended_ms > now_ms - DETAIL_RETENTION_MS
-                and len(self._ended_workflows) <= MAX_DETAILED_ENDED
-            )
-            if is_recent or workflow.is_running:
+            is_recent = oldest_ended.ended_ms > now_ms - DETAIL_RETENTION_MS
+            has_room = len(self._ended_workflows) <= MAX_DETAILED_ENDED
+            if is_recent and has_room or workflow.is_running:
                 return
             self._ended_workflows.popleft()
-            self._drop_tasks(workflow, oldest_ended.ended_ms)
+            self._drop_tasks(workflow, oldest_ended.ended_ms, is_recent)
+
+    def _drop_tasks(self, workflow, ended_ms, is_recent):
+        """Keeps only the state of an ended workflow.
 
-    def _drop_tasks(self, workflow, ended_ms):
-        """Keeps only the state of an ended workflow."""
+        Of one that was cancelled lately it keeps what it does of cancels of
+        unknown workflows, of which there may be any number.
+
+        Args:
+            workflow: the ``Workflow``.
+            ended_ms: agreed time of its end.
+            is_recent: True if it is dropped for want of room.
+        """
         del self._workflows[workflow.workflow_id]
+        if is_recent and workflow.state == _workflows_model.CANCELLED:
+            self._cancels.add(
+                _denials.make_key(workflow.workflow_id), ended_ms
+            )
+            return
         self._ended_by_id[workflow.workflow_id] = _EndedWorkflow(
             workflow.workflow_id, ended_ms, workflow.public_state
         )
--- a/fuchsiatrestle/state/_workflows_model.py
+++ b/fuchsiatrestle/state/_workflows_model.py
@@ -7,7 +7,7 @@
 from fuchsiatrestle.state import commands
 from fuchsiatrestle.state import workflows
 
-__all__ = ('OPEN', 'Workflow', 'WorkflowRow')
+__all__ = ('CANCELLED', 'OPEN', 'Workflow', 'WorkflowRow')
 
 # States of a workflow, as stored in snapshots.
 OPEN = 'open'
