--- a/review/kit3.py
+++ b/review/kit3.py
@@ -231,6 +231,8 @@
         self._record = open(record_path, 'w', encoding='utf-8')
         self._began_s = time.time()
         self._processes = []
+        # Process of each machine and function that starts it again.
+        self._machines = {}
         self._net = f'127.{random.randint(10, 250)}.{random.randint(1, 250)}'
         self._event_path = self.folder / 'events'
         self._event_path.touch()
@@ -283,10 +285,10 @@
         for number, ip in enumerate(self.edges):
             self._start_role('entry', roles['entry'], ip, number)
 
-    def _start_role(self, role_name, role, ip, number):
+    def _start_role(self, role_name, role, ip, number, bootstrap=True):
         name = f'{role["on"]}-{number}'
         data_folder = self.folder / name
-        data_folder.mkdir()
+        data_folder.mkdir(exist_ok=True)
         fields = {
             'node_name': name,
             'role': role_name,
@@ -296,7 +298,7 @@
             'zones': dict.fromkeys(ZONES, 'tw-north'),
             'internal_ports': [self._ports[4], self._ports[-1]],
             'seed_nodes': self.control_addresses[:3],
-            'bootstrap': True,
+            'bootstrap': bootstrap,
             'heartbeat_ms': HEARTBEAT_MS,
             'data_dir': str(data_folder),
             'listen_addrs': {
@@ -319,16 +321,36 @@
         env['PYTHONDONTWRITEBYTECODE'] = '1'
         env['FUCHSIATRESTLE_BOOT'] = str(settings_path)
         with open(self.folder / f'{name}.log', 'ab') as log:
-            self._processes.append(
-                subprocess.Popen(
-                    role['run'].split(),
-                    cwd=ROOT,
-                    env=env,
-                    stdin=subprocess.DEVNULL,
-                    stdout=log,
-                    stderr=log,
-                )
+            process = subprocess.Popen(
+                role['run'].split(),
+                cwd=ROOT,
+                env=env,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
             )
+        self._processes.append(process)
+        self._machines[name] = (
+            process,
+            lambda: self._start_role(role_name, role, ip, number, False),
+        )
+
+    def find_process(self, machine):
+        """Returns the process of a machine, such as ``core-0``."""
+        return self._machines[machine][0]
+
+    def restart(self, machine):
+        """Starts the process of a machine again, with its folder."""
+        self._machines[machine][1]()
+
+    def read_peak_mb(self, machine):
+        """Returns the most memory that its process has used, 0 if it ended."""
+        path = pathlib.Path(f'/proc/{self.find_process(machine).pid}/status')
+        with contextlib.suppress(OSError):
+            for line in path.read_text().splitlines():
+                if line.startswith('VmHWM'):
+                    return int(line.split()[1]) / 1024
+        return 0
 
     def read_logs(self, word):
         """Returns the log lines of all programs that contain a word."""
@@ -611,8 +633,7 @@
                 text = json.dumps(answer).encode()
                 writer.write(
                     b'HTTP/1.1 %d X\r\nContent-Type: application/json\r\n'
-                    b'Content-Length: %d\r\n\r\n' % (status, len(text))
-                    + text
+                    b'Content-Length: %d\r\n\r\n' % (status, len(text)) + text
                 )
                 await writer.drain()
         writer.close()
