--- a/review/kit3.py
+++ b/review/kit3.py
@@ -20,6 +20,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import tomllib
 
@@ -201,14 +202,16 @@
         name: its id.
         address: ``IP:port`` of its orders.
         born_ms: start that it names in its heartbeats.
+        announced: address that it names in them.
         process: the process.
     """
 
-    def __init__(self, name, address, process, born_ms):
+    def __init__(self, name, address, process, born_ms, announced):
         self.name = name
         self.address = address
         self.process = process
         self.born_ms = born_ms
+        self.announced = announced
 
     def crash(self):
         """Ends the process without a word."""
@@ -226,6 +229,8 @@
     """
 
     def __init__(self, record_path, core_count=3, edge_count=2):
+        # Has ``stop`` end all processes if the time limit is reached.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='case-'))
         self.minions = []
         self._record = open(record_path, 'w', encoding='utf-8')
@@ -363,17 +368,40 @@
 
     # Minions
 
-    def start_minion(self, place, name=None, cpu=32000):
+    def make_address(self, place):
+        """Returns the address of the orders of a minion.
+
+        Args:
+            place: number of the address.
+        """
+        return f'{self._net}.{100 + place}:{self._ports[0]}'
+
+    def find_leader(self):
+        """Returns the control address of the leader, by the newest log."""
+        lines = [
+            (line.partition('"')[2], path.stem)
+            for path in self.folder.glob('core-*.log')
+            for line in path.read_text(errors='replace').splitlines()
+            if 'event=dispatch_started' in line
+        ]
+        number = int(max(lines)[1].rpartition('-')[2])
+        return self.control_addresses[number]
+
+    def start_minion(
+        self, place, name=None, cpu=32000, announced=None, lost=()
+    ):
         """Starts a minion process.
 
         Args:
             place: number of its address.
             name: its id; a new one if None.
             cpu: its processors, in thousandths of a core.
+            announced: the address that it announces; its own if None.
+            lost: control addresses that it does not reach.
         """
         self._minion_count += 1
         name = name or f'i-{random.getrandbits(32):08x}'
-        address = f'{self._net}.{100 + place}:{self._ports[0]}'
+        address = self.make_address(place)
         born_ms = epoch_ms()
         settings_path = self.folder / f'minion-{self._minion_count}.json'
         settings_path.write_text(
@@ -381,11 +409,17 @@
                 {
                     'name': name,
                     'address': address,
+                    'announced': announced or address,
                     'born': born_ms,
                     'cpu': cpu,
                     'zone': ZONES[place % len(ZONES)],
                     'labels': ['a', f'r{place % 3}-{place // 6}'],
-                    'controls': self.control_addresses,
+                    'controls': [
+                        address
+                        for address in self.control_addresses
+                        if address not in lost
+                    ],
+                    'lost': list(lost),
                     'events': str(self._event_path),
                 }
             )
@@ -398,7 +432,7 @@
                 stderr=e,
             )
         self._processes.append(process)
-        minion = Minion(name, address, process, born_ms)
+        minion = Minion(name, address, process, born_ms, announced or address)
         self.minions.append(minion)
         return minion
 
@@ -537,6 +571,57 @@
     return texts
 
 
+class Relay:
+    """TCP relay in front of one address that can lose the path.
+
+    Args:
+        listen: ``IP:port`` that it takes connections on.
+        target: ``IP:port`` that it passes them on to.
+
+    Attributes:
+        is_cut: while it is set, no byte is passed on either way.
+    """
+
+    def __init__(self, listen, target):
+        self.is_cut = threading.Event()
+        self._target = target.rpartition(':')
+        host, _, port = listen.rpartition(':')
+        self._listener = socket.create_server((host, int(port)))
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            sock, _ = self._listener.accept()
+            threading.Thread(
+                target=self._connect, args=[sock], daemon=True
+            ).start()
+
+    def _connect(self, sock):
+        self._wait_while_cut()
+        host, _, port = self._target
+        try:
+            other = socket.create_connection((host, int(port)), 1.0)
+        except OSError:
+            sock.close()
+            return
+        other.settimeout(None)
+        for source, sink in ((sock, other), (other, sock)):
+            threading.Thread(
+                target=self._pass_on, args=[source, sink], daemon=True
+            ).start()
+
+    def _pass_on(self, source, sink):
+        with contextlib.suppress(OSError):
+            while data := source.recv(65536):
+                self._wait_while_cut()
+                sink.sendall(data)
+            sink.shutdown(socket.SHUT_WR)
+
+    def _wait_while_cut(self):
+        while self.is_cut.is_set():
+            time.sleep(0.01)
+
+
 def has_trouble():
     """False if the case is to run without its disruption."""
     return os.environ.get('TROUBLE', '1') != '0'
@@ -738,7 +823,7 @@
         self._sequence += 1
         return {
             'service': SERVICE,
-            'address': self._cfg['address'],
+            'address': self._cfg['announced'],
             'zone': self._cfg['zone'],
             'version': 'v1',
             'slots': 8,
@@ -765,7 +850,9 @@
                 call, address, 'POST', path, self.make_heartbeat(), (), 1.0
             )
             if status == 200:
-                address = json.loads(answer).get('heartbeat_addr', address)
+                named = json.loads(answer).get('heartbeat_addr', address)
+                if named not in self._cfg.get('lost', ()):
+                    address = named
                 await asyncio.sleep(HEARTBEAT_MS / 1000)
             else:
                 controls.append(controls.pop(0))
